--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,179 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"arrowgw/policy"
+)
+
+// Settings are the start-up settings of an instance, by path.
+type Settings struct {
+	values map[string]string
+	err    error // the first value that could not be read
+}
+
+// ParseSettings reads path=value lines. Unknown keys are kept and passed over.
+func ParseSettings(info []byte) (*Settings, error) {
+	s := &Settings{values: make(map[string]string, 128)}
+	for n, line := range bytes.Split(info, []byte{'\n'}) {
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		key, value, ok := strings.Cut(string(line), "=")
+		if !ok {
+			return nil, fmt.Errorf("settings line %d: no '=' in %.60q", n+1, line)
+		}
+		s.values[key] = value
+	}
+	return s, nil
+}
+
+func (s *Settings) text(key string) string { return s.values[key] }
+
+func (s *Settings) flag(key string) bool { return s.values[key] == "true" }
+
+func (s *Settings) number(key string, absent float64) float64 {
+	v, ok := s.values[key]
+	if !ok || v == "" {
+		return absent
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil && s.err == nil {
+		s.err = fmt.Errorf("settings: %s: %w", key, err)
+	}
+	return f
+}
+
+func (s *Settings) count(key string) int {
+	const most = 1 << 16 // far above any real list; a guard against a broken figure
+	n := s.number(key, 0)
+	if (n < 0 || n > most || n != float64(int(n))) && s.err == nil {
+		s.err = fmt.Errorf("settings: %s: %v is not a count", key, n)
+		return 0
+	}
+	return int(n)
+}
+
+// Columns are the fields of a load report in their order on the wire; 0 stands for one not known.
+type Columns []policy.LoadFields
+
+// Columns tells what the load reports hold.
+func (s *Settings) Columns() Columns {
+	var c Columns
+	for name := range strings.SplitSeq(s.text("telemetry.columns"), ",") {
+		c = append(c, map[string]policy.LoadFields{
+			"busy_reqs": policy.HasInFlight,
+			"pending":   policy.HasQueued,
+			"cpu_share": policy.HasBusy,
+			"svc_ms":    policy.HasService,
+			"served_ps": policy.HasServed,
+			"failed_ps": policy.HasErrors,
+		}[name])
+	}
+	return c
+}
+
+// fields is the set of all columns.
+func (c Columns) fields() (all policy.LoadFields) {
+	for _, f := range c {
+		all |= f
+	}
+	return all
+}
+
+// Load reads a report by its columns. A value that is no usable number counts as absent.
+func (c Columns) Load(r Report) policy.Load {
+	var l policy.Load
+	for i := range min(r.N, len(c)) {
+		v := float64(r.Values[i])
+		if !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		l.Has |= c[i]
+		switch c[i] {
+		case policy.HasInFlight:
+			l.InFlight = v
+		case policy.HasQueued:
+			l.Queued = v
+		case policy.HasBusy:
+			l.Busy = v
+		case policy.HasService:
+			l.Service = Millis(v)
+		case policy.HasServed:
+			l.Served = v
+		case policy.HasErrors:
+			l.Errors = v
+		}
+	}
+	return l
+}
+
+// Config turns the settings into the module's own.
+func (s *Settings) Config() (policy.Config, error) {
+	c := policy.Config{
+		Balancers:      s.count("balancers"),
+		Index:          s.count("me"),
+		Zone:           s.count("zone"),
+		MaxAttempts:    s.count("caps.most_tries"),
+		MayCancel:      s.flag("caps.may_cancel"),
+		MayProbe:       s.flag("caps.probes") && s.text("telemetry.how") != "silent",
+		MaxRetryAfter:  Millis(s.number("caps.max_retry_after_ms", 0)),
+		MarksRepeat:    s.flag("client_habits.marks_retry"),
+		OrderSettle:    Millis(s.number("rules.order_settle_ms", 0)),
+		CloseWithin:    Millis(s.number("rules.let_go_in_ms", 0)),
+		Tick:           Millis(s.number("period_ms", 0)),
+		AskList:        s.text("discovery") == "ask",
+		AskWithin:      Millis(s.number("rules.ask_within_ms", 0)),
+		ColdFrom:       s.number("rules.cold_from", 0),
+		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
+		ColdMultiple:   s.number("rules.fall_multiple", 0),
+		CrossZonePrice: s.number("charges.cross_zone", 0),
+		Budget: policy.RetryBudget{
+			Span:  Millis(s.number("rules.budget_span_ms", 0)),
+			Free:  s.number("rules.extra_free", 0),
+			Share: s.number("rules.further_ratio", 0),
+		},
+	}
+	if s.text("telemetry.how") != "silent" {
+		c.Reports = s.Columns().fields()
+	}
+	for i := range s.count("classes.count") {
+		p := fmt.Sprintf("classes.%d.", i)
+		k := policy.Class{
+			Aim:        Millis(s.number(p+"aim_ms", 0)),
+			AimStretch: s.number(p+"aim_stretch", 0),
+			Deadline:   Millis(s.number(p+"hard_limit_ms", 0)),
+			LateShare:  s.number(p+"late_share", 0),
+			Worth:      s.number(p+"worth", 0),
+			Window:     Millis(s.number(p+"window_ms", 0)),
+			Effect:     policy.Unsafe, // an unknown word is taken for the strictest
+			Scope:      policy.ScopeCell,
+			InOrder:    s.flag(p + "fifo_by_key"),
+		}
+		switch s.text(p + "semantics") {
+		case "free":
+			k.Effect = policy.Safe
+		case "guarded":
+			k.Effect = policy.Keyed
+		}
+		switch s.text(p + "dedup_scope") {
+		case "all":
+			k.Scope = policy.ScopeAll
+		case "zone":
+			k.Scope = policy.ScopeZone
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	for i := range s.count("orgs.count") {
+		p := fmt.Sprintf("orgs.%d.", i)
+		c.Tenants = append(c.Tenants, policy.Tenant{
+			Share: s.number(p+"share", 0),
+			Quota: s.number(p+"quota_per_s", 0),
+		})
+	}
+	return c, s.err
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,300 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowgw/policy"
+)
+
+func unhex(t testing.TB, s string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.NewReplacer(" ", "", "\n", "", "\t", "").Replace(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// The records are examples of the protocol page.
+func TestReadsABatch(t *testing.T) {
+	frame := unhex(t, `0c000000 03000000 4d000000 00000000206ec040
+		3804 27000000 03000000 c4913a5d 0100 640ad2557c3bf091 00000000 0000000000006e40 0000000000002840 00
+		2e04 0c000000 03000000 4d00000000000000
+		4204 08000000 05000000 192b6f0e`)
+	r := NewReader(bytes.NewReader(frame))
+	b, err := r.ReadBatch()
+	if err != nil || b.Number != 12 || b.Records != 3 || b.Clock != 8412250*time.Microsecond {
+		t.Fatalf("batch %+v, error %v", b, err)
+	}
+	rec, rest, err := Next(b.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := rec.Ask()
+	want := Ask{Job: 0x5d3a91c4, Bits: 1, Key: 0x91f03b7c55d20a64, Left: 240 * time.Millisecond, Hint: 12 * time.Millisecond}
+	if err != nil || a != want {
+		t.Fatalf("ask %+v, error %v, want %+v", a, err, want)
+	}
+	rec, rest, _ = Next(rest)
+	if c, err := rec.Cookie(); err != nil || c != 77 {
+		t.Fatalf("cookie %d, error %v", c, err)
+	}
+	rec, rest, _ = Next(rest)
+	job, err := rec.Job()
+	if inst, _ := rec.Instance(); err != nil || job != 0x0e6f2b19 || inst != 5 || len(rest) != 0 {
+		t.Fatalf("job %x of instance %d, error %v, %d bytes left", job, inst, err, len(rest))
+	}
+	if _, err := r.ReadBatch(); !errors.Is(err, io.EOF) {
+		t.Fatalf("end of input gives %v", err)
+	}
+}
+
+func TestReadsListsAndOutcomes(t *testing.T) {
+	rec, _, err := Next(unhex(t, `f203 34000000 0000 02000000
+		0a124a07 931f 00 00 0000 01 0000803f 0000000000000000
+		0a9011f2 bc1f 00 00 0000 01 0000c03f 0000000000d4b740`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, entries, err := rec.Manifest()
+	if err != nil || page != 0 || len(entries) != 2 {
+		t.Fatalf("page %d, %d entries, error %v", page, len(entries), err)
+	}
+	if e := entries[1]; e.Status != StateReady || e.Rating != 1.5 || e.Boot != 6100*time.Millisecond {
+		t.Fatalf("entry %+v", e)
+	}
+	rec, _, _ = Next(unhex(t, "2404 1b000000 03000000 c4913a5d 00 0a124a07 931f 6400 0000000000803240 01 00"))
+	f, err := rec.Finished()
+	if err != nil || f.Ending != EndServed || !f.Settled || f.Took != 18500*time.Microsecond || f.Upstream != entries[0].Upstream {
+		t.Fatalf("outcome %+v, error %v", f, err)
+	}
+	rec, _, _ = Next(unhex(t, `e803 25000000 03000000 0a9011f2 bc1f 6400 666666666666f63f
+		04 0000003f0000684100000c430000e040`))
+	up, end, report, err := rec.CheckResult()
+	if err != nil || up != entries[1].Upstream || end != EndServed || report.N != 4 || report.Values[3] != 7 {
+		t.Fatalf("probe of %x: %d, report %+v, error %v", up, end, report, err)
+	}
+	columns := Columns{policy.HasBusy, policy.HasService, policy.HasServed, policy.HasInFlight}
+	want := policy.Load{Has: columns.fields(), Busy: 0.5, Service: 14500 * time.Microsecond, Served: 140, InFlight: 7}
+	if l := columns.Load(report); l != want {
+		t.Fatalf("load %+v, want %+v", l, want)
+	}
+	if l := (Columns{0, policy.HasBusy}).Load(report); l.Has != policy.HasBusy || l.Busy != 14.5 {
+		t.Fatalf("load %+v, want the second column alone", l)
+	}
+	report.Values[0] = float32(math.NaN())
+	if l := columns.Load(report); l.Has&policy.HasBusy != 0 {
+		t.Fatalf("load %+v: a value that is no number counts", l)
+	}
+	if l := columns.Load(Report{}); l != (policy.Load{}) {
+		t.Fatalf("absent load %+v, want it unknown", l)
+	}
+	rec, _, _ = Next(unhex(t, "1a04 0b000000 03000000 03 29000000 0700"))
+	if kind, version, page, err := rec.Fleet(); err != nil || kind != FleetCached || version != 41 || page != 7 {
+		t.Fatalf("fleet: kind %d version %d page %d, error %v", kind, version, page, err)
+	}
+}
+
+func TestWritesActions(t *testing.T) {
+	var to Upstream
+	rec, _, _ := Next(unhex(t, "1a04 0a000000 03000000 0a124a07 931f"))
+	c := cursor{b: rec.Fields[4:]}
+	to = c.addr()
+	var p Reply
+	p.Begin(12)
+	p.CallOut(3, 0x5d3a91c4, to, 80*time.Millisecond)
+	p.SetAlarm(3, 500*time.Millisecond, 77)
+	p.WriteLog(3, "two servers known")
+	p.PushBack(3, 0x0e6f2b19, 250*time.Millisecond)
+	p.Lose(3, 0x0e6f2b19)
+	p.Recall(3, 0x5d3a91c4, 0)
+	p.Tail(3, true)
+	p.Inspect(3, to)
+	p.Release(3, to)
+	p.Die(3, "index out of range")
+	want := unhex(t, `0c000000 cf000000 0a000000
+		e803 16000000 03000000 c4913a5d 0a124a07 931f 0000000000005440
+		1004 14000000 03000000 0000000000407f40 4d00000000000000
+		3804 17000000 03000000 1100 74776f2073657276657273206b6e6f776e
+		f203 10000000 03000000 192b6f0e 0000000000406f40
+		fc03 08000000 03000000 192b6f0e
+		0604 09000000 03000000 c4913a5d 00
+		4c04 05000000 03000000 01
+		1a04 0a000000 03000000 0a124a07 931f
+		2404 0a000000 03000000 0a124a07 931f
+		4204 18000000 03000000 1200 696e646578206f7574206f662072616e6765`)
+	if got := p.Bytes(); !bytes.Equal(got, want) {
+		t.Fatalf("reply\n%x\nwant\n%x", got, want)
+	}
+	p.Begin(1)
+	if got := p.Bytes(); !bytes.Equal(got, unhex(t, "01000000 00000000 00000000")) {
+		t.Fatalf("empty reply %x", got)
+	}
+}
+
+func frame(records, size uint32, clock float64, body string) []byte {
+	b := binary.LittleEndian.AppendUint32(nil, 1)
+	b = binary.LittleEndian.AppendUint32(b, records)
+	b = binary.LittleEndian.AppendUint32(b, size)
+	b = binary.LittleEndian.AppendUint64(b, math.Float64bits(clock))
+	return append(b, body...)
+}
+
+func TestMalformedFrames(t *testing.T) {
+	for name, in := range map[string][]byte{
+		"header cut off":        {1, 2, 3},
+		"body cut off":          frame(1, 100, 0, "short"),
+		"oversized":             frame(1, 1<<31, 0, ""),
+		"large and cut off":     frame(1, maxFrame, 0, "short"),
+		"more records than fit": frame(100, 6, 0, "abcdef"),
+		"clock not a number":    frame(0, 0, math.NaN(), ""),
+	} {
+		if _, err := NewReader(bytes.NewReader(in)).ReadBatch(); err == nil || errors.Is(err, io.EOF) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	for name, in := range map[string]string{
+		"record header cut off": "e803",
+		"record longer than it": "e803 ff000000 03000000",
+	} {
+		if _, _, err := Next(unhex(t, in)); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	short := Record{Code: EvAsk, Fields: []byte{1, 0, 0, 0, 9}}
+	if _, err := short.Ask(); err == nil {
+		t.Error("fields cut off: no error")
+	}
+	huge := Record{Code: EvManifest, Fields: []byte{0, 0, 255, 255, 255, 255}}
+	if _, _, err := huge.Manifest(); err == nil {
+		t.Error("list of four thousand million lines: no error")
+	}
+	longer := Record{Code: EvWake, Fields: append(make([]byte, 12), "a field of a later version"...)}
+	if _, err := longer.Cookie(); err != nil {
+		t.Errorf("added fields: %v", err)
+	}
+}
+
+func TestMillis(t *testing.T) {
+	for _, d := range []time.Duration{0, time.Microsecond, 123456 * time.Microsecond, -time.Second, time.Hour} {
+		if got := Millis(ToMillis(d)); got != d {
+			t.Errorf("%v comes back as %v", d, got)
+		}
+	}
+	if Millis(math.NaN()) != 0 || Millis(math.Inf(1)) <= 0 || Millis(math.Inf(-1)) >= 0 {
+		t.Error("what is no number, or infinite, is not cut to a safe duration")
+	}
+}
+
+const someSettings = `balancers=3
+caps.may_cancel=true
+caps.most_tries=3
+caps.probes=true
+caps.retry_after=false
+charges.cross_zone=0.03
+classes.count=2
+classes.0.aim_ms=500.0
+classes.0.dedup_scope=cell
+classes.0.hard_limit_ms=1000.0
+classes.0.semantics=guarded
+classes.0.window_ms=600.0
+classes.0.worth=5.0
+classes.1.aim_ms=600.0
+classes.1.hard_limit_ms=2500.0
+classes.1.fifo_by_key=true
+classes.1.semantics=a_word_of_a_later_version
+discovery=ask
+orgs.count=1
+orgs.0.quota_per_s=342.0
+orgs.0.share=0.79
+rules.budget_span_ms=10000.0
+rules.extra_free=1.0
+rules.further_ratio=0.2
+rules.let_go_in_ms=300.0
+rules.order_settle_ms=250.0
+rules.cold_from=0.32
+some.key.of.a.later.version=x=y
+telemetry.columns=failed_ps,svc_ms,served_ps,busy_reqs
+telemetry.how=pull
+zone=2
+`
+
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings([]byte(someSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := s.Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Balancers != 3 || c.Zone != 2 || c.MaxAttempts != 3 || !c.MayCancel || !c.MayProbe ||
+		!c.AskList || c.ColdFrom != 0.32 || c.CrossZonePrice != 0.03 {
+		t.Errorf("config %+v", c)
+	}
+	if k := c.Classes[0]; k.Effect != policy.Keyed || k.Scope != policy.ScopeCell || k.Window != 600*time.Millisecond {
+		t.Errorf("class 0 %+v", k)
+	}
+	if c.Classes[1].Effect != policy.Unsafe {
+		t.Error("an unknown effect is not taken for the strictest")
+	}
+	if b := (policy.RetryBudget{Span: 10 * time.Second, Free: 1, Share: 0.2}); c.Budget != b ||
+		c.CloseWithin != 300*time.Millisecond || c.OrderSettle != 250*time.Millisecond || !c.Classes[1].InOrder {
+		t.Errorf("config of the further rules %+v", c)
+	}
+	want := Columns{policy.HasErrors, policy.HasService, policy.HasServed, policy.HasInFlight}
+	if c.Tenants[0].Quota != 342 || c.Tenants[0].Share != 0.79 {
+		t.Errorf("tenant %+v", c.Tenants[0])
+	}
+	if got := s.Columns(); !slices.Equal(got, want) || c.Reports != got.fields() {
+		t.Errorf("columns %+v", got)
+	}
+	for _, bad := range []string{"balancers=three", "classes.count=-1", "classes.count=1e9", "orgs.count=1.5"} {
+		s, err := ParseSettings([]byte(bad))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Config(); err == nil {
+			t.Errorf("%s: no error", bad)
+		}
+	}
+	if _, err := ParseSettings([]byte("no equals sign")); err == nil {
+		t.Error("a line without '=': no error")
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(frame(1, 10, 1, "\x2e\x04\x04\x00\x00\x00\x01\x00\x00\x00"))
+	f.Add(frame(0, 0, 0, ""))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := NewReader(bytes.NewReader(data)).ReadBatch()
+		if err != nil {
+			return
+		}
+		for body := b.Body; len(body) > 0; {
+			rec, rest, err := Next(body)
+			if err != nil {
+				return
+			}
+			body = rest
+			rec.Instance()
+			rec.Manifest()
+			rec.OpenInstance()
+			rec.Fleet()
+			rec.Ask()
+			rec.Finished()
+			rec.CheckResult()
+			rec.Job()
+			rec.Cookie()
+		}
+	})
+}
--- /dev/null
+++ b/policy/example_test.go
@@ -0,0 +1,50 @@
+package policy_test
+
+import (
+	"fmt"
+	"time"
+
+	"arrowgw/policy"
+)
+
+// sidecar is the program that embeds the module: it carries out its decisions.
+type sidecar struct{}
+
+func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	fmt.Printf("send request %d, for at most %v\n", id, timeout)
+}
+func (sidecar) Refuse(id policy.RequestID, pause time.Duration) {
+	fmt.Printf("refuse request %d\n", id)
+}
+func (sidecar) Fail(id policy.RequestID)                { fmt.Printf("fail request %d\n", id) }
+func (sidecar) Cancel(id policy.RequestID, attempt int) {}
+func (sidecar) Wake(d time.Duration)                    {} // call b.Wake after d
+func (sidecar) Close(to policy.ServerID)                {}
+func (sidecar) Probe(to policy.ServerID)                {}
+func (sidecar) WatchList()                              {}
+func (sidecar) Log(line string)                         { fmt.Println(line) }
+
+func Example() {
+	b, err := policy.New(policy.Config{
+		Balancers:   1,
+		MaxAttempts: 2,
+		Slots:       1,
+		Classes:     []policy.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: policy.Unsafe}},
+	}, 42, sidecar{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Duration(0) // since any moment the program picks
+	b.Start(now)
+	b.List(now, policy.ListFull, []policy.Server{{ID: 7, State: policy.Ready, Weight: 1}})
+	for id := range policy.RequestID(3) { // one slot, one queue place: the third is refused
+		b.Request(now, policy.Request{ID: id, Left: 2 * time.Second})
+	}
+	now += 80 * time.Millisecond
+	b.Outcome(now, policy.Outcome{ID: 0, Attempt: 0, Ending: policy.Served, Settled: true})
+	// Output:
+	// send request 0, for at most 1s
+	// refuse request 2
+	// send request 1, for at most 920ms
+}
--- /dev/null
+++ b/policy/helpers_test.go
@@ -0,0 +1,163 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// sent is one attempt that a test host was asked to start.
+type sent struct {
+	id      RequestID
+	to      ServerID
+	timeout time.Duration
+}
+
+// fakeHost records the actions of a Balancer.
+type fakeHost struct {
+	sends     []sent
+	refused   map[RequestID]time.Duration
+	failed    map[RequestID]bool
+	cancelled []RequestID
+	wakes     []time.Duration
+	probes    []ServerID
+	closes    []ServerID
+	asks      int
+	log       []string
+	trace     []string
+}
+
+func newFakeHost() *fakeHost {
+	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+}
+
+func (h *fakeHost) note(format string, args ...any) {
+	h.trace = append(h.trace, fmt.Sprintf(format, args...))
+}
+
+func (h *fakeHost) Send(id RequestID, to ServerID, timeout time.Duration) {
+	h.sends = append(h.sends, sent{id, to, timeout})
+	h.note("send %d %d %v", id, to, timeout)
+}
+
+func (h *fakeHost) Refuse(id RequestID, pause time.Duration) {
+	h.refused[id] = pause
+	h.note("refuse %d %v", id, pause)
+}
+
+func (h *fakeHost) Fail(id RequestID) {
+	h.failed[id] = true
+	h.note("fail %d", id)
+}
+
+func (h *fakeHost) Cancel(id RequestID, attempt int) {
+	h.cancelled = append(h.cancelled, id)
+	h.note("cancel %d %d", id, attempt)
+}
+
+func (h *fakeHost) Wake(d time.Duration) {
+	h.wakes = append(h.wakes, d)
+	h.note("wake %v", d)
+}
+
+func (h *fakeHost) Probe(to ServerID) {
+	h.probes = append(h.probes, to)
+	h.note("probe %d", to)
+}
+
+func (h *fakeHost) Close(to ServerID) {
+	h.closes = append(h.closes, to)
+	h.note("close %d", to)
+}
+
+func (h *fakeHost) WatchList() {
+	h.asks++
+	h.note("watch")
+}
+
+func (h *fakeHost) Log(line string) {
+	h.log = append(h.log, line)
+	h.note("log %s", line)
+}
+
+// sentTo counts the attempts sent to a server.
+func (h *fakeHost) sentTo(id ServerID) int {
+	n := 0
+	for _, s := range h.sends {
+		if s.to == id {
+			n++
+		}
+	}
+	return n
+}
+
+// The classes of testConfig.
+const (
+	safeClass = iota
+	keyedAll
+	keyedZone
+	keyedCell
+	unsafeClass
+)
+
+func testConfig() Config {
+	class := func(e Effect, s Scope) Class {
+		return Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: e, Scope: s, Window: 700 * ms}
+	}
+	return Config{
+		Balancers: 2,
+		Classes: []Class{
+			class(Safe, ScopeAll), class(Keyed, ScopeAll), class(Keyed, ScopeZone), class(Keyed, ScopeCell),
+			class(Unsafe, ScopeAll),
+		},
+		Tenants:       []Tenant{{Share: 0.75, Quota: 75}, {Share: 0.25, Quota: 25}},
+		Slots:         8,
+		MaxAttempts:   3,
+		MayCancel:     true,
+		MaxRetryAfter: time.Second,
+		Tick:          5 * ms,
+		AskWithin:     10 * time.Second,
+		ColdFrom:      0.3,
+		ColdTime:      8 * time.Second,
+		ColdMultiple:  3,
+	}
+}
+
+func ready(ids ...ServerID) []Server {
+	var list []Server
+	for _, id := range ids {
+		list = append(list, Server{ID: id, State: Ready, Weight: 1})
+	}
+	return list
+}
+
+// start makes a Balancer that holds a list of servers.
+func start(t testing.TB, cfg Config, list []Server) (*Balancer, *fakeHost) {
+	t.Helper()
+	return startSeeded(t, cfg, 1, list)
+}
+
+// startSeeded is start with a seed, for tests of many balancers.
+func startSeeded(t testing.TB, cfg Config, seed uint64, list []Server) (*Balancer, *fakeHost) {
+	t.Helper()
+	h := newFakeHost()
+	b, err := New(cfg, seed, h)
+	if err != nil {
+		t.Fatalf("New: %v", err)
+	}
+	b.Start(0)
+	b.List(0, ListFull, list)
+	return b, h
+}
+
+// ask hands in a request of tenant 0.
+func ask(b *Balancer, now time.Duration, id RequestID, class int) {
+	b.Request(now, Request{ID: id, Class: class, Left: 2 * time.Second})
+}
+
+// end ends an attempt of a request.
+func end(b *Balancer, now time.Duration, id RequestID, attempt int, e Ending) {
+	b.Outcome(now, Outcome{ID: id, Attempt: attempt, Ending: e, Settled: e == Served})
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,653 @@
+// The interface (types, events, actions) is api.go; every decision is here: start, events,
+// compartments, the gate that all sends pass, server choice and health, list, reports, endings.
+
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	busyTick = 10 * time.Millisecond  // how often open requests are looked at
+	idleTick = 100 * time.Millisecond // and the rest when none is open
+
+	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (deriveSlots)
+	spread      = 2.0  // and this many standard deviations of such a count more
+	serverSlots = 3.0  // slots for each server first listed, where no quota is known
+	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
+
+	rateOver   = 10 * time.Second      // our traffic is measured over about this long
+	turnEvery  = 1 * time.Second       // turns are taken among so few servers that each gets one this often
+	fewest     = 4.0                   // but at least this many
+	toldFor    = 50 * time.Millisecond // a load report is good for this long
+	askWait    = 30 * time.Millisecond // a request waits this long for one
+	askMost    = 3                     // and asks so many servers at most
+	pairsMost  = 4                     // pairs of reports that far apart tell whether they are fresh enough
+	crowdedAt  = 0.3                   // a server that takes this share of the aim to answer is crowded
+	admitMost  = 1.5                   // lets in this multiple of what was lately answered in time
+	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
+	admitOver  = 2 * time.Second       // lately: about as long as queues take to build up
+	wholeLater = 1.7                   // the wall over all attempts begins at this multiple of a server's
+	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
+	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
+	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
+
+	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
+	lastPause  = 4 * time.Second        // doubled after each up to this
+)
+
+// New makes a Balancer, or returns an error that names the unusable field.
+func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
+	if err := check(cfg); err != nil {
+		return nil, err
+	}
+	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
+	b.parts = make([]compartment, len(cfg.tenants()))
+	b.rng = rand.New(rand.NewPCG(seed, 0))
+	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
+	for _, c := range cfg.Classes {
+		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
+		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
+		b.worth += c.Worth / float64(len(cfg.Classes))
+		b.pace = min(b.pace, c.Aim/8)
+	}
+	b.deriveSlots()
+	return b, nil
+}
+
+// deriveSlots sizes the walls, once. By Little's law a rate holds rate x time slots: the quotas
+// times a small share of the aim, to leave most of it for what goes wrong. Each balancer gets
+// what the largest of n random parts of the traffic comes to, ln n + 0.58 even ones, and two
+// standard deviations of such a count, so as not to refuse on chance.
+func (b *Balancer) deriveSlots() {
+	tenants, shares := b.cfg.tenants(), 0.0
+	for _, t := range tenants {
+		shares += t.Share
+		b.quota += t.Quota
+	}
+	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
+	b.rate = cmp.Or(b.quota/float64(b.cfg.Balancers), float64(len(b.servers))/b.every)
+	n := float64(b.cfg.Balancers)
+	total, room := b.mean*min(1, (math.Log(n)+0.58)/n), spread
+	if b.cfg.Slots > 0 {
+		total, room = float64(b.cfg.Slots), 0
+	}
+	b.slots = 0
+	for i, t := range tenants {
+		c, mean := &b.parts[i], total*t.Share/shares
+		c.slots = max(1, int(math.Ceil(mean+room*math.Sqrt(mean))))
+		c.places = int(math.Ceil(float64(c.slots) * placesShare))
+		b.slots += c.slots
+	}
+}
+
+// Start begins the Balancer's life; it must be the first event.
+func (b *Balancer) Start(now time.Duration) {
+	if b.cfg.AskList {
+		b.ask(now)
+	}
+	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
+	b.wake(now, idleTick)
+}
+
+// Request takes a request on. It is answered once, by an Outcome that settles it or through the
+// Host, before its time left is up. An id still held is passed over; one unusable is refused.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	if _, held := b.requests[q.ID]; held {
+		return
+	}
+	b.tally(now)
+	if !b.known(&q) {
+		b.count.Refused++
+		b.host.Refuse(q.ID, 0)
+		return
+	}
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
+	r.deadline = now + min(q.Left, time.Hour)
+	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
+	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
+		begun := now // the first try; a later one has less time left, or waits less for good
+		r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
+		if (q.Repeat || !b.cfg.MarksRepeat) && q.Left < r.class.longest-2*busyTick {
+			begun = min(now, r.deadline-r.class.Deadline)
+		}
+		r.useful = min(r.deadline, begun+r.class.Aim+time.Duration(stretch*float64(q.Work)))
+	}
+	if r.class.InOrder && q.Key != 0 {
+		b.join(now, r, q.Key)
+	}
+	b.requests[r.id] = r
+	b.open = append(b.open, r)
+	b.wake(now, busyTick)
+	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateOver)) + 1/rateOver.Seconds()
+	b.rateAt = now
+	if want := max(fewest, b.rate*b.every); want > 1.25*b.wanted || want < 0.75*b.wanted {
+		b.cut()
+	}
+	if !b.admit(now, r) {
+		b.asked.all++
+		b.count.Throttled++
+		b.finish(r)
+		return
+	}
+	b.place(now, r)
+}
+
+// admit says whether a request may try for a slot. Walls bound each balancer alone; where a thousand
+// of few requests each find the fleet short of what they ask, the slots of all are more than it can
+// serve in time, and its work goes into answers that come late (i47e131, i50e019). Each then lets in
+// little more than what it was lately answered in time, of worthier classes more.
+func (b *Balancer) admit(now time.Duration, r *request) bool {
+	fade := math.Exp(-float64(now-b.asked.at) / float64(admitOver))
+	b.asked.at, b.asked.all, b.asked.good = now, b.asked.all*fade, b.asked.good*fade
+	share := (admitFree + admitMost*b.asked.good) / (admitFree + b.asked.all)
+	return share >= 1 || b.rng.Float64() < math.Pow(share, b.worth/max(r.class.Worth, b.worth/8))
+}
+
+// place sends a request, or lets it wait, or refuses it.
+func (b *Balancer) place(now time.Duration, r *request) {
+	if b.inquire(now, r) {
+		return
+	}
+	if now > r.lateIn() { // late, or as good as: it takes nothing from others
+		r.useful = r.deadline
+		if ease(b.crowd) < 1 || !b.dispatch(now, r) {
+			b.count.Late++
+			b.finish(r)
+		}
+		return
+	}
+	if b.dispatch(now, r) {
+		return
+	}
+	if len(r.home.queue) >= r.home.places { // full: refuse promptly
+		b.finish(r)
+		return
+	}
+	b.count.Queued++
+	r.home.queue = append(r.home.queue, r)
+}
+
+// Outcome takes the end of an attempt. What is unknown or came before is passed over.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].state != inFlight {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.state = mayHaveRun
+	if o.Ending == TurnedAway || o.Ending == NoConnection || o.Ending == NotSent {
+		a.state = neverRan
+	}
+	b.hold(r, a.to, -1)
+	if !r.over && o.Ending != NotSent {
+		b.asked.all++
+	}
+	if !r.over && o.Ending == Served && now <= r.wanted {
+		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+	}
+	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
+		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
+	}
+	if a.to.State != Ready {
+		b.close(now, a.to)
+	}
+	b.judge(now, r, a, o.Ending)
+	switch {
+	case r.over && r.out == 0:
+		b.forget(r)
+	case !r.over && (o.Settled || o.Ending == Served || r.begun):
+		b.settle(r)
+	case !r.over && r.out == 0:
+		b.further(now, r)
+	}
+	b.feed(now)
+}
+
+// Wake takes that a time asked for with Host.Wake has come.
+func (b *Balancer) Wake(now time.Duration) {
+	if now < b.wakeAt {
+		return // an older timer
+	}
+	if b.cfg.AskList && b.askAt > 0 && now >= b.askAt {
+		b.ask(now)
+	}
+	if b.closeAt > 0 && now >= b.closeAt {
+		b.closeAt = 0
+		for _, s := range b.servers {
+			if s.State == Draining {
+				b.host.Close(s.ID)
+			}
+		}
+	}
+	b.feed(now)
+	for _, r := range b.open {
+		if r.asks != nil && !r.over && now >= r.asksUntil {
+			r.asks.toldAt, r.asks.others = now, math.Inf(1) // it cannot even tell
+			r.asks = nil
+			b.place(now, r)
+		}
+		ends := now+2*max(busyTick, b.cfg.Tick) > r.deadline || now >= r.lateIn()
+		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil))
+		if !r.begun && (waited || now >= r.deadline) {
+			b.finish(r)
+		}
+	}
+	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
+	b.wakeAt = 0
+	b.sample(now)
+	if len(b.open) > 0 {
+		b.wake(now, busyTick)
+	}
+	b.wake(now, idleTick)
+	if b.closeAt > 0 {
+		b.wake(now, b.closeAt-now)
+	}
+}
+
+// lateIn is when a wait stops being worth it: servers would work for answers that come late.
+func (r *request) lateIn() time.Duration { return r.useful - min(2*r.class.pace, r.class.Aim/2) }
+
+// dispatch sends a request if a slot of its compartment and a server are free.
+func (b *Balancer) dispatch(now time.Duration, r *request) bool {
+	if r.home.used >= r.home.slots {
+		return false
+	}
+	// The wall over all attempts: one each from many balancers is a crowd too. It comes later than servers' own.
+	if float64(b.out) >= max(1, float64(b.slots)*ease(b.crowd/wholeLater)) {
+		b.count.Held++
+		return false
+	}
+	s := b.pick(now, r)
+	return s != nil && b.send(now, r, s)
+}
+
+// further gives a request whose attempts have all failed another one, or ends it.
+func (b *Balancer) further(now time.Duration, r *request) {
+	if len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn() || b.spent(now) {
+		b.finish(r)
+		return
+	}
+	if !b.dispatch(now, r) {
+		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
+	}
+}
+
+// feed gives free slots to what waits, one compartment after the other.
+func (b *Balancer) feed(now time.Duration) {
+	b.feedFrom = (b.feedFrom + 1) % len(b.parts)
+	for i := range b.parts {
+		c := &b.parts[(b.feedFrom+i)%len(b.parts)]
+		for n := 0; n < len(c.queue) && c.used < c.slots; {
+			switch r := c.queue[n]; {
+			case now >= r.lateIn():
+				b.finish(r) // which takes it out of the queue
+			case b.dispatch(now, r):
+				c.queue = slices.Delete(c.queue, n, n+1)
+			case len(r.attempts) == 0 && r.inTurn(now):
+				n = len(c.queue) // it could go anywhere, so nothing behind it can go
+			default:
+				n++ // bound to where it has been, or behind its key: others may go
+			}
+		}
+	}
+}
+
+// mayRepeat says whether the class allows an attempt now, on a server or (nil)
+// on some server: what may have run must be dropped there if it comes again.
+func (r *request) mayRepeat(now time.Duration, s *server) bool {
+	first := r.ran()
+	switch {
+	case first == nil || r.class.Effect == Safe:
+		return true
+	case r.class.Effect == Unsafe || now >= first.sent+r.class.Window:
+		return false
+	case s == nil || r.class.Scope == ScopeAll:
+		return true
+	}
+	return s.Zone == first.to.Zone && (r.class.Scope == ScopeZone || s.Cell == first.to.Cell)
+}
+
+// mayGo is the gate: whether the rules let a request go to a server now.
+func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
+	switch {
+	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
+		return false // rule 1, and the limit on attempts
+	case s.State != Ready:
+		return false // rule 3: at once, long before the grace is over
+	case now < s.warmAt && now < s.coldAt:
+		return false // rule 4
+	case r.out > 0 || !r.mayRepeat(now, s):
+		return false // rule 2: one attempt at a time (no second copies), and only where it may be repeated
+	case !r.inTurn(now):
+		return false // rule 5
+	case len(r.attempts) > 0 && b.spent(now):
+		return false // rule 6
+	}
+	return true
+}
+
+// inTurn says whether a request is the first of its key, and no earlier attempt may still run.
+func (r *request) inTurn(now time.Duration) bool {
+	return r.line == nil || r.line.waiting[0] == r && (len(r.attempts) > 0 || now >= r.line.restEnd)
+}
+
+// spent says whether the budget has no further attempt left. A request taken just a span ago no
+// longer counts, an attempt made just then still does.
+func (b *Balancer) spent(now time.Duration) bool {
+	if b.cfg.Budget.Span == 0 {
+		return false
+	}
+	from := now - b.cfg.Budget.Span
+	allowed := b.cfg.Budget.Free + b.cfg.Budget.Share*float64(b.taken.since(from+1))
+	return float64(b.more.since(from)+1) > allowed
+}
+
+// close closes idle connections to a server that drains (rule 7): now and, as one may be opening, once more.
+func (b *Balancer) close(now time.Duration, s *server) {
+	if b.cfg.CloseWithin > 0 {
+		b.host.Close(s.ID)
+		b.closeAt = cmp.Or(b.closeAt, now+b.cfg.CloseWithin/2)
+		b.wake(now, b.closeAt-now)
+	}
+}
+
+// send is the one place that sends.
+func (b *Balancer) send(now time.Duration, r *request, s *server) bool {
+	if !b.mayGo(now, r, s) {
+		return false
+	}
+	s.coldAt = now + b.coldGap(now, s)
+	r.attempts = append(r.attempts, attempt{to: s, sent: now})
+	b.hold(r, s, 1)
+	if len(r.attempts) > 1 {
+		b.count.Retries++
+		b.more = append(b.more, now)
+	}
+	if b.far(s) {
+		b.count.Crossed++
+	}
+	b.host.Send(r.id, s.ID, r.useful-now)
+	return true
+}
+
+// coldGap spaces sends to a cold server so that all balancers together stay
+// well within its budget: each keeps an even part, whatever traffic it has.
+func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
+	rate := cmp.Or(b.quota/float64(b.cfg.Balancers), float64(max(b.out, 1))/b.pace.Seconds())
+	rate = b.part(rate, s) * b.weight / max(b.reach, s.Weight) * b.warmth(now, s)
+	return time.Duration(float64(time.Second) / max(rate*coldPart*max(b.cfg.ColdMultiple, 1), 0.01))
+}
+
+// warmth is the share of its capacity that a server has at least.
+func (b *Balancer) warmth(now time.Duration, s *server) float64 {
+	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
+	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
+}
+
+// pick is smooth weighted round robin over the ready servers: each is due again one over its
+// weight after its last turn, and the one due first has its turn. It loses it while it holds its
+// portion of our attempts, or if the request has been there already.
+func (b *Balancer) pick(now time.Duration, r *request) *server {
+	best, walled := b.turnOf(now, r, b.arc)
+	if best == nil && r.ran() != nil { // bound to where it has been
+		best, walled = b.turnOf(now, r, b.servers)
+	}
+	if best == nil {
+		return nil
+	}
+	b.turn = max(b.turn, best.due)
+	best.due = b.turn + b.gap(now, best)
+	switch {
+	case walled:
+		b.count.Walled++
+	case len(r.attempts) == 0:
+		b.count.Ordinary++
+	}
+	return best
+}
+
+// portion is how many of our attempts a server may hold: its part of our slots, less the more of
+// the aim its answers take (mean square: a long tail counts). It does not grow when others leave
+// or fail: the last would be overrun.
+func (b *Balancer) portion(s *server) float64 {
+	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*ease(s.used))
+}
+
+// ease is the share of its portion that crowding leaves.
+func ease(used float64) float64 { return min(1, crowdedAt*crowdedAt/max(used, 1e-4)) }
+
+// cut picks the servers to take turns among. A thousand balancers of few requests each would hold
+// connections to all servers and never learn how any of them fares, so each keeps to an arc of the
+// list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
+func (b *Balancer) cut() {
+	b.wanted = max(fewest, b.rate*b.every)
+	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
+	all, left := b.ready(), b.wanted
+	b.reach, b.arc = 0, nil
+	for i := range all {
+		s := all[(int(start*float64(len(all)))+i)%len(all)]
+		if left <= 0 {
+			s.ours = false
+			continue
+		}
+		if !s.ours { // at a random point of its round: balancers must not begin in step
+			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
+		}
+		left--
+		b.reach += s.Weight
+		b.arc = append(b.arc, s)
+	}
+}
+
+// gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
+// Other zones' have turns too, if fewer: a zone may have more traffic than its own servers can bear.
+func (b *Balancer) gap(now time.Duration, s *server) float64 {
+	gap := math.Pow(max(0.5, min(s.strain, failStrain/2)), 1.5) / (s.Weight * b.warmth(now, s))
+	if b.far(s) {
+		gap /= farTurns
+	}
+	return gap
+}
+
+// turnOf finds whose turn it is, and whether a server that holds its portion lost it.
+func (b *Balancer) turnOf(now time.Duration, r *request, among []*server) (best *server, walled bool) {
+	lost := math.Inf(1)
+	for _, s := range among {
+		switch {
+		case r.tried(s) || !b.mayGo(now, r, s):
+		case float64(s.out) >= b.portion(s) || b.fuller(now, r, s):
+			lost = min(lost, s.due)
+		case best == nil || s.due < best.due:
+			best = s
+		}
+	}
+	return best, best != nil && lost < best.due
+}
+
+// backoff is the pause after n failures, spread so that balancers do not act as one.
+func (b *Balancer) backoff(n int) time.Duration {
+	d := min(firstPause<<min(n, 16), lastPause)
+	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
+}
+
+// judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
+// slowness, errors, silence, refusals, a limit shared with others. The turns left show when it is well again.
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
+	s, took := a.to, now-a.sent
+	if end == Served || end == TimedOut && s.strain < failStrain/2 { // a strained one alone is no crowd
+		x := float64(took) / float64(r.class.Aim)
+		s.used += (x*x - s.used) / 8
+		b.crowd += (x*x - b.crowd) * min(0.5, max(1.0/16, (now-b.crowdAt).Seconds()/10)) // if rare, each tells more
+		b.crowdAt = now
+	}
+	x := failStrain
+	switch end {
+	case Cancelled, NotSent:
+		return
+	case Served:
+		x = min(x, float64(took)/float64(r.class.pace))
+		r.class.pace += (took - r.class.pace) / 16
+		b.pace += (took - b.pace) / 32
+		if s.silent > 0 && s.strain > failStrain/2 && now-s.silent > time.Second { // restarted, maybe
+			s.warmAt = max(s.warmAt, now+b.cfg.ColdTime)
+			b.host.Log(fmt.Sprintf("server %x answers again after %v", s.ID, now-s.silent))
+		}
+		s.silent = 0
+	case TimedOut, NoConnection:
+		if s.silent == 0 {
+			s.silent = now
+		}
+	}
+	if before := s.strain; before < failStrain/2 && before+(x-before)/4 >= failStrain/2 {
+		b.host.Log(fmt.Sprintf("server %x strained, %d attempts out", s.ID, s.out))
+	}
+	s.strain += (x - s.strain) / 4
+}
+
+// List takes news of the server list.
+func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
+	if kind == ListFailed {
+		b.askAt = now + b.backoff(b.askFails)
+		b.askFails++
+		return
+	}
+	if kind != ListCached && b.cfg.AskList {
+		b.askAt, b.askFails = 0, 0
+	}
+	if kind != ListDelta {
+		b.allGone() // until the list names them
+	}
+	for _, e := range entries {
+		b.enter(now, e)
+	}
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == Gone })
+	if b.mean == 0 {
+		b.deriveSlots() // no quotas: the first list is all there is to go by
+	}
+	b.weigh()
+	b.feed(now)
+}
+
+// enter takes over one line of the list.
+func (b *Balancer) enter(now time.Duration, e Server) {
+	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+		e.Weight = 1 // no weights, even turns
+	}
+	s := b.listed(e.ID)
+	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
+		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
+		// All balancers are told at about the same time: their first sends are spread too.
+		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+	}
+	s.Server = e
+	if s.State == Draining {
+		b.close(now, s)
+	}
+}
+
+// ask subscribes to the list. Without any word it asks again before its silence counts as being told.
+func (b *Balancer) ask(now time.Duration) {
+	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
+	b.host.WatchList()
+}
+
+// sample probes one server a few times in a row: reports that do not change as fast as they are used
+// must not steer single sends. All balancers would crowd to where it was empty (i50e019).
+func (b *Balancer) sample(now time.Duration) {
+	due := b.pairs < pairsMost && now >= b.sampleAt && len(b.arc) > 0
+	if !due || !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 {
+		return
+	}
+	if b.sampled == nil || b.sampled.State != Ready {
+		b.sampled = b.arc[b.rng.IntN(len(b.arc))]
+	}
+	b.sampleAt = now + toldFor
+	b.host.Probe(b.sampled.ID)
+	b.wake(now, toldFor)
+}
+
+// inquire asks the server whose turn it is what it holds, where its last word is old: among many
+// balancers, what one has out there itself tells next to nothing.
+func (b *Balancer) inquire(now time.Duration, r *request) bool {
+	if !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 || b.fresh < pairsMost-1 || r.asked >= askMost {
+		return false
+	}
+	s, _ := b.turnOf(now, r, b.arc)
+	if s == nil || (s.toldAt > 0 && now-s.toldAt < toldFor) {
+		return false
+	}
+	r.asks, r.asksUntil = s, now+askWait
+	r.asked++
+	b.host.Probe(s.ID)
+	return true
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
+	s := b.server(id)
+	told := s != nil && ok && l.Has&HasInFlight != 0
+	if s != nil && s == b.sampled && b.pairs < pairsMost && (!told || s.toldAt > 0 && now-s.toldAt >= toldFor) {
+		b.pairs++ // one that does not tell is no fresh one
+		if told && l != s.load {
+			if b.fresh++; b.fresh == pairsMost-1 { // asking finds room best among many
+				b.every *= 3
+			}
+		}
+	}
+	if told {
+		s.toldAt, s.load, s.others = now, l, max(0, l.InFlight-float64(s.out))
+	}
+	for _, r := range b.open {
+		if s != nil && r.asks == s && !r.over {
+			r.asks = nil
+			b.place(now, r)
+		}
+	}
+}
+
+// fuller says that a server reports to hold its part of all balancers' requests, or that
+// it has not reported and the request met only such ones.
+func (b *Balancer) fuller(now time.Duration, r *request, s *server) bool {
+	if s.toldAt == 0 || now-s.toldAt >= 5*toldFor {
+		return r.asked >= askMost
+	}
+	return s.others+float64(s.out) >= 1+b.part(b.mean, s)
+}
+
+// finish is the one place that answers: refused where that is true, failed where it is not.
+func (b *Balancer) finish(r *request) {
+	switch {
+	case r.over:
+		return
+	case r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll):
+		b.count.Refused++
+		pause := time.Duration((1 + b.rng.Float64()) * float64(b.pace)) // spread: not all at once
+		b.host.Refuse(r.id, min(b.cfg.MaxRetryAfter, pause))
+	default:
+		b.count.Failed++
+		b.host.Fail(r.id)
+	}
+	b.settle(r)
+}
+
+// settle closes a request that has its answer: out of the queue, attempts called off.
+func (b *Balancer) settle(r *request) {
+	r.over = true
+	if i := slices.Index(r.home.queue, r); i >= 0 {
+		r.home.queue = slices.Delete(r.home.queue, i, i+1)
+	}
+	for i := range r.attempts {
+		if r.attempts[i].state == inFlight && b.cfg.MayCancel {
+			b.host.Cancel(r.id, i)
+		}
+	}
+	if r.out == 0 {
+		b.forget(r)
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,288 @@
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+type server struct {
+	Server
+	out    int           // this balancer's attempts there
+	ours   bool          // in our arc
+	due    float64       // smooth weighted round robin: when its next turn is, in turns' own time
+	strain float64       // time that its answers take, against the usual; failures count too
+	used   float64       // mean square of the share of the aim that its answers take, lately
+	toldAt time.Duration // it last reported its load; 0: never
+	load   Load          // what it told then
+	others float64       // and then held this many requests that are not ours
+	silent time.Duration // it has not answered since; 0: it has
+	warmAt time.Duration // cold until then, by the list or by our own guess
+	coldAt time.Duration // while cold: nothing more before this
+}
+
+type attemptState int
+
+const (
+	inFlight attemptState = iota
+	mayHaveRun
+	neverRan
+)
+
+type attempt struct {
+	to    *server
+	sent  time.Duration
+	state attemptState
+}
+
+type request struct {
+	id        RequestID
+	class     *class
+	home      *compartment
+	deadline  time.Duration // the client's
+	useful    time.Duration // an answer after this earns nothing
+	wanted    time.Duration // and one before this earns most
+	attempts  []attempt
+	out       int
+	asks      *server // it waits for this one to report its load
+	asksUntil time.Duration
+	asked     int   // so many times
+	line      *line // its key's, where it must go in turn
+	begun     bool  // its answer streams: it is the client's now
+	over      bool  // ended; kept until its attempts have ended too
+}
+
+// line is the requests of one key that go in turn: in order of arrival, each until it has ended
+// and none of its attempts is out.
+type line struct {
+	waiting []*request
+	restEnd time.Duration // an attempt may still be running until then
+}
+
+// window counts what happened lately.
+type window []time.Duration
+
+// since drops what happened before t and counts the rest.
+func (w *window) since(t time.Duration) int {
+	n := 0
+	for n < len(*w) && (*w)[n] < t {
+		n++
+	}
+	*w = (*w)[n:]
+	return len(*w)
+}
+
+// compartment holds one tenant's slots and queue, walled off from the others'.
+type compartment struct {
+	slots, used, places int
+	queue               []*request
+}
+
+// recent counts requests, and those answered in time; both fade.
+type recent struct {
+	at        time.Duration
+	all, good float64
+}
+
+type class struct {
+	Class
+	pace    time.Duration // usual time of an answer
+	longest time.Duration // the time left that first tries come with: the most seen, followed down
+}
+
+// Balancer makes the decisions of one sidecar.
+type Balancer struct {
+	cfg      Config
+	host     Host
+	rng      *rand.Rand
+	classes  []class
+	parts    []compartment
+	requests map[RequestID]*request
+	open     []*request // in order of arrival; ended ones are swept out by Wake
+	servers  []*server  // in order of their ids
+	slots    int        // of all compartments
+	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
+	quota    float64    // of all tenants together
+	weight   float64    // of all ready servers
+	full     float64    // the most of it that there was
+	out      int
+	turn     float64       // due time of the latest turn
+	arc      []*server     // whom turns are taken among
+	crowd    float64       // mean square of the share of the aim that answers take, lately
+	crowdAt  time.Duration // when it was taken
+	reach    float64       // the weight in it
+	rate     float64       // requests a second, lately
+	rateAt   time.Duration // when it was taken
+	wanted   float64       // servers that it can feed
+	every    float64       // seconds in which each of them gets a turn
+	pace     time.Duration // usual time of an answer, over all classes
+	aim      float64       // mean aim, in seconds
+	worth    float64       // mean worth of the classes
+	asked    recent        // requests that tried for a slot
+	wakeAt   time.Duration
+	askAt    time.Duration // when to ask for the list next; 0: no need
+	askFails int
+	feedFrom int
+	lines    map[uint64]*line // by key
+	taken    window           // requests
+	more     window           // attempts after a request's first
+	sampled  *server          // whose reports are compared
+	sampleAt time.Duration    // when it is asked again
+	pairs    int              // pairs of reports compared
+	fresh    int              // and those that differed
+	closeAt  time.Duration    // when connections to draining servers are closed once more; 0: not due
+	count    Counters
+}
+
+// Counters returns what was done so far.
+func (b *Balancer) Counters() Counters { return b.count }
+
+// SlotsFree returns the free slots in a tenant's compartment.
+func (b *Balancer) SlotsFree(tenant int) int { return b.parts[tenant].slots - b.parts[tenant].used }
+
+// QueueFree returns the free queue places in a tenant's compartment.
+func (b *Balancer) QueueFree(tenant int) int {
+	return b.parts[tenant].places - len(b.parts[tenant].queue)
+}
+
+// ran returns the first attempt that may have run or still may, or nil.
+func (r *request) ran() *attempt {
+	for i := range r.attempts {
+		if r.attempts[i].state != neverRan {
+			return &r.attempts[i]
+		}
+	}
+	return nil
+}
+
+// tried says whether a server has had this request already.
+func (r *request) tried(s *server) bool {
+	for i := range r.attempts {
+		if r.attempts[i].to == s {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns where in the list a server of that name is, or would be.
+func (b *Balancer) find(id ServerID) (int, bool) {
+	return slices.BinarySearchFunc(b.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
+}
+
+// server returns the listed server of that name, or nil.
+func (b *Balancer) server(id ServerID) *server {
+	if i, ok := b.find(id); ok {
+		return b.servers[i]
+	}
+	return nil
+}
+
+// weigh adds up the weights of the ready servers.
+func (b *Balancer) weigh() {
+	b.weight = 0
+	for _, s := range b.servers {
+		if s.State == Ready {
+			b.weight += s.Weight
+		}
+	}
+	b.full = max(b.full, b.weight)
+	b.cut()
+}
+
+// part is a server's part of a total by its weight in the fullest list there was.
+func (b *Balancer) part(total float64, s *server) float64 {
+	return total * s.Weight / max(b.full, s.Weight)
+}
+
+// wake sees to it that Wake comes after d at the latest.
+func (b *Balancer) wake(now, d time.Duration) {
+	if b.wakeAt == 0 || now+d < b.wakeAt {
+		b.wakeAt = now + d
+		b.host.Wake(d)
+	}
+}
+
+// ready returns the ready servers, in order of their ids.
+func (b *Balancer) ready() (all []*server) {
+	for _, s := range b.servers {
+		if s.State == Ready {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// tally counts a request taken, for the budget.
+func (b *Balancer) tally(now time.Duration) {
+	b.taken.since(now - b.cfg.Budget.Span)
+	b.more.since(now - b.cfg.Budget.Span)
+	b.taken = append(b.taken, now)
+}
+
+// hold counts an attempt that begins (1) or ends (-1) wherever it counts.
+func (b *Balancer) hold(r *request, s *server, n int) {
+	r.out += n
+	s.out += n
+	r.home.used += n
+	b.out += n
+}
+
+// far says that a server is in another zone, where crossing has a price.
+func (b *Balancer) far(s *server) bool { return b.cfg.CrossZonePrice > 0 && s.Zone != b.cfg.Zone }
+
+// StreamBegun takes that a request's answer has begun to stream: the client owns it now.
+func (b *Balancer) StreamBegun(id RequestID) {
+	if r := b.requests[id]; r != nil {
+		r.begun = true
+	}
+}
+
+// forget drops a request that is over and has no attempt out; the next in its line may go.
+func (b *Balancer) forget(r *request) {
+	delete(b.requests, r.id)
+	if r.line != nil {
+		i := slices.Index(r.line.waiting, r)
+		r.line.waiting = slices.Delete(r.line.waiting, i, i+1)
+	}
+}
+
+// join puts a request at the end of its key's line. Lines that nobody waits in go now and then.
+func (b *Balancer) join(now time.Duration, r *request, key uint64) {
+	if len(b.lines) > 64+2*len(b.requests) {
+		maps.DeleteFunc(b.lines, func(_ uint64, l *line) bool { return len(l.waiting) == 0 && now >= l.restEnd })
+	}
+	l := b.lines[key]
+	if l == nil {
+		l = new(line)
+		b.lines[key] = l
+	}
+	l.waiting = append(l.waiting, r)
+	r.line = l
+}
+
+// listed returns the server of that name, entered where it was not listed yet.
+func (b *Balancer) listed(id ServerID) *server {
+	i, ok := b.find(id)
+	if !ok {
+		b.servers = slices.Insert(b.servers, i, &server{strain: 1})
+	}
+	return b.servers[i]
+}
+
+// allGone marks all servers as gone.
+func (b *Balancer) allGone() {
+	for _, s := range b.servers {
+		s.State = Gone
+	}
+}
+
+// ClientGone takes that a client quit: nothing more is owed for the request.
+func (b *Balancer) ClientGone(now time.Duration, id RequestID) {
+	if r := b.requests[id]; r != nil && !r.over {
+		b.settle(r)
+		b.feed(now)
+	}
+}
