--- /dev/null
+++ b/cmd/caperarch/main.go
@@ -0,0 +1,34 @@
+// Caperarch is a sidecar: it takes the requests of the application beside it and carries each to an
+// upstream, as the decision module says.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"arrowgw/internal/sidecar"
+)
+
+func main() {
+	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(400)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	cfg, err := sidecar.ReadConfig(os.Getenv("EDGE_CONFIG"))
+	if err == nil {
+		if cfg.MemoryMB > 0 {
+			debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) // well under what the process is killed at
+		}
+		err = sidecar.Run(ctx, cfg)
+	}
+	if err != nil {
+		slog.Error("caperarch ends", "error", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,154 @@
+// Package sidecar puts the decision module on real sockets: it takes an application's requests, asks
+// the module where each should go, and carries that out. It decides nothing itself.
+package sidecar
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"arrowgw/internal/wire"
+	"arrowgw/policy"
+)
+
+// Config is what a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where the application connects
+	Discovery string // address of discovery
+	Seed      uint64
+
+	MemoryMB int // the process is killed above this; 0: no limit is known
+	Sockets  int // descriptors it may hold
+
+	Policy  policy.Config
+	Classes map[string]int // class by name
+	Tenants map[string]int // tenant by name; empty where there are none
+	Zones   map[string]int // zone by name
+	Reports []string       // names of a load report's fields, in the order of Columns
+	Columns wire.Columns
+
+	MostOpen    int           // requests held at once
+	ConnIdle    time.Duration // an upstream closes connections that stood idle so long
+	DialTimeout time.Duration
+	Longest     time.Duration // the longest deadline of any class
+
+	Known listing // the servers as last known
+}
+
+// ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
+// EDGE_LISTEN and EDGE_DISCOVERY stands in for what the file leaves out.
+func ReadConfig(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	return parseConfig(raw, os.Getenv)
+}
+
+func parseConfig(raw []byte, env func(string) string) (*Config, error) {
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	given := func(value, variable string) string {
+		if value == "" {
+			return env(variable)
+		}
+		return value
+	}
+	c := &Config{
+		Name:      given(file.Name, "EDGE_NAME"),
+		Listen:    given(file.Listen, "EDGE_LISTEN"),
+		Discovery: given(file.Discovery, "EDGE_DISCOVERY"),
+		MemoryMB:  int(file.Limits.MemoryMB),
+		Sockets:   int(file.Limits.Sockets),
+	}
+	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", field, err)
+		}
+	}
+	if c.Sockets == 0 {
+		c.Sockets = 1024
+	}
+	if c.Sockets < 32 || c.MemoryMB < 0 {
+		return nil, fmt.Errorf("config: limits: sockets %d or memory_mb %d is too small", c.Sockets, c.MemoryMB)
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config: seed: %w", err)
+	}
+	if len(file.Settings) == 0 {
+		return nil, fmt.Errorf("config: settings are missing")
+	}
+	s, err := wire.SettingsFromJSON(file.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if err := c.take(s); err != nil {
+		return nil, err
+	}
+	if len(file.Known) > 0 {
+		if c.Known, err = parseListing(file.Known, c.Zones); err != nil {
+			return nil, fmt.Errorf("config: known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+// take reads the settings: the module's own, and what the sidecar needs besides.
+func (c *Config) take(s *wire.Settings) error {
+	var err error
+	if c.Policy, err = s.Config(); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	names := func(list string) map[string]int {
+		byName := make(map[string]int)
+		for i := range s.Count(list + ".count") {
+			byName[s.Text(fmt.Sprintf("%s.%d.name", list, i))] = i
+		}
+		return byName
+	}
+	c.Classes, c.Tenants, c.Zones = names("classes"), names("orgs"), make(map[string]int)
+	for i, zone := range strings.Split(s.Text("zones"), ",") {
+		c.Zones[zone] = i
+	}
+	c.Reports, c.Columns = strings.Split(s.Text("telemetry.columns"), ","), s.Columns()
+	c.MostOpen = int(s.Number("caps.max_open"))
+	c.ConnIdle = s.Duration("caps.conn_idle_ms")
+	c.DialTimeout = s.Duration("caps.dial_timeout_ms")
+	for _, k := range c.Policy.Classes {
+		c.Longest = max(c.Longest, k.Deadline)
+	}
+	if err := s.Err(); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	for field, d := range map[string]time.Duration{"caps.conn_idle_ms": c.ConnIdle, "caps.dial_timeout_ms": c.DialTimeout} {
+		if d <= 0 {
+			return fmt.Errorf("config: settings: %s is %v, a time above 0 is needed", field, d)
+		}
+	}
+	if c.MostOpen < 0 {
+		return fmt.Errorf("config: settings: caps.max_open is %d", c.MostOpen)
+	}
+	return nil
+}
+
+// clientConns and upstreamConns divide the descriptors: a quarter for the application's
+// connections, a reserve for the process itself, the rest for upstreams.
+func (c *Config) clientConns() int { return c.Sockets / 4 }
+
+func (c *Config) upstreamConns() int { return c.Sockets - 2*c.clientConns() }
--- /dev/null
+++ b/internal/sidecar/discovery.go
@@ -0,0 +1,196 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"arrowgw/policy"
+)
+
+const (
+	watchWait  = 20 * time.Second // how long discovery may hold a watch
+	answerTime = 2 * time.Second  // and how long its answer may take besides
+	listTime   = 6 * time.Second  // how long it may take over the whole list
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = 4 * time.Second
+	listLimit  = 8 << 20 // bytes of one answer; far above any real list
+)
+
+// listing is one answer of discovery.
+type listing struct {
+	version int64
+	whole   bool
+	servers []policy.Server
+	address map[policy.ServerID]string
+}
+
+// serverID names a server by a hash of its instanceId: the same at every sidecar and after a
+// restart, as the module spreads the sidecars over the servers by the order of their ids.
+func serverID(instance string) policy.ServerID {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, instance) // a hash takes everything
+	return policy.ServerID(h.Sum64())
+}
+
+// parseListing reads an answer. One malformed entry makes the whole answer unusable.
+func parseListing(raw []byte, zones map[string]int) (listing, error) {
+	var answer struct {
+		Generation *int64
+		Reset      bool
+		Instances  []struct {
+			InstanceID  string
+			HostPort    string
+			Zone        string
+			Cell        int
+			Lifecycle   string
+			Weight      float64
+			StartedAtMs float64
+		}
+	}
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		return listing{}, err
+	}
+	if answer.Generation == nil {
+		return listing{}, errors.New("no generation")
+	}
+	l := listing{version: *answer.Generation, whole: answer.Reset, address: make(map[policy.ServerID]string)}
+	for i, e := range answer.Instances {
+		if e.InstanceID == "" {
+			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
+		}
+		s := policy.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
+		if zone, ok := zones[e.Zone]; ok {
+			s.Zone = zone
+		}
+		s.Started = time.Duration(max(0, e.StartedAtMs) * float64(time.Millisecond))
+		switch e.Lifecycle {
+		case "ready":
+			s.State = policy.Ready
+		case "gone":
+			s.State = policy.Gone
+		default:
+			s.State = policy.Draining // nothing new, whatever it is
+		}
+		if _, _, err := net.SplitHostPort(e.HostPort); err == nil {
+			l.address[s.ID] = e.HostPort
+		} else if s.State != policy.Gone {
+			return listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
+		}
+		l.servers = append(l.servers, s)
+	}
+	return l, nil
+}
+
+// discovery follows the list of servers and hands what it learns to the loop.
+type discovery struct {
+	address string
+	zones   map[string]int
+	asked   chan struct{} // where the list must be asked for: the module did
+	heard   func(listing)
+	failed  func()
+	client  http.Client
+}
+
+func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
+	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed}
+	if cfg.Policy.AskList {
+		d.asked = make(chan struct{}, 1)
+	}
+	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
+	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true}
+	return d
+}
+
+// ask takes that the module wants to be subscribed to the list.
+func (d *discovery) ask() {
+	select {
+	case d.asked <- struct{}{}:
+	default: // already asked, or the list is pushed
+	}
+}
+
+// run follows the list until ctx ends: the whole list, then watch after watch, and all over again
+// after a failure. Where lists are pushed it comes back by itself after a pause; where they are
+// asked for, the module says when.
+func (d *discovery) run(ctx context.Context) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		if d.asked != nil {
+			select {
+			case <-d.asked:
+			case <-ctx.Done():
+				return
+			}
+		}
+		heard, err := d.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Warn("discovery", "error", err)
+		d.failed()
+		if d.asked != nil {
+			continue
+		}
+		if heard {
+			pause = firstRetry
+		}
+		// Jitter: all sidecars lose discovery at the same moment and must not come back as one.
+		select {
+		case <-time.After(time.Duration(float64(pause) * (0.5 + rand.Float64()))):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, lastRetry)
+	}
+}
+
+// follow calls discovery until a call fails. It tells whether any call went well.
+func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
+	version := int64(-1)
+	for {
+		query, limit := "", listTime
+		if heard {
+			query = fmt.Sprintf("?index=%d&wait=%d", version, watchWait.Milliseconds())
+			limit = watchWait + answerTime
+		}
+		l, err := d.call(ctx, query, limit)
+		if err != nil {
+			return heard, err
+		}
+		l.whole = l.whole || !heard // the first call asked for the whole list
+		heard, version = true, l.version
+		d.heard(l)
+	}
+}
+
+func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+"/discovery/hosts"+query, nil)
+	if err != nil {
+		return listing{}, err
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		return listing{}, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, listLimit+1))
+	switch {
+	case err != nil:
+		return listing{}, err
+	case res.StatusCode != http.StatusOK:
+		return listing{}, fmt.Errorf("answered %s", res.Status)
+	case len(body) > listLimit:
+		return listing{}, errors.New("the answer is too long")
+	}
+	return parseListing(body, d.zones)
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
+	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
+)
+
+// Run serves until ctx ends and everything taken by then is answered. Its parts are wired here.
+func Run(ctx context.Context, cfg *Config) error {
+	c := newClock()
+	up := newUpstream(cfg, c)
+	l, err := newLoop(cfg, c, up)
+	if err != nil {
+		return err
+	}
+	d := newDiscovery(cfg, l.list, l.listFailed)
+	l.watch = d.ask
+	f := newFront(cfg, c, l)
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "servers", len(cfg.Known.servers))
+
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go l.run(running, cfg.Known)
+	go d.run(running)
+	f.ready.Store(true)
+	server := f.server()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return f.drain(server, cfg.Longest)
+}
+
+// drain ends the service without losing a request. Clients still connect for a while, and send on
+// what they have: so the listener stays open at first, and every connection closes with its next
+// answer, or at once if it is idle (a request that crosses this is sent again on a new one).
+// Shutdown at once would close the listener under those that are still coming.
+func (f *front) drain(server *http.Server, longest time.Duration) error {
+	end, cancel := context.WithTimeout(context.Background(), longest+exitMargin)
+	defer cancel()
+	slog.Info("stopping", "held", f.held.Load())
+	f.ready.Store(false)
+	server.SetKeepAlivesEnabled(false)
+	time.Sleep(lingerTime)
+	err := server.Shutdown(end)
+	slog.Info("stopped", "held", f.held.Load())
+	if errors.Is(err, context.DeadlineExceeded) && f.held.Load() == 0 {
+		return nil // what is left are connections that nothing came on
+	}
+	return err
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"arrowgw/policy"
 )
@@ -32,6 +34,62 @@
 	return s, nil
 }
 
+// SettingsFromJSON reads the same settings as nested JSON, by bringing them into the path=value form:
+// lists of plain values are joined by commas, lists of objects put their length under .count and
+// their items under .0, .1 and so on. A null counts as absent.
+func SettingsFromJSON(raw []byte) (*Settings, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber() // figures keep their own text
+	var root map[string]any
+	if err := d.Decode(&root); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{values: make(map[string]string, 128)}
+	s.flatten("", root)
+	return s, nil
+}
+
+func (s *Settings) flatten(path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		if path != "" {
+			path += "."
+		}
+		for key, item := range v {
+			s.flatten(path+key, item)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			if _, object := item.(map[string]any); object {
+				s.flatten(path+"."+strconv.Itoa(i), item)
+				continue
+			}
+			plain = append(plain, strings.ReplaceAll(fmt.Sprint(item), ",", "_"))
+		}
+		s.values[path+".count"] = strconv.Itoa(len(v))
+		s.values[path] = strings.Join(plain, ",")
+	case nil:
+	default:
+		s.values[path] = fmt.Sprint(v)
+	}
+}
+
+// Text returns a value as it was given, or "".
+func (s *Settings) Text(key string) string { return s.text(key) }
+
+// Count returns a whole number, or 0 where there is none; see Err.
+func (s *Settings) Count(key string) int { return s.count(key) }
+
+// Duration returns a figure in milliseconds, or 0 where there is none; see Err.
+func (s *Settings) Duration(key string) time.Duration { return Millis(s.number(key, 0)) }
+
+// Number returns a figure, or 0 where there is none; see Err.
+func (s *Settings) Number(key string) float64 { return s.number(key, 0) }
+
+// Err returns the first value that could not be read so far.
+func (s *Settings) Err() error { return s.err }
+
 func (s *Settings) text(key string) string { return s.values[key] }
 
 func (s *Settings) flag(key string) bool { return s.values[key] == "true" }
