--- /dev/null
+++ b/internal/sidecar/config_test.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"arrowgw/policy"
+)
+
+func TestConfig(t *testing.T) {
+	c := testConfig(t, listed(41, "ready", "127.0.0.1:80"), nil)
+	if c.Seed != 0x8c1f30d27a5be964 || c.ConnIdle != 30*time.Second || c.Longest != 20*time.Second || c.Known.version != 41 ||
+		c.Classes["entry"] != 1 || c.Tenants["south"] != 1 || c.Zones["b"] != 1 || c.MostOpen != 100 {
+		t.Errorf("config %+v", c)
+	}
+	p := c.Policy
+	if p.MaxAttempts != 3 || p.Classes[0].Effect != policy.Keyed || p.Classes[1].Effect != policy.Unsafe ||
+		p.Tenants[1].Quota != 50 || p.ColdTime != 5*time.Second || p.Reports&policy.HasInFlight == 0 {
+		t.Errorf("the module's config %+v", p)
+	}
+}
+
+// A config that can't be used is told in one line that names the field.
+func TestUnusableConfig(t *testing.T) {
+	const settings = `{"balancers":1,"caps":{"most_tries":3,"conn_idle_ms":30000,"dial_timeout_ms":250},"classes":[{"name":"a","aim_ms":5,"hard_limit_ms":9}]}`
+	const usable = `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":` + settings + `}`
+	none := func(string) string { return "" }
+	if _, err := parseConfig([]byte(usable), none); err != nil {
+		t.Fatal(err)
+	}
+	for field, edit := range map[string][2]string{
+		"EDGE_CONFIG":          {usable, "{"},
+		"listen":               {`"listen":"127.0.0.1:0",`, ""},
+		"discovery":            {`127.0.0.1:1`, "nowhere"},
+		"seed":                 {`"1f"`, `"seed"`},
+		"settings":             {`,"settings":` + settings, ""},
+		"limits":               {`"seed"`, `"limits":{"sockets":3},"seed"`},
+		"known":                {`"seed"`, `"known":{"instances":[]},"seed"`},
+		"caps.conn_idle_ms":    {`"conn_idle_ms":30000`, `"conn_idle_ms":0`},
+		"caps.dial_timeout_ms": {`,"dial_timeout_ms":250`, ""},
+		"caps.most_tries":      {`"most_tries":3`, `"most_tries":"many"`},
+		"classes.0.aim_ms":     {`"aim_ms":5`, `"aim_ms":"soon"`},
+	} {
+		raw := strings.Replace(usable, edit[0], edit[1], 1)
+		_, err := parseConfig([]byte(raw), none)
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line that names it", field, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/front_test.go
@@ -0,0 +1,199 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestServed(t *testing.T) {
+	s := newStub(t, func(c net.Conn, r received) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/hive\r\nX-Server-Load: TEXT inflight=1\r\n"+
+			"Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
+		return err == nil
+	})
+	side := start(t, nil, s.address)
+	if res, _ := do(t, side.request(t, "GET", "/up", "")); res.StatusCode != http.StatusOK {
+		t.Fatalf("GET /up: %s", res.Status)
+	}
+	req := side.request(t, "POST", "/reading/hive%2F7?scale=a%20b&x", "41.5 kg", "Idempotency-Key", "k1", "Connection", "X-Hop", "X-Hop", "1")
+	res, body := do(t, req)
+	if res.StatusCode != http.StatusOK || body != "41.5 kg" || res.Header.Get("Content-Type") != "text/hive" {
+		t.Fatalf("%s, body %q, headers %v", res.Status, body, res.Header)
+	}
+	got := wait(t, "the request", s.seen)
+	if got.Method != "POST" || got.uri != "/reading/hive%2F7?scale=a%20b&x" || got.body != "41.5 kg" ||
+		got.Header.Get("X-Request-ID") != "r1" || got.Header.Get("Idempotency-Key") != "k1" {
+		t.Errorf("the upstream had %s %s %q, headers %v", got.Method, got.uri, got.body, got.Header)
+	}
+	if got.Header.Get("X-Hop") != "" || res.Header.Get("X-Server-Load") != "" {
+		t.Errorf("headers of one connection went on: %v, %v", got.Header, res.Header)
+	}
+}
+
+// Bad input has a plain answer and no attempt.
+func TestBadInput(t *testing.T) {
+	s := newStub(t, echo)
+	side := start(t, nil, s.address)
+	for name, c := range map[string]struct {
+		status int
+		req    *http.Request
+	}{
+		"no id":             {400, side.request(t, "GET", "/look", "", "X-Request-ID", "")},
+		"no class":          {400, side.request(t, "GET", "/look", "", "X-Priority-Class", "")},
+		"unknown class":     {400, side.request(t, "GET", "/nothing", "")},
+		"two classes":       {400, side.request(t, "GET", "/look", "", "X-Priority-Class", "entry")},
+		"no tenant":         {400, side.request(t, "GET", "/look", "", "X-Tenant-Id", "")},
+		"unknown tenant":    {400, side.request(t, "GET", "/look", "", "X-Tenant-Id", "east")},
+		"no time":           {400, side.request(t, "GET", "/look", "", "X-Timeout", "")},
+		"time of no unit":   {400, side.request(t, "GET", "/look", "", "X-Timeout", "480")},
+		"time that is none": {400, side.request(t, "GET", "/look", "", "X-Timeout", "NaNm")},
+		"time below 0":      {400, side.request(t, "GET", "/look", "", "X-Timeout", "-5m")},
+		"time is up":        {503, side.request(t, "GET", "/look", "", "X-Timeout", "0m")},
+		"bad cost":          {400, side.request(t, "GET", "/look", "", "X-Cost", "cheap")},
+		"keyed without key": {400, side.request(t, "POST", "/reading", "1")},
+		"long body":         {413, side.request(t, "POST", "/entry", strings.Repeat("x", bodyLimit+1))},
+	} {
+		if res, _ := do(t, c.req); res.StatusCode != c.status {
+			t.Errorf("%s: %s, want %d", name, res.Status, c.status)
+		}
+	}
+	if res, body := do(t, side.request(t, "POST", "/entry", strings.Repeat("x", bodyLimit))); res.StatusCode != 200 || body != "done r1" {
+		t.Errorf("longest body: %s %q", res.Status, body)
+	}
+	if len(s.seen) != 1 {
+		t.Errorf("the upstream had %d requests, want only the usable one", len(s.seen))
+	}
+}
+
+func TestDuration(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"480m": 480 * time.Millisecond, "250u": 250 * time.Microsecond, "0.5m": 500 * time.Microsecond, "0u": 0,
+		"99999999999999999999m": longestWait,
+	} {
+		if got, ok := duration(text); !ok || got != want {
+			t.Errorf("%q is %v, %v, want %v", text, got, ok, want)
+		}
+	}
+	for _, text := range []string{"", "m", "480", "480s", "1e3m", "0x5m", "1_0m", "Infm", " 5m", "5 m", "1.2.3m", "-1m", "+1m"} {
+		if got, ok := duration(text); ok {
+			t.Errorf("%q was taken for %v", text, got)
+		}
+	}
+}
+
+// An unsafe request that may have run has failed; nobody sends it again.
+func TestFailed(t *testing.T) {
+	s := newStub(t, func(c net.Conn, _ received) bool {
+		_, err := fmt.Fprint(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	side := start(t, nil, s.address)
+	if res, _ := do(t, side.request(t, "POST", "/entry", "1")); res.StatusCode != http.StatusBadGateway {
+		t.Errorf("%s, want 502", res.Status)
+	}
+	if len(s.seen) != 1 {
+		t.Errorf("%d attempts, want 1", len(s.seen))
+	}
+}
+
+// A refusal comes at once and says when to come back, in decimal seconds.
+func TestRefused(t *testing.T) {
+	side := start(t, nil) // no servers: requests wait, until the queue is full
+	var last *http.Response
+	answers := make(chan *http.Response, 100)
+	for range 100 {
+		go func() {
+			res, err := http.DefaultClient.Do(side.request(t, "GET", "/look", "", "X-Timeout", "15000m"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			res.Body.Close()
+			answers <- res
+		}()
+	}
+	last = wait(t, "a refusal", answers)
+	var pause float64
+	if _, err := fmt.Sscanf(last.Header.Get("Retry-After"), "%f", &pause); err != nil || pause <= 0 || pause > 1.2 ||
+		last.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%s, Retry-After %q, want 503 and at most 1.2 s", last.Status, last.Header.Get("Retry-After"))
+	}
+}
+
+// Over caps.max_open requests are refused without an attempt.
+func TestMostOpen(t *testing.T) {
+	s := newStub(t, silent)
+	side := start(t, func(_, settings map[string]any) { settings["caps"].(map[string]any)["max_open"] = 1 }, s.address)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_, _ = http.DefaultClient.Do(side.request(t, "GET", "/look", "").WithContext(ctx))
+	}()
+	wait(t, "the first request", s.seen)
+	if res, _ := do(t, side.request(t, "GET", "/look", "")); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+		t.Errorf("%s, headers %v, want 503 with Retry-After", res.Status, res.Header)
+	}
+	if len(s.seen) > 0 {
+		t.Error("the second request had an attempt")
+	}
+}
+
+// A client that closes its connection calls its request off, as far as the upstream.
+func TestClientCloses(t *testing.T) {
+	s := newStub(t, silent)
+	side := start(t, nil, s.address)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, _ = http.DefaultClient.Do(side.request(t, "GET", "/look", "").WithContext(ctx))
+	}()
+	wait(t, "the request", s.seen)
+	cancel()
+	wait(t, "the attempt's connection to close", s.closed)
+}
+
+// After SIGTERM what is held is answered, new connections are served for a while, all of them
+// close, and the sidecar ends by itself. http.Server.Shutdown alone would refuse the newcomers.
+func TestStop(t *testing.T) {
+	release := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		if r.Header.Get("X-Request-ID") == "held" {
+			<-release
+		}
+		return echo(c, r)
+	})
+	side := start(t, nil, s.address)
+	address := strings.TrimPrefix(side.url, "http://")
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := side.request(t, "GET", "/look", "", "X-Request-ID", "held").Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the held request", s.seen)
+	side.stop()
+	for { // until the stop has begun
+		if res, _ := do(t, side.request(t, "GET", "/up", "")); res.StatusCode == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	if res, body := do(t, side.request(t, "GET", "/look", "", "X-Request-ID", "new")); res.StatusCode != 200 || body != "done new" {
+		t.Errorf("a new connection: %s %q", res.Status, body)
+	}
+	close(release)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || res.StatusCode != http.StatusOK || !res.Close {
+		t.Fatalf("the held request: %+v, error %v, want 200 and the connection closed", res, err)
+	}
+	res.Body.Close()
+	if err := wait(t, "the end", side.ended); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,8 +14,17 @@
 	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
 )
 
-// Run serves until ctx ends and everything taken by then is answered. Its parts are wired here.
+// Run listens and serves until ctx ends and everything taken by then is answered.
 func Run(ctx context.Context, cfg *Config) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, cfg, listener)
+}
+
+// serve wires the parts and starts them.
+func serve(ctx context.Context, cfg *Config, listener net.Listener) error {
 	c := newClock()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
@@ -25,11 +34,7 @@
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch = d.ask
 	f := newFront(cfg, c, l)
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return err
-	}
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "servers", len(cfg.Known.servers))
+	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"math"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -298,3 +299,38 @@
 		}
 	})
 }
+
+// Both forms of the settings are one: the same figures, names and lists.
+func TestSettingsFromJSON(t *testing.T) {
+	const lines = "balancers=3\ncaps.may_cancel=true\ncaps.most_tries=3\ncaps.probes=true\ntelemetry.how=pull\n" +
+		"telemetry.columns=svc_ms,busy_reqs\nclasses.count=2\nclasses.0.aim_ms=500.0\nclasses.0.hard_limit_ms=1000.0\n" +
+		"classes.0.semantics=guarded\nclasses.1.aim_ms=600\nclasses.1.hard_limit_ms=2500\norgs.count=1\norgs.0.share=0.79\norgs.0.quota_per_s=131\n"
+	const nested = `{"balancers":3,"caps":{"may_cancel":true,"most_tries":3,"probes":true},
+		"telemetry":{"how":"pull","columns":["svc_ms","busy_reqs"]},"weights":null,
+		"classes":[{"aim_ms":500.0,"hard_limit_ms":1000.0,"semantics":"guarded"},{"aim_ms":600,"hard_limit_ms":2500}],
+		"orgs":[{"share":0.79,"quota_per_s":131}]}`
+	a, err := ParseSettings([]byte(lines))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := SettingsFromJSON([]byte(nested))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := a.Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := b.Config()
+	if err != nil || !reflect.DeepEqual(got, want) || len(got.Classes) != 2 || got.Reports != policy.HasService|policy.HasInFlight {
+		t.Errorf("config %+v, error %v, want %+v", got, err, want)
+	}
+	if b.Text("weights") != "" || b.Count("orgs.count") != 1 || b.Duration("classes.1.aim_ms") != 600*time.Millisecond {
+		t.Errorf("values %v", b.values)
+	}
+	for _, bad := range []string{"", "[]", "5", "{"} {
+		if _, err := SettingsFromJSON([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
