A second cancel no longer closes a connection that has gone back to the pool

Cause: exchange.begin entered the connection's Close also for an attempt given up already; the connection went back to the pool, and a further Cancel of that attempt closed it under whatever used it next. Test extended and seen to fail before. Request ids are given by ask itself, one channel less for each request.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -83,13 +83,13 @@
 		return
 	}
 	m := &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body}
-	reply, id := make(chan answer, 1), make(chan policy.RequestID, 1)
-	f.loop.ask(q, m, arrived+left, reply, id)
+	reply := make(chan answer, 1)
+	id := f.loop.ask(q, m, arrived+left, reply)
 	select {
 	case a := <-reply:
 		a.write(w)
 	case <-r.Context().Done(): // the client has closed its connection
-		f.loop.gone(<-id)
+		f.loop.gone(id)
 		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
 	}
 }
@@ -156,11 +156,10 @@
 func (a answer) write(w http.ResponseWriter) {
 	switch a.status {
 	case http.StatusOK:
-		maps := endToEnd(a.header)
-		for name, values := range maps {
+		for name, values := range endToEnd(a.header) {
 			w.Header()[name] = values
 		}
-		if maps["Content-Type"] == nil {
+		if a.header["Content-Type"] == nil {
 			w.Header()["Content-Type"] = nil // not to be guessed
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"arrowgw/policy"
@@ -26,10 +27,10 @@
 	watch    func() // subscribes to the list
 	most     int    // attempts for one request at most
 
+	lastID   atomic.Uint64
 	events   chan func(now time.Duration)
 	now      time.Duration // the time of the event under way
 	requests map[policy.RequestID]*request
-	lastID   policy.RequestID
 	address  map[policy.ServerID]string
 	notSent  []policy.Outcome // owed once the event under way is over
 	wakes    []time.Duration  // when Wake is due, in order
@@ -168,14 +169,14 @@
 
 // ask takes a request on. Its final answer goes to reply, which must have room for it.
 // The number that it returns names the request for gone.
-func (l *loop) ask(q policy.Request, m *message, deadline time.Duration, reply chan<- answer, id chan<- policy.RequestID) {
+func (l *loop) ask(q policy.Request, m *message, deadline time.Duration, reply chan<- answer) policy.RequestID {
+	q.ID = policy.RequestID(l.lastID.Add(1))
 	l.post(func(now time.Duration) {
-		l.lastID++
-		q.ID, q.Left = l.lastID, deadline-now
+		q.Left = deadline - now
 		l.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
-		id <- q.ID
 		l.b.Request(now, q)
 	})
+	return q.ID
 }
 
 // gone takes that a request's client has closed its connection.
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -138,11 +138,11 @@
 func TestClientGone(t *testing.T) {
 	s := newStub(t, silent)
 	l := idleLoop(t, s.address)
-	reply, id := make(chan answer, 1), make(chan policy.RequestID, 1)
-	l.ask(policy.Request{Class: 0}, testMessage("1"), l.now+generous, reply, id)
+	reply := make(chan answer, 1)
+	id := l.ask(policy.Request{Class: 0}, testMessage("1"), l.now+generous, reply)
 	l.next(t)
 	wait(t, "the request", s.seen)
-	l.gone(<-id)
+	l.gone(id)
 	l.next(t)
 	l.next(t) // the end of its attempt
 	wait(t, "the connection to close", s.closed)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -105,12 +105,17 @@
 	}
 }
 
-// begin enters what cancel has to end from now on. It returns false if the exchange is given up already.
+// begin enters what cancel has to end from now on. It returns false if the exchange is given up
+// already, and then enters nothing: a second cancel must not close a connection that has gone back
+// to the pool and may serve another exchange by then.
 func (x *exchange) begin(stop func()) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.cancelled {
+		return false
+	}
 	x.stop = stop
-	return !x.cancelled
+	return true
 }
 
 func (x *exchange) givenUp() bool {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -233,10 +233,14 @@
 	x := new(exchange)
 	x.cancel()
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/look"}, Header: http.Header{"X-Request-Id": {"2"}}}
-	for range 2 { // over the kept connection, then over a new one
+	for i := range 2 { // over the kept connection, then over a new one
 		if _, _, ending := u.exchange(x, s.address, req, u.clock.now()+generous); ending != policy.Cancelled {
 			t.Errorf("ending %v, want %v", ending, policy.Cancelled)
 		}
+		x.cancel() // once more: the connection is not its own any more
+		if list := u.idle[s.address]; i == 0 && (len(list) != 1 || !list[0].usable()) {
+			t.Fatal("the connection, which nothing was written to, is not kept")
+		}
 		u.close(s.address)
 	}
 	attempt(t, u, s.address, "3", generous)
