--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -71,6 +72,9 @@
 		if zone, ok := zones[e.Zone]; ok {
 			s.Zone = zone
 		}
+		if e.StartedAtMs > math.MaxInt64/float64(time.Millisecond)/2 { // no time of this clock
+			return listing{}, fmt.Errorf("instance %s: startedAtMs is %v", e.InstanceID, e.StartedAtMs)
+		}
 		s.Started = time.Duration(max(0, e.StartedAtMs) * float64(time.Millisecond))
 		switch e.Lifecycle {
 		case "ready":
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -39,6 +39,7 @@
 		`{"generation":1,"instances":[{"hostPort":"127.0.0.1:80","lifecycle":"ready"}]}`,
 		`{"generation":1,"instances":[{"instanceId":"s","hostPort":"nowhere","lifecycle":"ready"}]}`,
 		`{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:80","weight":"heavy"}]}`,
+		`{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:80","startedAtMs":1e300}]}`,
 	} {
 		if _, err := parseListing([]byte(bad), nil); err == nil {
 			t.Errorf("%q was taken", bad)
