--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -11,7 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"arrowgw/internal/sidecar"
+	"caperarch/internal/sidecar"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -13,8 +13,8 @@
 	"runtime/debug"
 	"time"
 
-	"arrowgw/internal/wire"
-	"arrowgw/policy"
+	"caperarch/internal/wire"
+	"caperarch/policy"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"arrowgw/internal/wire"
-	"arrowgw/policy"
+	"caperarch/internal/wire"
+	"caperarch/policy"
 )
 
 const settings = `balancers=2
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"arrowgw/internal/wire"
-	"arrowgw/policy"
+	"caperarch/internal/wire"
+	"caperarch/policy"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 func TestConfig(t *testing.T) {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 const (
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 func TestParseListing(t *testing.T) {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 const (
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 const (
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 // idleLoop is a loop whose goroutine is the test itself, with one server in its list.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -16,8 +16,8 @@
 	"syscall"
 	"time"
 
-	"arrowgw/internal/wire"
-	"arrowgw/policy"
+	"caperarch/internal/wire"
+	"caperarch/policy"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 func testUpstream(t *testing.T) *upstream {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 // Settings are the start-up settings of an instance, by path.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 func unhex(t testing.TB, s string) []byte {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"arrowgw/policy"
+	"caperarch/policy"
 )
 
 // sidecar is the program that embeds the module: it carries out its decisions.
