--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -11,7 +11,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"caperarch/internal/sidecar"
+	"caperarch/internal/config"
+	"caperarch/internal/daemon"
 )
 
 func main() {
@@ -22,12 +23,12 @@
 	defer stop()
 	reload := make(chan os.Signal, 1) // several that come close together are one
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := sidecar.ReadConfig(os.Getenv("EDGE_CONFIG"))
+	cfg, err := config.Read(os.Getenv("EDGE_CONFIG"))
 	if err == nil {
 		if cfg.MemoryMB > 0 {
 			debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) // well under what the process is killed at
 		}
-		err = sidecar.Run(ctx, cfg, reload)
+		err = daemon.Run(ctx, cfg, reload)
 	}
 	if err != nil {
 		slog.Error("caperarch ends", "error", err)
--- a/internal/sidecar/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,5 @@
-// Package sidecar puts the decision module on real sockets: it takes an application's requests, asks
-// the module where each should go, and carries that out. It decides nothing itself.
-package sidecar
+// Package config reads what the daemon is told at its start.
+package config
 
 import (
 	"encoding/json"
@@ -12,6 +11,8 @@
 	"strings"
 	"time"
 
+	"caperarch/internal/call"
+	"caperarch/internal/membership"
 	"caperarch/internal/wire"
 	"caperarch/policy"
 )
@@ -31,7 +32,7 @@
 	Classes map[string]int // class by name
 	Tenants map[string]int // tenant by name; empty where there are none
 	Zones   map[string]int // zone by name
-	Reports []string       // names of a load report's fields, in the order of Columns
+	Reports []string       // names of a load report's fields, in the order of Columns; none: there are no reports
 	Columns wire.Columns
 
 	MostOpen    int           // requests held at once
@@ -39,17 +40,17 @@
 	DialTimeout time.Duration
 	Longest     time.Duration // the longest deadline of any class
 
-	Known listing // the servers as last known
+	Known call.Listing // the servers as last known
 }
 
-// ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
+// Read reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
 // EDGE_LISTEN and EDGE_DISCOVERY stands in for what the file leaves out.
-func ReadConfig(path string) (*Config, error) {
+func Read(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	c, err := parseConfig(raw, os.Getenv)
+	c, err := Parse(raw, os.Getenv)
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +58,8 @@
 	return c, nil
 }
 
-func parseConfig(raw []byte, env func(string) string) (*Config, error) {
+// Parse reads the text of such a file; env looks a variable up.
+func Parse(raw []byte, env func(string) string) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
@@ -109,7 +111,7 @@
 		return nil, err
 	}
 	if len(file.Known) > 0 {
-		if c.Known, err = parseListing(file.Known, c.Zones); err != nil {
+		if c.Known, err = membership.Parse(file.Known, c.Zones); err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
 		}
 	}
@@ -133,7 +135,9 @@
 	for i, zone := range strings.Split(s.Text("zones"), ",") {
 		c.Zones[zone] = i
 	}
-	c.Reports, c.Columns = strings.Split(s.Text("telemetry.columns"), ","), s.Columns()
+	if c.Columns = s.Columns(); c.Policy.Reports != 0 {
+		c.Reports = strings.Split(s.Text("telemetry.columns"), ",")
+	}
 	c.MostOpen = int(s.Number("caps.max_open"))
 	c.ConnIdle = s.Duration("caps.conn_idle_ms")
 	c.DialTimeout = s.Duration("caps.dial_timeout_ms")
@@ -154,15 +158,16 @@
 	return nil
 }
 
-// clientConns and upstreamConns divide the descriptors: half for the application's connections, of
+// ClientConns is how many connections clients may hold. It and UpstreamConns divide the descriptors: half for the application's connections, of
 // which it may hold a third of all for requests, most of the rest for upstreams, and a reserve for
 // what is being closed and for the process itself.
-func (c *Config) clientConns() int { return c.Sockets / 2 }
+func (c *Config) ClientConns() int { return c.Sockets / 2 }
 
-func (c *Config) upstreamConns() int { return c.Sockets * 3 / 8 }
+// UpstreamConns is how many connections to upstreams there may be.
+func (c *Config) UpstreamConns() int { return c.Sockets * 3 / 8 }
 
-// bodyBytes bounds the bodies of clients that are held at once.
-func (c *Config) bodyBytes() int64 {
+// BodyBytes bounds the bodies of clients that are held at once.
+func (c *Config) BodyBytes() int64 {
 	if c.MemoryMB == 0 {
 		return math.MaxInt64
 	}
--- a/internal/sidecar/config_test.go
+++ b/internal/config/config_test.go
@@ -1,16 +1,20 @@
-package sidecar
+package config
 
 import (
 	"strings"
 	"testing"
 	"time"
 
+	"caperarch/internal/rig"
 	"caperarch/policy"
 )
 
 func TestConfig(t *testing.T) {
-	c := testConfig(t, listed(41, "ready", "127.0.0.1:80"), nil)
-	if c.Seed != 0x8c1f30d27a5be964 || c.ConnIdle != 30*time.Second || c.Longest != 20*time.Second || c.Known.version != 41 ||
+	c, err := Parse([]byte(rig.ConfigText(t, rig.Listed(41, "ready", "127.0.0.1:80"), nil)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Seed != 0x8c1f30d27a5be964 || c.ConnIdle != 30*time.Second || c.Longest != 20*time.Second || c.Known.Version != 41 ||
 		c.Classes["entry"] != 1 || c.Tenants["south"] != 1 || c.Zones["b"] != 1 || c.MostOpen != 100 {
 		t.Errorf("config %+v", c)
 	}
@@ -26,7 +30,7 @@
 	const settings = `{"balancers":1,"caps":{"most_tries":3,"conn_idle_ms":30000,"dial_timeout_ms":250},"classes":[{"name":"a","aim_ms":5,"hard_limit_ms":9}]}`
 	const usable = `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":` + settings + `}`
 	none := func(string) string { return "" }
-	if _, err := parseConfig([]byte(usable), none); err != nil {
+	if _, err := Parse([]byte(usable), none); err != nil {
 		t.Fatal(err)
 	}
 	for field, edit := range map[string][2]string{
@@ -43,7 +47,7 @@
 		"classes.0.aim_ms":     {`"aim_ms":5`, `"aim_ms":"soon"`},
 	} {
 		raw := strings.Replace(usable, edit[0], edit[1], 1)
-		_, err := parseConfig([]byte(raw), none)
+		_, err := Parse([]byte(raw), none)
 		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v, want one line that names it", field, err)
 		}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,81 @@
+// Package daemon wires the parts of the daemon: front, engine, transport, membership.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+
+	"caperarch/internal/clock"
+	"caperarch/internal/config"
+	"caperarch/internal/engine"
+	fronthttp1 "caperarch/internal/front/http1"
+	"caperarch/internal/membership"
+	"caperarch/internal/transport/http1"
+)
+
+// Run listens and serves until ctx ends and everything taken by then is answered. Each signal on
+// reload has it read its configuration again.
+func Run(ctx context.Context, cfg *config.Config, reload <-chan os.Signal) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	return Serve(ctx, cfg, listener, reload)
+}
+
+// Serve is Run on a listener that is there already, which it closes.
+func Serve(ctx context.Context, cfg *config.Config, listener net.Listener, reload <-chan os.Signal) error {
+	c := clock.New()
+	log := slog.Default()
+	transport := http1.New(http1.Config{
+		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: cfg.UpstreamConns(),
+		Reports: cfg.Reports, Columns: cfg.Columns,
+	})
+	var follower *membership.Follower
+	e, err := engine.New(engine.Config{
+		Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: transport, Log: log,
+		Watch: func() { follower.Ask() },
+	})
+	if err != nil {
+		return err
+	}
+	follower = membership.New(membership.Config{
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Log: log, Heard: e.List, Failed: e.ListFailed,
+	})
+	f := fronthttp1.New(fronthttp1.Config{
+		Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen,
+		BodyBytes: cfg.BodyBytes(), MostConns: cfg.ClientConns(), Longest: cfg.Longest, Log: log,
+	}, c, e)
+	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.Servers))
+
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go e.Run(running, cfg.Known)
+	go follower.Run(running)
+	failed := make(chan error, 1)
+	go func() { failed <- f.Serve(listener) }()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			again(cfg, follower, log)
+		case <-ctx.Done():
+			return f.Drain()
+		}
+	}
+}
+
+// again takes discovery's address from the configuration as it is now. The rest of it holds until
+// the next start. A file that can't be used changes nothing.
+func again(before *config.Config, follower *membership.Follower, log *slog.Logger) {
+	cfg, err := config.Read(before.Path)
+	if err != nil {
+		log.Error("the new configuration can't be used, the old one stays", "error", err)
+		return
+	}
+	log.Info("configuration read again", "discovery", cfg.Discovery)
+	follower.Move(cfg.Discovery)
+}
--- a/internal/sidecar/front_test.go
+++ b/internal/daemon/front_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package daemon
 
 import (
 	"bufio"
@@ -13,15 +13,18 @@
 	"sync"
 	"testing"
 	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/rig"
 )
 
 func TestServed(t *testing.T) {
-	s := newStub(t, func(c net.Conn, r received) bool {
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/hive\r\nX-Server-Load: TEXT inflight=1\r\n"+
-			"Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
+			"Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
 		return err == nil
 	})
-	side := start(t, nil, s.address)
+	side := start(t, nil, s.Address)
 	if res, _ := do(t, side.request(t, "GET", "/up", "")); res.StatusCode != http.StatusOK {
 		t.Fatalf("GET /up: %s", res.Status)
 	}
@@ -30,10 +33,10 @@
 	if res.StatusCode != http.StatusOK || body != "41.5 kg" || res.Header.Get("Content-Type") != "text/hive" {
 		t.Fatalf("%s, body %q, headers %v", res.Status, body, res.Header)
 	}
-	got := wait(t, "the request", s.seen)
-	if got.Method != "POST" || got.uri != "/reading/hive%2F7?scale=a%20b&x" || got.body != "41.5 kg" ||
+	got := rig.Wait(t, "the request", s.Seen)
+	if got.Method != "POST" || got.URI != "/reading/hive%2F7?scale=a%20b&x" || got.Body != "41.5 kg" ||
 		got.Header.Get("X-Request-ID") != "r1" || got.Header.Get("Idempotency-Key") != "k1" {
-		t.Errorf("the upstream had %s %s %q, headers %v", got.Method, got.uri, got.body, got.Header)
+		t.Errorf("the upstream had %s %s %q, headers %v", got.Method, got.URI, got.Body, got.Header)
 	}
 	if got.Header.Get("X-Hop") != "" || res.Header.Get("X-Server-Load") != "" {
 		t.Errorf("headers of one connection went on: %v, %v", got.Header, res.Header)
@@ -42,8 +45,8 @@
 
 // Bad input has a plain answer and no attempt.
 func TestBadInput(t *testing.T) {
-	s := newStub(t, echo)
-	side := start(t, nil, s.address)
+	s := rig.NewStub(t, rig.Echo)
+	side := start(t, nil, s.Address)
 	for name, c := range map[string]struct {
 		status int
 		req    *http.Request
@@ -66,48 +69,32 @@
 		"head":              {405, side.request(t, "HEAD", "/look", "")},
 		"body on GET":       {400, side.request(t, "GET", "/look", "1")},
 		"key of no use":     {400, side.request(t, "POST", "/entry", "1", "Idempotency-Key", "k")},
-		"long body":         {413, side.request(t, "POST", "/entry", strings.Repeat("x", bodyLimit+1))},
+		"long body":         {413, side.request(t, "POST", "/entry", strings.Repeat("x", call.BodyLimit+1))},
 	} {
 		if res, _ := do(t, c.req); res.StatusCode != c.status {
 			t.Errorf("%s: %s, want %d", name, res.Status, c.status)
 		}
 	}
-	if res, body := do(t, side.request(t, "POST", "/entry", strings.Repeat("x", bodyLimit))); res.StatusCode != 200 || body != "done r1" {
+	if res, body := do(t, side.request(t, "POST", "/entry", strings.Repeat("x", call.BodyLimit))); res.StatusCode != 200 || body != "done r1" {
 		t.Errorf("longest body: %s %q", res.Status, body)
 	}
-	if len(s.seen) != 1 {
-		t.Errorf("the upstream had %d requests, want only the usable one", len(s.seen))
-	}
-}
-
-func TestDuration(t *testing.T) {
-	for text, want := range map[string]time.Duration{
-		"480m": 480 * time.Millisecond, "250u": 250 * time.Microsecond, "0.5m": 500 * time.Microsecond, "0u": 0,
-		"99999999999999999999m": longestWait,
-	} {
-		if got, ok := duration(text); !ok || got != want {
-			t.Errorf("%q is %v, %v, want %v", text, got, ok, want)
-		}
-	}
-	for _, text := range []string{"", "m", "480", "480s", "1e3m", "0x5m", "1_0m", "Infm", " 5m", "5 m", "1.2.3m", "-1m", "+1m"} {
-		if got, ok := duration(text); ok {
-			t.Errorf("%q was taken for %v", text, got)
-		}
+	if len(s.Seen) != 1 {
+		t.Errorf("the upstream had %d requests, want only the usable one", len(s.Seen))
 	}
 }
 
 // An unsafe request that may have run has failed; nobody sends it again.
 func TestFailed(t *testing.T) {
-	s := newStub(t, func(c net.Conn, _ received) bool {
+	s := rig.NewStub(t, func(c net.Conn, _ rig.Received) bool {
 		_, err := fmt.Fprint(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	})
-	side := start(t, nil, s.address)
+	side := start(t, nil, s.Address)
 	if res, _ := do(t, side.request(t, "POST", "/entry", "1")); res.StatusCode != http.StatusBadGateway {
 		t.Errorf("%s, want 502", res.Status)
 	}
-	if len(s.seen) != 1 {
-		t.Errorf("%d attempts, want 1", len(s.seen))
+	if len(s.Seen) != 1 {
+		t.Errorf("%d attempts, want 1", len(s.Seen))
 	}
 }
 
@@ -128,7 +115,7 @@
 		}()
 	}
 	for range requests {
-		a := wait(t, "a refusal", answers)
+		a := rig.Wait(t, "a refusal", answers)
 		if a.err != nil {
 			t.Fatal(a.err)
 		}
@@ -149,7 +136,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(generous))
+	_ = c.SetDeadline(time.Now().Add(rig.Generous))
 	if _, err := io.WriteString(c, bytes); err != nil {
 		t.Fatal(err)
 	}
@@ -173,8 +160,8 @@
 // What can't be read or is not to be trusted gets one error and a close, unread, and nothing of it
 // reaches an upstream: a request hidden in a body least of all.
 func TestMalformedRequests(t *testing.T) {
-	s := newStub(t, echo)
-	side := start(t, nil, s.address)
+	s := rig.NewStub(t, rig.Echo)
+	side := start(t, nil, s.Address)
 	head, hidden := fmt.Sprintf(rawHead, "r1"), fmt.Sprintf(rawHead, "hidden")+"Content-Length: 1\r\n\r\n1"
 	for name, c := range map[string]struct {
 		status int
@@ -209,8 +196,8 @@
 		side.raw(t, "")
 	})
 	t.Cleanup(func() {
-		if len(s.seen) > 0 {
-			t.Errorf("%d requests reached the upstream", len(s.seen))
+		if len(s.Seen) > 0 {
+			t.Errorf("%d requests reached the upstream", len(s.Seen))
 		}
 	})
 }
@@ -218,26 +205,26 @@
 // The id of a request that is open is another's; once that one has its answer it may be used again.
 func TestIDOfAnOpenRequest(t *testing.T) {
 	release := make(chan struct{})
-	s := newStub(t, func(c net.Conn, r received) bool {
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
 		<-release
-		return echo(c, r)
+		return rig.Echo(c, r)
 	})
-	side := start(t, nil, s.address)
+	side := start(t, nil, s.Address)
 	first := side.request(t, "POST", "/entry", "1")
 	answered := make(chan int, 1)
 	go func() {
 		res, _ := do(t, first)
 		answered <- res.StatusCode
 	}()
-	wait(t, "the first request", s.seen)
+	rig.Wait(t, "the first request", s.Seen)
 	if res, _ := do(t, side.request(t, "POST", "/entry", "1")); res.StatusCode != http.StatusConflict || !res.Close {
 		t.Errorf("%s, want 409 and a close", res.Status)
 	}
 	close(release)
-	if status := wait(t, "the first answer", answered); status != http.StatusOK {
+	if status := rig.Wait(t, "the first answer", answered); status != http.StatusOK {
 		t.Errorf("the first request: %d", status)
 	}
-	for end := time.Now().Add(generous); ; time.Sleep(time.Millisecond) { // its end is a moment behind its answer
+	for end := time.Now().Add(rig.Generous); ; time.Sleep(time.Millisecond) { // its end is a moment behind its answer
 		if res, _ := do(t, side.request(t, "POST", "/entry", "1")); res.StatusCode == http.StatusOK {
 			return
 		} else if time.Now().After(end) {
@@ -250,13 +237,13 @@
 // without a request for longest makes room, and one with a request never does.
 func TestMostConnections(t *testing.T) {
 	release := make(chan struct{})
-	s := newStub(t, func(c net.Conn, r received) bool {
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
 		if r.Header.Get("X-Request-ID") == "held" {
 			<-release
 		}
-		return echo(c, r)
+		return rig.Echo(c, r)
 	})
-	side := start(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["sockets"] = 32 }, s.address)
+	side := start(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["sockets"] = 32 }, s.Address)
 	address := strings.TrimPrefix(side.url, "http://")
 	held, err := net.Dial("tcp", address)
 	if err != nil {
@@ -266,7 +253,7 @@
 	if err := side.request(t, "GET", "/look", "", "X-Request-ID", "held").Write(held); err != nil {
 		t.Fatal(err)
 	}
-	wait(t, "the held request", s.seen)
+	rig.Wait(t, "the held request", s.Seen)
 	closed := make(chan error, 40)
 	for range 40 {
 		c, err := net.Dial("tcp", address)
@@ -282,58 +269,22 @@
 	if res, body := do(t, side.request(t, "GET", "/look", "")); res.StatusCode != http.StatusOK || body != "done r1" {
 		t.Errorf("%s %q among silent connections, want 200", res.Status, body)
 	}
-	wait(t, "a silent connection to close", closed)
+	rig.Wait(t, "a silent connection to close", closed)
 	close(release)
 	if res, err := http.ReadResponse(bufio.NewReader(held), nil); err != nil || res.StatusCode != http.StatusOK {
 		t.Errorf("the held request: %v, error %v, want 200", res, err)
 	}
 }
 
-// At the bound one waits for room; a connection at rest makes it, one whose request has just been
-// read does not, and what comes on one that is closing is thrown away unread.
-func TestAcceptorKeepsOpenRequests(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := newAcceptor(l, 2)
-	defer a.Close()
-	accept := func() (net.Conn, *clientConn) {
-		t.Helper()
-		client, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { client.Close() })
-		c, err := a.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		return client, c.(*clientConn)
-	}
-	speaks, open := accept()
-	_, quiet := accept()
-	if _, err := speaks.Write([]byte("x")); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := open.Read(make([]byte, 1)); err != nil {
-		t.Fatal(err)
-	}
-	accept()
-	if open.closed || !quiet.closed || a.open != 2 {
-		t.Errorf("the open one closed: %v, the quiet one: %v, %d open; want false, true, 2", open.closed, quiet.closed, a.open)
-	}
-}
-
 // Among upstreams that fail in every way, each request has one answer, and none of the unsafe
 // class reaches an upstream twice unless the first one said that it never ran.
 func TestAmongFailingUpstreams(t *testing.T) {
 	var mu sync.Mutex
 	ran := make(map[string]int)
-	fails := func(c net.Conn, r received) bool {
+	fails := func(c net.Conn, r rig.Received) bool {
 		id := r.Header.Get("X-Request-ID")
 		n, _ := strconv.Atoi(id)
-		if n%5 == 0 && r.conn%2 == 0 {
+		if n%5 == 0 && r.Conn%2 == 0 {
 			_, err := fmt.Fprint(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
 			return err == nil
 		}
@@ -350,10 +301,10 @@
 			_, err := fmt.Fprint(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
 			return err == nil
 		}
-		return echo(c, r)
+		return rig.Echo(c, r)
 	}
-	side := start(t, nil, newStub(t, fails).address, newStub(t, fails).address, newStub(t, fails).address)
-	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: generous}
+	side := start(t, nil, rig.NewStub(t, fails).Address, rig.NewStub(t, fails).Address, rig.NewStub(t, fails).Address)
+	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: rig.Generous}
 	var clients sync.WaitGroup
 	for worker := range 8 {
 		clients.Go(func() {
@@ -393,25 +344,25 @@
 
 // Over caps.max_open requests are refused without an attempt.
 func TestMostOpen(t *testing.T) {
-	s := newStub(t, silent)
-	side := start(t, func(_, settings map[string]any) { settings["caps"].(map[string]any)["max_open"] = 1 }, s.address)
+	s := rig.NewStub(t, rig.Silent)
+	side := start(t, func(_, settings map[string]any) { settings["caps"].(map[string]any)["max_open"] = 1 }, s.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	first := side.request(t, "GET", "/look", "").WithContext(ctx)
 	go func() { _, _ = http.DefaultClient.Do(first) }()
-	wait(t, "the first request", s.seen)
+	rig.Wait(t, "the first request", s.Seen)
 	if res, _ := do(t, side.request(t, "GET", "/look", "", "X-Request-ID", "r2")); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
 		t.Errorf("%s, headers %v, want 503 with Retry-After", res.Status, res.Header)
 	}
-	if len(s.seen) > 0 {
+	if len(s.Seen) > 0 {
 		t.Error("the second request had an attempt")
 	}
 }
 
 // Clients that tell of a body and don't send it use up nothing that requests are counted against.
 func TestUnsentBodiesAreNotCounted(t *testing.T) {
-	s := newStub(t, echo)
-	side := start(t, func(_, settings map[string]any) { settings["caps"].(map[string]any)["max_open"] = 1 }, s.address)
+	s := rig.NewStub(t, rig.Echo)
+	side := start(t, func(_, settings map[string]any) { settings["caps"].(map[string]any)["max_open"] = 1 }, s.Address)
 	for i := range 3 {
 		c, err := net.Dial("tcp", strings.TrimPrefix(side.url, "http://"))
 		if err != nil {
@@ -432,31 +383,31 @@
 
 // A client that closes its connection calls its request off, as far as the upstream.
 func TestClientCloses(t *testing.T) {
-	s := newStub(t, silent)
+	s := rig.NewStub(t, rig.Silent)
 	side := start(t, func(_, settings map[string]any) { // no time-out may end the attempt before the test does
 		look := settings["classes"].([]any)[2].(map[string]any)
-		look["aim_ms"], look["hard_limit_ms"] = 10*generous.Milliseconds(), 20*generous.Milliseconds()
-	}, s.address)
+		look["aim_ms"], look["hard_limit_ms"] = 10*rig.Generous.Milliseconds(), 20*rig.Generous.Milliseconds()
+	}, s.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	req := side.request(t, "GET", "/look", "", "X-Timeout", "400000m").WithContext(ctx)
 	go func() { _, _ = http.DefaultClient.Do(req) }()
-	wait(t, "the request", s.seen)
+	rig.Wait(t, "the request", s.Seen)
 	cancel()
-	wait(t, "the attempt's connection to close", s.closed)
+	rig.Wait(t, "the attempt's connection to close", s.Closed)
 }
 
 // After SIGTERM what is held is answered, new connections are served for a while, all of them
 // close, and the sidecar ends by itself. http.Server.Shutdown alone would refuse the newcomers.
 func TestStop(t *testing.T) {
 	release := make(chan struct{})
-	s := newStub(t, func(c net.Conn, r received) bool {
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
 		if r.Header.Get("X-Request-ID") == "held" {
 			<-release
 		}
-		return echo(c, r)
+		return rig.Echo(c, r)
 	})
-	side := start(t, nil, s.address)
+	side := start(t, nil, s.Address)
 	address := strings.TrimPrefix(side.url, "http://")
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -466,7 +417,7 @@
 	if err := side.request(t, "GET", "/look", "", "X-Request-ID", "held").Write(conn); err != nil {
 		t.Fatal(err)
 	}
-	wait(t, "the held request", s.seen)
+	rig.Wait(t, "the held request", s.Seen)
 	side.stop()
 	for { // until the stop has begun
 		if res, _ := do(t, side.request(t, "GET", "/up", "")); res.StatusCode == http.StatusServiceUnavailable {
@@ -482,7 +433,7 @@
 		t.Fatalf("the held request: %+v, error %v, want 200 and the connection closed", res, err)
 	}
 	res.Body.Close()
-	if err := wait(t, "the end", side.ended); err != nil {
+	if err := rig.Wait(t, "the end", side.ended); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,295 @@
+// Package engine gives a decision module its life: it owns one Balancer, sees to it that each call gets
+// exactly one final answer and the module exactly one outcome for each attempt, and knows no protocol.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/clock"
+	"caperarch/policy"
+)
+
+const (
+	countersEvery = 10 * time.Second // how often the module's counters go to the log
+	eventQueue    = 256
+
+	// The module is woken every 100 ms at least. Where more than stalledAfter has passed between two events,
+	// the process was stopped: what was told in the meantime is heard before anything is sent, for
+	// hearWithin at most. Else requests that waited would go to servers that drain or are gone by then.
+	stalledAfter = 500 * time.Millisecond
+	hearWithin   = 50 * time.Millisecond
+)
+
+// Config is what an engine is made of.
+type Config struct {
+	Policy    policy.Config
+	Seed      uint64
+	Clock     clock.Clock
+	Transport call.Transport // on the same clock
+	Log       *slog.Logger
+	Watch     func() // subscribes to the list; nil: it comes by itself
+	Quiet     bool   // no counters in the log
+}
+
+// Engine owns the Balancer. All of its events pass through one goroutine, Run, in order; the other parts
+// hand them over. Everything that must happen once a request or once an attempt, the final answer and
+// the Outcome, is kept here.
+type Engine struct {
+	Config
+	b    *policy.Balancer
+	most int // attempts for one request at most
+
+	lastID   atomic.Uint64
+	events   chan func(now time.Duration)
+	ended    chan struct{}
+	now      time.Duration // the time of the event under way
+	requests map[policy.RequestID]*request
+	servers  map[policy.ServerID]*server // those that are listed and not gone
+	notSent  []policy.Outcome            // owed once the event under way is over
+	wakes    []time.Duration             // when Wake is due, in order
+	timer    *time.Timer                 // set for the first of them
+
+	told chan struct{} // has an item if there is news
+	mu   sync.Mutex
+	news news
+}
+
+// server is a server at an address.
+type server struct {
+	call.Server
+	address string
+}
+
+// request is one in the table. It stays until it has its answer and all its attempts have ended.
+type request struct {
+	message  *call.Message
+	reply    chan<- call.Answer
+	deadline time.Duration
+	attempts []call.Attempt // by number; nil: was not sent
+	out      int            // attempts with no Outcome yet
+	over     bool           // it has its final answer, or its client has gone
+	timedOut bool           // its last attempt did: what a failure is called
+	last     *call.Result   // the last answer that was no service
+}
+
+// New makes an engine, or returns an error that names the unusable field of Config.Policy. Nothing runs
+// until Run is called.
+func New(cfg Config) (*Engine, error) {
+	e := &Engine{
+		Config: cfg, most: cfg.Policy.MaxAttempts,
+		events:   make(chan func(time.Duration), eventQueue),
+		ended:    make(chan struct{}),
+		requests: make(map[policy.RequestID]*request),
+		servers:  make(map[policy.ServerID]*server),
+		told:     make(chan struct{}, 1),
+		timer:    time.NewTimer(time.Hour),
+	}
+	if e.Config.Watch == nil {
+		e.Config.Watch = func() {}
+	}
+	var err error
+	if e.b, err = policy.New(cfg.Policy, cfg.Seed, host{e}); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// post hands over an event. It waits where many are under way; the engine itself never waits for
+// those who post. After the end events are thrown away.
+func (e *Engine) post(event func(now time.Duration)) {
+	select {
+	case e.events <- event:
+	case <-e.ended:
+	}
+}
+
+// Run gives the Balancer its life: start, the servers known so far, then event after event, until ctx
+// ends. It is called once. What is still open then has no answer any more: drain first.
+func (e *Engine) Run(ctx context.Context, known call.Listing) {
+	defer close(e.ended)
+	defer e.timer.Stop()
+	e.now = e.Clock.Now()
+	e.b.Start(e.now)
+	known.Whole = true
+	e.take(known, policy.ListCached)
+	var counters <-chan time.Time
+	if !e.Quiet {
+		ticker := time.NewTicker(countersEvery)
+		defer ticker.Stop()
+		counters = ticker.C
+	}
+	for {
+		e.settle()
+		select {
+		case event := <-e.events:
+			e.advance()
+			event(e.now)
+		case <-e.told:
+			e.now = e.Clock.Now()
+			e.hear()
+		case <-e.timer.C:
+			e.advance()
+			e.wake()
+		case <-counters:
+			e.Log.Info("counters", "module", fmt.Sprintf("%+v", e.b.Counters()), "upstream", e.Transport.Counters())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// advance brings the time up to date before an event, and the list too after the process was stopped.
+func (e *Engine) advance() {
+	before := e.now
+	if e.now = e.Clock.Now(); e.now-before < stalledAfter {
+		return
+	}
+	e.Log.Warn("stopped for a while", "time", e.now-before)
+	within := time.NewTimer(hearWithin)
+	defer within.Stop()
+	for {
+		select {
+		case <-e.told:
+			e.now = e.Clock.Now()
+			e.hear()
+			continue
+		case <-within.C:
+		}
+		e.now = e.Clock.Now()
+		return
+	}
+}
+
+// wake calls the module once for all timers that are due.
+func (e *Engine) wake() {
+	due := 0
+	for due < len(e.wakes) && e.wakes[due] <= e.now {
+		due++
+	}
+	if e.wakes = slices.Delete(e.wakes, 0, due); due > 0 {
+		e.b.Wake(e.now)
+	}
+	e.setTimer()
+}
+
+func (e *Engine) setTimer() {
+	if len(e.wakes) > 0 {
+		e.timer.Reset(e.wakes[0] - e.now)
+	}
+}
+
+// settle tells the module of the sends that were not carried out. It waits until the module has
+// returned, as Host's methods must not call back.
+func (e *Engine) settle() {
+	for len(e.notSent) > 0 {
+		o := e.notSent[0]
+		e.notSent = e.notSent[1:]
+		e.outcome(o)
+	}
+}
+
+func (e *Engine) take(news call.Listing, kind policy.ListKind) {
+	before := maps.Clone(e.servers)
+	if news.Whole {
+		clear(e.servers)
+	}
+	for _, s := range news.Servers {
+		switch known, address := before[s.ID], news.Address[s.ID]; {
+		case s.State == policy.Gone:
+			delete(e.servers, s.ID)
+		case known != nil && known.address == address:
+			e.servers[s.ID] = known
+		default:
+			e.servers[s.ID] = &server{e.Transport.Server(address), address}
+		}
+	}
+	for id, s := range before {
+		if e.servers[id] != s {
+			s.Leave()
+		}
+	}
+	e.b.List(e.now, kind, news.Servers)
+}
+
+// Ask takes a request on; its ID is the engine's. Its final answer goes to reply, which must have room
+// for it. m must not change any more. The number that Ask returns names the request for Gone.
+func (e *Engine) Ask(q policy.Request, m *call.Message, deadline time.Duration, reply chan<- call.Answer) policy.RequestID {
+	q.ID = policy.RequestID(e.lastID.Add(1))
+	e.post(func(now time.Duration) {
+		q.Left = deadline - now
+		e.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
+		e.b.Request(now, q)
+	})
+	return q.ID
+}
+
+// Gone takes that a request's client has gone: nothing is owed to it any more, its attempts are called
+// off. One that has its answer is passed over.
+func (e *Engine) Gone(id policy.RequestID) {
+	e.post(func(now time.Duration) {
+		if r := e.requests[id]; r != nil && !r.over {
+			e.finish(id, r, nil)
+			e.b.ClientGone(now, id)
+		}
+	})
+}
+
+// finish ends a request with its one answer, or with none where the client has gone.
+func (e *Engine) finish(id policy.RequestID, r *request, a *call.Answer) {
+	r.over = true
+	if a != nil {
+		r.reply <- *a
+	}
+	if r.out == 0 {
+		delete(e.requests, id)
+	}
+}
+
+// outcome tells the module how an attempt ended, once for each.
+func (e *Engine) outcome(o policy.Outcome) {
+	r := e.requests[o.ID]
+	r.out--
+	o.Settled = r.over
+	e.b.Outcome(e.now, o)
+	if r.over && r.out == 0 {
+		delete(e.requests, o.ID)
+	}
+}
+
+// attemptEnded takes the end of an attempt. The first answer of a server goes to the client at once and
+// settles the request.
+func (e *Engine) attemptEnded(id policy.RequestID, number int, res call.Result) {
+	r := e.requests[id]
+	if res.Stream != nil {
+		e.begun(id, r, res)
+		return
+	}
+	r.timedOut = res.Ending == policy.TimedOut
+	switch {
+	case r.over:
+	case res.Ending == policy.Served:
+		e.finish(id, r, &call.Answer{Kind: call.Served, Header: res.Header, Trailer: res.Trailer, Body: res.Body})
+	case res.Ending == policy.Errored:
+		r.last = &res
+	}
+	e.outcome(policy.Outcome{ID: id, Attempt: number, Ending: res.Ending, Load: res.Load})
+}
+
+// begun takes that an attempt's answer is passed on while it comes. The request is over with it: the
+// answer is the client's now, and the attempt's end only frees its slot.
+func (e *Engine) begun(id policy.RequestID, r *request, res call.Result) {
+	if r.over { // too late: nobody takes it
+		res.Stream.Close()
+		return
+	}
+	e.finish(id, r, &call.Answer{Kind: call.Served, Header: res.Header, Stream: res.Stream})
+	e.b.StreamBegun(id)
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,260 @@
+package engine
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/clock"
+	"caperarch/internal/config"
+	"caperarch/internal/membership"
+	"caperarch/internal/rig"
+	"caperarch/internal/transport/http1"
+	"caperarch/policy"
+)
+
+// idle is a loop whose goroutine is the test itself, with one server in its list.
+func idle(t *testing.T, address string) *Engine {
+	t.Helper()
+	cfg, err := config.Parse([]byte(rig.ConfigText(t, rig.Listed(1, "ready", address), nil)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := clock.New()
+	transport := http1.New(http1.Config{Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: 96})
+	e, err := New(Config{Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: transport, Log: slog.Default()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.now = c.Now()
+	e.b.Start(e.now)
+	e.take(cfg.Known, policy.ListCached)
+	return e
+}
+
+// next runs the next event and what it owes.
+func (l *Engine) next(t *testing.T) {
+	t.Helper()
+	event := rig.Wait(t, "an event", l.events)
+	l.now = l.Clock.Now()
+	event(l.now)
+	l.settle()
+}
+
+// hold enters a request that the module does not know, so that the test can decide for it.
+func (l *Engine) hold(id policy.RequestID) (*request, chan call.Answer) {
+	reply := make(chan call.Answer, 1)
+	r := &request{message: testMessage("1"), reply: reply, deadline: l.now + rig.Generous}
+	l.requests[id] = r
+	return r, reply
+}
+
+// The first served attempt answers at once; what the module says of the request after that, and
+// what other attempts bring, changes nothing. Each attempt has one Outcome, then the entry goes.
+func TestOneAnswerForEachRequest(t *testing.T) {
+	release := make(chan struct{})
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
+		if r.Conn > 0 {
+			<-release
+		}
+		return rig.OK(c, "first")
+	})
+	l := idle(t, s.Address)
+	r, reply := l.hold(7)
+	to := call.ServerID("s-0")
+	host{l}.Send(7, to, 0)
+	l.next(t)
+	if a := rig.Wait(t, "the answer", reply); a.Kind != call.Served || string(a.Body) != "first" {
+		t.Fatalf("answer %+v", a)
+	}
+	if len(l.requests) != 0 {
+		t.Fatal("the request is still in the table")
+	}
+	l.requests[7] = r // as if another attempt were out
+	host{l}.Refuse(7, time.Second)
+	host{l}.Fail(7)
+	host{l}.Send(7, to, 0)
+	if len(reply) != 0 || len(l.notSent) != 1 || l.notSent[0] != (policy.Outcome{ID: 7, Attempt: 1, Ending: policy.NotSent}) {
+		t.Errorf("%d more answers, not sent %+v, want none and attempt 1", len(reply), l.notSent)
+	}
+	l.settle()
+	if len(l.requests) != 0 || r.out != 0 {
+		t.Errorf("%d requests in the table, %d attempts out, want none", len(l.requests), r.out)
+	}
+	close(release)
+}
+
+// An Outcome comes after the answer too, for an attempt that is called off.
+func TestOutcomeAfterTheAnswer(t *testing.T) {
+	s := rig.NewStub(t, rig.Silent)
+	l := idle(t, s.Address)
+	r, reply := l.hold(7)
+	host{l}.Send(7, call.ServerID("s-0"), 0)
+	rig.Wait(t, "the request", s.Seen)
+	host{l}.Fail(7)
+	if a := rig.Wait(t, "the answer", reply); a.Kind != call.Failed || !a.TimedOut {
+		t.Errorf("answer %+v, want failed, timed out", a)
+	}
+	if l.requests[7] != r {
+		t.Fatal("the request has left the table with an attempt out")
+	}
+	host{l}.Cancel(7, 0)
+	host{l}.Cancel(7, 5)
+	l.next(t)
+	if len(l.requests) != 0 {
+		t.Error("the request is still in the table")
+	}
+}
+
+// Sends past caps.most_tries, past the deadline or to a server that is not listed are not carried out.
+func TestNotSent(t *testing.T) {
+	s := rig.NewStub(t, rig.Silent)
+	l := idle(t, s.Address)
+	l.hold(7)
+	to := call.ServerID("s-0")
+	for range 3 {
+		host{l}.Send(7, to, 0)
+	}
+	host{l}.Send(7, to, 0)
+	l.hold(8)
+	host{l}.Send(8, call.ServerID("unheard of"), 0)
+	host{l}.Send(8, to, -time.Second)
+	l.now += 2 * rig.Generous
+	host{l}.Send(8, to, 0)
+	want := []policy.Outcome{
+		{ID: 7, Attempt: 3, Ending: policy.NotSent}, {ID: 8, Attempt: 0, Ending: policy.NotSent},
+		{ID: 8, Attempt: 1, Ending: policy.NotSent}, {ID: 8, Attempt: 2, Ending: policy.NotSent},
+	}
+	if len(l.notSent) != len(want) {
+		t.Fatalf("not sent %+v, want %+v", l.notSent, want)
+	}
+	for i := range want {
+		if l.notSent[i] != want[i] {
+			t.Errorf("not sent %+v, want %+v", l.notSent[i], want[i])
+		}
+	}
+	for range 3 {
+		rig.Wait(t, "a request", s.Seen)
+	}
+	for i := range 3 {
+		host{l}.Cancel(7, i)
+		l.next(t)
+	}
+}
+
+// A client that closes its connection is owed nothing more; its attempts are called off.
+func TestClientGone(t *testing.T) {
+	s := rig.NewStub(t, rig.Silent)
+	l := idle(t, s.Address)
+	reply := make(chan call.Answer, 1)
+	id := l.Ask(policy.Request{Class: 0}, testMessage("1"), l.now+rig.Generous, reply)
+	l.next(t)
+	rig.Wait(t, "the request", s.Seen)
+	l.Gone(id)
+	l.next(t)
+	l.next(t) // the end of its attempt
+	rig.Wait(t, "the connection to close", s.Closed)
+	if len(l.requests) != 0 || len(reply) != 0 {
+		t.Errorf("%d requests in the table, %d answers, want none", len(l.requests), len(reply))
+	}
+}
+
+// Timers due at one moment share one call, the rest wait for theirs.
+func TestWakesAreMerged(t *testing.T) {
+	l := idle(t, "127.0.0.1:1")
+	l.wakes = nil
+	now := l.now
+	for _, d := range []time.Duration{30, 10, 20, 10, -5} {
+		host{l}.Wake(d * time.Millisecond)
+	}
+	if len(l.wakes) != 4 || l.wakes[0] != now || l.wakes[1] != now+10*time.Millisecond {
+		t.Fatalf("due in %v from %v", l.wakes, now)
+	}
+	l.now = now + 15*time.Millisecond
+	l.wake()
+	if first := l.wakes[0]; first > now+20*time.Millisecond {
+		t.Errorf("first due in %v, want 20ms at most", first-now)
+	}
+}
+
+// A new server at the address of one that has gone is another: it inherits no connection.
+func TestNewServerAtAnOldAddress(t *testing.T) {
+	s := rig.NewStub(t, rig.Echo)
+	l := idle(t, s.Address)
+	old := l.servers[call.ServerID("s-0")]
+	attempt(t, l, old, "1")
+	l.take(call.Listing{Servers: []policy.Server{{ID: 7, State: policy.Ready}}, Address: map[policy.ServerID]string{7: s.Address}}, policy.ListDelta)
+	attempt(t, l, l.servers[7], "2")
+	if first, second := rig.Wait(t, "1", s.Seen), rig.Wait(t, "2", s.Seen); first.Conn == second.Conn {
+		t.Error("the new server's request went over the old one's connection")
+	}
+}
+
+// A server that moves is reached where it is now, one that left is not reached at all, and a list
+// of changes leaves the others alone.
+func TestListMovesServers(t *testing.T) {
+	l := idle(t, "127.0.0.1:81")
+	id := call.ServerID("s-0")
+	moved, err := membership.Parse([]byte(`{"generation":2,"instances":[{"instanceId":"s-0","hostPort":"127.0.0.1:82","lifecycle":"ready"}]}`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.take(moved, policy.ListDelta)
+	if l.servers[id].address != "127.0.0.1:82" {
+		t.Errorf("address %q after the move", l.servers[id].address)
+	}
+	l.take(call.Listing{}, policy.ListDelta)
+	if len(l.servers) != 1 {
+		t.Errorf("addresses %v after no change", l.servers)
+	}
+	l.take(call.Listing{Servers: []policy.Server{{ID: id, State: policy.Gone}}}, policy.ListDelta)
+	if len(l.servers) != 0 {
+		t.Errorf("addresses %v, the server is gone", l.servers)
+	}
+	l.take(moved, policy.ListDelta)
+	l.take(call.Listing{Whole: true}, policy.ListFull)
+	if len(l.servers) != 0 {
+		t.Errorf("addresses %v after a whole list of none", l.servers)
+	}
+}
+
+func testMessage(id string) *call.Message {
+	return &call.Message{
+		Method: http.MethodPost, URI: "/reading", Host: "service.internal", Body: []byte("weight"),
+		Header: http.Header{"X-Request-Id": {id}, "Idempotency-Key": {"k" + id}},
+	}
+}
+
+// attempt sends one and waits for its end.
+func attempt(t *testing.T, e *Engine, to call.Server, id string) {
+	t.Helper()
+	done := make(chan call.Result, 2)
+	to.Send(testMessage(id), e.Clock.Now()+rig.Generous, func(r call.Result) { done <- r })
+	if r := rig.Wait(t, "the end of an attempt", done); r.Ending != policy.Served {
+		t.Fatalf("attempt %+v", r)
+	}
+}
+
+// News that is not taken yet is one list: a whole one replaces what came before, a change its servers' entries.
+func TestNewsIsFolded(t *testing.T) {
+	list := func(whole bool, entries ...policy.Server) call.Listing {
+		l := call.Listing{Whole: whole, Servers: entries, Address: make(map[policy.ServerID]string)}
+		for _, s := range entries {
+			l.Address[s.ID] = "127.0.0.1:81"
+		}
+		return l
+	}
+	var n news
+	n.fold(list(false, policy.Server{ID: 1, State: policy.Ready}))
+	n.fold(list(true, policy.Server{ID: 2, State: policy.Ready}, policy.Server{ID: 3, State: policy.Ready}))
+	n.fold(list(false, policy.Server{ID: 2, State: policy.Draining}, policy.Server{ID: 4, State: policy.Ready}))
+	n.fold(list(false, policy.Server{ID: 4, State: policy.Gone}))
+	want := []policy.Server{{ID: 2, State: policy.Draining}, {ID: 3, State: policy.Ready}, {ID: 4, State: policy.Gone}}
+	if !n.list.Whole || !slices.Equal(n.list.Servers, want) || len(n.list.Address) != 3 {
+		t.Errorf("folded to %+v, want the whole list %+v", n.list, want)
+	}
+}
--- a/internal/sidecar/accept.go
+++ b/internal/front/http1/accept.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"container/list"
--- a/internal/sidecar/front.go
+++ b/internal/front/http1/front.go
@@ -1,16 +1,19 @@
-package sidecar
+// Package http1 is the application's side: it takes requests over HTTP/1.1 and answers them.
+package http1
 
 import (
-	"hash/fnv"
 	"io"
+	"log/slog"
+	"net"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"caperarch/internal/call"
+	"caperarch/internal/clock"
 	"caperarch/policy"
 )
 
@@ -32,29 +35,53 @@
 	"X-Attrs", "Idempotency-Key", "Content-Length",
 }
 
-// front is the application's side.
-type front struct {
-	cfg   *Config
-	clock clock
-	loop  *loop
-	held  atomic.Int64 // requests with no answer yet
-	bytes atomic.Int64 // of their bodies
-	ready atomic.Bool  // what GET /up tells
+// Engine answers what the front takes: see engine.Engine.
+type Engine interface {
+	Ask(q policy.Request, m *call.Message, deadline time.Duration, reply chan<- call.Answer) policy.RequestID
+	Gone(id policy.RequestID)
+}
 
-	mu   sync.Mutex
-	open map[string]bool // ids of the requests that have no answer yet
+// Config says what requests are taken and how many at once.
+type Config struct {
+	Classes   map[string]int // class by name, its settings at that place in ClassOf
+	ClassOf   []policy.Class
+	Tenants   map[string]int // tenant by name; empty where there are none
+	MostOpen  int            // requests held at once; 0: no bound but that on connections
+	BodyBytes int64          // of their bodies
+	MostConns int            // clients' connections
+	Longest   time.Duration  // the longest deadline of any class: what a drain waits for
+	Log       *slog.Logger
 }
 
-func newFront(cfg *Config, c clock, l *loop) *front {
-	return &front{cfg: cfg, clock: c, loop: l, open: make(map[string]bool)}
+// Front is the application's side.
+type Front struct {
+	cfg    Config
+	clock  clock.Clock
+	engine Engine
+	held   atomic.Int64 // requests with no answer yet
+	bytes  atomic.Int64 // of their bodies
+	ready  atomic.Bool  // what GET /up tells
+	server *http.Server
+
+	mu   sync.Mutex
+	open map[string]bool // ids of the requests that have no answer yet
 }
 
-// server is the HTTP server that serves the application.
-func (f *front) server(a *acceptor) *http.Server {
-	return &http.Server{
+// New makes a front on an engine.
+func New(cfg Config, c clock.Clock, e Engine) *Front {
+	f := &Front{cfg: cfg, clock: c, engine: e, open: make(map[string]bool)}
+	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
-		ConnState: a.state,
 	}
+	return f
+}
+
+// Serve takes requests on a listener until Drain is called, and returns why it ended.
+func (f *Front) Serve(l net.Listener) error {
+	a := newAcceptor(l, f.cfg.MostConns)
+	f.server.ConnState = a.state
+	f.ready.Store(true)
+	return f.server.Serve(a)
 }
 
 // rejection is why a request can't be taken on: an answer for its client alone.
@@ -63,8 +90,8 @@
 	reason string
 }
 
-func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := f.clock.now() // the client's time began when it sent, so before the body is read
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.clock.Now() // the client's time began when it sent, so before the body is read
 	if r.URL.Path == "/up" && r.Method == http.MethodGet && len(r.TransferEncoding) == 0 && r.ContentLength == 0 {
 		if !f.ready.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -93,25 +120,25 @@
 	defer f.held.Add(-1)
 	defer f.bytes.Add(-size)
 	held, bytes := f.held.Add(1), f.bytes.Add(size)
-	if f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen) || bytes > f.cfg.bodyBytes() {
+	if f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen) || bytes > f.cfg.BodyBytes {
 		refuse(w, time.Second)
 		return
 	}
-	m := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body}
-	reply := make(chan answer, 1)
-	number := f.loop.ask(q, m, arrived+left, reply)
+	m := &call.Message{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: call.EndToEnd(r.Header), Body: body}
+	reply := make(chan call.Answer, 1)
+	number := f.engine.Ask(q, m, arrived+left, reply)
 	select {
 	case a := <-reply:
-		a.write(w)
+		write(w, a)
 	case <-r.Context().Done(): // the client has closed its connection
-		f.loop.gone(number)
+		f.engine.Gone(number)
 		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
 	}
 }
 
 // enter takes an id into use. One that is open belongs to another request: upstreams would take a
 // second under it for a copy of the first.
-func (f *front) enter(id string) bool {
+func (f *Front) enter(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.open[id] {
@@ -121,7 +148,7 @@
 	return true
 }
 
-func (f *front) leave(id string) {
+func (f *Front) leave(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.open, id)
@@ -153,7 +180,7 @@
 
 // read takes what a request says of itself. What is missing or malformed is a rejection: nothing of
 // it may reach the module or an upstream, whose 400 would count as the upstream's failure.
-func (f *front) read(r *http.Request) (q policy.Request, left time.Duration, bad *rejection) {
+func (f *Front) read(r *http.Request) (q policy.Request, left time.Duration, bad *rejection) {
 	h := r.Header
 	no := func(status int, reason string) (policy.Request, time.Duration, *rejection) {
 		return policy.Request{}, 0, &rejection{status, reason}
@@ -185,7 +212,7 @@
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != name {
 		return no(http.StatusBadRequest, "the path is of another class than X-Priority-Class")
 	}
-	class, key := &f.cfg.Policy.Classes[q.Class], h.Get("Idempotency-Key")
+	class, key := &f.cfg.ClassOf[q.Class], h.Get("Idempotency-Key")
 	if want := methods[class.Effect]; r.Method != want {
 		return no(http.StatusMethodNotAllowed, "requests of this class are sent with "+want)
 	}
@@ -198,7 +225,7 @@
 		return no(http.StatusBadRequest, "GET has no body")
 	case class.Effect != policy.Safe && h["Content-Length"] == nil:
 		return no(http.StatusLengthRequired, "Content-Length is missing")
-	case r.ContentLength > bodyLimit:
+	case r.ContentLength > call.BodyLimit:
 		return no(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
 	if len(f.cfg.Tenants) > 0 {
@@ -214,11 +241,7 @@
 			return no(http.StatusBadRequest, "X-Cost is malformed")
 		}
 	}
-	if key := h.Get("X-Route-Key"); key != "" {
-		sum := fnv.New64a()
-		_, _ = io.WriteString(sum, key) // a hash takes everything
-		q.Key = sum.Sum64()
-	}
+	q.Key = call.RouteKey(h.Get("X-Route-Key"))
 	q.Repeat = h.Get("X-Retried") == "1"
 	return q, left, nil
 }
@@ -247,21 +270,23 @@
 }
 
 // write sends the final answer to the client.
-func (a answer) write(w http.ResponseWriter) {
-	switch a.status {
-	case http.StatusOK:
-		for name, values := range endToEnd(a.header) {
+func write(w http.ResponseWriter, a call.Answer) {
+	switch {
+	case a.Kind == call.Served:
+		for name, values := range call.EndToEnd(a.Header) {
 			w.Header()[name] = values
 		}
-		if a.header["Content-Type"] == nil {
+		if a.Header["Content-Type"] == nil {
 			w.Header()["Content-Type"] = nil // not to be guessed
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-		_, _ = w.Write(a.body) // it fails if the client has gone: nobody is left to tell
-	case http.StatusServiceUnavailable:
-		refuse(w, a.pause)
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+		_, _ = w.Write(a.Body) // it fails if the client has gone: nobody is left to tell
+	case a.Kind == call.Refused:
+		refuse(w, a.Pause)
+	case a.TimedOut:
+		w.WriteHeader(http.StatusGatewayTimeout)
 	default:
-		w.WriteHeader(a.status)
+		w.WriteHeader(http.StatusBadGateway)
 	}
 }
 
@@ -272,26 +297,3 @@
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// endToEnd copies the headers that are meant for the other end, not for this connection.
-func endToEnd(from http.Header) http.Header {
-	to := make(http.Header, len(from)+2)
-	for name, values := range from {
-		to[name] = values
-	}
-	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			to.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range []string{
-		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-		"Content-Length", "X-Server-Load",
-	} {
-		delete(to, name)
-	}
-	if to["User-Agent"] == nil {
-		to["User-Agent"] = nil // none was given, so none is made up
-	}
-	return to
-}
--- /dev/null
+++ b/internal/front/http1/front_test.go
@@ -0,0 +1,59 @@
+package http1
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+func TestDuration(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"480m": 480 * time.Millisecond, "250u": 250 * time.Microsecond, "0.5m": 500 * time.Microsecond, "0u": 0,
+		"99999999999999999999m": longestWait,
+	} {
+		if got, ok := duration(text); !ok || got != want {
+			t.Errorf("%q is %v, %v, want %v", text, got, ok, want)
+		}
+	}
+	for _, text := range []string{"", "m", "480", "480s", "1e3m", "0x5m", "1_0m", "Infm", " 5m", "5 m", "1.2.3m", "-1m", "+1m"} {
+		if got, ok := duration(text); ok {
+			t.Errorf("%q was taken for %v", text, got)
+		}
+	}
+}
+
+// At the bound one waits for room; a connection at rest makes it, one whose request has just been
+// read does not, and what comes on one that is closing is thrown away unread.
+func TestAcceptorKeepsOpenRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAcceptor(l, 2)
+	defer a.Close()
+	accept := func() (net.Conn, *clientConn) {
+		t.Helper()
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		c, err := a.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client, c.(*clientConn)
+	}
+	speaks, open := accept()
+	_, quiet := accept()
+	if _, err := speaks.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	accept()
+	if open.closed || !quiet.closed || a.open != 2 {
+		t.Errorf("the open one closed: %v, the quiet one: %v, %d open; want false, true, 2", open.closed, quiet.closed, a.open)
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/membership/membership.go
@@ -1,11 +1,11 @@
-package sidecar
+// Package membership follows discovery's list of servers.
+package membership
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"math"
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"caperarch/internal/call"
 	"caperarch/policy"
 )
 
@@ -27,24 +28,8 @@
 	listLimit  = 8 << 20         // bytes of one answer; far above any real list
 )
 
-// listing is one answer of discovery.
-type listing struct {
-	version int64
-	whole   bool
-	servers []policy.Server
-	address map[policy.ServerID]string
-}
-
-// serverID names a server by a hash of its instanceId: the same at every sidecar and after a
-// restart, as the module spreads the sidecars over the servers by the order of their ids.
-func serverID(instance string) policy.ServerID {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, instance) // a hash takes everything
-	return policy.ServerID(h.Sum64())
-}
-
-// parseListing reads an answer. One malformed entry makes the whole answer unusable.
-func parseListing(raw []byte, zones map[string]int) (listing, error) {
+// Parse reads an answer; a zone that zones does not name is -1. One malformed entry makes the whole answer unusable.
+func Parse(raw []byte, zones map[string]int) (call.Listing, error) {
 	var answer struct {
 		Generation *int64
 		Reset      bool
@@ -59,22 +44,22 @@
 		}
 	}
 	if err := json.Unmarshal(raw, &answer); err != nil {
-		return listing{}, err
+		return call.Listing{}, err
 	}
 	if answer.Generation == nil {
-		return listing{}, errors.New("no generation")
+		return call.Listing{}, errors.New("no generation")
 	}
-	l := listing{version: *answer.Generation, whole: answer.Reset, address: make(map[policy.ServerID]string)}
+	l := call.Listing{Version: *answer.Generation, Whole: answer.Reset, Address: make(map[policy.ServerID]string)}
 	for i, e := range answer.Instances {
 		if e.InstanceID == "" {
-			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
+			return call.Listing{}, fmt.Errorf("instance %d has no instanceId", i)
 		}
-		s := policy.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
+		s := policy.Server{ID: call.ServerID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
 		if zone, ok := zones[e.Zone]; ok {
 			s.Zone = zone
 		}
 		if e.StartedAtMs > math.MaxInt64/float64(time.Millisecond)/2 { // no time of this clock
-			return listing{}, fmt.Errorf("instance %s: startedAtMs is %v", e.InstanceID, e.StartedAtMs)
+			return call.Listing{}, fmt.Errorf("instance %s: startedAtMs is %v", e.InstanceID, e.StartedAtMs)
 		}
 		s.Started = time.Duration(max(0, e.StartedAtMs) * float64(time.Millisecond))
 		switch e.Lifecycle {
@@ -86,31 +71,39 @@
 			s.State = policy.Draining // nothing new, whatever it is
 		}
 		if _, _, err := net.SplitHostPort(e.HostPort); err == nil {
-			l.address[s.ID] = e.HostPort
+			l.Address[s.ID] = e.HostPort
 		} else if s.State != policy.Gone {
-			return listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
+			return call.Listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
 		}
-		l.servers = append(l.servers, s)
+		l.Servers = append(l.Servers, s)
 	}
 	return l, nil
 }
 
-// discovery follows the list of servers and hands what it learns to the loop.
-type discovery struct {
-	zones  map[string]int
+// Config says what to follow.
+type Config struct {
+	Address string         // of discovery, host and port
+	Zones   map[string]int // zone by name
+	Asked   bool           // the list must be asked for, call after call: see Follower.Ask
+	Log     *slog.Logger
+	Heard   func(call.Listing) // takes what is learnt, from Run's goroutine
+	Failed  func()             // takes that a call failed
+}
+
+// Follower follows the list of servers and hands on what it learns.
+type Follower struct {
+	Config
 	asked  chan struct{} // where the list must be asked for: the module did
-	heard  func(listing)
-	failed func()
 	client http.Client
 
-	mu      sync.Mutex
-	address string
-	moved   context.CancelFunc // ends what is under way with the address before
+	mu    sync.Mutex
+	moved context.CancelFunc // ends what is under way with the address before
 }
 
-func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
-	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed}
-	if cfg.Policy.AskList {
+// New makes a follower. Nothing is called until Run.
+func New(cfg Config) *Follower {
+	d := &Follower{Config: cfg}
+	if cfg.Asked {
 		d.asked = make(chan struct{}, 1)
 	}
 	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
@@ -118,27 +111,20 @@
 	return d
 }
 
-// ask takes that the module wants to be subscribed to the list.
-func (d *discovery) ask() {
+// Ask takes that the module wants to be subscribed to the list.
+func (d *Follower) Ask() {
 	select {
 	case d.asked <- struct{}{}:
 	default: // already asked, or the list is pushed
 	}
 }
 
-// reload takes discovery's address from the configuration as it is now. The rest of it holds until
-// the next start. A file that can't be used changes nothing.
-func (d *discovery) reload(path string) {
-	cfg, err := ReadConfig(path)
-	if err != nil {
-		slog.Error("the new configuration can't be used, the old one stays", "error", err)
-		return
-	}
+// Move has it follow discovery at another address, from now on.
+func (d *Follower) Move(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slog.Info("configuration read again", "discovery", cfg.Discovery, "before", d.address)
-	if cfg.Discovery != d.address {
-		d.address = cfg.Discovery
+	if address != d.Address {
+		d.Address = address
 		if d.moved != nil {
 			d.moved()
 		}
@@ -146,21 +132,22 @@
 }
 
 // follower returns the address to follow, and a context that ends once that is another.
-func (d *discovery) follower(ctx context.Context) (context.Context, string) {
+func (d *Follower) follower(ctx context.Context) (context.Context, string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.moved != nil {
 		d.moved()
 	}
 	ctx, d.moved = context.WithCancel(ctx)
-	return ctx, d.address
+	return ctx, d.Address
 }
 
-// run follows the list until ctx ends: the whole list, then watch after watch, and all over again
+// Run follows the list until ctx ends: the whole list, then watch after watch, and all over again
 // after a failure. Where lists are pushed it comes back by itself after a pause; where they are
 // asked for, the module says when. At a new address it begins anew at once, with the whole list: the
 // versions of the old one mean nothing there.
-func (d *discovery) run(ctx context.Context) {
+func (d *Follower) Run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
 	pause, moved := firstRetry, false
 	for ctx.Err() == nil {
 		if d.asked != nil && !moved {
@@ -180,8 +167,8 @@
 			pause = firstRetry
 			continue
 		}
-		slog.Warn("discovery", "error", err)
-		d.failed()
+		d.Log.Warn("discovery", "error", err)
+		d.Failed()
 		if d.asked != nil {
 			continue
 		}
@@ -198,7 +185,7 @@
 }
 
 // follow calls discovery until a call fails. It tells whether any call went well.
-func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
+func (d *Follower) follow(ctx context.Context, address string) (heard bool, err error) {
 	version := int64(-1)
 	for {
 		query, limit := "", listTime
@@ -210,32 +197,32 @@
 		if err != nil {
 			return heard, err
 		}
-		l.whole = l.whole || !heard // the first call asked for the whole list
-		heard, version = true, l.version
-		d.heard(l)
+		l.Whole = l.Whole || !heard // the first call asked for the whole list
+		heard, version = true, l.Version
+		d.Heard(l)
 	}
 }
 
-func (d *discovery) call(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
+func (d *Follower) call(ctx context.Context, address, query string, limit time.Duration) (call.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/discovery/hosts"+query, nil)
 	if err != nil {
-		return listing{}, err
+		return call.Listing{}, err
 	}
 	res, err := d.client.Do(req)
 	if err != nil {
-		return listing{}, err
+		return call.Listing{}, err
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, listLimit+1))
 	switch {
 	case err != nil:
-		return listing{}, err
+		return call.Listing{}, err
 	case res.StatusCode != http.StatusOK:
-		return listing{}, fmt.Errorf("answered %s", res.Status)
+		return call.Listing{}, fmt.Errorf("answered %s", res.Status)
 	case len(body) > listLimit:
-		return listing{}, errors.New("the answer is too long")
+		return call.Listing{}, errors.New("the answer is too long")
 	}
-	return parseListing(body, d.zones)
+	return Parse(body, d.Zones)
 }
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,179 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/rig"
+	"caperarch/policy"
+)
+
+func TestParseListing(t *testing.T) {
+	l, err := Parse([]byte(`{"generation":41,"reset":false,"further":1,"instances":[
+		{"instanceId":"s-1","hostPort":"127.0.0.1:80","zone":"b","machineType":"m2","cell":3,"lifecycle":"ready","weight":1.5,"startedAtMs":1500.5},
+		{"instanceId":"s-2","hostPort":"127.0.0.1:81","zone":"unheard of","lifecycle":"draining"},
+		{"instanceId":"s-3","hostPort":"127.0.0.1:82","lifecycle":"pausing"},
+		{"instanceId":"s-4","lifecycle":"gone"}]}`), map[string]int{"a": 0, "b": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []policy.Server{
+		{ID: call.ServerID("s-1"), Zone: 1, Cell: 3, State: policy.Ready, Weight: 1.5, Started: 1500500 * time.Microsecond},
+		{ID: call.ServerID("s-2"), Zone: -1, State: policy.Draining},
+		{ID: call.ServerID("s-3"), Zone: -1, State: policy.Draining},
+		{ID: call.ServerID("s-4"), Zone: -1, State: policy.Gone},
+	}
+	if l.Version != 41 || l.Whole || len(l.Servers) != len(want) || l.Address[want[1].ID] != "127.0.0.1:81" {
+		t.Fatalf("list %+v", l)
+	}
+	for i := range want {
+		if l.Servers[i] != want[i] {
+			t.Errorf("server %+v, want %+v", l.Servers[i], want[i])
+		}
+	}
+	for _, bad := range []string{
+		"", "{", "[]", `{"instances":[]}`, `{"generation":"x"}`,
+		`{"generation":1,"instances":[{"hostPort":"127.0.0.1:80","lifecycle":"ready"}]}`,
+		`{"generation":1,"instances":[{"instanceId":"s","hostPort":"nowhere","lifecycle":"ready"}]}`,
+		`{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:80","weight":"heavy"}]}`,
+		`{"generation":1,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:80","startedAtMs":1e300}]}`,
+	} {
+		if _, err := Parse([]byte(bad), nil); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+// The whole list, then a watch from its version on; a malformed answer or a failure is passed
+// over, and after a pause it begins again with the whole list.
+func TestDiscoveryIsFollowed(t *testing.T) {
+	queries := make(chan string, 100)
+	answers := make(chan func(http.ResponseWriter), 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.RawQuery
+		select {
+		case answer := <-answers:
+			answer(w)
+		case <-r.Context().Done():
+		}
+	}))
+	defer server.Close()
+	say := func(body string) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) { _, _ = io.WriteString(w, body) }
+	}
+	heard, failed := make(chan call.Listing, 100), make(chan struct{}, 100)
+	d := New(Config{
+		Address: server.Listener.Addr().String(), Log: slog.Default(),
+		Heard: func(l call.Listing) { heard <- l }, Failed: func() { failed <- struct{}{} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.Run(ctx); close(ended) }()
+
+	step := func(query string, answer func(http.ResponseWriter)) {
+		t.Helper()
+		answers <- answer
+		if got := rig.Wait(t, "a call", queries); got != query {
+			t.Fatalf("query %q, want %q", got, query)
+		}
+	}
+	news := func(version int64, whole bool) {
+		t.Helper()
+		if l := rig.Wait(t, "a list", heard); l.Version != version || l.Whole != whole {
+			t.Fatalf("version %d, whole %v, want %d, %v", l.Version, l.Whole, version, whole)
+		}
+	}
+	step("", say(rig.Listed(41, "ready", "127.0.0.1:80")))
+	news(41, true)
+	step("index=41&wait=20000", say(`{"generation":43,"reset":false,"instances":[]}`))
+	news(43, false)
+	step("index=43&wait=20000", say(`{"generation":44,"instances":[{"instanceId":""}]}`))
+	rig.Wait(t, "the failure", failed)
+	step("", func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) })
+	rig.Wait(t, "the failure", failed)
+	step("", say(rig.Listed(45, "ready", "127.0.0.1:80")))
+	news(45, true)
+	if len(heard)+len(failed) > 0 {
+		t.Errorf("%d more lists, %d more failures", len(heard), len(failed))
+	}
+	cancel()
+	rig.Wait(t, "the end", ended)
+}
+
+// Where the list must be asked for, nothing is called before the module asks.
+func TestDiscoveryIsAsked(t *testing.T) {
+	calls := make(chan struct{}, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	failed := make(chan struct{}, 100)
+	d := New(Config{
+		Address: server.Listener.Addr().String(), Asked: true, Log: slog.Default(),
+		Heard: func(call.Listing) {}, Failed: func() { failed <- struct{}{} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx)
+	for range 2 {
+		if len(calls) > 0 {
+			t.Fatal("called unasked")
+		}
+		d.Ask()
+		rig.Wait(t, "the failure", failed)
+		rig.Wait(t, "the call", calls)
+	}
+}
+
+// A new configuration names another discovery: its list is taken whole, the watch at the old one ends.
+func TestMove(t *testing.T) {
+	calls, left := make(chan string, 100), make(chan struct{}, 100)
+	serve := func(generation int) string {
+		d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls <- fmt.Sprintf("%d %s", generation, r.URL.RawQuery)
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done()
+				left <- struct{}{}
+				return
+			}
+			_, _ = io.WriteString(w, rig.Listed(generation, "ready", "127.0.0.1:81"))
+		}))
+		t.Cleanup(d.Close)
+		return d.Listener.Addr().String()
+	}
+	before, after := serve(50), serve(3)
+	heard := make(chan call.Listing, 100)
+	d := New(Config{
+		Address: before, Log: slog.Default(),
+		Heard: func(l call.Listing) { heard <- l }, Failed: func() { t.Error("failed") },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx)
+	expect := func(want string) {
+		t.Helper()
+		if got := rig.Wait(t, want, calls); got != want {
+			t.Errorf("called %q, want %q", got, want)
+		}
+	}
+	expect("50 ")
+	expect("50 index=50&wait=20000")
+	d.Move(after)
+	d.Move(after)
+	rig.Wait(t, "the old watch to end", left)
+	expect("3 ")
+	expect("3 index=3&wait=20000")
+	for _, version := range []int64{50, 3} {
+		if l := rig.Wait(t, "a list", heard); !l.Whole || l.Version != version {
+			t.Errorf("version %d, whole %v, want %d as a whole", l.Version, l.Whole, version)
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/transport/http1/transport.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package http1 carries attempts and probes to servers over HTTP/1.1.
+package http1
 
 import (
 	"bufio"
@@ -16,40 +17,34 @@
 	"syscall"
 	"time"
 
+	"caperarch/internal/call"
+	"caperarch/internal/clock"
 	"caperarch/internal/wire"
 	"caperarch/policy"
 )
 
 const (
-	bodyLimit   = 64 << 10  // bytes of a body, either way
 	answerLimit = 512 << 10 // bytes of a whole answer on the wire, headers and framing included
 	interimMost = 8         // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
 	settleTime  = 10 * time.Millisecond // see take
 )
 
-// message is a request as it goes on to an upstream, but for its time-out.
-type message struct {
-	method string
-	uri    string // as the client sent it
-	host   string
-	header http.Header // end-to-end ones; not changed any more
-	body   []byte
+// Config says how servers are reached.
+type Config struct {
+	Clock       clock.Clock
+	DialTimeout time.Duration // how long a connection may take to come up
+	ConnIdle    time.Duration // servers close connections that stood idle so long
+	MostConns   int           // connections to all servers together
+	Reports     []string      // names of a load report's fields, in the order of Columns; none: there are no reports
+	Columns     wire.Columns
 }
 
-// result is how an attempt ended.
-type result struct {
-	ending policy.Ending
-	header http.Header
-	body   []byte
-	load   policy.Load
-}
-
-// upstream carries attempts and probes to the servers, over connections that it keeps. It is not
+// Transport carries attempts and probes to the servers, over connections that it keeps. It is not
 // http.Transport because that sends again by itself when a kept connection breaks: an attempt that
 // nobody decided on.
-type upstream struct {
-	clock       clock
+type Transport struct {
+	clock       clock.Clock
 	dialTimeout time.Duration
 	keep        time.Duration // connections idle for longer are not used again
 	settle      time.Duration // connections rest so long after an answer
@@ -69,8 +64,9 @@
 // host is a server at an address. One that comes to a gone one's address is another host: connections
 // to the old one are not its own.
 type host struct {
+	u       *Transport
 	address string
-	left    bool // no longer listed: connections to it are not kept. Under upstream's lock.
+	left    bool // no longer listed: connections to it are not kept. Under the transport's lock.
 }
 
 // conn is a connection to a server; it carries one exchange at a time.
@@ -81,22 +77,40 @@
 	idleSince time.Duration
 }
 
-func newUpstream(cfg *Config, c clock) *upstream {
-	u := &upstream{
-		clock: c, dialTimeout: cfg.DialTimeout, reports: cfg.Reports, columns: cfg.Columns,
+// New makes a transport that has nothing open yet. It needs no closing beyond that of its servers.
+func New(cfg Config) *Transport {
+	u := &Transport{
+		clock: cfg.Clock, dialTimeout: cfg.DialTimeout, reports: cfg.Reports, columns: cfg.Columns,
 		// Well before the server closes it: a request written from then on would end as a reset.
 		keep:      cfg.ConnIdle - min(idleMargin, cfg.ConnIdle/4),
 		settle:    settleTime,
-		most:      cfg.upstreamConns(),
+		most:      cfg.MostConns,
 		probePath: "/alive",
 		idle:      make(map[*host][]*conn),
 	}
-	if cfg.Policy.Reports != 0 {
+	if len(cfg.Reports) > 0 {
 		u.probePath = "/metrics/load"
 	}
 	return u
 }
 
+// Server is a server at an address.
+func (u *Transport) Server(address string) call.Server { return &host{u: u, address: address} }
+
+// Send starts an attempt.
+func (h *host) Send(m *call.Message, until time.Duration, done func(call.Result)) call.Attempt {
+	return h.u.send(h, m, until, done)
+}
+
+// Probe asks for a load report.
+func (h *host) Probe(told func(ok bool, load policy.Load)) { h.u.probe(h, h.u.clock.Now(), told) }
+
+// CloseIdle closes the idle connections.
+func (h *host) CloseIdle() { h.u.close(h) }
+
+// Leave takes that the server is no longer listed.
+func (h *host) Leave() { h.u.leave(h) }
+
 // exchange is one attempt or probe under way.
 type exchange struct {
 	mu        sync.Mutex
@@ -104,8 +118,8 @@
 	stop      func() // ends what it is at: dialling, or its connection
 }
 
-// cancel gives the exchange up. If its request is not yet on the way, it will not be sent.
-func (x *exchange) cancel() {
+// Cancel gives the exchange up. If its request is not yet on the way, it will not be sent.
+func (x *exchange) Cancel() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.cancelled = true
@@ -134,20 +148,20 @@
 }
 
 // send starts an attempt that is given up at until. Its end goes to done, once.
-func (u *upstream) send(to *host, m *message, until time.Duration, done func(result)) *exchange {
+func (u *Transport) send(to *host, m *call.Message, until time.Duration, done func(call.Result)) *exchange {
 	x := new(exchange)
 	go func() {
 		res, body, ending := u.exchange(x, to, m, until)
 		if res == nil {
-			done(result{ending: ending})
+			done(call.Result{Ending: ending})
 			return
 		}
-		out := result{ending: policy.Errored, load: u.load(res.Header.Get("X-Server-Load"))}
+		out := call.Result{Ending: policy.Errored, Status: res.StatusCode, Header: res.Header, Body: body, Load: u.load(res.Header.Get("X-Server-Load"))}
 		switch never := res.Header.Get("X-Not-Processed") == "1"; {
 		case res.StatusCode == http.StatusOK:
-			out.ending, out.header, out.body = policy.Served, res.Header, body
+			out.Ending = policy.Served
 		case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
-			out.ending = policy.TurnedAway
+			out.Ending = policy.TurnedAway
 		}
 		done(out)
 	}()
@@ -155,9 +169,9 @@
 }
 
 // probe asks a server for its load report. The result goes to told, once.
-func (u *upstream) probe(to *host, now time.Duration, told func(ok bool, load policy.Load)) {
+func (u *Transport) probe(to *host, now time.Duration, told func(ok bool, load policy.Load)) {
 	go func() {
-		m := &message{method: http.MethodGet, uri: u.probePath, host: to.address}
+		m := &call.Message{Method: http.MethodGet, URI: u.probePath, Host: to.address}
 		res, body, _ := u.exchange(new(exchange), to, m, now+u.dialTimeout)
 		if res == nil {
 			told(false, policy.Load{})
@@ -169,33 +183,33 @@
 
 // bytes is the request as it is written, told how long its answer is waited for. A client's headers
 // have been read by net/http, so none holds what would end it early.
-func (m *message) bytes(left time.Duration) []byte {
+func bytesOf(m *call.Message, left time.Duration) []byte {
 	var out bytes.Buffer
-	out.Grow(512 + len(m.body))
+	out.Grow(512 + len(m.Body))
 	line := func(name, value string) { out.WriteString(name + ": " + value + "\r\n") }
-	out.WriteString(m.method + " " + m.uri + " HTTP/1.1\r\n")
-	line("Host", m.host)
-	if m.header.Get("X-Request-ID") != "" {
+	out.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\n")
+	line("Host", m.Host)
+	if m.Header.Get("X-Request-ID") != "" {
 		line("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
 	}
-	for name, values := range m.header {
+	for name, values := range m.Header {
 		for _, value := range values {
 			if name != "X-Timeout" {
 				line(name, value)
 			}
 		}
 	}
-	if m.method != http.MethodGet {
-		line("Content-Length", strconv.Itoa(len(m.body)))
+	if m.Method != http.MethodGet {
+		line("Content-Length", strconv.Itoa(len(m.Body)))
 	}
 	out.WriteString("\r\n")
-	out.Write(m.body)
+	out.Write(m.Body)
 	return out.Bytes()
 }
 
 // exchange sends a request and reads its answer. Without a whole answer the ending says what is
 // known: NoConnection until the last byte of the request is written, as it cannot have run before.
-func (u *upstream) exchange(x *exchange, to *host, m *message, until time.Duration) (*http.Response, []byte, policy.Ending) {
+func (u *Transport) exchange(x *exchange, to *host, m *call.Message, until time.Duration) (*http.Response, []byte, policy.Ending) {
 	unsent := func(err error) policy.Ending {
 		switch {
 		case x.givenUp():
@@ -213,14 +227,14 @@
 		u.keepIdle(to, c)
 		return nil, nil, policy.Cancelled
 	}
-	begun := u.clock.now()
-	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the write then does
+	begun := u.clock.Now()
+	_ = c.SetDeadline(u.clock.At(until)) // fails only on a closed connection, as the write then does
 	// One write: it tells whether the last byte went out.
-	if _, err := c.Write(m.bytes(until - begun)); err != nil {
+	if _, err := c.Write(bytesOf(m, until-begun)); err != nil {
 		u.discard(c)
 		return nil, nil, unsent(err)
 	}
-	res, body, err := c.answer(m.method)
+	res, body, err := c.answer(m.Method)
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
 		u.keepIdle(to, c)
@@ -235,7 +249,7 @@
 	case x.givenUp():
 		return nil, nil, policy.Cancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
-		if u.clock.now()-begun >= u.dialTimeout { // a shorter wait tells nothing of the machine
+		if u.clock.Now()-begun >= u.dialTimeout { // a shorter wait tells nothing of the machine
 			u.doubt(to, begun)
 		}
 		return nil, nil, policy.TimedOut
@@ -261,7 +275,7 @@
 			continue
 		}
 		switch {
-		case res.ContentLength > bodyLimit:
+		case res.ContentLength > call.BodyLimit:
 			return nil, nil, errTooLong // known before any of it is read
 		case res.ContentLength >= 0:
 			body := make([]byte, res.ContentLength)
@@ -272,8 +286,8 @@
 			// keep their connections.
 			return nil, nil, errors.New("the answer has neither a length nor chunks")
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, bodyLimit+1))
-		if err == nil && len(body) > bodyLimit {
+		body, err := io.ReadAll(io.LimitReader(res.Body, call.BodyLimit+1))
+		if err == nil && len(body) > call.BodyLimit {
 			err = errTooLong
 		}
 		return res, body, err
@@ -282,7 +296,7 @@
 }
 
 // connect returns a kept connection that still stands, or opens one.
-func (u *upstream) connect(x *exchange, to *host, until time.Duration) (*conn, error) {
+func (u *Transport) connect(x *exchange, to *host, until time.Duration) (*conn, error) {
 	for {
 		c, err := u.take(to)
 		if err != nil {
@@ -299,7 +313,7 @@
 		u.mu.Unlock()
 		u.discard(c)
 	}
-	limit := min(u.dialTimeout, until-u.clock.now())
+	limit := min(u.dialTimeout, until-u.clock.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if !x.begin(cancel) {
@@ -326,10 +340,10 @@
 // So may a server close right after an answer, and a request that crosses this may have run. What has come
 // while the connection rested is found by usable: so it rests for settle at least, and the longest
 // rested goes first. At the limit an idle connection to another server makes room.
-func (u *upstream) take(to *host) (*conn, error) {
+func (u *Transport) take(to *host) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.clock.now()
+	now := u.clock.Now()
 	for list := u.idle[to]; len(list) > 0 && now-list[0].idleSince >= u.settle; list = u.idle[to] {
 		c := list[0]
 		if now-c.idleSince >= u.keep {
@@ -358,7 +372,7 @@
 }
 
 // drop closes the first n idle connections to a host. The caller holds the lock.
-func (u *upstream) drop(to *host, n int) {
+func (u *Transport) drop(to *host, n int) {
 	list := u.idle[to]
 	for _, c := range list[:n] {
 		c.Conn.Close()
@@ -372,7 +386,7 @@
 }
 
 // keepIdle puts a connection back.
-func (u *upstream) keepIdle(to *host, c *conn) {
+func (u *Transport) keepIdle(to *host, c *conn) {
 	_ = c.SetDeadline(time.Time{}) // a closed one is found out before it is used
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -381,7 +395,7 @@
 		u.open--
 		return
 	}
-	c.idleSince = u.clock.now()
+	c.idleSince = u.clock.Now()
 	u.idle[to] = append(u.idle[to], c)
 	if u.sweeper == nil {
 		u.sweeper = time.AfterFunc(u.keep, u.sweep)
@@ -392,7 +406,7 @@
 // let an attempt run into its time-out: a machine that is cut off says nothing on them either, and
 // what is written there may have run. A new one tells at once whether the machine is there. One that
 // is only slow keeps those that it has answered on since.
-func (u *upstream) doubt(to *host, since time.Duration) {
+func (u *Transport) doubt(to *host, since time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	list := u.idle[to]
@@ -404,10 +418,10 @@
 }
 
 // sweep closes the connections that have been idle for too long.
-func (u *upstream) sweep() {
+func (u *Transport) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now, next := u.clock.now(), time.Duration(math.MaxInt64)
+	now, next := u.clock.Now(), time.Duration(math.MaxInt64)
 	for to, list := range u.idle {
 		old := 0
 		for old < len(list) && now-list[old].idleSince >= u.keep {
@@ -425,21 +439,21 @@
 }
 
 // close closes the idle connections to a host.
-func (u *upstream) close(to *host) {
+func (u *Transport) close(to *host) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.drop(to, len(u.idle[to]))
 }
 
 // leave takes that a host is no longer listed.
-func (u *upstream) leave(to *host) {
+func (u *Transport) leave(to *host) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	to.left = true
 	u.drop(to, len(u.idle[to]))
 }
 
-func (u *upstream) discard(c *conn) {
+func (u *Transport) discard(c *conn) {
 	c.Conn.Close()
 	u.mu.Lock()
 	u.open--
@@ -463,15 +477,15 @@
 	return err == nil && standing
 }
 
-// counters are for the log.
-func (u *upstream) counters() map[string]int {
+// Counters are for the log.
+func (u *Transport) Counters() map[string]int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return map[string]int{"open": u.open, "dialled": u.dialled, "stale": u.stale}
 }
 
 // load reads a report of the form "TEXT name=value, name=value".
-func (u *upstream) load(report string) policy.Load {
+func (u *Transport) load(report string) policy.Load {
 	report, ok := strings.CutPrefix(strings.TrimSpace(report), "TEXT ")
 	if !ok {
 		return policy.Load{}
