The plug-in: Client.Do, RoundTripper and a gRPC connection on the daemon's engine

Need: newer gateway apps call the ledger through an RPC library, with no room for a sidecar beside them.

plugin.Open gives a client with the daemon's module and engine inside the host's process; its RoundTripper serves net/http, plugin/grpcplugin is a grpc.ClientConnInterface. internal/transport/grpc has one subchannel a server and takes from grpc-go's own signals when a call is proved never to have run: a transparent retry is caught in the stats handler and held back before it is written. Plug-ins of one process share one watch on discovery. internal/rig gets nodes over both protocols, discovery and a ledger; conformance/ is one list of cases that runs unchanged against the daemon as a child process, Client.Do, the RoundTripper and gRPC.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,7 +24,9 @@
 	Host   string
 	Header http.Header // end-to-end ones
 	Body   []byte
-	Stream bool // its answer may be passed on while it still comes: see Result.Stream
+	Stream bool          // its answer may be passed on while it still comes: see Result.Stream
+	Ends   time.Duration // a stream: when its client gives it up, on the clock of the engine; 0: only by Close
+	Format string        // gRPC: the content subtype; "" is proto
 }
 
 // Kind is which of the three final answers a request had.
@@ -42,6 +44,7 @@
 	Kind     Kind
 	Pause    time.Duration // refused: when to come back; 0: no advice
 	TimedOut bool          // failed: an attempt had no answer in time
+	Status   int           // served: the protocol's own figure (HTTP 200; a gRPC status code)
 	Header   http.Header   // served: the server's answer, as are the next three
 	Trailer  http.Header
 	Body     []byte
--- /dev/null
+++ b/internal/call/duration.go
@@ -0,0 +1,28 @@
+package call
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// LongestWait is what longer times count as: figures above it mean the same to everyone.
+const LongestWait = time.Hour
+
+// ParseDuration reads a number with the unit m (milliseconds) or u (microseconds), as X-Timeout has it.
+func ParseDuration(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "m")
+	if !ok {
+		unit = time.Microsecond
+		number, ok = strings.CutSuffix(text, "u")
+	}
+	if !ok || strings.Trim(number, "0123456789.") != "" {
+		return 0, false
+	}
+	n, err := strconv.ParseFloat(number, 64)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(min(n*float64(unit), float64(LongestWait))), true
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,11 +2,14 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +44,14 @@
 	Longest     time.Duration // the longest deadline of any class
 
 	Known call.Listing // the servers as last known
+
+	Methods map[string]Method // a client's: what calls are, by their method
+}
+
+// Method says of which class and tenant the calls of an RPC method are.
+type Method struct {
+	Class  string `json:"class"`
+	Tenant string `json:"tenant"`
 }
 
 // Read reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
@@ -60,6 +71,55 @@
 
 // Parse reads the text of such a file; env looks a variable up.
 func Parse(raw []byte, env func(string) string) (*Config, error) {
+	c, err := parse(raw, env)
+	if err != nil {
+		return nil, err
+	}
+	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", field, err)
+		}
+	}
+	return c, nil
+}
+
+// clientFields are the fields of a file that a client takes or passes over.
+var clientFields = []string{
+	"name", "listen", "discovery", "seed", "limits", "peer_listen", "peers", "peers_all", "known", "settings", "methods",
+}
+
+// ParseClient reads the text of such a file for a client that has no sidecar beside it: the environment is
+// not asked, nothing needs a listen address, and an unknown field is an error that names it.
+func ParseClient(raw []byte) (*Config, error) {
+	c, err := parse(raw, func(string) string { return "" })
+	if err != nil {
+		return nil, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	for _, field := range slices.Sorted(maps.Keys(fields)) {
+		if !slices.Contains(clientFields, field) {
+			return nil, fmt.Errorf("config: %s: unknown field", field)
+		}
+	}
+	if c.Discovery != "" {
+		if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+			return nil, fmt.Errorf("config: discovery: %w", err)
+		}
+	}
+	if len(fields["methods"]) > 0 {
+		d := json.NewDecoder(bytes.NewReader(fields["methods"]))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&c.Methods); err != nil {
+			return nil, fmt.Errorf("config: methods: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func parse(raw []byte, env func(string) string) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
@@ -85,11 +145,6 @@
 		MemoryMB:  int(file.Limits.MemoryMB),
 		Sockets:   int(file.Limits.Sockets),
 	}
-	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return nil, fmt.Errorf("config: %s: %w", field, err)
-		}
-	}
 	if c.Sockets == 0 {
 		c.Sockets = 1024
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,11 @@
 		return err
 	}
 	follower = membership.New(membership.Config{
-		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Log: log, Heard: e.List, Failed: e.ListFailed,
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
+		Failed: func(err error) {
+			log.Warn("discovery", "error", err)
+			e.ListFailed()
+		},
 	})
 	f := fronthttp1.New(fronthttp1.Config{
 		Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -112,7 +112,7 @@
 }
 
 // Run gives the Balancer its life: start, the servers known so far, then event after event, until ctx
-// ends. It is called once. What is still open then has no answer any more: drain first.
+// ends. It is called once. What is still open then is answered: refused where nothing was sent, else failed.
 func (e *Engine) Run(ctx context.Context, known call.Listing) {
 	defer close(e.ended)
 	defer e.timer.Stop()
@@ -141,11 +141,58 @@
 		case <-counters:
 			e.Log.Info("counters", "module", fmt.Sprintf("%+v", e.b.Counters()), "upstream", e.Transport.Counters())
 		case <-ctx.Done():
+			e.end()
 			return
 		}
 	}
 }
 
+// end takes what was handed over by now, answers what is open and calls off what is out. So a request that
+// was taken on has its one answer, whatever it was in the middle of.
+func (e *Engine) end() {
+	for {
+		select {
+		case event := <-e.events:
+			e.now = e.Clock.Now()
+			event(e.now)
+			e.settle()
+			continue
+		default:
+		}
+		break
+	}
+	for id, r := range e.requests {
+		for _, a := range r.attempts {
+			if a != nil {
+				a.Cancel()
+			}
+		}
+		switch {
+		case r.over:
+		case len(r.attempts) == 0:
+			e.finish(id, r, &call.Answer{Kind: call.Refused})
+		default:
+			e.finish(id, r, &call.Answer{Kind: call.Failed, Last: r.last})
+		}
+	}
+	for _, s := range e.servers {
+		s.Leave()
+	}
+}
+
+// Ended is closed when Run has returned: what is handed over from then on is thrown away.
+func (e *Engine) Ended() <-chan struct{} { return e.ended }
+
+// Flush waits until all that was handed over before it has been taken.
+func (e *Engine) Flush() {
+	taken := make(chan struct{})
+	e.post(func(time.Duration) { close(taken) })
+	select {
+	case <-taken:
+	case <-e.ended:
+	}
+}
+
 // advance brings the time up to date before an event, and the list too after the process was stopped.
 func (e *Engine) advance() {
 	before := e.now
@@ -276,7 +323,7 @@
 	switch {
 	case r.over:
 	case res.Ending == policy.Served:
-		e.finish(id, r, &call.Answer{Kind: call.Served, Header: res.Header, Trailer: res.Trailer, Body: res.Body})
+		e.finish(id, r, &call.Answer{Kind: call.Served, Status: res.Status, Header: res.Header, Trailer: res.Trailer, Body: res.Body})
 	case res.Ending == policy.Errored:
 		r.last = &res
 	}
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -25,8 +25,7 @@
 	rejectTime  = 500 * time.Millisecond  // the rest of a rejected request is read over for so long
 	clientIdle  = 2 * time.Minute         // idle connections of clients are closed after this
 	headerLimit = 16 << 10
-	longestWait = time.Hour // figures above this mean the same to everyone
-	farTimeout  = 10        // a time-out of more than so many deadlines of its class is no usable one
+	farTimeout  = 10 // a time-out of more than so many deadlines of its class is no usable one
 )
 
 // once lists the headers that steer a request. Sent twice, two readers may heed different ones.
@@ -233,11 +232,11 @@
 			return no(http.StatusBadRequest, "X-Tenant-Id names no tenant")
 		}
 	}
-	if left, ok = duration(h.Get("X-Timeout")); !ok || left <= 0 || left > farTimeout*class.Deadline {
+	if left, ok = call.ParseDuration(h.Get("X-Timeout")); !ok || left <= 0 || left > farTimeout*class.Deadline {
 		return no(http.StatusBadRequest, "X-Timeout is missing, malformed or out of range")
 	}
 	if cost := h.Get("X-Cost"); cost != "" {
-		if q.Work, ok = duration(cost + "u"); !ok {
+		if q.Work, ok = call.ParseDuration(cost + "u"); !ok {
 			return no(http.StatusBadRequest, "X-Cost is malformed")
 		}
 	}
@@ -251,24 +250,6 @@
 	policy.Safe: http.MethodGet, policy.Keyed: http.MethodPost, policy.Unsafe: http.MethodPost,
 }
 
-// duration reads a number with the unit m (milliseconds) or u (microseconds).
-func duration(text string) (time.Duration, bool) {
-	unit := time.Millisecond
-	number, ok := strings.CutSuffix(text, "m")
-	if !ok {
-		unit = time.Microsecond
-		number, ok = strings.CutSuffix(text, "u")
-	}
-	if !ok || strings.Trim(number, "0123456789.") != "" {
-		return 0, false
-	}
-	n, err := strconv.ParseFloat(number, 64)
-	if err != nil {
-		return 0, false
-	}
-	return time.Duration(min(n*float64(unit), float64(longestWait))), true
-}
-
 // write sends the final answer to the client.
 func write(w http.ResponseWriter, a call.Answer) {
 	switch {
--- a/internal/front/http1/front_test.go
+++ b/internal/front/http1/front_test.go
@@ -3,25 +3,8 @@
 import (
 	"net"
 	"testing"
-	"time"
 )
 
-func TestDuration(t *testing.T) {
-	for text, want := range map[string]time.Duration{
-		"480m": 480 * time.Millisecond, "250u": 250 * time.Microsecond, "0.5m": 500 * time.Microsecond, "0u": 0,
-		"99999999999999999999m": longestWait,
-	} {
-		if got, ok := duration(text); !ok || got != want {
-			t.Errorf("%q is %v, %v, want %v", text, got, ok, want)
-		}
-	}
-	for _, text := range []string{"", "m", "480", "480s", "1e3m", "0x5m", "1_0m", "Infm", " 5m", "5 m", "1.2.3m", "-1m", "+1m"} {
-		if got, ok := duration(text); ok {
-			t.Errorf("%q was taken for %v", text, got)
-		}
-	}
-}
-
 // At the bound one waits for room; a connection at rest makes it, one whose request has just been
 // read does not, and what comes on one that is closing is thrown away unread.
 func TestAcceptorKeepsOpenRequests(t *testing.T) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -82,12 +81,11 @@
 
 // Config says what to follow.
 type Config struct {
-	Address string         // of discovery, host and port
-	Zones   map[string]int // zone by name
-	Asked   bool           // the list must be asked for, call after call: see Follower.Ask
-	Log     *slog.Logger
+	Address string             // of discovery, host and port
+	Zones   map[string]int     // zone by name
+	Asked   bool               // the list must be asked for, call after call: see Follower.Ask
 	Heard   func(call.Listing) // takes what is learnt, from Run's goroutine
-	Failed  func()             // takes that a call failed
+	Failed  func(error)        // takes that a call failed, and why
 }
 
 // Follower follows the list of servers and hands on what it learns.
@@ -167,8 +165,7 @@
 			pause = firstRetry
 			continue
 		}
-		d.Log.Warn("discovery", "error", err)
-		d.Failed()
+		d.Failed(err)
 		if d.asked != nil {
 			continue
 		}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -70,8 +69,8 @@
 	}
 	heard, failed := make(chan call.Listing, 100), make(chan struct{}, 100)
 	d := New(Config{
-		Address: server.Listener.Addr().String(), Log: slog.Default(),
-		Heard: func(l call.Listing) { heard <- l }, Failed: func() { failed <- struct{}{} },
+		Address: server.Listener.Addr().String(),
+		Heard:   func(l call.Listing) { heard <- l }, Failed: func(error) { failed <- struct{}{} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -117,8 +116,8 @@
 	defer server.Close()
 	failed := make(chan struct{}, 100)
 	d := New(Config{
-		Address: server.Listener.Addr().String(), Asked: true, Log: slog.Default(),
-		Heard: func(call.Listing) {}, Failed: func() { failed <- struct{}{} },
+		Address: server.Listener.Addr().String(), Asked: true,
+		Heard: func(call.Listing) {}, Failed: func(error) { failed <- struct{}{} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -152,8 +151,8 @@
 	before, after := serve(50), serve(3)
 	heard := make(chan call.Listing, 100)
 	d := New(Config{
-		Address: before, Log: slog.Default(),
-		Heard: func(l call.Listing) { heard <- l }, Failed: func() { t.Error("failed") },
+		Address: before,
+		Heard:   func(l call.Listing) { heard <- l }, Failed: func(error) { t.Error("failed") },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- /dev/null
+++ b/internal/rig/node.go
@@ -0,0 +1,195 @@
+package rig
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Act is what a node does with a request.
+type Act int
+
+// The acts. All but Refuse may have run the request.
+const (
+	Serve   Act = iota
+	Refuse      // turned away, with the protocol's word that it has not run
+	Fail        // an error answer
+	Busy        // a 503 or UNAVAILABLE with no promise
+	Hang        // takes it and says nothing
+	Reset       // breaks the connection behind the request's last byte
+	Cut         // breaks it in the middle of the answer
+	Garbage     // answers with what is none
+	Slow        // serves after Node.Delay
+)
+
+func (a Act) String() string {
+	return [...]string{"serve", "refuse", "fail", "busy", "hang", "reset", "cut", "garbage", "slow"}[a]
+}
+
+// Script says what a node does with a request. It may be called from many goroutines.
+type Script func(a Arrival) Act
+
+// Always is the script of one act.
+func Always(act Act) Script { return func(Arrival) Act { return act } }
+
+// Node is a stand-in for a records node, over HTTP/1.1 or gRPC. It can be changed at any time.
+type Node struct {
+	ID      string
+	Cell    int
+	Zone    string
+	Started time.Time
+	Address string
+	Ledger  *Ledger
+	Delay   atomic.Int64  // of Slow, in nanoseconds
+	Load    func() string // the load report of an answer and a probe, in the protocol's form; nil: none
+	Probes  atomic.Int64
+
+	script atomic.Pointer[Script]
+	serve  func(net.Listener) (stop func())
+
+	mu    sync.Mutex
+	stop  func()
+	conns map[string]net.Conn // by the other side's address
+	Dials atomic.Int64
+}
+
+func newNode(t TB, id string, l *Ledger, serve func(*Node, net.Listener) func()) *Node {
+	t.Helper()
+	n := &Node{ID: id, Zone: "a", Ledger: l, conns: make(map[string]net.Conn)}
+	n.serve = func(l net.Listener) func() { return serve(n, l) }
+	n.Do(Always(Serve))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("node %s: %v", id, err)
+	}
+	n.Address = listener.Addr().String()
+	n.stop = n.serve(tracked{listener, n})
+	t.Cleanup(n.Vanish)
+	return n
+}
+
+// Do has the node follow a script from now on.
+func (n *Node) Do(s Script) { n.script.Store(&s) }
+
+// act records an arrival and says what is to be done with it.
+func (n *Node) act(a Arrival) Act {
+	a.At, a.Node, a.Cell = time.Now(), n.ID, n.Cell
+	act := (*n.script.Load())(a)
+	a.Ran = act != Refuse
+	n.Ledger.Add(a)
+	return act
+}
+
+// Vanish ends the node's process: connections are reset and new ones refused.
+func (n *Node) Vanish() {
+	n.mu.Lock()
+	stop := n.stop
+	n.stop = nil
+	n.mu.Unlock()
+	if stop == nil {
+		return
+	}
+	n.BreakAll()
+	stop()
+}
+
+// Return starts the node again at its address, as one that has just started.
+func (n *Node) Return(t TB) {
+	t.Helper()
+	var l net.Listener
+	Until(t, "the node's address to be free", func() (ok bool) {
+		var err error
+		l, err = net.Listen("tcp", n.Address)
+		return err == nil
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Started = time.Now()
+	n.stop = n.serve(tracked{l, n})
+}
+
+// BreakAll resets all connections.
+func (n *Node) BreakAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, c := range n.conns {
+		abort(c)
+		delete(n.conns, address)
+	}
+}
+
+// Open is how many connections stand.
+func (n *Node) Open() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
+// breakConn resets the connection to an address.
+func (n *Node) breakConn(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.conns[address]; c != nil {
+		abort(c)
+		delete(n.conns, address)
+	}
+}
+
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// tracked is a listener that keeps the node's book of connections.
+type tracked struct {
+	net.Listener
+	n *Node
+}
+
+func (l tracked) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.n.Dials.Add(1)
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	l.n.conns[c.RemoteAddr().String()] = c
+	return trackedConn{c, l.n}, nil
+}
+
+type trackedConn struct {
+	net.Conn
+	n *Node
+}
+
+func (c trackedConn) Close() error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	delete(c.n.conns, c.RemoteAddr().String())
+	return c.Conn.Close()
+}
+
+// Entry is the node in discovery's form.
+func (n *Node) Entry(lifecycle string) string {
+	started := int64(0)
+	if !n.Started.IsZero() {
+		started = n.Started.UnixMilli()
+	}
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":%q,"cell":%d,"lifecycle":%q,"weight":1.0,"startedAtMs":%d}`,
+		n.ID, n.Address, n.Zone, n.Cell, lifecycle, started)
+}
+
+// Known is the list of some nodes, all ready.
+func Known(nodes ...*Node) string {
+	var entries []string
+	for _, n := range nodes {
+		entries = append(entries, n.Entry("ready"))
+	}
+	return fmt.Sprintf(`{"generation":1,"reset":true,"instances":[%s]}`, strings.Join(entries, ","))
+}
--- /dev/null
+++ b/internal/transport/grpc/stream.go
@@ -0,0 +1,95 @@
+package grpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	"caperarch/internal/call"
+	"caperarch/policy"
+)
+
+// Stream is a server's stream that has begun. Recv is called from one goroutine at a time.
+type Stream struct {
+	a   *attempt
+	ctx context.Context
+	cs  grpc.ClientStream
+	md  metadata.MD
+}
+
+// Recv returns the next message, io.EOF behind the last one, or the server's status as an error.
+func (s *Stream) Recv() ([]byte, error) {
+	var body []byte
+	err := s.cs.RecvMsg(&body)
+	if err == nil {
+		return body, nil
+	}
+	end := err
+	if errors.Is(err, io.EOF) {
+		end = nil
+	}
+	s.a.end(s.a.result(s.ctx, end, s.md, s.cs.Trailer(), nil))
+	return nil, err
+}
+
+// Header is the header metadata.
+func (s *Stream) Header() metadata.MD { return s.md }
+
+// Trailer is the trailer metadata, once Recv has returned an error.
+func (s *Stream) Trailer() metadata.MD { return s.cs.Trailer() }
+
+// Close gives the stream up; one that has ended is passed over.
+func (s *Stream) Close() {
+	s.a.Cancel()
+	s.a.end(call.Result{Ending: policy.Cancelled})
+}
+
+// stream begins a server stream: up to its header it is an attempt as any other, then it is its client's.
+func (a *attempt) stream(ctx context.Context, opts []grpc.CallOption) {
+	if a.m.Ends > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadlineCause(ctx, a.t.cfg.Clock.At(a.m.Ends), errTimedOut)
+		context.AfterFunc(a.ctx, stop) // which end cancels
+	}
+	wait := time.AfterFunc(a.until-a.t.cfg.Clock.Now(), func() { a.cancel(errTimedOut) })
+	cs, err := a.sub.cc.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, a.m.URI, opts...)
+	if err != nil {
+		a.end(a.result(ctx, err, nil, nil, nil))
+		return
+	}
+	if err = cs.SendMsg(&a.m.Body); err == nil || errors.Is(err, io.EOF) { // EOF: its status comes with the answer
+		err = cs.CloseSend()
+	}
+	var md metadata.MD
+	if err == nil {
+		md, err = cs.Header()
+	}
+	a.mu.Lock()
+	begun := a.headers
+	a.mu.Unlock()
+	if err != nil || !begun {
+		var body []byte
+		recv := cs.RecvMsg(&body)
+		if errors.Is(recv, io.EOF) { // an empty stream
+			recv = nil
+		}
+		if err == nil {
+			err = recv
+		}
+		trailer := cs.Trailer()
+		if err != nil {
+			a.end(a.result(ctx, err, md, trailer, nil))
+			return
+		}
+	}
+	if !wait.Stop() { // its time ended as it began: one of both
+		a.end(call.Result{Ending: policy.TimedOut})
+		return
+	}
+	// The first message that was read above is none: a stream without a header has no message either.
+	a.done(call.Result{Ending: policy.Served, Header: map[string][]string(md), Stream: &Stream{a: a, ctx: ctx, cs: cs, md: md}})
+}
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -53,7 +54,11 @@
 	columns     wire.Columns
 	probePath   string
 
+	running sync.WaitGroup // attempts and probes
+
 	mu      sync.Mutex
+	under   map[*exchange]struct{} // attempts and probes under way
+	closed  bool
 	idle    map[*host][]*conn // the most recently used last
 	open    int               // idle, in use or being opened
 	sweeper *time.Timer       // set while there are idle ones
@@ -87,6 +92,7 @@
 		most:      cfg.MostConns,
 		probePath: "/alive",
 		idle:      make(map[*host][]*conn),
+		under:     make(map[*exchange]struct{}),
 	}
 	if len(cfg.Reports) > 0 {
 		u.probePath = "/metrics/load"
@@ -147,10 +153,50 @@
 	return x.cancelled
 }
 
+// enter counts an exchange that begins.
+func (u *Transport) enter() *exchange {
+	x := new(exchange)
+	u.running.Add(1)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	x.cancelled = u.closed
+	u.under[x] = struct{}{}
+	return x
+}
+
+func (u *Transport) leaveExchange(x *exchange) {
+	u.mu.Lock()
+	delete(u.under, x)
+	u.mu.Unlock()
+	u.running.Done()
+}
+
+// Close calls off what is under way, closes all connections and returns when nothing of it is left.
+// Nothing may be sent by then or later.
+func (u *Transport) Close() {
+	u.mu.Lock()
+	u.closed = true
+	under := slices.Collect(maps.Keys(u.under))
+	u.mu.Unlock()
+	for _, x := range under { // which take their own lock first
+		x.Cancel()
+	}
+	u.running.Wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for to, list := range u.idle {
+		u.drop(to, len(list))
+	}
+	if u.sweeper != nil {
+		u.sweeper.Stop()
+	}
+}
+
 // send starts an attempt that is given up at until. Its end goes to done, once.
 func (u *Transport) send(to *host, m *call.Message, until time.Duration, done func(call.Result)) *exchange {
-	x := new(exchange)
+	x := u.enter()
 	go func() {
+		defer u.leaveExchange(x)
 		res, body, ending := u.exchange(x, to, m, until)
 		if res == nil {
 			done(call.Result{Ending: ending})
@@ -170,9 +216,11 @@
 
 // probe asks a server for its load report. The result goes to told, once.
 func (u *Transport) probe(to *host, now time.Duration, told func(ok bool, load policy.Load)) {
+	x := u.enter()
 	go func() {
+		defer u.leaveExchange(x)
 		m := &call.Message{Method: http.MethodGet, URI: u.probePath, Host: to.address}
-		res, body, _ := u.exchange(new(exchange), to, m, now+u.dialTimeout)
+		res, body, _ := u.exchange(x, to, m, now+u.dialTimeout)
 		if res == nil {
 			told(false, policy.Load{})
 			return
--- /dev/null
+++ b/plugin/grpcplugin/stream.go
@@ -0,0 +1,199 @@
+package grpcplugin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"caperarch/internal/call"
+	grpctransport "caperarch/internal/transport/grpc"
+	"caperarch/plugin"
+)
+
+// NewStream implements grpc.ClientConnInterface for server streams. The call begins with CloseSend; up to
+// the server's header it is resent as a unary one is, from then on the stream is the caller's and nothing
+// sends it again. It ends with an error from RecvMsg, with ctx, or when nobody has read it for
+// ten of the longest deadlines.
+func (c *Conn) NewStream(ctx context.Context, desc *grpc.StreamDesc, method string, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	if desc.ClientStreams || !desc.ServerStreams {
+		return nil, status.Errorf(codes.Unimplemented, "grpcplugin: %s: only unary calls and server streams are carried", method)
+	}
+	o, err := read(opts)
+	if err != nil {
+		return nil, err
+	}
+	spec, q, m, err := c.message(ctx, method, o)
+	if err != nil {
+		return nil, err
+	}
+	m.Stream = true
+	s := &stream{conn: c, ctx: ctx, o: o, message: m, begun: make(chan struct{})}
+	s.start = func() {
+		go func() {
+			defer close(s.begun)
+			m.Ends = c.core.Ends(ctx)
+			a, err := c.core.Do(ctx, spec, q, m)
+			s.take(a, err)
+		}()
+	}
+	return s, nil
+}
+
+// stream is a server stream as generated stubs use it.
+type stream struct {
+	conn    *Conn
+	ctx     context.Context
+	o       *options
+	message *call.Message
+	start   func()
+	once    sync.Once // start
+	begun   chan struct{}
+
+	// Set when begun is closed.
+	held    call.Stream
+	recv    *grpctransport.Stream
+	header  metadata.MD
+	err     error // the call had no stream
+	unwatch func() bool
+	idle    *time.Timer // gives up a stream that nobody reads
+
+	sent     bool
+	mu       sync.Mutex
+	over     error // what RecvMsg ended with; nil: it has not
+	finished bool
+}
+
+// take takes the call's answer.
+func (s *stream) take(a call.Answer, err error) {
+	switch {
+	case err != nil:
+		s.err = asStatus(err)
+		if a.Last != nil {
+			s.header = metadata.MD(a.Last.Header)
+		}
+	case a.Stream == nil: // a status at once, with no stream
+		s.err = io.EOF
+		if a.Status != int(codes.OK) {
+			s.err = decodeStatus(a.Status, a.Body).Err()
+		}
+	default:
+		s.held, s.header = a.Stream, metadata.MD(a.Header)
+		s.recv = a.Stream.(interface{ Unwrap() call.Stream }).Unwrap().(*grpctransport.Stream)
+		s.unwatch = context.AfterFunc(s.ctx, s.held.Close)
+		s.idle = time.AfterFunc(s.conn.abandon, s.held.Close)
+	}
+	if s.o.header != nil {
+		*s.o.header = s.header
+	}
+}
+
+// SendMsg takes the one message of the call.
+func (s *stream) SendMsg(v any) error {
+	if s.sent {
+		return status.Error(codes.Internal, "grpcplugin: SendMsg called a second time on a server stream")
+	}
+	body, err := s.o.encode(v)
+	if err != nil {
+		return err
+	}
+	s.message.Body, s.sent = body, true
+	return nil
+}
+
+// CloseSend begins the call.
+func (s *stream) CloseSend() error {
+	if !s.sent {
+		return status.Error(codes.Internal, "grpcplugin: CloseSend before the call's message")
+	}
+	s.once.Do(s.start)
+	return nil
+}
+
+// Header waits for the header metadata.
+func (s *stream) Header() (metadata.MD, error) {
+	if err := s.CloseSend(); err != nil {
+		return nil, err
+	}
+	<-s.begun
+	if s.err != nil && !errors.Is(s.err, io.EOF) {
+		return s.header, s.err
+	}
+	return s.header, nil
+}
+
+// Trailer is the trailer metadata, once RecvMsg has returned an error.
+func (s *stream) Trailer() metadata.MD {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over == nil || s.recv == nil {
+		return nil
+	}
+	return s.recv.Trailer()
+}
+
+// Context is the caller's.
+func (s *stream) Context() context.Context { return s.ctx }
+
+// RecvMsg waits for the next message.
+func (s *stream) RecvMsg(v any) error {
+	if err := s.CloseSend(); err != nil {
+		return err
+	}
+	<-s.begun
+	s.mu.Lock()
+	over := s.over
+	s.mu.Unlock()
+	if over != nil {
+		return over
+	}
+	if s.err != nil {
+		return s.finish(s.err)
+	}
+	s.idle.Stop()
+	body, err := s.recv.Recv()
+	if err == nil {
+		err = s.o.decode(body, v)
+	}
+	if err == nil {
+		s.idle.Reset(s.conn.abandon)
+		return nil
+	}
+	if ended := s.ctx.Err(); ended != nil {
+		err = asStatus(&plugin.FailedError{Cause: ended})
+	} else if status.Code(err) == codes.Unavailable { // it has begun, so it may have run
+		err = mayHaveRun(status.Convert(err)).Err()
+	}
+	return s.finish(err)
+}
+
+// finish ends the stream with what RecvMsg returns from now on.
+func (s *stream) finish(err error) error {
+	s.mu.Lock()
+	first := !s.finished
+	s.over, s.finished = err, true
+	s.mu.Unlock()
+	if !first {
+		return err
+	}
+	if s.held != nil {
+		s.unwatch()
+		s.idle.Stop()
+		s.held.Close()
+	}
+	if s.o.trailer != nil && s.recv != nil {
+		*s.o.trailer = s.recv.Trailer()
+	}
+	told := err
+	if errors.Is(err, io.EOF) {
+		told = nil
+	}
+	s.o.finished(told)
+	return err
+}
