A rejected client that still sends is read over, not reset, so its 4xx arrives

A client's own 'Connection: close' has net/http close the request's body unread, and a connection closed with something unread is reset: a client still writing finds that instead of its answer (RFC 9112, 9.6).

The close now ends our side first and reads over what comes, for the 0.5 s of a rejected request and 512 KiB.

--- a/internal/daemon/front_test.go
+++ b/internal/daemon/front_test.go
@@ -202,6 +202,47 @@
 	})
 }
 
+// A client that is told off while it still sends its body can finish that and read the answer: it is not reset.
+// One that never ends is cut off.
+func TestRejectedClientIsNotReset(t *testing.T) {
+	side := start(t, nil)
+	for name, rest := range map[string]int{"ends": 60000, "never ends": 64 << 20} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(side.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			begun := time.Now()
+			_ = c.SetDeadline(begun.Add(rig.Generous))
+			_, err = fmt.Fprintf(c, "POST /entry HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", rest)
+			if err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(bufio.NewReader(c), nil) // before any of the body is sent
+			if err != nil || res.StatusCode != http.StatusBadRequest {
+				t.Fatalf("%v, error %v, want 400", res, err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			_, _ = c.Read(make([]byte, 1)) // the end of what the daemon sends: it reads over, or has closed
+			for sent := 0; sent < rest && err == nil; {
+				var n int
+				n, err = c.Write(make([]byte, min(4096, rest-sent)))
+				sent += n
+			}
+			if rest < lingers && err != nil {
+				t.Errorf("the rest of the body: %v, the daemon ought to read it over", err)
+			}
+			if rest > lingers && (err == nil || time.Since(begun) > 3*time.Second) {
+				t.Errorf("after %v: error %v, want it cut off within 3 s", time.Since(begun), err)
+			}
+		})
+	}
+}
+
+// lingers is more than a client may still send and less than what is endless.
+const lingers = 256 << 10
+
 // The id of a request that is open is another's; once that one has its answer it may be used again.
 func TestIDOfAnOpenRequest(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,9 @@
 // clients that take a new connection for each request and keep the old ones hold up all others.
 const restTime = 100 * time.Millisecond
 
+// lingerMost bounds in bytes what is read over behind a rejected request: several whole ones.
+const lingerMost = 512 << 10
+
 // acceptor bounds how many connections clients hold: they would take the descriptors that upstreams
 // need, and accepting would end in "too many open files". At the bound the connection that has been
 // longest without a request makes room. Below it none is closed: that only crosses requests.
@@ -36,6 +40,7 @@
 	place  *list.Element // in idle; nil: a request is open, or it is closed
 	since  time.Time     // without an open request
 	closed bool
+	over   time.Time // its close reads over what still comes until then; zero: it doesn't
 }
 
 func newAcceptor(l net.Listener, most int) *acceptor {
@@ -152,7 +157,29 @@
 	return n, err
 }
 
+// linger has the close read over what its client still sends, until a time. Closed with something unread a
+// connection is reset, and a client that is still writing finds that instead of its answer (RFC 9112, 9.6).
+func (c *clientConn) linger(until time.Time) {
+	c.a.mu.Lock()
+	defer c.a.mu.Unlock()
+	c.over = until
+}
+
+// readOver ends our side and reads what comes until the client ends its own, for as long as linger says and for
+// lingerMost bytes: one that sends without end is cut off.
+func (c *clientConn) readOver() {
+	c.a.mu.Lock()
+	until := c.over
+	c.over = time.Time{} // once
+	c.a.mu.Unlock()
+	if until.IsZero() || c.CloseWrite() != nil || c.Conn.SetReadDeadline(until) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerMost)
+}
+
 func (c *clientConn) Close() error {
+	c.readOver()
 	err := c.Conn.Close() // first: the books say what is free
 	c.a.mu.Lock()
 	defer c.a.mu.Unlock()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -2,6 +2,7 @@
 package http1
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -71,6 +72,7 @@
 	f := &Front{cfg: cfg, clock: c, engine: e, open: make(map[string]bool)}
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return f
 }
@@ -83,6 +85,9 @@
 	return f.server.Serve(a)
 }
 
+// connKey is where a request's context has its connection.
+type connKey struct{}
+
 // rejection is why a request can't be taken on: an answer for its client alone.
 type rejection struct {
 	status int
@@ -99,18 +104,18 @@
 	}
 	q, left, bad := f.read(r)
 	if bad != nil {
-		reject(w, bad)
+		reject(w, r, bad)
 		return
 	}
 	id := r.Header.Get("X-Request-ID")
 	if !f.enter(id) {
-		reject(w, &rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
+		reject(w, r, &rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
 		return
 	}
 	defer f.leave(id)
 	body, bad := readBody(w, r)
 	if bad != nil {
-		reject(w, bad)
+		reject(w, r, bad)
 		return
 	}
 	// Counted only now: clients that tell of a body and don't send it must not use up what the others
@@ -170,10 +175,14 @@
 }
 
 // reject answers a request that can't be taken on and closes its connection: where it ends is not to
-// be trusted. What is left of it is not waited for.
-func reject(w http.ResponseWriter, bad *rejection) {
+// be trusted. Its client may still be sending: it is told at once, and read over for a while, see clientConn.linger.
+func reject(w http.ResponseWriter, r *http.Request, bad *rejection) {
 	w.Header().Set("Connection", "close") // or net/http would read the rest first
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectTime))
+	until := time.Now().Add(rejectTime)
+	_ = http.NewResponseController(w).SetReadDeadline(until)
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		c.linger(until)
+	}
 	http.Error(w, bad.reason, bad.status)
 }
 
