--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -14,12 +14,16 @@
 	"time"
 )
 
-// TestMain lets the test program stand in for caperarch itself.
+// TestMain lets the test program stand in for caperarch itself, or for a host of its plug-in.
 func TestMain(m *testing.M) {
 	if os.Getenv("CAPERARCH_ITSELF") != "" {
 		main()
 		return
 	}
+	if path := os.Getenv("PLUGIN_HOST"); path != "" {
+		host(path)
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -334,7 +334,7 @@
 // answer is the client's now, and the attempt's end only frees its slot.
 func (e *Engine) begun(id policy.RequestID, r *request, res call.Result) {
 	if r.over { // too late: nobody takes it
-		res.Stream.Close()
+		go res.Stream.Close() // from outside: its end is handed over to the goroutine that this is
 		return
 	}
 	e.finish(id, r, &call.Answer{Kind: call.Served, Header: res.Header, Stream: res.Stream})
--- a/internal/transport/grpc/stream.go
+++ b/internal/transport/grpc/stream.go
@@ -90,6 +90,8 @@
 		a.end(call.Result{Ending: policy.TimedOut})
 		return
 	}
-	// The first message that was read above is none: a stream without a header has no message either.
+	// The message read above is none: a stream without a header has no message either.
 	a.done(call.Result{Ending: policy.Served, Header: map[string][]string(md), Stream: &Stream{a: a, ctx: ctx, cs: cs, md: md}})
+	// Behind its begin, or its end could come first. It ends with its context too: a stream that nobody reads must not keep its slot, nor Close waiting.
+	context.AfterFunc(ctx, func() { a.end(call.Result{Ending: policy.Cancelled}) })
 }
--- a/plugin/plugin_test.go
+++ b/plugin/plugin_test.go
@@ -294,10 +294,6 @@
 
 // The caller's context ends while an attempt is out: a failure that is its error, and the attempt is called off.
 func TestCallerGivesUp(t *testing.T) {
-	l := new(rig.Ledger)
-	n := rig.NewHTTPNode(t, "s-0", l)
-	n.Do(rig.Always(rig.Hang))
-	c := mustOpen(t, usable(n))
 	for want, under := range map[error]func(context.Context) (context.Context, context.CancelFunc){
 		context.DeadlineExceeded: func(ctx context.Context) (context.Context, context.CancelFunc) {
 			return context.WithTimeout(ctx, 100*time.Millisecond)
@@ -308,6 +304,9 @@
 			return ctx, cancel
 		},
 	} {
+		n := rig.NewHTTPNode(t, "s-0", new(rig.Ledger))
+		n.Do(rig.Always(rig.Hang))
+		c := mustOpen(t, usable(n))
 		ctx, cancel := under(context.Background())
 		_, err := c.Do(ctx, Request{Class: "entry"})
 		cancel()
@@ -321,8 +320,8 @@
 		if want == context.DeadlineExceeded && !errors.Is(err, want) && !failed.Timeout() {
 			t.Errorf("%v, want %v or a time-out", err, want)
 		}
+		rig.Until(t, "the connections to end", func() bool { return n.Open() == 0 })
 	}
-	rig.Until(t, "the connections to end", func() bool { return n.Open() == 0 })
 }
 
 // A RoundTripper's answers, and what it can't carry.
