--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,51 @@
+// Measure makes the project's measurements: subject and reference interleaved in one run, several rounds, the
+// spread shown. Its last line is "NAME key=value ..."; it exits 1 if a stated bound is missed.
+//
+//	go run ./cmd/measure NAME [-short]
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+// measurement makes one; missed names the bounds that it missed.
+type measurement func(short bool) (result string, missed []string, err error)
+
+var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin}
+
+func main() {
+	if len(os.Args) > 2 && os.Args[1] == "child" {
+		child(os.Args[2], os.Args[3:])
+		return
+	}
+	var names []string
+	for name := range measurements {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	usage := "usage: measure NAME [-short]; NAME is one of " + strings.Join(names, ", ")
+	if len(os.Args) < 2 || measurements[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, usage)
+		os.Exit(2)
+	}
+	name := os.Args[1]
+	flags := flag.NewFlagSet(name, flag.ExitOnError)
+	short := flags.Bool("short", false, "end within 45 s")
+	_ = flags.Parse(os.Args[2:]) // exits on an error
+	result, missed, err := measurements[name](*short)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "measure %s: %v\n", name, err)
+		os.Exit(1)
+	}
+	for _, m := range missed {
+		fmt.Println("missed:", m)
+	}
+	fmt.Println(name, result)
+	if len(missed) > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/measure/process.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// process is a child of a measurement: a stand-in, a subject or a host of callers.
+type process struct {
+	cmd   *exec.Cmd
+	lines *bufio.Scanner
+}
+
+// startChild starts this program in another part.
+func startChild(env []string, part string, args ...string) (*process, error) {
+	cmd := exec.Command(os.Args[0], append([]string{"child", part}, args...)...)
+	return start(cmd, env, false)
+}
+
+// start starts a process; its output (or its log) is read line by line.
+func start(cmd *exec.Cmd, env []string, log bool) (*process, error) {
+	cmd.Env = append(os.Environ(), env...)
+	pipe := cmd.StdoutPipe
+	if log {
+		pipe = cmd.StderrPipe
+	} else {
+		cmd.Stderr = os.Stderr
+	}
+	out, err := pipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 1<<20)
+	return &process{cmd, lines}, nil
+}
+
+// line waits for the next line that holds a text.
+func (p *process) line(with string) (string, error) {
+	for p.lines.Scan() {
+		if strings.Contains(p.lines.Text(), with) {
+			return p.lines.Text(), nil
+		}
+	}
+	return "", fmt.Errorf("%s ended before it said %q", p.cmd, with)
+}
+
+// drop reads the rest over.
+func (p *process) drop() {
+	go func() {
+		for p.lines.Scan() {
+		}
+	}()
+}
+
+// result reads the JSON line that a child ends with.
+func (p *process) result(v any) error {
+	text, err := p.line("{")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal([]byte(text), v); err != nil {
+		return err
+	}
+	return p.cmd.Wait()
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+// usage is the CPU time that a process has used and what it holds in memory, in bytes.
+func usage(pid int) (cpu time.Duration, rss int64, err error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	if len(fields) < 22 {
+		return 0, 0, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
+	}
+	ticks := func(i int) time.Duration { // of 10 ms, on every Linux that Go runs on
+		n, _ := strconv.ParseInt(fields[i], 10, 64)
+		return time.Duration(n) * 10 * time.Millisecond
+	}
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return ticks(11) + ticks(12), pages * int64(os.Getpagesize()), nil
+}
+
+// buildDaemon builds the daemon into a folder.
+func buildDaemon(dir string) (string, error) {
+	path := filepath.Join(dir, "caperarch")
+	out, err := exec.Command("go", "build", "-o", path, "caperarch/cmd/caperarch").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building the daemon: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// startDaemon starts the daemon with a configuration's text and returns its address.
+func startDaemon(binary, dir, config string) (*process, string, error) {
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		return nil, "", err
+	}
+	p, err := start(exec.Command(binary), []string{"EDGE_CONFIG=" + path}, true)
+	if err != nil {
+		return nil, "", err
+	}
+	line, err := p.line(" listen=")
+	if err != nil {
+		return nil, "", err
+	}
+	_, address, _ := strings.Cut(line, " listen=")
+	address, _, _ = strings.Cut(address, " ")
+	p.drop()
+	return p, address, nil
+}
--- /dev/null
+++ b/cmd/measure/stats.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// spread is a figure over several rounds.
+type spread []float64
+
+func (s spread) median() float64 {
+	if len(s) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(s))
+	return sorted[len(sorted)/2]
+}
+
+func (s spread) String() string {
+	if len(s) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g)", s.median(), slices.Min(s), slices.Max(s))
+}
+
+// over is the ratio, round by round.
+func (s spread) over(reference spread) (ratio spread) {
+	for i := range min(len(s), len(reference)) {
+		ratio = append(ratio, s[i]/reference[i])
+	}
+	return ratio
+}
+
+// minus is the difference, round by round.
+func (s spread) minus(reference spread) (added spread) {
+	for i := range min(len(s), len(reference)) {
+		added = append(added, s[i]-reference[i])
+	}
+	return added
+}
+
+// quantile of times in any order, in milliseconds.
+func quantile(times []time.Duration, q float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return float64(times[min(len(times)-1, int(q*float64(len(times))))]) / float64(time.Millisecond)
+}
+
+// figures of one kind of subject, by name, a value a round.
+type figures map[string]spread
+
+func (f figures) add(name string, v float64) { f[name] = append(f[name], v) }
