--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -16,6 +16,14 @@
 )
 
 func main() {
+	if len(os.Args) > 1 {
+		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	serve()
+}
+
+// serve is the daemon.
+func serve() {
 	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
