--- /dev/null
+++ b/plugin/example_test.go
@@ -0,0 +1,86 @@
+package plugin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"caperarch/plugin"
+	"caperarch/policy"
+)
+
+// A complete program for net/http: two servers that are always the same, one class of calls that must never run twice.
+func ExampleClient_RoundTripper() {
+	// Stands in for the servers; a real program has them, or a discovery that lists them.
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "entered by %s", r.Header.Get("X-Priority-Class"))
+	}))
+	defer server.Close()
+
+	client, err := plugin.Open(plugin.Config{
+		Known:   []plugin.Node{{ID: "s-1", Address: server.Listener.Addr().String(), Weight: 1}},
+		Classes: []string{"harvest-entry"},
+		Policy: policy.Config{
+			Balancers: 1, MaxAttempts: 3, MaxRetryAfter: 1200 * time.Millisecond,
+			Classes: []policy.Class{{Aim: 600 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 2, Effect: policy.Unsafe}},
+		},
+		Methods: map[string]plugin.Method{"/harvest": {Class: "harvest-entry"}},
+	})
+	if err != nil {
+		fmt.Println(err) // it names the field
+		return
+	}
+	defer client.Close(context.Background())
+
+	web := http.Client{Transport: client.RoundTripper()}
+	res, err := web.Post("http://ledger.example.org/harvest", "text/plain", strings.NewReader("12 kg"))
+	var refused *plugin.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		fmt.Println("harmless to repeat, best after", refused.RetryAfter)
+		return
+	case err != nil:
+		fmt.Println("it may have run:", err)
+		return
+	}
+	defer res.Body.Close()
+	body, _ := io.ReadAll(res.Body)
+	fmt.Println(res.StatusCode, string(body))
+	// Output: 200 entered by harvest-entry
+}
+
+// Do is the same without net/http.
+func ExampleClient_Do() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "weighed under %s", r.Header.Get("Idempotency-Key"))
+	}))
+	defer server.Close()
+	client, err := plugin.Open(plugin.Config{
+		Known:   []plugin.Node{{ID: "s-1", Address: server.Listener.Addr().String(), Weight: 1}},
+		Classes: []string{"weight-reading"},
+		Policy: policy.Config{
+			Balancers: 1, MaxAttempts: 3,
+			Classes: []policy.Class{{
+				Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 5,
+				Effect: policy.Keyed, Scope: policy.ScopeCell, Window: 600 * time.Millisecond,
+			}},
+		},
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer client.Close(context.Background())
+	res, err := client.Do(context.Background(), plugin.Request{Class: "weight-reading", Key: "hive-7-0915", Body: []byte("41.5 kg")})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(string(res.Body))
+	// Output: weighed under hive-7-0915
+}
