--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,9 +49,11 @@
 		},
 	})
 	f := fronthttp1.New(fronthttp1.Config{
-		Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen,
-		BodyBytes: cfg.BodyBytes(), MostConns: cfg.ClientConns(), Longest: cfg.Longest, Log: log,
-	}, c, e)
+		Route: fronthttp1.To(&fronthttp1.Target{
+			Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
+		}),
+		MostConns: cfg.ClientConns(), Longest: cfg.Longest, Log: log,
+	}, c)
 	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.Servers))
 
 	running, stop := context.WithCancel(context.Background())
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -41,35 +41,49 @@
 	Gone(id policy.RequestID)
 }
 
-// Config says what requests are taken and how many at once.
-type Config struct {
+// Target is where requests go: an engine, what requests it takes and how many at once. Its counts are its own, and so
+// are the ids that are open: the same X-Request-ID at two targets is two requests.
+type Target struct {
+	Engine    Engine
 	Classes   map[string]int // class by name, its settings at that place in ClassOf
 	ClassOf   []policy.Class
 	Tenants   map[string]int // tenant by name; empty where there are none
 	MostOpen  int            // requests held at once; 0: no bound but that on connections
 	BodyBytes int64          // of their bodies
-	MostConns int            // clients' connections
-	Longest   time.Duration  // the longest deadline of any class: what a drain waits for
+
+	held  atomic.Int64 // requests with no answer yet
+	bytes atomic.Int64 // of their bodies
+
+	mu   sync.Mutex
+	open map[string]bool // ids of the requests that have no answer yet
+}
+
+// Config says where requests go and how many clients there may be.
+type Config struct {
+	// Route says where a request goes, by its head, or why it goes nowhere. It is called from many goroutines.
+	Route     func(r *http.Request) (*Target, *Rejection)
+	MostConns int           // clients' connections
+	Longest   time.Duration // the longest deadline of any class: what a drain waits for
 	Log       *slog.Logger
 }
 
+// To routes all requests to one target.
+func To(t *Target) func(*http.Request) (*Target, *Rejection) {
+	return func(*http.Request) (*Target, *Rejection) { return t, nil }
+}
+
 // Front is the application's side.
 type Front struct {
 	cfg    Config
 	clock  clock.Clock
-	engine Engine
-	held   atomic.Int64 // requests with no answer yet
-	bytes  atomic.Int64 // of their bodies
+	held   atomic.Int64 // requests with no answer yet, of all targets
 	ready  atomic.Bool  // what GET /up tells
 	server *http.Server
-
-	mu   sync.Mutex
-	open map[string]bool // ids of the requests that have no answer yet
 }
 
-// New makes a front on an engine.
-func New(cfg Config, c clock.Clock, e Engine) *Front {
-	f := &Front{cfg: cfg, clock: c, engine: e, open: make(map[string]bool)}
+// New makes a front.
+func New(cfg Config, c clock.Clock) *Front {
+	f := &Front{cfg: cfg, clock: c}
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -88,10 +102,10 @@
 // connKey is where a request's context has its connection.
 type connKey struct{}
 
-// rejection is why a request can't be taken on: an answer for its client alone.
-type rejection struct {
-	status int
-	reason string
+// Rejection is why a request can't be taken on: an answer for its client alone.
+type Rejection struct {
+	Status int
+	Reason string
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -102,17 +116,22 @@
 		}
 		return
 	}
-	q, left, bad := f.read(r)
+	t, bad := f.cfg.Route(r)
+	if bad != nil {
+		reject(w, r, bad)
+		return
+	}
+	q, left, bad := t.read(r)
 	if bad != nil {
 		reject(w, r, bad)
 		return
 	}
 	id := r.Header.Get("X-Request-ID")
-	if !f.enter(id) {
-		reject(w, r, &rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
+	if !t.enter(id) {
+		reject(w, r, &Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
 		return
 	}
-	defer f.leave(id)
+	defer t.leave(id)
 	body, bad := readBody(w, r)
 	if bad != nil {
 		reject(w, r, bad)
@@ -121,46 +140,51 @@
 	// Counted only now: clients that tell of a body and don't send it must not use up what the others
 	// may hold. Until here the bound on connections holds for them.
 	size := int64(len(body))
+	f.held.Add(1)
 	defer f.held.Add(-1)
-	defer f.bytes.Add(-size)
-	held, bytes := f.held.Add(1), f.bytes.Add(size)
-	if f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen) || bytes > f.cfg.BodyBytes {
+	defer t.held.Add(-1)
+	defer t.bytes.Add(-size)
+	held, bytes := t.held.Add(1), t.bytes.Add(size)
+	if t.MostOpen > 0 && held > int64(t.MostOpen) || bytes > t.BodyBytes {
 		refuse(w, time.Second)
 		return
 	}
 	m := &call.Message{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: call.EndToEnd(r.Header), Body: body}
 	reply := make(chan call.Answer, 1)
-	number := f.engine.Ask(q, m, arrived+left, reply)
+	number := t.Engine.Ask(q, m, arrived+left, reply)
 	select {
 	case a := <-reply:
 		write(w, a)
 	case <-r.Context().Done(): // the client has closed its connection
-		f.engine.Gone(number)
+		t.Engine.Gone(number)
 		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
 	}
 }
 
 // enter takes an id into use. One that is open belongs to another request: upstreams would take a
 // second under it for a copy of the first.
-func (f *Front) enter(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.open[id] {
+func (t *Target) enter(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open[id] {
 		return false
 	}
-	f.open[id] = true
+	if t.open == nil {
+		t.open = make(map[string]bool)
+	}
+	t.open[id] = true
 	return true
 }
 
-func (f *Front) leave(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.open, id)
+func (t *Target) leave(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, id)
 }
 
 // readBody reads a body of the length that was told, within bodyTime: a client that tells more than
 // it sends must not hold memory and a connection for ever.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *rejection) {
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Rejection) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -168,7 +192,7 @@
 	_ = control.SetReadDeadline(time.Now().Add(bodyTime)) // fails only on a closed connection, as the read does
 	body, err := io.ReadAll(r.Body)                       // which takes no more memory than has come
 	if err != nil {
-		return nil, &rejection{http.StatusRequestTimeout, "the body is shorter than Content-Length"}
+		return nil, &Rejection{http.StatusRequestTimeout, "the body is shorter than Content-Length"}
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
@@ -176,22 +200,22 @@
 
 // reject answers a request that can't be taken on and closes its connection: where it ends is not to
 // be trusted. Its client may still be sending: it is told at once, and read over for a while, see clientConn.linger.
-func reject(w http.ResponseWriter, r *http.Request, bad *rejection) {
+func reject(w http.ResponseWriter, r *http.Request, bad *Rejection) {
 	w.Header().Set("Connection", "close") // or net/http would read the rest first
 	until := time.Now().Add(rejectTime)
 	_ = http.NewResponseController(w).SetReadDeadline(until)
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		c.linger(until)
 	}
-	http.Error(w, bad.reason, bad.status)
+	http.Error(w, bad.Reason, bad.Status)
 }
 
 // read takes what a request says of itself. What is missing or malformed is a rejection: nothing of
 // it may reach the module or an upstream, whose 400 would count as the upstream's failure.
-func (f *Front) read(r *http.Request) (q policy.Request, left time.Duration, bad *rejection) {
+func (t *Target) read(r *http.Request) (q policy.Request, left time.Duration, bad *Rejection) {
 	h := r.Header
-	no := func(status int, reason string) (policy.Request, time.Duration, *rejection) {
-		return policy.Request{}, 0, &rejection{status, reason}
+	no := func(status int, reason string) (policy.Request, time.Duration, *Rejection) {
+		return policy.Request{}, 0, &Rejection{status, reason}
 	}
 	// net/http has dropped a Content-Length beside it. Which of the two counts is what such requests
 	// are about: the body may hold another request.
@@ -214,13 +238,13 @@
 	}
 	name := h.Get("X-Priority-Class")
 	var ok bool
-	if q.Class, ok = f.cfg.Classes[name]; !ok {
+	if q.Class, ok = t.Classes[name]; !ok {
 		return no(http.StatusBadRequest, "X-Priority-Class names no class")
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != name {
 		return no(http.StatusBadRequest, "the path is of another class than X-Priority-Class")
 	}
-	class, key := &f.cfg.ClassOf[q.Class], h.Get("Idempotency-Key")
+	class, key := &t.ClassOf[q.Class], h.Get("Idempotency-Key")
 	if want := methods[class.Effect]; r.Method != want {
 		return no(http.StatusMethodNotAllowed, "requests of this class are sent with "+want)
 	}
@@ -236,8 +260,8 @@
 	case r.ContentLength > call.BodyLimit:
 		return no(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
-	if len(f.cfg.Tenants) > 0 {
-		if q.Tenant, ok = f.cfg.Tenants[h.Get("X-Tenant-Id")]; !ok {
+	if len(t.Tenants) > 0 {
+		if q.Tenant, ok = t.Tenants[h.Get("X-Tenant-Id")]; !ok {
 			return no(http.StatusBadRequest, "X-Tenant-Id names no tenant")
 		}
 	}
