Several pools in one daemon, by the operator's file: -pools, check, route

Each pool has its own module, engine, list and limits; what is held in common is divided by internal/share. SIGHUP takes pools and routes over atomically: requests end under the table that they came by, a pool that was taken away drains, a file that can't be used changes nothing. Without -pools the program is the single pool as before.

--- a/cmd/caperarch/command.go
+++ b/cmd/caperarch/command.go
@@ -6,8 +6,10 @@
 	"io"
 	"os"
 	"os/exec"
+	"strings"
 
 	"caperarch/internal/config"
+	"caperarch/internal/daemon"
 	"caperarch/policy"
 )
 
@@ -15,7 +17,10 @@
 
 With no command it is the daemon: EDGE_CONFIG names its configuration file.
 
-  check FILE   says whether a configuration can be used, and which field can't
+  -pools FILE  the daemon with several pools, by the operator's file (TOML)
+  check FILE   says whether a configuration (JSON) or a file of pools (.toml) can be used, and what can't
+  route FILE METHOD URL [-H "X-Priority-Class: CLASS"]
+               prints the rule and pool of a file of pools that a request would take, and why
   demo         starts stand-in nodes, discovery and a daemon on loopback and sends a load for some
                seconds, while a node goes silent and one drains; needs a checkout and the Go tool chain
   -h           this text
@@ -29,6 +34,8 @@
 		return 0
 	case args[0] == "check" && len(args) == 2:
 		return check(args[1], out, log)
+	case args[0] == "route" && (len(args) == 4 || len(args) == 6 && args[4] == "-H"):
+		return route(args[1], args[2], args[3], args[4:], out, log)
 	case args[0] == "demo":
 		return demo(args[1:], out, log)
 	}
@@ -36,7 +43,40 @@
 	return 2
 }
 
+func route(path, method, url string, header []string, out, log io.Writer) int {
+	class := ""
+	if len(header) == 2 {
+		name, value, _ := strings.Cut(header[1], ":")
+		if !strings.EqualFold(name, "X-Priority-Class") {
+			fmt.Fprintf(log, "caperarch: header %q has no part in routes, X-Priority-Class has\n", name)
+			return 2
+		}
+		class = strings.TrimSpace(value)
+	}
+	pools, err := config.ReadPools(path)
+	if err != nil {
+		fmt.Fprintln(log, err)
+		return 1
+	}
+	text, err := daemon.Explain(pools, method, url, class)
+	if err != nil {
+		fmt.Fprintln(log, err)
+		return 1
+	}
+	fmt.Fprintln(out, text)
+	return 0
+}
+
 func check(path string, out, log io.Writer) int {
+	if strings.HasSuffix(path, ".toml") {
+		pools, err := config.ReadPools(path)
+		if err != nil {
+			fmt.Fprintln(log, err)
+			return 1
+		}
+		fmt.Fprintf(out, "%s: usable: %d pools\n", path, len(pools.List))
+		return 0
+	}
 	cfg, err := config.Read(path)
 	if err == nil {
 		_, err = policy.New(cfg.Policy, cfg.Seed, nil) // a Balancer that is never started calls nothing
--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -16,14 +16,18 @@
 )
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "-pools" {
+		serve(os.Args[2])
+		return
+	}
 	if len(os.Args) > 1 {
 		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
 	}
-	serve()
+	serve("")
 }
 
-// serve is the daemon.
-func serve() {
+// serve is the daemon; poolsFile names the operator's file of pools, "" is the single pool of EDGE_CONFIG.
+func serve(poolsFile string) {
 	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
@@ -36,10 +40,21 @@
 		if cfg.MemoryMB > 0 {
 			debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) // well under what the process is killed at
 		}
-		err = daemon.Run(ctx, cfg, reload)
+		err = run(ctx, cfg, poolsFile, reload)
 	}
 	if err != nil {
 		slog.Error("caperarch ends", "error", err)
 		os.Exit(1)
 	}
 }
+
+func run(ctx context.Context, cfg *config.Config, poolsFile string, reload <-chan os.Signal) error {
+	if poolsFile == "" {
+		return daemon.Run(ctx, cfg, reload)
+	}
+	pools, err := config.ReadPools(poolsFile)
+	if err != nil {
+		return err
+	}
+	return daemon.RunPools(ctx, cfg, pools, reload)
+}
--- a/conformance/subjects_test.go
+++ b/conformance/subjects_test.go
@@ -28,7 +28,9 @@
 	"caperarch/plugin/grpcplugin"
 )
 
-func TestDaemon(t *testing.T)       { Run(t, daemon{build(t)}) }
+func TestDaemon(t *testing.T)       { Run(t, daemon{path: build(t)}) }
+func TestFirstPool(t *testing.T)    { Run(t, daemon{path: build(t), pool: "first"}) }
+func TestSecondPool(t *testing.T)   { Run(t, daemon{path: build(t), pool: "second"}) }
 func TestClient(t *testing.T)       { Run(t, client{}) }
 func TestRoundTripper(t *testing.T) { Run(t, roundTripper{}) }
 func TestGRPC(t *testing.T)         { Run(t, overGRPC{}) }
@@ -49,14 +51,29 @@
 	return path
 }
 
-// daemon is the built program as a child process.
+// daemon is the built program as a child process: with one pool, or with two, of which one has the case's calls.
 type daemon struct {
 	path string
+	pool string // by name; "": a daemon of one pool
 }
 
+// twoPools are two with the same configuration, by host.
+const twoPools = `[pools.first]
+config = "config.json"
+[pools.second]
+config = "config.json"
+[[routes]]
+host = "first.example.org"
+pool = "first"
+[[routes]]
+host = "second.example.org"
+pool = "second"
+`
+
 type daemonClient struct {
 	cmd    *exec.Cmd
 	url    string
+	host   string // "": the url's
 	http   http.Client
 	ended  chan error
 	closed sync.Once
@@ -71,6 +88,14 @@
 		t.Fatal(err)
 	}
 	c := &daemonClient{cmd: exec.Command(d.path), ended: make(chan error, 1)}
+	if d.pool != "" {
+		c.host = d.pool + ".example.org"
+		pools := filepath.Join(filepath.Dir(path), "pools.toml")
+		if err := os.WriteFile(pools, []byte(twoPools), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.cmd = exec.Command(d.path, "-pools", pools)
+	}
 	c.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path)
 	log, err := c.cmd.StderrPipe()
 	if err != nil {
@@ -125,7 +150,11 @@
 }
 
 func (c *daemonClient) Call(ctx context.Context, call Call) Answer {
-	res, err := c.http.Do(request(ctx, c.url, call))
+	req := request(ctx, c.url, call)
+	if c.host != "" {
+		req.Host = c.host
+	}
+	res, err := c.http.Do(req)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Answer{Kind: Gone}
--- a/internal/config/pools.go
+++ b/internal/config/pools.go
@@ -34,10 +34,8 @@
 	text   []byte  // of its configuration, to know a changed one by
 }
 
-// Same says whether two pools are the same in all that a running one was made of.
-func (p *Pool) Same(q *Pool) bool {
-	return p.Name == q.Name && p.Weight == q.Weight && bytes.Equal(p.text, q.text)
-}
+// Same says whether two pools are the same in all but their weight, which can change while one runs.
+func (p *Pool) Same(q *Pool) bool { return p.Name == q.Name && bytes.Equal(p.text, q.text) }
 
 // Route is a rule of the file, as written.
 type Route struct {
--- /dev/null
+++ b/internal/config/pools_test.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"caperarch/internal/rig"
+)
+
+const poolsText = `[pools.ledger]
+config = "ledger.json"
+weight = 3
+
+[pools.meters]
+config = "meters.json"
+
+[[routes]]
+host = "ledger.example.org"
+pool = "ledger"
+
+[[routes]]
+host = "meters.example.org"
+prefix = "/reading"
+pool = "meters"
+`
+
+func readPools(t *testing.T, text, config string) (*Pools, error) {
+	t.Helper()
+	return parsePools([]byte(text), func(name string) ([]byte, error) {
+		if name != "ledger.json" && name != "meters.json" {
+			return nil, errors.New(name + ": no such file")
+		}
+		return []byte(config), nil
+	})
+}
+
+func TestPools(t *testing.T) {
+	config := rig.ConfigText(t, rig.Listed(1, "ready", "127.0.0.1:80"), nil)
+	p, err := readPools(t, poolsText, config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(p.List) != 2 || p.List[0].Name != "ledger" || p.List[0].Weight != 3 || p.List[1].Weight != 1 || len(p.List[1].Config.Known.Servers) != 1 {
+		t.Errorf("pools %+v", p)
+	}
+	if again, _ := readPools(t, poolsText, config); !again.List[0].Same(p.List[0]) || again.List[0].Same(p.List[1]) {
+		t.Error("the same pool is not the same, or another is")
+	}
+	for name, c := range map[string]struct{ old, new, says string }{
+		"unknown key":       {"weight = 3", "wait = 3", "line 3"},
+		"unknown table":     {"[pools.meters]", "[pool.meters]", "line"},
+		"no TOML":           {"weight = 3", "weight = ", "line 3"},
+		"type":              {"weight = 3", `weight = "much"`, "line 3"},
+		"weight":            {"weight = 3", "weight = 0", "pools.ledger.weight"},
+		"weight that is no": {"weight = 3", "weight = nan", "pools.ledger.weight"},
+		"no such file":      {"ledger.json", "other.json", "pools.ledger.config"},
+		"unknown pool":      {`pool = "meters"`, `pool = "waters"`, "line 12"},
+		"tie":               {"meters.example.org\"\nprefix = \"/reading\"", "LEDGER.example.org.\"", "ties with line 8"},
+		"inline routes":     {"[[routes]]\nhost = \"ledger.example.org\"\npool = \"ledger\"\n\n[[routes]]\nhost = \"meters.example.org\"\nprefix = \"/reading\"\npool = \"meters\"\n", "", "none"},
+	} {
+		text := strings.Replace(poolsText, c.old, c.new, 1)
+		if text == poolsText {
+			t.Fatalf("%s: nothing to edit", name)
+		}
+		if _, err := readPools(t, text, config); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: error %v, want one that says %q", name, err, c.says)
+		}
+	}
+	for name, config := range map[string]string{
+		"no JSON":      "{",
+		"no discovery": strings.Replace(config, "127.0.0.1:1\"", "\"", 1),
+		"most_tries":   strings.Replace(config, `"most_tries":3`, `"most_tries":0`, 1),
+	} {
+		if _, err := readPools(t, poolsText, config); err == nil || !strings.Contains(err.Error(), "pools.ledger.config") {
+			t.Errorf("%s: error %v, want one that names the pool", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/pools.go
@@ -0,0 +1,327 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperarch/internal/clock"
+	"caperarch/internal/config"
+	"caperarch/internal/engine"
+	fronthttp1 "caperarch/internal/front/http1"
+	"caperarch/internal/membership"
+	"caperarch/internal/route"
+	"caperarch/internal/share"
+	"caperarch/internal/transport/http1"
+)
+
+// drainMargin is how long a pool that was taken away still takes requests that were routed to it before: those
+// whose body was being read.
+const drainMargin = 3 * time.Second
+
+// RunPools is Run with several pools behind the listener: the operator's file says which request goes to which. The
+// process's own settings are those of cfg; its discovery and list are not used. Each signal on reload has the
+// operator's file read again.
+func RunPools(ctx context.Context, cfg *config.Config, pools *config.Pools, reload <-chan os.Signal) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	return ServePools(ctx, cfg, pools, listener, reload)
+}
+
+// ServePools is RunPools on a listener that is there already, which it closes.
+func ServePools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal) error {
+	d := &poolsDaemon{cfg: cfg, clock: clock.New(), log: slog.Default()}
+	defer d.end()
+	if err := d.take(pools); err != nil {
+		return err
+	}
+	longest := cfg.Longest
+	for _, p := range pools.List {
+		longest = max(longest, p.Config.Longest)
+	}
+	f := fronthttp1.New(fronthttp1.Config{Route: d.route, MostConns: cfg.ClientConns(), Longest: longest, Log: d.log}, d.clock)
+	d.log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "pools", len(pools.List))
+	failed := make(chan error, 1)
+	go func() { failed <- f.Serve(listener) }()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			d.again(pools.Path)
+		case <-ctx.Done():
+			return f.Drain()
+		}
+	}
+}
+
+// poolsDaemon has the pools that run.
+type poolsDaemon struct {
+	cfg   *config.Config
+	clock clock.Clock
+	log   *slog.Logger
+	now   atomic.Pointer[routing]
+
+	leaving sync.WaitGroup // pools that were taken away
+	mu      sync.Mutex
+	all     map[*livePool]bool // that run, leaving ones too
+}
+
+// routing is one state of table and pools. Requests end under the one that they came by.
+type routing struct {
+	table *route.Table
+	pools map[string]*livePool
+}
+
+// livePool is a pool that runs.
+type livePool struct {
+	pool      *config.Pool
+	target    *fronthttp1.Target
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+	transport *http1.Transport
+}
+
+// take starts the pools that are new or changed, sends requests by the new table from then on, and has those that
+// are gone drain. An error changes nothing.
+func (d *poolsDaemon) take(pools *config.Pools) error {
+	before := d.now.Load()
+	next := &routing{table: pools.Table, pools: make(map[string]*livePool)}
+	weights := make([]float64, len(pools.List))
+	sum := 0.0
+	for i, p := range pools.List {
+		weights[i] = p.Weight
+		sum += p.Weight
+	}
+	// Parts by weight. What is held is divided anew with each table: what older requests hold then counts in the
+	// spaces that they took it from, and in the new ones not, for one deadline at most.
+	calls := share.New(int64(max(1, d.cfg.MostOpen)), weights)
+	bodies := share.New(d.cfg.BodyBytes(), weights)
+	var fresh []*livePool
+	for i, p := range pools.List {
+		conns := int(float64(d.cfg.UpstreamConns()) * p.Weight / sum)
+		if conns < 1 {
+			return d.giveUp(fresh, fmt.Errorf("pools.%s: its part of %d connections to nodes is none: limits.sockets is too small, or there are too many pools", p.Name, d.cfg.UpstreamConns()))
+		}
+		var r *livePool
+		if before != nil && before.pools[p.Name] != nil && before.pools[p.Name].pool.Same(p) {
+			r = before.pools[p.Name]
+			r.transport.Resize(conns)
+		} else {
+			var err error
+			if r, err = d.start(p, conns); err != nil {
+				return d.giveUp(fresh, fmt.Errorf("pools.%s: %w", p.Name, err))
+			}
+			fresh = append(fresh, r)
+		}
+		r.target.SetWalls(&walls{d.clock, calls, bodies, i, d.cfg.MostOpen > 0})
+		next.pools[p.Name] = r
+	}
+	d.now.Store(next)
+	if before == nil {
+		return nil
+	}
+	for _, r := range before.pools {
+		if next.pools[r.pool.Name] != r {
+			d.leaving.Go(func() { d.drain(r) })
+		}
+	}
+	return nil
+}
+
+func (d *poolsDaemon) giveUp(fresh []*livePool, err error) error {
+	for _, r := range fresh {
+		d.finish(r)
+	}
+	return err
+}
+
+// start starts a pool.
+func (d *poolsDaemon) start(p *config.Pool, conns int) (*livePool, error) {
+	cfg, log := p.Config, d.log.With("pool", p.Name)
+	transport := http1.New(http1.Config{
+		Clock: d.clock, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns, Reports: cfg.Reports, Columns: cfg.Columns,
+	})
+	var follower *membership.Follower
+	e, err := engine.New(engine.Config{
+		Policy: cfg.Policy, Seed: cfg.Seed, Clock: d.clock, Transport: transport, Log: log, Watch: func() { follower.Ask() },
+	})
+	if err != nil {
+		return nil, err
+	}
+	follower = membership.New(membership.Config{
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
+		Failed: func(err error) {
+			log.Warn("discovery", "error", err)
+			e.ListFailed()
+		},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	r := &livePool{pool: p, stop: stop, transport: transport, target: &fronthttp1.Target{
+		Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
+	}}
+	r.done.Go(func() { e.Run(ctx, cfg.Known) })
+	r.done.Go(func() { follower.Run(ctx) })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.all == nil {
+		d.all = make(map[*livePool]bool)
+	}
+	d.all[r] = true
+	return r, nil
+}
+
+// drain lets a pool finish what was sent to it before the table changed.
+func (d *poolsDaemon) drain(r *livePool) {
+	d.log.Info("pool leaves", "pool", r.pool.Name, "held", r.target.Held())
+	end := time.Now().Add(drainMargin + r.pool.Config.Longest)
+	time.Sleep(drainMargin)
+	for r.target.Held() > 0 && time.Now().Before(end) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.finish(r)
+	d.log.Info("pool has left", "pool", r.pool.Name)
+}
+
+// finish ends a pool; a second call passes.
+func (d *poolsDaemon) finish(r *livePool) {
+	d.mu.Lock()
+	runs := d.all[r]
+	delete(d.all, r)
+	d.mu.Unlock()
+	if runs {
+		r.stop()
+		r.done.Wait()
+		r.transport.Close()
+	}
+}
+
+// end ends all pools, those that leave too.
+func (d *poolsDaemon) end() {
+	d.mu.Lock()
+	var all []*livePool
+	for r := range d.all {
+		all = append(all, r)
+	}
+	d.mu.Unlock()
+	for _, r := range all {
+		d.finish(r)
+	}
+}
+
+// again takes the operator's file over as it is now. One that can't be used changes nothing.
+func (d *poolsDaemon) again(path string) {
+	pools, err := config.ReadPools(path)
+	if err == nil {
+		err = d.take(pools)
+	}
+	if err != nil {
+		d.log.Error("the new pools can't be used, the old ones stay", "error", err)
+		return
+	}
+	d.log.Info("pools read again", "pools", len(pools.List))
+}
+
+// route says which pool a request goes to.
+func (d *poolsDaemon) route(r *http.Request) (*fronthttp1.Target, *fronthttp1.Rejection) {
+	now := d.now.Load()
+	q, bad := routeOf(r)
+	if bad != nil {
+		return nil, bad
+	}
+	rule := now.table.Match(q)
+	if rule == nil {
+		return nil, &fronthttp1.Rejection{Status: http.StatusNotFound, Reason: "no route is for this request"}
+	}
+	return now.pools[rule.Pool].target, nil
+}
+
+// routeOf is what of a request counts for its route, or why that can't be said.
+func routeOf(r *http.Request) (route.Request, *fronthttp1.Rejection) {
+	no := func(err error) (route.Request, *fronthttp1.Rejection) {
+		return route.Request{}, &fronthttp1.Rejection{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	// The form with a scheme and host may disagree with Host, and two readers heed different ones.
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return no(fmt.Errorf("the target is no path"))
+	}
+	host, err := route.Host(r.Host)
+	if err != nil {
+		return no(err)
+	}
+	raw, _, _ := strings.Cut(r.RequestURI, "?")
+	path, err := route.Path(raw)
+	if err != nil {
+		return no(err)
+	}
+	return route.Request{Host: host, Path: path, Method: r.Method, Class: r.Header.Get("X-Priority-Class")}, nil
+}
+
+// walls are a pool's parts of what is held.
+type walls struct {
+	clock   clock.Clock
+	calls   *share.Space
+	bodies  *share.Space
+	pool    int
+	bounded bool // calls are
+}
+
+// Take takes a place for a request with a body of so many bytes.
+func (w *walls) Take(size int64) bool {
+	now := w.clock.Now()
+	if w.bounded && !w.calls.Take(now, w.pool, 1) {
+		return false
+	}
+	if !w.bodies.Take(now, w.pool, size) {
+		if w.bounded {
+			w.calls.Give(w.pool, 1)
+		}
+		return false
+	}
+	return true
+}
+
+// Give gives it back.
+func (w *walls) Give(size int64) {
+	if w.bounded {
+		w.calls.Give(w.pool, 1)
+	}
+	w.bodies.Give(w.pool, size)
+}
+
+// Explain says which rule a request takes, for people: method and URL as a client would use them, and its class.
+func Explain(pools *config.Pools, method, url, class string) (string, error) {
+	r, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return "", err
+	}
+	r.RequestURI = r.URL.EscapedPath()
+	if r.RequestURI == "" {
+		r.RequestURI = "/"
+	}
+	if class == "" { // as the protocol has it, the first part of the path
+		class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	}
+	r.Header.Set("X-Priority-Class", class)
+	q, bad := routeOf(r)
+	if bad != nil {
+		return "", fmt.Errorf("%d: %s", bad.Status, bad.Reason)
+	}
+	rule := pools.Table.Match(q)
+	if rule == nil {
+		return fmt.Sprintf("host %s, path %s, method %s, class %s: no route, answered 404", q.Host, q.Path, q.Method, q.Class), nil
+	}
+	i := slices.IndexFunc(pools.List, func(p *config.Pool) bool { return p.Name == rule.Pool })
+	return fmt.Sprintf("host %s, path %s, method %s, class %s: pool %s (discovery at %s), by line %d: the most specific that matches is for %v",
+		q.Host, q.Path, q.Method, q.Class, rule.Pool, pools.List[i].Config.Discovery, rule.Line, rule), nil
+}
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -39,6 +39,7 @@
 type Engine interface {
 	Ask(q policy.Request, m *call.Message, deadline time.Duration, reply chan<- call.Answer) policy.RequestID
 	Gone(id policy.RequestID)
+	Ended() <-chan struct{}
 }
 
 // Target is where requests go: an engine, what requests it takes and how many at once. Its counts are its own, and so
@@ -51,6 +52,7 @@
 	MostOpen  int            // requests held at once; 0: no bound but that on connections
 	BodyBytes int64          // of their bodies
 
+	walls atomic.Pointer[Walls]
 	held  atomic.Int64 // requests with no answer yet
 	bytes atomic.Int64 // of their bodies
 
@@ -58,6 +60,20 @@
 	open map[string]bool // ids of the requests that have no answer yet
 }
 
+// Walls are bounds that several targets share.
+type Walls interface {
+	// Take takes a place for a request with a body of so many bytes, or says that there is none.
+	Take(size int64) bool
+	// Give gives it back.
+	Give(size int64)
+}
+
+// SetWalls has what is taken on from now on counted there too.
+func (t *Target) SetWalls(w Walls) { t.walls.Store(&w) }
+
+// Held is how many requests have no answer yet.
+func (t *Target) Held() int64 { return t.held.Load() }
+
 // Config says where requests go and how many clients there may be.
 type Config struct {
 	// Route says where a request goes, by its head, or why it goes nowhere. It is called from many goroutines.
@@ -149,6 +165,13 @@
 		refuse(w, time.Second)
 		return
 	}
+	if walls := t.walls.Load(); walls != nil {
+		if !(*walls).Take(size) {
+			refuse(w, time.Second)
+			return
+		}
+		defer (*walls).Give(size)
+	}
 	m := &call.Message{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: call.EndToEnd(r.Header), Body: body}
 	reply := make(chan call.Answer, 1)
 	number := t.Engine.Ask(q, m, arrived+left, reply)
@@ -158,6 +181,13 @@
 	case <-r.Context().Done(): // the client has closed its connection
 		t.Engine.Gone(number)
 		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
+	case <-t.Engine.Ended(): // its pool was taken away: what it had taken is answered by then
+		select {
+		case a := <-reply:
+			write(w, a)
+		default: // it never came to the module
+			refuse(w, time.Second)
+		}
 	}
 }
 
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -100,6 +100,18 @@
 	return u
 }
 
+// Resize bounds the connections anew. Idle ones over the bound are closed at once, the others as they end.
+func (u *Transport) Resize(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = most
+	for to, list := range u.idle {
+		if n := min(len(list), u.open-most); n > 0 {
+			u.drop(to, n)
+		}
+	}
+}
+
 // Server is a server at an address.
 func (u *Transport) Server(address string) call.Server { return &host{u: u, address: address} }
 
