--- /dev/null
+++ b/cmd/measure/flood.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// floods are what the flooded pool's clients do.
+var floods = []string{"full bodies", "bodies a byte at a time", "connections that say nothing", "nodes that answer nothing"}
+
+// flooding is what a flood is asked for.
+type flooding struct {
+	Kind, Address, Host string
+	Seconds             float64
+	Connections         int
+}
+
+// flood is a process that floods one pool, for a time that ends by itself.
+func flood(args []string) error {
+	var f flooding
+	if err := json.Unmarshal([]byte(args[0]), &f); err != nil {
+		return err
+	}
+	end := time.Now().Add(time.Duration(f.Seconds * float64(time.Second)))
+	var all sync.WaitGroup
+	var done, refused atomic.Int64
+	for i := range f.Connections {
+		all.Go(func() {
+			switch f.Kind {
+			case "connections that say nothing":
+				for time.Now().Before(end) {
+					f.silent(end)
+				}
+			case "bodies a byte at a time":
+				for n := 0; time.Now().Before(end); n++ {
+					f.trickle(i, n, end)
+				}
+			default:
+				f.send(i, end, &done, &refused)
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("{\"done\":%d,\"refused\":%d}\n", done.Load(), refused.Load())
+	return nil
+}
+
+func (f *flooding) silent(end time.Time) {
+	c, err := net.Dial("tcp", f.Address)
+	if err != nil {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(end)
+	_, _ = c.Read(make([]byte, 1))
+}
+
+func (f *flooding) head(i, n, length int) string {
+	return fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: %s\r\nX-Request-ID: f%d-%d-%d\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\n"+
+		"X-Timeout: 2000m\r\nContent-Length: %d\r\n\r\n", f.Host, i, n, time.Now().UnixNano(), length)
+}
+
+func (f *flooding) trickle(i, n int, end time.Time) {
+	c, err := net.Dial("tcp", f.Address)
+	if err != nil {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(end)
+	if _, err := io.WriteString(c, f.head(i, n, 64<<10)); err != nil {
+		return
+	}
+	for {
+		if _, err := c.Write([]byte{'x'}); err != nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (f *flooding) send(i int, end time.Time, done, refused *atomic.Int64) {
+	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 3 * time.Second}
+	text := strings.Repeat("x", 64<<10)
+	for n := 0; time.Now().Before(end); n++ {
+		req, err := http.NewRequest(http.MethodPost, "http://"+f.Address+"/entry", strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		req.Host = f.Host
+		for name, value := range map[string]string{
+			"X-Request-ID": fmt.Sprintf("f%d-%d-%d", i, n, time.Now().UnixNano()), "X-Priority-Class": "entry", "X-Tenant-Id": "north", "X-Timeout": "2000m",
+		} {
+			req.Header.Set(name, value)
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		done.Add(1)
+		if res.StatusCode == http.StatusServiceUnavailable {
+			refused.Add(1)
+			time.Sleep(20 * time.Millisecond) // ten times its limit, not all that the machine can send
+		}
+	}
+}
--- a/internal/config/pools.go
+++ b/internal/config/pools.go
@@ -24,6 +24,7 @@
 	Path  string
 	List  []*Pool // in order of their names
 	Table *route.Table
+	Walls bool // what pools have in common is divided; off, the first to come has it
 }
 
 // Pool is one of them.
@@ -48,6 +49,7 @@
 		Weight *float64
 	}
 	Routes []Route
+	Walls  *bool
 }
 
 // routeHead is where a rule begins in the file.
@@ -93,7 +95,7 @@
 	if len(file.Pools) == 0 || len(file.Pools) > mostPools {
 		return nil, fmt.Errorf("pools: %d of them, 1 to %d are needed", len(file.Pools), mostPools)
 	}
-	p := new(Pools)
+	p := &Pools{Walls: file.Walls == nil || *file.Walls}
 	classes := make(route.Pools)
 	for _, name := range slices.Sorted(maps.Keys(file.Pools)) {
 		entry := file.Pools[name]
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -107,6 +107,8 @@
 	// spaces that they took it from, and in the new ones not, for one deadline at most.
 	calls := share.New(int64(max(1, d.cfg.MostOpen)), weights)
 	bodies := share.New(d.cfg.BodyBytes(), weights)
+	// A part of the connections is left for those that have said nothing yet: nobody knows whose they are.
+	clients := share.New(int64(max(len(weights), d.cfg.ClientConns()*3/4)), weights)
 	var fresh []*livePool
 	for i, p := range pools.List {
 		conns := int(float64(d.cfg.UpstreamConns()) * p.Weight / sum)
@@ -124,7 +126,10 @@
 			}
 			fresh = append(fresh, r)
 		}
-		r.target.SetWalls(&walls{d.clock, calls, bodies, i, d.cfg.MostOpen > 0})
+		r.target.SetWalls(nil)
+		if pools.Walls {
+			r.target.SetWalls(&walls{d.clock, clients, calls, bodies, i, d.cfg.MostOpen > 0})
+		}
 		next.pools[p.Name] = r
 	}
 	d.now.Store(next)
@@ -270,12 +275,19 @@
 // walls are a pool's parts of what is held.
 type walls struct {
 	clock   clock.Clock
+	clients *share.Space
 	calls   *share.Space
 	bodies  *share.Space
 	pool    int
 	bounded bool // calls are
 }
 
+// Enter takes a place for a connection with a request.
+func (w *walls) Enter() bool { return w.clients.Take(w.clock.Now(), w.pool, 1) }
+
+// Exit gives it back.
+func (w *walls) Exit() { w.clients.Give(w.pool, 1) }
+
 // Take takes a place for a request with a body of so many bytes.
 func (w *walls) Take(size int64) bool {
 	now := w.clock.Now()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -62,14 +62,24 @@
 
 // Walls are bounds that several targets share.
 type Walls interface {
+	// Enter takes a place for a client's connection whose request's body is to be read, or says that there is none.
+	Enter() bool
+	// Exit gives it back.
+	Exit()
 	// Take takes a place for a request with a body of so many bytes, or says that there is none.
 	Take(size int64) bool
 	// Give gives it back.
 	Give(size int64)
 }
 
-// SetWalls has what is taken on from now on counted there too.
-func (t *Target) SetWalls(w Walls) { t.walls.Store(&w) }
+// SetWalls has what is taken on from now on counted there too; nil: no longer.
+func (t *Target) SetWalls(w Walls) {
+	if w == nil {
+		t.walls.Store(nil)
+		return
+	}
+	t.walls.Store(&w)
+}
 
 // Held is how many requests have no answer yet.
 func (t *Target) Held() int64 { return t.held.Load() }
@@ -148,6 +158,14 @@
 		return
 	}
 	defer t.leave(id)
+	walls := t.walls.Load()
+	if walls != nil {
+		if !(*walls).Enter() { // bodies that come a byte at a time would hold all connections otherwise
+			reject(w, r, &Rejection{http.StatusServiceUnavailable, "too many requests are being read"})
+			return
+		}
+		defer (*walls).Exit()
+	}
 	body, bad := readBody(w, r)
 	if bad != nil {
 		reject(w, r, bad)
@@ -165,7 +183,7 @@
 		refuse(w, time.Second)
 		return
 	}
-	if walls := t.walls.Load(); walls != nil {
+	if walls != nil {
 		if !(*walls).Take(size) {
 			refuse(w, time.Second)
 			return
@@ -237,6 +255,9 @@
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		c.linger(until)
 	}
+	if bad.Status == http.StatusServiceUnavailable { // nothing of it was sent: harmless to repeat
+		w.Header().Set("Retry-After", "1")
+	}
 	http.Error(w, bad.Reason, bad.Status)
 }
 
--- a/internal/transport/grpc/attempt.go
+++ b/internal/transport/grpc/attempt.go
@@ -21,6 +21,9 @@
 // protocol's X-Not-Processed. It counts in an answer of trailers alone.
 const notProcessed = "x-not-processed"
 
+// deadlineMargin is how much earlier than ours a server's clock may end a call whose time is up.
+const deadlineMargin = 50 * time.Millisecond
+
 // why an attempt's context ended, where that was not its time.
 var (
 	errCalledOff = errors.New("called off")
@@ -191,7 +194,11 @@
 	st := status.Convert(err)
 	r.Status, r.Body = int(st.Code()), encodeStatus(st)
 	cause := context.Cause(ctx)
+	// A server is told the time too, and may end the stream a moment before our own clock does.
+	late := a.t.cfg.Clock.Now() >= a.until-deadlineMargin && (st.Code() == codes.DeadlineExceeded || st.Code() == codes.Canceled)
 	switch {
+	case late && created && !errors.Is(cause, errCalledOff):
+		r.Ending = policy.TimedOut
 	case trailers: // the server's own word, whatever else went on
 		r.Ending = fromStatus(st.Code())
 		if !headers && only(trailer, notProcessed) == "1" {
--- a/internal/transport/grpc/stream.go
+++ b/internal/transport/grpc/stream.go
@@ -19,12 +19,24 @@
 	ctx context.Context
 	cs  grpc.ClientStream
 	md  metadata.MD
+
+	// What was read before it was known to have begun.
+	early    []byte
+	hasEarly bool
+	earlyEnd error
 }
 
 // Recv returns the next message, io.EOF behind the last one, or the server's status as an error.
 func (s *Stream) Recv() ([]byte, error) {
+	if s.hasEarly {
+		s.hasEarly = false
+		return s.early, nil
+	}
 	var body []byte
-	err := s.cs.RecvMsg(&body)
+	err := s.earlyEnd
+	if err == nil {
+		err = s.cs.RecvMsg(&body)
+	}
 	if err == nil {
 		return body, nil
 	}
@@ -71,27 +83,30 @@
 	a.mu.Lock()
 	begun := a.headers
 	a.mu.Unlock()
-	if err != nil || !begun {
-		var body []byte
-		recv := cs.RecvMsg(&body)
-		if errors.Is(recv, io.EOF) { // an empty stream
-			recv = nil
+	st := &Stream{a: a, ctx: ctx, cs: cs, md: md}
+	// The word on the header may lag behind Header itself, and an answer of trailers alone has none: the next
+	// message tells, and it is kept.
+	if err == nil && !begun {
+		switch err = cs.RecvMsg(&st.early); {
+		case err == nil:
+			st.hasEarly = true
+		case errors.Is(err, io.EOF): // an empty stream
+			st.earlyEnd, err = err, nil
 		}
-		if err == nil {
-			err = recv
-		}
-		trailer := cs.Trailer()
-		if err != nil {
-			a.end(a.result(ctx, err, md, trailer, nil))
-			return
+	}
+	if err != nil {
+		if errors.Is(err, io.EOF) { // SendMsg's: the status comes with the answer
+			var body []byte
+			err = cs.RecvMsg(&body)
 		}
+		a.end(a.result(ctx, err, md, cs.Trailer(), nil))
+		return
 	}
 	if !wait.Stop() { // its time ended as it began: one of both
 		a.end(call.Result{Ending: policy.TimedOut})
 		return
 	}
-	// The message read above is none: a stream without a header has no message either.
-	a.done(call.Result{Ending: policy.Served, Header: map[string][]string(md), Stream: &Stream{a: a, ctx: ctx, cs: cs, md: md}})
+	a.done(call.Result{Ending: policy.Served, Header: map[string][]string(md), Stream: st})
 	// Behind its begin, or its end could come first. It ends with its context too: a stream that nobody reads must not keep its slot, nor Close waiting.
 	context.AfterFunc(ctx, func() { a.end(call.Result{Ending: policy.Cancelled}) })
 }
