--- a/cmd/measure/flood.go
+++ b/cmd/measure/flood.go
@@ -52,14 +52,23 @@
 	return nil
 }
 
-func (f *flooding) silent(end time.Time) {
+// dial opens a connection that lasts until end at most; nil: none is to be had.
+func (f *flooding) dial(end time.Time) net.Conn {
 	c, err := net.Dial("tcp", f.Address)
 	if err != nil {
 		time.Sleep(time.Millisecond)
+		return nil
+	}
+	_ = c.SetDeadline(end)
+	return c
+}
+
+func (f *flooding) silent(end time.Time) {
+	c := f.dial(end)
+	if c == nil {
 		return
 	}
 	defer c.Close()
-	_ = c.SetDeadline(end)
 	_, _ = c.Read(make([]byte, 1))
 }
 
@@ -69,13 +78,11 @@
 }
 
 func (f *flooding) trickle(i, n int, end time.Time) {
-	c, err := net.Dial("tcp", f.Address)
-	if err != nil {
-		time.Sleep(time.Millisecond)
+	c := f.dial(end)
+	if c == nil {
 		return
 	}
 	defer c.Close()
-	_ = c.SetDeadline(end)
 	if _, err := io.WriteString(c, f.head(i, n, 64<<10)); err != nil {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,30 +29,12 @@
 func Serve(ctx context.Context, cfg *config.Config, listener net.Listener, reload <-chan os.Signal) error {
 	c := clock.New()
 	log := slog.Default()
-	transport := http1.New(http1.Config{
-		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: cfg.UpstreamConns(),
-		Reports: cfg.Reports, Columns: cfg.Columns,
-	})
-	var follower *membership.Follower
-	e, err := engine.New(engine.Config{
-		Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: transport, Log: log,
-		Watch: func() { follower.Ask() },
-	})
+	e, follower, _, err := assemble(cfg, c, cfg.UpstreamConns(), log)
 	if err != nil {
 		return err
 	}
-	follower = membership.New(membership.Config{
-		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
-		Failed: func(err error) {
-			log.Warn("discovery", "error", err)
-			e.ListFailed()
-		},
-	})
 	f := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(&fronthttp1.Target{
-			Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
-		}),
-		MostConns: cfg.ClientConns(), Longest: cfg.Longest, Log: log,
+		Route: fronthttp1.To(target(cfg, e)), MostConns: cfg.ClientConns(), Longest: cfg.Longest, Log: log,
 	}, c)
 	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.Servers))
 
@@ -74,6 +56,35 @@
 	}
 }
 
+// assemble puts an engine together with the transport that it sends over and the list that it follows. Nothing runs yet.
+func assemble(cfg *config.Config, c clock.Clock, conns int, log *slog.Logger) (*engine.Engine, *membership.Follower, *http1.Transport, error) {
+	transport := http1.New(http1.Config{
+		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns, Reports: cfg.Reports, Columns: cfg.Columns,
+	})
+	var follower *membership.Follower
+	e, err := engine.New(engine.Config{
+		Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: transport, Log: log, Watch: func() { follower.Ask() },
+	})
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	follower = membership.New(membership.Config{
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
+		Failed: func(err error) {
+			log.Warn("discovery", "error", err)
+			e.ListFailed()
+		},
+	})
+	return e, follower, transport, nil
+}
+
+// target is what the front is told of a configuration's requests.
+func target(cfg *config.Config, e *engine.Engine) *fronthttp1.Target {
+	return &fronthttp1.Target{
+		Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
+	}
+}
+
 // again takes discovery's address from the configuration as it is now. The rest of it holds until
 // the next start. A file that can't be used changes nothing.
 func again(before *config.Config, follower *membership.Follower, log *slog.Logger) {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -15,9 +15,7 @@
 
 	"caperarch/internal/clock"
 	"caperarch/internal/config"
-	"caperarch/internal/engine"
 	fronthttp1 "caperarch/internal/front/http1"
-	"caperarch/internal/membership"
 	"caperarch/internal/route"
 	"caperarch/internal/share"
 	"caperarch/internal/transport/http1"
@@ -154,27 +152,12 @@
 // start starts a pool.
 func (d *poolsDaemon) start(p *config.Pool, conns int) (*livePool, error) {
 	cfg, log := p.Config, d.log.With("pool", p.Name)
-	transport := http1.New(http1.Config{
-		Clock: d.clock, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns, Reports: cfg.Reports, Columns: cfg.Columns,
-	})
-	var follower *membership.Follower
-	e, err := engine.New(engine.Config{
-		Policy: cfg.Policy, Seed: cfg.Seed, Clock: d.clock, Transport: transport, Log: log, Watch: func() { follower.Ask() },
-	})
+	e, follower, transport, err := assemble(cfg, d.clock, conns, log)
 	if err != nil {
 		return nil, err
 	}
-	follower = membership.New(membership.Config{
-		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
-		Failed: func(err error) {
-			log.Warn("discovery", "error", err)
-			e.ListFailed()
-		},
-	})
 	ctx, stop := context.WithCancel(context.Background())
-	r := &livePool{pool: p, stop: stop, transport: transport, target: &fronthttp1.Target{
-		Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
-	}}
+	r := &livePool{pool: p, stop: stop, transport: transport, target: target(cfg, e)}
 	r.done.Go(func() { e.Run(ctx, cfg.Known) })
 	r.done.Go(func() { follower.Run(ctx) })
 	d.mu.Lock()
--- a/internal/transport/grpc/orca.go
+++ b/internal/transport/grpc/orca.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	orcapb "github.com/cncf/xds/go/xds/data/orca/v3"
@@ -12,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"caperarch/internal/wire"
 	"caperarch/policy"
 )
 
@@ -37,28 +37,7 @@
 // utilization or rate of 0, which proto3 can't tell from none, count as absent.
 func (t *Transport) fromORCA(r *orcapb.OrcaLoadReport) policy.Load {
 	var l policy.Load
-	set := func(field policy.LoadFields, v float64) {
-		if !(v >= 0) || math.IsInf(v, 0) {
-			return
-		}
-		l.Has |= field
-		switch field {
-		case policy.HasInFlight:
-			l.InFlight = v
-		case policy.HasQueued:
-			l.Queued = v
-		case policy.HasBusy:
-			l.Busy = v
-		case policy.HasService: // in milliseconds
-			l.Service = time.Duration(min(v, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
-		case policy.HasServed:
-			l.Served = v
-		case policy.HasErrors:
-			l.Errors = v
-		default:
-			l.Has &^= field
-		}
-	}
+	set := func(field policy.LoadFields, v float64) { wire.SetLoad(&l, field, v) }
 	if r.GetCpuUtilization() > 0 {
 		set(policy.HasBusy, r.GetCpuUtilization())
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -147,29 +147,36 @@
 func (c Columns) Load(r Report) policy.Load {
 	var l policy.Load
 	for i := range min(r.N, len(c)) {
-		v := float64(r.Values[i])
-		if !(v >= 0) || math.IsInf(v, 0) {
-			continue
-		}
-		l.Has |= c[i]
-		switch c[i] {
-		case policy.HasInFlight:
-			l.InFlight = v
-		case policy.HasQueued:
-			l.Queued = v
-		case policy.HasBusy:
-			l.Busy = v
-		case policy.HasService:
-			l.Service = Millis(v)
-		case policy.HasServed:
-			l.Served = v
-		case policy.HasErrors:
-			l.Errors = v
-		}
+		SetLoad(&l, c[i], float64(r.Values[i]))
 	}
 	return l
 }
 
+// SetLoad sets one field of a load report; a service time is in milliseconds. A value that is no usable number
+// counts as absent, and so does what no field of the module's stands for.
+func SetLoad(l *policy.Load, field policy.LoadFields, v float64) {
+	if !(v >= 0) || math.IsInf(v, 0) {
+		return
+	}
+	switch field {
+	case policy.HasInFlight:
+		l.InFlight = v
+	case policy.HasQueued:
+		l.Queued = v
+	case policy.HasBusy:
+		l.Busy = v
+	case policy.HasService:
+		l.Service = Millis(v)
+	case policy.HasServed:
+		l.Served = v
+	case policy.HasErrors:
+		l.Errors = v
+	default:
+		return
+	}
+	l.Has |= field
+}
+
 // Config turns the settings into the module's own.
 func (s *Settings) Config() (policy.Config, error) {
 	c := policy.Config{
