--- a/internal/engine/pause_test.go
+++ b/internal/engine/pause_test.go
@@ -20,10 +20,8 @@
 }
 
 type sent struct {
-	to    string
-	at    time.Time
-	until time.Duration
-	done  func(call.Result)
+	to   string
+	done func(call.Result)
 }
 
 type recorded struct {
@@ -38,12 +36,12 @@
 func (r *recorder) Server(address string) call.Server { return recorded{r, address} }
 func (r *recorder) Counters() map[string]int          { return nil }
 
-func (s recorded) Send(_ *call.Message, until time.Duration, done func(call.Result)) call.Attempt {
+func (s recorded) Send(_ *call.Message, _ time.Duration, done func(call.Result)) call.Attempt {
 	s.r.mu.Lock()
 	defer s.r.mu.Unlock()
 	var once sync.Once
 	end := func(res call.Result) { once.Do(func() { done(res) }) }
-	s.r.sends = append(s.r.sends, sent{s.address, time.Now(), until, end})
+	s.r.sends = append(s.r.sends, sent{s.address, end})
 	return off{end}
 }
 func (recorded) Probe(told func(bool, policy.Load)) { go told(false, policy.Load{}) }
