--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -1,31 +1,27 @@
 package http1
 
 import (
-	"container/list"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
-)
 
-// restTime is how long a connection with no open request is left alone where room is short. Longer, and
-// clients that take a new connection for each request and keep the old ones hold up all others.
-const restTime = 100 * time.Millisecond
+	"caperarch/internal/clock"
+)
 
 // lingerMost bounds in bytes what is read over behind a rejected request: several whole ones.
 const lingerMost = 512 << 10
 
 // acceptor bounds how many connections clients hold: they would take the descriptors that upstreams
-// need, and accepting would end in "too many open files". At the bound the connection that has been
-// longest without a request makes room. Below it none is closed: that only crosses requests.
+// need, and accepting would end in "too many open files". Which of them makes room is the books' to say. Below the
+// bounds none is closed: that only crosses requests.
 type acceptor struct {
 	net.Listener
-	most int
+	clock clock.Clock
 
 	mu    sync.Mutex
-	open  int
-	idle  list.List     // of *clientConn with no open request, longest first
+	books books
 	freed chan struct{} // has an item if a connection may have closed or turned idle
 	done  chan struct{}
 	once  sync.Once
@@ -36,15 +32,16 @@
 // unread, which its client takes as a crossing.
 type clientConn struct {
 	net.Conn
-	a      *acceptor
-	place  *list.Element // in idle; nil: a request is open, or it is closed
-	since  time.Time     // without an open request
-	closed bool
-	over   time.Time // its close reads over what still comes until then; zero: it doesn't
+	a     *acceptor
+	entry entry
+	over  time.Time // its close reads over what still comes until then; zero: it doesn't
 }
 
-func newAcceptor(l net.Listener, most int) *acceptor {
-	return &acceptor{Listener: l, most: most, freed: make(chan struct{}, 1), done: make(chan struct{})}
+func newAcceptor(l net.Listener, c clock.Clock, most, strangers int) *acceptor {
+	return &acceptor{
+		Listener: l, clock: c, books: books{most: most, strangers: strangers},
+		freed: make(chan struct{}, 1), done: make(chan struct{}),
+	}
 }
 
 // Accept waits for a client, and then for room if there is none.
@@ -66,11 +63,11 @@
 			return nil, net.ErrClosed
 		}
 	}
-	c := &clientConn{Conn: raw, a: a, since: time.Now()}
+	c := &clientConn{Conn: raw, a: a}
+	c.entry.conn = c
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.open++
-	c.place = a.idle.PushBack(c)
+	a.books.add(a.clock.Now(), &c.entry)
 	return c, nil
 }
 
@@ -78,38 +75,18 @@
 func (a *acceptor) room() (wait time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.open < a.most {
-		return 0, true
-	}
-	wait = restTime
-	now := time.Now()
-	if e := a.idle.Front(); e != nil {
-		c := e.Value.(*clientConn)
-		if wait = restTime - now.Sub(c.since); wait <= 0 {
-			a.end(c)
-			c.Conn.Close()
-			return 0, true
-		}
-	}
-	return wait, false
-}
-
-// end takes a connection off the books. The caller holds the lock.
-func (a *acceptor) end(c *clientConn) {
-	if c.closed {
-		return
+	leaves, wait, ok := a.books.room(a.clock.Now())
+	if leaves != nil {
+		leaves.conn.Conn.Close()
 	}
-	c.closed = true
-	a.open--
-	a.busy(c)
-	a.signal()
+	return wait, ok
 }
 
-func (a *acceptor) busy(c *clientConn) {
-	if c.place != nil {
-		a.idle.Remove(c.place)
-		c.place = nil
-	}
+// counters are the books' figures.
+func (a *acceptor) counters() Counters {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.books.counters()
 }
 
 func (a *acceptor) signal() {
@@ -127,17 +104,22 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case c.closed:
-	case s == http.StateActive:
-		a.busy(c)
-	case s == http.StateIdle && c.place == nil:
-		c.since = time.Now()
-		c.place = a.idle.PushBack(c)
+	switch s {
+	case http.StateActive:
+		a.books.busy(&c.entry)
+	case http.StateIdle:
+		a.books.rest(a.clock.Now(), &c.entry)
 		a.signal()
 	}
 }
 
+// asked takes that a request of a connection was taken.
+func (c *clientConn) asked() {
+	c.a.mu.Lock()
+	defer c.a.mu.Unlock()
+	c.a.books.asked(&c.entry)
+}
+
 func (a *acceptor) Close() error {
 	a.once.Do(func() { close(a.done) })
 	return a.Listener.Close()
@@ -150,10 +132,10 @@
 	}
 	c.a.mu.Lock()
 	defer c.a.mu.Unlock()
-	if c.closed {
+	if c.entry.gone {
 		return 0, net.ErrClosed
 	}
-	c.a.busy(c)
+	c.a.books.busy(&c.entry)
 	return n, err
 }
 
@@ -183,7 +165,8 @@
 	err := c.Conn.Close() // first: the books say what is free
 	c.a.mu.Lock()
 	defer c.a.mu.Unlock()
-	c.a.end(c)
+	c.a.books.end(&c.entry)
+	c.a.signal()
 	return err
 }
 
--- a/internal/front/http1/drain.go
+++ b/internal/front/http1/drain.go
@@ -23,7 +23,7 @@
 	f.server.SetKeepAlivesEnabled(false)
 	time.Sleep(lingerTime)
 	err := f.server.Shutdown(end)
-	f.cfg.Log.Info("stopped", "held", f.held.Load())
+	f.cfg.Log.Info("stopped", "held", f.held.Load(), "connections", f.Counters())
 	if errors.Is(err, context.DeadlineExceeded) && f.held.Load() == 0 {
 		return nil // what is left are connections that nothing came on
 	}
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -21,12 +21,13 @@
 const (
 	// A client beside us sends a request at once. These leave room for one that is short of CPU and
 	// end those that never finish within 3 s of connecting.
-	headerTime  = 2200 * time.Millisecond // over the head; also for a new connection's first byte
-	bodyTime    = 2 * time.Second         // over the body, once the head is here
-	rejectTime  = 500 * time.Millisecond  // the rest of a rejected request is read over for so long
-	clientIdle  = 2 * time.Minute         // idle connections of clients are closed after this
-	headerLimit = 16 << 10
-	farTimeout  = 10 // a time-out of more than so many deadlines of its class is no usable one
+	headerTime    = 2200 * time.Millisecond // over the head; also for a new connection's first byte
+	bodyTime      = 2 * time.Second         // over the body, once the head is here
+	rejectTime    = 500 * time.Millisecond  // the rest of a rejected request is read over for so long
+	clientIdle    = 2 * time.Minute         // idle connections of clients are closed after this
+	headerLimit   = 16 << 10
+	countersEvery = 10 * time.Second
+	farTimeout    = 10 // a time-out of more than so many deadlines of its class is no usable one
 )
 
 // once lists the headers that steer a request. Sent twice, two readers may heed different ones.
@@ -88,9 +89,11 @@
 type Config struct {
 	// Route says where a request goes, by its head, or why it goes nowhere. It is called from many goroutines.
 	Route     func(r *http.Request) (*Target, *Rejection)
-	MostConns int           // clients' connections
-	Longest   time.Duration // the longest deadline of any class: what a drain waits for
-	Log       *slog.Logger
+	MostConns int // clients' connections
+	// MostStrangers bounds those of them that have asked for nothing yet, or for GET /up alone, and are at rest: see books.
+	MostStrangers int
+	Longest       time.Duration // the longest deadline of any class: what a drain waits for
+	Log           *slog.Logger
 }
 
 // To routes all requests to one target.
@@ -105,6 +108,7 @@
 	held   atomic.Int64 // requests with no answer yet, of all targets
 	ready  atomic.Bool  // what GET /up tells
 	server *http.Server
+	conns  atomic.Pointer[acceptor]
 }
 
 // New makes a front.
@@ -119,12 +123,37 @@
 
 // Serve takes requests on a listener until Drain is called, and returns why it ended.
 func (f *Front) Serve(l net.Listener) error {
-	a := newAcceptor(l, f.cfg.MostConns)
+	a := newAcceptor(l, f.clock, f.cfg.MostConns, f.cfg.MostStrangers)
 	f.server.ConnState = a.state
+	f.conns.Store(a)
 	f.ready.Store(true)
+	ended := make(chan struct{})
+	defer close(ended)
+	go f.logCounters(ended)
 	return f.server.Serve(a)
 }
 
+// Counters are figures of the clients' connections.
+func (f *Front) Counters() Counters {
+	if a := f.conns.Load(); a != nil {
+		return a.counters()
+	}
+	return Counters{}
+}
+
+func (f *Front) logCounters(ended <-chan struct{}) {
+	ticker := time.NewTicker(countersEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.cfg.Log.Info("clients", "connections", f.Counters(), "held", f.held.Load())
+		case <-ended:
+			return
+		}
+	}
+}
+
 // connKey is where a request's context has its connection.
 type connKey struct{}
 
@@ -152,6 +181,9 @@
 		reject(w, r, bad)
 		return
 	}
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		c.asked()
+	}
 	id := r.Header.Get("X-Request-ID")
 	if !t.enter(id) {
 		reject(w, r, &Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
--- a/internal/front/http1/front_test.go
+++ b/internal/front/http1/front_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"testing"
+
+	"caperarch/internal/clock"
 )
 
 // At the bound one waits for room; a connection at rest makes it, one whose request has just been
@@ -12,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := newAcceptor(l, 2)
+	a := newAcceptor(l, clock.New(), 2, 2)
 	defer a.Close()
 	accept := func() (net.Conn, *clientConn) {
 		t.Helper()
@@ -36,7 +38,7 @@
 		t.Fatal(err)
 	}
 	accept()
-	if open.closed || !quiet.closed || a.open != 2 {
-		t.Errorf("the open one closed: %v, the quiet one: %v, %d open; want false, true, 2", open.closed, quiet.closed, a.open)
+	if open.entry.gone || !quiet.entry.gone || a.books.open != 2 {
+		t.Errorf("the open one closed: %v, the quiet one: %v, %d open; want false, true, 2", open.entry.gone, quiet.entry.gone, a.books.open)
 	}
 }
