--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -218,9 +218,8 @@
 // what is being closed and for the process itself.
 func (c *Config) ClientConns() int { return c.Sockets / 2 }
 
-// StrangerConns is how many of them may rest without having asked for anything: a quarter of the third of all that the
-// application may hold, so that its own bound leaves three quarters of that to connections that ask.
-func (c *Config) StrangerConns() int { return max(4, c.Sockets/12) }
+// ApplicationConns is how many of them the application may open for its requests, on its own side of the wire.
+func (c *Config) ApplicationConns() int { return c.Sockets / 3 }
 
 // UpstreamConns is how many connections to upstreams there may be.
 func (c *Config) UpstreamConns() int { return c.Sockets * 3 / 8 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	f := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(target(cfg, e)), MostConns: cfg.ClientConns(), MostStrangers: cfg.StrangerConns(), Longest: cfg.Longest, Log: log,
+		Route: fronthttp1.To(target(cfg, e)), Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: cfg.Longest, Log: log,
 	}, c)
 	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.Servers))
 
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -47,7 +47,7 @@
 	for _, p := range pools.List {
 		longest = max(longest, p.Config.Longest)
 	}
-	f := fronthttp1.New(fronthttp1.Config{Route: d.route, MostConns: cfg.ClientConns(), MostStrangers: cfg.StrangerConns(), Longest: longest, Log: d.log}, d.clock)
+	f := fronthttp1.New(fronthttp1.Config{Route: d.route, Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: longest, Log: d.log}, d.clock)
 	d.log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "pools", len(pools.List))
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve(listener) }()
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -22,6 +22,7 @@
 
 	mu    sync.Mutex
 	books books
+	sweep *time.Timer   // set while something at rest is over its bound
 	freed chan struct{} // has an item if a connection may have closed or turned idle
 	done  chan struct{}
 	once  sync.Once
@@ -37,9 +38,9 @@
 	over  time.Time // its close reads over what still comes until then; zero: it doesn't
 }
 
-func newAcceptor(l net.Listener, c clock.Clock, most, strangers int) *acceptor {
+func newAcceptor(l net.Listener, c clock.Clock, bounds Bounds) *acceptor {
 	return &acceptor{
-		Listener: l, clock: c, books: books{most: most, strangers: strangers},
+		Listener: l, clock: c, books: books{bounds: bounds},
 		freed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
@@ -68,6 +69,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.books.add(a.clock.Now(), &c.entry)
+	a.tidy()
 	return c, nil
 }
 
@@ -75,13 +77,35 @@
 func (a *acceptor) room() (wait time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	leaves, wait, ok := a.books.room(a.clock.Now())
-	if leaves != nil {
-		leaves.conn.Conn.Close()
-	}
+	leave, wait, ok := a.books.room(a.clock.Now())
+	closeAll(leave)
 	return wait, ok
 }
 
+// tidy closes what rests over the bounds, now and for as long as there is more of it: clients at a bound of their own
+// open none that would have us look. The caller holds the lock.
+func (a *acceptor) tidy() {
+	if a.sweep != nil {
+		return // a look is due
+	}
+	leave, again := a.books.sweep(a.clock.Now())
+	closeAll(leave)
+	if again > 0 {
+		a.sweep = time.AfterFunc(again, func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.sweep = nil
+			a.tidy()
+		})
+	}
+}
+
+func closeAll(entries []*entry) {
+	for _, e := range entries {
+		e.conn.Conn.Close()
+	}
+}
+
 // counters are the books' figures.
 func (a *acceptor) counters() Counters {
 	a.mu.Lock()
@@ -109,6 +133,7 @@
 		a.books.busy(&c.entry)
 	case http.StateIdle:
 		a.books.rest(a.clock.Now(), &c.entry)
+		a.tidy()
 		a.signal()
 	}
 }
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -9,75 +9,120 @@
 // clients that take a new connection for each request and keep the old ones hold up all others.
 const restTime = 100 * time.Millisecond
 
-// Counters are figures of the clients' connections for the log. The closed ones are those that made room.
+// kind is what is known of a connection by what it has asked for.
+type kind int
+
+const (
+	stranger kind = iota // nothing yet, or GET /up alone
+	once                 // one request
+	kept                 // more than one: its client comes back to it
+	kinds
+)
+
+// restsFor is how long one of a kind has to be at rest before the bound of its kind has it go.
+var restsFor = [kinds]time.Duration{restTime, restTime, time.Second}
+
+// Bounds are how many connections clients may have.
+type Bounds struct {
+	Most int        // in all; one more waits
+	Rest [kinds]int // at rest, by kind; the ones longest at rest go beyond that
+}
+
+// BoundsOf are the bounds for so many connections in all, of which the application may open so many on its own side.
+// What rests there is left no more than half of the application's part, so that half is always free for what it opens.
+func BoundsOf(most, application int) Bounds {
+	return Bounds{Most: most, Rest: [kinds]int{stranger: max(2, application/8), once: max(2, application/8), kept: max(4, application/4)}}
+}
+
+// Counters are figures of the clients' connections for the log. Rest are at rest, Closed made room, each by kind:
+// that asked nothing, asked once, came back.
 type Counters struct {
-	Open, Strangers               int
-	ClosedStrangers, ClosedAsking uint64
+	Open, Most int // Most: at once, so far
+	Rest       [kinds]int
+	Closed     [kinds]uint64
 }
 
 // books say which connection of a client goes where room is short. They are free of I/O, time is passed in, and the
 // caller sees to it that one goroutine is in them at a time.
 //
-// A stranger is a connection that has asked for nothing yet, or for GET /up alone: it may be a client's that is about
-// to send, or one of a crowd that connects and stays. The clients' machine bounds what it opens to us, so strangers
-// that fill the books take places of clients that ask, on their own side of the wire where nothing of ours helps
-// (incident r44c533). Therefore strangers at rest have a bound of their own, far below that of all, and go first
-// where room is short. Connections that have asked go only at the bound on all, the one longest at rest first.
+// Our descriptors are one bound. The other is the application's own: it may open only so many connections to us, and
+// what rests there, asked nothing or asked once and never again, takes the places of requests on its side of the
+// wire, where nothing of ours shows it but silence (incident r44c533: 128 at rest, nothing held, half of the requests
+// never sent). Therefore each kind at rest has a bound of its own, far below that of all.
 type books struct {
-	most      int // connections; one more waits
-	strangers int // of them strangers that nothing is open on; the oldest go beyond that
-
-	open        int
-	idleStrange list.List // of *entry with no open request that have asked for nothing, longest first
-	idleAsking  list.List // the same of those that have asked
-	closed      Counters
+	bounds  Bounds
+	open    int
+	rests   [kinds]list.List // of *entry with no open request, longest first
+	figures Counters
 }
 
 // entry is a connection in the books.
 type entry struct {
 	conn  *clientConn
-	place *list.Element // in one of the lists of those at rest; nil: a request is open, or it is closed
+	kind  kind
+	place *list.Element // in the list of its kind at rest; nil: a request is open, or it is closed
 	since time.Duration // without an open request
-	asked bool          // it has sent a request that was taken
 	gone  bool
 }
 
-// room makes room for one more: it returns whom to close for that, nil for nobody, or how long to wait before it is
-// worth another look. What it returns is off the books.
-func (b *books) room(now time.Duration) (leaves *entry, wait time.Duration, ok bool) {
-	if b.open < b.most && b.idleStrange.Len() < b.strangers {
-		return nil, 0, true
+// sweep returns those that have to be closed for the bounds on what rests; they are off the books. Where more are over a bound
+// than have rested for long enough, again says when another look is due; 0: none is.
+func (b *books) sweep(now time.Duration) (leave []*entry, again time.Duration) {
+	for k := range kinds {
+		for b.rests[k].Len() > b.bounds.Rest[k] {
+			e, wait := b.longest(now, k, restsFor[k])
+			if e == nil {
+				if again == 0 || wait < again {
+					again = wait
+				}
+				break
+			}
+			leave = append(leave, e)
+		}
 	}
-	wait = restTime
-	lists := []*list.List{&b.idleStrange, &b.idleAsking}
-	if b.open < b.most {
-		lists = lists[:1] // clients that ask are left alone
+	return leave, again
+}
+
+// room makes room for one more: it returns whom to close for that, or, if there is none, how long to wait
+// before it is worth another look.
+func (b *books) room(now time.Duration) (leave []*entry, wait time.Duration, ok bool) {
+	leave, _ = b.sweep(now)
+	if b.open < b.bounds.Most {
+		return leave, 0, true
 	}
-	for _, l := range lists {
-		front := l.Front()
-		if front == nil {
-			continue
+	wait = restTime
+	for k := range kinds {
+		e, w := b.longest(now, k, restTime)
+		if e != nil {
+			return append(leave, e), 0, true
 		}
-		e := front.Value.(*entry)
-		rests := now - e.since
-		if rests >= restTime {
-			if e.asked {
-				b.closed.ClosedAsking++
-			} else {
-				b.closed.ClosedStrangers++
-			}
-			b.end(e)
-			return e, 0, true
+		if b.rests[k].Len() > 0 {
+			wait = min(wait, w)
 		}
-		wait = min(wait, restTime-rests)
 	}
-	// All strangers are new: any of them may be a client whose request is on its way.
-	return nil, wait, b.open < b.most
+	return leave, wait, false
+}
+
+// longest takes the one of a kind off that has been at rest for longest, if that is time at least, or says how long
+// that is still to wait for.
+func (b *books) longest(now time.Duration, k kind, least time.Duration) (e *entry, wait time.Duration) {
+	front := b.rests[k].Front()
+	if front == nil {
+		return nil, 0
+	}
+	e = front.Value.(*entry)
+	if wait = least - (now - e.since); wait > 0 {
+		return nil, wait
+	}
+	b.figures.Closed[k]++
+	b.end(e)
+	return e, 0
 }
 
 // add takes a new connection on.
 func (b *books) add(now time.Duration, e *entry) {
 	b.open++
+	b.figures.Most = max(b.figures.Most, b.open)
 	b.rest(now, e)
 }
 
@@ -87,21 +132,21 @@
 		return
 	}
 	e.since = now
-	e.place = b.list(e).PushBack(e)
+	e.place = b.rests[e.kind].PushBack(e)
 }
 
 // busy takes that something has come on a connection.
 func (b *books) busy(e *entry) {
 	if e.place != nil {
-		b.list(e).Remove(e.place)
+		b.rests[e.kind].Remove(e.place)
 		e.place = nil
 	}
 }
 
-// asked takes that a connection has sent a request that was taken: it is a client's. Its request is open.
+// asked takes that a connection has sent a request that can be taken on.
 func (b *books) asked(e *entry) {
 	b.busy(e)
-	e.asked = true
+	e.kind = min(e.kind+1, kept)
 }
 
 // end takes a connection off; a second call passes.
@@ -114,15 +159,11 @@
 	b.open--
 }
 
-func (b *books) list(e *entry) *list.List {
-	if e.asked {
-		return &b.idleAsking
-	}
-	return &b.idleStrange
-}
-
 func (b *books) counters() Counters {
-	c := b.closed
-	c.Open, c.Strangers = b.open, b.idleStrange.Len()
+	c := b.figures
+	c.Open = b.open
+	for k := range kinds {
+		c.Rest[k] = b.rests[k].Len()
+	}
 	return c
 }
--- a/internal/front/http1/books_test.go
+++ b/internal/front/http1/books_test.go
@@ -5,64 +5,75 @@
 	"time"
 )
 
-// A crowd of strangers never makes a client that asks go while it is below the bound on all, and holds no more places
-// than its own bound and what came within restTime. Without the bound of its own it fills the books.
-func TestStrangersMakeRoomFirst(t *testing.T) {
-	b := books{most: 192, strangers: 32}
-	var clients []*entry
-	for range 40 {
-		e := &entry{}
-		b.add(0, e)
+// client adds a connection that has asked so often and is at rest.
+func client(b *books, now time.Duration, times int) *entry {
+	e := &entry{}
+	b.add(now, e)
+	for range times {
 		b.asked(e)
-		b.rest(0, e)
-		clients = append(clients, e)
+		b.rest(now, e)
+	}
+	return e
+}
+
+// Crowds that connect and say nothing, ask for GET /up or ask once and stay hold no more places than the bounds and
+// what came within restTime. None of those that come back is closed for them.
+func TestCrowdsAtRestMakeRoom(t *testing.T) {
+	b := books{bounds: BoundsOf(192, 128)}
+	var clients []*entry
+	for range 30 {
+		clients = append(clients, client(&b, 0, 2))
 	}
-	var worst int
 	for i := range 10000 { // 500 a second
 		now := time.Second + time.Duration(i)*2*time.Millisecond
 		if _, _, ok := b.room(now); !ok {
-			t.Fatalf("no room for stranger %d, %d open", i, b.open)
+			t.Fatalf("no room for connection %d, %d open", i, b.open)
 		}
-		e := &entry{}
-		b.add(now, e)
-		if i%2 == 0 { // it asks for GET /up, and stays
-			b.busy(e)
-			b.rest(now, e)
-		}
-		worst = max(worst, b.open)
+		client(&b, now, i%2)
 	}
-	if most := 40 + 50 + 2; worst > most {
-		t.Errorf("%d open at once, at most %d expected", worst, most)
+	// What is not at rest for restTime yet is 50, the bounds leave 16 of each kind.
+	if c := b.counters(); c.Most > 30+50+2 || c.Closed[kept] != 0 || c.Closed[stranger] < 4900 || c.Closed[once] < 4900 {
+		t.Errorf("counters %+v, at most %d open", c, 82)
 	}
 	for i, e := range clients {
 		if e.gone {
-			t.Errorf("client %d was closed for a stranger", i)
+			t.Errorf("client %d was closed for a crowd", i)
 		}
 	}
-	if c := b.counters(); c.ClosedAsking != 0 || c.ClosedStrangers < 9000 {
-		t.Errorf("counters %+v", c)
+}
+
+// Where nobody connects any more, what rests over a bound goes all the same.
+func TestSweepComesBack(t *testing.T) {
+	b := books{bounds: BoundsOf(192, 128)}
+	for range 128 {
+		client(&b, time.Second, 1)
+	}
+	leave, again := b.sweep(time.Second)
+	if len(leave) != 0 || again != restTime {
+		t.Fatalf("%d leave at once, another look after %v", len(leave), again)
+	}
+	if leave, again = b.sweep(time.Second + again); len(leave) != 112 || again != 0 {
+		t.Errorf("%d leave, another look after %v, want all over the bound of 16 and none", len(leave), again)
 	}
 }
 
-// At the bound on all, strangers go before those that ask, and then the one longest at rest.
+// At the bound on all, strangers go before those that ask, and then the one longest at rest; never one with an open
+// request or one of this moment.
 func TestLongestAtRestGoes(t *testing.T) {
-	b := books{most: 3, strangers: 2}
-	first, second, strange := &entry{asked: true}, &entry{asked: true}, &entry{}
-	b.add(0, first)
-	b.add(time.Second, second)
-	b.add(2*time.Second, strange)
-	if _, wait, ok := b.room(2 * time.Second); !ok || !first.gone || strange.gone {
-		t.Errorf("a stranger of this moment has to be left alone: wait %v, ok %v, first gone %v", wait, ok, first.gone)
+	b := books{bounds: Bounds{Most: 3, Rest: [kinds]int{3, 3, 3}}}
+	first, second := client(&b, 0, 2), client(&b, time.Second, 2)
+	strange := client(&b, 2*time.Second, 0)
+	if _, _, ok := b.room(2 * time.Second); !ok || !first.gone || strange.gone {
+		t.Errorf("a stranger of this moment has to be left alone: ok %v, first gone %v", ok, first.gone)
 	}
-	third := &entry{asked: true}
-	b.add(2*time.Second, third)
+	third := client(&b, 2*time.Second, 2)
 	if _, _, ok := b.room(3 * time.Second); !ok || !strange.gone || second.gone {
 		t.Error("a stranger at rest has to go first")
 	}
 	b.busy(second)
 	b.busy(third)
-	b.add(3*time.Second, &entry{asked: true})
-	if leaves, wait, ok := b.room(3 * time.Second); ok || leaves != nil || wait != restTime {
+	client(&b, 3*time.Second, 2)
+	if leave, wait, ok := b.room(3 * time.Second); ok || leave != nil || wait != restTime {
 		t.Errorf("those with an open request and one of this moment must stay: wait %v, ok %v", wait, ok)
 	}
 }
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -30,8 +30,8 @@
 	farTimeout    = 10 // a time-out of more than so many deadlines of its class is no usable one
 )
 
-// once lists the headers that steer a request. Sent twice, two readers may heed different ones.
-var once = []string{
+// singles lists the headers that steer a request. Sent twice, two readers may heed different ones.
+var singles = []string{
 	"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Route-Key", "X-Timeout", "X-Retried", "X-Cost",
 	"X-Attrs", "Idempotency-Key", "Content-Length",
 }
@@ -88,12 +88,10 @@
 // Config says where requests go and how many clients there may be.
 type Config struct {
 	// Route says where a request goes, by its head, or why it goes nowhere. It is called from many goroutines.
-	Route     func(r *http.Request) (*Target, *Rejection)
-	MostConns int // clients' connections
-	// MostStrangers bounds those of them that have asked for nothing yet, or for GET /up alone, and are at rest: see books.
-	MostStrangers int
-	Longest       time.Duration // the longest deadline of any class: what a drain waits for
-	Log           *slog.Logger
+	Route   func(r *http.Request) (*Target, *Rejection)
+	Conns   Bounds        // on clients' connections
+	Longest time.Duration // the longest deadline of any class: what a drain waits for
+	Log     *slog.Logger
 }
 
 // To routes all requests to one target.
@@ -123,7 +121,7 @@
 
 // Serve takes requests on a listener until Drain is called, and returns why it ended.
 func (f *Front) Serve(l net.Listener) error {
-	a := newAcceptor(l, f.clock, f.cfg.MostConns, f.cfg.MostStrangers)
+	a := newAcceptor(l, f.clock, f.cfg.Conns)
 	f.server.ConnState = a.state
 	f.conns.Store(a)
 	f.ready.Store(true)
@@ -311,7 +309,7 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return no(http.StatusBadRequest, "the target is no path")
 	}
-	for _, name := range once {
+	for _, name := range singles {
 		if len(h[name]) > 1 {
 			return no(http.StatusBadRequest, name+" is given twice")
 		}
--- a/internal/front/http1/front_test.go
+++ b/internal/front/http1/front_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := newAcceptor(l, clock.New(), 2, 2)
+	a := newAcceptor(l, clock.New(), Bounds{Most: 2, Rest: [kinds]int{2, 2, 2}})
 	defer a.Close()
 	accept := func() (net.Conn, *clientConn) {
 		t.Helper()
