--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -16,6 +16,7 @@
 	"caperarch/internal/clock"
 	"caperarch/internal/config"
 	fronthttp1 "caperarch/internal/front/http1"
+	"caperarch/internal/h1"
 	"caperarch/internal/route"
 	"caperarch/internal/share"
 	"caperarch/internal/transport/http1"
@@ -221,9 +222,9 @@
 }
 
 // route says which pool a request goes to.
-func (d *poolsDaemon) route(r *http.Request) (*fronthttp1.Target, *fronthttp1.Rejection) {
+func (d *poolsDaemon) route(h *h1.Head) (*fronthttp1.Target, *fronthttp1.Rejection) {
 	now := d.now.Load()
-	q, bad := routeOf(r)
+	q, bad := routeOf(h.Host, h.Target, h.Method, h.Get("X-Priority-Class"))
 	if bad != nil {
 		return nil, bad
 	}
@@ -235,24 +236,24 @@
 }
 
 // routeOf is what of a request counts for its route, or why that can't be said.
-func routeOf(r *http.Request) (route.Request, *fronthttp1.Rejection) {
+func routeOf(hostField, target, method, class string) (route.Request, *fronthttp1.Rejection) {
 	no := func(err error) (route.Request, *fronthttp1.Rejection) {
 		return route.Request{}, &fronthttp1.Rejection{Status: http.StatusBadRequest, Reason: err.Error()}
 	}
 	// The form with a scheme and host may disagree with Host, and two readers heed different ones.
-	if !strings.HasPrefix(r.RequestURI, "/") {
+	if !strings.HasPrefix(target, "/") {
 		return no(fmt.Errorf("the target is no path"))
 	}
-	host, err := route.Host(r.Host)
+	host, err := route.Host(hostField)
 	if err != nil {
 		return no(err)
 	}
-	raw, _, _ := strings.Cut(r.RequestURI, "?")
+	raw, _, _ := strings.Cut(target, "?")
 	path, err := route.Path(raw)
 	if err != nil {
 		return no(err)
 	}
-	return route.Request{Host: host, Path: path, Method: r.Method, Class: r.Header.Get("X-Priority-Class")}, nil
+	return route.Request{Host: host, Path: path, Method: method, Class: class}, nil
 }
 
 // walls are a pool's parts of what is held.
@@ -300,15 +301,14 @@
 	if err != nil {
 		return "", err
 	}
-	r.RequestURI = r.URL.EscapedPath()
-	if r.RequestURI == "" {
-		r.RequestURI = "/"
+	target := r.URL.EscapedPath()
+	if target == "" {
+		target = "/"
 	}
 	if class == "" { // as the protocol has it, the first part of the path
 		class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	}
-	r.Header.Set("X-Priority-Class", class)
-	q, bad := routeOf(r)
+	q, bad := routeOf(r.Host, target, method, class)
 	if bad != nil {
 		return "", fmt.Errorf("%d: %s", bad.Status, bad.Reason)
 	}
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -1,55 +1,57 @@
 package http1
 
 import (
-	"io"
+	"errors"
 	"net"
-	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"caperarch/internal/clock"
 )
 
-// lingerMost bounds in bytes what is read over behind a rejected request: several whole ones.
-const lingerMost = 512 << 10
+const (
+	acceptPause = 5 * time.Millisecond   // before the next try where the system is short of descriptors
+	sweepMost   = 500 * time.Millisecond // between two looks at what rests, while something does
+)
 
 // acceptor bounds how many connections clients hold: they would take the descriptors that upstreams
 // need, and accepting would end in "too many open files". Which of them makes room is the books' to say. Below the
 // bounds none is closed: that only crosses requests.
+//
+// A connection's state changes under its lock, so that making room never closes it under a request: what was read
+// once it is off the books is thrown away unread, which its client takes as a crossing.
 type acceptor struct {
-	net.Listener
-	clock clock.Clock
+	listener net.Listener
+	clock    clock.Clock
 
 	mu    sync.Mutex
 	books books
-	sweep *time.Timer   // set while something at rest is over its bound
+	sweep *time.Timer   // set while something is at rest
 	freed chan struct{} // has an item if a connection may have closed or turned idle
 	done  chan struct{}
 	once  sync.Once
 }
 
-// clientConn is one connection of a client. Its state changes under the acceptor's lock, so that
-// making room never closes it under a request: what is read once it is closing is thrown away
-// unread, which its client takes as a crossing.
-type clientConn struct {
-	net.Conn
-	a     *acceptor
-	entry entry
-	over  time.Time // its close reads over what still comes until then; zero: it doesn't
-}
-
 func newAcceptor(l net.Listener, c clock.Clock, bounds Bounds) *acceptor {
 	return &acceptor{
-		Listener: l, clock: c, books: books{bounds: bounds},
-		freed: make(chan struct{}, 1), done: make(chan struct{}),
+		listener: l, clock: c, books: books{bounds: bounds}, freed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
 
-// Accept waits for a client, and then for room if there is none.
-func (a *acceptor) Accept() (net.Conn, error) {
-	raw, err := a.Listener.Accept()
-	if err != nil {
-		return nil, err
+// accept waits for a client, and then for room if there is none.
+func (a *acceptor) accept() (*conn, error) {
+	raw, err := a.listener.Accept()
+	for ; err != nil; raw, err = a.listener.Accept() {
+		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) &&
+			!errors.Is(err, syscall.ENOBUFS) && !errors.Is(err, syscall.ENOMEM) {
+			return nil, err
+		}
+		select {
+		case <-time.After(acceptPause):
+		case <-a.done:
+			return nil, net.ErrClosed
+		}
 	}
 	for {
 		wait, ok := a.room()
@@ -64,8 +66,7 @@
 			return nil, net.ErrClosed
 		}
 	}
-	c := &clientConn{Conn: raw, a: a}
-	c.entry.conn = c
+	c := newConn(raw, a)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.books.add(a.clock.Now(), &c.entry)
@@ -82,8 +83,8 @@
 	return wait, ok
 }
 
-// tidy closes what rests over the bounds, now and for as long as there is more of it: clients at a bound of their own
-// open none that would have us look. The caller holds the lock.
+// tidy closes what rests over the bounds or for too long, now and for as long as something rests: clients at a bound of
+// their own open none that would have us look. The caller holds the lock.
 func (a *acceptor) tidy() {
 	if a.sweep != nil {
 		return // a look is due
@@ -91,7 +92,7 @@
 	leave, again := a.books.sweep(a.clock.Now())
 	closeAll(leave)
 	if again > 0 {
-		a.sweep = time.AfterFunc(again, func() {
+		a.sweep = time.AfterFunc(min(again, sweepMost), func() {
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.sweep = nil
@@ -100,12 +101,30 @@
 	}
 }
 
+// closeAll ends connections that are off the books. One whose request is being read is only woken: it answers.
 func closeAll(entries []*entry) {
 	for _, e := range entries {
-		e.conn.Conn.Close()
+		if e.reads {
+			_ = e.conn.net.SetReadDeadline(time.Unix(1, 0))
+			continue
+		}
+		e.conn.net.Close()
 	}
 }
 
+// close ends accepting; what is open goes on.
+func (a *acceptor) close() error {
+	a.once.Do(func() { close(a.done) })
+	return a.listener.Close()
+}
+
+// closeResting closes what no request is open on.
+func (a *acceptor) closeResting() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	closeAll(a.books.resting())
+}
+
 // counters are the books' figures.
 func (a *acceptor) counters() Counters {
 	a.mu.Lock()
@@ -120,85 +139,49 @@
 	}
 }
 
-// state follows what net/http does with a connection.
-func (a *acceptor) state(raw net.Conn, s http.ConnState) {
-	c, ok := raw.(*clientConn)
-	if !ok {
-		return
-	}
+// busy takes that a request has begun to come on a connection; false: it is off the books.
+func (a *acceptor) busy(c *conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch s {
-	case http.StateActive:
-		a.books.busy(&c.entry)
-	case http.StateIdle:
-		a.books.rest(a.clock.Now(), &c.entry)
-		a.tidy()
-		a.signal()
-	}
+	a.books.busy(&c.entry)
+	return !c.entry.gone
 }
 
-// asked takes that a request of a connection was taken.
-func (c *clientConn) asked() {
-	c.a.mu.Lock()
-	defer c.a.mu.Unlock()
-	c.a.books.asked(&c.entry)
+// unread takes that a part of a connection's request is still to come, or what is behind a rejected one.
+func (a *acceptor) unread(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.unread(a.clock.Now(), &c.entry)
+	a.tidy()
+	a.signal()
 }
 
-func (a *acceptor) Close() error {
-	a.once.Do(func() { close(a.done) })
-	return a.Listener.Close()
+// asked takes that a request of a connection can be taken on.
+func (a *acceptor) asked(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.asked(&c.entry)
 }
 
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err
-	}
-	c.a.mu.Lock()
-	defer c.a.mu.Unlock()
-	if c.entry.gone {
-		return 0, net.ErrClosed
-	}
-	c.a.books.busy(&c.entry)
-	return n, err
-}
-
-// linger has the close read over what its client still sends, until a time. Closed with something unread a
-// connection is reset, and a client that is still writing finds that instead of its answer (RFC 9112, 9.6).
-func (c *clientConn) linger(until time.Time) {
-	c.a.mu.Lock()
-	defer c.a.mu.Unlock()
-	c.over = until
-}
-
-// readOver ends our side and reads what comes until the client ends its own, for as long as linger says and for
-// lingerMost bytes: one that sends without end is cut off.
-func (c *clientConn) readOver() {
-	c.a.mu.Lock()
-	until := c.over
-	c.over = time.Time{} // once
-	c.a.mu.Unlock()
-	if until.IsZero() || c.CloseWrite() != nil || c.Conn.SetReadDeadline(until) != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerMost)
+// rest takes that a connection's request has its answer.
+func (a *acceptor) rest(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.rest(a.clock.Now(), &c.entry)
+	a.tidy()
+	a.signal()
 }
 
-func (c *clientConn) Close() error {
-	c.readOver()
-	err := c.Conn.Close() // first: the books say what is free
-	c.a.mu.Lock()
-	defer c.a.mu.Unlock()
-	c.a.books.end(&c.entry)
-	c.a.signal()
-	return err
+// ended takes that a connection has closed.
+func (a *acceptor) ended(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.end(&c.entry)
+	a.signal()
 }
 
-// CloseWrite lets net/http end a connection softly: a reset could overtake the answer before it.
-func (c *clientConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
-	}
-	return nil
+func (a *acceptor) isGone(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return c.entry.gone
 }
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -9,33 +9,41 @@
 // clients that take a new connection for each request and keep the old ones hold up all others.
 const restTime = 100 * time.Millisecond
 
-// kind is what is known of a connection by what it has asked for.
+// kind is what is known of a connection by what it has asked for, or that it is being read.
 type kind int
 
 const (
-	stranger kind = iota // nothing yet, or GET /up alone
-	once                 // one request
-	kept                 // more than one: its client comes back to it
+	silent  kind = iota // nothing yet
+	reading             // a part of its request is here, the rest is still to come
+	visitor             // GET /up alone
+	once                // one request
+	kept                // more than one: its client comes back to it
 	kinds
 )
 
-// restsFor is how long one of a kind has to be at rest before the bound of its kind has it go.
-var restsFor = [kinds]time.Duration{restTime, restTime, time.Second}
+var (
+	// restsFor is how long one of a kind has to be at rest before the bound of its kind has it go. One that is read is left
+	// more: what comes late may be late for our own want of CPU.
+	restsFor = [kinds]time.Duration{silent: restTime, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: time.Second}
+	// leftFor is how long one of a kind is left at rest where there is room. (One that is read has deadlines of its own.)
+	leftFor = [kinds]time.Duration{silent: 2200 * time.Millisecond, reading: time.Minute, visitor: 2 * time.Minute, once: 2 * time.Minute, kept: 2 * time.Minute}
+)
 
 // Bounds are how many connections clients may have.
 type Bounds struct {
 	Most int        // in all; one more waits
-	Rest [kinds]int // at rest, by kind; the ones longest at rest go beyond that
+	Rest [kinds]int // at rest or being read, by kind; the ones longest so go beyond that
 }
 
 // BoundsOf are the bounds for so many connections in all, of which the application may open so many on its own side.
 // What rests there is left no more than half of the application's part, so that half is always free for what it opens.
 func BoundsOf(most, application int) Bounds {
-	return Bounds{Most: most, Rest: [kinds]int{stranger: max(2, application/8), once: max(2, application/8), kept: max(4, application/4)}}
+	part := func(of int) int { return max(2, application/of) }
+	return Bounds{Most: most, Rest: [kinds]int{silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
 }
 
 // Counters are figures of the clients' connections for the log. Rest are at rest, Closed made room, each by kind:
-// that asked nothing, asked once, came back.
+// that said nothing, that are being read, that asked for /up alone, asked once, came back.
 type Counters struct {
 	Open, Most int // Most: at once, so far
 	Rest       [kinds]int
@@ -48,29 +56,35 @@
 // Our descriptors are one bound. The other is the application's own: it may open only so many connections to us, and
 // what rests there, asked nothing or asked once and never again, takes the places of requests on its side of the
 // wire, where nothing of ours shows it but silence (incident r44c533: 128 at rest, nothing held, half of the requests
-// never sent). Therefore each kind at rest has a bound of its own, far below that of all.
+// never sent). Therefore each kind at rest has a bound of its own, far below that of all. So has what is being read:
+// bodies that come a byte at a time must not take the places of what could be served.
 type books struct {
 	bounds  Bounds
 	open    int
-	rests   [kinds]list.List // of *entry with no open request, longest first
+	rests   [kinds]list.List // of *entry with no open request, or of a request that is not whole, longest first
 	figures Counters
 }
 
 // entry is a connection in the books.
 type entry struct {
-	conn  *clientConn
+	conn  *conn
 	kind  kind
-	place *list.Element // in the list of its kind at rest; nil: a request is open, or it is closed
-	since time.Duration // without an open request
+	reads bool          // it is in the list of those that are being read
+	place *list.Element // in one of the lists; nil: a whole request is open, or it is closed
+	since time.Duration // in it
 	gone  bool
 }
 
-// sweep returns those that have to be closed for the bounds on what rests; they are off the books. Where more are over a bound
-// than have rested for long enough, again says when another look is due; 0: none is.
+// sweep returns those that have to be closed for the bounds on what rests; they are off the books. Where something rests,
+// again says when another look is due at the latest; 0: nothing does.
 func (b *books) sweep(now time.Duration) (leave []*entry, again time.Duration) {
 	for k := range kinds {
-		for b.rests[k].Len() > b.bounds.Rest[k] {
-			e, wait := b.longest(now, k, restsFor[k])
+		for b.rests[k].Len() > 0 {
+			least := leftFor[k]
+			if b.rests[k].Len() > b.bounds.Rest[k] {
+				least = restsFor[k]
+			}
+			e, wait := b.longest(now, k, least)
 			if e == nil {
 				if again == 0 || wait < again {
 					again = wait
@@ -92,7 +106,11 @@
 	}
 	wait = restTime
 	for k := range kinds {
-		e, w := b.longest(now, k, restTime)
+		least := restTime
+		if k == reading {
+			least = restsFor[reading]
+		}
+		e, w := b.longest(now, k, least)
 		if e != nil {
 			return append(leave, e), 0, true
 		}
@@ -103,6 +121,18 @@
 	return leave, wait, false
 }
 
+// resting takes off all that no request is open on.
+func (b *books) resting() (leave []*entry) {
+	for k := range kinds {
+		for k != reading && b.rests[k].Len() > 0 {
+			e := b.rests[k].Front().Value.(*entry)
+			b.end(e)
+			leave = append(leave, e)
+		}
+	}
+	return leave
+}
+
 // longest takes the one of a kind off that has been at rest for longest, if that is time at least, or says how long
 // that is still to wait for.
 func (b *books) longest(now time.Duration, k kind, least time.Duration) (e *entry, wait time.Duration) {
@@ -115,7 +145,9 @@
 		return nil, wait
 	}
 	b.figures.Closed[k]++
+	reads := e.reads
 	b.end(e)
+	e.reads = reads // whoever closes it has to know
 	return e, 0
 }
 
@@ -123,30 +155,48 @@
 func (b *books) add(now time.Duration, e *entry) {
 	b.open++
 	b.figures.Most = max(b.figures.Most, b.open)
-	b.rest(now, e)
+	b.into(now, e, silent)
 }
 
 // rest takes that a connection has no open request.
 func (b *books) rest(now time.Duration, e *entry) {
+	e.kind = max(e.kind, visitor)
+	b.into(now, e, e.kind)
+}
+
+// unread takes that the request on a connection is not whole yet.
+func (b *books) unread(now time.Duration, e *entry) {
+	if e.place == nil && !e.gone {
+		e.reads = true
+		b.into(now, e, reading)
+	}
+}
+
+func (b *books) into(now time.Duration, e *entry, k kind) {
 	if e.gone || e.place != nil {
 		return
 	}
 	e.since = now
-	e.place = b.rests[e.kind].PushBack(e)
+	e.place = b.rests[k].PushBack(e)
 }
 
-// busy takes that something has come on a connection.
+// busy takes that something has come on a connection, or all of its request.
 func (b *books) busy(e *entry) {
-	if e.place != nil {
+	if e.place == nil {
+		return
+	}
+	if e.reads {
+		b.rests[reading].Remove(e.place)
+	} else {
 		b.rests[e.kind].Remove(e.place)
-		e.place = nil
 	}
+	e.reads, e.place = false, nil
 }
 
 // asked takes that a connection has sent a request that can be taken on.
 func (b *books) asked(e *entry) {
 	b.busy(e)
-	e.kind = min(e.kind+1, kept)
+	e.kind = min(max(e.kind+1, once), kept)
 }
 
 // end takes a connection off; a second call passes.
--- /dev/null
+++ b/internal/front/http1/conn.go
@@ -0,0 +1,434 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/h1"
+)
+
+// lingerMost bounds in bytes what is read over behind a rejected request: several whole ones.
+const lingerMost = 512 << 10
+
+// conn is one connection of a client, served by one goroutine. At rest it has no buffer: it waits in the poller, and
+// takes a scratch with the first byte.
+type conn struct {
+	net   net.Conn
+	raw   syscall.RawConn // nil: not a socket
+	fd    int32
+	front *Front
+	a     *acceptor
+	entry entry
+
+	s     *scratch // nil: at rest
+	start int      // of what is unread in s.in
+	end   int
+	err   error // of the last first
+	try   func(fd uintptr) bool
+
+	hung     chan struct{} // closed when the client may have gone
+	hangOnce sync.Once
+}
+
+func newConn(raw net.Conn, a *acceptor) *conn {
+	c := &conn{net: raw, a: a, hung: make(chan struct{})}
+	c.entry.conn = c
+	if s, ok := raw.(syscall.Conn); ok {
+		if c.raw, _ = s.SyscallConn(); c.raw != nil {
+			c.try = c.readOnce
+		}
+	}
+	return c
+}
+
+// serve answers a connection's requests, one after the other, until one side closes it.
+func (f *Front) serve(c *conn) {
+	c.front = f
+	f.watch.add(c)
+	defer func() {
+		if r := recover(); r != nil { // one request's fault must not end all others
+			f.cfg.Log.Error("a connection's goroutine panicked", "panic", r, "stack", string(debug.Stack()))
+		}
+		f.watch.remove(c)
+		if c.s != nil {
+			c.s.free()
+		}
+		c.net.Close() // first: the books say what is free
+		c.a.ended(c)
+	}()
+	for c.next() {
+	}
+}
+
+// hang takes that the client may have ended its side.
+func (c *conn) hang() { c.hangOnce.Do(func() { close(c.hung) }) }
+
+// left says whether a client that may have gone has: it ended its side and nothing unread is left, or broke it.
+func (c *conn) left() bool {
+	gone := true
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	})
+	return err != nil || gone
+}
+
+// readOnce reads what is there, into a scratch that it takes for that; false: nothing is.
+func (c *conn) readOnce(fd uintptr) bool {
+	s := takeScratch()
+	for {
+		n, err := syscall.Read(int(fd), s.in)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			s.free()
+			return false
+		}
+		c.s, c.start, c.end, c.err = s, 0, max(n, 0), err
+		return true
+	}
+}
+
+// first waits for the first bytes of a request. It holds no buffer until they are here.
+func (c *conn) first() bool {
+	if c.s != nil {
+		c.s.free()
+		c.s = nil
+	}
+	if c.raw != nil {
+		if c.raw.Read(c.try) != nil {
+			return false
+		}
+		return c.err == nil && c.end > 0
+	}
+	c.s = takeScratch()
+	n, err := c.net.Read(c.s.in)
+	c.start, c.end = 0, n
+	return err == nil && n > 0
+}
+
+// next takes one request and answers it; false: the connection is to be closed.
+func (c *conn) next() bool {
+	if c.start == c.end { // else the next request's bytes came with the last one's
+		c.start, c.end = 0, 0
+		if !c.first() {
+			return false
+		}
+	}
+	arrived := c.front.clock.Now() // the client's time began when it sent
+	if !c.a.busy(c) {
+		return false // it was closed to make room: unread, its client takes that as a crossing
+	}
+	size, ok := c.head()
+	if !ok {
+		return false
+	}
+	h := &c.s.head
+	c.start += size
+	if c.front.draining.Load() {
+		h.Close = true
+	}
+	ok = c.request(h, arrived)
+	if !ok || h.Close {
+		return false
+	}
+	c.a.rest(c)
+	return true
+}
+
+// head reads a head; what it can't be read as is answered.
+func (c *conn) head() (size int, ok bool) {
+	s, timed := c.s, false
+	s.parser.Reset()
+	for {
+		n, err := s.parser.Parse(s.in[c.start:c.end], &s.head)
+		if bad := (*h1.Error)(nil); errors.As(err, &bad) {
+			c.reject(&Rejection{bad.Status, bad.Reason})
+			return 0, false
+		}
+		if n > 0 {
+			if timed && !c.whole() {
+				return 0, false
+			}
+			return n, true
+		}
+		if !timed { // what doesn't come whole at once must not hold its place for ever
+			timed = true
+			_ = c.net.SetReadDeadline(time.Now().Add(headerTime))
+			c.a.unread(c)
+		}
+		switch {
+		case c.start > 0: // pipelined bytes move to the front
+			c.end = copy(s.in, s.in[c.start:c.end])
+			c.start = 0
+		case c.end == len(s.in):
+			s.in = append(s.in, make([]byte, h1.HeadLimit-len(s.in))...)
+		}
+		read, err := c.net.Read(s.in[c.end:])
+		c.end += read
+		if read == 0 {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.reject(c.late(&Rejection{http.StatusRequestTimeout, "the head doesn't end"}))
+			}
+			return 0, false
+		}
+	}
+}
+
+// late is why a request that did not come whole in time is answered with an error: its own fault, unless it
+// had to make room.
+func (c *conn) late(own *Rejection) *Rejection {
+	if c.a.isGone(c) {
+		return &Rejection{http.StatusServiceUnavailable, "too many requests are being read"}
+	}
+	return own
+}
+
+// whole takes that a part of a request that came slowly is here; false: its connection had to make room, which is
+// answered, as its client may have sent the last byte by now.
+func (c *conn) whole() bool {
+	_ = c.net.SetReadDeadline(time.Time{})
+	if c.a.busy(c) {
+		return true
+	}
+	c.reject(&Rejection{http.StatusServiceUnavailable, "too many requests are being read"})
+	return false
+}
+
+// request answers a request whose head is here. What can be refused is refused before its body is read.
+func (c *conn) request(h *h1.Head, arrived time.Duration) bool {
+	f := c.front
+	if path, _, _ := strings.Cut(h.Target, "?"); path == "/up" && h.Method == http.MethodGet && h.Length <= 0 {
+		status := http.StatusOK
+		if !f.ready.Load() {
+			status = http.StatusServiceUnavailable
+		}
+		return c.answer(&h1.Answer{Status: status}, nil)
+	}
+	t, bad := f.cfg.Route(h)
+	if bad != nil {
+		return c.reject(bad)
+	}
+	q, left, bad := t.read(h)
+	if bad != nil {
+		return c.reject(bad)
+	}
+	c.a.asked(c)
+	id, length := h.Get("X-Request-Id"), max(h.Length, 0)
+	if !t.enter(id) {
+		return c.reject(&Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
+	}
+	defer t.leave(id)
+	walls := t.walls.Load()
+	if walls != nil {
+		if !(*walls).Enter() { // bodies that come a byte at a time would hold all connections otherwise
+			return c.refuseHead(length)
+		}
+		defer (*walls).Exit()
+	}
+	if !t.room(1, length) {
+		return c.refuseHead(length)
+	}
+	// The head's strings are its own; the rest of the scratch is used again for what follows.
+	m := &call.Message{Method: h.Method, URI: h.Target, Host: h.Host, Header: h.EndToEnd()}
+	var ok bool
+	if m.Body, ok = c.body(h, int(length)); !ok {
+		return false
+	}
+	// Counted only now: clients that tell of a body and don't send it must not use up what the others
+	// may hold. Until here the bounds on connections hold for them.
+	if !t.take(length) {
+		return c.refuse(time.Second)
+	}
+	defer t.give(length)
+	if walls != nil {
+		if !(*walls).Take(length) {
+			return c.refuse(time.Second)
+		}
+		defer (*walls).Give(length)
+	}
+	f.held.Add(1)
+	defer f.held.Add(-1)
+	reply := make(chan call.Answer, 1)
+	number := t.Engine.Ask(q, m, arrived+left, reply)
+	for hung := c.hung; ; {
+		select {
+		case a := <-reply:
+			return c.final(&a)
+		case <-hung:
+			if c.left() { // with no answer: nobody is left to take it
+				t.Engine.Gone(number)
+				return false
+			}
+			hung = nil // more requests came before the end: it still waits for their answers
+		case <-t.Engine.Ended(): // its pool was taken away: what it had taken is answered by then
+			select {
+			case a := <-reply:
+				return c.final(&a)
+			default: // it never came to the module
+				return c.refuse(time.Second)
+			}
+		}
+	}
+}
+
+// body reads a body of the length that was told, within bodyTime; false: it did not come, which is answered.
+func (c *conn) body(h *h1.Head, length int) ([]byte, bool) {
+	have := min(c.end-c.start, length)
+	if length == 0 {
+		return nil, true
+	}
+	body := make([]byte, have, min(length, max(2*have, 2*scratchSize)))
+	copy(body, c.s.in[c.start:c.start+have])
+	c.start += have
+	if have == length {
+		return body, true
+	}
+	if h.Expect && have == 0 && c.write([]byte(h1.Continue), nil) != nil {
+		return nil, false
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
+	c.a.unread(c)
+	for len(body) < length {
+		if len(body) == cap(body) { // no more memory than twice what has come
+			grown := make([]byte, len(body), min(length, 2*cap(body)))
+			copy(grown, body)
+			body = grown
+		}
+		n, err := c.net.Read(body[len(body):cap(body)])
+		if body = body[:len(body)+n]; n == 0 {
+			if errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
+				c.reject(c.late(&Rejection{http.StatusRequestTimeout, "the body is shorter than Content-Length"}))
+			}
+			return nil, false
+		}
+	}
+	return body, c.whole()
+}
+
+// refuseHead refuses a request by its head, at once. A body that is still to come is read over, so that the
+// connection goes on; it costs its client's place in the list of those that are being read.
+func (c *conn) refuseHead(length int64) bool {
+	if !c.refuse(time.Second) {
+		return false
+	}
+	have := min(int64(c.end-c.start), length)
+	c.start += int(have)
+	rest := length - have
+	if rest == 0 {
+		return true
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
+	c.a.unread(c)
+	c.start, c.end = 0, 0 // all of it was the body's
+	for rest > 0 {
+		n, err := c.net.Read(c.s.in[:min(rest, int64(len(c.s.in)))])
+		if rest -= int64(n); err != nil {
+			return false
+		}
+	}
+	_ = c.net.SetReadDeadline(time.Time{})
+	return c.a.busy(c)
+}
+
+// reject answers a request that can't be taken on and closes its connection: where it ends is not to be trusted.
+// Its client may still be sending, and closed with something unread a connection is reset, which it would find
+// instead of its answer (RFC 9112, 9.6): our side is ended, and what comes is read over for rejectTime and
+// lingerMost bytes. That is no place which others wait for: it goes first where room is short.
+func (c *conn) reject(bad *Rejection) bool {
+	a := h1.Answer{Status: bad.Status, Length: len(bad.Reason) + 1, Text: true, Close: true}
+	if bad.Status == http.StatusServiceUnavailable { // nothing of it was sent: harmless to repeat
+		a.Pause = time.Second
+	}
+	tcp, ok := c.net.(*net.TCPConn)
+	if c.answer(&a, []byte(bad.Reason+"\n")) && ok && tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(rejectTime)) == nil {
+		c.a.unread(c)
+		for over := 0; over < lingerMost; {
+			n, err := tcp.Read(c.s.in)
+			if over += n; err != nil {
+				break
+			}
+		}
+	}
+	return false
+}
+
+// final sends the final answer.
+func (c *conn) final(a *call.Answer) bool {
+	switch {
+	case a.Kind == call.Served:
+		return c.answer(&h1.Answer{Status: http.StatusOK, Header: a.Header, Length: len(a.Body)}, a.Body)
+	case a.Kind == call.Refused:
+		return c.refuse(a.Pause)
+	case a.TimedOut:
+		return c.answer(&h1.Answer{Status: http.StatusGatewayTimeout}, nil)
+	}
+	return c.answer(&h1.Answer{Status: http.StatusBadGateway}, nil)
+}
+
+// refuse answers that trying again is harmless, best after the pause.
+func (c *conn) refuse(pause time.Duration) bool {
+	return c.answer(&h1.Answer{Status: http.StatusServiceUnavailable, Pause: pause}, nil)
+}
+
+// answer sends an answer; false: the connection can't go on.
+func (c *conn) answer(a *h1.Answer, body []byte) bool {
+	if c.front.draining.Load() {
+		c.s.head.Close = true // with this answer
+	}
+	a.Close = a.Close || c.s.head.Close
+	a.Date = dateNow(c.front.clock.Now())
+	c.s.out = a.Append(c.s.out[:0])
+	if err := c.write(c.s.out, body); err != nil {
+		c.front.cfg.Log.Debug("an answer was not taken", "error", err, slog.Int("status", a.Status))
+		return false
+	}
+	return true
+}
+
+// write sends head and body in one system call where the client takes that at once, and waits for answerTime at most.
+func (c *conn) write(head, body []byte) error {
+	if len(head)+len(body) <= 2*scratchSize {
+		head, body = append(head, body...), nil
+	}
+	if c.raw != nil && body == nil { // with no deadline to set and take back
+		var n int
+		err := c.raw.Write(func(fd uintptr) bool {
+			for {
+				var err error
+				if n, err = syscall.Write(int(fd), head); !errors.Is(err, syscall.EINTR) {
+					return true
+				}
+			}
+		})
+		if n == len(head) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		head = head[max(n, 0):] // an error comes again
+	}
+	if err := c.net.SetWriteDeadline(time.Now().Add(answerTime)); err != nil {
+		return err
+	}
+	defer c.net.SetWriteDeadline(time.Time{})
+	buffers := net.Buffers{head}
+	if body != nil {
+		buffers = append(buffers, body)
+	}
+	_, err := buffers.WriteTo(c.net)
+	return err
+}
--- /dev/null
+++ b/internal/front/http1/watch_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package http1
+
+// watcher is for Linux. Elsewhere a client's going away is noticed when its answer is written.
+type watcher struct{}
+
+func newWatcher() (*watcher, error) { return new(watcher), nil }
+func (*watcher) close()             {}
+func (*watcher) add(*conn)          {}
+func (*watcher) remove(*conn)       {}
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -73,11 +73,15 @@
 	return ""
 }
 
-// Header copies the fields into a map with room for more. It takes three allocations, whatever the count of fields.
-func (h *Head) Header() http.Header {
+// EndToEnd copies the fields that are meant for the other end, not for this connection (RFC 9110, 7.6.1), nor Host. It
+// takes three allocations, whatever the count of fields.
+func (h *Head) EndToEnd() http.Header {
 	to := make(http.Header, len(h.Fields)+2)
 	values := make([]string, len(h.Fields))
 	for i, f := range h.Fields {
+		if f.Name == "Host" || connectionField(f.Name) {
+			continue
+		}
 		values[i] = f.Value
 		if have := to[f.Name]; have != nil {
 			to[f.Name] = append(have[:len(have):len(have)], f.Value)
@@ -85,6 +89,13 @@
 		}
 		to[f.Name] = values[i : i+1 : i+1]
 	}
+	for _, f := range h.Fields {
+		if f.Name == "Connection" {
+			for name := range strings.SplitSeq(f.Value, ",") {
+				delete(to, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+			}
+		}
+	}
 	return to
 }
 
