--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -268,7 +268,7 @@
 		case a := <-reply:
 			return c.final(&a)
 		case <-hung:
-			if c.left() { // with no answer: nobody is left to take it
+			if c.start == c.end && c.left() { // with no answer: nobody is left to take it
 				t.Engine.Gone(number)
 				return false
 			}
