internal/share: start-time fair queueing for permits to work, among pools

What is runnable has to be bounded and given out fairly.

Change: a queue that gives out a few permits by start tags, charges what the work cost once it is known, and to the pool that it turned out to be of. Not wired yet.

Measured: rapid over weights, permits and costs: no flow is behind its fair part by more than two of the largest pieces of work a permit, no permit is free while something waits, a flow's work begins in order.

--- /dev/null
+++ b/internal/share/queue.go
@@ -0,0 +1,93 @@
+package share
+
+// Queue gives out a few permits for work among flows by start-time fair queueing with a depth (Goyal, Vin, Cheng 1996;
+// SFQ(D): Jin, Chase, Kaur 2004). Work that waits is served in the order of its start tags, and what it cost is charged once it
+// is known. So a flow that asks seldom waits for what holds the permits and for little else, however many others wait;
+// one that wants more than its part waits behind all who want less; and no permit is left while somebody waits.
+//
+// It is free of I/O and not safe for concurrent use. Costs are in any one unit.
+type Queue[T any] struct {
+	free  int
+	now   float64 // virtual time: the start tag of the work begun last
+	flows []flow[T]
+	waits int
+}
+
+type flow[T any] struct {
+	weight float64
+	finish float64 // where the flow's next work starts at the earliest
+	usual  float64 // cost of its work, smoothed: what work under way is taken for until its own cost is known
+	queue  []T
+	head   int // of the queue
+}
+
+// usualPart is the weight of the newest cost in a flow's usual one.
+const usualPart = 1.0 / 8
+
+// NewQueue makes a queue with so many permits, at least one, among flows by weight; weights must be above 0.
+func NewQueue[T any](permits int, weights []float64) *Queue[T] {
+	q := &Queue[T]{free: max(1, permits), flows: make([]flow[T], len(weights))}
+	for i, w := range weights {
+		q.flows[i].weight = w
+	}
+	return q
+}
+
+// Ask takes a permit for a flow's work, or has it wait: then Done or Forget returns it when it may begin. Whoever got a
+// permit has to give it back with Done.
+func (q *Queue[T]) Ask(f int, work T) bool {
+	if q.free > 0 { // then nobody waits
+		q.free--
+		q.begin(&q.flows[f])
+		return true
+	}
+	w := &q.flows[f]
+	w.queue = append(w.queue, work)
+	q.waits++
+	return false
+}
+
+// begin books the work that starts now.
+func (q *Queue[T]) begin(w *flow[T]) {
+	q.now = max(q.now, w.finish)
+	// One that asked for nothing starts at the present: it saved nothing up.
+	w.finish = max(w.finish, q.now) + w.usual/w.weight
+}
+
+// Done gives a permit back. asked is the flow that it was asked for; cost is charged to the flow that the work turned out
+// to be of. It returns the work that may begin now in its place, if any waits.
+func (q *Queue[T]) Done(asked, of int, cost float64) (next T, ok bool) {
+	a, w := &q.flows[asked], &q.flows[of]
+	a.finish -= a.usual / a.weight
+	w.finish = max(w.finish, q.now) + cost/w.weight
+	w.usual += (cost - w.usual) * usualPart
+	return q.next()
+}
+
+func (q *Queue[T]) next() (work T, ok bool) {
+	if q.waits == 0 {
+		q.free++
+		return work, false
+	}
+	var best *flow[T]
+	for i := range q.flows {
+		if w := &q.flows[i]; w.head < len(w.queue) && (best == nil || w.finish < best.finish) {
+			best = w
+		}
+	}
+	work = best.queue[best.head]
+	var none T
+	best.queue[best.head] = none
+	if best.head++; best.head == len(best.queue) {
+		best.queue, best.head = best.queue[:0], 0
+	} else if best.head > 64 && best.head > len(best.queue)/2 { // a queue that is never empty must not grow for ever
+		best.queue = append(best.queue[:0], best.queue[best.head:]...)
+		best.head = 0
+	}
+	q.waits--
+	q.begin(best)
+	return work, true
+}
+
+// Waiting is how much work waits.
+func (q *Queue[T]) Waiting() int { return q.waits }
--- /dev/null
+++ b/internal/share/queue_test.go
@@ -0,0 +1,98 @@
+package share
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Of flows that always want more, none is behind its fair part by more than the largest work of each flow and permit;
+// no permit is free while something waits; and work of a flow comes in the order it was asked for.
+func TestQueueIsFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const largest = 10.0
+		permits := rapid.IntRange(1, 4).Draw(t, "permits")
+		weights := rapid.SliceOfN(rapid.Float64Range(0.5, 4), 2, 5).Draw(t, "weights")
+		type work struct{ flow, number int }
+		q := NewQueue[work](permits, weights)
+		asked, begun := make([]int, len(weights)), make([]int, len(weights))
+		done := make([]float64, len(weights)) // over weight
+		var running []work
+		ask := func(f int) {
+			w := work{f, asked[f]}
+			asked[f]++
+			if q.Ask(f, w) {
+				running = append(running, w)
+				begun[f]++
+			}
+		}
+		for f := range weights {
+			for range permits + 1 {
+				ask(f)
+			}
+		}
+		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		for range steps {
+			i := rapid.IntRange(0, len(running)-1).Draw(t, "ends")
+			w := running[i]
+			running = append(running[:i], running[i+1:]...)
+			cost := rapid.Float64Range(0.1, largest).Draw(t, "cost")
+			done[w.flow] += cost / weights[w.flow]
+			next, ok := q.Done(w.flow, w.flow, cost)
+			if !ok {
+				t.Fatal("a permit is free while something waits")
+			}
+			if next.number != begun[next.flow] {
+				t.Fatalf("work %d of flow %d begins, %d is next", next.number, next.flow, begun[next.flow])
+			}
+			begun[next.flow]++
+			running = append(running, next)
+			ask(w.flow)
+			if len(running) != permits {
+				t.Fatalf("%d run with %d permits", len(running), permits)
+			}
+			bound := 0.0
+			for _, weight := range weights {
+				bound = max(bound, largest/weight)
+			}
+			bound *= float64(2*permits + 2)
+			for f := range weights {
+				for g := range weights {
+					if done[g]-done[f] > bound {
+						t.Fatalf("flow %d had %.1f by weight and flow %d had %.1f, more than %.1f apart", g, done[g], f, done[f], bound)
+					}
+				}
+			}
+		}
+	})
+}
+
+// One that asks seldom begins with the next permit, however many of others wait and whatever was saved up.
+func TestSeldomGoesFirst(t *testing.T) {
+	q := NewQueue[string](1, []float64{1, 1})
+	q.Ask(0, "first")
+	for range 400 {
+		q.Ask(0, "flood")
+	}
+	for range 100 {
+		q.Done(0, 0, 5)
+	}
+	q.Ask(1, "quiet")
+	if next, ok := q.Done(0, 0, 5); !ok || next != "quiet" {
+		t.Errorf("%q goes before the quiet one", next)
+	}
+	if next, ok := q.Done(1, 1, 5); !ok || next != "flood" {
+		t.Errorf("%q, %v after the quiet one", next, ok)
+	}
+}
+
+// What turns out to be another flow's work is charged there.
+func TestChargedWhereItBelongs(t *testing.T) {
+	q := NewQueue[string](1, []float64{1, 1, 1})
+	q.Ask(0, "new")
+	q.Ask(1, "known")
+	q.Ask(2, "other")
+	if next, _ := q.Done(0, 1, 50); next != "other" {
+		t.Errorf("%q begins, the flow that was charged waits", next)
+	}
+}
