Pools share the way in: permits to read by fair queueing, connections by parts

Change, for several pools with walls only: a connection that has something to read waits for one of two permits, given out by share.Queue, and for what is runnable by then unless its pool is behind its part. Connections belong to the pool of their last request; a pool with more than its part closes with its answers, or refuses at the head, once less than an eighth of all places is free. For all: what is read over behind a last answer goes first where room is short, and a silent connection is left 10 ms where there is none, unless unread bytes say that we are late.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -41,17 +41,17 @@
 func ServePools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal) error {
 	d := &poolsDaemon{cfg: cfg, clock: clock.New(), log: slog.Default()}
 	defer d.end()
-	if err := d.take(pools); err != nil {
-		return err
-	}
 	longest := cfg.Longest
 	for _, p := range pools.List {
 		longest = max(longest, p.Config.Longest)
 	}
-	f := fronthttp1.New(fronthttp1.Config{Route: d.route, Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: longest, Log: d.log}, d.clock)
+	d.front = fronthttp1.New(fronthttp1.Config{Route: d.route, Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: longest, Log: d.log}, d.clock)
+	if err := d.take(pools); err != nil {
+		return err
+	}
 	d.log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "pools", len(pools.List))
 	failed := make(chan error, 1)
-	go func() { failed <- f.Serve(listener) }()
+	go func() { failed <- d.front.Serve(listener) }()
 	for {
 		select {
 		case err := <-failed:
@@ -59,7 +59,7 @@
 		case <-reload:
 			d.again(pools.Path)
 		case <-ctx.Done():
-			return f.Drain()
+			return d.front.Drain()
 		}
 	}
 }
@@ -69,6 +69,7 @@
 	cfg   *config.Config
 	clock clock.Clock
 	log   *slog.Logger
+	front *fronthttp1.Front
 	now   atomic.Pointer[routing]
 
 	leaving sync.WaitGroup // pools that were taken away
@@ -131,6 +132,15 @@
 		}
 		next.pools[p.Name] = r
 	}
+	if pools.Walls {
+		targets := make([]*fronthttp1.Target, len(pools.List))
+		for i, p := range pools.List {
+			targets[i] = next.pools[p.Name].target
+		}
+		d.front.Share(targets, weights)
+	} else {
+		d.front.Share(nil, nil)
+	}
 	d.now.Store(next)
 	if before == nil {
 		return nil
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -33,9 +33,9 @@
 	once  sync.Once
 }
 
-func newAcceptor(l net.Listener, c clock.Clock, bounds Bounds) *acceptor {
+func newAcceptor(c clock.Clock, bounds Bounds) *acceptor {
 	return &acceptor{
-		listener: l, clock: c, books: books{bounds: bounds}, freed: make(chan struct{}, 1), done: make(chan struct{}),
+		clock: c, books: books{bounds: bounds, speaks: func(e *entry) bool { return e.conn.speaks() }}, freed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
 
@@ -101,10 +101,10 @@
 	}
 }
 
-// closeAll ends connections that are off the books. One whose request is being read is only woken: it answers.
+// closeAll ends connections that are off the books. One that is being read is only woken: it answers.
 func closeAll(entries []*entry) {
 	for _, e := range entries {
-		if e.reads {
+		if e.in == reading || e.in == over {
 			_ = e.conn.net.SetReadDeadline(time.Unix(1, 0))
 			continue
 		}
@@ -112,9 +112,28 @@
 	}
 }
 
+// open has connections come from a listener; false: it was closed before.
+func (a *acceptor) open(l net.Listener) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listener = l
+	select {
+	case <-a.done:
+		l.Close()
+		return false
+	default:
+		return true
+	}
+}
+
 // close ends accepting; what is open goes on.
 func (a *acceptor) close() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.once.Do(func() { close(a.done) })
+	if a.listener == nil {
+		return nil
+	}
 	return a.listener.Close()
 }
 
@@ -147,7 +166,7 @@
 	return !c.entry.gone
 }
 
-// unread takes that a part of a connection's request is still to come, or what is behind a rejected one.
+// unread takes that a part of a connection's request is still to come.
 func (a *acceptor) unread(c *conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -156,11 +175,36 @@
 	a.signal()
 }
 
-// asked takes that a request of a connection can be taken on.
-func (a *acceptor) asked(c *conn) {
+// last takes that a connection has its last answer, and is read over.
+func (a *acceptor) last(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.busy(&c.entry)
+	a.books.last(a.clock.Now(), &c.entry)
+	a.tidy()
+	a.signal()
+}
+
+// asked takes that a request of a connection can be taken on, and whose it is.
+func (a *acceptor) asked(c *conn, o *owner) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.books.asked(&c.entry)
+	a.books.belongs(&c.entry, o)
+}
+
+// crowded says whether a connection ought to close with its next answer.
+func (a *acceptor) crowded(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.books.crowded(&c.entry)
+}
+
+// divide gives owners parts of the connections.
+func (a *acceptor) divide(owners []*owner, weights []float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.divide(owners, weights)
 }
 
 // rest takes that a connection's request has its answer.
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -13,7 +13,8 @@
 type kind int
 
 const (
-	silent  kind = iota // nothing yet
+	over    kind = iota // it has its last answer; what its client still sends is read over
+	silent              // nothing yet
 	reading             // a part of its request is here, the rest is still to come
 	visitor             // GET /up alone
 	once                // one request
@@ -24,9 +25,12 @@
 var (
 	// restsFor is how long one of a kind has to be at rest before the bound of its kind has it go. One that is read is left
 	// more: what comes late may be late for our own want of CPU.
-	restsFor = [kinds]time.Duration{silent: restTime, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: time.Second}
-	// leftFor is how long one of a kind is left at rest where there is room. (One that is read has deadlines of its own.)
-	leftFor = [kinds]time.Duration{silent: 2200 * time.Millisecond, reading: time.Minute, visitor: 2 * time.Minute, once: 2 * time.Minute, kept: 2 * time.Minute}
+	restsFor = [kinds]time.Duration{over: restTime, silent: restTime, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: time.Second}
+	// fullFor is how long it has to be where there is no room. A client beside us sends at once, and what has come and we
+	// have not read is seen, so one that says nothing is left next to no time.
+	fullFor = [kinds]time.Duration{over: 20 * time.Millisecond, silent: 10 * time.Millisecond, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: restTime}
+	// leftFor is how long one of a kind is left at rest where there is room. (One that is read, or read over, has deadlines of its own.)
+	leftFor = [kinds]time.Duration{over: time.Minute, silent: 2200 * time.Millisecond, reading: time.Minute, visitor: 2 * time.Minute, once: 2 * time.Minute, kept: 2 * time.Minute}
 )
 
 // Bounds are how many connections clients may have.
@@ -39,11 +43,11 @@
 // What rests there is left no more than half of the application's part, so that half is always free for what it opens.
 func BoundsOf(most, application int) Bounds {
 	part := func(of int) int { return max(2, application/of) }
-	return Bounds{Most: most, Rest: [kinds]int{silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
+	return Bounds{Most: most, Rest: [kinds]int{over: part(4), silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
 }
 
 // Counters are figures of the clients' connections for the log. Rest are at rest, Closed made room, each by kind:
-// that said nothing, that are being read, that asked for /up alone, asked once, came back.
+// that have their last answer, that said nothing, that are being read, that asked for /up alone, asked once, came back.
 type Counters struct {
 	Open, Most int // Most: at once, so far
 	Rest       [kinds]int
@@ -63,14 +67,59 @@
 	open    int
 	rests   [kinds]list.List // of *entry with no open request, or of a request that is not whole, longest first
 	figures Counters
+	divided bool // owners have parts
+
+	// speaks says whether something of a connection that has said nothing is here and not read yet: it is no stranger
+	// then, we are late. nil: it never is.
+	speaks func(*entry) bool
+}
+
+// reserveOf is the share of all connections that owners' parts leave for those that have asked for nothing yet.
+const reserveOf = 1.0 / 8
+
+// owner has connections: a target whose requests come on them. The books' caller has its lock.
+type owner struct {
+	count int // of its connections
+	part  int // that it may have where room is short; what others leave it may use too
+}
+
+// divide gives owners parts by weight; none: there are no parts.
+func (b *books) divide(owners []*owner, weights []float64) {
+	b.divided = len(owners) > 0
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	for i, o := range owners {
+		o.part = max(1, int(float64(b.bounds.Most)*(1-reserveOf)*weights[i]/sum))
+	}
+}
+
+// belongs takes whose request came on a connection last.
+func (b *books) belongs(e *entry, o *owner) {
+	if e.owner == o || e.gone {
+		return
+	}
+	if e.owner != nil {
+		e.owner.count--
+	}
+	o.count++
+	e.owner = o
+}
+
+// crowded says whether a connection's owner has more than its part where room is short: it ought to close with its
+// next answer, so that what is kept for newcomers is free when they come. That crosses no request.
+func (b *books) crowded(e *entry) bool {
+	return b.divided && e.owner != nil && e.owner.count > e.owner.part && float64(b.open) > float64(b.bounds.Most)*(1-reserveOf)
 }
 
 // entry is a connection in the books.
 type entry struct {
 	conn  *conn
 	kind  kind
-	reads bool          // it is in the list of those that are being read
-	place *list.Element // in one of the lists; nil: a whole request is open, or it is closed
+	owner *owner        // whose request came on it last; nil: none
+	in    kind          // the list that it is in
+	place *list.Element // there; nil: a whole request is open, or it is closed
 	since time.Duration // in it
 	gone  bool
 }
@@ -106,11 +155,7 @@
 	}
 	wait = restTime
 	for k := range kinds {
-		least := restTime
-		if k == reading {
-			least = restsFor[reading]
-		}
-		e, w := b.longest(now, k, least)
+		e, w := b.longest(now, k, fullFor[k])
 		if e != nil {
 			return append(leave, e), 0, true
 		}
@@ -124,7 +169,7 @@
 // resting takes off all that no request is open on.
 func (b *books) resting() (leave []*entry) {
 	for k := range kinds {
-		for k != reading && b.rests[k].Len() > 0 {
+		for k != reading && k != over && b.rests[k].Len() > 0 {
 			e := b.rests[k].Front().Value.(*entry)
 			b.end(e)
 			leave = append(leave, e)
@@ -136,18 +181,23 @@
 // longest takes the one of a kind off that has been at rest for longest, if that is time at least, or says how long
 // that is still to wait for.
 func (b *books) longest(now time.Duration, k kind, least time.Duration) (e *entry, wait time.Duration) {
-	front := b.rests[k].Front()
-	if front == nil {
-		return nil, 0
-	}
-	e = front.Value.(*entry)
-	if wait = least - (now - e.since); wait > 0 {
-		return nil, wait
+	for {
+		front := b.rests[k].Front()
+		if front == nil {
+			return nil, 0
+		}
+		e = front.Value.(*entry)
+		if wait = least - (now - e.since); wait > 0 {
+			return nil, wait
+		}
+		if k != silent || b.speaks == nil || !b.speaks(e) {
+			break
+		}
+		e.since = now // it counts as new until it is read
+		b.rests[k].MoveToBack(front)
 	}
 	b.figures.Closed[k]++
-	reads := e.reads
 	b.end(e)
-	e.reads = reads // whoever closes it has to know
 	return e, 0
 }
 
@@ -165,18 +215,16 @@
 }
 
 // unread takes that the request on a connection is not whole yet.
-func (b *books) unread(now time.Duration, e *entry) {
-	if e.place == nil && !e.gone {
-		e.reads = true
-		b.into(now, e, reading)
-	}
-}
+func (b *books) unread(now time.Duration, e *entry) { b.into(now, e, reading) }
+
+// last takes that a connection has its last answer, while its client may still send.
+func (b *books) last(now time.Duration, e *entry) { b.into(now, e, over) }
 
 func (b *books) into(now time.Duration, e *entry, k kind) {
 	if e.gone || e.place != nil {
 		return
 	}
-	e.since = now
+	e.since, e.in = now, k
 	e.place = b.rests[k].PushBack(e)
 }
 
@@ -185,12 +233,8 @@
 	if e.place == nil {
 		return
 	}
-	if e.reads {
-		b.rests[reading].Remove(e.place)
-	} else {
-		b.rests[e.kind].Remove(e.place)
-	}
-	e.reads, e.place = false, nil
+	b.rests[e.in].Remove(e.place)
+	e.place = nil
 }
 
 // asked takes that a connection has sent a request that can be taken on.
@@ -206,6 +250,9 @@
 	}
 	b.busy(e)
 	e.gone = true
+	if e.owner != nil {
+		e.owner.count--
+	}
 	b.open--
 }
 
--- a/internal/front/http1/books_test.go
+++ b/internal/front/http1/books_test.go
@@ -61,7 +61,7 @@
 // At the bound on all, strangers go before those that ask, and then the one longest at rest; never one with an open
 // request or one of this moment.
 func TestLongestAtRestGoes(t *testing.T) {
-	b := books{bounds: Bounds{Most: 3, Rest: [kinds]int{3, 3, 3, 3, 3}}}
+	b := books{bounds: Bounds{Most: 3, Rest: [kinds]int{3, 3, 3, 3, 3, 3}}}
 	first, second := client(&b, 0, 2), client(&b, time.Second, 2)
 	strange := client(&b, 2*time.Second, 0)
 	if _, _, ok := b.room(2 * time.Second); !ok || !first.gone || strange.gone {
@@ -74,7 +74,7 @@
 	b.busy(second)
 	b.busy(third)
 	client(&b, 3*time.Second, 2)
-	if leave, wait, ok := b.room(3 * time.Second); ok || leave != nil || wait != restTime {
+	if leave, wait, ok := b.room(3 * time.Second); ok || leave != nil || wait != fullFor[kept] {
 		t.Errorf("those with an open request and one of this moment must stay: wait %v, ok %v", wait, ok)
 	}
 }
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -36,6 +36,14 @@
 	err   error // of the last first
 	try   func(fd uintptr) bool
 
+	// Where the front is shared, see gate:
+	of      *Target       // whose its last request was
+	permit  chan struct{} // gets an item with the permit
+	in      *gate         // that it has a permit of; nil: none
+	asked   int           // the flow that it was asked for
+	bytes   int           // read under it
+	entered time.Duration
+
 	hung     chan struct{} // closed when the client may have gone
 	hangOnce sync.Once
 }
@@ -101,6 +109,52 @@
 	}
 }
 
+// readable says whether there is something to read, the end included.
+func (c *conn) readable(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return !errors.Is(err, syscall.EAGAIN)
+}
+
+// speaks says whether bytes are here that nobody has read. It is called from other goroutines.
+func (c *conn) speaks() bool {
+	if c.raw == nil {
+		return false
+	}
+	n := 0
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// read reads what comes next. What is there already is read under the permit, if there is one; it is given back for
+// as long as nothing is.
+func (c *conn) read(p []byte) (int, error) {
+	if c.in == nil || c.raw == nil {
+		return c.net.Read(p)
+	}
+	n := 0
+	var err error
+	tried := c.raw.Read(func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), p)
+		return true
+	})
+	if tried == nil && n > 0 {
+		c.bytes += n
+		return n, nil
+	}
+	c.leave()
+	if err := c.raw.Read(c.readable); err != nil {
+		return 0, err
+	}
+	c.enter()
+	n, err = c.net.Read(p)
+	c.bytes += n
+	return n, err
+}
+
 // first waits for the first bytes of a request. It holds no buffer until they are here.
 func (c *conn) first() bool {
 	if c.s != nil {
@@ -108,6 +162,12 @@
 		c.s = nil
 	}
 	if c.raw != nil {
+		if c.front.gate.Load() != nil { // it waits for its turn with the bytes in the kernel's buffer
+			if c.raw.Read(c.readable) != nil {
+				return false
+			}
+			c.enter()
+		}
 		if c.raw.Read(c.try) != nil {
 			return false
 		}
@@ -121,12 +181,14 @@
 
 // next takes one request and answers it; false: the connection is to be closed.
 func (c *conn) next() bool {
+	defer c.leave()
 	if c.start == c.end { // else the next request's bytes came with the last one's
 		c.start, c.end = 0, 0
 		if !c.first() {
 			return false
 		}
 	}
+	c.enter()                      // a request that came behind another waits for its turn too
 	arrived := c.front.clock.Now() // the client's time began when it sent
 	if !c.a.busy(c) {
 		return false // it was closed to make room: unread, its client takes that as a crossing
@@ -176,7 +238,7 @@
 		case c.end == len(s.in):
 			s.in = append(s.in, make([]byte, h1.HeadLimit-len(s.in))...)
 		}
-		read, err := c.net.Read(s.in[c.end:])
+		read, err := c.read(s.in[c.end:])
 		c.end += read
 		if read == 0 {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -225,7 +287,11 @@
 	if bad != nil {
 		return c.reject(bad)
 	}
-	c.a.asked(c)
+	c.of = t
+	c.a.asked(c, &t.owner)
+	if f.gate.Load() != nil && c.a.crowded(c) { // a pool that has more than its part makes room for those that come
+		return c.refuseHead(max(h.Length, 0))
+	}
 	id, length := h.Get("X-Request-Id"), max(h.Length, 0)
 	if !t.enter(id) {
 		return c.reject(&Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
@@ -262,6 +328,7 @@
 	f.held.Add(1)
 	defer f.held.Add(-1)
 	reply := make(chan call.Answer, 1)
+	c.leave()
 	number := t.Engine.Ask(q, m, arrived+left, reply)
 	for hung := c.hung; ; {
 		select {
@@ -307,7 +374,7 @@
 			copy(grown, body)
 			body = grown
 		}
-		n, err := c.net.Read(body[len(body):cap(body)])
+		n, err := c.read(body[len(body):cap(body)])
 		if body = body[:len(body)+n]; n == 0 {
 			if errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
 				c.reject(c.late(&Rejection{http.StatusRequestTimeout, "the body is shorter than Content-Length"}))
@@ -319,7 +386,7 @@
 }
 
 // refuseHead refuses a request by its head, at once. A body that is still to come is read over, so that the
-// connection goes on; it costs its client's place in the list of those that are being read.
+// connection goes on; it is one of those that are being read as long as that takes.
 func (c *conn) refuseHead(length int64) bool {
 	if !c.refuse(time.Second) {
 		return false
@@ -330,39 +397,57 @@
 	if rest == 0 {
 		return true
 	}
+	if c.s.head.Close {
+		c.linger(rest)
+		return false
+	}
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
 	c.a.unread(c)
-	c.start, c.end = 0, 0 // all of it was the body's
-	for rest > 0 {
-		n, err := c.net.Read(c.s.in[:min(rest, int64(len(c.s.in)))])
-		if rest -= int64(n); err != nil {
-			return false
-		}
+	if !c.readOver(rest) {
+		return false
 	}
 	_ = c.net.SetReadDeadline(time.Time{})
 	return c.a.busy(c)
 }
 
 // reject answers a request that can't be taken on and closes its connection: where it ends is not to be trusted.
-// Its client may still be sending, and closed with something unread a connection is reset, which it would find
-// instead of its answer (RFC 9112, 9.6): our side is ended, and what comes is read over for rejectTime and
-// lingerMost bytes. That is no place which others wait for: it goes first where room is short.
 func (c *conn) reject(bad *Rejection) bool {
 	a := h1.Answer{Status: bad.Status, Length: len(bad.Reason) + 1, Text: true, Close: true}
 	if bad.Status == http.StatusServiceUnavailable { // nothing of it was sent: harmless to repeat
 		a.Pause = time.Second
 	}
+	if c.answer(&a, []byte(bad.Reason+"\n")) {
+		c.linger(lingerMost)
+	}
+	return false
+}
+
+// linger ends our side and reads over what a client still sends, for rejectTime and so many bytes: closed with
+// something unread a connection is reset, and the client finds that instead of its answer (RFC 9112, 9.6).
+// That is no place which others wait for: it goes first where room is short.
+func (c *conn) linger(most int64) {
 	tcp, ok := c.net.(*net.TCPConn)
-	if c.answer(&a, []byte(bad.Reason+"\n")) && ok && tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(rejectTime)) == nil {
-		c.a.unread(c)
-		for over := 0; over < lingerMost; {
-			n, err := tcp.Read(c.s.in)
-			if over += n; err != nil {
-				break
-			}
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(rejectTime)) != nil {
+		return
+	}
+	c.a.last(c)
+	if c.readOver(most) && most < lingerMost {
+		c.readOver(1) // the client's own end, so that nothing is left that it could not have read
+	}
+}
+
+// readOver reads so many bytes over; false: they did not come.
+func (c *conn) readOver(rest int64) bool {
+	b := overs.Get().(*[overSize]byte)
+	defer overs.Put(b)
+	c.start, c.end = 0, 0 // what was here is part of it
+	for rest > 0 {
+		n, err := c.read(b[:min(rest, overSize)])
+		if rest -= int64(n); err != nil || n == 0 {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // final sends the final answer.
@@ -385,7 +470,7 @@
 
 // answer sends an answer; false: the connection can't go on.
 func (c *conn) answer(a *h1.Answer, body []byte) bool {
-	if c.front.draining.Load() {
+	if c.front.draining.Load() || c.front.gate.Load() != nil && c.a.crowded(c) {
 		c.s.head.Close = true // with this answer
 	}
 	a.Close = a.Close || c.s.head.Close
@@ -421,6 +506,7 @@
 		}
 		head = head[max(n, 0):] // an error comes again
 	}
+	c.leave() // the client takes its time
 	if err := c.net.SetWriteDeadline(time.Now().Add(answerTime)); err != nil {
 		return err
 	}
--- a/internal/front/http1/drain.go
+++ b/internal/front/http1/drain.go
@@ -18,10 +18,7 @@
 	f.cfg.Log.Info("stopping", "held", f.held.Load())
 	f.ready.Store(false)
 	f.draining.Store(true)
-	a := f.conns.Load()
-	if a == nil {
-		return nil
-	}
+	a := f.conns
 	a.closeResting()
 	time.Sleep(lingerTime)
 	err := a.close()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -4,6 +4,7 @@
 import (
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 	BodyBytes int64          // of their bodies
 
 	walls atomic.Pointer[Walls]
+	owner owner        // of connections, under the acceptor's lock
+	flow  atomic.Int64 // its place in the gate's queue
 	held  atomic.Int64 // requests with no answer yet
 	bytes atomic.Int64 // of their bodies
 
@@ -96,11 +99,14 @@
 	ready    atomic.Bool  // what GET /up tells
 	draining atomic.Bool  // each connection closes with its next answer
 	watch    *watcher
-	conns    atomic.Pointer[acceptor]
+	conns    *acceptor
+	gate     atomic.Pointer[gate] // nil: there is one target, nothing is shared
 }
 
 // New makes a front.
-func New(cfg Config, c clock.Clock) *Front { return &Front{cfg: cfg, clock: c} }
+func New(cfg Config, c clock.Clock) *Front {
+	return &Front{cfg: cfg, clock: c, conns: newAcceptor(c, cfg.Conns)}
+}
 
 // Serve takes requests on a listener until Drain is called, and returns why it ended: net.ErrClosed after a drain.
 func (f *Front) Serve(l net.Listener) error {
@@ -109,28 +115,27 @@
 		return err
 	}
 	defer f.watch.close()
-	a := newAcceptor(l, f.clock, f.cfg.Conns)
-	f.conns.Store(a)
+	if !f.conns.open(l) {
+		return net.ErrClosed
+	}
 	f.ready.Store(true)
 	ended := make(chan struct{})
 	defer close(ended)
 	go f.logCounters(ended)
 	for {
-		c, err := a.accept()
+		c, err := f.conns.accept()
 		if err != nil {
 			return err
 		}
 		go f.serve(c)
+		if f.gate.Load() != nil {
+			runtime.Gosched() // a crowd that connects waits in the listener's queue, not in ours
+		}
 	}
 }
 
 // Counters are figures of the clients' connections.
-func (f *Front) Counters() Counters {
-	if a := f.conns.Load(); a != nil {
-		return a.counters()
-	}
-	return Counters{}
-}
+func (f *Front) Counters() Counters { return f.conns.counters() }
 
 func (f *Front) logCounters(ended <-chan struct{}) {
 	ticker := time.NewTicker(countersEvery)
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -89,5 +89,8 @@
 	return work, true
 }
 
+// Behind says whether a flow has had less than its part: its next work starts at the present, not later.
+func (q *Queue[T]) Behind(f int) bool { return q.flows[f].finish <= q.now }
+
 // Waiting is how much work waits.
 func (q *Queue[T]) Waiting() int { return q.waits }
