--- a/internal/front/http1/gate_test.go
+++ b/internal/front/http1/gate_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,12 +33,12 @@
 		})
 	}
 	c := &conn{front: f, of: quiet}
-	var worst time.Duration
+	var waits []time.Duration
 	for range 50 {
 		time.Sleep(time.Millisecond)
 		begun := time.Now()
 		c.enter()
-		worst = max(worst, time.Since(begun))
+		waits = append(waits, time.Since(begun))
 		c.leave()
 	}
 	close(stop)
@@ -46,10 +47,10 @@
 	if n := g.queue.Waiting(); n != 0 {
 		t.Errorf("%d still wait", n)
 	}
-	// In turn it would be 200 x 50 µs = 10 ms each time; a machine that is busy may add some.
-	t.Logf("the quiet one waited %v at most", worst)
-	if worst > 100*time.Millisecond {
-		t.Errorf("the quiet one waited %v", worst)
+	// In the order of asking it would be 200 x 50 µs = 10 ms each time.
+	slices.Sort(waits)
+	if median := waits[len(waits)/2]; median > 3*time.Millisecond {
+		t.Errorf("the quiet one waited %v in the median", median)
 	}
 	c.enter()
 	c.enter() // a second one passes: it has its permit
