What waits for its turn waits for the poller, not in the run queue; walls are asked at the head

A profile had the daemon at 92% of its core. Cause: with one P and a run queue that is never empty the runtime looks at the network only by its system monitor, every 10 ms, and yielding, by which the flood's work was paced, keeps the queue from ever being empty.

Change: pacing waits on a pipe that it has written to, so the poller's next look wakes it, which comes when nothing is runnable any more. Walls are asked at the head too, before the body of a request is read that they would refuse.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -282,6 +282,12 @@
 // Exit gives it back.
 func (w *walls) Exit() { w.clients.Give(w.pool, 1) }
 
+// Room says whether Take would take one now.
+func (w *walls) Room(size int64) bool {
+	now := w.clock.Now()
+	return (!w.bounded || w.calls.Room(now, w.pool, 1)) && w.bodies.Room(now, w.pool, size)
+}
+
 // Take takes a place for a request with a body of so many bytes.
 func (w *walls) Take(size int64) bool {
 	now := w.clock.Now()
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -305,7 +305,7 @@
 		}
 		defer (*walls).Exit()
 	}
-	if !t.room(1, length) {
+	if !t.room(1, length) || walls != nil && !(*walls).Room(length) {
 		return c.refuseHead(length)
 	}
 	// The head's strings are its own; the rest of the scratch is used again for what follows.
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -60,6 +60,8 @@
 	Exit()
 	// Take takes a place for a request with a body of so many bytes, or says that there is none.
 	Take(size int64) bool
+	// Room says whether there would be one now. Nothing is taken.
+	Room(size int64) bool
 	// Give gives it back.
 	Give(size int64)
 }
@@ -99,6 +101,7 @@
 	draining atomic.Bool  // each connection closes with its next answer
 	watch    *watcher
 	conns    *acceptor
+	turns    turns
 	gate     atomic.Pointer[gate] // nil: there is one target, nothing is shared
 }
 
@@ -114,6 +117,7 @@
 		return err
 	}
 	defer f.watch.close()
+	defer f.turns.close()
 	if !f.conns.open(l) {
 		return net.ErrClosed
 	}
@@ -127,8 +131,8 @@
 			return err
 		}
 		go f.serve(c)
-		if g := f.gate.Load(); g != nil {
-			g.pace(acceptPace) // a crowd that connects waits in the listener's queue, not in ours
+		if f.gate.Load() != nil {
+			f.turns.wait() // a crowd that connects waits in the listener's queue, not in ours
 		}
 	}
 }
--- a/internal/front/http1/gate.go
+++ b/internal/front/http1/gate.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"runtime"
 	"sync"
 	"time"
 
@@ -15,13 +14,6 @@
 	gatePermits = 2
 	// gateSpare are for pools that are behind their part.
 	gateSpare = 2
-	// shortTurn is how long all that is runnable may take to have its turn for more to be begun. A request has some six
-	// turns on its way, and each waits for that long; what was begun before its turn came is what makes them long.
-	shortTurn = 200 * time.Microsecond
-	// longestPace bounds how long one waits for a short turn: a core that others keep busy must not stop us.
-	longestPace = 5 * time.Millisecond
-	// acceptPace bounds the same before a connection is accepted: those of all pools wait in one line there.
-	acceptPace = 500 * time.Microsecond
 	// byteCost is what a byte of a body is charged with beside the time that it took to read it: it is copied once
 	// more on its way to a server.
 	byteCost = 1 * time.Nanosecond
@@ -62,26 +54,13 @@
 		<-c.permit
 	}
 	if !behind {
-		g.pace(longestPace)
+		// What others have begun goes first, down to the answers that are being passed on, and what has come in meanwhile. So
+		// no more is begun than the core gets done, and it is the pool that wants most whose work waits, outside.
+		c.front.turns.wait()
 	}
 	c.in, c.asked, c.spare, c.bytes, c.entered = g, f, spare, 0, g.clock.Now()
 }
 
-// pace waits, for most at most, until what is runnable has a short turn: what others have begun goes first, down to the answers that are
-// being passed on. So no more is begun than the core gets done, and it is the pool that wants most whose work waits,
-// outside, not all that is inside.
-func (g *gate) pace(most time.Duration) {
-	begun := g.clock.Now()
-	for last := begun; ; {
-		runtime.Gosched() // behind all that is runnable now
-		now := g.clock.Now()
-		if now-last < shortTurn || now-begun > most {
-			return
-		}
-		last = now
-	}
-}
-
 // leave gives the permit back, if there is one. It comes before everything that may wait.
 func (c *conn) leave() {
 	g := c.in
--- a/internal/share/space.go
+++ b/internal/share/space.go
@@ -52,6 +52,22 @@
 func (s *Space) Take(now time.Duration, pool int, n int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.room(now, pool, n) {
+		return false
+	}
+	s.parts[pool].used += n
+	s.used += n
+	return true
+}
+
+// Room says whether Take would take n now. An owner that is told no has asked, as with Take.
+func (s *Space) Room(now time.Duration, pool int, n int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.room(now, pool, n)
+}
+
+func (s *Space) room(now time.Duration, pool int, n int64) bool {
 	p := &s.parts[pool]
 	if p.used+n <= p.sure {
 		if s.used+n > s.size { // its own, but lent
@@ -59,8 +75,6 @@
 			return false
 		}
 		p.asks = false
-		p.used += n
-		s.used += n
 		return true
 	}
 	free := s.size - s.used
@@ -76,12 +90,7 @@
 			free -= int64(float64(unused) * keepBack)
 		}
 	}
-	if n > free {
-		return false
-	}
-	p.used += n
-	s.used += n
-	return true
+	return n <= free
 }
 
 // Give gives n of a pool back.
