A pool within its part keeps its spare connections when others flood

Seen, by the times of the quiet pool's slow requests: clusters of about 100 ms on new connections. The books close what is at rest longest: a quiet pool's spares, never those of a flood that comes back after 20 ms. Change: where pools have parts, only those over theirs make room, after 10 ms of rest.

--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -33,6 +33,9 @@
 	leftFor = [kinds]time.Duration{over: time.Minute, silent: 2200 * time.Millisecond, reading: time.Minute, visitor: 2 * time.Minute, once: 2 * time.Minute, kept: 2 * time.Minute}
 )
 
+// overPart is how long one of an owner with more than its part is left at rest at most where a bound is met.
+const overPart = 10 * time.Millisecond
+
 // Bounds are how many connections clients may have.
 type Bounds struct {
 	Most int        // in all; one more waits
@@ -135,7 +138,7 @@
 			}
 			e, wait := b.longest(now, k, least)
 			if e == nil {
-				if again == 0 || wait < again {
+				if wait > 0 && (again == 0 || wait < again) {
 					again = wait
 				}
 				break
@@ -159,7 +162,7 @@
 		if e != nil {
 			return append(leave, e), 0, true
 		}
-		if b.rests[k].Len() > 0 {
+		if w > 0 {
 			wait = min(wait, w)
 		}
 	}
@@ -179,26 +182,43 @@
 }
 
 // longest takes the one of a kind off that has been at rest for longest, if that is time at least, or says how long
-// that is still to wait for.
+// that is still to wait for. Where owners have parts, one that is within its own is left alone: what rests longest would
+// be the spare connections of a quiet pool, closed for those that a flooded one comes back on all the time.
 func (b *books) longest(now time.Duration, k kind, least time.Duration) (e *entry, wait time.Duration) {
-	for {
-		front := b.rests[k].Front()
-		if front == nil {
-			return nil, 0
+	for place := b.rests[k].Front(); place != nil; {
+		e = place.Value.(*entry)
+		next := place.Next()
+		need := least
+		if b.divided && e.owner != nil {
+			if e.owner.count <= e.owner.part {
+				need = leftFor[k]
+			} else if least < leftFor[k] {
+				need = min(need, overPart)
+			}
 		}
-		e = front.Value.(*entry)
-		if wait = least - (now - e.since); wait > 0 {
+		if rests := need - (now - e.since); rests > 0 {
+			if wait == 0 || rests < wait {
+				wait = rests
+			}
+			if b.divided {
+				place = next // one of another owner may have to wait for less
+				continue
+			}
 			return nil, wait
 		}
-		if k != silent || b.speaks == nil || !b.speaks(e) {
-			break
+		if k == silent && b.speaks != nil && b.speaks(e) {
+			e.since = now // it counts as new until it is read
+			b.rests[k].MoveToBack(place)
+			if place = next; next == nil {
+				return nil, least
+			}
+			continue
 		}
-		e.since = now // it counts as new until it is read
-		b.rests[k].MoveToBack(front)
+		b.figures.Closed[k]++
+		b.end(e)
+		return e, 0
 	}
-	b.figures.Closed[k]++
-	b.end(e)
-	return e, 0
+	return nil, wait
 }
 
 // add takes a new connection on.
--- a/internal/front/http1/books_test.go
+++ b/internal/front/http1/books_test.go
@@ -129,3 +129,34 @@
 		t.Errorf("%d leave, ok %v, want the mute one alone", len(leave), ok)
 	}
 }
+
+// The spare connections of an owner within its part, at rest for long, are not closed for those that a flooded one comes
+// back on.
+func TestWithinItsPartIsLeftAlone(t *testing.T) {
+	b := books{bounds: Bounds{Most: 16, Rest: [kinds]int{16, 16, 16, 16, 16, 2}}}
+	flooded, quiet := new(owner), new(owner)
+	b.divide([]*owner{flooded, quiet}, []float64{1, 1})
+	own := func(now time.Duration, o *owner) *entry {
+		e := &entry{}
+		b.add(now, e)
+		b.busy(e)
+		b.asked(e)
+		b.asked(e)
+		b.belongs(e, o)
+		b.rest(now, e)
+		return e
+	}
+	spare := []*entry{own(0, quiet), own(0, quiet)}
+	for range 14 {
+		own(10*time.Second, flooded)
+	}
+	if leave, _, ok := b.room(10*time.Second + overPart); !ok || len(leave) != 7 {
+		t.Errorf("%d leave, ok %v, want all seven over the part", len(leave), ok)
+	}
+	if spare[0].gone || spare[1].gone {
+		t.Error("a spare connection of the quiet owner was closed")
+	}
+	if leave, _ := b.sweep(leftFor[kept]); len(leave) < 2 || !spare[0].gone {
+		t.Errorf("%d leave once they rest for too long", len(leave))
+	}
+}
