A flow is behind by what it used lately; a spare permit goes on to the next that is

Seen, by stamps on the quiet pool's slow requests: 26 to 35 ms at the permit, in bursts of three and more: a spare permit that came back was not handed to waiting work, and "behind" went by start tags, which for a flow with anything under way are near the present's, a flood's as much as a quiet one's. Newcomers were charged nothing, so a crowd of them was always behind.

Change: a flow is behind while it used less than half of its part of the last 50 ms of cost; a spare permit goes on to the next work of such a flow; what came in as a newcomer's is charged there too.

--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -37,12 +37,12 @@
 	try   func(fd uintptr) bool
 
 	// Where the front is shared, see gate:
-	of      *Target       // whose its last request was
-	permit  chan struct{} // gets an item with the permit
-	in      *gate         // that it has a permit of; nil: none
-	asked   int           // the flow that it was asked for
-	spare   bool          // it is a spare one
-	bytes   int           // read under it
+	of      *Target   // whose its last request was
+	permit  chan bool // gets an item with the permit: whether it is a spare one
+	in      *gate     // that it has a permit of; nil: none
+	asked   int       // the flow that it was asked for
+	spare   bool      // it is a spare one
+	bytes   int       // read under it
 	entered time.Duration
 
 	hung     chan struct{} // closed when the client may have gone
--- a/internal/front/http1/gate.go
+++ b/internal/front/http1/gate.go
@@ -44,14 +44,14 @@
 		f = newcomers
 	}
 	if c.permit == nil {
-		c.permit = make(chan struct{}, 1)
+		c.permit = make(chan bool, 1)
 	}
 	g.mu.Lock()
 	behind := g.queue.Behind(f)
 	granted, spare := g.queue.Ask(f, c)
 	g.mu.Unlock()
 	if !granted {
-		<-c.permit
+		spare = <-c.permit
 	}
 	if !behind {
 		// What others have begun goes first, down to the answers that are being passed on, and what has come in meanwhile. So
@@ -79,7 +79,7 @@
 	next, ok := g.queue.Done(c.asked, of, c.spare, float64(cost))
 	g.mu.Unlock()
 	if ok {
-		next.permit <- struct{}{}
+		next.permit <- c.spare
 	}
 }
 
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -5,7 +5,7 @@
 // is known. So a flow that asks seldom waits for what holds the permits and for little else, however many others wait;
 // one that wants more than its part waits behind all who want less; and no permit is left while somebody waits.
 //
-// It is free of I/O and not safe for concurrent use. Costs are in any one unit.
+// It is free of I/O and not safe for concurrent use. Costs are in nanoseconds of a core, or what counts as such.
 type Queue[T any] struct {
 	free  int
 	spare int     // permits that only a flow that is behind may take
@@ -17,6 +17,7 @@
 type flow[T any] struct {
 	weight float64
 	finish float64 // where the flow's next work starts at the earliest
+	used   float64 // cost of its work lately, see lately
 	usual  float64 // cost of its work, smoothed: what work under way is taken for until its own cost is known
 	queue  []T
 	head   int // of the queue
@@ -25,6 +26,13 @@
 // usualPart is the weight of the newest cost in a flow's usual one.
 const usualPart = 1.0 / 8
 
+// A flow is behind while what it used lately, by weight, is less than behindPart of what all did. Tags can't tell that: what
+// starts next is always near the present, whose time its flow carries on. Lately is the last so many units of cost of all.
+const (
+	behindPart = 0.5
+	lately     = 50e6
+)
+
 // NewQueue makes a queue with so many permits, at least one, among flows by weight; weights must be above 0. Beside
 // them there are so many spare ones, for flows that are behind: they don't wait for work that holds a permit for long.
 func NewQueue[T any](permits, spare int, weights []float64) *Queue[T] {
@@ -62,46 +70,82 @@
 }
 
 // Done gives a permit back. asked is the flow that it was asked for; cost is charged to the flow that the work turned out
-// to be of. It returns the work that may begin now in its place, if any waits; for a spare one none does.
+// to be of. It returns the work that may begin now in its place, if any: for a spare one that of a flow that is behind,
+// which has a spare one then.
 func (q *Queue[T]) Done(asked, of int, spare bool, cost float64) (next T, ok bool) {
 	a, w := &q.flows[asked], &q.flows[of]
 	a.finish -= a.usual / a.weight
+	q.charge(w, cost)
+	if asked != of { // it was let in as its own
+		q.charge(a, cost)
+	}
+	best := q.first()
+	if spare && best != nil && !q.behind(best) {
+		best = nil
+	}
+	if best == nil {
+		if spare {
+			q.spare++
+		} else {
+			q.free++
+		}
+		return next, false
+	}
+	next = best.take()
+	q.waits--
+	q.begin(best)
+	return next, true
+}
+
+func (q *Queue[T]) charge(w *flow[T], cost float64) {
 	w.finish = max(w.finish, q.now) + cost/w.weight
 	w.usual += (cost - w.usual) * usualPart
-	if spare {
-		q.spare++
-		return next, false
+	kept := max(0, 1-cost/lately)
+	for i := range q.flows {
+		q.flows[i].used *= kept
 	}
-	return q.next()
+	w.used += cost
 }
 
-func (q *Queue[T]) next() (work T, ok bool) {
+// first is the flow whose work waits and starts first, or nil.
+func (q *Queue[T]) first() (best *flow[T]) {
 	if q.waits == 0 {
-		q.free++
-		return work, false
+		return nil
 	}
-	var best *flow[T]
 	for i := range q.flows {
 		if w := &q.flows[i]; w.head < len(w.queue) && (best == nil || w.finish < best.finish) {
 			best = w
 		}
 	}
-	work = best.queue[best.head]
+	return best
+}
+
+// take takes the flow's next work out of its queue.
+func (w *flow[T]) take() T {
+	work := w.queue[w.head]
 	var none T
-	best.queue[best.head] = none
-	if best.head++; best.head == len(best.queue) {
-		best.queue, best.head = best.queue[:0], 0
-	} else if best.head > 64 && best.head > len(best.queue)/2 { // a queue that is never empty must not grow for ever
-		best.queue = append(best.queue[:0], best.queue[best.head:]...)
-		best.head = 0
+	w.queue[w.head] = none
+	if w.head++; w.head == len(w.queue) {
+		w.queue, w.head = w.queue[:0], 0
+	} else if w.head > 64 && w.head > len(w.queue)/2 { // a queue that is never empty must not grow for ever
+		n := copy(w.queue, w.queue[w.head:])
+		clear(w.queue[n:])
+		w.queue, w.head = w.queue[:n], 0
 	}
-	q.waits--
-	q.begin(best)
-	return work, true
+	return work
 }
 
-// Behind says whether a flow has had less than its part: its next work starts at the present, not later.
-func (q *Queue[T]) Behind(f int) bool { return q.flows[f].finish <= q.now }
+// Behind says whether a flow had less than half of its part lately.
+func (q *Queue[T]) Behind(f int) bool { return q.behind(&q.flows[f]) }
+
+func (q *Queue[T]) behind(w *flow[T]) bool {
+	used, weights := 0.0, 0.0
+	for i := range q.flows {
+		used += q.flows[i].used
+		weights += q.flows[i].weight
+	}
+	return w.used/w.weight < behindPart*used/weights
+}
 
 // Waiting is how much work waits.
 func (q *Queue[T]) Waiting() int { return q.waits }
--- a/internal/share/queue_test.go
+++ b/internal/share/queue_test.go
@@ -97,26 +97,35 @@
 	}
 }
 
-// A spare permit is for a flow that is behind, and once it has had its part it waits as all do.
+// A spare permit is for a flow that is behind, goes on to the next of its work, and is kept from a flow that has had its part.
 func TestSparePermit(t *testing.T) {
 	q := NewQueue[string](1, 1, []float64{1, 1})
 	q.Ask(0, "holds on")
+	q.Done(0, 0, false, 1e6)
+	q.Ask(0, "holds on")
 	if granted, _ := q.Ask(0, "more"); granted {
-		t.Error("a flow at its part took the spare permit")
+		t.Error("a flow that has had its part took the spare permit")
 	}
-	q.Done(0, 0, false, 100) // "more" begins
-	granted, spare := q.Ask(1, "quiet")
-	if !granted || !spare {
+	if granted, spare := q.Ask(1, "quiet"); !granted || !spare {
 		t.Fatalf("the flow that is behind waits: %v, %v", granted, spare)
 	}
 	if granted, _ := q.Ask(1, "quiet too"); granted {
 		t.Error("there is one spare permit")
 	}
-	q.Done(1, 1, true, 1000)
-	if granted, _ := q.Ask(1, "no longer"); granted {
-		t.Error("a flow that had more than its part took the spare permit")
+	if next, ok := q.Done(1, 1, true, 1e3); !ok || next != "quiet too" {
+		t.Errorf("%q, %v: the spare permit goes on to who waits and is behind", next, ok)
+	}
+	q.Ask(1, "no longer")
+	if next, ok := q.Done(1, 1, true, 5e6); !ok || next != "more" {
+		t.Errorf("%q, %v: the other flow is the one that is behind now", next, ok)
+	}
+	if _, ok := q.Done(0, 0, true, 1e7); ok {
+		t.Error("the spare permit went on to a flow that has had its part")
 	}
-	if next, ok := q.Done(0, 0, false, 100); !ok || next != "quiet too" {
-		t.Errorf("%q, %v", next, ok)
+	q.Done(0, 0, false, 1e3) // "no longer" begins
+	q.Ask(1, "last")
+	q.Done(1, 1, false, 1e9)
+	if q.Behind(1) || !q.Behind(0) {
+		t.Errorf("behind: %v and %v, want the one that used little lately", q.Behind(0), q.Behind(1))
 	}
 }
