A connection whose bytes are on their way to the books is not at rest

And a stop closed connections that had been accepted and whose first request was on its way (GET /up: EOF).

Change: who reads says so before, and the books ask that, beside unread bytes, of every connection at rest before it is closed. A silent one is left 100 ms again where there is no room: 10 were too few on a starved machine. A drain leaves a connection that has said nothing alone for 0.5 s.

--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -141,7 +141,7 @@
 func (a *acceptor) closeResting() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	closeAll(a.books.resting())
+	closeAll(a.books.resting(a.clock.Now()))
 }
 
 // counters are the books' figures.
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -26,15 +26,18 @@
 	// restsFor is how long one of a kind has to be at rest before the bound of its kind has it go. One that is read is left
 	// more: what comes late may be late for our own want of CPU.
 	restsFor = [kinds]time.Duration{over: restTime, silent: restTime, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: time.Second}
-	// fullFor is how long it has to be where there is no room. A client beside us sends at once, and what has come and we
-	// have not read is seen, so one that says nothing is left next to no time.
-	fullFor = [kinds]time.Duration{over: 20 * time.Millisecond, silent: 10 * time.Millisecond, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: restTime}
+	// fullFor is how long it has to be where there is no room.
+	fullFor = [kinds]time.Duration{over: 20 * time.Millisecond, silent: restTime, reading: 500 * time.Millisecond, visitor: restTime, once: restTime, kept: restTime}
 	// leftFor is how long one of a kind is left at rest where there is room. (One that is read, or read over, has deadlines of its own.)
 	leftFor = [kinds]time.Duration{over: time.Minute, silent: 2200 * time.Millisecond, reading: time.Minute, visitor: 2 * time.Minute, once: 2 * time.Minute, kept: 2 * time.Minute}
 )
 
+// newFor is how long one that has said nothing is left alone by a drain: its request, or its client's look at /up, is
+// on its way.
+const newFor = 500 * time.Millisecond
+
 // overPart is how long one of an owner with more than its part is left at rest at most where a bound is met.
-const overPart = 10 * time.Millisecond
+const overPart = 50 * time.Millisecond
 
 // Bounds are how many connections clients may have.
 type Bounds struct {
@@ -72,8 +75,8 @@
 	figures Counters
 	divided bool // owners have parts
 
-	// speaks says whether something of a connection that has said nothing is here and not read yet: it is no stranger
-	// then, we are late. nil: it never is.
+	// speaks says whether something has come on a connection at rest that the books don't know of yet: unread in the
+	// kernel's buffer, or read and on its way to busy. It does not rest then, we are late. nil: nothing ever has.
 	speaks func(*entry) bool
 }
 
@@ -169,11 +172,18 @@
 	return leave, wait, false
 }
 
-// resting takes off all that no request is open on.
-func (b *books) resting() (leave []*entry) {
+// resting takes off what no request is open on. One whose first request may be on its way is left for a while.
+func (b *books) resting(now time.Duration) (leave []*entry) {
 	for k := range kinds {
-		for k != reading && k != over && b.rests[k].Len() > 0 {
-			e := b.rests[k].Front().Value.(*entry)
+		if k == reading || k == over {
+			continue
+		}
+		for place := b.rests[k].Front(); place != nil; {
+			e := place.Value.(*entry)
+			place = place.Next()
+			if k == silent && now-e.since < newFor || b.speaks != nil && b.speaks(e) {
+				continue
+			}
 			b.end(e)
 			leave = append(leave, e)
 		}
@@ -206,8 +216,8 @@
 			}
 			return nil, wait
 		}
-		if k == silent && b.speaks != nil && b.speaks(e) {
-			e.since = now // it counts as new until it is read
+		if k != over && k != reading && b.speaks != nil && b.speaks(e) {
+			e.since = now // it counts as new at rest until that is taken
 			b.rests[k].MoveToBack(place)
 			if place = next; next == nil {
 				return nil, least
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,7 @@
 	bytes   int       // read under it
 	entered time.Duration
 
+	taken    atomic.Bool   // bytes were read that the books may not know of
 	hung     chan struct{} // closed when the client may have gone
 	hangOnce sync.Once
 }
@@ -96,6 +98,7 @@
 // readOnce reads what is there, into a scratch that it takes for that; false: nothing is.
 func (c *conn) readOnce(fd uintptr) bool {
 	s := takeScratch()
+	c.taken.Store(true)
 	for {
 		n, err := syscall.Read(int(fd), s.in)
 		if errors.Is(err, syscall.EINTR) {
@@ -103,6 +106,7 @@
 		}
 		if errors.Is(err, syscall.EAGAIN) {
 			s.free()
+			c.taken.Store(false)
 			return false
 		}
 		c.s, c.start, c.end, c.err = s, 0, max(n, 0), err
@@ -117,7 +121,7 @@
 	return !errors.Is(err, syscall.EAGAIN)
 }
 
-// speaks says whether bytes are here that nobody has read. It is called from other goroutines.
+// speaks says whether bytes are here that the books don't know of. It is called from other goroutines.
 func (c *conn) speaks() bool {
 	if c.raw == nil {
 		return false
@@ -127,7 +131,8 @@
 		var b [1]byte
 		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && n > 0
+	// In this order: who takes the bytes out of the buffer has said so before.
+	return err == nil && (n > 0 || c.taken.Load())
 }
 
 // read reads what comes next. What is there already is read under the permit, if there is one; it is given back for
@@ -191,7 +196,9 @@
 	}
 	c.enter()                      // a request that came behind another waits for its turn too
 	arrived := c.front.clock.Now() // the client's time began when it sent
-	if !c.a.busy(c) {
+	known := c.a.busy(c)
+	c.taken.Store(false)
+	if !known {
 		return false // it was closed to make room: unread, its client takes that as a crossing
 	}
 	size, ok := c.head()
