Admission is a package of its own, without the module's state; nothing decides otherwise

Config.Gate sets another one; nil is as before.

The module's tests pass unchanged but for those that reached into the old field.

--- a/policy/api.go
+++ b/policy/api.go
@@ -18,7 +18,12 @@
 // New returns an error that names the field for settings that cannot be used.
 package policy
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"caperarch/internal/admission"
+)
 
 // RequestID names a request; the host picks it and never uses one twice.
 type RequestID uint64
@@ -105,6 +110,8 @@
 	Reports LoadFields // what servers' load reports hold
 
 	CrossZonePrice float64 // price of an attempt that leaves the zone, against a worth of 1
+
+	Gate func(rng *rand.Rand) admission.Gate `json:"-"` // who may try for a slot at all; nil: the module's own way. To weigh others.
 }
 
 // State is what the server list says of a server.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"caperarch/internal/admission"
 )
 
 const (
@@ -30,9 +32,6 @@
 	pairsMost  = 4                     // pairs of reports that far apart tell whether they are fresh enough
 	crowdedAt  = 0.3                   // a server that takes this share of the aim to answer is crowded
 	partRoom   = 2.0                   // it is full at its part of all balancers' requests and so many more
-	admitMost  = 1.5                   // lets in this multiple of what was lately answered in time
-	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
-	admitOver  = 2 * time.Second       // lately: about as long as queues take to build up
 	wholeLater = 1.7                   // the wall over all attempts begins at this multiple of a server's
 	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
@@ -59,6 +58,10 @@
 		b.worth += c.Worth / float64(len(cfg.Classes))
 		b.pace = min(b.pace, c.Aim/8)
 	}
+	b.worth = cmp.Or(b.worth, 1)
+	if b.gate = admission.Gate(admission.NewRatio(b.rng)); cfg.Gate != nil {
+		b.gate = cfg.Gate(b.rng)
+	}
 	b.deriveSlots()
 	return b, nil
 }
@@ -132,8 +135,7 @@
 	if want := max(fewest, b.rate*b.every); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
-	if !b.admit(now, r) {
-		b.asked.all++
+	if !b.gate.Ask(now, r.class.Worth/b.worth) {
 		b.count.Throttled++
 		b.finish(r)
 		return
@@ -141,17 +143,6 @@
 	b.place(now, r)
 }
 
-// admit says whether a request may try for a slot. Walls bound each balancer alone; where a thousand
-// of few requests each find the fleet short of what they ask, the slots of all are more than it can
-// serve in time, and its work goes into answers that come late (i47e131, i50e019). Each then lets in
-// little more than what it was lately answered in time, of worthier classes more.
-func (b *Balancer) admit(now time.Duration, r *request) bool {
-	fade := math.Exp(-float64(now-b.asked.at) / float64(admitOver))
-	b.asked.at, b.asked.all, b.asked.good = now, b.asked.all*fade, b.asked.good*fade
-	share := (admitFree + admitMost*b.asked.good) / (admitFree + b.asked.all)
-	return share >= 1 || b.rng.Float64() < math.Pow(share, b.worth/max(r.class.Worth, b.worth/8))
-}
-
 // place sends a request, or lets it wait, or refuses it.
 func (b *Balancer) place(now time.Duration, r *request) {
 	if b.inquire(now, r) {
@@ -188,12 +179,11 @@
 		a.state = neverRan
 	}
 	b.hold(r, a.to, -1)
-	if !r.over && o.Ending != NotSent {
-		b.asked.all++
-	}
-	if !r.over && o.Ending == Served && now <= r.wanted {
-		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+	e := admission.End{Mute: r.over || o.Ending == NotSent, Took: now - a.sent, Aim: r.class.Aim}
+	if o.Ending == Served && now <= r.wanted {
+		e.Good = min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
 	}
+	b.gate.Ended(now, e)
 	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
 		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
 	}
@@ -368,6 +358,7 @@
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	b.hold(r, s, 1)
+	b.gate.Began(now)
 	if len(r.attempts) > 1 {
 		b.count.Retries++
 		b.more = append(b.more, now)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"caperarch/internal/admission"
 )
 
 func TestSlotsAndQueue(t *testing.T) {
@@ -267,7 +269,7 @@
 	if _, refused := h.refused[1]; len(h.sends) != 1 || !refused {
 		t.Fatalf("sends %d, refused %v; want 1 and a refusal, as all servers drop repeats", len(h.sends), refused)
 	}
-	b.asked = recent{}
+	b.gate = admission.NewRatio(b.rng)
 	ask(b, 800*ms, 2, keyedZone)
 	end(b, 1500*ms, 2, 0, Errored)
 	if !h.failed[2] {
@@ -924,7 +926,7 @@
 	b, h := start(t, cfg, ready(1, 2, 3))
 	try := func(now time.Duration, id RequestID, class int) int {
 		n := len(h.sends)
-		b.asked = recent{}
+		b.gate = admission.NewRatio(b.rng)
 		ask(b, now, id, class)
 		end(b, now, id, 0, TurnedAway)
 		if len(h.sends) > n+1 {
@@ -999,7 +1001,7 @@
 			for range n {
 				now += 50 * ms
 				id++
-				b.asked = recent{} // admission is not at stake here
+				b.gate = admission.NewRatio(b.rng) // admission is not at stake here
 				ask(b, now, id, unsafeClass)
 				for k := len(h.sends); k > 0 && h.sends[k-1].id == id; k = len(h.sends) {
 					n := len(b.requests[id].attempts)
@@ -1065,11 +1067,13 @@
 	cfg.Classes = cfg.Classes[:2]
 	cfg.Classes[0].Worth, cfg.Classes[1].Worth = 1, 4
 	b, _ := start(t, cfg, ready(1, 2))
-	b.asked = recent{all: 40, good: 10}
 	var let [2]int
 	for i := range 2000 {
-		b.asked = recent{all: 40, good: 10}
-		if b.admit(0, &request{class: &b.classes[i%2]}) {
+		b.gate = admission.NewRatio(b.rng)
+		for n := range 40 {
+			b.gate.Ended(0, admission.End{Good: map[bool]float64{true: 1}[n < 10]})
+		}
+		if b.gate.Ask(0, b.classes[i%2].Worth/b.worth) {
 			let[i%2]++
 		}
 	}
@@ -1124,10 +1128,10 @@
 	b, h := start(t, testConfig(), ready(1))
 	ask(b, 0, 1, unsafeClass)
 	end(b, time.Second, 1, 0, TimedOut)
-	b.asked = recent{}
+	b.gate = admission.NewRatio(b.rng)
 	ask(b, 1100*ms, 2, unsafeClass)
 	end(b, 2100*ms, 2, 0, TimedOut)
-	b.asked = recent{}
+	b.gate = admission.NewRatio(b.rng)
 	ask(b, 3*time.Second, 3, unsafeClass)
 	end(b, 3100*ms, 3, 0, Served)
 	if b.server(1).warmAt != 3100*ms+8*time.Second || len(h.log) == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"caperarch/internal/admission"
 )
 
 type server struct {
@@ -82,12 +84,6 @@
 	queue               []*request
 }
 
-// recent counts requests, and those answered in time; both fade.
-type recent struct {
-	at        time.Duration
-	all, good float64
-}
-
 type class struct {
 	Class
 	pace    time.Duration // usual time of an answer
@@ -110,19 +106,19 @@
 	weight   float64    // of all ready servers
 	full     float64    // the most of it that there was
 	out      int
-	turn     float64       // due time of the latest turn
-	arc      []*server     // whom turns are taken among
-	crowd    float64       // mean square of the share of the aim that answers take, lately
-	crowdAt  time.Duration // when it was taken
-	reach    float64       // the weight in it
-	rate     float64       // requests a second, lately
-	rateAt   time.Duration // when it was taken
-	wanted   float64       // servers that it can feed
-	every    float64       // seconds in which each of them gets a turn
-	pace     time.Duration // usual time of an answer, over all classes
-	aim      float64       // mean aim, in seconds
-	worth    float64       // mean worth of the classes
-	asked    recent        // requests that tried for a slot
+	turn     float64        // due time of the latest turn
+	arc      []*server      // whom turns are taken among
+	crowd    float64        // mean square of the share of the aim that answers take, lately
+	crowdAt  time.Duration  // when it was taken
+	reach    float64        // the weight in it
+	rate     float64        // requests a second, lately
+	rateAt   time.Duration  // when it was taken
+	wanted   float64        // servers that it can feed
+	every    float64        // seconds in which each of them gets a turn
+	pace     time.Duration  // usual time of an answer, over all classes
+	aim      float64        // mean aim, in seconds
+	worth    float64        // mean worth of the classes
+	gate     admission.Gate // who may try for a slot
 	wakeAt   time.Duration
 	askAt    time.Duration // when to ask for the list next; 0: no need
 	askFails int
