A record of the module's decisions that can be replayed, and a fleet in virtual time

Need: changes of admission, retries and recovery are to be tried on recorded events and on hard cases before they are played.

- internal/record: each event that an engine hands its module and each action back, as length-delimited protobuf; bounded in size and in what waits for the file, and it ends for good with the reason where either bound is met: nobody waits for it.
`caperarch -record FILE`, off without it; engine.Config.Module is where it stands.
- internal/replay, cmd/replay: the present module on the same events, action by action, with the places where it departs; or, with -estimate, among the recorded answers, second by second.
- internal/emu: sidecars with the module inside, servers with cores, queues and cold starts, clients that retry, a list; from a seed.
The eight hard cases of `measure strain`.
A broken rule (two answers, none by the deadline, unsafe twice) is an error.
- route.Of moved from the daemon, for others to use. measure no longer crashes where its daemon doesn't build.

--- a/cmd/caperarch/command.go
+++ b/cmd/caperarch/command.go
@@ -18,6 +18,8 @@
 With no command it is the daemon: EDGE_CONFIG names its configuration file.
 
   -pools FILE  the daemon with several pools, by the operator's file (TOML)
+  -record FILE writes down what the decision module is handed and does, for cmd/replay; "-" is standard output
+  -record-most N  MiB of it at most (256); it then ends, the daemon goes on
   check FILE   says whether a configuration (JSON) or a file of pools (.toml) can be used, and what can't
   route FILE METHOD URL [-H "X-Priority-Class: CLASS"]
                prints the rule and pool of a file of pools that a request would take, and why
@@ -26,10 +28,12 @@
   -h           this text
 `
 
+func isHelp(arg string) bool { return arg == "-h" || arg == "--help" || arg == "help" }
+
 // command carries a command out and returns the exit code: 0, 1 where it failed, 2 where it is none.
 func command(args []string, out, log io.Writer) int {
 	switch {
-	case args[0] == "-h" || args[0] == "--help" || args[0] == "help":
+	case isHelp(args[0]):
 		fmt.Fprint(out, usageText)
 		return 0
 	case args[0] == "check" && len(args) == 2:
--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -4,30 +4,64 @@
 
 import (
 	"context"
+	"flag"
+	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"caperarch/internal/config"
 	"caperarch/internal/daemon"
+	"caperarch/internal/record"
 )
 
 func main() {
-	if len(os.Args) == 3 && os.Args[1] == "-pools" {
-		serve(os.Args[2])
-		return
-	}
-	if len(os.Args) > 1 {
+	if len(os.Args) > 1 && !strings.HasPrefix(os.Args[1], "-") || len(os.Args) == 2 && isHelp(os.Args[1]) {
 		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
 	}
-	serve("")
+	var d daemonArgs
+	if err := d.parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "caperarch: %v\n%s", err, usageText)
+		os.Exit(2)
+	}
+	serve(&d)
+}
+
+// daemonArgs are the daemon's arguments. Without any it is the single pool of EDGE_CONFIG.
+type daemonArgs struct {
+	pools      string // the operator's file of pools; "": none
+	record     string // file for what the module is handed and does; "-": standard output; "": none
+	recordMost int64  // MiB of it
+}
+
+// recordMost bounds a recording in MiB where the operator doesn't say: some 20 minutes of 350 requests a second.
+const recordMost = 256
+
+func (d *daemonArgs) parse(args []string) error {
+	flags := flag.NewFlagSet("caperarch", flag.ContinueOnError)
+	flags.SetOutput(io.Discard) // the error is printed once, by the caller
+	flags.StringVar(&d.pools, "pools", "", "")
+	flags.StringVar(&d.record, "record", "", "")
+	flags.Int64Var(&d.recordMost, "record-most", recordMost, "")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	switch {
+	case flags.NArg() > 0:
+		return fmt.Errorf("%q is one argument too many", flags.Arg(0))
+	case d.recordMost < 1:
+		return fmt.Errorf("-record-most is %d MiB, at least 1 is needed", d.recordMost)
+	}
+	return nil
 }
 
-// serve is the daemon; poolsFile names the operator's file of pools, "" is the single pool of EDGE_CONFIG.
-func serve(poolsFile string) {
+// serve is the daemon.
+func serve(d *daemonArgs) {
 	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
@@ -40,7 +74,7 @@
 		if cfg.MemoryMB > 0 {
 			debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) // well under what the process is killed at
 		}
-		err = run(ctx, cfg, poolsFile, reload)
+		err = d.run(ctx, cfg, reload)
 	}
 	if err != nil {
 		slog.Error("caperarch ends", "error", err)
@@ -48,13 +82,31 @@
 	}
 }
 
-func run(ctx context.Context, cfg *config.Config, poolsFile string, reload <-chan os.Signal) error {
-	if poolsFile == "" {
-		return daemon.Run(ctx, cfg, reload)
+func (d *daemonArgs) run(ctx context.Context, cfg *config.Config, reload <-chan os.Signal) error {
+	var with []daemon.Option
+	if d.record != "" {
+		out := os.Stdout
+		if d.record != "-" {
+			var err error
+			if out, err = os.OpenFile(d.record, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600); err != nil {
+				return fmt.Errorf("-record: %w", err)
+			}
+			defer out.Close()
+		}
+		w := record.NewWriter(out, d.recordMost<<20)
+		defer func() {
+			if err := w.Close(); err != nil {
+				slog.Warn("the recording ended before the process", "file", d.record, "error", err)
+			}
+		}()
+		with = append(with, daemon.Recorded(w))
+	}
+	if d.pools == "" {
+		return daemon.Run(ctx, cfg, reload, with...)
 	}
-	pools, err := config.ReadPools(poolsFile)
+	pools, err := config.ReadPools(d.pools)
 	if err != nil {
 		return err
 	}
-	return daemon.RunPools(ctx, cfg, pools, reload)
+	return daemon.RunPools(ctx, cfg, pools, reload, with...)
 }
--- a/cmd/measure/bench.go
+++ b/cmd/measure/bench.go
@@ -34,9 +34,10 @@
 	if b.dir, err = os.MkdirTemp("", "measure"); err != nil {
 		return nil, err
 	}
+	made := b // a return with an error leaves none in b
 	defer func() {
 		if err != nil {
-			b.close()
+			made.close()
 		}
 	}()
 	binary, err := buildDaemon(b.dir)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,7 +15,7 @@
 // measurement makes one; missed names the bounds that it missed.
 type measurement func(short bool) (result string, missed []string, err error)
 
-var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway}
+var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain}
 
 func main() {
 	if len(os.Args) > 2 && os.Args[1] == "child" {
--- /dev/null
+++ b/cmd/measure/strain.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"time"
+
+	"caperarch/internal/admission"
+	"caperarch/internal/admission/weighed"
+	"caperarch/internal/emu"
+)
+
+// strainGates are the ways of admission that are compared; the first is the module's own, the second the one before it.
+var strainGates = []struct {
+	name string
+	make func(rng *rand.Rand) admission.Gate
+}{
+	{"module", nil},
+	{"ratio", func(rng *rand.Rand) admission.Gate { return admission.NewRatio(rng) }},
+	{"sre K=2 2s", func(rng *rand.Rand) admission.Gate { return weighed.NewSRE(rng, 2, 2*time.Second) }},
+	{"sre K=1.5 10s", func(rng *rand.Rand) admission.Gate { return weighed.NewSRE(rng, 1.5, 10*time.Second) }},
+	{"aimd", func(*rand.Rand) admission.Gate { return weighed.NewAIMD() }},
+	{"gradient", func(*rand.Rand) admission.Gate { return weighed.NewGradient() }},
+	{"codel", func(*rand.Rand) admission.Gate { return weighed.NewCoDel() }},
+	{"none", func(*rand.Rand) admission.Gate { return all{} }},
+}
+
+// all lets all in.
+type all struct{}
+
+func (all) Ask(time.Duration, float64) bool    { return true }
+func (all) Began(time.Duration)                {}
+func (all) Ended(time.Duration, admission.End) {}
+
+// measureStrain plays the hard cases in virtual time, with the module's own admission and with what it was weighed against.
+func measureStrain(short bool) (string, []string, error) {
+	seeds, gates := 5, strainGates
+	if short {
+		seeds, gates = 2, strainGates[:2]
+	}
+	if only := os.Getenv("STRAIN_GATES"); only != "" {
+		gates = nil
+		for _, g := range strainGates {
+			if strings.Contains(","+only+",", ","+g.name+",") {
+				gates = append(gates, g)
+			}
+		}
+	}
+	var missed []string
+	worst := 0.0
+	for i := range emu.Cases {
+		s := &emu.Cases[i]
+		fmt.Println(s.Name)
+		for _, g := range gates {
+			f := make(figures)
+			for seed := range seeds {
+				o, err := s.Run(uint64(seed+1), g.make)
+				if err != nil {
+					return "", nil, fmt.Errorf("%s, %s, seed %d: %w", s.Name, g.name, seed+1, err)
+				}
+				f.add("earned", o.Earned)
+				f.add("after", o.After)
+				f.add("recovery", o.Recovery)
+				f.add("quiet", o.Quiet)
+				f.add("attempts", o.Attempts)
+				f.add("swing", o.Swing)
+			}
+			fmt.Printf("  %-14s earned %v, after %v, recovery %v s, other tenant %v, attempts %v, swing %v\n", g.name,
+				f["earned"], f["after"], f["recovery"], f["quiet"], f["attempts"], f["swing"])
+			if g.make == nil {
+				worst = max(worst, f["recovery"].median())
+				if f["recovery"].median() > 1 {
+					missed = append(missed, fmt.Sprintf("%s: %.1f s until nothing is refused, 1 s at most", s.Name, f["recovery"].median()))
+				}
+			}
+		}
+	}
+	return fmt.Sprintf("recovery_worst_s=%.1f cases=%d seeds=%d", worst, len(emu.Cases), seeds), missed, nil
+}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,17 +28,17 @@
 // RunPools is Run with several pools behind the listener: the operator's file says which request goes to which. The
 // process's own settings are those of cfg; its discovery and list are not used. Each signal on reload has the
 // operator's file read again.
-func RunPools(ctx context.Context, cfg *config.Config, pools *config.Pools, reload <-chan os.Signal) error {
+func RunPools(ctx context.Context, cfg *config.Config, pools *config.Pools, reload <-chan os.Signal, with ...Option) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return err
 	}
-	return ServePools(ctx, cfg, pools, listener, reload)
+	return ServePools(ctx, cfg, pools, listener, reload, with...)
 }
 
 // ServePools is RunPools on a listener that is there already, which it closes.
-func ServePools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal) error {
-	d := &poolsDaemon{cfg: cfg, clock: clock.New(), log: slog.Default()}
+func ServePools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
+	d := &poolsDaemon{cfg: cfg, clock: clock.New(), log: slog.Default(), options: optionsOf(with)}
 	defer d.end()
 	longest := cfg.Longest
 	for _, p := range pools.List {
@@ -70,7 +69,8 @@
 	clock clock.Clock
 	log   *slog.Logger
 	front *fronthttp1.Front
-	now   atomic.Pointer[routing]
+	*options
+	now atomic.Pointer[routing]
 
 	leaving sync.WaitGroup // pools that were taken away
 	mu      sync.Mutex
@@ -163,7 +163,7 @@
 // start starts a pool.
 func (d *poolsDaemon) start(p *config.Pool, conns int) (*livePool, error) {
 	cfg, log := p.Config, d.log.With("pool", p.Name)
-	e, follower, transport, err := assemble(cfg, d.clock, conns, log)
+	e, follower, transport, err := assemble(cfg, d.clock, conns, log, d.options)
 	if err != nil {
 		return nil, err
 	}
@@ -234,9 +234,9 @@
 // route says which pool a request goes to.
 func (d *poolsDaemon) route(h *h1.Head) (*fronthttp1.Target, *fronthttp1.Rejection) {
 	now := d.now.Load()
-	q, bad := routeOf(h.Host, h.Target, h.Method, h.Get("X-Priority-Class"))
-	if bad != nil {
-		return nil, bad
+	q, err := route.Of(h.Host, h.Target, h.Method, h.Get("X-Priority-Class"))
+	if err != nil {
+		return nil, &fronthttp1.Rejection{Status: http.StatusBadRequest, Reason: err.Error()}
 	}
 	rule := now.table.Match(q)
 	if rule == nil {
@@ -245,27 +245,6 @@
 	return now.pools[rule.Pool].target, nil
 }
 
-// routeOf is what of a request counts for its route, or why that can't be said.
-func routeOf(hostField, target, method, class string) (route.Request, *fronthttp1.Rejection) {
-	no := func(err error) (route.Request, *fronthttp1.Rejection) {
-		return route.Request{}, &fronthttp1.Rejection{Status: http.StatusBadRequest, Reason: err.Error()}
-	}
-	// The form with a scheme and host may disagree with Host, and two readers heed different ones.
-	if !strings.HasPrefix(target, "/") {
-		return no(fmt.Errorf("the target is no path"))
-	}
-	host, err := route.Host(hostField)
-	if err != nil {
-		return no(err)
-	}
-	raw, _, _ := strings.Cut(target, "?")
-	path, err := route.Path(raw)
-	if err != nil {
-		return no(err)
-	}
-	return route.Request{Host: host, Path: path, Method: method, Class: class}, nil
-}
-
 // walls are a pool's parts of what is held.
 type walls struct {
 	clock   clock.Clock
@@ -322,11 +301,11 @@
 		target = "/"
 	}
 	if class == "" { // as the protocol has it, the first part of the path
-		class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+		class = route.FirstPart(r.URL.Path)
 	}
-	q, bad := routeOf(r.Host, target, method, class)
-	if bad != nil {
-		return "", fmt.Errorf("%d: %s", bad.Status, bad.Reason)
+	q, err := route.Of(r.Host, target, method, class)
+	if err != nil {
+		return "", fmt.Errorf("%d: %w", http.StatusBadRequest, err)
 	}
 	rule := pools.Table.Match(q)
 	if rule == nil {
--- /dev/null
+++ b/internal/emu/cases.go
@@ -0,0 +1,201 @@
+package emu
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"caperarch/internal/admission"
+	"caperarch/policy"
+)
+
+// Case is one hard case on the site's fleet in small: what goes wrong from faultFrom on, and when it is over.
+type Case struct {
+	Name  string
+	Load  float64       // of the capacity
+	Until time.Duration // capacity is back then
+	set   func(f *Fleet, c *Config)
+	flood func(now time.Duration) float64 // one tenant's traffic, the smaller one's
+}
+
+const (
+	faultFrom  = 15 * time.Second
+	strainEnds = 55 * time.Second
+)
+
+// Cases are the hard cases.
+var Cases = []Case{
+	{Name: "a third silent 20 s", Load: 0.6, Until: faultFrom + 20*time.Second, set: func(f *Fleet, c *Config) {
+		f.At(faultFrom, func() { f.Set(len(c.Servers)/3, State{Silent: true}) })
+		f.At(faultFrom+20*time.Second, func() { f.Set(len(c.Servers)/3, State{}) })
+	}},
+	{Name: "all 5 times slower 3 s", Load: 0.6, Until: faultFrom + 3*time.Second, set: func(f *Fleet, c *Config) {
+		f.At(faultFrom, func() { f.Set(0, State{Slower: 5}) })
+		f.At(faultFrom+3*time.Second, func() { f.Set(0, State{}) })
+	}},
+	{Name: "one tenant x 10 for 10 s", Load: 0.5, Until: faultFrom + 10*time.Second, flood: func(now time.Duration) float64 {
+		if now >= faultFrom && now < faultFrom+10*time.Second {
+			return 10
+		}
+		return 1
+	}},
+	{Name: "two turn half away, look idle", Load: 0.6, Until: faultFrom + 20*time.Second, set: func(f *Fleet, c *Config) {
+		f.At(faultFrom, func() { f.Set(2, State{TurnAway: 0.5, Idle: true}) })
+		f.At(faultFrom+20*time.Second, func() { f.Set(2, State{}) })
+	}},
+	{Name: "all break 1 of 50", Load: 0.6, Until: faultFrom + 20*time.Second, set: func(f *Fleet, c *Config) {
+		f.At(faultFrom, func() { f.Set(0, State{Breaks: 0.02}) })
+		f.At(faultFrom+20*time.Second, func() { f.Set(0, State{}) })
+	}},
+	{Name: "all ids new every 2 s", Load: 0.5, Until: faultFrom + 20*time.Second, set: func(f *Fleet, c *Config) {
+		for t := faultFrom; t < faultFrom+20*time.Second; t += 2 * time.Second {
+			f.At(t, f.Replace)
+		}
+	}},
+	{Name: "list halves for 10 s", Load: 0.4, Until: faultFrom + 10*time.Second, set: func(f *Fleet, c *Config) {
+		var gone []Server
+		f.At(faultFrom, func() { gone = f.Remove(len(c.Servers) / 2) })
+		f.At(faultFrom+10*time.Second, func() { f.Add(gone) })
+	}},
+	{Name: "twice the capacity for 10 s", Load: 0.6, Until: faultFrom + 10*time.Second, flood: nil, set: nil},
+}
+
+// fleet is the site's, in small: 15 servers of three kinds, 60 sidecars.
+func fleet(s *Case, seed uint64) Config {
+	c := Config{
+		Seed: seed, Sidecars: 60, Trip: time.Millisecond,
+		Classes: []Class{{Share: 0.8, Work: 54 * time.Millisecond}, {Share: 0.2, Work: 70 * time.Millisecond}},
+		Clients: Clients{Retries: 2, Backoff: 50 * time.Millisecond},
+		Module: policy.Config{
+			Classes: []policy.Class{
+				{Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 5, Effect: policy.Keyed, Scope: policy.ScopeCell, Window: 600 * time.Millisecond},
+				{Aim: 600 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 2, Effect: policy.Unsafe},
+			},
+			MaxAttempts: 3, MayCancel: true, MayProbe: true, MaxRetryAfter: time.Second, Tick: time.Millisecond,
+			ColdFrom: 0.32, ColdTime: 8500 * time.Millisecond, ColdMultiple: 2.5,
+			Reports: policy.HasInFlight | policy.HasService | policy.HasServed | policy.HasErrors,
+		},
+	}
+	work := 0.8*0.054 + 0.2*0.070
+	capacity := 0.0
+	for i := range 15 {
+		speed := []float64{1.6, 0.6, 0.95, 0.6, 1.6}[i%5]
+		c.Servers = append(c.Servers, Server{Cores: 2, Speed: speed, Room: 24, Cell: i % 5})
+		capacity += 2 * speed / work
+	}
+	c.Rate = s.Load * capacity
+	quiet := Tenant{Share: 0.21}
+	loud := Tenant{Share: 0.79}
+	if s.flood != nil {
+		quiet, loud = Tenant{Share: 0.79}, Tenant{Share: 0.21, Times: s.flood}
+	}
+	if s.set == nil && s.flood == nil {
+		double := func(now time.Duration) float64 {
+			if now >= faultFrom && now < s.Until {
+				return 2 / s.Load
+			}
+			return 1
+		}
+		quiet.Times, loud.Times = double, double
+	}
+	c.Tenants = []Tenant{quiet, loud}
+	for _, t := range c.Tenants {
+		c.Module.Tenants = append(c.Module.Tenants, policy.Tenant{Share: t.Share, Quota: t.Share * 0.75 * capacity})
+	}
+	return c
+}
+
+// Fleet makes the case's fleet, at rest, from a seed; edit changes it before.
+func (s *Case) Fleet(seed uint64, edit func(*Config)) (*Fleet, error) {
+	c := fleet(s, seed)
+	if edit != nil {
+		edit(&c)
+	}
+	f, err := New(c)
+	if err == nil && s.set != nil {
+		s.set(f, &c)
+	}
+	return f, err
+}
+
+// Strained is what came of one run.
+type Strained struct {
+	Earned   float64 // of the worth that came while it lasted
+	After    float64 // of the worth that came later
+	Recovery float64 // s from capacity's return until nothing is refused for a second
+	Quiet    float64 // of the other tenant's requests, in time
+	Attempts float64 // a request
+	Swing    float64 // autocorrelation of the refused share, at the lag where it is greatest
+	Series   []Bucket
+}
+
+// Run plays the case from a seed. gate: nil is the module's own admission. The error is the first rule that was broken.
+func (s *Case) Run(seed uint64, gate func(*rand.Rand) admission.Gate) (Strained, error) {
+	f, err := s.Fleet(seed, func(c *Config) { c.Module.Gate = gate })
+	if err != nil {
+		return Strained{}, err
+	}
+	f.Start()
+	f.Run(strainEnds)
+	if err := f.Err(); err != nil {
+		return Strained{}, err
+	}
+	var o Strained
+	o.Series = f.Buckets()[:strainEnds/time.Duration(100*time.Millisecond)]
+	from, until := int(faultFrom/(100*time.Millisecond)), int(s.Until/(100*time.Millisecond))
+	during, later, quiet, asked, sent := [2]float64{}, [2]float64{}, [2]int{}, 0, 0
+	for i, b := range o.Series[:len(o.Series)-30] { // the last ones are not all answered
+		asked, sent = asked+b.Requests, sent+b.Attempts
+		switch {
+		case i >= until:
+			later[0], later[1] = later[0]+b.Earned, later[1]+b.Worth
+		case i >= from:
+			during[0], during[1] = during[0]+b.Earned, during[1]+b.Worth
+			quiet[0], quiet[1] = quiet[0]+b.Tenant[0].InTime, quiet[1]+b.Tenant[0].Requests
+		}
+	}
+	o.Earned, o.After = during[0]/during[1], later[0]/later[1]
+	o.Quiet, o.Attempts = float64(quiet[0])/float64(quiet[1]), float64(sent)/float64(asked)
+	o.Recovery = recovery(o.Series, until)
+	o.Swing = swing(o.Series[from:until])
+	return o, nil
+}
+
+// recovery is the time in s from a bucket until the module turns nothing away for a second: less than one in 200.
+func recovery(series []Bucket, from int) float64 {
+	for i := from; i+10 <= len(series); i++ {
+		turned, all := 0, 0
+		for _, b := range series[i : i+10] {
+			turned, all = turned+b.Throttled, all+b.Requests
+		}
+		if turned*200 < all {
+			return float64(i-from) / 10
+		}
+	}
+	return float64(len(series)-from) / 10
+}
+
+// swing is the greatest autocorrelation of the share that is turned away, at lags of 0.5 to 5 s: 1 is a whole fleet that turns away
+// and lets in at the same times.
+func swing(series []Bucket) (most float64) {
+	var share []float64
+	mean := 0.0
+	for _, b := range series {
+		share = append(share, float64(b.Throttled)/float64(max(1, b.Requests)))
+		mean += share[len(share)-1] / float64(len(series))
+	}
+	square := 0.0
+	for _, x := range share {
+		square += (x - mean) * (x - mean)
+	}
+	if square == 0 {
+		return 0
+	}
+	for lag := 5; lag <= 50 && lag < len(share)/2; lag++ {
+		sum := 0.0
+		for i := range share[lag:] {
+			sum += (share[i] - mean) * (share[i+lag] - mean)
+		}
+		most = max(most, sum/square)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/emu/fleet.go
@@ -0,0 +1,299 @@
+package emu
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"caperarch/policy"
+)
+
+// Module is a decision module, made anew for each sidecar.
+type Module interface {
+	Start(now time.Duration)
+	Request(now time.Duration, q policy.Request)
+	Outcome(now time.Duration, o policy.Outcome)
+	Wake(now time.Duration)
+	List(now time.Duration, kind policy.ListKind, entries []policy.Server)
+	Probed(now time.Duration, id policy.ServerID, ok bool, l policy.Load)
+	Counters() policy.Counters
+}
+
+// Class is a class's traffic beside its settings in Config.Module.
+type Class struct {
+	Share float64       // of the requests
+	Work  time.Duration // mean, on a core of speed 1
+	Shape int           // gamma-distributed of this shape; 0: 4, some 50% of standard deviation
+}
+
+// Tenant is a tenant's traffic.
+type Tenant struct {
+	Share float64                         // of the rate
+	Times func(now time.Duration) float64 // its traffic is so many times the usual; nil: 1
+}
+
+// Clients say what clients do with a refusal or a failure.
+type Clients struct {
+	Retries int           // further tries at most
+	Backoff time.Duration // before the first of them, doubled after each; a longer Retry-After is heeded
+}
+
+// Config is a fleet. The module is told none of it but what Module has.
+type Config struct {
+	Seed     uint64
+	Sidecars int
+	Rate     float64 // requests a second over all sidecars
+	Servers  []Server
+	Classes  []Class
+	Tenants  []Tenant
+	Clients  Clients
+	Trip     time.Duration                                                          // from a sidecar to a server and back
+	Module   policy.Config                                                          // Balancers, Index and Tick are set for each
+	New      func(cfg policy.Config, seed uint64, host policy.Host) (Module, error) // nil: policy.New
+	Bucket   time.Duration                                                          // of the series; 0: 100 ms
+}
+
+// Fleet is a fleet under way.
+type Fleet struct {
+	cfg      Config
+	clock    clock
+	rng      *rand.Rand
+	nodes    []*node
+	byID     map[policy.ServerID]*node // gone ones too
+	nextNode policy.ServerID
+	sidecars []*sidecar
+	version  int
+	buckets  []Bucket
+	err      error
+}
+
+// Bucket is what came, and what became of it, in one stretch of the time. Requests count in the bucket that they came in.
+type Bucket struct {
+	Requests, InTime, Late, Refused, Failed, Attempts int
+	Throttled                                         int // refused at once, as seen by the module's counters, in this stretch
+	Worth, Earned                                     float64
+	Tenant                                            []Count
+	Capacity                                          float64 // work that the servers can do, in seconds of work a second
+	Work                                              float64 // work asked for
+}
+
+// Count counts a tenant's requests.
+type Count struct{ Requests, InTime, Refused int }
+
+// New makes a fleet at rest, or returns the module's error.
+func New(cfg Config) (*Fleet, error) {
+	if cfg.Bucket == 0 {
+		cfg.Bucket = 100 * time.Millisecond
+	}
+	if cfg.New == nil {
+		cfg.New = func(c policy.Config, seed uint64, host policy.Host) (Module, error) { return policy.New(c, seed, host) }
+	}
+	if len(cfg.Tenants) != max(1, len(cfg.Module.Tenants)) && len(cfg.Module.Tenants) > 0 || len(cfg.Classes) != len(cfg.Module.Classes) {
+		return nil, fmt.Errorf("emu: %d tenants and %d classes, the module has %d and %d",
+			len(cfg.Tenants), len(cfg.Classes), len(cfg.Module.Tenants), len(cfg.Module.Classes))
+	}
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), byID: make(map[policy.ServerID]*node)}
+	f.clock.now = time.Hour // far from 0, which to the module is never
+	for _, s := range cfg.Servers {
+		f.add(s, 0)
+	}
+	for i := range cfg.Sidecars {
+		c := cfg.Module
+		c.Balancers, c.Index = cfg.Sidecars, i
+		s := &sidecar{f: f, open: make(map[policy.RequestID]*request)}
+		var err error
+		if s.m, err = cfg.New(c, f.rng.Uint64(), s); err != nil {
+			return nil, err
+		}
+		f.sidecars = append(f.sidecars, s)
+	}
+	return f, nil
+}
+
+func (f *Fleet) add(s Server, started time.Duration) *node {
+	f.nextNode++
+	// Ids that tell nothing of the order.
+	n := &node{f: f, id: policy.ServerID(uint64(f.nextNode) * 0x9e3779b97f4a7c15), spec: s, started: started, recent: 0.05}
+	f.nodes, f.byID[n.id] = append(f.nodes, n), n
+	return n
+}
+
+// Start starts all sidecars with the list as it is, and the clients' traffic.
+func (f *Fleet) Start() {
+	for _, s := range f.sidecars {
+		s.m.Start(f.clock.now)
+		s.m.List(f.clock.now, policy.ListFull, f.list())
+		f.next(s)
+	}
+}
+
+func (f *Fleet) list() (entries []policy.Server) {
+	for _, n := range f.nodes {
+		if !n.gone {
+			entries = append(entries, policy.Server{ID: n.id, State: policy.Ready, Weight: 1, Cell: n.spec.Cell, Started: n.started})
+		}
+	}
+	return entries
+}
+
+// Tell has all sidecars hear the list as it is now.
+func (f *Fleet) Tell() {
+	for _, s := range f.sidecars {
+		s.m.List(f.clock.now, policy.ListFull, f.list())
+	}
+}
+
+// Now is the time since the fleet was made.
+func (f *Fleet) Now() time.Duration { return f.clock.now - time.Hour }
+
+// At asks for a call at a time since the fleet was made.
+func (f *Fleet) At(t time.Duration, do func()) { f.clock.after(time.Hour+t-f.clock.now, do) }
+
+// Set has the first n servers that are not gone behave in a way from now on, n <= 0: all.
+func (f *Fleet) Set(n int, s State) {
+	for _, node := range f.nodes {
+		if node.gone {
+			continue
+		}
+		node.set(s)
+		if n--; n == 0 {
+			return
+		}
+	}
+}
+
+// Replace has all servers leave and as many come under other ids, warm, and tells the sidecars.
+func (f *Fleet) Replace() {
+	for _, old := range slices.Clone(f.nodes) {
+		if !old.gone {
+			old.leaves()
+			f.add(old.spec, 0)
+		}
+	}
+	f.nodes = slices.DeleteFunc(f.nodes, func(n *node) bool { return n.gone && len(n.running)+len(n.waiting) == 0 })
+	f.Tell()
+}
+
+// leaves ends a server: what it holds ends as its process does.
+func (n *node) leaves() {
+	n.gone = true
+	for _, j := range slices.Concat(n.running, n.waiting) {
+		if j.ends != nil {
+			j.ends.off()
+		}
+		j.end(0, policy.Broken)
+	}
+	n.running, n.waiting = nil, nil
+}
+
+// Remove has the first k servers leave, and tells the sidecars. It returns their builds, for Add.
+func (f *Fleet) Remove(k int) (gone []Server) {
+	for _, n := range f.nodes {
+		if len(gone) < k && !n.gone {
+			n.leaves()
+			gone = append(gone, n.spec)
+		}
+	}
+	f.Tell()
+	return gone
+}
+
+// Add has servers come, cold, and tells the sidecars.
+func (f *Fleet) Add(all []Server) {
+	for _, s := range all {
+		f.add(s, f.clock.now)
+	}
+	f.Tell()
+}
+
+// Run plays up to a time since the fleet was made.
+func (f *Fleet) Run(until time.Duration) {
+	for t := f.Now(); t < until; {
+		f.bucket(t).Capacity = f.capacity()
+		t = min(until, t-t%f.cfg.Bucket+f.cfg.Bucket)
+		f.clock.until(time.Hour + t)
+	}
+}
+
+func (f *Fleet) capacity() (sum float64) {
+	for _, n := range f.nodes {
+		sum += n.capacity()
+	}
+	return sum
+}
+
+// Buckets is the series so far.
+func (f *Fleet) Buckets() []Bucket { return f.buckets }
+
+func (f *Fleet) bucket(t time.Duration) *Bucket {
+	for len(f.buckets) <= int(t/f.cfg.Bucket) {
+		f.buckets = append(f.buckets, Bucket{Tenant: make([]Count, len(f.cfg.Tenants))})
+	}
+	return &f.buckets[t/f.cfg.Bucket]
+}
+
+// next asks for a sidecar's next request: a Poisson stream, of each tenant's rate at that time.
+func (f *Fleet) next(s *sidecar) {
+	rate := f.cfg.Rate / float64(f.cfg.Sidecars)
+	most := 0.0
+	for _, t := range f.cfg.Tenants {
+		most += t.Share * t.times(f.Now())
+	}
+	// A quarter of a second at most, so that a rate that changes is soon gone by.
+	wait := f.rng.ExpFloat64() / max(rate*most, 1e-9)
+	if wait > 0.25 {
+		f.clock.after(250*time.Millisecond, func() { f.next(s) })
+		return
+	}
+	f.clock.after(time.Duration(wait*float64(time.Second)), func() {
+		pick := f.rng.Float64() * most
+		tenant := 0
+		for i, t := range f.cfg.Tenants {
+			if pick -= t.Share * t.times(f.Now()); pick < 0 {
+				tenant = i
+				break
+			}
+		}
+		pick, class := f.rng.Float64(), 0
+		for i, c := range f.cfg.Classes {
+			if pick -= c.Share; pick < 0 {
+				class = i
+				break
+			}
+		}
+		s.ask(class, tenant)
+		f.next(s)
+	})
+}
+
+func (t *Tenant) times(now time.Duration) float64 {
+	if t.Times == nil {
+		return 1
+	}
+	return t.Times(now)
+}
+
+// work draws a request's work, in seconds.
+func (f *Fleet) work(c *Class) float64 {
+	shape := c.Shape
+	if shape == 0 {
+		shape = 4
+	}
+	sum := 0.0
+	for range shape {
+		sum += f.rng.ExpFloat64()
+	}
+	return sum / float64(shape) * c.Work.Seconds()
+}
+
+// jitter spreads a time by half of it either way.
+func (f *Fleet) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + f.rng.Float64()))
+}
+
+// backoff before a client's further try.
+func (c *Clients) backoff(try int) time.Duration {
+	return time.Duration(float64(c.Backoff) * math.Pow(2, float64(try)))
+}
--- /dev/null
+++ b/internal/emu/sidecar.go
@@ -0,0 +1,231 @@
+package emu
+
+import (
+	"fmt"
+	"time"
+
+	"caperarch/policy"
+)
+
+// probeTime is how long a probe waits for an answer.
+const probeTime = 250 * time.Millisecond
+
+// sidecar is one module with its clients.
+type sidecar struct {
+	f      *Fleet
+	m      Module
+	lastID policy.RequestID
+	open   map[policy.RequestID]*request
+	failed uint64 // throttled, as counted so far
+	owed   []policy.Outcome
+}
+
+// request is one try of a client's request.
+type request struct {
+	id       policy.RequestID
+	first    *wish
+	try      int
+	deadline time.Duration
+	attempts []*attempt
+	out      int
+	over     bool
+}
+
+// wish is what a client wants, over all its tries.
+type wish struct {
+	class, tenant int
+	at            time.Duration // on the fleet's clock
+	work          float64
+	bucket        int
+}
+
+type attempt struct {
+	job   *job
+	limit *alarm
+	ended bool
+	ran   bool
+}
+
+// ask is a client's first try.
+func (s *sidecar) ask(class, tenant int) {
+	f := s.f
+	w := &wish{class: class, tenant: tenant, at: f.clock.now, work: f.work(&f.cfg.Classes[class]), bucket: int(f.Now() / f.cfg.Bucket)}
+	b := f.bucket(f.Now())
+	b.Requests++
+	b.Tenant[tenant].Requests++
+	b.Worth += f.cfg.Module.Classes[class].Worth
+	b.Work += w.work
+	s.try(w, 0)
+}
+
+func (s *sidecar) try(w *wish, n int) {
+	f := s.f
+	deadline := w.at + f.cfg.Module.Classes[w.class].Deadline
+	if f.clock.now >= deadline {
+		f.buckets[w.bucket].Failed++
+		return
+	}
+	s.lastID++
+	r := &request{id: s.lastID, first: w, try: n, deadline: deadline}
+	s.open[r.id] = r
+	s.event(func() {
+		s.m.Request(f.clock.now, policy.Request{ID: r.id, Class: w.class, Tenant: w.tenant, Left: deadline - f.clock.now, Repeat: n > 0})
+	})
+	f.clock.after(deadline-f.clock.now+time.Millisecond, func() {
+		if !r.over {
+			f.err = fmt.Errorf("emu: request %d had no answer by its deadline", r.id)
+		}
+	})
+}
+
+// event hands an event to the module, and behind it what the host owes.
+func (s *sidecar) event(do func()) {
+	do()
+	for len(s.owed) > 0 {
+		o := s.owed[0]
+		s.owed = s.owed[1:]
+		s.m.Outcome(s.f.clock.now, o)
+	}
+	if t := s.m.Counters().Throttled; t != s.failed {
+		s.f.bucket(s.f.Now()).Throttled += int(t - s.failed)
+		s.failed = t
+	}
+}
+
+// Send starts an attempt.
+func (s *sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	f, r := s.f, s.open[id]
+	number := len(r.attempts)
+	a := new(attempt)
+	r.attempts = append(r.attempts, a)
+	r.out++
+	f.buckets[r.first.bucket].Attempts++
+	if f.cfg.Module.Classes[r.first.class].Effect == policy.Unsafe {
+		for _, before := range r.attempts[:number] {
+			if before.ran {
+				f.err = fmt.Errorf("emu: unsafe request %d was sent again, and may have run", id)
+			}
+		}
+	}
+	a.ran = true
+	end := func(e policy.Ending) {
+		if a.ended {
+			return
+		}
+		a.ended = true
+		a.ran = e != policy.TurnedAway && e != policy.NoConnection && e != policy.NotSent
+		a.limit.off()
+		s.outcome(r, number, e)
+	}
+	a.limit = f.clock.after(min(timeout, r.deadline-f.clock.now), func() {
+		if a.job != nil {
+			a.job.giveUp()
+		}
+		end(policy.TimedOut)
+	})
+	f.clock.after(f.cfg.Trip/2, func() {
+		if a.ended {
+			return
+		}
+		n := f.byID[to]
+		a.job = n.take(r.first.work, func(e policy.Ending) { f.clock.after(f.cfg.Trip/2, func() { end(e) }) })
+	})
+}
+
+// outcome tells the module how an attempt ended, and the client if it was served.
+func (s *sidecar) outcome(r *request, number int, e policy.Ending) {
+	r.out--
+	if !r.over && e == policy.Served {
+		r.over = true
+		f := s.f
+		b, class := &f.buckets[r.first.bucket], &f.cfg.Module.Classes[r.first.class]
+		if f.clock.now-r.first.at <= class.Aim {
+			b.InTime++
+			b.Earned += class.Worth
+			b.Tenant[r.first.tenant].InTime++
+		} else {
+			b.Late++
+		}
+	}
+	o := policy.Outcome{ID: r.id, Attempt: number, Ending: e, Settled: r.over}
+	s.event(func() { s.m.Outcome(s.f.clock.now, o) })
+	if r.over && r.out == 0 {
+		delete(s.open, r.id)
+	}
+}
+
+// Refuse ends a request; its client may come back.
+func (s *sidecar) Refuse(id policy.RequestID, pause time.Duration) { s.answer(id, pause, true) }
+
+// Fail ends a request with no promise. Its client comes back where the class allows that.
+func (s *sidecar) Fail(id policy.RequestID) { s.answer(id, 0, false) }
+
+func (s *sidecar) answer(id policy.RequestID, pause time.Duration, refused bool) {
+	f, r := s.f, s.open[id]
+	if r.over {
+		f.err = fmt.Errorf("emu: request %d was answered twice", id)
+		return
+	}
+	r.over = true
+	if r.out == 0 {
+		delete(s.open, id)
+	}
+	again := r.try < f.cfg.Clients.Retries && (refused || f.cfg.Module.Classes[r.first.class].Effect != policy.Unsafe)
+	wait := max(pause, f.jitter(f.cfg.Clients.backoff(r.try)))
+	if again && f.clock.now+wait < r.deadline {
+		f.clock.after(wait, func() { s.try(r.first, r.try+1) })
+		return
+	}
+	b := &f.buckets[r.first.bucket]
+	if refused {
+		b.Refused++
+		b.Tenant[r.first.tenant].Refused++
+	} else {
+		b.Failed++
+	}
+}
+
+// Cancel calls an attempt off.
+func (s *sidecar) Cancel(id policy.RequestID, number int) {
+	r := s.open[id]
+	if r == nil || r.attempts[number].ended {
+		return
+	}
+	a := r.attempts[number]
+	a.ended = true
+	a.limit.off()
+	if a.job != nil {
+		a.job.giveUp()
+	}
+	s.f.clock.after(0, func() { s.outcome(r, number, policy.Cancelled) })
+}
+
+// Wake asks for a call.
+func (s *sidecar) Wake(d time.Duration) {
+	s.f.clock.after(d, func() { s.event(func() { s.m.Wake(s.f.clock.now) }) })
+}
+
+// Probe asks a server for its load.
+func (s *sidecar) Probe(to policy.ServerID) {
+	f := s.f
+	f.clock.after(f.cfg.Trip, func() {
+		n, wait := f.byID[to], time.Duration(0)
+		ok, load := n.report()
+		if n.state.Silent { // it says nothing at all, not even no
+			wait = probeTime
+		}
+		f.clock.after(wait, func() { s.event(func() { s.m.Probed(f.clock.now, to, ok, load) }) })
+	})
+}
+
+// Close has no use here: connections are not played.
+func (s *sidecar) Close(policy.ServerID) {}
+
+// WatchList has none: the list comes by itself.
+func (s *sidecar) WatchList() {}
+
+// Log says nothing.
+func (s *sidecar) Log(string) {}
+
+// Err is the first rule that was broken, or nil.
+func (f *Fleet) Err() error { return f.err }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,6 +37,26 @@
 	Log       *slog.Logger
 	Watch     func() // subscribes to the list; nil: it comes by itself
 	Quiet     bool   // no counters in the log
+
+	// Module makes the decision module; nil: policy.New. It is for what stands before one, such as a recording.
+	Module func(cfg policy.Config, seed uint64, host policy.Host) (Module, error)
+}
+
+// Module is a decision module: policy.Balancer, or what stands before one and passes everything on.
+type Module interface {
+	Start(now time.Duration)
+	Request(now time.Duration, q policy.Request)
+	Outcome(now time.Duration, o policy.Outcome)
+	Wake(now time.Duration)
+	List(now time.Duration, kind policy.ListKind, entries []policy.Server)
+	Probed(now time.Duration, id policy.ServerID, ok bool, l policy.Load)
+	ClientGone(now time.Duration, id policy.RequestID)
+	StreamBegun(id policy.RequestID)
+	Counters() policy.Counters
+}
+
+func balancer(cfg policy.Config, seed uint64, host policy.Host) (Module, error) {
+	return policy.New(cfg, seed, host)
 }
 
 // Engine owns the Balancer. All of its events pass through one goroutine, Run, in order; the other parts
@@ -44,7 +64,7 @@
 // the Outcome, is kept here.
 type Engine struct {
 	Config
-	b    *policy.Balancer
+	b    Module
 	most int // attempts for one request at most
 
 	lastID   atomic.Uint64
@@ -96,7 +116,10 @@
 		e.Config.Watch = func() {}
 	}
 	var err error
-	if e.b, err = policy.New(cfg.Policy, cfg.Seed, host{e}); err != nil {
+	if e.Config.Module == nil {
+		e.Config.Module = balancer
+	}
+	if e.b, err = e.Config.Module(cfg.Policy, cfg.Seed, host{e}); err != nil {
 		return nil, err
 	}
 	return e, nil
--- /dev/null
+++ b/internal/replay/estimate.go
@@ -0,0 +1,226 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+
+	"caperarch/internal/record/recordpb"
+	"caperarch/policy"
+)
+
+// Fate counts requests by how they ended, and the attempts made for them.
+type Fate struct {
+	InTime, Late, Refused, Failed, Attempts int
+}
+
+func (f *Fate) served(took, aim time.Duration) {
+	if took <= aim {
+		f.InTime++
+	} else {
+		f.Late++
+	}
+}
+
+func (f *Fate) add(g Fate) {
+	f.InTime += g.InTime
+	f.Late += g.Late
+	f.Refused += g.Refused
+	f.Failed += g.Failed
+	f.Attempts += g.Attempts
+}
+
+// Second counts the requests that came in one second of the recording.
+type Second struct {
+	Second            int
+	Requests          int
+	Recorded, Present Fate
+}
+
+// Estimation is how the present module would have fared beside what was recorded.
+type Estimation struct {
+	Seconds           []*Second
+	Requests          int
+	Recorded, Present Fate
+}
+
+// side counts second by second.
+type side struct{ seconds []*Second }
+
+func (s *side) at(since time.Duration) *Second {
+	n := max(0, int(since/time.Second))
+	for len(s.seconds) <= n {
+		s.seconds = append(s.seconds, &Second{Second: len(s.seconds)})
+	}
+	return s.seconds[n]
+}
+
+// Estimate hands the recorded requests and lists to the present module and answers what it does by what happened then: an attempt
+// goes as the recorded one nearest to it went, a probe likewise. Servers don't feel what the module does otherwise, and clients retry
+// as they did: so it is good for changes of who is turned away and who is tried again, and for none of how much servers bear.
+func Estimate(from Source) (*Estimation, error) {
+	all, begun, tally, err := read(from)
+	if err != nil {
+		return nil, err
+	}
+	for number := range len(all) { // instances are numbered from 0
+		if p := all[uint32(number)]; p != nil {
+			if err := p.play(begun, tally); err != nil {
+				return nil, err
+			}
+		}
+	}
+	e := &Estimation{Seconds: tally.seconds}
+	for _, s := range e.Seconds {
+		e.Requests += s.Requests
+		e.Recorded.add(s.Recorded)
+		e.Present.add(s.Present)
+	}
+	return e, nil
+}
+
+// run is the present module among recorded answers.
+type run struct {
+	p     *past
+	begun time.Duration
+	tally *side
+	b     *policy.Balancer
+	now   time.Duration
+	due   queue
+	order int
+	open  map[policy.RequestID]*played
+}
+
+// played is a request in the present module's hands.
+type played struct {
+	class int32
+	at    time.Duration
+	ends  time.Duration
+	tries []*event
+	over  bool
+}
+
+// event is something that comes due. A nil do was called off.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type queue []*event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// play runs one instance from its beginning to its end.
+func (p *past) play(begun time.Duration, tally *side) error {
+	r := &run{p: p, begun: begun, tally: tally, open: make(map[policy.RequestID]*played)}
+	var err error
+	if r.b, err = Open(p.opened, r); err != nil {
+		return err
+	}
+	for _, e := range p.events {
+		r.until(time.Duration(e.At))
+		r.now = max(r.now, time.Duration(e.At))
+		if q := e.GetRequest(); q != nil {
+			r.open[policy.RequestID(q.Id)] = &played{class: q.Class, at: r.now, ends: r.now + time.Duration(q.Left)}
+		}
+		if g := e.GetGone(); g != nil {
+			if q := r.open[policy.RequestID(g.Id)]; q == nil || q.over {
+				continue
+			} else {
+				q.over = true
+			}
+		}
+		if err := Hand(r.b, &recordpb.Record{At: int64(r.now), What: e.What}); err != nil {
+			return err
+		}
+	}
+	if n := len(p.events); n > 0 {
+		r.until(r.now + 10*time.Second) // what is open ends by its deadline
+	}
+	return nil
+}
+
+// until plays what comes due up to a time.
+func (r *run) until(t time.Duration) {
+	for len(r.due) > 0 && r.due[0].at <= t {
+		e := heap.Pop(&r.due).(*event)
+		r.now = max(r.now, e.at)
+		if e.do != nil {
+			e.do()
+		}
+	}
+}
+
+func (r *run) after(d time.Duration, do func()) *event {
+	r.order++
+	e := &event{at: r.now + d, order: r.order, do: do}
+	heap.Push(&r.due, e)
+	return e
+}
+
+func (r *run) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	q := r.open[id]
+	r.tally.at(q.at-r.begun).Present.Attempts++
+	s := r.p.attempt(uint64(id), uint64(to), q.class, r.now)
+	o := policy.Outcome{ID: id, Attempt: len(q.tries), Ending: policy.NoConnection}
+	took := time.Millisecond
+	if s != nil {
+		took, o.Ending, o.Load = s.took, s.ending, s.load
+	}
+	if most := min(timeout, q.ends-r.now); took > most || o.Ending == policy.TimedOut {
+		took, o.Ending = max(0, most), policy.TimedOut
+	}
+	q.tries = append(q.tries, r.after(took, func() { r.outcome(o) }))
+}
+
+func (r *run) outcome(o policy.Outcome) {
+	q := r.open[o.ID]
+	q.tries[o.Attempt] = nil
+	if !q.over && o.Ending == policy.Served {
+		q.over = true
+		r.tally.at(q.at-r.begun).Present.served(r.now-q.at, r.p.classes[q.class].Aim)
+	}
+	o.Settled = q.over
+	r.b.Outcome(r.now, o)
+}
+
+func (r *run) Refuse(id policy.RequestID, _ time.Duration) { r.end(id).Refused++ }
+func (r *run) Fail(id policy.RequestID)                    { r.end(id).Failed++ }
+
+func (r *run) end(id policy.RequestID) *Fate {
+	q := r.open[id]
+	q.over = true
+	return &r.tally.at(q.at - r.begun).Present
+}
+
+func (r *run) Cancel(id policy.RequestID, attempt int) {
+	if e := r.open[id].tries[attempt]; e != nil {
+		e.do = nil
+		r.after(0, func() { r.outcome(policy.Outcome{ID: id, Attempt: attempt, Ending: policy.Cancelled}) })
+	}
+}
+
+func (r *run) Wake(d time.Duration) { r.after(max(0, d), func() { r.b.Wake(r.now) }) }
+
+func (r *run) Probe(to policy.ServerID) {
+	s := nearest(r.p.probes[uint64(to)], r.now, func(*sample) bool { return true })
+	if s == nil {
+		r.after(time.Millisecond, func() { r.b.Probed(r.now, to, false, policy.Load{}) })
+		return
+	}
+	r.after(s.took, func() { r.b.Probed(r.now, to, s.ok, s.load) })
+}
+
+func (r *run) Close(policy.ServerID) {}
+func (r *run) WatchList()            {}
+func (r *run) Log(string)            {}
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -14,6 +14,30 @@
 	maxPath = 8 << 10
 )
 
+// Of is what of a request counts for its route; an error says what in it can be read in two ways.
+func Of(hostField, target, method, class string) (Request, error) {
+	// The form with a scheme and host may disagree with Host, and two readers heed different ones.
+	if !strings.HasPrefix(target, "/") {
+		return Request{}, errors.New("the target is no path")
+	}
+	host, err := Host(hostField)
+	if err != nil {
+		return Request{}, err
+	}
+	raw, _, _ := strings.Cut(target, "?")
+	path, err := Path(raw)
+	if err != nil {
+		return Request{}, err
+	}
+	return Request{Host: host, Path: path, Method: method, Class: class}, nil
+}
+
+// FirstPart is the first part of a path: where the protocol has a request's class.
+func FirstPart(path string) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return first
+}
+
 // Host brings a Host header's value into the one form that rules are written in: lower case, without port and
 // trailing dot; an IPv6 literal without its brackets, in its canonical text (RFC 9110, 7.2; RFC 3986, 3.2.2).
 func Host(value string) (string, error) {
