The plug-in takes the file of pools: one Client, several pools

Calls and bytes of bodies are parts with lending over all pools (pool.Config.Walls), connections fixed parts. A call that no route is for, or that can be read in two ways, is an InvalidError and nothing is sent.

Shown: the shared suite is green for each pool of a two-pool client (conformance: TestClientsFirst, TestClientsSecond).

--- a/conformance/subjects_test.go
+++ b/conformance/subjects_test.go
@@ -28,12 +28,14 @@
 	"caperarch/plugin/grpcplugin"
 )
 
-func TestDaemon(t *testing.T)       { Run(t, daemon{path: build(t)}) }
-func TestFirstPool(t *testing.T)    { Run(t, daemon{path: build(t), pool: "first"}) }
-func TestSecondPool(t *testing.T)   { Run(t, daemon{path: build(t), pool: "second"}) }
-func TestClient(t *testing.T)       { Run(t, client{}) }
-func TestRoundTripper(t *testing.T) { Run(t, roundTripper{}) }
-func TestGRPC(t *testing.T)         { Run(t, overGRPC{}) }
+func TestDaemon(t *testing.T)        { Run(t, daemon{path: build(t)}) }
+func TestFirstPool(t *testing.T)     { Run(t, daemon{path: build(t), pool: "first"}) }
+func TestSecondPool(t *testing.T)    { Run(t, daemon{path: build(t), pool: "second"}) }
+func TestClient(t *testing.T)        { Run(t, client{}) }
+func TestClientsFirst(t *testing.T)  { Run(t, pooled{pool: "first"}) }
+func TestClientsSecond(t *testing.T) { Run(t, pooled{pool: "second"}) }
+func TestRoundTripper(t *testing.T)  { Run(t, roundTripper{}) }
+func TestGRPC(t *testing.T)          { Run(t, overGRPC{}) }
 
 // httpNodes is for subjects that send over HTTP/1.1.
 type httpNodes struct{}
@@ -70,6 +72,19 @@
 pool = "second"
 `
 
+// files are a configuration and one of two pools that have it, in a folder of their own.
+func files(t *testing.T, config string) (path, pools string) {
+	t.Helper()
+	dir := t.TempDir()
+	path, pools = filepath.Join(dir, "config.json"), filepath.Join(dir, "pools.toml")
+	for name, text := range map[string]string{path: config, pools: twoPools} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return path, pools
+}
+
 type daemonClient struct {
 	cmd    *exec.Cmd
 	url    string
@@ -83,17 +98,10 @@
 
 func (d daemon) Open(t *testing.T, config string) Client {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	path, pools := files(t, config)
 	c := &daemonClient{cmd: exec.Command(d.path), ended: make(chan error, 1)}
 	if d.pool != "" {
 		c.host = d.pool + ".example.org"
-		pools := filepath.Join(filepath.Dir(path), "pools.toml")
-		if err := os.WriteFile(pools, []byte(twoPools), 0o600); err != nil {
-			t.Fatal(err)
-		}
 		c.cmd = exec.Command(d.path, "-pools", pools)
 	}
 	c.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path)
@@ -232,7 +240,27 @@
 // client is plugin.Client.Do.
 type client struct{ httpNodes }
 
-type clientClient struct{ *plugin.Client }
+type clientClient struct {
+	*plugin.Client
+	host string // of its pool; "": there is one
+}
+
+// pooled is plugin.Client.Do with two pools, of which one has the case's calls.
+type pooled struct {
+	httpNodes
+	pool string
+}
+
+func (p pooled) Open(t *testing.T, text string) Client {
+	t.Helper()
+	_, pools := files(t, text)
+	c, err := plugin.OpenPools(pools, plugin.PoolsConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = closeAll(c.Close) })
+	return clientClient{c, p.pool + ".example.org"}
+}
 
 func (client) Open(t *testing.T, text string) Client {
 	t.Helper()
@@ -241,11 +269,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = closeAll(c.Close) })
-	return clientClient{c}
+	return clientClient{Client: c}
 }
 
 func (c clientClient) Call(ctx context.Context, call Call) Answer {
-	r := plugin.Request{ID: call.ID, Class: call.Class, Tenant: call.Tenant, Key: call.Key, Timeout: call.Timeout}
+	r := plugin.Request{Host: c.host, ID: call.ID, Class: call.Class, Tenant: call.Tenant, Key: call.Key, Timeout: call.Timeout}
 	if call.Class != "look" {
 		r.Body = []byte(call.Body)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,9 +28,18 @@
 	Known     call.Listing // the servers as last known
 	MostOpen  int          // calls held at once; 0: no bound
 	BodyBytes int64        // of their bodies, in bytes
+	Walls     Walls        // bounds that several pools share; nil: none
 	Log       *slog.Logger
 }
 
+// Walls are bounds that several pools of a process share. They are safe for concurrent use.
+type Walls interface {
+	// Take takes a place for a call with a body of so many bytes, or says that there is none.
+	Take(size int64) bool
+	// Give gives it back.
+	Give(size int64)
+}
+
 // Transport is a call.Transport that can end.
 type Transport interface {
 	call.Transport
@@ -224,6 +233,9 @@
 		p.cfg.BodyBytes > 0 && p.bytes.Load()+size > p.cfg.BodyBytes:
 		return ErrFull
 	}
+	if p.cfg.Walls != nil && !p.cfg.Walls.Take(size) {
+		return ErrFull
+	}
 	p.bytes.Add(size)
 	p.open[id] = true
 	return nil
@@ -236,6 +248,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.bytes.Add(-size)
+	if p.cfg.Walls != nil {
+		p.cfg.Walls.Give(size)
+	}
 	delete(p.open, id)
 	p.drained()
 }
--- a/plugin/client.go
+++ b/plugin/client.go
@@ -22,23 +22,34 @@
 
 // Client carries calls to servers over HTTP/1.1.
 type Client struct {
-	core *Core
+	core  *Core  // of a client with one pool
+	pools *pools // of one with several; else nil
 }
 
 // Open starts a client, or returns an *InvalidError that names the unusable field of the Config. It needs a
 // Close.
 func Open(cfg Config) (*Client, error) {
-	core, err := OpenCore(cfg, func(cfg Config, c clock.Clock) pool.Transport {
-		names, columns := cfg.reports()
-		return http1.New(http1.Config{
-			Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: cfg.MaxConnections,
-			Reports: names, Columns: columns,
-		})
-	})
+	core, err := OpenCore(cfg, overHTTP1)
 	if err != nil {
 		return nil, err
 	}
-	return &Client{core}, nil
+	return &Client{core: core}, nil
+}
+
+func overHTTP1(cfg Config, c clock.Clock) pool.Transport {
+	names, columns := cfg.reports()
+	return http1.New(http1.Config{
+		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: cfg.MaxConnections,
+		Reports: names, Columns: columns,
+	})
+}
+
+// coreOf is the core that a call goes to. With several pools its host, path, method and class say which.
+func (c *Client) coreOf(host, target, method, class string) (*Core, error) {
+	if c.pools == nil {
+		return c.core, nil
+	}
+	return c.pools.route(host, target, method, class)
 }
 
 // Request is one call.
@@ -82,12 +93,17 @@
 		}
 		spec.Method = path
 	}
-	q, effect, err := c.core.Resolve(&spec)
+	host := or(r.Host, "service.internal")
+	core, err := c.coreOf(host, or(r.Path, "/"+r.Class), r.Method, r.Class)
+	if err != nil {
+		return Response{}, err
+	}
+	q, effect, err := core.Resolve(&spec)
 	if err != nil {
 		return Response{}, err
 	}
 	m := &call.Message{
-		Method: r.Method, URI: r.Path, Host: or(r.Host, "service.internal"), Header: call.EndToEnd(r.Header), Body: r.Body,
+		Method: r.Method, URI: r.Path, Host: host, Header: call.EndToEnd(r.Header), Body: r.Body,
 	}
 	if m.Method == "" {
 		m.Method = http.MethodPost
@@ -96,13 +112,13 @@
 		}
 	}
 	if m.URI == "" {
-		m.URI = "/" + c.core.cfg.Classes[q.Class]
+		m.URI = "/" + core.cfg.Classes[q.Class]
 	}
 	if err := checkMessage(m); err != nil {
 		return Response{}, err
 	}
-	c.core.steer(m.Header, &spec)
-	a, err := c.core.Do(ctx, &spec, q, m)
+	core.steer(m.Header, &spec)
+	a, err := core.Do(ctx, &spec, q, m)
 	if err != nil {
 		return Response{}, err
 	}
@@ -111,7 +127,12 @@
 
 // Close takes no further call and waits until those that are held have their answers. Where ctx ends first
 // these are answered at once, and its error is returned. Nothing of the client is left after it.
-func (c *Client) Close(ctx context.Context) error { return c.core.Close(ctx) }
+func (c *Client) Close(ctx context.Context) error {
+	if c.pools != nil {
+		return c.pools.close(ctx)
+	}
+	return c.core.Close(ctx)
+}
 
 func notInPath(r rune) bool { return r <= ' ' || r == 0x7f }
 
@@ -204,7 +225,7 @@
 	c.pool, err = pool.Open(pool.Config{
 		Policy: cfg.Policy, Seed: cfg.Seed, Clock: clk, Transport: transport(cfg, clk),
 		Discovery: cfg.Discovery, Zones: index(cfg.Zones), Known: cfg.listing(),
-		MostOpen: cfg.MaxCalls, BodyBytes: cfg.MaxBodyBytes, Log: cfg.Log.With("plugin", cfg.Name),
+		MostOpen: cfg.MaxCalls, BodyBytes: cfg.MaxBodyBytes, Walls: cfg.walls, Log: cfg.Log.With("plugin", cfg.Name),
 	})
 	if err != nil {
 		return nil, &InvalidError{"Config.Policy", strings.TrimPrefix(err.Error(), "config: ")}
--- a/plugin/config.go
+++ b/plugin/config.go
@@ -13,6 +13,7 @@
 
 	"caperarch/internal/call"
 	"caperarch/internal/config"
+	"caperarch/internal/pool"
 	"caperarch/internal/wire"
 	"caperarch/policy"
 )
@@ -84,6 +85,7 @@
 	Log *slog.Logger // nil: nothing is logged
 
 	known call.Listing // from a file, beside Known: servers that drain are in it too
+	walls pool.Walls   // shared with the other pools of a client; nil: none
 }
 
 // ReadConfig reads a daemon's configuration file (JSON, the deployment page's form). listen is not needed and
@@ -107,6 +109,11 @@
 	if err != nil {
 		return Config{}, err
 	}
+	return configOf(f), nil
+}
+
+// configOf is a file's configuration as a client takes it.
+func configOf(f *config.Config) Config {
 	c := Config{
 		Name: f.Name, Seed: f.Seed, Discovery: f.Discovery, Policy: f.Policy,
 		Classes: byNumber(f.Classes), Tenants: byNumber(f.Tenants), Zones: byNumber(f.Zones),
@@ -125,7 +132,7 @@
 			c.LoadReport[name] = f.Columns[i]
 		}
 	}
-	return c, nil
+	return c
 }
 
 // byNumber turns a table of numbers by name into the names in their order.
--- /dev/null
+++ b/plugin/pools.go
@@ -0,0 +1,144 @@
+package plugin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"caperarch/internal/clock"
+	"caperarch/internal/config"
+	"caperarch/internal/route"
+	"caperarch/internal/share"
+)
+
+// PoolsConfig is what a client with several pools has beside the operator's file. Bounds are over all pools, 0 stands
+// for the default; each pool has its part of them by its weight.
+type PoolsConfig struct {
+	MaxConnections int
+	MaxCalls       int
+	MaxBodyBytes   int64
+
+	Log *slog.Logger // nil: nothing is logged
+}
+
+// pools are several pools behind one client: an engine, a list and a module each.
+type pools struct {
+	table *route.Table
+	cores map[string]*Core
+}
+
+// OpenPools starts a client with several pools, by the daemon's file of pools and routes (TOML; docs/operate/pools.md). Calls go by their
+// Host, Path, Method and Class to the pool that the most specific route names; a call that none matches is an
+// *InvalidError, and so is one whose host or path can be read in two ways. The limits and listen addresses of the pools' own
+// files are passed over but for caps.max_open. Calls and bytes of bodies are parts with lending, connections are fixed parts. The error names the
+// file, line and field. The client needs a Close.
+func OpenPools(path string, cfg PoolsConfig) (*Client, error) {
+	file, err := config.ReadPools(path)
+	if err != nil {
+		return nil, fmt.Errorf("caperarch: %w", err)
+	}
+	for field, n := range map[string]int64{
+		"MaxConnections": int64(cfg.MaxConnections), "MaxCalls": int64(cfg.MaxCalls), "MaxBodyBytes": cfg.MaxBodyBytes,
+	} {
+		if n < 0 {
+			return nil, &InvalidError{"PoolsConfig." + field, fmt.Sprintf("%d is below 0", n)}
+		}
+	}
+	var weights []float64
+	sum := 0.0
+	for _, p := range file.List {
+		weights = append(weights, p.Weight)
+		sum += p.Weight
+	}
+	w := walls{
+		calls:  share.New(int64(or(cfg.MaxCalls, DefaultMaxCalls)), weights),
+		bodies: share.New(or(cfg.MaxBodyBytes, DefaultMaxBodyBytes), weights),
+	}
+	all := &pools{table: file.Table, cores: make(map[string]*Core)}
+	for i, p := range file.List {
+		one := configOf(p.Config)
+		one.Name, one.Log = p.Name, cfg.Log
+		one.MaxConnections = int(float64(or(cfg.MaxConnections, DefaultMaxConnections)) * p.Weight / sum)
+		one.MaxBodyBytes = or(cfg.MaxBodyBytes, DefaultMaxBodyBytes)
+		w.clock, w.pool = clock.New(), i
+		one.walls = w
+		var core *Core
+		if one.MaxConnections < 1 {
+			err = fmt.Errorf("its part of the connections is none: MaxConnections is too small, or there are too many pools")
+		} else {
+			core, err = OpenCore(one, overHTTP1)
+		}
+		if err != nil {
+			ended, stop := context.WithCancel(context.Background())
+			stop()
+			_ = all.close(ended) // they hold nothing yet
+			return nil, fmt.Errorf("caperarch: %s: pools.%s: %w", path, p.Name, err)
+		}
+		all.cores[p.Name] = core
+	}
+	return &Client{pools: all}, nil
+}
+
+// route is the pool that a call goes to.
+func (p *pools) route(host, target, method, class string) (*Core, error) {
+	if class == "" { // as at the daemon, the first part of the path
+		class = route.FirstPart(target)
+	}
+	q, err := route.Of(host, target, method, class)
+	if err != nil {
+		return nil, &InvalidError{"Request.Path", err.Error()}
+	}
+	rule := p.table.Match(q)
+	if rule == nil {
+		return nil, &InvalidError{"Request.Path", "no route is for this call"}
+	}
+	return p.cores[rule.Pool], nil
+}
+
+// close closes all pools at the same time: each may need the whole time that there is.
+func (p *pools) close(ctx context.Context) error {
+	var (
+		all  sync.WaitGroup
+		mu   sync.Mutex
+		errs []error
+	)
+	for name, core := range p.cores {
+		all.Go(func() {
+			if err := core.Close(ctx); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				errs = append(errs, fmt.Errorf("pools.%s: %w", name, err))
+			}
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// walls are a pool's parts of what the client holds.
+type walls struct {
+	clock         clock.Clock
+	calls, bodies *share.Space
+	pool          int
+}
+
+// Take takes a place for a call.
+func (w walls) Take(size int64) bool {
+	now := w.clock.Now()
+	if !w.calls.Take(now, w.pool, 1) {
+		return false
+	}
+	if !w.bodies.Take(now, w.pool, size) {
+		w.calls.Give(w.pool, 1)
+		return false
+	}
+	return true
+}
+
+// Give gives it back.
+func (w walls) Give(size int64) {
+	w.calls.Give(w.pool, 1)
+	w.bodies.Give(w.pool, size)
+}
--- a/plugin/roundtrip.go
+++ b/plugin/roundtrip.go
@@ -20,9 +20,9 @@
 // A server's answer of status 200 is returned, and so is the last one of another status where the call failed
 // with it, but for 429 and 503: many take these as leave to repeat, and the call may have run.
 // Every other end is an error, as Client.Do has it.
-func (c *Client) RoundTripper() http.RoundTripper { return roundTripper{c.core} }
+func (c *Client) RoundTripper() http.RoundTripper { return roundTripper{c} }
 
-type roundTripper struct{ core *Core }
+type roundTripper struct{ client *Client }
 
 // RoundTrip implements http.RoundTripper. The whole body is read before anything is sent, MaxBody bytes at most.
 func (t roundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -34,12 +34,17 @@
 	if err != nil {
 		return nil, err
 	}
-	q, effect, err := t.core.Resolve(spec)
+	host := or(req.Host, req.URL.Host)
+	core, err := t.client.coreOf(host, req.URL.RequestURI(), or(req.Method, http.MethodGet), spec.Class)
+	if err != nil {
+		return nil, err
+	}
+	q, effect, err := core.Resolve(spec)
 	if err != nil {
 		return nil, err
 	}
 	m := &call.Message{
-		Method: or(req.Method, http.MethodGet), URI: req.URL.RequestURI(), Host: or(req.Host, req.URL.Host),
+		Method: or(req.Method, http.MethodGet), URI: req.URL.RequestURI(), Host: host,
 		Header: call.EndToEnd(req.Header), Body: body,
 	}
 	if m.Method == http.MethodHead || m.Method == http.MethodConnect {
@@ -54,8 +59,8 @@
 	if err := checkMessage(m); err != nil {
 		return nil, err
 	}
-	t.core.steer(m.Header, spec)
-	a, err := t.core.Do(req.Context(), spec, q, m)
+	core.steer(m.Header, spec)
+	a, err := core.Do(req.Context(), spec, q, m)
 	if err == nil {
 		return response(req, http.StatusOK, a.Header, a.Body), nil
 	}
