Admission comes back as soon as answers are good; probes and retries outlive broken connections

A broken probe is made once more, and what is told at once counts for 50 ms.

The test of a keyed group ends an attempt with Errored now, as a broken one is tried again.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,7 +1,7 @@
 // Measure makes the project's measurements: subject and reference interleaved in one run, several rounds, the
 // spread shown. Its last line is "NAME key=value ..."; it exits 1 if a stated bound is missed.
 //
-//	go run ./cmd/measure NAME [-short]
+//	go run ./cmd/measure NAME [-short] [-plots DIR]
 package main
 
 import (
@@ -15,6 +15,9 @@
 // measurement makes one; missed names the bounds that it missed.
 type measurement func(short bool) (result string, missed []string, err error)
 
+// plots is the folder that plots go to; "": none are made.
+var plots string
+
 var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain}
 
 func main() {
@@ -27,7 +30,7 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	usage := "usage: measure NAME [-short]; NAME is one of " + strings.Join(names, ", ")
+	usage := "usage: measure NAME [-short] [-plots DIR]; NAME is one of " + strings.Join(names, ", ")
 	if len(os.Args) < 2 || measurements[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, usage)
 		os.Exit(2)
@@ -35,6 +38,7 @@
 	name := os.Args[1]
 	flags := flag.NewFlagSet(name, flag.ExitOnError)
 	short := flags.Bool("short", false, "end within 45 s")
+	flags.StringVar(&plots, "plots", "", "folder for plots (SVG), of the measurements that have some")
 	_ = flags.Parse(os.Args[2:]) // exits on an error
 	result, missed, err := measurements[name](*short)
 	if err != nil {
--- a/cmd/measure/strain.go
+++ b/cmd/measure/strain.go
@@ -53,6 +53,7 @@
 	for i := range emu.Cases {
 		s := &emu.Cases[i]
 		fmt.Println(s.Name)
+		var lines []series
 		for _, g := range gates {
 			f := make(figures)
 			for seed := range seeds {
@@ -66,6 +67,9 @@
 				f.add("quiet", o.Quiet)
 				f.add("attempts", o.Attempts)
 				f.add("swing", o.Swing)
+				if seed == 0 {
+					lines = append(lines, strainLines(g.name, o.Series, len(lines) == 0)...)
+				}
 			}
 			fmt.Printf("  %-14s earned %v, after %v, recovery %v s, other tenant %v, attempts %v, swing %v\n", g.name,
 				f["earned"], f["after"], f["recovery"], f["quiet"], f["attempts"], f["swing"])
@@ -76,6 +80,33 @@
 				}
 			}
 		}
+		name := "strain-" + strings.NewReplacer(" ", "-", ",", "").Replace(s.Name) + ".svg"
+		if err := plotLines(name, s.Name, "share", lines...); err != nil {
+			return "", nil, err
+		}
 	}
 	return fmt.Sprintf("recovery_worst_s=%.1f cases=%d seeds=%d", worst, len(emu.Cases), seeds), missed, nil
 }
+
+// strainLines are the shares of a run over time, half a second to a point: what was turned away at once and, of the first run, capacity
+// against the most that there was.
+func strainLines(name string, buckets []emu.Bucket, capacity bool) (lines []series) {
+	const each = 5
+	turned, able := series{name + ": turned away", 0.5, nil}, series{"capacity", 0.5, nil}
+	most := 0.0
+	for _, b := range buckets {
+		most = max(most, b.Capacity)
+	}
+	for i := 0; i+each <= len(buckets); i += each {
+		throttled, asked, sum := 0, 0, 0.0
+		for _, b := range buckets[i : i+each] {
+			throttled, asked, sum = throttled+b.Throttled, asked+b.Requests, sum+b.Capacity
+		}
+		turned.values = append(turned.values, float64(throttled)/float64(max(1, asked)))
+		able.values = append(able.values, sum/each/most)
+	}
+	if capacity {
+		lines = append(lines, able)
+	}
+	return append(lines, turned)
+}
--- a/internal/emu/cases.go
+++ b/internal/emu/cases.go
@@ -13,6 +13,7 @@
 	Name  string
 	Load  float64       // of the capacity
 	Until time.Duration // capacity is back then
+	Small bool          // six servers and two sidecars, as on the recorded days
 	set   func(f *Fleet, c *Config)
 	flood func(now time.Duration) float64 // one tenant's traffic, the smaller one's
 }
@@ -42,6 +43,10 @@
 		f.At(faultFrom, func() { f.Set(2, State{TurnAway: 0.5, Idle: true}) })
 		f.At(faultFrom+20*time.Second, func() { f.Set(2, State{}) })
 	}},
+	{Name: "two of six throttle", Load: 0.5, Until: faultFrom + 10*time.Second, Small: true, set: func(f *Fleet, c *Config) {
+		f.At(faultFrom, func() { f.SetFastest(2, State{Most: 25}) })
+		f.At(faultFrom+10*time.Second, func() { f.SetFastest(2, State{}) })
+	}},
 	{Name: "all break 1 of 50", Load: 0.6, Until: faultFrom + 20*time.Second, set: func(f *Fleet, c *Config) {
 		f.At(faultFrom, func() { f.Set(0, State{Breaks: 0.02}) })
 		f.At(faultFrom+20*time.Second, func() { f.Set(0, State{}) })
@@ -77,7 +82,11 @@
 	}
 	work := 0.8*0.054 + 0.2*0.070
 	capacity := 0.0
-	for i := range 15 {
+	servers := 15
+	if s.Small {
+		servers, c.Sidecars = 6, 2
+	}
+	for i := range servers {
 		speed := []float64{1.6, 0.6, 0.95, 0.6, 1.6}[i%5]
 		c.Servers = append(c.Servers, Server{Cores: 2, Speed: speed, Room: 24, Cell: i % 5})
 		capacity += 2 * speed / work
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -1,6 +1,7 @@
 package emu
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -64,7 +65,7 @@
 	byID     map[policy.ServerID]*node // gone ones too
 	nextNode policy.ServerID
 	sidecars []*sidecar
-	version  int
+	meanWork float64 // s of work a request, over the classes
 	buckets  []Bucket
 	err      error
 }
@@ -99,6 +100,9 @@
 	for _, s := range cfg.Servers {
 		f.add(s, 0)
 	}
+	for _, c := range cfg.Classes {
+		f.meanWork += c.Share * c.Work.Seconds()
+	}
 	for i := range cfg.Sidecars {
 		c := cfg.Module
 		c.Balancers, c.Index = cfg.Sidecars, i
@@ -164,6 +168,17 @@
 	}
 }
 
+// SetFastest is Set for the n servers that can do most.
+func (f *Fleet) SetFastest(n int, s State) {
+	order := slices.Clone(f.nodes)
+	slices.SortStableFunc(order, func(a, b *node) int {
+		return cmp.Compare(b.spec.Speed*float64(b.spec.Cores), a.spec.Speed*float64(a.spec.Cores))
+	})
+	for _, node := range order[:min(n, len(order))] {
+		node.set(s)
+	}
+}
+
 // Replace has all servers leave and as many come under other ids, warm, and tells the sidecars.
 func (f *Fleet) Replace() {
 	for _, old := range slices.Clone(f.nodes) {
--- a/internal/emu/server.go
+++ b/internal/emu/server.go
@@ -24,6 +24,7 @@
 	TurnAway float64 // share of the requests that it turns away unseen
 	Idle     bool    // reports that it holds nothing
 	Breaks   float64 // share of the requests after which the connection breaks, run or not
+	Most     float64 // requests that it takes a second; it turns away what comes beyond that, after a while; 0: no bound
 }
 
 // node is a server at work.
@@ -40,6 +41,8 @@
 	served  float64 // a second, fading
 	errors  float64
 	at      time.Duration // when these were taken
+	tokens  float64       // of State.Most
+	tokenAt time.Duration
 }
 
 // job is an attempt at a server.
@@ -55,6 +58,20 @@
 // turnAwayTime is how long a server takes to turn a request away, network and all.
 const turnAwayTime = time.Millisecond
 
+// throttleTime is how long one takes that bounds what it takes a second.
+const throttleTime = 40 * time.Millisecond
+
+// token says whether one more may be taken this second.
+func (n *node) token() bool {
+	now := n.f.clock.now
+	n.tokens = min(n.state.Most/10+1, n.tokens+(now-n.tokenAt).Seconds()*n.state.Most)
+	if n.tokenAt = now; n.tokens < 1 {
+		return false
+	}
+	n.tokens--
+	return true
+}
+
 // take takes an attempt on. done is called once, but for one that is given up.
 func (n *node) take(work float64, done func(policy.Ending)) *job {
 	j := &job{node: n, work: work, done: done}
@@ -66,6 +83,10 @@
 		n.fade()
 		n.errors++
 		j.end(turnAwayTime, policy.TurnedAway)
+	case n.state.Most > 0 && !n.token():
+		n.fade()
+		n.errors++
+		j.end(throttleTime, policy.TurnedAway)
 	case n.state.Breaks > 0 && n.f.rng.Float64() < n.state.Breaks:
 		j.end(turnAwayTime, policy.Broken)
 	case len(n.running) < n.spec.Cores:
@@ -192,5 +213,9 @@
 	if n.gone || n.state.Silent || n.state.Refuses {
 		return 0
 	}
-	return n.speed() * float64(n.spec.Cores) * (1 - n.state.TurnAway)
+	c := n.speed() * float64(n.spec.Cores) * (1 - n.state.TurnAway)
+	if n.state.Most > 0 {
+		c = min(c, n.state.Most*n.f.meanWork)
+	}
+	return c
 }
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -232,7 +232,12 @@
 	go func() {
 		defer u.leaveExchange(x)
 		m := &call.Message{Method: http.MethodGet, URI: u.probePath, Host: to.address}
-		res, body, _ := u.exchange(x, to, m, now+u.dialTimeout)
+		res, body, ending := u.exchange(x, to, m, now+u.dialTimeout)
+		if res == nil && ending == policy.Broken {
+			// A kept connection that its server was closing tells nothing of the server, and a probe has no effect: once
+			// more. Without this servers that close often pass for ones that can't tell their load, and get no turns.
+			res, body, _ = u.exchange(x, to, m, now+u.dialTimeout)
+		}
 		if res == nil {
 			told(false, policy.Load{})
 			return
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -400,6 +400,29 @@
 	}
 }
 
+// Guards against servers that close kept connections with the next request: their probes failed, which the module takes for
+// servers that can't tell their load.
+func TestProbeOnABrokenConnectionIsMadeOnceMore(t *testing.T) {
+	var first sync.Once
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
+		if r.URI == "/metrics/load" {
+			closes := false
+			first.Do(func() { closes = true })
+			if closes {
+				return false
+			}
+		}
+		return rig.Echo(c, r)
+	})
+	u := testUpstream(t)
+	attempt(t, u, to(u, s), "1", rig.Generous)
+	done := make(chan bool, 2)
+	u.probe(to(u, s), u.clock.Now(), func(ok bool, _ policy.Load) { done <- ok })
+	if !rig.Wait(t, "the result", done) {
+		t.Error("the probe failed, though a new connection stands")
+	}
+}
+
 // A process that was stopped between the decision and the write sends nothing once the time is up.
 func TestLateAttemptIsNotWritten(t *testing.T) {
 	s := rig.NewStub(t, rig.Echo)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,8 +59,11 @@
 		b.pace = min(b.pace, c.Aim/8)
 	}
 	b.worth = cmp.Or(b.worth, 1)
-	if b.gate = admission.Gate(admission.NewRatio(b.rng)); cfg.Gate != nil {
-		b.gate = cfg.Gate(b.rng)
+	health := admission.NewHealth()
+	for i := range b.parts { // one each: a tenant's flood turns no other's away
+		if b.parts[i].gate = admission.Gate(admission.NewRecovering(b.rng, health)); cfg.Gate != nil {
+			b.parts[i].gate = cfg.Gate(b.rng)
+		}
 	}
 	b.deriveSlots()
 	return b, nil
@@ -135,7 +138,7 @@
 	if want := max(fewest, b.rate*b.every); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
-	if !b.gate.Ask(now, r.class.Worth/b.worth) {
+	if !r.home.gate.Ask(now, r.class.Worth/b.worth) {
 		b.count.Throttled++
 		b.finish(r)
 		return
@@ -174,7 +177,7 @@
 		return
 	}
 	a := &r.attempts[o.Attempt]
-	a.state = mayHaveRun
+	a.state, a.broke = mayHaveRun, o.Ending == Broken
 	if o.Ending == TurnedAway || o.Ending == NoConnection || o.Ending == NotSent {
 		a.state = neverRan
 	}
@@ -183,7 +186,7 @@
 	if o.Ending == Served && now <= r.wanted {
 		e.Good = min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
 	}
-	b.gate.Ended(now, e)
+	r.home.gate.Ended(now, e)
 	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
 		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
 	}
@@ -358,7 +361,7 @@
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	b.hold(r, s, 1)
-	b.gate.Began(now)
+	r.home.gate.Began(now)
 	if len(r.attempts) > 1 {
 		b.count.Retries++
 		b.more = append(b.more, now)
@@ -388,9 +391,12 @@
 // weight after its last turn, and the one due first has its turn. It loses it while it holds its
 // portion of our attempts, or if the request has been there already.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
-	best, walled := b.turnOf(now, r, b.arc)
+	best, walled := b.turnOf(now, r, b.arc, false)
 	if best == nil && r.ran() != nil { // bound to where it has been
-		best, walled = b.turnOf(now, r, b.servers)
+		best, walled = b.turnOf(now, r, b.servers, false)
+	}
+	if best == nil && len(r.attempts) > 0 { // a connection broke there, no more is known against it
+		best, walled = b.turnOf(now, r, b.servers, true)
 	}
 	if best == nil {
 		return nil
@@ -449,12 +455,15 @@
 	return gap
 }
 
-// turnOf finds whose turn it is, and whether a server that holds its portion lost it.
-func (b *Balancer) turnOf(now time.Duration, r *request, among []*server) (best *server, walled bool) {
+// turnOf finds whose turn it is, and whether a server that holds its portion lost it. Those that the
+// request has been to have none; with again, those where only its connection broke have one.
+func (b *Balancer) turnOf(
+	now time.Duration, r *request, among []*server, again bool,
+) (best *server, walled bool) {
 	lost := math.Inf(1)
 	for _, s := range among {
 		switch {
-		case r.tried(s) || !b.mayGo(now, r, s):
+		case r.tried(s, again) || !b.mayGo(now, r, s):
 		case now < s.backAt: // one that turns all away at once is never full, and would draw them all
 			lost = min(lost, s.due)
 		case float64(s.out) >= b.portion(s) || b.fuller(now, r, s):
@@ -579,11 +588,11 @@
 	if !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 || b.fresh < pairsMost-1 || r.asked >= askMost {
 		return false
 	}
-	s, _ := b.turnOf(now, r, b.arc)
+	s, _ := b.turnOf(now, r, b.arc, false)
 	if s == nil || (s.toldAt > 0 && now-s.toldAt < toldFor) {
 		return false
 	}
-	r.asks, r.asksUntil = s, now+askWait
+	r.asks, r.asksUntil, s.askedAt = s, now+askWait, now
 	r.asked++
 	b.host.Probe(s.ID)
 	return true
@@ -605,6 +614,9 @@
 		s.toldAt, s.load, s.others = now, l, max(0, l.InFlight-float64(s.out))
 	} else if s != nil && b.fresh >= pairsMost-1 { // it can't tell: the turn is the next one's
 		s.toldAt, s.others = now, math.Inf(1)
+		if now-s.askedAt < askWait { // it said so at once: a connection broke, maybe, so that is soon forgotten
+			s.toldAt -= 4 * toldFor
+		}
 	}
 	for _, r := range b.open {
 		if s != nil && r.asks == s && !r.over {
@@ -628,7 +640,7 @@
 	switch {
 	case r.over:
 		return
-	case r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll):
+	case r.ran() == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll:
 		b.count.Refused++
 		pause := time.Duration((1 + b.rng.Float64()) * float64(b.pace)) // spread: not all at once
 		b.host.Refuse(r.id, min(b.cfg.MaxRetryAfter, pause))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -256,7 +256,7 @@
 	if len(h.sends) != 2 || h.sends[1].to != 1 {
 		t.Fatalf("sends %v, want a second attempt at server 1", h.sends)
 	}
-	end(b, 4*ms, 1, 1, Broken) // may have run in zone 0: server 2 is barred now
+	end(b, 4*ms, 1, 1, Errored) // may have run in zone 0: server 2 is barred now
 	if len(h.sends) != 2 {
 		t.Fatalf("sent outside the group: %v", h.sends)
 	}
@@ -269,7 +269,7 @@
 	if _, refused := h.refused[1]; len(h.sends) != 1 || !refused {
 		t.Fatalf("sends %d, refused %v; want 1 and a refusal, as all servers drop repeats", len(h.sends), refused)
 	}
-	b.gate = admission.NewRatio(b.rng)
+	b.parts[0].gate = admission.NewRatio(b.rng)
 	ask(b, 800*ms, 2, keyedZone)
 	end(b, 1500*ms, 2, 0, Errored)
 	if !h.failed[2] {
@@ -467,6 +467,38 @@
 	}
 }
 
+// Guards against a day of broken connections, when probes failed too: a quarter of a second of "can't tell" on all servers
+// refused requests although nothing was out anywhere.
+func TestThatOneCannotTellIsSoonForgotten(t *testing.T) {
+	cfg := testConfig()
+	cfg.MayProbe, cfg.Reports = true, HasInFlight
+	b, h := start(t, cfg, ready(1, 2))
+	b.pairs, b.fresh = pairsMost, pairsMost
+	ask(b, 0, 1, safeClass)
+	for n := 0; n < len(h.probes); n++ {
+		b.Probed(ms, h.probes[n], false, Load{})
+	}
+	sends := len(h.sends)
+	ask(b, 60*ms, 2, safeClass)
+	b.Probed(61*ms, h.probes[len(h.probes)-1], true, Load{Has: HasInFlight})
+	if len(h.sends) == sends {
+		t.Fatalf("probes %v, sends %v: want the second request sent, as 50 ms later all is new", h.probes, h.sends)
+	}
+}
+
+// Guards against cells of two whose other server has no room: a keyed request whose connection broke may go again where it was, as
+// repeats are dropped there; one that had no answer in time may not.
+func TestABrokenConnectionDoesNotRuleItsServerOut(t *testing.T) {
+	for end, want := range map[Ending]int{Broken: 2, Errored: 1} {
+		b, h := start(t, testConfig(), ready(1))
+		ask(b, 0, 1, keyedCell)
+		b.Outcome(5*ms, Outcome{ID: 1, Ending: end})
+		if len(h.sends) != want {
+			t.Errorf("ending %v: %d sends, want %d", end, len(h.sends), want)
+		}
+	}
+}
+
 // Guards against a day with servers replaced all along: one turned everything away at once, so it never held
 // anything and had room by every measure, while the others were full: it drew most requests, three times each.
 func TestServerThatTurnsAllAwayIsLeftOut(t *testing.T) {
@@ -926,7 +958,7 @@
 	b, h := start(t, cfg, ready(1, 2, 3))
 	try := func(now time.Duration, id RequestID, class int) int {
 		n := len(h.sends)
-		b.gate = admission.NewRatio(b.rng)
+		b.parts[0].gate = admission.NewRatio(b.rng)
 		ask(b, now, id, class)
 		end(b, now, id, 0, TurnedAway)
 		if len(h.sends) > n+1 {
@@ -1001,7 +1033,7 @@
 			for range n {
 				now += 50 * ms
 				id++
-				b.gate = admission.NewRatio(b.rng) // admission is not at stake here
+				b.parts[0].gate = admission.NewRatio(b.rng) // admission is not at stake here
 				ask(b, now, id, unsafeClass)
 				for k := len(h.sends); k > 0 && h.sends[k-1].id == id; k = len(h.sends) {
 					n := len(b.requests[id].attempts)
@@ -1069,11 +1101,11 @@
 	b, _ := start(t, cfg, ready(1, 2))
 	var let [2]int
 	for i := range 2000 {
-		b.gate = admission.NewRatio(b.rng)
+		b.parts[0].gate = admission.NewRatio(b.rng)
 		for n := range 40 {
-			b.gate.Ended(0, admission.End{Good: map[bool]float64{true: 1}[n < 10]})
+			b.parts[0].gate.Ended(0, admission.End{Good: map[bool]float64{true: 1}[n < 10]})
 		}
-		if b.gate.Ask(0, b.classes[i%2].Worth/b.worth) {
+		if b.parts[0].gate.Ask(0, b.classes[i%2].Worth/b.worth) {
 			let[i%2]++
 		}
 	}
@@ -1128,10 +1160,10 @@
 	b, h := start(t, testConfig(), ready(1))
 	ask(b, 0, 1, unsafeClass)
 	end(b, time.Second, 1, 0, TimedOut)
-	b.gate = admission.NewRatio(b.rng)
+	b.parts[0].gate = admission.NewRatio(b.rng)
 	ask(b, 1100*ms, 2, unsafeClass)
 	end(b, 2100*ms, 2, 0, TimedOut)
-	b.gate = admission.NewRatio(b.rng)
+	b.parts[0].gate = admission.NewRatio(b.rng)
 	ask(b, 3*time.Second, 3, unsafeClass)
 	end(b, 3100*ms, 3, 0, Served)
 	if b.server(1).warmAt != 3100*ms+8*time.Second || len(h.log) == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -12,19 +12,20 @@
 
 type server struct {
 	Server
-	out    int           // this balancer's attempts there
-	ours   bool          // in our arc
-	due    float64       // smooth weighted round robin: when its next turn is, in turns' own time
-	strain float64       // time that its answers take, against the usual; failures count too
-	used   float64       // mean square of the share of the aim that its answers take, lately
-	toldAt time.Duration // it last reported its load; 0: never
-	load   Load          // what it told then
-	others float64       // and then held this many requests that are not ours
-	silent time.Duration // it has not answered since; 0: it has
-	fails  int           // failures in a row
-	backAt time.Duration // after them: no turns before this
-	warmAt time.Duration // cold until then, by the list or by our own guess
-	coldAt time.Duration // while cold: nothing more before this
+	out     int           // this balancer's attempts there
+	ours    bool          // in our arc
+	due     float64       // smooth weighted round robin: when its next turn is, in turns' own time
+	strain  float64       // time that its answers take, against the usual; failures count too
+	used    float64       // mean square of the share of the aim that its answers take, lately
+	toldAt  time.Duration // it last reported its load; 0: never
+	askedAt time.Duration // it was last asked
+	load    Load          // what it told then
+	others  float64       // and then held this many requests that are not ours
+	silent  time.Duration // it has not answered since; 0: it has
+	fails   int           // failures in a row
+	backAt  time.Duration // after them: no turns before this
+	warmAt  time.Duration // cold until then, by the list or by our own guess
+	coldAt  time.Duration // while cold: nothing more before this
 }
 
 type attemptState int
@@ -39,6 +40,7 @@
 	to    *server
 	sent  time.Duration
 	state attemptState
+	broke bool // its connection did
 }
 
 type request struct {
@@ -82,6 +84,7 @@
 type compartment struct {
 	slots, used, places int
 	queue               []*request
+	gate                admission.Gate // who may try for a slot
 }
 
 type class struct {
@@ -106,19 +109,18 @@
 	weight   float64    // of all ready servers
 	full     float64    // the most of it that there was
 	out      int
-	turn     float64        // due time of the latest turn
-	arc      []*server      // whom turns are taken among
-	crowd    float64        // mean square of the share of the aim that answers take, lately
-	crowdAt  time.Duration  // when it was taken
-	reach    float64        // the weight in it
-	rate     float64        // requests a second, lately
-	rateAt   time.Duration  // when it was taken
-	wanted   float64        // servers that it can feed
-	every    float64        // seconds in which each of them gets a turn
-	pace     time.Duration  // usual time of an answer, over all classes
-	aim      float64        // mean aim, in seconds
-	worth    float64        // mean worth of the classes
-	gate     admission.Gate // who may try for a slot
+	turn     float64       // due time of the latest turn
+	arc      []*server     // whom turns are taken among
+	crowd    float64       // mean square of the share of the aim that answers take, lately
+	crowdAt  time.Duration // when it was taken
+	reach    float64       // the weight in it
+	rate     float64       // requests a second, lately
+	rateAt   time.Duration // when it was taken
+	wanted   float64       // servers that it can feed
+	every    float64       // seconds in which each of them gets a turn
+	pace     time.Duration // usual time of an answer, over all classes
+	aim      float64       // mean aim, in seconds
+	worth    float64       // mean worth of the classes
 	wakeAt   time.Duration
 	askAt    time.Duration // when to ask for the list next; 0: no need
 	askFails int
@@ -155,10 +157,10 @@
 	return nil
 }
 
-// tried says whether a server has had this request already.
-func (r *request) tried(s *server) bool {
+// tried says whether a server has had this request already; with again it counts only where more than its connection broke.
+func (r *request) tried(s *server, again bool) bool {
 	for i := range r.attempts {
-		if r.attempts[i].to == s {
+		if a := &r.attempts[i]; a.to == s && !(again && a.broke) {
 			return true
 		}
 	}
