Servers that turn away are spaced; walls grow a little in a shortage; sizes and the retry budget in files of their own

Sends to one that turned away are now spaced, twice as far with each it turns away (once for what went out together), a sixth less with each it serves. While servers of ours fail or turn away the others may hold up to 1.5 times their portion; the fullest list counts for 30 s, not for ever.

--- a/internal/emu/cases.go
+++ b/internal/emu/cases.go
@@ -43,9 +43,9 @@
 		f.At(faultFrom, func() { f.Set(2, State{TurnAway: 0.5, Idle: true}) })
 		f.At(faultFrom+20*time.Second, func() { f.Set(2, State{}) })
 	}},
-	{Name: "two of six throttle", Load: 0.5, Until: faultFrom + 10*time.Second, Small: true, set: func(f *Fleet, c *Config) {
-		f.At(faultFrom, func() { f.SetFastest(2, State{Most: 25}) })
-		f.At(faultFrom+10*time.Second, func() { f.SetFastest(2, State{}) })
+	{Name: "three of six throttle", Load: 0.45, Until: faultFrom + 10*time.Second, Small: true, set: func(f *Fleet, c *Config) {
+		f.At(faultFrom, func() { f.SetFastest(3, State{Most: 40}) }) // of some 280 that each can do
+		f.At(faultFrom+10*time.Second, func() { f.SetFastest(3, State{}) })
 	}},
 	{Name: "all break 1 of 50", Load: 0.6, Until: faultFrom + 20*time.Second, set: func(f *Fleet, c *Config) {
 		f.At(faultFrom, func() { f.Set(0, State{Breaks: 0.02}) })
@@ -80,7 +80,13 @@
 			Reports: policy.HasInFlight | policy.HasService | policy.HasServed | policy.HasErrors,
 		},
 	}
-	work := 0.8*0.054 + 0.2*0.070
+	if s.Small { // requests are as much quicker there, and aims shorter
+		for i := range c.Classes {
+			c.Classes[i].Work /= 5
+			c.Module.Classes[i].Aim /= 4
+		}
+	}
+	work := c.Classes[0].Share*c.Classes[0].Work.Seconds() + c.Classes[1].Share*c.Classes[1].Work.Seconds()
 	capacity := 0.0
 	servers := 15
 	if s.Small {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,6 @@
 // The interface (types, events, actions) is api.go; every decision is here: start, events,
 // compartments, the gate that all sends pass, server choice and health, list, reports, endings.
+// Sizes are in sizing.go.
 
 package policy
 
@@ -23,21 +24,25 @@
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
 
-	rateOver   = 10 * time.Second      // our traffic is measured over about this long
-	turnEvery  = 1 * time.Second       // turns are taken among so few servers that each gets one this often
-	fewest     = 4.0                   // but at least this many
-	toldFor    = 50 * time.Millisecond // a load report is good for this long
-	askWait    = 30 * time.Millisecond // a request waits this long for one
-	askMost    = 3                     // and asks so many servers at most
-	pairsMost  = 4                     // pairs of reports that far apart tell whether they are fresh enough
-	crowdedAt  = 0.3                   // a server that takes this share of the aim to answer is crowded
-	partRoom   = 2.0                   // it is full at its part of all balancers' requests and so many more
-	wholeLater = 1.7                   // the wall over all attempts begins at this multiple of a server's
-	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
-	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
-	failPause  = 20 * time.Millisecond // no turns for this after a second failure in a row, then doubled
-	failDouble = 5                     // up to so many times
-	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
+	rateOver   = 10 * time.Second       // our traffic is measured over about this long
+	turnEvery  = 1 * time.Second        // turns are taken among so few servers that each gets one this often
+	fewest     = 4.0                    // but at least this many
+	toldFor    = 50 * time.Millisecond  // a load report is good for this long
+	askWait    = 30 * time.Millisecond  // a request waits this long for one
+	askMost    = 3                      // and asks so many servers at most
+	pairsMost  = 4                      // pairs of reports that far apart tell whether they are fresh enough
+	crowdedAt  = 0.3                    // a server that takes this share of the aim to answer is crowded
+	partRoom   = 2.0                    // it is full at its part of all balancers' requests and so many more
+	wholeLater = 1.7                    // the wall over all attempts begins at this multiple of a server's
+	farTurns   = 0.25                   // other zones' servers have this share of turns, if crossing is priced
+	failStrain = 8.0                    // a failure counts as an answer that took so many times the usual
+	failPause  = 20 * time.Millisecond  // no turns for this after a second failure in a row, then doubled
+	failDouble = 5                      // up to so many times
+	firstSpace = 8 * time.Millisecond   // between sends to a server that turned one away, then doubled
+	lastSpace  = 256 * time.Millisecond // up to this,
+	shortMost  = 1.5                    // the others hold so many times as much then, at most
+	spaceBack  = 6                      // and shorter by a sixth with each that it serves
+	coldPart   = 0.5                    // this much of a cold server's budget is used, the rest left to chance
 
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
@@ -51,7 +56,7 @@
 	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
 	b.parts = make([]compartment, len(cfg.tenants()))
 	b.rng = rand.New(rand.NewPCG(seed, 0))
-	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
+	b.pace, b.every, b.short = cfg.Classes[0].Aim/8, turnEvery.Seconds(), 1
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
@@ -59,6 +64,7 @@
 		b.pace = min(b.pace, c.Aim/8)
 	}
 	b.worth = cmp.Or(b.worth, 1)
+	b.budget = admission.Budget{Span: cfg.Budget.Span, Free: cfg.Budget.Free, Share: cfg.Budget.Share}
 	health := admission.NewHealth()
 	for i := range b.parts { // one each: a tenant's flood turns no other's away
 		if b.parts[i].gate = admission.Gate(admission.NewRecovering(b.rng, health)); cfg.Gate != nil {
@@ -69,32 +75,6 @@
 	return b, nil
 }
 
-// deriveSlots sizes the walls, once. By Little's law a rate holds rate x time slots: the quotas
-// times a small share of the aim, to leave most of it for what goes wrong. Each balancer gets
-// what the largest of n random parts of the traffic comes to, ln n + 0.58 even ones, and two
-// standard deviations of such a count, so as not to refuse on chance.
-func (b *Balancer) deriveSlots() {
-	tenants, shares := b.cfg.tenants(), 0.0
-	for _, t := range tenants {
-		shares += t.Share
-		b.quota += t.Quota
-	}
-	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
-	b.rate = cmp.Or(b.quota/float64(b.cfg.Balancers), float64(len(b.servers))/b.every)
-	n := float64(b.cfg.Balancers)
-	total, room := b.mean*min(1, (math.Log(n)+0.58)/n), spread
-	if b.cfg.Slots > 0 {
-		total, room = float64(b.cfg.Slots), 0
-	}
-	b.slots = 0
-	for i, t := range tenants {
-		c, mean := &b.parts[i], total*t.Share/shares
-		c.slots = max(1, int(math.Ceil(mean+room*math.Sqrt(mean))))
-		c.places = int(math.Ceil(float64(c.slots) * placesShare))
-		b.slots += c.slots
-	}
-}
-
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
 	if b.cfg.AskList {
@@ -110,7 +90,7 @@
 	if _, held := b.requests[q.ID]; held {
 		return
 	}
-	b.tally(now)
+	b.budget.Taken(now)
 	if !b.known(&q) {
 		b.count.Refused++
 		b.host.Refuse(q.ID, 0)
@@ -235,6 +215,7 @@
 		}
 	}
 	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
+	b.short = b.shortage()
 	b.wakeAt = 0
 	b.sample(now)
 	if len(b.open) > 0 {
@@ -265,7 +246,8 @@
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
-	if len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn() || b.spent(now) {
+	late := now >= r.lateIn() || b.budget.Spent(now)
+	if late || len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) {
 		b.finish(r)
 		return
 	}
@@ -322,7 +304,7 @@
 		return false // rule 2: one attempt at a time (no second copies), and only where it may be repeated
 	case !r.inTurn(now):
 		return false // rule 5
-	case len(r.attempts) > 0 && b.spent(now):
+	case len(r.attempts) > 0 && b.budget.Spent(now):
 		return false // rule 6
 	}
 	return true
@@ -333,17 +315,6 @@
 	return r.line == nil || r.line.waiting[0] == r && (len(r.attempts) > 0 || now >= r.line.restEnd)
 }
 
-// spent says whether the budget has no further attempt left. A request taken just a span ago no
-// longer counts, an attempt made just then still does.
-func (b *Balancer) spent(now time.Duration) bool {
-	if b.cfg.Budget.Span == 0 {
-		return false
-	}
-	from := now - b.cfg.Budget.Span
-	allowed := b.cfg.Budget.Free + b.cfg.Budget.Share*float64(b.taken.since(from+1))
-	return float64(b.more.since(from)+1) > allowed
-}
-
 // close closes idle connections to a server that drains (rule 7): now and, as one may be opening, once more.
 func (b *Balancer) close(now time.Duration, s *server) {
 	if b.cfg.CloseWithin > 0 {
@@ -360,11 +331,14 @@
 	}
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
+	if s.space > 0 { // spread, so that many balancers do not come at once
+		s.nextAt = now + time.Duration(float64(s.space)*(0.5+b.rng.Float64()))
+	}
 	b.hold(r, s, 1)
 	r.home.gate.Began(now)
 	if len(r.attempts) > 1 {
 		b.count.Retries++
-		b.more = append(b.more, now)
+		b.budget.Tried(now)
 	}
 	if b.far(s) {
 		b.count.Crossed++
@@ -412,59 +386,14 @@
 	return best
 }
 
-// portion is how many of our attempts a server may hold: its part of our slots, less the more of
-// the aim its answers take (mean square: a long tail counts). It does not grow when others leave
-// or fail: the last would be overrun.
-func (b *Balancer) portion(s *server) float64 {
-	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*ease(s.used))
-}
-
-// ease is the share of its portion that crowding leaves.
-func ease(used float64) float64 { return min(1, crowdedAt*crowdedAt/max(used, 1e-4)) }
-
-// cut picks the servers to take turns among. A thousand balancers of few requests each would hold
-// connections to all servers and never learn how any of them fares, so each keeps to an arc of the
-// list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
-func (b *Balancer) cut() {
-	b.wanted = max(fewest, b.rate*b.every)
-	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
-	all, left := b.ready(), b.wanted
-	b.reach, b.arc = 0, nil
-	for i := range all {
-		s := all[(int(start*float64(len(all)))+i)%len(all)]
-		if left <= 0 {
-			s.ours = false
-			continue
-		}
-		if !s.ours { // at a random point of its round: balancers must not begin in step
-			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
-		}
-		left--
-		b.reach += s.Weight
-		b.arc = append(b.arc, s)
-	}
-}
-
-// gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
-// Other zones' have turns too, if fewer: a zone may have more traffic than its own servers can bear.
-func (b *Balancer) gap(now time.Duration, s *server) float64 {
-	gap := math.Pow(max(0.5, min(s.strain, failStrain/2)), 1.5) / (s.Weight * b.warmth(now, s))
-	if b.far(s) {
-		gap /= farTurns
-	}
-	return gap
-}
-
 // turnOf finds whose turn it is, and whether a server that holds its portion lost it. Those that the
 // request has been to have none; with again, those where only its connection broke have one.
-func (b *Balancer) turnOf(
-	now time.Duration, r *request, among []*server, again bool,
-) (best *server, walled bool) {
+func (b *Balancer) turnOf(now time.Duration, r *request, in []*server, again bool) (best *server, wall bool) {
 	lost := math.Inf(1)
-	for _, s := range among {
+	for _, s := range in {
 		switch {
 		case r.tried(s, again) || !b.mayGo(now, r, s):
-		case now < s.backAt: // one that turns all away at once is never full, and would draw them all
+		case now < max(s.backAt, s.nextAt): // one that turns all away is never full, and would draw them all
 			lost = min(lost, s.due)
 		case float64(s.out) >= b.portion(s) || b.fuller(now, r, s):
 			lost = min(lost, s.due)
@@ -504,12 +433,21 @@
 			b.host.Log(fmt.Sprintf("server %x answers again after %v", s.ID, now-s.silent))
 		}
 		s.silent, s.fails, s.backAt = 0, 0, 0
+		if s.space -= s.space / spaceBack; s.space < firstSpace/2 {
+			s.space = 0
+		}
 	case TimedOut, NoConnection:
 		if s.silent == 0 {
 			s.silent = now
 		}
 	}
-	if end != Served {
+	switch {
+	case end == Served:
+	case end == TurnedAway && a.sent < s.cutAt:
+		return // it went out before the last one was known of: that was one word, not many
+	case end == TurnedAway: // it takes so many a second, maybe: spaced, and felt for, rather than stopped
+		s.cutAt, s.space = now, min(max(2*s.space, firstSpace), lastSpace)
+	default:
 		if s.fails++; s.fails > 1 {
 			s.backAt = max(s.backAt, now+failPause<<min(s.fails-2, failDouble))
 		}
@@ -540,7 +478,7 @@
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
-	b.weigh()
+	b.weigh(now)
 	b.feed(now)
 }
 
@@ -632,7 +570,7 @@
 	if s.toldAt == 0 || now-s.toldAt >= 5*toldFor {
 		return r.asked >= askMost
 	}
-	return s.others+float64(s.out) >= partRoom+b.part(b.mean, s)
+	return s.others+float64(s.out) >= partRoom+b.part(b.mean, s)*b.short
 }
 
 // finish is the one place that answers: refused where that is true, failed where it is not.
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,6 +24,9 @@
 	silent  time.Duration // it has not answered since; 0: it has
 	fails   int           // failures in a row
 	backAt  time.Duration // after them: no turns before this
+	space   time.Duration // between sends, as it turns away what comes faster; 0: none
+	cutAt   time.Duration // when that was last made longer
+	nextAt  time.Duration // by it: no turns before this
 	warmAt  time.Duration // cold until then, by the list or by our own guess
 	coldAt  time.Duration // while cold: nothing more before this
 }
@@ -67,19 +70,6 @@
 	restEnd time.Duration // an attempt may still be running until then
 }
 
-// window counts what happened lately.
-type window []time.Duration
-
-// since drops what happened before t and counts the rest.
-func (w *window) since(t time.Duration) int {
-	n := 0
-	for n < len(*w) && (*w)[n] < t {
-		n++
-	}
-	*w = (*w)[n:]
-	return len(*w)
-}
-
 // compartment holds one tenant's slots and queue, walled off from the others'.
 type compartment struct {
 	slots, used, places int
@@ -101,13 +91,15 @@
 	classes  []class
 	parts    []compartment
 	requests map[RequestID]*request
-	open     []*request // in order of arrival; ended ones are swept out by Wake
-	servers  []*server  // in order of their ids
-	slots    int        // of all compartments
-	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
-	quota    float64    // of all tenants together
-	weight   float64    // of all ready servers
-	full     float64    // the most of it that there was
+	open     []*request    // in order of arrival; ended ones are swept out by Wake
+	servers  []*server     // in order of their ids
+	slots    int           // of all compartments
+	mean     float64       // what the slots of all balancers hold while traffic is at the quotas
+	quota    float64       // of all tenants together
+	weight   float64       // of all ready servers
+	full     float64       // the most of it that there was lately
+	fullAt   time.Duration // when
+	short    float64       // how many times as much the rest may hold while some fail
 	out      int
 	turn     float64       // due time of the latest turn
 	arc      []*server     // whom turns are taken among
@@ -126,8 +118,7 @@
 	askFails int
 	feedFrom int
 	lines    map[uint64]*line // by key
-	taken    window           // requests
-	more     window           // attempts after a request's first
+	budget   admission.Budget // of further attempts
 	sampled  *server          // whose reports are compared
 	sampleAt time.Duration    // when it is asked again
 	pairs    int              // pairs of reports compared
@@ -180,15 +171,20 @@
 	return nil
 }
 
+// fullFor is how long the fullest list counts: what left for good must not keep parts small for ever.
+const fullFor = 30 * time.Second
+
 // weigh adds up the weights of the ready servers.
-func (b *Balancer) weigh() {
+func (b *Balancer) weigh(now time.Duration) {
 	b.weight = 0
 	for _, s := range b.servers {
 		if s.State == Ready {
 			b.weight += s.Weight
 		}
 	}
-	b.full = max(b.full, b.weight)
+	if b.weight >= b.full || now-b.fullAt > fullFor {
+		b.full, b.fullAt = b.weight, now
+	}
 	b.cut()
 }
 
@@ -215,13 +211,6 @@
 	return all
 }
 
-// tally counts a request taken, for the budget.
-func (b *Balancer) tally(now time.Duration) {
-	b.taken.since(now - b.cfg.Budget.Span)
-	b.more.since(now - b.cfg.Budget.Span)
-	b.taken = append(b.taken, now)
-}
-
 // hold counts an attempt that begins (1) or ends (-1) wherever it counts.
 func (b *Balancer) hold(r *request, s *server, n int) {
 	r.out += n
