--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -347,7 +347,7 @@
 	case r.over:
 	case res.Ending == policy.Served:
 		e.finish(id, r, &call.Answer{Kind: call.Served, Status: res.Status, Header: res.Header, Trailer: res.Trailer, Body: res.Body})
-	case res.Ending == policy.Errored:
+	case res.Ending == policy.Errored || res.Ending == policy.Rejected:
 		r.last = &res
 	}
 	e.outcome(policy.Outcome{ID: id, Attempt: number, Ending: res.Ending, Load: res.Load})
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -64,6 +64,7 @@
 	sweeper *time.Timer       // set while there are idle ones
 	dialled int
 	stale   int // idle ones found closed by their server, or with bytes left over
+	broken  int // idle ones that broke under the request that they were taken for
 }
 
 // host is a server at an address. One that comes to a gone one's address is another host: connections
@@ -71,7 +72,8 @@
 type host struct {
 	u       *Transport
 	address string
-	left    bool // no longer listed: connections to it are not kept. Under the transport's lock.
+	left    bool // no longer listed: connections to it are not kept. Under the transport's lock, as is the next.
+	rest    rest // how long connections to it rest before they are used again
 }
 
 // conn is a connection to a server; it carries one exchange at a time.
@@ -80,6 +82,7 @@
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
 	idleSince time.Duration
+	rested    time.Duration // before it was taken for the exchange under way; 0: it is new
 }
 
 // New makes a transport that has nothing open yet. It needs no closing beyond that of its servers.
@@ -220,6 +223,8 @@
 			out.Ending = policy.Served
 		case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
 			out.Ending = policy.TurnedAway
+		case res.StatusCode/100 == 4 && res.StatusCode != http.StatusTooManyRequests && res.StatusCode != http.StatusRequestTimeout:
+			out.Ending = policy.Rejected // RFC 9110, 15.5: the client's fault; 408 and 429 are no word on the request
 		}
 		done(out)
 	}()
@@ -323,6 +328,12 @@
 		}
 		return nil, nil, policy.TimedOut
 	}
+	if c.rested > 0 {
+		u.mu.Lock()
+		u.broken++
+		to.rest.broke(c.rested)
+		u.mu.Unlock()
+	}
 	return nil, nil, policy.Broken // or malformed: it may have run
 }
 
@@ -415,14 +426,15 @@
 // is to be opened. An answer may bring more than belongs to it, a second copy even, and nothing in it tells
 // whose it is: on a connection that is used again at once it would be read as the next request's answer.
 // So may a server close right after an answer, and a request that crosses this may have run. What has come
-// while the connection rested is found by usable: so it rests for settle at least, and the longest
-// rested goes first. At the limit an idle connection to another server makes room.
+// while the connection rested is found by usable: so it rests for settle at least, or for as long as its server's closes have
+// been seen to take, and the longest rested goes first. At the limit an idle connection to another server makes room.
 func (u *Transport) take(to *host) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.clock.Now()
-	for list := u.idle[to]; len(list) > 0 && now-list[0].idleSince >= u.settle; list = u.idle[to] {
+	for list := u.idle[to]; len(list) > 0 && now-list[0].idleSince >= max(u.settle, to.rest.least()); list = u.idle[to] {
 		c := list[0]
+		c.rested = max(1, now-c.idleSince)
 		if now-c.idleSince >= u.keep {
 			u.drop(to, 1)
 			continue
@@ -472,7 +484,10 @@
 		u.open--
 		return
 	}
-	c.idleSince = u.clock.Now()
+	if c.rested > 0 {
+		to.rest.stood()
+	}
+	c.idleSince, c.rested = u.clock.Now(), 0
 	u.idle[to] = append(u.idle[to], c)
 	if u.sweeper == nil {
 		u.sweeper = time.AfterFunc(u.keep, u.sweep)
@@ -558,7 +573,7 @@
 func (u *Transport) Counters() map[string]int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return map[string]int{"open": u.open, "dialled": u.dialled, "stale": u.stale}
+	return map[string]int{"open": u.open, "dialled": u.dialled, "stale": u.stale, "broken": u.broken}
 }
 
 // load reads a report of the form "TEXT name=value, name=value".
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -423,6 +423,31 @@
 	}
 }
 
+// Guards against a server that closes some time after its answer: what was written meanwhile may have run for all that can be proved. The
+// first such connection teaches how long the next ones rest.
+func TestConnectionsRestAsLongAsClosesTake(t *testing.T) {
+	const late = 30 * time.Millisecond
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
+		if !rig.Echo(c, r) {
+			return false
+		}
+		time.Sleep(late) // deaf to what comes meanwhile
+		return false
+	})
+	u := testUpstream(t)
+	u.settle = 10 * time.Millisecond
+	h, broken := to(u, s), 0
+	for i := range 12 {
+		if attempt(t, u, h, strconv.Itoa(i), rig.Generous).Ending == policy.Broken {
+			broken++
+		}
+		time.Sleep(15 * time.Millisecond) // the next request comes when the last connection has rested for so long
+	}
+	if broken == 0 || broken > 2 {
+		t.Errorf("%d of 12 attempts broke, want the first that crosses a close, and as good as none behind it", broken)
+	}
+}
+
 // A process that was stopped between the decision and the write sends nothing once the time is up.
 func TestLateAttemptIsNotWritten(t *testing.T) {
 	s := rig.NewStub(t, rig.Echo)
--- a/policy/api.go
+++ b/policy/api.go
@@ -171,6 +171,7 @@
 	Broken
 	Cancelled
 	NotSent
+	Rejected // the server says that the request is at fault, not itself: it would be rejected everywhere
 )
 
 // Outcome is the end of one attempt.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -66,8 +66,12 @@
 	b.worth = cmp.Or(b.worth, 1)
 	b.budget = admission.Budget{Span: cfg.Budget.Span, Free: cfg.Budget.Free, Share: cfg.Budget.Share}
 	health := admission.NewHealth()
-	for i := range b.parts { // one each: a tenant's flood turns no other's away
-		if b.parts[i].gate = admission.Gate(admission.NewRecovering(b.rng, health)); cfg.Gate != nil {
+	shares := 0.0
+	for _, t := range cfg.tenants() {
+		shares += t.Share
+	}
+	for i, t := range cfg.tenants() { // one each: a tenant's flood turns no other's away
+		if b.parts[i].gate = admission.NewRecovering(b.rng, health, t.Share/shares); cfg.Gate != nil {
 			b.parts[i].gate = cfg.Gate(b.rng)
 		}
 	}
@@ -179,6 +183,10 @@
 		b.forget(r)
 	case !r.over && (o.Settled || o.Ending == Served || r.begun):
 		b.settle(r)
+	case !r.over && o.Ending == Rejected: // it would be everywhere
+		b.count.Failed++
+		b.host.Fail(r.id)
+		b.settle(r)
 	case !r.over && r.out == 0:
 		b.further(now, r)
 	}
@@ -246,7 +254,7 @@
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
-	late := now >= r.lateIn() || b.budget.Spent(now)
+	late := now >= r.lateIn() || b.budget.Spent(now) || b.nowhere(now, r)
 	if late || len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) {
 		b.finish(r)
 		return
@@ -256,6 +264,12 @@
 	}
 }
 
+// nowhere says that no server is left for a request: waiting for one would only use its client's time up.
+func (b *Balancer) nowhere(now time.Duration, r *request) bool {
+	left := func(s *server) bool { return s.State == Ready && !r.tried(s, true) && r.mayRepeat(now, s) }
+	return !slices.ContainsFunc(b.servers, left)
+}
+
 // feed gives free slots to what waits, one compartment after the other.
 func (b *Balancer) feed(now time.Duration) {
 	b.feedFrom = (b.feedFrom + 1) % len(b.parts)
@@ -331,8 +345,9 @@
 	}
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
-	if s.space > 0 { // spread, so that many balancers do not come at once
-		s.nextAt = now + time.Duration(float64(s.space)*(0.5+b.rng.Float64()))
+	if away, is := s.apart[r.home]; is { // spread, so that many balancers do not come at once
+		away.nextAt = now + time.Duration(float64(away.by)*(0.5+b.rng.Float64()))
+		s.apart[r.home] = away
 	}
 	b.hold(r, s, 1)
 	r.home.gate.Began(now)
@@ -393,7 +408,7 @@
 	for _, s := range in {
 		switch {
 		case r.tried(s, again) || !b.mayGo(now, r, s):
-		case now < max(s.backAt, s.nextAt): // one that turns all away is never full, and would draw them all
+		case now < max(s.backAt, s.apart[r.home].nextAt): // else one that turns all away draws them all
 			lost = min(lost, s.due)
 		case float64(s.out) >= b.portion(s) || b.fuller(now, r, s):
 			lost = min(lost, s.due)
@@ -413,7 +428,7 @@
 // judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
 // slowness, errors, silence, refusals, a limit shared with others. The turns left show when it is well again.
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
-	s, took := a.to, now-a.sent
+	s, took, away := a.to, now-a.sent, a.to.apart[r.home]
 	if end == Served || end == TimedOut && s.strain < failStrain/2 { // a strained one alone is no crowd
 		x := float64(took) / float64(r.class.Aim)
 		s.used += (x*x - s.used) / 8
@@ -422,7 +437,7 @@
 	}
 	x := failStrain
 	switch end {
-	case Cancelled, NotSent:
+	case Cancelled, NotSent, Rejected:
 		return
 	case Served:
 		x = min(x, float64(took)/float64(r.class.pace))
@@ -433,8 +448,10 @@
 			b.host.Log(fmt.Sprintf("server %x answers again after %v", s.ID, now-s.silent))
 		}
 		s.silent, s.fails, s.backAt = 0, 0, 0
-		if s.space -= s.space / spaceBack; s.space < firstSpace/2 {
-			s.space = 0
+		if away.by -= away.by / spaceBack; away.by < firstSpace/2 {
+			delete(s.apart, r.home)
+		} else {
+			s.apart[r.home] = away
 		}
 	case TimedOut, NoConnection:
 		if s.silent == 0 {
@@ -443,10 +460,14 @@
 	}
 	switch {
 	case end == Served:
-	case end == TurnedAway && a.sent < s.cutAt:
+	case end == TurnedAway && a.sent < away.cutAt:
 		return // it went out before the last one was known of: that was one word, not many
 	case end == TurnedAway: // it takes so many a second, maybe: spaced, and felt for, rather than stopped
-		s.cutAt, s.space = now, min(max(2*s.space, firstSpace), lastSpace)
+		away.cutAt, away.by = now, min(max(2*away.by, firstSpace), lastSpace)
+		if s.apart == nil {
+			s.apart = make(map[*compartment]apart)
+		}
+		s.apart[r.home] = away
 	default:
 		if s.fails++; s.fails > 1 {
 			s.backAt = max(s.backAt, now+failPause<<min(s.fails-2, failDouble))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -486,6 +486,25 @@
 	}
 }
 
+// Guards against 7.5 s in the queue for another server where there was none, and against clients whose bad requests cost servers
+// their turns.
+func TestNothingLeftToTryIsAnsweredAtOnce(t *testing.T) {
+	for _, class := range []int{safeClass, keyedCell, unsafeClass} {
+		b, h := start(t, testConfig(), ready(1))
+		ask(b, 0, 1, class)
+		end(b, 5*ms, 1, 0, NoConnection)
+		if _, refused := h.refused[1]; !refused {
+			t.Errorf("class %d: not refused though its one server refuses connections", class)
+		}
+	}
+	b, h := start(t, testConfig(), ready(1, 2))
+	ask(b, 0, 1, safeClass)
+	end(b, 5*ms, 1, 0, Rejected)
+	if !h.failed[1] || len(h.sends) != 1 || b.server(h.sends[0].to).strain != 1 {
+		t.Errorf("failed %v, sends %v: want it failed at once, and nothing held against the server", h.failed, h.sends)
+	}
+}
+
 // Guards against cells of two whose other server has no room: a keyed request whose connection broke may go again where it was, as
 // repeats are dropped there; one that had no answer in time may not.
 func TestABrokenConnectionDoesNotRuleItsServerOut(t *testing.T) {
@@ -544,6 +563,49 @@
 	}
 }
 
+// Guards against the long day's second stretch: a server that takes so many a second drew a burst after each pause, turned
+// most of it away and was paused again, so that it served 10 of some 90 that it could have.
+func TestServerThatTakesSoManyASecondKeepsServing(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1))
+	served, away, tokens, seen := 0, 0, 2.0, 0
+	type due struct {
+		at time.Duration
+		id RequestID
+		n  int
+		e  Ending
+	}
+	var ends []due
+	tries := map[RequestID]int{}
+	id := RequestID(0)
+	for now := time.Second; now < 11*time.Second; now += 5 * ms {
+		tokens = min(2, tokens+0.1) // 20 a second
+		for len(ends) > 0 && ends[0].at <= now {
+			end(b, now, ends[0].id, ends[0].n, ends[0].e)
+			ends = ends[1:]
+		}
+		if now%(10*ms) == 0 { // it is asked for 100 a second
+			id++
+			b.Request(now, Request{ID: id, Class: safeClass, Left: 500 * ms})
+		}
+		b.Wake(now)
+		for ; seen < len(h.sends); seen++ {
+			s := h.sends[seen]
+			d := due{now + 40*ms, s.id, tries[s.id], TurnedAway}
+			tries[s.id]++
+			if away++; tokens >= 1 {
+				tokens--
+				away--
+				served++
+				d.e = Served
+			}
+			ends = append(ends, d)
+		}
+	}
+	if served < 120 || away > served {
+		t.Fatalf("%d served of the 200 that it takes, %d turned away; want most, and fewer than that", served, away)
+	}
+}
+
 // Guards against a fleet shrinks, and what is left is handed the portions of what went.
 func TestPortionsDoNotGrowWhenServersLeave(t *testing.T) {
 	cfg := testConfig()
--- a/policy/sizing.go
+++ b/policy/sizing.go
@@ -45,7 +45,7 @@
 func (b *Balancer) shortage() float64 {
 	well := 0.0
 	for _, s := range b.arc {
-		if s.State == Ready && s.fails < 2 && s.space < firstSpace {
+		if s.State == Ready && s.fails < 2 && len(s.apart) == 0 {
 			well += s.Weight
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -12,25 +12,26 @@
 
 type server struct {
 	Server
-	out     int           // this balancer's attempts there
-	ours    bool          // in our arc
-	due     float64       // smooth weighted round robin: when its next turn is, in turns' own time
-	strain  float64       // time that its answers take, against the usual; failures count too
-	used    float64       // mean square of the share of the aim that its answers take, lately
-	toldAt  time.Duration // it last reported its load; 0: never
-	askedAt time.Duration // it was last asked
-	load    Load          // what it told then
-	others  float64       // and then held this many requests that are not ours
-	silent  time.Duration // it has not answered since; 0: it has
-	fails   int           // failures in a row
-	backAt  time.Duration // after them: no turns before this
-	space   time.Duration // between sends, as it turns away what comes faster; 0: none
-	cutAt   time.Duration // when that was last made longer
-	nextAt  time.Duration // by it: no turns before this
-	warmAt  time.Duration // cold until then, by the list or by our own guess
-	coldAt  time.Duration // while cold: nothing more before this
+	out     int                    // this balancer's attempts there
+	ours    bool                   // in our arc
+	due     float64                // smooth weighted round robin: when its next turn is, in turns' own time
+	strain  float64                // time that its answers take, against the usual; failures count too
+	used    float64                // mean square of the share of the aim that its answers take, lately
+	toldAt  time.Duration          // it last reported its load; 0: never
+	askedAt time.Duration          // it was last asked
+	load    Load                   // what it told then
+	others  float64                // and then held this many requests that are not ours
+	silent  time.Duration          // it has not answered since; 0: it has
+	fails   int                    // failures in a row
+	backAt  time.Duration          // after them: no turns before this
+	apart   map[*compartment]apart // whose requests it turns away
+	warmAt  time.Duration          // cold until then, by the list or by our own guess
+	coldAt  time.Duration          // while cold: nothing more before this
 }
 
+// apart is how far apart a tenant's sends to a server go, as it turns away what comes faster.
+type apart struct{ by, cutAt, nextAt time.Duration }
+
 type attemptState int
 
 const (
