Kept connections by the age at which fewest break; a request's last byte is kept back where they break

Change: uses are counted by age, by server and weighed against the whole transport's; of the idle connections the one whose age broke least is taken, a new one where all are worse by 0.06. Nothing changes where none breaks. While more than 2% break, all but the last byte of a request with an effect is written first and the last one 2 ms later: a reset meanwhile proves that it never ran, so it may be sent again or refused. One connection that broke is no silence of its server any more.

--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,6 +30,7 @@
 	interimMost = 8         // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
 	settleTime  = 10 * time.Millisecond // see take
+	holdTime    = 2 * time.Millisecond  // see write
 )
 
 // Config says how servers are reached.
@@ -65,6 +67,7 @@
 	dialled int
 	stale   int // idle ones found closed by their server, or with bytes left over
 	broken  int // idle ones that broke under the request that they were taken for
+	ages    ages
 }
 
 // host is a server at an address. One that comes to a gone one's address is another host: connections
@@ -73,7 +76,7 @@
 	u       *Transport
 	address string
 	left    bool // no longer listed: connections to it are not kept. Under the transport's lock, as is the next.
-	rest    rest // how long connections to it rest before they are used again
+	ages    ages // of its connections that broke, and that stood
 }
 
 // conn is a connection to a server; it carries one exchange at a time.
@@ -303,8 +306,7 @@
 		return nil, nil, policy.NotSent
 	}
 	_ = c.SetDeadline(u.clock.At(until)) // fails only on a closed connection, as the write then does
-	// One write: it tells whether the last byte went out.
-	if _, err := c.Write(bytesOf(m, until-begun)); err != nil {
+	if err := u.write(to, c, bytesOf(m, until-begun), m.Method != http.MethodGet, until); err != nil {
 		u.discard(c)
 		return nil, nil, unsent(err)
 	}
@@ -328,16 +330,86 @@
 		}
 		return nil, nil, policy.TimedOut
 	}
-	if c.rested > 0 {
-		u.mu.Lock()
-		u.broken++
-		to.rest.broke(c.rested)
-		u.mu.Unlock()
-	}
+	u.mu.Lock()
+	u.count(to, c, true)
+	u.mu.Unlock()
 	return nil, nil, policy.Broken // or malformed: it may have run
 }
 
+// write writes a request. An error says that its last byte did not go out: so it never ran (the protocol page: a server begins with the
+// last byte). As a rule it is one write, which tells. Where connections break under requests it keeps the last byte back for holdTime:
+// a reset that the first bytes bring, of a connection that was being closed or that a machine between had forgotten, comes
+// meanwhile and proves the same. Without that such a request may have run for all that can be known. It does not matter where
+// repeating has no effect.
+func (u *Transport) write(to *host, c *conn, request []byte, matters bool, until time.Duration) error {
+	u.mu.Lock()
+	hold := matters && u.ages.breaking()
+	u.mu.Unlock()
+	if !hold {
+		_, err := c.Write(request)
+		return err
+	}
+	last := len(request) - 1
+	if _, err := c.Write(request[:last]); err != nil {
+		u.lost(to, c)
+		return err
+	}
+	if err := c.quiet(u.clock.Now()+holdTime, u.clock); err != nil {
+		u.lost(to, c)
+		return err
+	}
+	if err := c.SetDeadline(u.clock.At(until)); err != nil {
+		return err
+	}
+	_, err := c.Write(request[last:])
+	return err
+}
+
+// lost counts a connection that broke before a request was out.
+func (u *Transport) lost(to *host, c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.count(to, c, true)
+}
+
+// quiet waits until a time, or until a connection breaks: then it returns why. An answer that comes before its
+// request is whole is none that could be trusted.
+func (c *conn) quiet(until time.Duration, clk clock.Clock) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := c.SetReadDeadline(clk.At(until)); err != nil {
+		return err
+	}
+	var broken error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+			return false
+		case err != nil:
+			broken = err
+		case n == 0:
+			broken = io.ErrUnexpectedEOF
+		default:
+			broken = errEarly
+		}
+		return true
+	})
+	if broken != nil || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Join(broken, err)
+	}
+	return nil
+}
+
 var (
+	errEarly   = errors.New("an answer came before the request was whole")
 	errTooLong = errors.New("the body is too long")
 	errLate    = errors.New("the time was up before a connection was opened")
 	errNoRoom  = errors.New("no descriptor is left for a connection")
@@ -426,21 +498,39 @@
 // is to be opened. An answer may bring more than belongs to it, a second copy even, and nothing in it tells
 // whose it is: on a connection that is used again at once it would be read as the next request's answer.
 // So may a server close right after an answer, and a request that crosses this may have run. What has come
-// while the connection rested is found by usable: so it rests for settle at least, or for as long as its server's closes have
-// been seen to take, and the longest rested goes first. At the limit an idle connection to another server makes room.
+// while the connection rested is found by usable: so it rests for settle at least, and the longest
+// rested goes first, or where some have broken the one of an age at which fewest did: see ages. At the limit an idle
+// connection to another server makes room.
 func (u *Transport) take(to *host) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.clock.Now()
-	for list := u.idle[to]; len(list) > 0 && now-list[0].idleSince >= max(u.settle, to.rest.least()); list = u.idle[to] {
-		c := list[0]
-		c.rested = max(1, now-c.idleSince)
-		if now-c.idleSince >= u.keep {
-			u.drop(to, 1)
-			continue
+	list := u.idle[to]
+	old := 0
+	for old < len(list) && now-list[old].idleSince >= u.keep {
+		old++
+	}
+	u.drop(to, old)
+	list = u.idle[to]
+	ready := 0
+	for ready < len(list) && now-list[ready].idleSince >= u.settle {
+		ready++
+	}
+	if ready > 0 {
+		at := 0
+		if u.broken > 0 { // else nothing is known against any
+			rested := make([]time.Duration, ready)
+			for i, c := range list[:ready] {
+				rested[i] = now - c.idleSince
+			}
+			at = best(&to.ages, &u.ages, rested)
+		}
+		if at >= 0 {
+			c := list[at]
+			c.rested = max(1, now-c.idleSince)
+			u.idle[to] = slices.Delete(list, at, at+1)
+			return c, nil
 		}
-		u.idle[to] = slices.Delete(list, 0, 1)
-		return c, nil
 	}
 	if u.open >= u.most {
 		var oldest *host
@@ -460,6 +550,19 @@
 	return nil, nil
 }
 
+// count takes how the use of a connection went. The caller holds the lock.
+func (u *Transport) count(to *host, c *conn, broke bool) {
+	b := brandNew
+	if c.rested > 0 {
+		b = bucket(c.rested)
+		if broke {
+			u.broken++
+		}
+	}
+	to.ages.count(b, broke)
+	u.ages.count(b, broke)
+}
+
 // drop closes the first n idle connections to a host. The caller holds the lock.
 func (u *Transport) drop(to *host, n int) {
 	list := u.idle[to]
@@ -484,9 +587,7 @@
 		u.open--
 		return
 	}
-	if c.rested > 0 {
-		to.rest.stood()
-	}
+	u.count(to, c, false)
 	c.idleSince, c.rested = u.clock.Now(), 0
 	u.idle[to] = append(u.idle[to], c)
 	if u.sweeper == nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -454,7 +454,7 @@
 			s.apart[r.home] = away
 		}
 	case TimedOut, NoConnection:
-		if s.silent == 0 {
+		if s.silent == 0 && (end == TimedOut || s.fails > 0) { // one broken connection is no silence
 			s.silent = now
 		}
 	}
