--- a/cmd/measure/strain.go
+++ b/cmd/measure/strain.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"time"
 
@@ -40,14 +39,6 @@
 	if short {
 		seeds, gates = 2, strainGates[:2]
 	}
-	if only := os.Getenv("STRAIN_GATES"); only != "" {
-		gates = nil
-		for _, g := range strainGates {
-			if strings.Contains(","+only+",", ","+g.name+",") {
-				gates = append(gates, g)
-			}
-		}
-	}
 	var missed []string
 	worst := 0.0
 	for i := range emu.Cases {
--- a/internal/transport/http1/ages.go
+++ b/internal/transport/http1/ages.go
@@ -7,7 +7,7 @@
 
 const (
 	ageStep = 4 * time.Millisecond // the first ages; each further bucket reaches half as far again, about
-	buckets = 20                   // up to some 8 s; the last has all that is older
+	buckets = 20                   // up to some 3 s; the last has all that is older
 	sure    = 20.0                 // uses of the whole transport's that a server's own count is weighed against
 	fadeAt  = 512.0                // uses, after which all counts are halved: what was learnt goes by
 	few     = 3.0                  // broken ones are chance,
@@ -31,15 +31,11 @@
 // bucket is the one of an age: two for each doubling.
 func bucket(age time.Duration) int {
 	n := uint64(age / ageStep)
-	if n == 0 {
-		return 0
+	if n < 2 {
+		return int(n)
 	}
 	power := bits.Len64(n) - 1
-	half := 0
-	if power > 0 {
-		half = int(n>>(power-1)) & 1
-	}
-	return min(buckets-1, 1+2*power+half)
+	return min(buckets-1, 2*power+int(n>>(power-1))&1)
 }
 
 // count takes how a use went.
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -423,28 +423,85 @@
 	}
 }
 
-// Guards against a server that closes some time after its answer: what was written meanwhile may have run for all that can be proved. The
-// first such connection teaches how long the next ones rest.
-func TestConnectionsRestAsLongAsClosesTake(t *testing.T) {
-	const late = 30 * time.Millisecond
-	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
-		if !rig.Echo(c, r) {
-			return false
+// Guards against a server that closes some time after its answer, and one (or a machine between) that forgets connections which rested for
+// longer: what is written meanwhile may have run for all that can be proved. Of the connections that are kept the age is
+// taken at which fewest broke.
+func TestConnectionsAreTakenAtTheAgeAtWhichFewestBreak(t *testing.T) {
+	var own, all ages
+	for range 40 {
+		for age, broke := range map[time.Duration]bool{12 * time.Millisecond: true, 50 * time.Millisecond: false, 300 * time.Millisecond: true} {
+			own.count(bucket(age), broke)
+			all.count(bucket(age), broke)
 		}
-		time.Sleep(late) // deaf to what comes meanwhile
-		return false
-	})
-	u := testUpstream(t)
-	u.settle = 10 * time.Millisecond
-	h, broken := to(u, s), 0
-	for i := range 12 {
-		if attempt(t, u, h, strconv.Itoa(i), rig.Generous).Ending == policy.Broken {
-			broken++
+		own.count(brandNew, false)
+		all.count(brandNew, false)
+	}
+	rested := []time.Duration{310 * time.Millisecond, 52 * time.Millisecond, 50 * time.Millisecond, 12 * time.Millisecond}
+	if at := best(&own, &all, rested); at != 1 {
+		t.Errorf("taken %d of %v, want the one of 52 ms", at, rested)
+	}
+	if at := best(&own, &all, rested[:1]); at != -1 {
+		t.Error("one that as good as always breaks is taken, and not a new one")
+	}
+	if at := best(new(ages), &all, rested); at != 1 {
+		t.Errorf("a server that nothing is known of: taken %d, want what holds for all", at)
+	}
+	if at := best(new(ages), new(ages), rested); at != 0 {
+		t.Errorf("nothing is known: taken %d, want the longest rested one", at)
+	}
+}
+
+// Ages grow with their buckets, and none is outside.
+func TestBucketsAreInOrder(t *testing.T) {
+	before := 0
+	for age := time.Duration(0); age < time.Minute; age += time.Millisecond {
+		b := bucket(age)
+		if b < before || b > before+1 || b >= buckets {
+			t.Fatalf("%v is in bucket %d, a millisecond less in %d", age, b, before)
+		}
+		before = b
+	}
+}
+
+// Guards against requests that must not run twice and are lost to a connection which its server had given up: where connections
+// break, the last byte is kept back, and a reset that comes before it proves that the request never ran.
+func TestTheLastByteIsKeptBackWhereConnectionsBreak(t *testing.T) {
+	s := rig.NewStub(t, rig.Echo)
+	dead, err := net.Listen("tcp", "127.0.0.1:0") // resets as soon as anything comes
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dead.Close()
+	got := make(chan string, 16)
+	go func() {
+		for {
+			c, err := dead.Accept()
+			if err != nil {
+				return
+			}
+			b := make([]byte, 64<<10)
+			n, _ := c.Read(b)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			got <- string(b[:n])
 		}
-		time.Sleep(15 * time.Millisecond) // the next request comes when the last connection has rested for so long
+	}()
+	u := testUpstream(t)
+	h := u.Server(dead.Addr().String()).(*host)
+	if end := attempt(t, u, h, "1", rig.Generous).Ending; end != policy.Broken || !strings.HasSuffix(rig.Wait(t, "the request", got), "weight") {
+		t.Fatalf("ending %v, want it written whole and broken", end)
+	}
+	for range 10 {
+		u.ages.count(bucket(0), true)
+	}
+	if end := attempt(t, u, h, "2", rig.Generous).Ending; end != policy.NoConnection {
+		t.Errorf("ending %v, want NoConnection: it was never whole", end)
+	}
+	if came := rig.Wait(t, "the request", got); !strings.HasSuffix(came, "weigh") {
+		t.Errorf("%q came, want all but the last byte", came)
 	}
-	if broken == 0 || broken > 2 {
-		t.Errorf("%d of 12 attempts broke, want the first that crosses a close, and as good as none behind it", broken)
+	if end := attempt(t, u, to(u, s), "3", rig.Generous).Ending; end != policy.Served {
+		t.Errorf("ending %v at a server that is well, want it served", end)
 	}
 }
 
