The transport asks for no lock and makes no garbage to write a request

Whether the last byte is kept back is an atomic flag now, a connection's raw form is made once, header lines are not joined before they are written.

--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,7 +57,8 @@
 	columns     wire.Columns
 	probePath   string
 
-	running sync.WaitGroup // attempts and probes
+	running  sync.WaitGroup // attempts and probes
+	breaking atomic.Bool    // so many connections are, that write keeps the last byte back
 
 	mu      sync.Mutex
 	under   map[*exchange]struct{} // attempts and probes under way
@@ -82,6 +84,7 @@
 // conn is a connection to a server; it carries one exchange at a time.
 type conn struct {
 	net.Conn
+	raw       syscall.RawConn
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
 	idleSince time.Duration
@@ -259,8 +262,13 @@
 func bytesOf(m *call.Message, left time.Duration) []byte {
 	var out bytes.Buffer
 	out.Grow(512 + len(m.Body))
-	line := func(name, value string) { out.WriteString(name + ": " + value + "\r\n") }
-	out.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\n")
+	put := func(parts ...string) {
+		for _, part := range parts {
+			out.WriteString(part)
+		}
+	}
+	line := func(name, value string) { put(name, ": ", value, "\r\n") }
+	put(m.Method, " ", m.URI, " HTTP/1.1\r\n")
 	line("Host", m.Host)
 	if m.Header.Get("X-Request-ID") != "" {
 		line("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
@@ -342,10 +350,7 @@
 // meanwhile and proves the same. Without that such a request may have run for all that can be known. It does not matter where
 // repeating has no effect.
 func (u *Transport) write(to *host, c *conn, request []byte, matters bool, until time.Duration) error {
-	u.mu.Lock()
-	hold := matters && u.ages.breaking()
-	u.mu.Unlock()
-	if !hold {
+	if !matters || !u.breaking.Load() {
 		_, err := c.Write(request)
 		return err
 	}
@@ -375,19 +380,11 @@
 // quiet waits until a time, or until a connection breaks: then it returns why. An answer that comes before its
 // request is whole is none that could be trusted.
 func (c *conn) quiet(until time.Duration, clk clock.Clock) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
 	if err := c.SetReadDeadline(clk.At(until)); err != nil {
 		return err
 	}
 	var broken error
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -489,6 +486,10 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw}
+	if c.raw, err = raw.(*net.TCPConn).SyscallConn(); err != nil {
+		u.discard(c)
+		return nil, err
+	}
 	c.limit.R = raw
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
@@ -561,6 +562,7 @@
 	}
 	to.ages.count(b, broke)
 	u.ages.count(b, broke)
+	u.breaking.Store(u.ages.breaking())
 }
 
 // drop closes the first n idle connections to a host. The caller holds the lock.
@@ -656,12 +658,8 @@
 // usable tells whether an idle connection still stands: its server has neither closed or reset it
 // (at its idle time-out, when it drains, when it restarts) nor sent what nobody asked for.
 func (c *conn) usable() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
 	standing := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, err := syscall.Read(int(fd), b[:])
 		standing = err == syscall.EAGAIN
--- a/internal/transport/http1/transport_test.go
+++ b/internal/transport/http1/transport_test.go
@@ -492,7 +492,7 @@
 		t.Fatalf("ending %v, want it written whole and broken", end)
 	}
 	for range 10 {
-		u.ages.count(bucket(0), true)
+		u.count(h, new(conn), true)
 	}
 	if end := attempt(t, u, h, "2", rig.Generous).Ending; end != policy.NoConnection {
 		t.Errorf("ending %v, want NoConnection: it was never whole", end)
