Only what breaks at once counts against a connection; the last byte is kept back for a fiftieth of the time at most

Answers of a length that is none (an attempt that is "broken" some time after its request) and connections that we closed ourselves as the client left were counted as connections that break, so the last byte was kept back for 2 ms of some 10 ms. Only a break within 4 ms of the request counts now, none of our own, and no request waits for more than a fiftieth of its time.

Emulator: fields that nothing used are gone.

--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -91,7 +91,7 @@
 	if cfg.New == nil {
 		cfg.New = func(c policy.Config, seed uint64, host policy.Host) (Module, error) { return policy.New(c, seed, host) }
 	}
-	if len(cfg.Tenants) != max(1, len(cfg.Module.Tenants)) && len(cfg.Module.Tenants) > 0 || len(cfg.Classes) != len(cfg.Module.Classes) {
+	if len(cfg.Tenants) != max(1, len(cfg.Module.Tenants)) || len(cfg.Classes) != len(cfg.Module.Classes) {
 		return nil, fmt.Errorf("emu: %d tenants and %d classes, the module has %d and %d",
 			len(cfg.Tenants), len(cfg.Classes), len(cfg.Module.Tenants), len(cfg.Module.Classes))
 	}
--- a/internal/emu/sidecar.go
+++ b/internal/emu/sidecar.go
@@ -16,8 +16,7 @@
 	m      Module
 	lastID policy.RequestID
 	open   map[policy.RequestID]*request
-	failed uint64 // throttled, as counted so far
-	owed   []policy.Outcome
+	turned uint64 // away at once, as counted so far
 }
 
 // request is one try of a client's request.
@@ -78,17 +77,12 @@
 	})
 }
 
-// event hands an event to the module, and behind it what the host owes.
+// event hands an event to the module, and counts whom it turned away at once.
 func (s *sidecar) event(do func()) {
 	do()
-	for len(s.owed) > 0 {
-		o := s.owed[0]
-		s.owed = s.owed[1:]
-		s.m.Outcome(s.f.clock.now, o)
-	}
-	if t := s.m.Counters().Throttled; t != s.failed {
-		s.f.bucket(s.f.Now()).Throttled += int(t - s.failed)
-		s.failed = t
+	if t := s.m.Counters().Throttled; t != s.turned {
+		s.f.bucket(s.f.Now()).Throttled += int(t - s.turned)
+		s.turned = t
 	}
 }
 
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -31,7 +31,10 @@
 	interimMost = 8         // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
 	settleTime  = 10 * time.Millisecond // see take
-	holdTime    = 2 * time.Millisecond  // see write
+	holdTime    = 2 * time.Millisecond  // see write; of the time that there is
+	holdPart    = 50                    // no more than one part in so many,
+	holdLeast   = 200 * time.Microsecond
+	soon        = 2 * holdTime // a reset that the request itself brings has come by then
 )
 
 // Config says how servers are reached.
@@ -314,10 +317,14 @@
 		return nil, nil, policy.NotSent
 	}
 	_ = c.SetDeadline(u.clock.At(until)) // fails only on a closed connection, as the write then does
-	if err := u.write(to, c, bytesOf(m, until-begun), m.Method != http.MethodGet, until); err != nil {
+	if err := u.write(c, bytesOf(m, until-begun), m.Method != http.MethodGet, until); err != nil {
+		if !x.givenUp() { // else it was closed by ourselves
+			u.lost(to, c)
+		}
 		u.discard(c)
 		return nil, nil, unsent(err)
 	}
+	written := u.clock.Now()
 	res, body, err := c.answer(m.Method)
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
@@ -338,9 +345,9 @@
 		}
 		return nil, nil, policy.TimedOut
 	}
-	u.mu.Lock()
-	u.count(to, c, true)
-	u.mu.Unlock()
+	if u.clock.Now()-written < soon { // later it has nothing to do with the connection's age: an answer was cut off
+		u.lost(to, c)
+	}
 	return nil, nil, policy.Broken // or malformed: it may have run
 }
 
@@ -349,18 +356,18 @@
 // a reset that the first bytes bring, of a connection that was being closed or that a machine between had forgotten, comes
 // meanwhile and proves the same. Without that such a request may have run for all that can be known. It does not matter where
 // repeating has no effect.
-func (u *Transport) write(to *host, c *conn, request []byte, matters bool, until time.Duration) error {
-	if !matters || !u.breaking.Load() {
+func (u *Transport) write(c *conn, request []byte, matters bool, until time.Duration) error {
+	now := u.clock.Now()
+	hold := min(holdTime, (until-now)/holdPart)
+	if !matters || hold < holdLeast || !u.breaking.Load() {
 		_, err := c.Write(request)
 		return err
 	}
 	last := len(request) - 1
 	if _, err := c.Write(request[:last]); err != nil {
-		u.lost(to, c)
 		return err
 	}
-	if err := c.quiet(u.clock.Now()+holdTime, u.clock); err != nil {
-		u.lost(to, c)
+	if err := c.quiet(now+hold, u.clock); err != nil {
 		return err
 	}
 	if err := c.SetDeadline(u.clock.At(until)); err != nil {
