One virtual clock for the fleet and the replay, one interface of a module

Cause: the reading of the whole change found the heap of what comes due written twice (internal/emu, internal/replay), and the interface of a decision module too (internal/engine, internal/emu). internal/virtual has the clock; emu takes engine.Module.

--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -1,3 +1,5 @@
+// Package emu is a fleet in virtual time: sidecars with the decision module inside, servers, clients, a list, and what goes
+// wrong. It runs from a seed, to the same end every time, some thousands of times faster than the real one. It is free of I/O.
 package emu
 
 import (
@@ -8,20 +10,11 @@
 	"slices"
 	"time"
 
+	"caperarch/internal/engine"
+	"caperarch/internal/virtual"
 	"caperarch/policy"
 )
 
-// Module is a decision module, made anew for each sidecar.
-type Module interface {
-	Start(now time.Duration)
-	Request(now time.Duration, q policy.Request)
-	Outcome(now time.Duration, o policy.Outcome)
-	Wake(now time.Duration)
-	List(now time.Duration, kind policy.ListKind, entries []policy.Server)
-	Probed(now time.Duration, id policy.ServerID, ok bool, l policy.Load)
-	Counters() policy.Counters
-}
-
 // Class is a class's traffic beside its settings in Config.Module.
 type Class struct {
 	Share float64       // of the requests
@@ -50,16 +43,16 @@
 	Classes  []Class
 	Tenants  []Tenant
 	Clients  Clients
-	Trip     time.Duration                                                          // from a sidecar to a server and back
-	Module   policy.Config                                                          // Balancers, Index and Tick are set for each
-	New      func(cfg policy.Config, seed uint64, host policy.Host) (Module, error) // nil: policy.New
-	Bucket   time.Duration                                                          // of the series; 0: 100 ms
+	Trip     time.Duration                                                                 // from a sidecar to a server and back
+	Module   policy.Config                                                                 // Balancers, Index and Tick are set for each
+	New      func(cfg policy.Config, seed uint64, host policy.Host) (engine.Module, error) // nil: policy.New
+	Bucket   time.Duration                                                                 // of the series; 0: 100 ms
 }
 
 // Fleet is a fleet under way.
 type Fleet struct {
 	cfg      Config
-	clock    clock
+	clock    virtual.Clock
 	rng      *rand.Rand
 	nodes    []*node
 	byID     map[policy.ServerID]*node // gone ones too
@@ -89,14 +82,16 @@
 		cfg.Bucket = 100 * time.Millisecond
 	}
 	if cfg.New == nil {
-		cfg.New = func(c policy.Config, seed uint64, host policy.Host) (Module, error) { return policy.New(c, seed, host) }
+		cfg.New = func(c policy.Config, seed uint64, host policy.Host) (engine.Module, error) {
+			return policy.New(c, seed, host)
+		}
 	}
 	if len(cfg.Tenants) != max(1, len(cfg.Module.Tenants)) || len(cfg.Classes) != len(cfg.Module.Classes) {
 		return nil, fmt.Errorf("emu: %d tenants and %d classes, the module has %d and %d",
 			len(cfg.Tenants), len(cfg.Classes), len(cfg.Module.Tenants), len(cfg.Module.Classes))
 	}
 	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), byID: make(map[policy.ServerID]*node)}
-	f.clock.now = time.Hour // far from 0, which to the module is never
+	f.clock.Now = time.Hour // far from 0, which to the module is never
 	for _, s := range cfg.Servers {
 		f.add(s, 0)
 	}
@@ -127,8 +122,8 @@
 // Start starts all sidecars with the list as it is, and the clients' traffic.
 func (f *Fleet) Start() {
 	for _, s := range f.sidecars {
-		s.m.Start(f.clock.now)
-		s.m.List(f.clock.now, policy.ListFull, f.list())
+		s.m.Start(f.clock.Now)
+		s.m.List(f.clock.Now, policy.ListFull, f.list())
 		f.next(s)
 	}
 }
@@ -145,15 +140,15 @@
 // Tell has all sidecars hear the list as it is now.
 func (f *Fleet) Tell() {
 	for _, s := range f.sidecars {
-		s.m.List(f.clock.now, policy.ListFull, f.list())
+		s.m.List(f.clock.Now, policy.ListFull, f.list())
 	}
 }
 
 // Now is the time since the fleet was made.
-func (f *Fleet) Now() time.Duration { return f.clock.now - time.Hour }
+func (f *Fleet) Now() time.Duration { return f.clock.Now - time.Hour }
 
 // At asks for a call at a time since the fleet was made.
-func (f *Fleet) At(t time.Duration, do func()) { f.clock.after(time.Hour+t-f.clock.now, do) }
+func (f *Fleet) At(t time.Duration, do func()) { f.clock.After(time.Hour+t-f.clock.Now, do) }
 
 // Set has the first n servers that are not gone behave in a way from now on, n <= 0: all.
 func (f *Fleet) Set(n int, s State) {
@@ -196,7 +191,7 @@
 	n.gone = true
 	for _, j := range slices.Concat(n.running, n.waiting) {
 		if j.ends != nil {
-			j.ends.off()
+			j.ends.Off()
 		}
 		j.end(0, policy.Broken)
 	}
@@ -218,7 +213,7 @@
 // Add has servers come, cold, and tells the sidecars.
 func (f *Fleet) Add(all []Server) {
 	for _, s := range all {
-		f.add(s, f.clock.now)
+		f.add(s, f.clock.Now)
 	}
 	f.Tell()
 }
@@ -228,7 +223,7 @@
 	for t := f.Now(); t < until; {
 		f.bucket(t).Capacity = f.capacity()
 		t = min(until, t-t%f.cfg.Bucket+f.cfg.Bucket)
-		f.clock.until(time.Hour + t)
+		f.clock.Until(time.Hour + t)
 	}
 }
 
@@ -259,10 +254,10 @@
 	// A quarter of a second at most, so that a rate that changes is soon gone by.
 	wait := f.rng.ExpFloat64() / max(rate*most, 1e-9)
 	if wait > 0.25 {
-		f.clock.after(250*time.Millisecond, func() { f.next(s) })
+		f.clock.After(250*time.Millisecond, func() { f.next(s) })
 		return
 	}
-	f.clock.after(time.Duration(wait*float64(time.Second)), func() {
+	f.clock.After(time.Duration(wait*float64(time.Second)), func() {
 		pick := f.rng.Float64() * most
 		tenant := 0
 		for i, t := range f.cfg.Tenants {
--- a/internal/emu/server.go
+++ b/internal/emu/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"caperarch/internal/virtual"
 	"caperarch/policy"
 )
 
@@ -50,7 +51,7 @@
 	node *node
 	work float64 // seconds on a core of speed 1
 	done func(policy.Ending)
-	ends *alarm
+	ends *virtual.Alarm
 	from time.Duration // when it began to run
 	over bool
 }
@@ -63,7 +64,7 @@
 
 // token says whether one more may be taken this second.
 func (n *node) token() bool {
-	now := n.f.clock.now
+	now := n.f.clock.Now
 	n.tokens = min(n.state.Most/10+1, n.tokens+(now-n.tokenAt).Seconds()*n.state.Most)
 	if n.tokenAt = now; n.tokens < 1 {
 		return false
@@ -102,7 +103,7 @@
 }
 
 func (j *job) end(after time.Duration, e policy.Ending) {
-	j.ends = j.node.f.clock.after(after, func() {
+	j.ends = j.node.f.clock.After(after, func() {
 		j.over = true
 		j.done(e)
 	})
@@ -111,9 +112,9 @@
 // begin puts a request on a core.
 func (n *node) begin(j *job) {
 	n.running = append(n.running, j)
-	j.from = n.f.clock.now
+	j.from = n.f.clock.Now
 	seconds := j.work / n.speed()
-	j.ends = n.f.clock.after(time.Duration(seconds*float64(time.Second)), func() {
+	j.ends = n.f.clock.After(time.Duration(seconds*float64(time.Second)), func() {
 		j.over = true
 		n.fade()
 		n.served++
@@ -137,7 +138,7 @@
 	if n.started == 0 || c.ColdTime <= 0 {
 		return 1
 	}
-	share := float64(n.f.clock.now-n.started) / float64(c.ColdTime)
+	share := float64(n.f.clock.Now-n.started) / float64(c.ColdTime)
 	return min(1, c.ColdFrom+(1-c.ColdFrom)*share)
 }
 
@@ -163,7 +164,7 @@
 	}
 	j.over = true
 	if j.ends != nil {
-		j.ends.off()
+		j.ends.Off()
 	}
 	j.node.leave(j)
 }
@@ -172,7 +173,7 @@
 func (n *node) set(s State) {
 	if s.Silent && !n.state.Silent {
 		for _, j := range n.running {
-			j.ends.off()
+			j.ends.Off()
 		}
 	}
 	back := n.state.Silent && !s.Silent
@@ -188,8 +189,8 @@
 }
 
 func (n *node) fade() {
-	f := math.Exp(-(n.f.clock.now - n.at).Seconds())
-	n.served, n.errors, n.at = n.served*f, n.errors*f, n.f.clock.now
+	f := math.Exp(-(n.f.clock.Now - n.at).Seconds())
+	n.served, n.errors, n.at = n.served*f, n.errors*f, n.f.clock.Now
 }
 
 // report is what a probe brings.
--- a/internal/emu/sidecar.go
+++ b/internal/emu/sidecar.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"caperarch/internal/engine"
+	"caperarch/internal/virtual"
 	"caperarch/policy"
 )
 
@@ -13,7 +15,7 @@
 // sidecar is one module with its clients.
 type sidecar struct {
 	f      *Fleet
-	m      Module
+	m      engine.Module
 	lastID policy.RequestID
 	open   map[policy.RequestID]*request
 	turned uint64 // away at once, as counted so far
@@ -40,7 +42,7 @@
 
 type attempt struct {
 	job   *job
-	limit *alarm
+	limit *virtual.Alarm
 	ended bool
 	ran   bool
 }
@@ -48,7 +50,7 @@
 // ask is a client's first try.
 func (s *sidecar) ask(class, tenant int) {
 	f := s.f
-	w := &wish{class: class, tenant: tenant, at: f.clock.now, work: f.work(&f.cfg.Classes[class]), bucket: int(f.Now() / f.cfg.Bucket)}
+	w := &wish{class: class, tenant: tenant, at: f.clock.Now, work: f.work(&f.cfg.Classes[class]), bucket: int(f.Now() / f.cfg.Bucket)}
 	b := f.bucket(f.Now())
 	b.Requests++
 	b.Tenant[tenant].Requests++
@@ -60,7 +62,7 @@
 func (s *sidecar) try(w *wish, n int) {
 	f := s.f
 	deadline := w.at + f.cfg.Module.Classes[w.class].Deadline
-	if f.clock.now >= deadline {
+	if f.clock.Now >= deadline {
 		f.buckets[w.bucket].Failed++
 		return
 	}
@@ -68,9 +70,9 @@
 	r := &request{id: s.lastID, first: w, try: n, deadline: deadline}
 	s.open[r.id] = r
 	s.event(func() {
-		s.m.Request(f.clock.now, policy.Request{ID: r.id, Class: w.class, Tenant: w.tenant, Left: deadline - f.clock.now, Repeat: n > 0})
+		s.m.Request(f.clock.Now, policy.Request{ID: r.id, Class: w.class, Tenant: w.tenant, Left: deadline - f.clock.Now, Repeat: n > 0})
 	})
-	f.clock.after(deadline-f.clock.now+time.Millisecond, func() {
+	f.clock.After(deadline-f.clock.Now+time.Millisecond, func() {
 		if !r.over {
 			f.err = fmt.Errorf("emu: request %d had no answer by its deadline", r.id)
 		}
@@ -108,21 +110,21 @@
 		}
 		a.ended = true
 		a.ran = e != policy.TurnedAway && e != policy.NoConnection && e != policy.NotSent
-		a.limit.off()
+		a.limit.Off()
 		s.outcome(r, number, e)
 	}
-	a.limit = f.clock.after(min(timeout, r.deadline-f.clock.now), func() {
+	a.limit = f.clock.After(min(timeout, r.deadline-f.clock.Now), func() {
 		if a.job != nil {
 			a.job.giveUp()
 		}
 		end(policy.TimedOut)
 	})
-	f.clock.after(f.cfg.Trip/2, func() {
+	f.clock.After(f.cfg.Trip/2, func() {
 		if a.ended {
 			return
 		}
 		n := f.byID[to]
-		a.job = n.take(r.first.work, func(e policy.Ending) { f.clock.after(f.cfg.Trip/2, func() { end(e) }) })
+		a.job = n.take(r.first.work, func(e policy.Ending) { f.clock.After(f.cfg.Trip/2, func() { end(e) }) })
 	})
 }
 
@@ -133,7 +135,7 @@
 		r.over = true
 		f := s.f
 		b, class := &f.buckets[r.first.bucket], &f.cfg.Module.Classes[r.first.class]
-		if f.clock.now-r.first.at <= class.Aim {
+		if f.clock.Now-r.first.at <= class.Aim {
 			b.InTime++
 			b.Earned += class.Worth
 			b.Tenant[r.first.tenant].InTime++
@@ -142,7 +144,7 @@
 		}
 	}
 	o := policy.Outcome{ID: r.id, Attempt: number, Ending: e, Settled: r.over}
-	s.event(func() { s.m.Outcome(s.f.clock.now, o) })
+	s.event(func() { s.m.Outcome(s.f.clock.Now, o) })
 	if r.over && r.out == 0 {
 		delete(s.open, r.id)
 	}
@@ -166,8 +168,8 @@
 	}
 	again := r.try < f.cfg.Clients.Retries && (refused || f.cfg.Module.Classes[r.first.class].Effect != policy.Unsafe)
 	wait := max(pause, f.jitter(f.cfg.Clients.backoff(r.try)))
-	if again && f.clock.now+wait < r.deadline {
-		f.clock.after(wait, func() { s.try(r.first, r.try+1) })
+	if again && f.clock.Now+wait < r.deadline {
+		f.clock.After(wait, func() { s.try(r.first, r.try+1) })
 		return
 	}
 	b := &f.buckets[r.first.bucket]
@@ -187,28 +189,28 @@
 	}
 	a := r.attempts[number]
 	a.ended = true
-	a.limit.off()
+	a.limit.Off()
 	if a.job != nil {
 		a.job.giveUp()
 	}
-	s.f.clock.after(0, func() { s.outcome(r, number, policy.Cancelled) })
+	s.f.clock.After(0, func() { s.outcome(r, number, policy.Cancelled) })
 }
 
 // Wake asks for a call.
 func (s *sidecar) Wake(d time.Duration) {
-	s.f.clock.after(d, func() { s.event(func() { s.m.Wake(s.f.clock.now) }) })
+	s.f.clock.After(d, func() { s.event(func() { s.m.Wake(s.f.clock.Now) }) })
 }
 
 // Probe asks a server for its load.
 func (s *sidecar) Probe(to policy.ServerID) {
 	f := s.f
-	f.clock.after(f.cfg.Trip, func() {
+	f.clock.After(f.cfg.Trip, func() {
 		n, wait := f.byID[to], time.Duration(0)
 		ok, load := n.report()
 		if n.state.Silent { // it says nothing at all, not even no
 			wait = probeTime
 		}
-		f.clock.after(wait, func() { s.event(func() { s.m.Probed(f.clock.now, to, ok, load) }) })
+		f.clock.After(wait, func() { s.event(func() { s.m.Probed(f.clock.Now, to, ok, load) }) })
 	})
 }
 
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"caperarch/internal/emu"
+	"caperarch/internal/engine"
 	"caperarch/internal/record"
 	"caperarch/internal/record/recordpb"
 	"caperarch/internal/replay"
@@ -110,7 +111,7 @@
 	f, err := emu.Cases[0].Fleet(seed, func(c *emu.Config) {
 		c.Sidecars, c.Rate = 6, c.Rate/4
 		c.Servers = c.Servers[:4]
-		c.New = func(cfg policy.Config, seed uint64, host policy.Host) (emu.Module, error) {
+		c.New = func(cfg policy.Config, seed uint64, host policy.Host) (engine.Module, error) {
 			number++
 			return w.Open(number-1, cfg, seed, host)
 		}
--- a/internal/replay/estimate.go
+++ b/internal/replay/estimate.go
@@ -1,10 +1,10 @@
 package replay
 
 import (
-	"container/heap"
 	"time"
 
 	"caperarch/internal/record/recordpb"
+	"caperarch/internal/virtual"
 	"caperarch/policy"
 )
 
@@ -84,9 +84,7 @@
 	begun time.Duration
 	tally *side
 	b     *policy.Balancer
-	now   time.Duration
-	due   queue
-	order int
+	clock virtual.Clock
 	open  map[policy.RequestID]*played
 }
 
@@ -95,31 +93,10 @@
 	class int32
 	at    time.Duration
 	ends  time.Duration
-	tries []*event
+	tries []*virtual.Alarm
 	over  bool
 }
 
-// event is something that comes due. A nil do was called off.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type queue []*event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(*event)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // play runs one instance from its beginning to its end.
 func (p *past) play(begun time.Duration, tally *side) error {
 	r := &run{p: p, begun: begun, tally: tally, open: make(map[policy.RequestID]*played)}
@@ -128,10 +105,9 @@
 		return err
 	}
 	for _, e := range p.events {
-		r.until(time.Duration(e.At))
-		r.now = max(r.now, time.Duration(e.At))
+		r.clock.Until(max(r.clock.Now, time.Duration(e.At)))
 		if q := e.GetRequest(); q != nil {
-			r.open[policy.RequestID(q.Id)] = &played{class: q.Class, at: r.now, ends: r.now + time.Duration(q.Left)}
+			r.open[policy.RequestID(q.Id)] = &played{class: q.Class, at: r.clock.Now, ends: r.clock.Now + time.Duration(q.Left)}
 		}
 		if g := e.GetGone(); g != nil {
 			if q := r.open[policy.RequestID(g.Id)]; q == nil || q.over {
@@ -140,47 +116,29 @@
 				q.over = true
 			}
 		}
-		if err := Hand(r.b, &recordpb.Record{At: int64(r.now), What: e.What}); err != nil {
+		if err := Hand(r.b, &recordpb.Record{At: int64(r.clock.Now), What: e.What}); err != nil {
 			return err
 		}
 	}
 	if n := len(p.events); n > 0 {
-		r.until(r.now + 10*time.Second) // what is open ends by its deadline
+		r.clock.Until(r.clock.Now + 10*time.Second) // what is open ends by its deadline
 	}
 	return nil
 }
 
-// until plays what comes due up to a time.
-func (r *run) until(t time.Duration) {
-	for len(r.due) > 0 && r.due[0].at <= t {
-		e := heap.Pop(&r.due).(*event)
-		r.now = max(r.now, e.at)
-		if e.do != nil {
-			e.do()
-		}
-	}
-}
-
-func (r *run) after(d time.Duration, do func()) *event {
-	r.order++
-	e := &event{at: r.now + d, order: r.order, do: do}
-	heap.Push(&r.due, e)
-	return e
-}
-
 func (r *run) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
 	q := r.open[id]
 	r.tally.at(q.at-r.begun).Present.Attempts++
-	s := r.p.attempt(uint64(id), uint64(to), q.class, r.now)
+	s := r.p.attempt(uint64(id), uint64(to), q.class, r.clock.Now)
 	o := policy.Outcome{ID: id, Attempt: len(q.tries), Ending: policy.NoConnection}
 	took := time.Millisecond
 	if s != nil {
 		took, o.Ending, o.Load = s.took, s.ending, s.load
 	}
-	if most := min(timeout, q.ends-r.now); took > most || o.Ending == policy.TimedOut {
+	if most := min(timeout, q.ends-r.clock.Now); took > most || o.Ending == policy.TimedOut {
 		took, o.Ending = max(0, most), policy.TimedOut
 	}
-	q.tries = append(q.tries, r.after(took, func() { r.outcome(o) }))
+	q.tries = append(q.tries, r.clock.After(took, func() { r.outcome(o) }))
 }
 
 func (r *run) outcome(o policy.Outcome) {
@@ -188,10 +146,10 @@
 	q.tries[o.Attempt] = nil
 	if !q.over && o.Ending == policy.Served {
 		q.over = true
-		r.tally.at(q.at-r.begun).Present.served(r.now-q.at, r.p.classes[q.class].Aim)
+		r.tally.at(q.at-r.begun).Present.served(r.clock.Now-q.at, r.p.classes[q.class].Aim)
 	}
 	o.Settled = q.over
-	r.b.Outcome(r.now, o)
+	r.b.Outcome(r.clock.Now, o)
 }
 
 func (r *run) Refuse(id policy.RequestID, _ time.Duration) { r.end(id).Refused++ }
@@ -205,20 +163,20 @@
 
 func (r *run) Cancel(id policy.RequestID, attempt int) {
 	if e := r.open[id].tries[attempt]; e != nil {
-		e.do = nil
-		r.after(0, func() { r.outcome(policy.Outcome{ID: id, Attempt: attempt, Ending: policy.Cancelled}) })
+		e.Off()
+		r.clock.After(0, func() { r.outcome(policy.Outcome{ID: id, Attempt: attempt, Ending: policy.Cancelled}) })
 	}
 }
 
-func (r *run) Wake(d time.Duration) { r.after(max(0, d), func() { r.b.Wake(r.now) }) }
+func (r *run) Wake(d time.Duration) { r.clock.After(max(0, d), func() { r.b.Wake(r.clock.Now) }) }
 
 func (r *run) Probe(to policy.ServerID) {
-	s := nearest(r.p.probes[uint64(to)], r.now, func(*sample) bool { return true })
+	s := nearest(r.p.probes[uint64(to)], r.clock.Now, func(*sample) bool { return true })
 	if s == nil {
-		r.after(time.Millisecond, func() { r.b.Probed(r.now, to, false, policy.Load{}) })
+		r.clock.After(time.Millisecond, func() { r.b.Probed(r.clock.Now, to, false, policy.Load{}) })
 		return
 	}
-	r.after(s.took, func() { r.b.Probed(r.now, to, s.ok, s.load) })
+	r.clock.After(s.took, func() { r.b.Probed(r.clock.Now, to, s.ok, s.load) })
 }
 
 func (r *run) Close(policy.ServerID) {}
