A probe that costs more than it saves is not sent; who may not ask turns among fewer servers

Cause: the module asked a server what it holds before each send, 1.3 to 1.6 probes a request, whatever the settings charge for it (inquire and Probed in policy/policy.go). Fresh reports also made arcs three times as long (every *= 3), so that a sidecar saw each server once in three seconds. Change: internal/inquiry decides both from the price in the settings; nothing changes where probes are cheap.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -196,6 +196,7 @@
 		ColdFrom:       s.number("rules.cold_from", 0),
 		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
 		ColdMultiple:   s.number("rules.fall_multiple", 0),
+		ProbePrice:     s.number("charges.probe", 0),
 		CrossZonePrice: s.number("charges.cross_zone", 0),
 		Budget: policy.RetryBudget{
 			Span:  Millis(s.number("rules.budget_span_ms", 0)),
--- a/policy/api.go
+++ b/policy/api.go
@@ -109,6 +109,7 @@
 
 	Reports LoadFields // what servers' load reports hold
 
+	ProbePrice     float64 // price of a probe, against a worth of 1
 	CrossZonePrice float64 // price of an attempt that leaves the zone, against a worth of 1
 
 	Gate func(rng *rand.Rand) admission.Gate `json:"-"` // who may try for a slot at all; nil: the module's own way. To weigh others.
--- a/policy/config.go
+++ b/policy/config.go
@@ -21,9 +21,9 @@
 		return fmt.Errorf("config: Slots is %d, it must not be negative", cfg.Slots)
 	case bad(cfg.ColdFrom) || cfg.ColdFrom > 1:
 		return fmt.Errorf("config: ColdFrom is %v, a share is needed", cfg.ColdFrom)
-	case bad(cfg.ColdMultiple) || bad(cfg.CrossZonePrice):
-		return fmt.Errorf("config: ColdMultiple %v or CrossZonePrice %v is negative or no number",
-			cfg.ColdMultiple, cfg.CrossZonePrice)
+	case bad(cfg.ColdMultiple) || bad(cfg.CrossZonePrice) || bad(cfg.ProbePrice):
+		return fmt.Errorf("config: ColdMultiple %v, CrossZonePrice %v or ProbePrice %v is negative or no number",
+			cfg.ColdMultiple, cfg.CrossZonePrice, cfg.ProbePrice)
 	case cfg.Budget.Span < 0 || bad(cfg.Budget.Free) || bad(cfg.Budget.Share):
 		return fmt.Errorf("config: Budget: Span %v, Free %v or Share %v is negative or no number",
 			cfg.Budget.Span, cfg.Budget.Free, cfg.Budget.Share)
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -161,3 +161,10 @@
 func end(b *Balancer, now time.Duration, id RequestID, attempt int, e Ending) {
 	b.Outcome(now, Outcome{ID: id, Attempt: attempt, Ending: e, Settled: e == Served})
 }
+
+// findFresh has a balancer find that reports are fresh.
+func findFresh(b *Balancer) {
+	for b.inquiry.Comparing() {
+		b.inquiry.Compare(true)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"caperarch/internal/admission"
+	"caperarch/internal/inquiry"
 )
 
 const (
@@ -25,12 +26,10 @@
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
 
 	rateOver   = 10 * time.Second       // our traffic is measured over about this long
-	turnEvery  = 1 * time.Second        // turns are taken among so few servers that each gets one this often
-	fewest     = 4.0                    // but at least this many
+	fewest     = 4.0                    // turns are taken among at least this many servers
 	toldFor    = 50 * time.Millisecond  // a load report is good for this long
 	askWait    = 30 * time.Millisecond  // a request waits this long for one
 	askMost    = 3                      // and asks so many servers at most
-	pairsMost  = 4                      // pairs of reports that far apart tell whether they are fresh enough
 	crowdedAt  = 0.3                    // a server that takes this share of the aim to answer is crowded
 	partRoom   = 2.0                    // it is full at its part of all balancers' requests and so many more
 	wholeLater = 1.7                    // the wall over all attempts begins at this multiple of a server's
@@ -56,7 +55,8 @@
 	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
 	b.parts = make([]compartment, len(cfg.tenants()))
 	b.rng = rand.New(rand.NewPCG(seed, 0))
-	b.pace, b.every, b.short = cfg.Classes[0].Aim/8, turnEvery.Seconds(), 1
+	b.pace, b.short = cfg.Classes[0].Aim/8, 1
+	b.inquiry = inquiry.New(cfg.MayProbe && cfg.Reports&HasInFlight != 0, cfg.ProbePrice)
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
@@ -119,7 +119,7 @@
 	b.wake(now, busyTick)
 	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateOver)) + 1/rateOver.Seconds()
 	b.rateAt = now
-	if want := max(fewest, b.rate*b.every); want > 1.25*b.wanted || want < 0.75*b.wanted {
+	if want := max(fewest, b.rate*b.inquiry.Every()); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
 	if !r.home.gate.Ask(now, r.class.Worth/b.worth) {
@@ -529,8 +529,7 @@
 // sample probes one server a few times in a row: reports that do not change as fast as they are used
 // must not steer single sends. All balancers would crowd to where it was empty (i50e019).
 func (b *Balancer) sample(now time.Duration) {
-	due := b.pairs < pairsMost && now >= b.sampleAt && len(b.arc) > 0
-	if !due || !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 {
+	if now < b.sampleAt || len(b.arc) == 0 || !b.inquiry.Comparing() {
 		return
 	}
 	if b.sampled == nil || b.sampled.State != Ready {
@@ -544,7 +543,7 @@
 // inquire asks the server whose turn it is what it holds, where its last word is old: among many
 // balancers, what one has out there itself tells next to nothing.
 func (b *Balancer) inquire(now time.Duration, r *request) bool {
-	if !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 || b.fresh < pairsMost-1 || r.asked >= askMost {
+	if !b.inquiry.Pays() || r.asked >= askMost {
 		return false
 	}
 	s, _ := b.turnOf(now, r, b.arc, false)
@@ -561,17 +560,13 @@
 func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
 	s := b.server(id)
 	told := s != nil && ok && l.Has&HasInFlight != 0
-	if s != nil && s == b.sampled && b.pairs < pairsMost && (!told || s.toldAt > 0 && now-s.toldAt >= toldFor) {
-		b.pairs++ // one that does not tell is no fresh one
-		if told && l != s.load {
-			if b.fresh++; b.fresh == pairsMost-1 { // asking finds room best among many
-				b.every *= 3
-			}
-		}
+	again := s != nil && s == b.sampled && (!told || s.toldAt > 0 && now-s.toldAt >= toldFor)
+	if again && b.inquiry.Comparing() {
+		b.inquiry.Compare(told && l != s.load)
 	}
 	if told {
 		s.toldAt, s.load, s.others = now, l, max(0, l.InFlight-float64(s.out))
-	} else if s != nil && b.fresh >= pairsMost-1 { // it can't tell: the turn is the next one's
+	} else if s != nil && b.inquiry.Pays() { // it can't tell: the turn is the next one's
 		s.toldAt, s.others = now, math.Inf(1)
 		if now-s.askedAt < askWait { // it said so at once: a connection broke, maybe, so that is soon forgotten
 			s.toldAt -= 4 * toldFor
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -418,7 +418,7 @@
 	cfg := testConfig()
 	cfg.MayProbe, cfg.Reports = true, HasInFlight
 	b, h := start(t, cfg, ready(1, 2, 3, 4))
-	b.pairs, b.fresh = pairsMost, pairsMost // reports were found fresh
+	findFresh(b) // reports were found fresh
 	ask(b, 0, 1, safeClass)
 	if len(h.probes) != 1 || len(h.sends) != 0 {
 		t.Fatalf("%d probes, %d sends; want the server whose turn it is asked first", len(h.probes), len(h.sends))
@@ -454,7 +454,7 @@
 	cfg := testConfig()
 	cfg.MayProbe, cfg.Reports = true, HasInFlight
 	b, h := start(t, cfg, ready(1, 2, 3, 4))
-	b.pairs, b.fresh = pairsMost, pairsMost // reports were found fresh
+	findFresh(b) // reports were found fresh
 	ask(b, 0, 1, safeClass)
 	drains := h.probes[0]
 	b.Probed(ms, drains, false, Load{})
@@ -473,7 +473,7 @@
 	cfg := testConfig()
 	cfg.MayProbe, cfg.Reports = true, HasInFlight
 	b, h := start(t, cfg, ready(1, 2))
-	b.pairs, b.fresh = pairsMost, pairsMost
+	findFresh(b)
 	ask(b, 0, 1, safeClass)
 	for n := 0; n < len(h.probes); n++ {
 		b.Probed(ms, h.probes[n], false, Load{})
@@ -1245,7 +1245,7 @@
 			b.Probed(now, h.probes[seen], false, Load{})
 		}
 	}
-	if len(h.probes) > 2*pairsMost {
+	if len(h.probes) > 8 {
 		t.Fatalf("%d probes, none of which was answered", len(h.probes))
 	}
 }
@@ -1292,6 +1292,30 @@
 	}
 }
 
+// Guards against a fleet of eighty (herd+vast): a probe a request, at 0.08 each, took a tenth of all worth. Who may not ask
+// takes turns among few servers, or he learns of a silent one only after each has had a request from him.
+func TestDearProbesAreNotSentAndArcsAreShort(t *testing.T) {
+	arc := make(map[float64]int)
+	for _, price := range []float64{0.004, 0.08} {
+		cfg := testConfig()
+		cfg.MayProbe, cfg.Reports, cfg.ProbePrice = true, HasInFlight, price
+		cfg.Tenants = []Tenant{{Share: 1, Quota: 40}}
+		b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20))
+		for now := time.Duration(0); now < time.Second; now += 20 * ms {
+			b.Wake(now)
+			ask(b, now, RequestID(now/ms)+1, safeClass)
+			end(b, now+10*ms, RequestID(now/ms)+1, 0, Served)
+		}
+		if sent := len(h.probes) > 0; sent != (price < 0.01) {
+			t.Errorf("%d probes at a price of %v", len(h.probes), price)
+		}
+		arc[price] = len(b.arc)
+	}
+	if arc[0.08] > arc[0.004]*2/3 {
+		t.Errorf("arcs of %v servers by the price of a probe", arc)
+	}
+}
+
 // Guards against a zone cut off (a fresh day of delta-rounds): time-outs of servers known to be strained hold back
 // requests for all others.
 func TestTimeoutsOfStrainedServersAreNoCrowd(t *testing.T) {
--- a/policy/sizing.go
+++ b/policy/sizing.go
@@ -19,7 +19,7 @@
 		b.quota += t.Quota
 	}
 	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
-	b.rate = cmp.Or(b.quota/float64(b.cfg.Balancers), float64(len(b.servers))/b.every)
+	b.rate = cmp.Or(b.quota/float64(b.cfg.Balancers), float64(len(b.servers))/b.inquiry.Every())
 	n := float64(b.cfg.Balancers)
 	total, room := b.mean*min(1, (math.Log(n)+0.58)/n), spread
 	if b.cfg.Slots > 0 {
@@ -59,7 +59,7 @@
 // connections to all servers and never learn how any of them fares, so each keeps to an arc of the
 // list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
 func (b *Balancer) cut() {
-	b.wanted = max(fewest, b.rate*b.every)
+	b.wanted = max(fewest, b.rate*b.inquiry.Every())
 	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
 	all, left := b.ready(), b.wanted
 	b.reach, b.arc = 0, nil
--- a/policy/state.go
+++ b/policy/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"caperarch/internal/admission"
+	"caperarch/internal/inquiry"
 )
 
 type server struct {
@@ -110,7 +111,6 @@
 	rate     float64       // requests a second, lately
 	rateAt   time.Duration // when it was taken
 	wanted   float64       // servers that it can feed
-	every    float64       // seconds in which each of them gets a turn
 	pace     time.Duration // usual time of an answer, over all classes
 	aim      float64       // mean aim, in seconds
 	worth    float64       // mean worth of the classes
@@ -122,8 +122,7 @@
 	budget   admission.Budget // of further attempts
 	sampled  *server          // whose reports are compared
 	sampleAt time.Duration    // when it is asked again
-	pairs    int              // pairs of reports compared
-	fresh    int              // and those that differed
+	inquiry  inquiry.Inquiry  // whether it is asked before sends
 	closeAt  time.Duration    // when connections to draining servers are closed once more; 0: not due
 	count    Counters
 }
