Large fleets poll for the list, each at its own phase, from the version that is known

Cause: a watch ends with each change, so the whole fleet calls within 20 ms, while discovery takes some seven seconds for a call from each and goes on with calls that have waited for too long. After a failure each sidecar came back within 0.25 to 4 s (Balancer.backoff, policy/policy.go) with a call for the whole list (Follower.follow, internal/membership): 17 calls a second against 11 that it can do, for good. The list in known was not gone on from. Change: internal/asking decides when: fleets whose calls do not fit into a second poll, each at a phase of its own, as often as is its part, within what counts as being told; failures space polls further. Small fleets subscribe as before. What must be asked for goes on from the version that is known, after a start or a failure; only an unusable answer brings the whole list.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 
+	"caperarch/internal/call"
 	"caperarch/internal/clock"
 	"caperarch/internal/config"
 	"caperarch/internal/engine"
@@ -103,7 +104,11 @@
 		return nil, nil, nil, err
 	}
 	follower = membership.New(membership.Config{
-		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Polled: cfg.Policy.ListPolled, Known: cfg.Known,
+		Heard: func(l call.Listing) {
+			log.Info("list", "version", l.Version, "whole", l.Whole, "entries", len(l.Servers))
+			e.List(l)
+		},
 		Failed: func(err error) {
 			log.Warn("discovery", "error", err)
 			e.ListFailed()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -84,6 +84,8 @@
 	Address string             // of discovery, host and port
 	Zones   map[string]int     // zone by name
 	Asked   bool               // the list must be asked for, call after call: see Follower.Ask
+	Polled  bool               // and each time brings one answer, at once: no watch
+	Known   call.Listing       // where it is asked for: the list that is known already, to go on from; without servers: none
 	Heard   func(call.Listing) // takes what is learnt, from Run's goroutine
 	Failed  func(error)        // takes that a call failed, and why
 }
@@ -93,6 +95,7 @@
 	Config
 	asked  chan struct{} // where the list must be asked for: the module did
 	client http.Client
+	have   int64 // the version to go on from after a failure; none: begin with the whole list
 
 	mu    sync.Mutex
 	moved context.CancelFunc // ends what is under way with the address before
@@ -100,9 +103,12 @@
 
 // New makes a follower. Nothing is called until Run.
 func New(cfg Config) *Follower {
-	d := &Follower{Config: cfg}
+	d := &Follower{Config: cfg, have: none}
 	if cfg.Asked {
 		d.asked = make(chan struct{}, 1)
+		if len(cfg.Known.Servers) > 0 {
+			d.have = cfg.Known.Version
+		}
 	}
 	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
 	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true}
@@ -161,10 +167,14 @@
 			return
 		}
 		if moved = following.Err() != nil; moved {
+			d.have = none
 			d.client.CloseIdleConnections()
 			pause = firstRetry
 			continue
 		}
+		if err == nil {
+			continue // polled
+		}
 		d.Failed(err)
 		if d.asked != nil {
 			continue
@@ -181,25 +191,47 @@
 	}
 }
 
-// follow calls discovery until a call fails. It tells whether any call went well.
+// follow calls discovery until a call fails. It tells whether any call went well. Where the list must be asked for it goes on
+// from the version that it has, after a failure and at the start: discovery is one service for a whole fleet, and a fleet that
+// has lost it would ask for as many whole lists at the moment when it can least bear them.
 func (d *Follower) follow(ctx context.Context, address string) (heard bool, err error) {
-	version := int64(-1)
+	if d.asked == nil {
+		d.have = none
+	}
 	for {
-		query, limit := "", listTime
-		if heard {
-			query = fmt.Sprintf("?index=%d&wait=%d", version, watchWait.Milliseconds())
+		query, limit, whole := "", listTime, d.have == none
+		if !whole {
+			query = fmt.Sprintf("?index=%d&wait=%d", d.have, watchWait.Milliseconds())
 			limit = watchWait + answerTime
 		}
+		if d.Polled && !whole {
+			query, limit = fmt.Sprintf("?index=%d&wait=0", d.have), listTime
+		}
 		l, err := d.call(ctx, address, query, limit)
 		if err != nil {
+			if errors.Is(err, errUnusable) { // what it told is lost
+				d.have = none
+			}
+			return heard, err
+		}
+		l.Whole = l.Whole || whole
+		if !l.Whole && l.Version < d.have { // another discovery, or one that began anew: its changes build on something else
+			err = fmt.Errorf("version %d after %d", l.Version, d.have)
+			d.have = none
 			return heard, err
 		}
-		l.Whole = l.Whole || !heard // the first call asked for the whole list
-		heard, version = true, l.Version
+		heard, d.have = true, l.Version
 		d.Heard(l)
+		if d.Polled {
+			return heard, nil
+		}
 	}
 }
 
+const none = -1
+
+var errUnusable = errors.New("unusable list")
+
 func (d *Follower) call(ctx context.Context, address, query string, limit time.Duration) (call.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -219,7 +251,11 @@
 	case res.StatusCode != http.StatusOK:
 		return call.Listing{}, fmt.Errorf("answered %s", res.Status)
 	case len(body) > listLimit:
-		return call.Listing{}, errors.New("the answer is too long")
+		return call.Listing{}, fmt.Errorf("%w: the answer is too long", errUnusable)
 	}
-	return Parse(body, d.Zones)
+	l, err := Parse(body, d.Zones)
+	if err != nil {
+		return call.Listing{}, fmt.Errorf("%w: %w", errUnusable, err)
+	}
+	return l, nil
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -176,3 +176,57 @@
 		}
 	}
 }
+
+// Guards against a fleet that asks for as many whole lists after a restart or a failure: what is asked for goes on from the version
+// that is known, and a poll is one call that waits for nothing. Only what cannot be built upon brings the whole list.
+func TestPollsGoOnFromWhatIsKnown(t *testing.T) {
+	queries, answers := make(chan string, 10), make(chan string, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.RawQuery
+		if a := <-answers; a != "" {
+			_, _ = io.WriteString(w, a)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	heard, failed := make(chan call.Listing, 10), make(chan error, 10)
+	d := New(Config{
+		Address: server.Listener.Addr().String(), Asked: true, Polled: true,
+		Known: call.Listing{Version: 7, Servers: []policy.Server{{ID: 1}}},
+		Heard: func(l call.Listing) { heard <- l }, Failed: func(err error) { failed <- err },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx)
+	for _, step := range []struct {
+		query, answer string
+		whole         bool
+	}{
+		{"index=7&wait=0", `{"generation":9,"reset":false,"instances":[]}`, false},
+		{"index=9&wait=0", "", false}, // refused
+		{"index=9&wait=0", `{"generation":9,"reset":false,"instances":[]}`, false},              // as it was
+		{"index=9&wait=0", `{"generation":10,"reset":false,"instances":[{"zone":"a"}]}`, false}, // unusable
+		{"", `{"generation":10,"reset":true,"instances":[]}`, true},                             // so all of it
+		{"index=10&wait=0", `{"generation":3,"reset":false,"instances":[]}`, false},             // one that began anew
+		{"", `{"generation":3,"reset":true,"instances":[]}`, true},
+	} {
+		answers <- step.answer
+		d.Ask()
+		if q := rig.Wait(t, "a call", queries); q != step.query {
+			t.Fatalf("asked %q, want %q", q, step.query)
+		}
+		select {
+		case l := <-heard:
+			if l.Whole != step.whole {
+				t.Fatalf("after %q: whole %v", step.query, l.Whole)
+			}
+		case <-failed:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("after %q: no word", step.query)
+		}
+	}
+	if len(queries) > 0 {
+		t.Fatal("called unasked")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"caperarch/internal/admission"
+	"caperarch/internal/asking"
 	"caperarch/internal/inquiry"
 )
 
@@ -42,9 +43,6 @@
 	shortMost  = 1.5                    // the others hold so many times as much then, at most
 	spaceBack  = 6                      // and shorter by a sixth with each that it serves
 	coldPart   = 0.5                    // this much of a cold server's budget is used, the rest left to chance
-
-	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
-	lastPause  = 4 * time.Second        // doubled after each up to this
 )
 
 // New makes a Balancer, or returns an error that names the unusable field.
@@ -64,6 +62,7 @@
 		b.pace = min(b.pace, c.Aim/8)
 	}
 	b.worth = cmp.Or(b.worth, 1)
+	b.asking = asking.New(b.rng, cfg.Balancers, cfg.ListPolled, cfg.AskWithin)
 	b.budget = admission.Budget{Span: cfg.Budget.Span, Free: cfg.Budget.Free, Share: cfg.Budget.Share}
 	health := admission.NewHealth()
 	shares := 0.0
@@ -81,9 +80,8 @@
 
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
-	if b.cfg.AskList {
-		b.ask(now)
-	}
+	b.asking.Start(now)
+	b.ask(now)
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
 	b.wake(now, idleTick)
 }
@@ -198,9 +196,7 @@
 	if now < b.wakeAt {
 		return // an older timer
 	}
-	if b.cfg.AskList && b.askAt > 0 && now >= b.askAt {
-		b.ask(now)
-	}
+	b.ask(now)
 	if b.closeAt > 0 && now >= b.closeAt {
 		b.closeAt = 0
 		for _, s := range b.servers {
@@ -419,12 +415,6 @@
 	return best, best != nil && lost < best.due
 }
 
-// backoff is the pause after n failures, spread so that balancers do not act as one.
-func (b *Balancer) backoff(n int) time.Duration {
-	d := min(firstPause<<min(n, 16), lastPause)
-	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
-}
-
 // judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
 // slowness, errors, silence, refusals, a limit shared with others. The turns left show when it is well again.
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
@@ -482,12 +472,14 @@
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
-		b.askAt = now + b.backoff(b.askFails)
-		b.askFails++
+		b.asking.Failed(now)
 		return
 	}
-	if kind != ListCached && b.cfg.AskList {
-		b.askAt, b.askFails = 0, 0
+	switch {
+	case kind != ListCached:
+		b.asking.Heard(now)
+	case len(entries) == 0:
+		b.asking.Now(now)
 	}
 	if kind != ListDelta {
 		b.allGone() // until the list names them
@@ -520,10 +512,11 @@
 	}
 }
 
-// ask subscribes to the list. Without any word it asks again before its silence counts as being told.
+// ask asks for the list where that is due.
 func (b *Balancer) ask(now time.Duration) {
-	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
-	b.host.WatchList()
+	if b.cfg.AskList && b.asking.Due(now) {
+		b.host.WatchList()
+	}
 }
 
 // sample probes one server a few times in a row: reports that do not change as fast as they are used
--- a/policy/state.go
+++ b/policy/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"caperarch/internal/admission"
+	"caperarch/internal/asking"
 	"caperarch/internal/inquiry"
 )
 
@@ -115,8 +116,7 @@
 	aim      float64       // mean aim, in seconds
 	worth    float64       // mean worth of the classes
 	wakeAt   time.Duration
-	askAt    time.Duration // when to ask for the list next; 0: no need
-	askFails int
+	asking   asking.Pace // when to ask for the list
 	feedFrom int
 	lines    map[uint64]*line // by key
 	budget   admission.Budget // of further attempts
