Polls are paced from the asking, not from the answer: silence counted as being told first

Cause: Pace.Heard and Pace.New in internal/asking: the next poll came up to 1.25 times three quarters of the time in which silence counts, from the answer on. The logs of all sidecars have gaps of up to 10.18 s between lists, the settings allow 10 s. Change: polls are paced from when was asked, nine tenths of that time at most; after failures twice that time and no more.

--- a/internal/asking/asking.go
+++ b/internal/asking/asking.go
@@ -20,8 +20,10 @@
 	firstPause = 250 * time.Millisecond // before a subscription is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
 
-	longest = 8 * time.Second  // between polls: a list that is older than this is little use,
-	overdue = 24 * time.Second // or after failures
+	longest = 9 * time.Second // between polls: a list that is older than this is little use
+	within9 = 0.9             // of the time in which silence counts as being told: a call may take the rest
+	phases  = 0.07            // by so much polls come sooner, so that balancers do not fall into step
+	overdue = 2               // so many times that time between polls after failures: they count as asking for four times it
 )
 
 // Polled says that a fleet of so many balancers polls.
@@ -36,6 +38,7 @@
 	fails  int           // in a row
 	rests  bool          // no need to ask: it is subscribed
 	at     time.Duration // else when to ask next
+	asked  time.Duration // when it last did
 }
 
 // New makes one.
@@ -43,7 +46,7 @@
 	p := Pace{rng: rng, polled: polled, within: within}
 	p.every = min(time.Duration(min(balancers, 1<<16))*perCall, longest)
 	if within > 0 {
-		p.every = min(p.every, within*3/4)
+		p.every = min(p.every, time.Duration(within9*float64(within)))
 	}
 	return p
 }
@@ -64,28 +67,23 @@
 	if p.rests || now < p.at {
 		return false
 	}
-	p.at = now + cmp.Or(p.within*3/4, lastPause)
+	p.at, p.asked = now+cmp.Or(p.within*3/4, lastPause), now
 	return true
 }
 
 // Heard takes that the list came.
 func (p *Pace) Heard(now time.Duration) {
 	p.fails, p.rests = 0, !p.polled
-	p.at = now + p.jitter(p.every, 0.25)
+	p.at = p.asked + time.Duration(float64(p.every)*(1-phases*p.rng.Float64())) // not from the answer: asking is what counts
 }
 
 // Failed takes that a call failed. A service that is over what it can do must see fewer calls, or it never finds back.
 func (p *Pace) Failed(now time.Duration) {
 	pause := min(firstPause<<min(p.fails, 16), lastPause)
 	if p.polled {
-		pause = min(p.every<<min(p.fails, 16), overdue)
+		pause = min(p.every<<min(p.fails, 16), overdue*cmp.Or(p.within, longest))
 	}
 	p.fails++
 	p.rests = false
-	p.at = now + p.jitter(pause, 0.5)
-}
-
-// jitter spreads a time by a part of it either way.
-func (p *Pace) jitter(d time.Duration, by float64) time.Duration {
-	return time.Duration(float64(d) * (1 - by + 2*by*p.rng.Float64()))
+	p.at = now + time.Duration(float64(pause)*(0.5+p.rng.Float64()))
 }
--- a/internal/asking/asking_test.go
+++ b/internal/asking/asking_test.go
@@ -98,19 +98,25 @@
 	}
 }
 
-// Silence counts as being told some time after the last call; a poll comes before that.
+// Guards against a drain that is not kept (herd+vast): silence counts as being told some time after the last call, and a poll that is
+// paced from a late answer comes after that.
 func TestPollsComeBeforeSilenceCounts(t *testing.T) {
 	for _, n := range []int{9, 80, 100_000} {
-		p := New(rand.New(rand.NewPCG(1, 1)), n, true, 10*time.Second)
-		p.Start(0)
-		last := time.Duration(0)
-		for now := time.Duration(0); now < time.Minute; now += step {
-			if p.Due(now) {
-				p.Heard(now)
-				last = now
-			}
-			if now-last > 10*time.Second {
-				t.Fatalf("%d balancers: none asked from %v to %v", n, last, now)
+		for seed := range uint64(20) {
+			p := New(rand.New(rand.NewPCG(seed, 1)), n, true, 10*time.Second)
+			p.Start(0)
+			last, answer := time.Duration(0), time.Duration(-1)
+			for now := time.Duration(0); now < 5*time.Minute; now += 100 * ms { // no balancer is woken more often at rest
+				if answer >= 0 && now >= answer {
+					answer = -1
+					p.Heard(now)
+				}
+				if p.Due(now) {
+					last, answer = now, now+900*ms
+				}
+				if now-last > 9500*ms {
+					t.Fatalf("%d balancers, seed %d: none asked from %v to %v", n, seed, last, now)
+				}
 			}
 		}
 	}
