Blind turns ask only after servers in doubt and call attempts off in time for another

Each sidecar sends such a server one request in some seconds, and one quick answer among them brings its turns back (judge and gap). Change: where probes are too dear for each request, the server whose turn it is is asked only if its answers took 2.2 times the usual, and loses the turn if it is full: some 0.13 probes a request in place of 1.3. An attempt that may be repeated is called off while another can still answer; never an unsafe one, never outside a key's group or window. Arcs of 0.6 s a turn. SlotsFree and QueueFree, which only tests use, move there.

--- a/internal/inquiry/inquiry.go
+++ b/internal/inquiry/inquiry.go
@@ -3,6 +3,8 @@
 // free of I/O and of the module's state.
 package inquiry
 
+import "time"
+
 const (
 	pairs = 4 // of reports that far apart tell whether they are fresh enough
 	fresh = 3 // of them differ then
@@ -12,9 +14,11 @@
 	// took a tenth of all worth from a fleet of eighty.
 	blind = 0.02
 
-	second = 1.0  // in which each server of the arc gets a turn
-	asked  = 3.0  // where asking finds room: best among many
-	unseen = 0.45 // where it is too dear: among few, so that each tells often how it fares
+	doubtful = 2.2 // times the usual that answers take
+
+	second = 1.0 // in which each server of the arc gets a turn
+	asked  = 3.0 // where asking finds room: best among many
+	unseen = 0.6 // where it is too dear: among few, so that each tells often how it fares
 )
 
 // Inquiry is what one balancer goes by. It is used from one goroutine.
@@ -38,9 +42,26 @@
 	}
 }
 
-// Pays says that a server is to be asked before it is sent to.
+// Pays says that every server is to be asked before it is sent to.
 func (q *Inquiry) Pays() bool { return q.may && !q.dear && q.told >= fresh }
 
+// Patience is how long an attempt that may be repeated is waited for: whole, the time in which its answer is of use, or the part of it
+// behind which another could still answer. Blind turns meet servers that are slow or silent; who looked before knows that it is the
+// request, which would take as long elsewhere.
+func (q *Inquiry) Patience(whole, part time.Duration) time.Duration {
+	if !q.dear || part < whole/2 {
+		return whole
+	}
+	return part
+}
+
+// Doubts says that a server is asked though turns are blind. strain is how many times the usual its answers take, failures counted in.
+// A look at one in ten saves most of what a look at all would: the slow and the silent are few, and are known by what they did.
+func (q *Inquiry) Doubts(strain float64) bool { return q.may && q.dear && strain >= doubtful }
+
+// Asks says whether a server is to be asked at its turn.
+func (q *Inquiry) Asks(strain float64) bool { return q.Pays() || q.Doubts(strain) }
+
 // Every is the time in seconds in which each server of the arc gets a turn.
 func (q *Inquiry) Every() float64 {
 	switch {
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -168,3 +168,11 @@
 		b.inquiry.Compare(true)
 	}
 }
+
+// SlotsFree returns the free slots in a tenant's compartment.
+func (b *Balancer) SlotsFree(tenant int) int { return b.parts[tenant].slots - b.parts[tenant].used }
+
+// QueueFree returns the free queue places in a tenant's compartment.
+func (b *Balancer) QueueFree(tenant int) int {
+	return b.parts[tenant].places - len(b.parts[tenant].queue)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -354,10 +354,22 @@
 	if b.far(s) {
 		b.count.Crossed++
 	}
-	b.host.Send(r.id, s.ID, r.useful-now)
+	b.host.Send(r.id, s.ID, b.patience(now, r))
 	return true
 }
 
+// patience is how long an attempt is waited for; see Inquiry.Patience.
+func (b *Balancer) patience(now time.Duration, r *request) time.Duration {
+	whole, cut := r.useful-now, r.lateIn()-now-busyTick
+	if r.class.Effect == Keyed {
+		cut = min(cut, r.class.Window-2*busyTick)
+	}
+	if r.class.Effect == Unsafe || len(r.attempts) >= b.cfg.MaxAttempts || b.nowhere(now, r) {
+		return whole
+	}
+	return b.inquiry.Patience(whole, cut)
+}
+
 // coldGap spaces sends to a cold server so that all balancers together stay
 // well within its budget: each keeps an even part, whatever traffic it has.
 func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
@@ -536,11 +548,11 @@
 // inquire asks the server whose turn it is what it holds, where its last word is old: among many
 // balancers, what one has out there itself tells next to nothing.
 func (b *Balancer) inquire(now time.Duration, r *request) bool {
-	if !b.inquiry.Pays() || r.asked >= askMost {
+	if r.asked >= askMost {
 		return false
 	}
 	s, _ := b.turnOf(now, r, b.arc, false)
-	if s == nil || (s.toldAt > 0 && now-s.toldAt < toldFor) {
+	if s == nil || !b.inquiry.Asks(s.strain) || (s.toldAt > 0 && now-s.toldAt < toldFor) {
 		return false
 	}
 	r.asks, r.asksUntil, s.askedAt = s, now+askWait, now
@@ -559,12 +571,15 @@
 	}
 	if told {
 		s.toldAt, s.load, s.others = now, l, max(0, l.InFlight-float64(s.out))
-	} else if s != nil && b.inquiry.Pays() { // it can't tell: the turn is the next one's
+	} else if s != nil && b.inquiry.Asks(s.strain) { // it can't tell: the turn is the next one's
 		s.toldAt, s.others = now, math.Inf(1)
 		if now-s.askedAt < askWait { // it said so at once: a connection broke, maybe, so that is soon forgotten
 			s.toldAt -= 4 * toldFor
 		}
 	}
+	if s != nil && b.inquiry.Doubts(s.strain) && b.fuller(now, nil, s) {
+		s.due = b.turn + b.gap(now, s) // it had its turn
+	}
 	for _, r := range b.open {
 		if s != nil && r.asks == s && !r.over {
 			r.asks = nil
@@ -577,7 +592,7 @@
 // it has not reported and the request met only such ones.
 func (b *Balancer) fuller(now time.Duration, r *request, s *server) bool {
 	if s.toldAt == 0 || now-s.toldAt >= 5*toldFor {
-		return r.asked >= askMost
+		return b.inquiry.Pays() && r.asked >= askMost
 	}
 	return s.others+float64(s.out) >= partRoom+b.part(b.mean, s)*b.short
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1316,6 +1316,60 @@
 	}
 }
 
+// Guards against servers that are slow or silent for long (zone+vast): where turns are blind, one in doubt is asked at its turn, and one
+// that is full loses it; the others are sent to unasked.
+func TestOnlyADoubtfulServerIsAskedWhereProbesAreDear(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		cfg := testConfig()
+		cfg.MayProbe, cfg.Reports, cfg.ProbePrice = true, HasInFlight, 0.08
+		b, h := start(t, cfg, ready(1, 2, 3))
+		for _, s := range b.servers {
+			s.due = float64(s.ID)
+		}
+		b.server(1).strain, b.server(1).due = 4, 0
+		ask(b, 10*ms, 1, safeClass)
+		if len(h.probes) != 1 || h.probes[0] != 1 || len(h.sends) != 0 {
+			t.Fatalf("probes %v, sends %v: want the one in doubt asked first", h.probes, h.sends)
+		}
+		held := 0.0
+		if full {
+			held = 20
+		}
+		b.Probed(11*ms, 1, true, Load{Has: HasInFlight, InFlight: held})
+		ask(b, 12*ms, 2, safeClass)
+		if n := h.sentTo(1); len(h.sends) != 2 || (n > 0) == full || len(h.probes) != 1 {
+			t.Errorf("full %v: sends %v, probes %v", full, h.sends, h.probes)
+		}
+	}
+}
+
+// Guards against a request that waits for a silent server until it is worth nothing (zone+vast): where turns are blind an attempt that
+// may be repeated is called off while another can answer, one that may not never is, and never where nobody else is left.
+func TestABlindAttemptIsCalledOffInTimeForAnother(t *testing.T) {
+	cfg := testConfig()
+	cfg.ProbePrice = 0.08
+	list := ready(1, 2, 3)
+	list[2].Cell = 7
+	for _, c := range []struct {
+		class  int
+		list   []Server
+		sooner bool
+	}{
+		{safeClass, list, true}, {keyedCell, list[:2], true}, {unsafeClass, list, false}, {safeClass, list[:1], false}, {keyedCell, list[1:], false},
+	} {
+		b, h := start(t, cfg, c.list)
+		ask(b, 0, 1, c.class)
+		if got := h.sends[0].timeout; (got < time.Second) != c.sooner || got < time.Second/2 {
+			t.Errorf("class %d of %d servers: called off after %v", c.class, len(c.list), got)
+		}
+		first := h.sends[0].to
+		end(b, h.sends[0].timeout, 1, 0, TimedOut)
+		if again := len(h.sends) == 2; again != c.sooner || again && h.sends[1].to == first {
+			t.Errorf("class %d of %d servers: sends %v", c.class, len(c.list), h.sends)
+		}
+	}
+}
+
 // Guards against a zone cut off (a fresh day of delta-rounds): time-outs of servers known to be strained hold back
 // requests for all others.
 func TestTimeoutsOfStrainedServersAreNoCrowd(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -130,14 +130,6 @@
 // Counters returns what was done so far.
 func (b *Balancer) Counters() Counters { return b.count }
 
-// SlotsFree returns the free slots in a tenant's compartment.
-func (b *Balancer) SlotsFree(tenant int) int { return b.parts[tenant].slots - b.parts[tenant].used }
-
-// QueueFree returns the free queue places in a tenant's compartment.
-func (b *Balancer) QueueFree(tenant int) int {
-	return b.parts[tenant].places - len(b.parts[tenant].queue)
-}
-
 // ran returns the first attempt that may have run or still may, or nil.
 func (r *request) ran() *attempt {
 	for i := range r.attempts {
