A large fleet subscribes at phases of its own in place of polling: a poll's answer stood for more

Cause: the poll that internal/asking had introduced. A call with a version is a watch; what changes within 200 ms behind its answer counts as told, and a poll hears of it only with the next one, seconds later. Change: Pace knows one kind of call again; ListPolled, Polled and the polls are gone.

--- a/internal/asking/asking.go
+++ b/internal/asking/asking.go
@@ -1,10 +1,10 @@
 // Package asking decides when a balancer asks for the list of servers, where it must be asked for. It is free of I/O; time is
 // passed in.
 //
-// Discovery is one service for a whole fleet. A subscription that ends with each change costs it a call by every balancer at the
-// same moment: a fleet of eighty asked eighty times within 20 ms, most calls waited for longer than they may, and what they came
-// back with, all at once again, kept the queue full for good. In 25 s not one change reached any of them. So a large fleet polls, each
-// balancer at a phase of its own, as often as is its part of what such a service is built for.
+// Discovery is one service for a whole fleet, and a subscription costs it a call. A fleet of eighty that starts at once asked eighty times
+// within 20 ms; most calls waited for longer than they may, and what came back after a short pause, all at once again, kept the
+// queue full for good: in 25 s not one change reached any of them. So in a large fleet each asks first at a phase of its own, and again
+// after a failure at the pace that is its part of what such a service is built for. Once subscribed, changes come as they happen.
 package asking
 
 import (
@@ -15,46 +15,41 @@
 
 const (
 	perCall  = 125 * time.Millisecond // of discovery's time is a balancer's part for one call
-	fewCalls = time.Second            // a fleet whose calls all fit into this subscribes: changes come sooner
+	fewCalls = time.Second            // a fleet whose calls all fit into this asks at once
 
 	firstPause = 250 * time.Millisecond // before a subscription is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
 
-	longest = 9 * time.Second // between polls: a list that is older than this is little use
-	within9 = 0.9             // of the time in which silence counts as being told: a call may take the rest
-	phases  = 0.07            // by so much polls come sooner, so that balancers do not fall into step
-	overdue = 2               // so many times that time between polls after failures: they count as asking for four times it
+	longest = 9 * time.Second // a list that is older than this is little use
+	spare   = 0.9             // of the time in which silence counts as being told: a call may take the rest
+	overdue = 2               // so many times that between calls after failures, which count as asking for four times it
 )
 
-// Polled says that a fleet of so many balancers polls.
-func Polled(balancers int) bool { return time.Duration(balancers)*perCall > fewCalls }
-
 // Pace is when one balancer asks. It is used from one goroutine.
 type Pace struct {
 	rng    *rand.Rand
-	polled bool
+	paced  bool          // the fleet is large
 	within time.Duration // without asking this long a change counts as told; 0: not known
 	every  time.Duration // the part of one balancer
 	fails  int           // in a row
 	rests  bool          // no need to ask: it is subscribed
 	at     time.Duration // else when to ask next
-	asked  time.Duration // when it last did
 }
 
 // New makes one.
-func New(rng *rand.Rand, balancers int, polled bool, within time.Duration) Pace {
-	p := Pace{rng: rng, polled: polled, within: within}
-	p.every = min(time.Duration(min(balancers, 1<<16))*perCall, longest)
+func New(rng *rand.Rand, balancers int, within time.Duration) Pace {
+	whole := time.Duration(min(balancers, 1<<16)) * perCall
+	p := Pace{rng: rng, paced: whole > fewCalls, within: within, every: min(whole, longest)}
 	if within > 0 {
-		p.every = min(p.every, time.Duration(within9*float64(within)))
+		p.every = min(p.every, time.Duration(spare*float64(within)))
 	}
 	return p
 }
 
-// Start begins: a subscription at once, a poll at a phase of its own, as balancers that were stopped together start together. What
-// is known serves till then; where nothing is, see Now.
+// Start begins, in a large fleet at a phase of its own: balancers that were stopped together start together. What is known serves
+// till then; where nothing is, see Now.
 func (p *Pace) Start(now time.Duration) {
-	if p.at = now; p.polled {
+	if p.at = now; p.paced {
 		p.at += time.Duration(p.rng.Float64() * float64(p.every))
 	}
 }
@@ -67,20 +62,17 @@
 	if p.rests || now < p.at {
 		return false
 	}
-	p.at, p.asked = now+cmp.Or(p.within*3/4, lastPause), now
+	p.at = now + cmp.Or(p.within*3/4, lastPause)
 	return true
 }
 
-// Heard takes that the list came.
-func (p *Pace) Heard(now time.Duration) {
-	p.fails, p.rests = 0, !p.polled
-	p.at = p.asked + time.Duration(float64(p.every)*(1-phases*p.rng.Float64())) // not from the answer: asking is what counts
-}
+// Heard takes that the list came: it is subscribed.
+func (p *Pace) Heard() { p.fails, p.rests = 0, true }
 
 // Failed takes that a call failed. A service that is over what it can do must see fewer calls, or it never finds back.
 func (p *Pace) Failed(now time.Duration) {
 	pause := min(firstPause<<min(p.fails, 16), lastPause)
-	if p.polled {
+	if p.paced {
 		pause = min(p.every<<min(p.fails, 16), overdue*cmp.Or(p.within, longest))
 	}
 	p.fails++
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,7 +14,6 @@
 	"strings"
 	"time"
 
-	"caperarch/internal/asking"
 	"caperarch/internal/call"
 	"caperarch/internal/membership"
 	"caperarch/internal/wire"
@@ -180,7 +179,6 @@
 	if c.Policy, err = s.Config(); err != nil {
 		return fmt.Errorf("config: %w", err)
 	}
-	c.Policy.ListPolled = c.Policy.AskList && asking.Polled(c.Policy.Balancers)
 	names := func(list string) map[string]int {
 		byName := make(map[string]int)
 		for i := range s.Count(list + ".count") {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,7 +104,7 @@
 		return nil, nil, nil, err
 	}
 	follower = membership.New(membership.Config{
-		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Polled: cfg.Policy.ListPolled, Known: cfg.Known,
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Known: cfg.Known,
 		Heard: func(l call.Listing) {
 			log.Info("list", "version", l.Version, "whole", l.Whole, "entries", len(l.Servers))
 			e.List(l)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -84,7 +84,6 @@
 	Address string             // of discovery, host and port
 	Zones   map[string]int     // zone by name
 	Asked   bool               // the list must be asked for, call after call: see Follower.Ask
-	Polled  bool               // and each time brings one answer, at once: no watch
 	Known   call.Listing       // where it is asked for: the list that is known already, to go on from; without servers: none
 	Heard   func(call.Listing) // takes what is learnt, from Run's goroutine
 	Failed  func(error)        // takes that a call failed, and why
@@ -172,9 +171,6 @@
 			pause = firstRetry
 			continue
 		}
-		if err == nil {
-			continue // polled
-		}
 		d.Failed(err)
 		if d.asked != nil {
 			continue
@@ -204,9 +200,6 @@
 			query = fmt.Sprintf("?index=%d&wait=%d", d.have, watchWait.Milliseconds())
 			limit = watchWait + answerTime
 		}
-		if d.Polled && !whole {
-			query, limit = fmt.Sprintf("?index=%d&wait=0", d.have), listTime
-		}
 		l, err := d.call(ctx, address, query, limit)
 		if err != nil {
 			if errors.Is(err, errUnusable) { // what it told is lost
@@ -222,9 +215,6 @@
 		}
 		heard, d.have = true, l.Version
 		d.Heard(l)
-		if d.Polled {
-			return heard, nil
-		}
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -92,7 +92,7 @@
 	p.engine = e
 	members := membership.Config{
 		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Heard: e.List,
-		Polled: cfg.Policy.ListPolled, Known: cfg.Known,
+		Known: cfg.Known,
 		Failed: func(err error) {
 			cfg.Log.Warn("discovery", "error", err)
 			e.ListFailed()
--- a/policy/api.go
+++ b/policy/api.go
@@ -100,9 +100,8 @@
 
 	Tick time.Duration // events come at most this often
 
-	AskList    bool          // the server list must be asked for
-	ListPolled bool          // and Host.WatchList brings it once, not changes as they happen
-	AskWithin  time.Duration // without asking this long, a change counts as told; 0: not known
+	AskList   bool          // the server list must be asked for
+	AskWithin time.Duration // without asking this long, a change counts as told; 0: not known
 
 	ColdFrom     float64       // a server starts with at least this share of its capacity
 	ColdTime     time.Duration // and has all of it after this
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,7 +62,7 @@
 		b.pace = min(b.pace, c.Aim/8)
 	}
 	b.worth = cmp.Or(b.worth, 1)
-	b.asking = asking.New(b.rng, cfg.Balancers, cfg.ListPolled, cfg.AskWithin)
+	b.asking = asking.New(b.rng, cfg.Balancers, cfg.AskWithin)
 	b.budget = admission.Budget{Span: cfg.Budget.Span, Free: cfg.Budget.Free, Share: cfg.Budget.Share}
 	health := admission.NewHealth()
 	shares := 0.0
@@ -489,7 +489,7 @@
 	}
 	switch {
 	case kind != ListCached:
-		b.asking.Heard(now)
+		b.asking.Heard()
 	case len(entries) == 0:
 		b.asking.Now(now)
 	}
