--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1385,3 +1385,72 @@
 		}
 	}
 }
+
+// Guards against settings and lists far beyond what was planned for: a list of ten thousand servers, a fleet of one and of a hundred
+// thousand, a list known at the start that is wholly out of date. No storm of probes, timers or calls, and every request has its answer.
+func TestListsAndFleetsOfAnySizeCauseNoStorm(t *testing.T) {
+	for _, balancers := range []int{1, 80, 100_000} {
+		for _, price := range []float64{0, 0.08} {
+			cfg := testConfig()
+			cfg.Balancers, cfg.AskList, cfg.ProbePrice, cfg.Slots = balancers, true, price, 0
+			cfg.MayProbe, cfg.Reports = true, HasInFlight
+			var old, list []Server
+			for id := range ServerID(10_000) {
+				old = append(old, Server{ID: id + 1, State: Ready, Weight: 1})
+				list = append(list, Server{ID: id + 20_001, State: Ready, Weight: 1})
+			}
+			h := newFakeHost()
+			b, err := New(cfg, 1, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Start(0)
+			b.List(0, ListCached, old)
+			seen := 0
+			answer := func(now time.Duration, e Ending) {
+				for ; seen < len(h.sends); seen++ {
+					n := 0
+					for _, s := range h.sends[:seen] {
+						if s.id == h.sends[seen].id {
+							n++
+						}
+					}
+					end(b, now, h.sends[seen].id, n, e)
+				}
+				for _, to := range h.probes {
+					b.Probed(now, to, e == Served, Load{Has: HasInFlight})
+				}
+				h.probes = h.probes[:0]
+			}
+			const asked = 200
+			probes, id := 0, RequestID(0)
+			for now := time.Duration(0); now < 12*time.Second; now += 10 * ms {
+				if now == 6*time.Second {
+					b.List(now, ListFull, list)
+				}
+				b.Wake(now)
+				if now%(60*ms) == 0 && id < asked {
+					id++
+					ask(b, now, id, safeClass)
+				}
+				probes += len(h.probes)
+				e := NoConnection // what is known from before is all gone
+				if now >= 6*time.Second {
+					e = Served
+				}
+				for range 4 {
+					answer(now, e)
+				}
+			}
+			if h.asks < 1 || h.asks > 8 || probes > 5*asked || len(h.sends) > asked*cfg.MaxAttempts || len(h.wakes) > 12*250 {
+				t.Errorf("%d balancers, price %v: %d calls, %d probes, %d sends, %d timers", balancers, price, h.asks, probes, len(h.sends), len(h.wakes))
+			}
+			if len(b.requests) > 0 {
+				t.Errorf("%d balancers, price %v: %d requests without an answer", balancers, price, len(b.requests))
+			}
+			if late := h.sends[len(h.sends)-1]; late.to <= 20_000 {
+				t.Errorf("%d balancers, price %v: still sends to what is gone", balancers, price)
+			}
+		}
+	}
+}
