--- a/policy/policy.go
+++ b/policy/policy.go
@@ -80,7 +80,9 @@
 
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
-	b.asking.Start(now)
+	if b.cfg.AskList {
+		b.asking.Start(now)
+	}
 	b.ask(now)
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
 	b.wake(now, idleTick)
