fleetlog: a pattern that never fits is gone, a line is matched once

Cause: the quoted form of the message "list" does not occur, as slog quotes no single word; lines of doubt were matched by the pattern twice.

--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -9,7 +9,6 @@
 	"io"
 	"regexp"
 	"slices"
-	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -73,7 +72,7 @@
 		switch {
 		case strings.HasPrefix(message, "serving"):
 			s.Starts++
-		case strings.HasPrefix(message, "list "), strings.HasPrefix(message, "list\""):
+		case strings.HasPrefix(message, "list "):
 			if strings.Contains(message, "whole=true") {
 				s.Whole++
 			} else {
@@ -83,13 +82,11 @@
 			s.Failed++
 		case strings.HasPrefix(message, "stopped for a while"):
 			s.Stopped++
-		case strained.MatchString(message):
-			s.Doubts++
-			id := strained.FindStringSubmatch(message)[1]
-			if f.doubted[id] == nil {
-				f.doubted[id] = make(map[string]bool)
+		default:
+			if m := strained.FindStringSubmatch(message); m != nil {
+				s.Doubts++
+				f.doubt(m[1], name)
 			}
-			f.doubted[id][name] = true
 		}
 	}
 	if err := lines.Err(); err != nil {
@@ -99,6 +96,14 @@
 	return nil
 }
 
+// doubt takes that a server is doubted in a log.
+func (f *Fleet) doubt(server, log string) {
+	if f.doubted[server] == nil {
+		f.doubted[server] = make(map[string]bool)
+	}
+	f.doubted[server][log] = true
+}
+
 // At returns what was logged in a second.
 func (f *Fleet) At(unix int64) Second {
 	if s := f.seconds[unix]; s != nil {
@@ -142,7 +147,7 @@
 		return err
 	}
 	for _, d := range f.Doubted(10) {
-		if _, err := fmt.Fprintf(w, "server %s: doubted by %s sidecars\n", d.Server, strconv.Itoa(d.Sidecars)); err != nil {
+		if _, err := fmt.Fprintf(w, "server %s: doubted by %d sidecars\n", d.Server, d.Sidecars); err != nil {
 			return err
 		}
 	}
