--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,8 +25,12 @@
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 2 * time.Second // with jitter, well under the 6 s after which a drain counts as told
 	listLimit  = 8 << 20         // bytes of one answer; far above any real list
+
+	none = -1 // no version
 )
 
+var errUnusable = errors.New("unusable list")
+
 // Parse reads an answer; a zone that zones does not name is -1. One malformed entry makes the whole answer unusable.
 func Parse(raw []byte, zones map[string]int) (call.Listing, error) {
 	var answer struct {
@@ -218,10 +222,6 @@
 	}
 }
 
-const none = -1
-
-var errUnusable = errors.New("unusable list")
-
 func (d *Follower) call(ctx context.Context, address, query string, limit time.Duration) (call.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
