--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -78,7 +78,7 @@
 // A budget holds within any span, and gives back what left it.
 func TestBudgetHoldsWithinAnySpan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := Budget{Span: time.Second, Free: float64(rapid.IntRange(0, 3).Draw(t, "free")), Share: rapid.Float64Range(0, 1).Draw(t, "share")}
+		b := Budget{Limit: Limit{Span: time.Second, Free: float64(rapid.IntRange(0, 3).Draw(t, "free")), Share: rapid.Float64Range(0, 1).Draw(t, "share")}}
 		var taken, tried []time.Duration
 		now := time.Hour
 		since := func(list []time.Duration, from time.Duration) (n int) {
--- /dev/null
+++ b/internal/bans/bans.go
@@ -0,0 +1,239 @@
+// Package bans carries bans by hand from operators to the lists of this process, and to and from the file that outlives it: see cordon for what a ban does.
+package bans
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+	"unicode/utf8"
+
+	"caperarch/internal/call"
+	"caperarch/internal/cordon"
+)
+
+const (
+	lookEvery = 50 * time.Millisecond  // at the file: another process of this sidecar may have been told
+	takeUp    = 800 * time.Millisecond // an engine may take so long; its answer is owed within 1 s
+	most      = 4096                   // bans at once; each list is told apart by them
+	idMost    = 256                    // bytes of an id
+)
+
+// What a call is told no for.
+var (
+	ErrNever = cordon.ErrNever
+	errBusy  = errors.New("not taken up within 0.8 s, call again")
+	errMany  = fmt.Errorf("%d upstreams are out by hand already", most)
+	errID    = fmt.Errorf("an id has 1 to %d bytes, no white space and no control bytes", idMost)
+)
+
+// Engine takes lists up; neither waits.
+type Engine interface {
+	// List takes what discovery has told.
+	List(l call.Listing)
+	// Relist takes the whole list as it is to be seen from now on, and calls taken once that is so.
+	Relist(l call.Listing, taken func())
+}
+
+// Keeper has the bans of this process, over all of its lists.
+type Keeper struct {
+	log  *slog.Logger
+	file file
+
+	mu    sync.Mutex
+	bans  []string // sorted
+	lists map[*List]struct{}
+	seen  stamp // of the file, when it was read last
+}
+
+// New makes a keeper whose bans are kept in a folder; "": in this process alone. What stands there holds from the start.
+func New(dir string, log *slog.Logger) *Keeper {
+	k := &Keeper{log: log, file: file{dir}, lists: make(map[*List]struct{})}
+	k.look()
+	return k
+}
+
+// List is one engine's list, with the bans laid over it.
+type List struct {
+	k       *Keeper
+	engine  Engine
+	overlay *cordon.Overlay // under the keeper's lock
+}
+
+// List lays the bans over one more list; what is heard of it goes to Heard.
+func (k *Keeper) List(e Engine) *List {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := &List{k: k, engine: e, overlay: cordon.NewOverlay()}
+	l.overlay.Set(k.bans)
+	k.lists[l] = struct{}{}
+	return l
+}
+
+// Known takes the list that is known at the start, and returns it as the engine is to have it.
+func (l *List) Known(known call.Listing) call.Listing {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	known.Whole = true
+	return l.overlay.Heard(known)
+}
+
+// Heard takes a list and hands it on.
+func (l *List) Heard(heard call.Listing) {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	l.engine.List(l.overlay.Heard(heard))
+}
+
+// Whole is the list as it was heard last.
+func (l *List) Whole() call.Listing {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	return l.overlay.Whole()
+}
+
+// Counts are how many upstreams are listed, and how many of them are not ready or out by hand.
+func (l *List) Counts() (known, out int) {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	return l.overlay.Counts()
+}
+
+// Leave takes that the list is no longer followed.
+func (l *List) Leave() {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	delete(l.k.lists, l)
+}
+
+// Cordon takes an upstream out, and returns once every engine sends it nothing new. A repeat is harmless.
+func (k *Keeper) Cordon(id string) error { return k.change(id, true) }
+
+// Uncordon has an upstream used again. One call ends the ban, however often it was laid.
+func (k *Keeper) Uncordon(id string) error { return k.change(id, false) }
+
+func (k *Keeper) change(id string, ban bool) error {
+	if !usable(id) {
+		return errID
+	}
+	k.mu.Lock()
+	if k.never(id) {
+		k.mu.Unlock()
+		return ErrNever
+	}
+	full := false
+	bans, err := k.file.change(k.bans, func(bans []string) []string {
+		at, found := slices.BinarySearch(bans, id)
+		switch {
+		case found && !ban:
+			bans = slices.Delete(bans, at, at+1)
+		case !found && ban && len(bans) >= most:
+			full = true
+		case !found && ban:
+			bans = slices.Insert(bans, at, id)
+		}
+		return bans
+	})
+	if err != nil { // it holds here; whoever replaces this process would not know
+		k.log.Error("bans could not be kept, they hold in this process alone", "error", err)
+	}
+	k.seen = k.file.stamp()
+	taken := k.apply(bans)
+	k.mu.Unlock()
+	if full {
+		return errMany
+	}
+	k.log.Info("by hand", "upstream", id, "out", ban)
+	end := time.NewTimer(takeUp)
+	defer end.Stop()
+	select {
+	case <-taken:
+		return nil
+	case <-end.C:
+		return errBusy
+	}
+}
+
+// never says that no list has had an id. An id that is banned was listed to whoever banned it. The caller holds the lock.
+func (k *Keeper) never(id string) bool {
+	if _, banned := slices.BinarySearch(k.bans, id); banned {
+		return false
+	}
+	for l := range k.lists {
+		if l.overlay.Ever(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// apply lays other bans over all lists; the channel is closed once all engines have taken that up. The caller holds the lock.
+func (k *Keeper) apply(bans []string) <-chan struct{} {
+	k.bans = bans
+	var all sync.WaitGroup
+	for l := range k.lists {
+		// Handed on without a change too: what an earlier call began may still wait to be taken up.
+		all.Add(1)
+		l.engine.Relist(l.overlay.Set(bans), all.Done)
+	}
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	return done
+}
+
+// look reads the file where it has changed since it was last read.
+func (k *Keeper) look() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.file.stamp()
+	if now == k.seen || now == (stamp{}) {
+		return
+	}
+	k.seen = now
+	bans, err := k.file.read()
+	if err != nil {
+		k.log.Error("the file of bans can't be used, those known hold", "error", err)
+		return
+	}
+	slices.Sort(bans)
+	if bans = slices.Compact(bans); !slices.Equal(bans, k.bans) {
+		k.log.Info("bans read", "out", bans)
+		k.apply(bans)
+	}
+}
+
+// Run looks at the file until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	if k.file.dir == "" {
+		return
+	}
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			k.look()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// usable says whether text may be an id: whatever stands in the list may, but for what would break a line of the log.
+func usable(id string) bool {
+	if id == "" || len(id) > idMost || !utf8.ValidString(id) {
+		return false
+	}
+	for _, c := range id {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/bans/bans_test.go
@@ -0,0 +1,147 @@
+package bans
+
+import (
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/rig"
+	"caperarch/policy"
+)
+
+// engine takes lists up at once and remembers the last state of the one server; a deaf one never does.
+type engine struct {
+	deaf bool
+	last chan policy.State
+}
+
+func (e *engine) List(l call.Listing) { e.Relist(l, nil) }
+
+func (e *engine) Relist(l call.Listing, taken func()) {
+	for _, s := range l.Servers {
+		e.last <- s.State
+	}
+	if taken != nil && !e.deaf {
+		taken()
+	}
+}
+
+func open(t *testing.T, dir string) (*Keeper, *engine) {
+	t.Helper()
+	k, e := New(dir, slog.Default()), &engine{last: make(chan policy.State, 100)}
+	l := k.List(e)
+	known := l.Known(call.Listing{Servers: []policy.Server{{ID: call.ServerID("s-1"), State: policy.Ready, Weight: 1}}, Address: map[policy.ServerID]string{}})
+	e.last <- known.Servers[0].State
+	return k, e
+}
+
+func (e *engine) want(t *testing.T, what string, want policy.State) {
+	t.Helper()
+	got := rig.Wait(t, what, e.last)
+	for len(e.last) > 0 {
+		got = <-e.last
+	}
+	if got != want {
+		t.Errorf("%s: state %v, want %v", what, got, want)
+	}
+}
+
+// A ban is seen by the other process of a sidecar, by those that start later, and lifted by one call to either.
+func TestBanIsOneOverProcesses(t *testing.T) {
+	dir := t.TempDir()
+	a, ea := open(t, dir)
+	b, eb := open(t, dir)
+	ea.want(t, "start", policy.Ready)
+	eb.want(t, "start", policy.Ready)
+	for range 2 {
+		if err := a.Cordon("s-1"); err != nil {
+			t.Fatal(err)
+		}
+		ea.want(t, "told", policy.Draining)
+	}
+	b.look()
+	eb.want(t, "looked", policy.Draining)
+	_, ec := open(t, dir)
+	ec.want(t, "started later", policy.Draining)
+	if err := b.Uncordon("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	eb.want(t, "told of the end", policy.Ready)
+	a.look()
+	ea.want(t, "looked at the end", policy.Ready)
+	if err := b.Uncordon("s-1"); err != nil {
+		t.Errorf("a second call back: %v", err)
+	}
+	if err := b.Cordon("s-2"); !errors.Is(err, ErrNever) {
+		t.Errorf("an id never listed: %v", err)
+	}
+	if err := b.Cordon("s 1"); err == nil {
+		t.Error("an id with a space was taken")
+	}
+}
+
+// Without a folder, or with one that can't be written, a ban holds in this process.
+func TestNowhereToKeep(t *testing.T) {
+	for _, dir := range []string{"", filepath.Join(t.TempDir(), "none")} {
+		k, e := open(t, dir)
+		e.want(t, "start", policy.Ready)
+		if err := k.Cordon("s-1"); err != nil {
+			t.Errorf("%q: %v", dir, err)
+		}
+		e.want(t, "banned", policy.Draining)
+		k.look()
+		if len(e.last) > 0 {
+			t.Errorf("%q: the ban was lost at the next look", dir)
+		}
+	}
+}
+
+// Half a file, noise, another form and a changed byte are put aside, and what is known holds.
+func TestDamagedFileIsPutAside(t *testing.T) {
+	dir := t.TempDir()
+	k, _ := open(t, dir)
+	if err := k.Cordon("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(k.file.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := append([]byte(nil), whole...)
+	changed[len(`{"form":1,"bans":["s-`)] = '2'
+	for name, raw := range map[string][]byte{"half": whole[:len(whole)/2], "noise": {0, 1, 2}, "empty": {}, "changed": changed, "form": []byte(`{"form":9}`)} {
+		if err := os.WriteFile(k.file.path(), raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		k.look()
+		if len(k.bans) != 1 {
+			t.Errorf("%s: bans %v", name, k.bans)
+		}
+		if _, err := os.Stat(k.file.path() + ".damaged"); err != nil {
+			t.Errorf("%s: not put aside: %v", name, err)
+		}
+		if later, _ := open(t, dir); len(later.bans) != 0 {
+			t.Errorf("%s: a later start has %v", name, later.bans)
+		}
+	}
+	if err := k.Cordon("s-1"); err != nil { // written anew
+		t.Fatal(err)
+	}
+	if later, _ := open(t, dir); len(later.bans) != 1 {
+		t.Errorf("after a further call: %v", later.bans)
+	}
+}
+
+// An engine that does not take a ban up gets its caller a no in time, not a yes that is not true.
+func TestNoWhereNotTakenUp(t *testing.T) {
+	k, e := open(t, t.TempDir())
+	e.deaf = true
+	begun := time.Now()
+	if err := k.Cordon("s-1"); err == nil || time.Since(begun) > time.Second {
+		t.Errorf("%v after %v", err, time.Since(begun))
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Name      string
 	Listen    string // where the application connects
 	Discovery string // address of discovery
+	Control   string // where operators call; "": nowhere
 	Seed      uint64
 
 	MemoryMB int // the process is killed above this; 0: no limit is known
@@ -75,7 +76,11 @@
 	if err != nil {
 		return nil, err
 	}
-	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	addresses := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
+	if c.Control != "" {
+		addresses["control"] = c.Control
+	}
+	for field, address := range addresses {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return nil, fmt.Errorf("config: %s: %w", field, err)
 		}
@@ -85,7 +90,7 @@
 
 // clientFields are the fields of a file that a client takes or passes over.
 var clientFields = []string{
-	"name", "listen", "discovery", "seed", "limits", "peer_listen", "peers", "peers_all", "known", "settings", "methods",
+	"name", "listen", "discovery", "control", "seed", "limits", "peer_listen", "peers", "peers_all", "known", "settings", "methods",
 }
 
 // ParseClient reads the text of such a file for a client that has no sidecar beside it: the environment is
@@ -121,8 +126,8 @@
 
 func parse(raw []byte, env func(string) string) (*Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Control, Seed string
+		Limits                                 struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  float64
 		}
@@ -142,6 +147,7 @@
 		Name:      given(file.Name, "EDGE_NAME"),
 		Listen:    given(file.Listen, "EDGE_LISTEN"),
 		Discovery: given(file.Discovery, "EDGE_DISCOVERY"),
+		Control:   given(file.Control, "EDGE_CONTROL"),
 		MemoryMB:  int(file.Limits.MemoryMB),
 		Sockets:   int(file.Limits.Sockets),
 	}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"caperarch/internal/rig"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Call{
+		"health": {Verb: Health}, "counters\r": {Verb: Counters}, " cordon  s-1 ": {Cordon, "s-1"}, "uncordon\ts-1": {Uncordon, "s-1"},
+	} {
+		if got, err := Parse([]byte(line)); err != nil || got != want {
+			t.Errorf("%q: %+v, %v", line, got, err)
+		}
+	}
+	for _, line := range []string{
+		"", "\r", "HEALTH", "cordon", "cordon a b", "health now", "GET / HTTP/1.1", "\x16\x03\x01\x02\x00", "cordon a\x00b", "cordon \xff",
+		strings.Repeat("x", LineMost+1), "cordon " + strings.Repeat("x", LineMost),
+	} {
+		if c, err := Parse([]byte(line)); err == nil || strings.ContainsAny(err.Error(), "\n\x00") {
+			t.Errorf("%.20q: %+v, %v; want an error of one line", line, c, err)
+		}
+	}
+}
+
+// desk answers calls for tests.
+type desk struct{ cordoned chan string }
+
+func (desk) Health() error              { return errors.Join(errors.New("no"), errors.New("not yet")) }
+func (desk) Counters(w io.Writer) error { _, err := io.WriteString(w, "a 1\n"); return err }
+func (d desk) Cordon(id string) error   { d.cordoned <- id; return nil }
+func (desk) Uncordon(string) error      { return nil }
+func start(t *testing.T, most int) (string, desk) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	d := desk{make(chan string, 100)}
+	go New(d, most).Serve(l)
+	return l.Addr().String(), d
+}
+
+// say sends text and returns all that is answered.
+func say(t *testing.T, address, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(rig.Generous))
+	go io.WriteString(c, text)
+	got, err := io.ReadAll(bufio.NewReader(c))
+	if err != nil {
+		t.Errorf("%.20q: %v", text, err)
+	}
+	return string(got)
+}
+
+func TestAnswers(t *testing.T) {
+	address, d := start(t, 2)
+	for text, want := range map[string]string{
+		"health\n": "400 no; not yet\n", "counters\n": "a 1\nEOF\n", "cordon s-1\r\n": "200 ok\n", "uncordon s-1\nhealth\n": "200 ok\n",
+		"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n": "400 unknown call: one of " + verbs + " is needed\n",
+		strings.Repeat("x", 1<<20) + "\n":          "400 a call has 512 bytes at most\n",
+	} {
+		if got := say(t, address, text); got != want {
+			t.Errorf("%.20q: %q, want %q", text, got, want)
+		}
+	}
+	if id := rig.Wait(t, "the call", d.cordoned); id != "s-1" {
+		t.Errorf("cordoned %q", id)
+	}
+}
+
+// Callers that say nothing, or half a line, hold up nobody: those that have for longest go.
+func TestSilentCallersMakeRoom(t *testing.T) {
+	address, _ := start(t, 3)
+	for i := range 100 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			_, _ = io.WriteString(c, "heal")
+		}
+	}
+	begun := time.Now()
+	if got := say(t, address, "counters\n"); got != "a 1\nEOF\n" {
+		t.Errorf("%q", got)
+	}
+	if took := time.Since(begun); took > silentTime/2 { // only their own time-out would end them else
+		t.Errorf("answered after %v", took)
+	}
+}
--- /dev/null
+++ b/internal/control/protocol.go
@@ -0,0 +1,65 @@
+// Package control answers operators: one line a connection, one answer.
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+)
+
+// LineMost bounds a call in bytes, its line end left out.
+const LineMost = 512
+
+// Verb is what is asked for.
+type Verb string
+
+// The calls.
+const (
+	Health   Verb = "health"
+	Counters Verb = "counters"
+	Cordon   Verb = "cordon"
+	Uncordon Verb = "uncordon"
+)
+
+// arguments is how many each call has.
+var arguments = map[Verb]int{Health: 0, Counters: 0, Cordon: 1, Uncordon: 1}
+
+// Call is one line, read.
+type Call struct {
+	Verb     Verb
+	Argument string
+}
+
+// Parse reads a line without its end. An error says what is wrong with it, in one line and without repeating what might break it.
+func Parse(line []byte) (Call, error) {
+	if len(line) > LineMost {
+		return Call{}, fmt.Errorf("a call has %d bytes at most", LineMost)
+	}
+	if n := len(line); n > 0 && line[n-1] == '\r' {
+		line = line[:n-1]
+	}
+	if i := bytes.IndexFunc(line, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f || r == utf8.RuneError }); i >= 0 {
+		return Call{}, fmt.Errorf("byte %d is no text", i+1)
+	}
+	words := strings.Fields(string(line))
+	if len(words) == 0 {
+		return Call{}, fmt.Errorf("no call: one of %s is needed", verbs)
+	}
+	c := Call{Verb: Verb(words[0])}
+	need, known := arguments[c.Verb]
+	switch given := len(words) - 1; {
+	case !known:
+		return Call{}, fmt.Errorf("unknown call: one of %s is needed", verbs)
+	case given < need:
+		return Call{}, fmt.Errorf("%s needs the id of an upstream", c.Verb)
+	case given > need:
+		return Call{}, fmt.Errorf("%s has %d words behind it, %d are needed", c.Verb, given, need)
+	}
+	if need > 0 {
+		c.Argument = words[1]
+	}
+	return c, nil
+}
+
+const verbs = "health, counters, cordon ID, uncordon ID"
--- /dev/null
+++ b/internal/cordon/overlay.go
@@ -0,0 +1,126 @@
+// Package cordon lays bans by hand over discovery's list of upstreams. It is free of I/O: what it is told and asked is handed to it, what it
+// returns is to be handed on to the engine, in order.
+package cordon
+
+import (
+	"errors"
+	"maps"
+	"slices"
+
+	"caperarch/internal/call"
+	"caperarch/policy"
+)
+
+// everMost bounds how many upstreams are remembered that have left the list: ids come and go without end.
+const everMost = 16384
+
+// ErrNever is why an id can't be banned: it would be a slip of the pen that nobody notices.
+var ErrNever = errors.New("no upstream of this id was ever listed")
+
+// Overlay is a list of upstreams with the bans that lie over it. A banned one is handed on as draining, whatever the
+// list says: the module sends it nothing new and lets it finish, and knows nothing of bans. Lifted, it is what the
+// list says now, with its present start time, so it is cold if it was restarted meanwhile. It is not safe for concurrent use.
+type Overlay struct {
+	banned map[policy.ServerID]bool
+	listed map[policy.ServerID]listed
+	ever   map[policy.ServerID]bool
+	order  []policy.ServerID // of ever, oldest first
+	last   int64             // version heard
+}
+
+type listed struct {
+	policy.Server
+	address string
+}
+
+// NewOverlay makes one with no list and no bans.
+func NewOverlay() *Overlay {
+	return &Overlay{banned: make(map[policy.ServerID]bool), listed: make(map[policy.ServerID]listed), ever: make(map[policy.ServerID]bool)}
+}
+
+// Heard takes a list, whole or changes, and returns what is to be handed on in its place.
+func (o *Overlay) Heard(l call.Listing) call.Listing {
+	o.last = l.Version
+	if l.Whole {
+		clear(o.listed)
+	}
+	servers := make([]policy.Server, 0, len(l.Servers))
+	for _, s := range l.Servers {
+		o.remember(s.ID)
+		if s.State == policy.Gone {
+			delete(o.listed, s.ID)
+		} else {
+			o.listed[s.ID] = listed{s, l.Address[s.ID]}
+		}
+		servers = append(servers, o.seen(s))
+	}
+	l.Servers = servers
+	return l
+}
+
+// seen is a server as the module is to see it.
+func (o *Overlay) seen(s policy.Server) policy.Server {
+	if s.State == policy.Ready && o.banned[s.ID] {
+		s.State = policy.Draining
+	}
+	return s
+}
+
+func (o *Overlay) remember(id policy.ServerID) {
+	if o.ever[id] {
+		return
+	}
+	o.ever[id] = true
+	if o.order = append(o.order, id); len(o.order) <= everMost {
+		return
+	}
+	kept := o.order[:0]
+	excess := len(o.order) - everMost
+	for _, old := range o.order {
+		if _, here := o.listed[old]; excess > 0 && !here && !o.banned[old] {
+			delete(o.ever, old)
+			excess--
+			continue
+		}
+		kept = append(kept, old)
+	}
+	o.order = kept
+}
+
+// Ever says whether an upstream was listed since the start, whether or not it still is.
+func (o *Overlay) Ever(id string) bool { return o.ever[call.ServerID(id)] }
+
+// Set takes which ids are banned from now on, and returns the whole list as it is to be handed on. An id that is not listed, or never was, is kept: it may be
+// on the way.
+func (o *Overlay) Set(ids []string) call.Listing {
+	clear(o.banned)
+	for _, id := range ids {
+		o.banned[call.ServerID(id)] = true
+	}
+	l := o.Whole()
+	for i, s := range l.Servers {
+		l.Servers[i] = o.seen(s)
+	}
+	return l
+}
+
+// Counts are how many upstreams are listed, and how many of them are not ready or banned.
+func (o *Overlay) Counts() (known, out int) {
+	for _, e := range o.listed {
+		if o.seen(e.Server).State != policy.Ready {
+			out++
+		}
+	}
+	return len(o.listed), out
+}
+
+// Whole is the list as the list has it, bans left aside.
+func (o *Overlay) Whole() call.Listing {
+	l := call.Listing{Version: o.last, Whole: true, Address: make(map[policy.ServerID]string, len(o.listed))}
+	for _, id := range slices.Sorted(maps.Keys(o.listed)) {
+		e := o.listed[id]
+		l.Servers = append(l.Servers, e.Server)
+		l.Address[id] = e.address
+	}
+	return l
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
 
+	"caperarch/internal/bans"
 	"caperarch/internal/call"
 	"caperarch/internal/clock"
 	"caperarch/internal/config"
@@ -54,7 +56,7 @@
 func Run(ctx context.Context, cfg *config.Config, reload <-chan os.Signal, with ...Option) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
 	return Serve(ctx, cfg, listener, reload, with...)
 }
@@ -63,19 +65,25 @@
 func Serve(ctx context.Context, cfg *config.Config, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
 	c := clock.New()
 	log := slog.Default()
-	e, follower, _, err := assemble(cfg, c, cfg.UpstreamConns(), log, optionsOf(with))
+	s, err := newService(cfg, log)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	p, err := assemble(cfg, c, cfg.UpstreamConns(), log, s, optionsOf(with))
 	if err != nil {
 		return err
 	}
 	f := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(target(cfg, e)), Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: cfg.Longest, Log: log,
+		Route: fronthttp1.To(p.target(cfg, s)), Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: cfg.Longest, Log: log,
 	}, c)
 	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.Servers))
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	go e.Run(running, cfg.Known)
-	go follower.Run(running)
+	go p.engine.Run(running, p.list.Known(cfg.Known))
+	go p.follower.Run(running)
+	s.serve(running, f)
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve(listener) }()
 	for {
@@ -83,44 +91,56 @@
 		case err := <-failed:
 			return err
 		case <-reload:
-			again(cfg, follower, log)
+			again(cfg, p.follower, log)
 		case <-ctx.Done():
 			return f.Drain()
 		}
 	}
 }
 
+// parts are an engine with what it sends over and the list that it follows.
+type parts struct {
+	engine    *engine.Engine
+	follower  *membership.Follower
+	transport *http1.Transport
+	list      *bans.List
+	leave     func() // the service
+}
+
 // assemble puts an engine together with the transport that it sends over and the list that it follows. Nothing runs yet.
-func assemble(cfg *config.Config, c clock.Clock, conns int, log *slog.Logger, o *options) (*engine.Engine, *membership.Follower, *http1.Transport, error) {
-	transport := http1.New(http1.Config{
+func assemble(cfg *config.Config, c clock.Clock, conns int, log *slog.Logger, s *service, o *options) (*parts, error) {
+	p := &parts{transport: http1.New(http1.Config{
 		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns, Reports: cfg.Reports, Columns: cfg.Columns,
-	})
-	var follower *membership.Follower
+		Wrote: s.figures.Tried,
+	})}
 	e, err := engine.New(engine.Config{
-		Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: transport, Log: log, Watch: func() { follower.Ask() },
+		Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: p.transport, Log: log, Watch: func() { p.follower.Ask() },
 		Module: o.module(),
 	})
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
-	follower = membership.New(membership.Config{
+	p.engine, p.list = e, s.keeper.List(e)
+	p.leave = s.enter(p)
+	p.follower = membership.New(membership.Config{
 		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Known: cfg.Known,
 		Heard: func(l call.Listing) {
 			log.Info("list", "version", l.Version, "whole", l.Whole, "entries", len(l.Servers))
-			e.List(l)
+			p.list.Heard(l)
 		},
 		Failed: func(err error) {
 			log.Warn("discovery", "error", err)
 			e.ListFailed()
 		},
 	})
-	return e, follower, transport, nil
+	return p, nil
 }
 
 // target is what the front is told of a configuration's requests.
-func target(cfg *config.Config, e *engine.Engine) *fronthttp1.Target {
+func (p *parts) target(cfg *config.Config, s *service) *fronthttp1.Target {
 	return &fronthttp1.Target{
-		Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
+		Engine: p.engine, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
+		Figures: s.figures.Classes(cfg.Classes),
 	}
 }
 
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -18,7 +18,6 @@
 	"caperarch/internal/h1"
 	"caperarch/internal/route"
 	"caperarch/internal/share"
-	"caperarch/internal/transport/http1"
 )
 
 // drainMargin is how long a pool that was taken away still takes requests that were routed to it before: those
@@ -31,7 +30,7 @@
 func RunPools(ctx context.Context, cfg *config.Config, pools *config.Pools, reload <-chan os.Signal, with ...Option) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
 	return ServePools(ctx, cfg, pools, listener, reload, with...)
 }
@@ -39,6 +38,11 @@
 // ServePools is RunPools on a listener that is there already, which it closes.
 func ServePools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
 	d := &poolsDaemon{cfg: cfg, clock: clock.New(), log: slog.Default(), options: optionsOf(with)}
+	var err error
+	if d.service, err = newService(cfg, d.log); err != nil {
+		return err
+	}
+	defer d.service.close()
 	defer d.end()
 	longest := cfg.Longest
 	for _, p := range pools.List {
@@ -49,6 +53,9 @@
 		return err
 	}
 	d.log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "pools", len(pools.List))
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.service.serve(running, d.front)
 	failed := make(chan error, 1)
 	go func() { failed <- d.front.Serve(listener) }()
 	for {
@@ -69,6 +76,7 @@
 	clock clock.Clock
 	log   *slog.Logger
 	front *fronthttp1.Front
+	*service
 	*options
 	now atomic.Pointer[routing]
 
@@ -85,11 +93,11 @@
 
 // livePool is a pool that runs.
 type livePool struct {
-	pool      *config.Pool
-	target    *fronthttp1.Target
-	stop      context.CancelFunc
-	done      sync.WaitGroup
-	transport *http1.Transport
+	pool   *config.Pool
+	target *fronthttp1.Target
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	*parts
 }
 
 // take starts the pools that are new or changed, sends requests by the new table from then on, and has those that
@@ -163,14 +171,14 @@
 // start starts a pool.
 func (d *poolsDaemon) start(p *config.Pool, conns int) (*livePool, error) {
 	cfg, log := p.Config, d.log.With("pool", p.Name)
-	e, follower, transport, err := assemble(cfg, d.clock, conns, log, d.options)
+	with, err := assemble(cfg, d.clock, conns, log, d.service, d.options)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &livePool{pool: p, stop: stop, transport: transport, target: target(cfg, e)}
-	r.done.Go(func() { e.Run(ctx, cfg.Known) })
-	r.done.Go(func() { follower.Run(ctx) })
+	r := &livePool{pool: p, stop: stop, parts: with, target: with.target(cfg, d.service)}
+	r.done.Go(func() { with.engine.Run(ctx, with.list.Known(cfg.Known)) })
+	r.done.Go(func() { with.follower.Run(ctx) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.all == nil {
@@ -202,6 +210,7 @@
 		r.stop()
 		r.done.Wait()
 		r.transport.Close()
+		r.leave()
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/service.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"caperarch/internal/bans"
+	"caperarch/internal/config"
+	"caperarch/internal/control"
+	"caperarch/internal/figures"
+	fronthttp1 "caperarch/internal/front/http1"
+)
+
+// figuresEvery is how often the figures go to the log.
+const figuresEvery = 10 * time.Second
+
+// service is what operators see of the process, whatever pools it has.
+type service struct {
+	log     *slog.Logger
+	figures *figures.Set
+	keeper  *bans.Keeper
+	control net.Listener // nil: operators call nowhere
+	callers int          // at once
+
+	mu    sync.Mutex
+	front *fronthttp1.Front // nil: not yet
+	parts map[*parts]bool
+}
+
+// newService listens where operators call. Their calls are answered once serve is called.
+func newService(cfg *config.Config, log *slog.Logger) (*service, error) {
+	s := &service{log: log, figures: new(figures.Set), parts: make(map[*parts]bool), callers: control.CallersFor(cfg.Sockets)}
+	dir := ""
+	if cfg.Control != "" {
+		var err error
+		if s.control, err = net.Listen("tcp", cfg.Control); err != nil {
+			return nil, fmt.Errorf("control: %w", err)
+		}
+		if dir = os.Getenv("TMPDIR"); dir == "" {
+			log.Warn("TMPDIR is not set: bans by hand end with this process")
+		}
+	}
+	s.keeper = bans.New(dir, log)
+	return s, nil
+}
+
+func (s *service) close() {
+	if s.control != nil {
+		s.control.Close()
+	}
+}
+
+// enter takes an engine on; the function that it returns takes it off.
+func (s *service) enter(p *parts) (leave func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts[p] = true
+	unfollow := s.figures.Follow(func() (known, skipped int) {
+		known, out := p.list.Counts()
+		return known, min(known, out+p.engine.Avoided())
+	})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.parts, p)
+		unfollow()
+		p.list.Leave()
+	}
+}
+
+// serve answers operators until ctx ends.
+func (s *service) serve(ctx context.Context, f *fronthttp1.Front) {
+	s.mu.Lock()
+	s.front = f
+	s.mu.Unlock()
+	if s.control == nil {
+		return
+	}
+	s.log.Info("operators", "control", s.control.Addr())
+	go s.keeper.Run(ctx)
+	go func() {
+		if err := control.New(s, s.callers).Serve(s.control); !errors.Is(err, net.ErrClosed) {
+			s.log.Error("operators can't call any more", "error", err)
+		}
+	}()
+	go func() {
+		ticker := time.NewTicker(figuresEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				s.log.Info("figures", "now", s.figures.Snapshot())
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// What health says no for.
+var (
+	errNotYet  = errors.New("clients can't connect yet, or a stop is under way")
+	errEngine  = errors.New("an engine does not run")
+	errNoLists = errors.New("no upstream is known")
+)
+
+// Health says why this process can't serve; nil: it can.
+func (s *service) Health() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.front == nil || !s.front.Ready() {
+		return errNotYet
+	}
+	known := 0
+	for p := range s.parts {
+		if !p.engine.Running() {
+			return errEngine
+		}
+		n, _ := p.list.Counts()
+		known += n
+	}
+	if known == 0 {
+		return errNoLists
+	}
+	return nil
+}
+
+// Counters writes the figures.
+func (s *service) Counters(to io.Writer) error { return s.figures.Snapshot().Text(to) }
+
+// Cordon takes an upstream out by hand.
+func (s *service) Cordon(id string) error { return s.keeper.Cordon(id) }
+
+// Uncordon has it used again.
+func (s *service) Uncordon(id string) error { return s.keeper.Uncordon(id) }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -68,6 +68,8 @@
 	most int // attempts for one request at most
 
 	lastID   atomic.Uint64
+	avoided  atomic.Int64 // Counters.Avoided
+	running  atomic.Bool  // Run has taken the list known so far, and has not ended
 	events   chan func(now time.Duration)
 	ended    chan struct{}
 	now      time.Duration // the time of the event under way
@@ -143,6 +145,8 @@
 	e.b.Start(e.now)
 	known.Whole = true
 	e.take(known, policy.ListCached)
+	e.running.Store(true)
+	defer e.running.Store(false)
 	var counters <-chan time.Time
 	if !e.Quiet {
 		ticker := time.NewTicker(countersEvery)
@@ -203,6 +207,12 @@
 	}
 }
 
+// Avoided is how many ready servers the module gives no turns now, some 100 ms late at most. It never waits.
+func (e *Engine) Avoided() int { return int(e.avoided.Load()) }
+
+// Running says whether Run takes events.
+func (e *Engine) Running() bool { return e.running.Load() }
+
 // Ended is closed when Run has returned: what is handed over from then on is thrown away.
 func (e *Engine) Ended() <-chan struct{} { return e.ended }
 
@@ -246,6 +256,7 @@
 	}
 	if e.wakes = slices.Delete(e.wakes, 0, due); due > 0 {
 		e.b.Wake(e.now)
+		e.avoided.Store(int64(e.b.Counters().Avoided))
 	}
 	e.setTimer()
 }
--- a/internal/engine/news.go
+++ b/internal/engine/news.go
@@ -10,7 +10,9 @@
 type news struct {
 	list   call.Listing
 	some   bool
+	heard  bool // discovery told some of it
 	failed bool
+	taken  []func() // who wait for that
 }
 
 // List takes news from discovery. It never waits.
@@ -18,6 +20,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.news.fold(l)
+	e.news.heard = true
+	e.tell()
+}
+
+// Relist takes the whole list as it is to be seen from now on, of which discovery has told nothing new; without servers it is passed over. taken is called
+// once the module has been handed it, and must not wait; nor does this.
+func (e *Engine) Relist(l call.Listing, taken func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(l.Servers) > 0 {
+		l.Whole = true
+		e.news.fold(l)
+	}
+	if taken != nil {
+		e.news.taken = append(e.news.taken, taken)
+	}
 	e.tell()
 }
 
@@ -69,7 +87,10 @@
 	e.mu.Unlock()
 	if n.some {
 		kind := policy.ListDelta
-		if n.list.Whole {
+		switch {
+		case !n.heard:
+			kind = policy.ListCached // the module must not take it for an answer of discovery
+		case n.list.Whole:
 			kind = policy.ListFull
 		}
 		e.take(n.list, kind)
@@ -77,4 +98,7 @@
 	if n.failed {
 		e.b.List(e.now, policy.ListFailed, nil)
 	}
+	for _, taken := range n.taken {
+		taken()
+	}
 }
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,142 @@
+// Package figures is the one set of counters that the log and operators read. Its series stand from the start, by the
+// settings' classes: no client can make a new one. Counting waits for nothing.
+package figures
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// Outcome is how a request ended for its client.
+type Outcome int
+
+// The outcomes: served, refused, failed.
+const (
+	Passed Outcome = iota
+	Dropped
+	BadGateway
+	outcomes
+)
+
+func (o Outcome) String() string { return [...]string{"passed", "dropped", "bad_gateway"}[o] }
+
+// Upstreams is how many upstreams a list has and how many of them are avoided now.
+type Upstreams func() (known, skipped int)
+
+// Set is all figures of a process. The zero value is ready. A nil Set counts nothing.
+type Set struct {
+	tries    atomic.Uint64
+	progress atomic.Int64
+
+	mu      sync.Mutex
+	classes []*Class
+	lists   map[*Upstreams]struct{}
+}
+
+// Class is the series of one class. A nil Class counts nothing.
+type Class struct {
+	set     *Set
+	name    string
+	handled [outcomes]atomic.Uint64
+}
+
+// Classes are the series of some classes, in the order of their names' numbers. Pools that have a class of one name share its series.
+func (s *Set) Classes(byName map[string]int) []*Class {
+	all := make([]*Class, len(byName))
+	if s == nil {
+		return all
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, i := range byName {
+		at := slices.IndexFunc(s.classes, func(c *Class) bool { return c.name == name })
+		if at < 0 {
+			at = len(s.classes)
+			s.classes = append(s.classes, &Class{set: s, name: name})
+		}
+		if i >= 0 && i < len(all) {
+			all[i] = s.classes[at]
+		}
+	}
+	return all
+}
+
+// Follow has the upstreams of one more list counted, until the function that it returns is called.
+func (s *Set) Follow(u Upstreams) (leave func()) {
+	if s == nil {
+		return func() {}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lists == nil {
+		s.lists = make(map[*Upstreams]struct{})
+	}
+	s.lists[&u] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.lists, &u)
+	}
+}
+
+// Tried takes that an attempt was written whole to an upstream.
+func (s *Set) Tried() {
+	if s != nil {
+		s.tries.Add(1)
+	}
+}
+
+// Began takes that a request was taken: its last byte is here.
+func (c *Class) Began() {
+	if c != nil {
+		c.set.progress.Add(1)
+	}
+}
+
+// Ended takes that one that Began has its end.
+func (c *Class) Ended() {
+	if c != nil {
+		c.set.progress.Add(-1)
+	}
+}
+
+// Handled takes the outcome that a client was told.
+func (c *Class) Handled(o Outcome) {
+	if c != nil {
+		c.handled[o].Add(1)
+	}
+}
+
+// Snapshot is what the figures stand at.
+type Snapshot struct {
+	Handled        map[string][3]uint64 // by class: passed, dropped, bad_gateway
+	Tries          uint64
+	InProgress     int64
+	Known, Skipped int
+}
+
+// Snapshot reads the figures.
+func (s *Set) Snapshot() Snapshot {
+	s.mu.Lock()
+	classes := slices.Clone(s.classes)
+	lists := make([]Upstreams, 0, len(s.lists))
+	for u := range s.lists {
+		lists = append(lists, *u)
+	}
+	s.mu.Unlock()
+	out := Snapshot{Handled: make(map[string][3]uint64, len(classes)), Tries: s.tries.Load(), InProgress: max(0, s.progress.Load())}
+	for _, c := range classes {
+		var by [outcomes]uint64
+		for o := range by {
+			by[o] = c.handled[o].Load()
+		}
+		out.Handled[c.name] = by
+	}
+	for _, u := range lists {
+		known, skipped := u()
+		out.Known += known
+		out.Skipped += skipped
+	}
+	return out
+}
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,58 @@
+package figures
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// All series stand from the start at 0, a published reader takes them, and what is counted shows.
+func TestText(t *testing.T) {
+	s := new(Set)
+	c := s.Classes(map[string]int{"a\"b": 1, "c": 0})
+	defer s.Follow(func() (int, int) { return 7, 2 })()
+	read := func() map[string]float64 {
+		t.Helper()
+		var b strings.Builder
+		if err := s.Snapshot().Text(&b); err != nil {
+			t.Fatal(err)
+		}
+		p := expfmt.NewTextParser(model.UTF8Validation)
+		all, err := p.TextToMetricFamilies(strings.NewReader(b.String()))
+		if err != nil {
+			t.Fatalf("%v in\n%s", err, b.String())
+		}
+		got := make(map[string]float64)
+		for name, f := range all {
+			for _, m := range f.Metric {
+				key := name
+				for _, l := range m.Label {
+					key += "," + l.GetName() + "=" + l.GetValue()
+				}
+				got[key] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			}
+		}
+		return got
+	}
+	if got := read(); len(got) != 10 || got["edge_known_upstreams"] != 7 || got["edge_skipped_upstreams"] != 2 {
+		t.Errorf("at the start: %v", got)
+	}
+	c[1].Began()
+	c[1].Handled(Dropped)
+	s.Tried()
+	got := read()
+	for key, want := range map[string]float64{
+		`edge_handled_total,category=a"b,outcome=dropped`: 1, `edge_handled_total,category=c,outcome=dropped`: 0, "edge_in_progress": 1, "edge_upstream_tries_total": 1,
+	} {
+		if v, ok := got[key]; !ok || v != want {
+			t.Errorf("%s is %v, %v; want %v", key, v, ok, want)
+		}
+	}
+	again := s.Classes(map[string]int{"c": 0}) // another pool with a class of the same name
+	again[0].Handled(Passed)
+	if got := read(); got["edge_handled_total,category=c,outcome=passed"] != 1 || len(got) != 10 {
+		t.Errorf("shared: %v", got)
+	}
+}
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"caperarch/internal/call"
+	"caperarch/internal/figures"
 	"caperarch/internal/h1"
 )
 
@@ -46,6 +47,8 @@
 	bytes   int       // read under it
 	entered time.Duration
 
+	counts *figures.Class // that the answer under way counts for; nil: none
+
 	taken    atomic.Bool   // bytes were read that the books may not know of
 	hung     chan struct{} // closed when the client may have gone
 	hangOnce sync.Once
@@ -188,6 +191,7 @@
 // next takes one request and answers it; false: the connection is to be closed.
 func (c *conn) next() bool {
 	defer c.leave()
+	c.counts = nil
 	if c.start == c.end { // else the next request's bytes came with the last one's
 		c.start, c.end = 0, 0
 		if !c.first() {
@@ -295,7 +299,7 @@
 	if bad != nil {
 		return c.reject(bad)
 	}
-	c.of = t
+	c.of, c.counts = t, t.class(q.Class)
 	c.a.asked(c, &t.owner)
 	if f.gate.Load() != nil && c.a.crowded(c) { // a pool that has more than its part makes room for those that come
 		return c.refuseHead(max(h.Length, 0))
@@ -335,6 +339,8 @@
 	}
 	f.held.Add(1)
 	defer f.held.Add(-1)
+	t.class(q.Class).Began()
+	defer t.class(q.Class).Ended()
 	reply := make(chan call.Answer, 1)
 	c.leave()
 	number := t.Engine.Ask(q, m, arrived+left, reply)
@@ -488,9 +494,22 @@
 		c.front.cfg.Log.Debug("an answer was not taken", "error", err, slog.Int("status", a.Status))
 		return false
 	}
+	c.counts.Handled(outcome(a.Status))
+	c.counts = nil // one request has one
 	return true
 }
 
+// outcome is what a client takes a status for.
+func outcome(status int) figures.Outcome {
+	switch status {
+	case http.StatusOK:
+		return figures.Passed
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return figures.Dropped
+	}
+	return figures.BadGateway
+}
+
 // write sends head and body in one system call where the client takes that at once, and waits for answerTime at most.
 func (c *conn) write(head, body []byte) error {
 	if len(head)+len(body) <= 2*scratchSize {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -10,6 +10,7 @@
 
 	"caperarch/internal/call"
 	"caperarch/internal/clock"
+	"caperarch/internal/figures"
 	"caperarch/internal/h1"
 	"caperarch/policy"
 )
@@ -38,9 +39,10 @@
 	Engine    Engine
 	Classes   map[string]int // class by name, its settings at that place in ClassOf
 	ClassOf   []policy.Class
-	Tenants   map[string]int // tenant by name; empty where there are none
-	MostOpen  int            // requests held at once; 0: no bound but that on connections
-	BodyBytes int64          // of their bodies
+	Tenants   map[string]int   // tenant by name; empty where there are none
+	MostOpen  int              // requests held at once; 0: no bound but that on connections
+	BodyBytes int64            // of their bodies
+	Figures   []*figures.Class // by class; nil: nobody counts
 
 	walls atomic.Pointer[Walls]
 	owner owner        // of connections, under the acceptor's lock
@@ -75,6 +77,14 @@
 	t.walls.Store(&w)
 }
 
+// class is the series of a class.
+func (t *Target) class(i int) *figures.Class {
+	if i < len(t.Figures) {
+		return t.Figures[i]
+	}
+	return nil
+}
+
 // Held is how many requests have no answer yet.
 func (t *Target) Held() int64 { return t.held.Load() }
 
@@ -137,6 +147,9 @@
 	}
 }
 
+// Ready says whether the listener takes connections and no stop is asked for.
+func (f *Front) Ready() bool { return f.ready.Load() }
+
 // Counters are figures of the clients' connections.
 func (f *Front) Counters() Counters { return f.conns.counters() }
 
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -45,6 +45,7 @@
 	MostConns   int           // connections to all servers together
 	Reports     []string      // names of a load report's fields, in the order of Columns; none: there are no reports
 	Columns     wire.Columns
+	Wrote       func() // takes that an attempt was written whole; nil: nobody counts
 }
 
 // Transport carries attempts and probes to the servers, over connections that it keeps. It is not
@@ -61,7 +62,8 @@
 	probePath   string
 
 	running  sync.WaitGroup // attempts and probes
-	breaking atomic.Bool    // so many connections are, that write keeps the last byte back
+	wrote    func()
+	breaking atomic.Bool // so many connections are, that write keeps the last byte back
 
 	mu      sync.Mutex
 	under   map[*exchange]struct{} // attempts and probes under way
@@ -103,9 +105,13 @@
 		settle:    settleTime,
 		most:      cfg.MostConns,
 		probePath: "/alive",
+		wrote:     cfg.Wrote,
 		idle:      make(map[*host][]*conn),
 		under:     make(map[*exchange]struct{}),
 	}
+	if u.wrote == nil {
+		u.wrote = func() {}
+	}
 	if len(cfg.Reports) > 0 {
 		u.probePath = "/metrics/load"
 	}
@@ -324,6 +330,9 @@
 		u.discard(c)
 		return nil, nil, unsent(err)
 	}
+	if m.Header != nil { // else it is a probe
+		u.wrote()
+	}
 	written := u.clock.Now()
 	res, body, err := c.answer(m.Method)
 	switch {
--- a/policy/api.go
+++ b/policy/api.go
@@ -70,13 +70,8 @@
 	Quota float64 // requests a second within its share over all balancers; 0 where unknown
 }
 
-// RetryBudget limits attempts after each request's first: within any Span they number at most
-// Free plus Share for each request taken in that Span.
-type RetryBudget struct {
-	Span  time.Duration // 0: no limit
-	Free  float64
-	Share float64
-}
+// RetryBudget limits attempts after each request's first; the zero value: no limit.
+type RetryBudget = admission.Limit
 
 // Config holds the settings a Balancer starts with; it does not change them.
 type Config struct {
@@ -243,4 +238,5 @@
 	Queued    uint64 // requests that had to wait for a slot or a server
 	Refused   uint64
 	Failed    uint64
+	Avoided   int // ready servers that had no turns at the last Wake, for what they did
 }
--- a/policy/config.go
+++ b/policy/config.go
@@ -24,12 +24,8 @@
 	case bad(cfg.ColdMultiple) || bad(cfg.CrossZonePrice) || bad(cfg.ProbePrice):
 		return fmt.Errorf("config: ColdMultiple %v, CrossZonePrice %v or ProbePrice %v is negative or no number",
 			cfg.ColdMultiple, cfg.CrossZonePrice, cfg.ProbePrice)
-	case cfg.Budget.Span < 0 || bad(cfg.Budget.Free) || bad(cfg.Budget.Share):
-		return fmt.Errorf("config: Budget: Span %v, Free %v or Share %v is negative or no number",
-			cfg.Budget.Span, cfg.Budget.Free, cfg.Budget.Share)
-	case cfg.Budget.Span == 0 && cfg.Budget != (RetryBudget{}):
-		return fmt.Errorf("config: Budget: Span is 0, though Free %v and Share %v are set",
-			cfg.Budget.Free, cfg.Budget.Share)
+	case cfg.Budget.Check() != nil:
+		return fmt.Errorf("config: Budget: %w", cfg.Budget.Check())
 	case min(cfg.OrderSettle, cfg.CloseWithin) < 0:
 		return fmt.Errorf("config: OrderSettle %v or CloseWithin %v is negative", cfg.OrderSettle, cfg.CloseWithin)
 	case min(cfg.MaxRetryAfter, cfg.Tick, cfg.AskWithin, cfg.ColdTime) < 0:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,7 @@
 	}
 	b.worth = cmp.Or(b.worth, 1)
 	b.asking = asking.New(b.rng, cfg.Balancers, cfg.AskWithin)
-	b.budget = admission.Budget{Span: cfg.Budget.Span, Free: cfg.Budget.Free, Share: cfg.Budget.Share}
+	b.budget = admission.Budget{Limit: cfg.Budget}
 	health := admission.NewHealth()
 	shares := 0.0
 	for _, t := range cfg.tenants() {
@@ -199,6 +199,12 @@
 		return // an older timer
 	}
 	b.ask(now)
+	b.count.Avoided = 0
+	for _, s := range b.servers {
+		if s.State == Ready && now < s.backAt {
+			b.count.Avoided++
+		}
+	}
 	if b.closeAt > 0 && now >= b.closeAt {
 		b.closeAt = 0
 		for _, s := range b.servers {
