--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -71,9 +71,6 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := config.Read(os.Getenv("EDGE_CONFIG"))
 	if err == nil {
-		if cfg.MemoryMB > 0 {
-			debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) // well under what the process is killed at
-		}
 		err = d.run(ctx, cfg, reload)
 	}
 	if err != nil {
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -13,6 +13,7 @@
 
 	"caperarch/internal/call"
 	"caperarch/internal/cordon"
+	"caperarch/policy"
 )
 
 const (
@@ -73,10 +74,11 @@
 	return l
 }
 
-// Known takes the list that is known at the start, and returns it as the engine is to have it.
-func (l *List) Known(known call.Listing) call.Listing {
+// Known takes the list that is known at the start and what was listed before, and returns the list as the engine is to have it.
+func (l *List) Known(known call.Listing, ever []policy.ServerID) call.Listing {
 	l.k.mu.Lock()
 	defer l.k.mu.Unlock()
+	l.overlay.Remember(ever)
 	known.Whole = true
 	return l.overlay.Heard(known)
 }
@@ -88,11 +90,11 @@
 	l.engine.List(l.overlay.Heard(heard))
 }
 
-// Whole is the list as it was heard last.
-func (l *List) Whole() call.Listing {
+// Whole is the list as it was heard last, bans left aside, and what was listed before.
+func (l *List) Whole() (listed call.Listing, left []policy.ServerID) {
 	l.k.mu.Lock()
 	defer l.k.mu.Unlock()
-	return l.overlay.Whole()
+	return l.overlay.Whole(), l.overlay.Left()
 }
 
 // Counts are how many upstreams are listed, and how many of them are not ready or out by hand.
--- a/internal/bans/bans_test.go
+++ b/internal/bans/bans_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	k, e := New(dir, slog.Default()), &engine{last: make(chan policy.State, 100)}
 	l := k.List(e)
-	known := l.Known(call.Listing{Servers: []policy.Server{{ID: call.ServerID("s-1"), State: policy.Ready, Weight: 1}}, Address: map[policy.ServerID]string{}})
+	known := l.Known(call.Listing{Servers: []policy.Server{{ID: call.ServerID("s-1"), State: policy.Ready, Weight: 1}}, Address: map[policy.ServerID]string{}}, nil)
 	e.last <- known.Servers[0].State
 	return k, e
 }
--- a/internal/cordon/overlay.go
+++ b/internal/cordon/overlay.go
@@ -87,6 +87,23 @@
 	o.order = kept
 }
 
+// Left are the upstreams that are remembered and not listed any more.
+func (o *Overlay) Left() (ids []policy.ServerID) {
+	for _, id := range o.order {
+		if _, here := o.listed[id]; !here {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Remember takes upstreams that were listed before this process came.
+func (o *Overlay) Remember(ids []policy.ServerID) {
+	for _, id := range ids {
+		o.remember(id)
+	}
+}
+
 // Ever says whether an upstream was listed since the start, whether or not it still is.
 func (o *Overlay) Ever(id string) bool { return o.ever[call.ServerID(id)] }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -54,15 +53,15 @@
 // Run listens and serves until ctx ends and everything taken by then is answered. Each signal on
 // reload has it read its configuration again.
 func Run(ctx context.Context, cfg *config.Config, reload <-chan os.Signal, with ...Option) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	return Serve(ctx, cfg, listener, reload, with...)
+	return run(ctx, cfg, nil, reload, with...)
 }
 
 // Serve is Run on a listener that is there already, which it closes.
 func Serve(ctx context.Context, cfg *config.Config, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
+	return run(ctx, cfg, listener, reload, with...)
+}
+
+func run(ctx context.Context, cfg *config.Config, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
 	c := clock.New()
 	log := slog.Default()
 	s, err := newService(cfg, log)
@@ -70,19 +69,23 @@
 		return err
 	}
 	defer s.close()
-	p, err := assemble(cfg, c, cfg.UpstreamConns(), log, s, optionsOf(with))
+	p, err := assemble("", cfg, c, cfg.UpstreamConns(), log, s, optionsOf(with))
 	if err != nil {
 		return err
 	}
 	f := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(p.target(cfg, s)), Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: cfg.Longest, Log: log,
+		Route: fronthttp1.To(p.target), Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: cfg.Longest, Log: log,
 	}, c)
-	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.Servers))
-
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	go p.engine.Run(running, p.list.Known(cfg.Known))
+	go p.engine.Run(running, p.known)
 	go p.follower.Run(running)
+	if listener == nil { // last: what connects is served
+		if listener, err = s.listen(cfg); err != nil {
+			return err
+		}
+	}
+	log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(p.known.Servers))
 	s.serve(running, f)
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve(listener) }()
@@ -93,6 +96,7 @@
 		case <-reload:
 			again(cfg, p.follower, log)
 		case <-ctx.Done():
+			s.leaving()
 			return f.Drain()
 		}
 	}
@@ -100,6 +104,10 @@
 
 // parts are an engine with what it sends over and the list that it follows.
 type parts struct {
+	name      string       // of its pool
+	conns     int          // to servers, of all processes of this sidecar together
+	known     call.Listing // what the engine is to begin with
+	target    *fronthttp1.Target
 	engine    *engine.Engine
 	follower  *membership.Follower
 	transport *http1.Transport
@@ -108,9 +116,9 @@
 }
 
 // assemble puts an engine together with the transport that it sends over and the list that it follows. Nothing runs yet.
-func assemble(cfg *config.Config, c clock.Clock, conns int, log *slog.Logger, s *service, o *options) (*parts, error) {
-	p := &parts{transport: http1.New(http1.Config{
-		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns, Reports: cfg.Reports, Columns: cfg.Columns,
+func assemble(name string, cfg *config.Config, c clock.Clock, conns int, log *slog.Logger, s *service, o *options) (*parts, error) {
+	p := &parts{name: name, conns: conns, transport: http1.New(http1.Config{
+		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns / s.parted(), Reports: cfg.Reports, Columns: cfg.Columns,
 		Wrote: s.figures.Tried,
 	})}
 	e, err := engine.New(engine.Config{
@@ -121,9 +129,15 @@
 		return nil, err
 	}
 	p.engine, p.list = e, s.keeper.List(e)
+	known, ever := s.known(name, cfg.Known)
+	p.known = p.list.Known(known, ever)
+	p.target = &fronthttp1.Target{
+		Engine: e, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
+		Figures: s.figures.Classes(cfg.Classes),
+	}
 	p.leave = s.enter(p)
 	p.follower = membership.New(membership.Config{
-		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Known: cfg.Known,
+		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Known: known,
 		Heard: func(l call.Listing) {
 			log.Info("list", "version", l.Version, "whole", l.Whole, "entries", len(l.Servers))
 			p.list.Heard(l)
@@ -136,14 +150,6 @@
 	return p, nil
 }
 
-// target is what the front is told of a configuration's requests.
-func (p *parts) target(cfg *config.Config, s *service) *fronthttp1.Target {
-	return &fronthttp1.Target{
-		Engine: p.engine, Classes: cfg.Classes, ClassOf: cfg.Policy.Classes, Tenants: cfg.Tenants, MostOpen: cfg.MostOpen, BodyBytes: cfg.BodyBytes(),
-		Figures: s.figures.Classes(cfg.Classes),
-	}
-}
-
 // again takes discovery's address from the configuration as it is now. The rest of it holds until
 // the next start. A file that can't be used changes nothing.
 func again(before *config.Config, follower *membership.Follower, log *slog.Logger) {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -28,15 +28,15 @@
 // process's own settings are those of cfg; its discovery and list are not used. Each signal on reload has the
 // operator's file read again.
 func RunPools(ctx context.Context, cfg *config.Config, pools *config.Pools, reload <-chan os.Signal, with ...Option) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	return ServePools(ctx, cfg, pools, listener, reload, with...)
+	return runPools(ctx, cfg, pools, nil, reload, with...)
 }
 
 // ServePools is RunPools on a listener that is there already, which it closes.
 func ServePools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
+	return runPools(ctx, cfg, pools, listener, reload, with...)
+}
+
+func runPools(ctx context.Context, cfg *config.Config, pools *config.Pools, listener net.Listener, reload <-chan os.Signal, with ...Option) error {
 	d := &poolsDaemon{cfg: cfg, clock: clock.New(), log: slog.Default(), options: optionsOf(with)}
 	var err error
 	if d.service, err = newService(cfg, d.log); err != nil {
@@ -52,6 +52,11 @@
 	if err := d.take(pools); err != nil {
 		return err
 	}
+	if listener == nil { // last: what connects is served
+		if listener, err = d.service.listen(cfg); err != nil {
+			return err
+		}
+	}
 	d.log.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "pools", len(pools.List))
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -65,6 +70,7 @@
 		case <-reload:
 			d.again(pools.Path)
 		case <-ctx.Done():
+			d.service.leaving()
 			return d.front.Drain()
 		}
 	}
@@ -93,10 +99,9 @@
 
 // livePool is a pool that runs.
 type livePool struct {
-	pool   *config.Pool
-	target *fronthttp1.Target
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	pool *config.Pool
+	stop context.CancelFunc
+	done sync.WaitGroup
 	*parts
 }
 
@@ -126,7 +131,7 @@
 		var r *livePool
 		if before != nil && before.pools[p.Name] != nil && before.pools[p.Name].pool.Same(p) {
 			r = before.pools[p.Name]
-			r.transport.Resize(conns)
+			d.service.resize(r.parts, conns)
 		} else {
 			var err error
 			if r, err = d.start(p, conns); err != nil {
@@ -171,13 +176,13 @@
 // start starts a pool.
 func (d *poolsDaemon) start(p *config.Pool, conns int) (*livePool, error) {
 	cfg, log := p.Config, d.log.With("pool", p.Name)
-	with, err := assemble(cfg, d.clock, conns, log, d.service, d.options)
+	with, err := assemble(p.Name, cfg, d.clock, conns, log, d.service, d.options)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &livePool{pool: p, stop: stop, parts: with, target: with.target(cfg, d.service)}
-	r.done.Go(func() { with.engine.Run(ctx, with.list.Known(cfg.Known)) })
+	r := &livePool{pool: p, stop: stop, parts: with}
+	r.done.Go(func() { with.engine.Run(ctx, with.known) })
 	r.done.Go(func() { with.follower.Run(ctx) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/daemon/replace.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/config"
+	"caperarch/internal/handover"
+	"caperarch/policy"
+)
+
+const (
+	lookEvery = 50 * time.Millisecond  // for a process that came or went
+	recordIn  = 400 * time.Millisecond // the process before tells what it knows within this; its look and its writing take a tenth of it
+)
+
+// sit takes this process' place among those of its sidecar, and reads what the one before told.
+func (s *service) sit(dir string) {
+	s.divided = 1
+	if dir != "" {
+		seat, err := handover.Open(dir)
+		if err != nil {
+			s.log.Error("this process can't be replaced while it serves", "error", err)
+		} else {
+			s.seat = seat
+			s.takePlace()
+		}
+	}
+	s.share()
+}
+
+// takePlace waits for the record of the process before, if there is one.
+func (s *service) takePlace() {
+	s.machine.Mark = s.seat.Mark()
+	if s.machine.Mark == "" {
+		return
+	}
+	s.divided = 2
+	var err error
+	if s.record, err = s.seat.Await(recordIn); err != nil {
+		s.log.Warn("another process serves, this one starts without what that one knows", "error", err)
+		return
+	}
+	s.log.Info("another process serves, this one takes over from it")
+}
+
+// listen listens for clients, on an address that the next process may listen on too.
+func (s *service) listen(cfg *config.Config) (net.Listener, error) {
+	if s.seat == nil {
+		l, err := net.Listen("tcp", cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	l, steered, err := handover.Listen(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if !steered {
+		s.log.Warn("new connections can't be steered: in a replacement the old process goes on getting some of them")
+	}
+	return l, nil
+}
+
+// known is the list that a pool begins with, and what was listed before. What the process before had heard is newer than the configuration, but for a list of
+// a later version.
+func (s *service) known(pool string, known call.Listing) (call.Listing, []policy.ServerID) {
+	if s.record == nil {
+		return known, nil
+	}
+	told, ok := s.record.Pools[pool]
+	if !ok || len(told.Servers) == 0 || told.Version < known.Version {
+		return known, told.Ever
+	}
+	return told.Listing(), told.Ever
+}
+
+// watch looks for processes that come and go, until ctx ends.
+func (s *service) watch(ctx context.Context) {
+	if s.seat == nil {
+		return
+	}
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.look()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// look does what is to be done by who lives now: this process shrinks before a newcomer is told that it may take its part.
+func (s *service) look() {
+	seen := s.seat.Look()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do := s.machine.Look(seen)
+	if do.Parts != s.divided {
+		s.log.Info("processes of this sidecar", "now", do.Parts, "before", s.divided)
+		s.divided = do.Parts
+		s.share()
+	}
+	if do.Tell == "" {
+		return
+	}
+	r := &handover.Record{Pools: make(map[string]handover.Pool)}
+	for p := range s.parts {
+		r.Pools[p.name] = handover.PoolOf(p.list.Whole())
+	}
+	if err := s.seat.Tell(do.Tell, r); err != nil {
+		s.log.Error("the next process can't be told what this one knows", "error", err)
+	}
+}
+
+// share bounds this process to its part of what the sidecar may hold. The caller holds the lock, or is alone.
+func (s *service) share() {
+	if s.memory > 0 {
+		debug.SetMemoryLimit(s.memory / int64(s.divided))
+	}
+	for p := range s.parts {
+		p.transport.Resize(p.conns / s.divided)
+		p.target.Divide(s.divided)
+	}
+	if s.front != nil {
+		s.front.Divide(s.divided)
+	}
+}
+
+// parted is how many processes live.
+func (s *service) parted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.divided
+}
+
+// resize gives a pool another part of the connections to servers.
+func (s *service) resize(p *parts, conns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.conns = conns
+	p.transport.Resize(conns / s.divided)
+}
+
+// leaving takes that this process was told to stop.
+func (s *service) leaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.Leaving()
+}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -16,6 +16,7 @@
 	"caperarch/internal/control"
 	"caperarch/internal/figures"
 	fronthttp1 "caperarch/internal/front/http1"
+	"caperarch/internal/handover"
 )
 
 // figuresEvery is how often the figures go to the log.
@@ -26,17 +27,25 @@
 	log     *slog.Logger
 	figures *figures.Set
 	keeper  *bans.Keeper
-	control net.Listener // nil: operators call nowhere
-	callers int          // at once
+	control net.Listener     // nil: operators call nowhere
+	callers int              // at once
+	memory  int64            // bytes that the heap may have; 0: no limit is known
+	seat    *handover.Seat   // nil: a process that comes while this one lives finds its address in use
+	record  *handover.Record // what the process before told; nil: nothing
 
-	mu    sync.Mutex
-	front *fronthttp1.Front // nil: not yet
-	parts map[*parts]bool
+	mu      sync.Mutex
+	machine handover.Machine
+	divided int               // processes that live
+	front   *fronthttp1.Front // nil: not yet
+	parts   map[*parts]bool
 }
 
 // newService listens where operators call. Their calls are answered once serve is called.
 func newService(cfg *config.Config, log *slog.Logger) (*service, error) {
-	s := &service{log: log, figures: new(figures.Set), parts: make(map[*parts]bool), callers: control.CallersFor(cfg.Sockets)}
+	s := &service{
+		log: log, figures: new(figures.Set), parts: make(map[*parts]bool), callers: control.CallersFor(cfg.Sockets),
+		memory: int64(cfg.MemoryMB) << 20 / 2, // well under what the process is killed at
+	}
 	dir := ""
 	if cfg.Control != "" {
 		var err error
@@ -44,9 +53,10 @@
 			return nil, fmt.Errorf("control: %w", err)
 		}
 		if dir = os.Getenv("TMPDIR"); dir == "" {
-			log.Warn("TMPDIR is not set: bans by hand end with this process")
+			log.Warn("TMPDIR is not set: bans by hand end with this process, and it can't be replaced while it serves")
 		}
 	}
+	s.sit(dir)
 	s.keeper = bans.New(dir, log)
 	return s, nil
 }
@@ -55,6 +65,9 @@
 	if s.control != nil {
 		s.control.Close()
 	}
+	if s.seat != nil {
+		s.seat.Close()
+	}
 }
 
 // enter takes an engine on; the function that it returns takes it off.
@@ -62,6 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.parts[p] = true
+	p.target.Divide(s.divided)
 	unfollow := s.figures.Follow(func() (known, skipped int) {
 		known, out := p.list.Counts()
 		return known, min(known, out+p.engine.Avoided())
@@ -79,10 +93,13 @@
 func (s *service) serve(ctx context.Context, f *fronthttp1.Front) {
 	s.mu.Lock()
 	s.front = f
+	s.machine.Serving()
+	f.Divide(s.divided)
 	s.mu.Unlock()
 	if s.control == nil {
 		return
 	}
+	go s.watch(ctx)
 	s.log.Info("operators", "control", s.control.Addr())
 	go s.keeper.Run(ctx)
 	go func() {
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -112,6 +112,15 @@
 	}
 }
 
+// bound bounds connections anew.
+func (a *acceptor) bound(b Bounds) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.bounds = b
+	a.tidy()
+	a.signal()
+}
+
 // open has connections come from a listener; false: it was closed before.
 func (a *acceptor) open(l net.Listener) bool {
 	a.mu.Lock()
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -52,6 +52,15 @@
 	return Bounds{Most: most, Rest: [kinds]int{over: part(4), silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
 }
 
+// part are the bounds of one of so many processes.
+func (b Bounds) part(of int) Bounds {
+	b.Most = max(1, b.Most/max(1, of))
+	for k := range b.Rest {
+		b.Rest[k] = max(1, b.Rest[k]/max(1, of))
+	}
+	return b
+}
+
 // Counters are figures of the clients' connections for the log. Rest are at rest, Closed made room, each by kind:
 // that have their last answer, that said nothing, that are being read, that asked for /up alone, asked once, came back.
 type Counters struct {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -46,6 +46,7 @@
 
 	walls atomic.Pointer[Walls]
 	owner owner        // of connections, under the acceptor's lock
+	parts atomic.Int64 // processes that BodyBytes is divided among; 0: one
 	flow  atomic.Int64 // its place in the gate's queue
 	held  atomic.Int64 // requests with no answer yet
 	bytes atomic.Int64 // of their bodies
@@ -147,6 +148,9 @@
 	}
 }
 
+// Divide bounds clients' connections to this process' part of so many processes'. What is open over that goes as it rests.
+func (f *Front) Divide(parts int) { f.conns.bound(f.cfg.Conns.part(parts)) }
+
 // Ready says whether the listener takes connections and no stop is asked for.
 func (f *Front) Ready() bool { return f.ready.Load() }
 
@@ -174,13 +178,18 @@
 
 // room says whether so many requests more, with so many bytes of bodies, could be held now. Nothing is taken.
 func (t *Target) room(requests, size int64) bool {
-	return (t.MostOpen <= 0 || t.held.Load()+requests <= int64(t.MostOpen)) && t.bytes.Load()+size <= t.BodyBytes
+	return (t.MostOpen <= 0 || t.held.Load()+requests <= int64(t.MostOpen)) && t.bytes.Load()+size <= t.bodyBytes()
 }
 
+func (t *Target) bodyBytes() int64 { return t.BodyBytes / max(1, t.parts.Load()) }
+
+// Divide has this process hold the bytes of bodies that are its part of so many processes'.
+func (t *Target) Divide(parts int) { t.parts.Store(int64(parts)) }
+
 // take takes a place for a request with a body of so many bytes, or says that there is none.
 func (t *Target) take(size int64) bool {
 	held, bytes := t.held.Add(1), t.bytes.Add(size)
-	if t.MostOpen > 0 && held > int64(t.MostOpen) || bytes > t.BodyBytes {
+	if t.MostOpen > 0 && held > int64(t.MostOpen) || bytes > t.bodyBytes() {
 		t.give(size)
 		return false
 	}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,169 @@
+package handover
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/rig"
+	"caperarch/policy"
+)
+
+func TestMachine(t *testing.T) {
+	m := &Machine{}
+	step := func(s Seen, want Do) {
+		t.Helper()
+		if got := m.Look(s); got != want {
+			t.Errorf("%+v: %+v, want %+v", s, got, want)
+		}
+	}
+	step(Seen{Seat: true, Newcomer: true, Arrival: "x"}, Do{Parts: 2}) // it does not serve yet: nothing to tell
+	m.Serving()
+	step(Seen{Seat: true}, Do{Parts: 1})
+	step(Seen{Seat: true, Newcomer: true, Arrival: "a"}, Do{Parts: 2, Tell: "a"})
+	step(Seen{Seat: true, Newcomer: true, Arrival: "a"}, Do{Parts: 2})            // told once
+	step(Seen{Seat: true, Arrival: "a"}, Do{Parts: 1})                            // the newcomer died
+	step(Seen{Seat: true, Newcomer: true, Arrival: "b"}, Do{Parts: 2, Tell: "b"}) // the next one
+	m.Leaving()
+	step(Seen{Seat: true, Newcomer: true, Arrival: "c"}, Do{Parts: 2}) // the one that stays tells
+	m = &Machine{Mark: "b"}
+	m.Serving()
+	step(Seen{Arrival: "b"}, Do{Parts: 2})            // the older lives, and this is its own mark
+	step(Seen{Arrival: "c"}, Do{Parts: 2, Tell: "c"}) // one more comes before the older is gone
+	step(Seen{Seat: true, Arrival: "c"}, Do{Parts: 1})
+}
+
+func open(t *testing.T, dir string) *Seat {
+	t.Helper()
+	s, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Three replacements in a row, and newcomers that die at every step: whoever lives ends up with the seat, and what was told reaches the one it was meant for.
+func TestSeats(t *testing.T) {
+	dir := t.TempDir()
+	old := open(t, dir)
+	for range 3 {
+		dead := open(t, dir)
+		if seen := old.Look(); !seen.Seat || !seen.Newcomer || seen.Arrival != dead.Mark() {
+			t.Fatalf("the old one sees %+v, the newcomer is %s", seen, dead.Mark())
+		}
+		dead.Close() // killed before its yes
+		if seen := old.Look(); seen.Newcomer {
+			t.Fatal("a dead newcomer is seen")
+		}
+		young := open(t, dir)
+		if seen := young.Look(); seen.Seat {
+			t.Fatal("two have the seat")
+		}
+		r := &Record{Pools: map[string]Pool{"": {Version: 7, Ever: []policy.ServerID{1 << 63}}}}
+		if err := old.Tell(old.Look().Arrival, r); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := young.Await(rig.Generous); err != nil || got.Pools[""].Version != 7 || got.Pools[""].Ever[0] != 1<<63 {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		old.Close()
+		if seen := young.Look(); !seen.Seat || seen.Newcomer {
+			t.Fatalf("the old one is gone, the newcomer sees %+v", seen)
+		}
+		old = young
+	}
+}
+
+func TestRecord(t *testing.T) {
+	l := call.Listing{Version: 3, Whole: true, Servers: []policy.Server{
+		{ID: 1<<64 - 1, State: policy.Ready, Weight: 1, Started: time.Duration(1<<62 + 1)}, {ID: 2, State: policy.Draining, Weight: 2, Zone: -1},
+	}, Address: map[policy.ServerID]string{1<<64 - 1: "127.0.0.1:1", 2: "127.0.0.1:2"}}
+	raw, err := (&Record{Pools: map[string]Pool{"": PoolOf(l, nil)}}).encode("m")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := decode(raw, "m")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := r.Pools[""].Listing(); got.Version != 3 || len(got.Servers) != 2 || got.Servers[0] != l.Servers[0] || got.Servers[1] != l.Servers[1] || got.Address[2] != "127.0.0.1:2" {
+		t.Errorf("%+v", got)
+	}
+	for n := range raw {
+		if _, err := decode(raw[:n], "m"); err == nil {
+			t.Fatalf("cut at %d it was taken", n)
+		}
+	}
+	dir := t.TempDir()
+	open(t, dir)
+	young := open(t, dir)
+	if _, err := young.Await(20 * time.Millisecond); err != ErrNoRecord {
+		t.Errorf("missing: %v", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, recordName), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := young.Await(20 * time.Millisecond); err != ErrNoRecord {
+		t.Errorf("another's: %v", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, recordName), raw[:len(raw)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := young.Await(rig.Generous); err == nil || err == ErrNoRecord {
+		t.Errorf("cut: %v", err)
+	}
+}
+
+// With steering all new connections go to the one that came last, and after its predecessor's end still; without it both get some.
+func TestListen(t *testing.T) {
+	for _, plain = range []bool{false, true} {
+		first, steered, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, _, err := Listen(first.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if steered == plain {
+			t.Fatalf("steered %v", steered)
+		}
+		count := make(chan int, 1000)
+		for i, l := range []net.Listener{first, second} {
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					c.Close()
+					count <- i
+				}
+			}()
+		}
+		dial := func() (got [2]int) {
+			for range 64 {
+				c, err := net.Dial("tcp", first.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				got[rig.Wait(t, "a connection", count)]++
+			}
+			return got
+		}
+		if got := dial(); plain == (got[0] == 0) {
+			t.Errorf("plain %v: %v", plain, got)
+		}
+		first.Close()
+		if got := dial(); got[1] != 64 {
+			t.Errorf("plain %v, the first closed: %v", plain, got)
+		}
+		second.Close()
+	}
+	plain = false
+}
