--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -13,7 +13,7 @@
 	"caperarch/policy"
 )
 
-// BodyLimit bounds a body in bytes, either way (the protocol page: bodies hold at most 64 KiB).
+// BodyLimit is how many bytes of a body are held whole, either way, so that a request can be sent again and an answer that breaks off was none.
 const BodyLimit = 64 << 10
 
 // Message is a request as it goes on to a server, but for its time-out. An attempt may still read it after
@@ -24,6 +24,7 @@
 	Host   string
 	Header http.Header // end-to-end ones
 	Body   []byte
+	More   *Upload       // HTTP: what of the body is passed on as it comes; nil: Body is all of it
 	Stream bool          // its answer may be passed on while it still comes: see Result.Stream
 	Ends   time.Duration // a stream: when its client gives it up, on the clock of the engine; 0: only by Close
 	Format string        // gRPC: the content subtype; "" is proto
@@ -60,7 +61,7 @@
 }
 
 // Result is the end of an attempt or, with Stream set, the beginning of an answer that is passed on while
-// it comes: then the end follows in a second Result.
+// it comes: then the end follows in a second Result, but for Carried ones.
 type Result struct {
 	Ending  policy.Ending
 	Status  int // the protocol's own figure, where a whole answer came
@@ -69,6 +70,7 @@
 	Body    []byte
 	Load    policy.Load
 	Stream  Stream
+	Carried bool // with Stream: the attempt has ended with the answer's beginning, and no second Result follows. A slow client holds no place that others need.
 }
 
 // Attempt is one attempt under way.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,6 +24,7 @@
 	// The module is woken every 100 ms at least. Where more than stalledAfter has passed between two events,
 	// the process was stopped: what was told in the meantime is heard before anything is sent, for
 	// hearWithin at most. Else requests that waited would go to servers that drain or are gone by then.
+	ownedPause   = 200 * time.Millisecond // before a client sends a large body anew
 	stalledAfter = 500 * time.Millisecond
 	hearWithin   = 50 * time.Millisecond
 )
@@ -97,6 +98,7 @@
 	deadline time.Duration
 	attempts []call.Attempt // by number; nil: was not sent
 	out      int            // attempts with no Outcome yet
+	owned    bool           // an attempt passes its body on while it comes: there is no other for it
 	over     bool           // it has its final answer, or its client has gone
 	timedOut bool           // its last attempt did: what a failure is called
 	last     *call.Result   // the last answer that was no service
@@ -304,6 +306,9 @@
 // for it. m must not change any more. The number that Ask returns names the request for Gone.
 func (e *Engine) Ask(q policy.Request, m *call.Message, deadline time.Duration, reply chan<- call.Answer) policy.RequestID {
 	q.ID = policy.RequestID(e.lastID.Add(1))
+	if m.More != nil {
+		m.More.Began(func() { e.post(func(time.Duration) { e.claimed(q.ID) }) })
+	}
 	e.post(func(now time.Duration) {
 		q.Left = deadline - now
 		e.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
@@ -312,6 +317,15 @@
 	return q.ID
 }
 
+// claimed takes that an attempt passes a request's body on from here on: the module has no more say in it, its end is the attempt's.
+func (e *Engine) claimed(id policy.RequestID) {
+	if r := e.requests[id]; r != nil && !r.over && !r.owned {
+		r.owned = true
+		// Settled, with no word on the server: a client that sends slowly must hold no slot that others need.
+		e.b.Outcome(e.now, policy.Outcome{ID: id, Attempt: len(r.attempts) - 1, Ending: policy.NotSent, Settled: true})
+	}
+}
+
 // Gone takes that a request's client has gone: nothing is owed to it any more, its attempts are called
 // off. One that has its answer is passed over.
 func (e *Engine) Gone(id policy.RequestID) {
@@ -339,7 +353,9 @@
 	r := e.requests[o.ID]
 	r.out--
 	o.Settled = r.over
-	e.b.Outcome(e.now, o)
+	if !r.owned { // else the module has had its word
+		e.b.Outcome(e.now, o)
+	}
 	if r.over && r.out == 0 {
 		delete(e.requests, o.ID)
 	}
@@ -349,21 +365,36 @@
 // settles the request.
 func (e *Engine) attemptEnded(id policy.RequestID, number int, res call.Result) {
 	r := e.requests[id]
-	if res.Stream != nil {
+	if res.Stream != nil && !res.Carried {
 		e.begun(id, r, res)
 		return
 	}
 	r.timedOut = res.Ending == policy.TimedOut
 	switch {
 	case r.over:
+		if res.Stream != nil { // too late: nobody takes it
+			go res.Stream.Close()
+		}
 	case res.Ending == policy.Served:
-		e.finish(id, r, &call.Answer{Kind: call.Served, Status: res.Status, Header: res.Header, Trailer: res.Trailer, Body: res.Body})
+		e.finish(id, r, &call.Answer{Kind: call.Served, Status: res.Status, Header: res.Header, Trailer: res.Trailer, Body: res.Body, Stream: res.Stream})
+	case r.owned:
+		e.endOwned(id, r, &res)
 	case res.Ending == policy.Errored || res.Ending == policy.Rejected:
 		r.last = &res
 	}
 	e.outcome(policy.Outcome{ID: id, Attempt: number, Ending: res.Ending, Load: res.Load})
 }
 
+// endOwned answers a request whose body only this attempt could pass on, by what its end proves.
+func (e *Engine) endOwned(id policy.RequestID, r *request, res *call.Result) {
+	switch res.Ending {
+	case policy.NoConnection, policy.TurnedAway, policy.NotSent: // it never ran
+		e.finish(id, r, &call.Answer{Kind: call.Refused, Pause: ownedPause})
+	default:
+		e.finish(id, r, &call.Answer{Kind: call.Failed, TimedOut: r.timedOut, Last: r.last})
+	}
+}
+
 // begun takes that an attempt's answer is passed on while it comes. The request is over with it: the
 // answer is the client's now, and the attempt's end only frees its slot.
 func (e *Engine) begun(id policy.RequestID, r *request, res call.Result) {
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -22,7 +22,7 @@
 	number, left := len(r.attempts), r.deadline-e.now
 	r.out++
 	s := e.servers[to]
-	if r.over || number >= e.most || left <= 0 || timeout < 0 || s == nil {
+	if r.over || number >= e.most || left <= 0 || timeout < 0 || s == nil || r.message.More != nil && r.message.More.Claimed() {
 		r.attempts = append(r.attempts, nil)
 		e.notSent = append(e.notSent, policy.Outcome{ID: id, Attempt: number, Ending: policy.NotSent})
 		return
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -22,6 +22,9 @@
 // lingerMost bounds in bytes what is read over behind a rejected request: several whole ones.
 const lingerMost = 512 << 10
 
+// lingerWhole bounds the same behind an early answer: a client that sends so much within leaveTime looks for its answer soon enough.
+const lingerWhole = 64 << 20
+
 // conn is one connection of a client, served by one goroutine. At rest it has no buffer: it waits in the poller, and
 // takes a scratch with the first byte.
 type conn struct {
@@ -32,11 +35,12 @@
 	a     *acceptor
 	entry entry
 
-	s     *scratch // nil: at rest
-	start int      // of what is unread in s.in
-	end   int
-	err   error // of the last first
-	try   func(fd uintptr) bool
+	s       *scratch // nil: at rest
+	start   int      // of what is unread in s.in
+	end     int
+	err     error         // of the last first
+	wholeAt time.Duration // when what did not come whole at once was here
+	try     func(fd uintptr) bool
 
 	// Where the front is shared, see gate:
 	of      *Target   // whose its last request was
@@ -191,7 +195,7 @@
 // next takes one request and answers it; false: the connection is to be closed.
 func (c *conn) next() bool {
 	defer c.leave()
-	c.counts = nil
+	c.counts, c.wholeAt = nil, 0
 	if c.start == c.end { // else the next request's bytes came with the last one's
 		c.start, c.end = 0, 0
 		if !c.first() {
@@ -273,6 +277,7 @@
 // whole takes that a part of a request that came slowly is here; false: its connection had to make room, which is
 // answered, as its client may have sent the last byte by now.
 func (c *conn) whole() bool {
+	c.wholeAt = c.front.clock.Now()
 	_ = c.net.SetReadDeadline(time.Time{})
 	if c.a.busy(c) {
 		return true
@@ -291,6 +296,9 @@
 		}
 		return c.answer(&h1.Answer{Status: status}, nil)
 	}
+	if h.Target == "*" { // of the server itself (RFC 9110, 9.3.7)
+		return c.answer(&h1.Answer{Status: http.StatusOK, Header: http.Header{"Allow": {"GET, POST, OPTIONS"}}}, nil) && h.Length <= 0 && !h.Chunks
+	}
 	t, bad := f.cfg.Route(h)
 	if bad != nil {
 		return c.reject(bad)
@@ -302,9 +310,10 @@
 	c.of, c.counts = t, t.class(q.Class)
 	c.a.asked(c, &t.owner)
 	if f.gate.Load() != nil && c.a.crowded(c) { // a pool that has more than its part makes room for those that come
-		return c.refuseHead(max(h.Length, 0))
+		return c.refuseHead(h)
 	}
-	id, length := h.Get("X-Request-Id"), max(h.Length, 0)
+	// What is held of the body at a time; of one in chunks nothing is known yet.
+	id, length := h.Get("X-Request-Id"), min(max(h.Length, 0), call.BodyLimit+windowSize)
 	if !t.enter(id) {
 		return c.reject(&Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
 	}
@@ -312,28 +321,38 @@
 	walls := t.walls.Load()
 	if walls != nil {
 		if !(*walls).Enter() { // bodies that come a byte at a time would hold all connections otherwise
-			return c.refuseHead(length)
+			return c.refuseHead(h)
 		}
 		defer (*walls).Exit()
 	}
 	if !t.room(1, length) || walls != nil && !(*walls).Room(length) {
-		return c.refuseHead(length)
+		return c.refuseHead(h)
 	}
 	// The head's strings are its own; the rest of the scratch is used again for what follows.
-	m := &call.Message{Method: h.Method, URI: h.Target, Host: h.Host, Header: h.EndToEnd()}
+	m := &call.Message{Method: h.Method, URI: h.Target, Host: h.Host, Header: h.EndToEnd(), Stream: true}
+	var body *bodyReader // of one that is passed on as it comes
 	var ok bool
-	if m.Body, ok = c.body(h, int(length)); !ok {
+	if !h.Chunks && h.Length <= call.BodyLimit {
+		m.Body, ok = c.body(h, int(length))
+	} else if body, ok = c.begin(h, m); ok {
+		length = int64(len(m.Body))
+		if body != nil {
+			length += windowSize
+		}
+	}
+	if !ok {
 		return false
 	}
+	arrived = max(arrived, c.wholeAt) // its time counts from its last byte, and that of one that is passed on from there on
 	// Counted only now: clients that tell of a body and don't send it must not use up what the others
 	// may hold. Until here the bounds on connections hold for them.
 	if !t.take(length) {
-		return c.refuse(time.Second)
+		return c.refuseBody(body)
 	}
 	defer t.give(length)
 	if walls != nil {
 		if !(*walls).Take(length) {
-			return c.refuse(time.Second)
+			return c.refuseBody(body)
 		}
 		defer (*walls).Give(length)
 	}
@@ -347,7 +366,7 @@
 	for hung := c.hung; ; {
 		select {
 		case a := <-reply:
-			return c.final(&a)
+			return c.behind(&a, body)
 		case <-hung:
 			if c.start == c.end && c.left() { // with no answer: nobody is left to take it
 				t.Engine.Gone(number)
@@ -357,9 +376,9 @@
 		case <-t.Engine.Ended(): // its pool was taken away: what it had taken is answered by then
 			select {
 			case a := <-reply:
-				return c.final(&a)
+				return c.behind(&a, body)
 			default: // it never came to the module
-				return c.refuse(time.Second)
+				return c.refuseBody(body)
 			}
 		}
 	}
@@ -399,34 +418,87 @@
 	return body, c.whole()
 }
 
+// begin reads what is held of a body that comes in chunks or is longer. The reader is nil where that was all of it; else the message's rest comes from it.
+func (c *conn) begin(h *h1.Head, m *call.Message) (*bodyReader, bool) {
+	none := c.start == c.end
+	b := c.newBodyReader(h)
+	if h.Expect && none && c.write([]byte(h1.Continue), nil) != nil {
+		return nil, false
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
+	c.a.unread(c)
+	body, whole, err := b.prefix(h.Length)
+	if err != nil {
+		if bad := b.fault(err); bad != nil {
+			c.reject(bad)
+		}
+		return nil, false
+	}
+	m.Body = body
+	if whole {
+		b.giveBack()
+		return nil, c.whole()
+	}
+	if !c.whole() {
+		return nil, false
+	}
+	m.More = &call.Upload{Length: h.Length, Read: b.Read}
+	return b, true
+}
+
+// behind sends the final answer of a request whose body may still be coming.
+func (c *conn) behind(a *call.Answer, body *bodyReader) bool {
+	if body == nil {
+		return c.final(a)
+	}
+	if body.stop() {
+		body.giveBack()
+		return c.final(a)
+	}
+	c.s.head.Close = true // where its next request begins nobody knows
+	_ = c.net.SetReadDeadline(time.Time{})
+	if !c.final(a) {
+		return false
+	}
+	c.lingerFor(leaveTime, lingerWhole)
+	return false
+}
+
+// refuseBody refuses a request whose body may still be coming.
+func (c *conn) refuseBody(body *bodyReader) bool {
+	return c.behind(&call.Answer{Kind: call.Refused, Pause: time.Second}, body)
+}
+
 // refuseHead refuses a request by its head, at once. A body that is still to come is read over, so that the
-// connection goes on; it is one of those that are being read as long as that takes.
-func (c *conn) refuseHead(length int64) bool {
+// connection goes on; it is one of those that are being read as long as that takes. One that would take long ends the connection.
+func (c *conn) refuseHead(h *h1.Head) bool {
+	have := int64(c.end - c.start)
+	if rest := h.Length - have; !h.Chunks && rest > call.BodyLimit || c.s.head.Close && (h.Chunks || rest > 0) {
+		c.s.head.Close = true
+		if c.refuse(time.Second) {
+			c.lingerFor(leaveTime, lingerWhole)
+		}
+		return false
+	}
 	if !c.refuse(time.Second) {
 		return false
 	}
-	have := min(int64(c.end-c.start), length)
-	c.start += int(have)
-	rest := length - have
-	if rest == 0 {
+	if h.Length <= 0 && !h.Chunks {
 		return true
 	}
-	if c.s.head.Close {
-		c.linger(rest)
-		return false
-	}
+	b := c.newBodyReader(h)
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
 	c.a.unread(c)
-	if !c.readOver(rest) {
+	if !b.over() {
 		return false
 	}
-	_ = c.net.SetReadDeadline(time.Time{})
+	b.giveBack()
 	return c.a.busy(c)
 }
 
 // reject answers a request that can't be taken on and closes its connection: where it ends is not to be trusted.
 func (c *conn) reject(bad *Rejection) bool {
-	a := h1.Answer{Status: bad.Status, Length: len(bad.Reason) + 1, Text: true, Close: true}
+	a := h1.Answer{Status: bad.Status, Length: int64(len(bad.Reason) + 1), Text: true, Close: true}
 	if bad.Status == http.StatusServiceUnavailable { // nothing of it was sent: harmless to repeat
 		a.Pause = time.Second
 	}
@@ -439,9 +511,11 @@
 // linger ends our side and reads over what a client still sends, for rejectTime and so many bytes: closed with
 // something unread a connection is reset, and the client finds that instead of its answer (RFC 9112, 9.6).
 // That is no place which others wait for: it goes first where room is short.
-func (c *conn) linger(most int64) {
+func (c *conn) linger(most int64) { c.lingerFor(rejectTime, most) }
+
+func (c *conn) lingerFor(within time.Duration, most int64) {
 	tcp, ok := c.net.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(rejectTime)) != nil {
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(within)) != nil {
 		return
 	}
 	c.a.last(c)
@@ -467,8 +541,14 @@
 // final sends the final answer.
 func (c *conn) final(a *call.Answer) bool {
 	switch {
+	case a.Kind == call.Served && a.Stream != nil:
+		if body, ok := a.Stream.(call.Body); ok {
+			return c.pass(a, body)
+		}
+		a.Stream.Close() // of another protocol's transport: a fault of ours
+		return c.answer(&h1.Answer{Status: http.StatusBadGateway}, nil)
 	case a.Kind == call.Served:
-		return c.answer(&h1.Answer{Status: http.StatusOK, Header: a.Header, Length: len(a.Body)}, a.Body)
+		return c.answer(&h1.Answer{Status: http.StatusOK, Header: a.Header, Length: int64(len(a.Body))}, a.Body)
 	case a.Kind == call.Refused:
 		return c.refuse(a.Pause)
 	case a.TimedOut:
--- a/internal/front/http1/request.go
+++ b/internal/front/http1/request.go
@@ -78,12 +78,10 @@
 		return no(http.StatusBadRequest, "Idempotency-Key is missing")
 	case class.Effect == policy.Unsafe && key != "":
 		return no(http.StatusBadRequest, "Idempotency-Key is of no use in this class")
-	case class.Effect == policy.Safe && r.Length > 0:
+	case class.Effect == policy.Safe && (r.Length > 0 || r.Chunks):
 		return no(http.StatusBadRequest, "GET has no body")
-	case class.Effect != policy.Safe && r.Length < 0:
-		return no(http.StatusLengthRequired, "Content-Length is missing")
-	case r.Length > call.BodyLimit:
-		return no(http.StatusRequestEntityTooLarge, "the body is too long")
+	case class.Effect != policy.Safe && r.Length < 0 && !r.Chunks:
+		return no(http.StatusLengthRequired, "Content-Length and Transfer-Encoding are missing")
 	}
 	if len(t.Tenants) > 0 {
 		if q.Tenant, ok = t.Tenants[r.Get("X-Tenant-Id")]; !ok {
--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -16,7 +16,7 @@
 	Status int
 	Header http.Header   // of the server's answer; fields of its connection are left out. nil: none
 	Pause  time.Duration // Retry-After, in decimal seconds; 0: none
-	Length int           // of the body in bytes
+	Length int64         // of the body in bytes; -1: it comes in chunks
 	Text   bool          // the body is plain text of ours
 	Close  bool          // the connection closes behind it
 	Date   string        // the value of Date where the server gave none (RFC 9110, 6.6.1); "": left out
@@ -28,9 +28,13 @@
 	to = strconv.AppendInt(to, int64(a.Status), 10)
 	to = append(to, ' ')
 	to = append(to, http.StatusText(a.Status)...)
-	to = append(to, "\r\nContent-Length: "...)
-	to = strconv.AppendInt(to, int64(a.Length), 10)
-	to = append(to, "\r\n"...)
+	if a.Length >= 0 {
+		to = append(to, "\r\nContent-Length: "...)
+		to = strconv.AppendInt(to, a.Length, 10)
+		to = append(to, "\r\n"...)
+	} else {
+		to = append(to, "\r\nTransfer-Encoding: chunked\r\n"...)
+	}
 	for name, values := range a.Header {
 		if connectionField(name) || a.listed(name) || !isToken(name) {
 			continue
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -43,7 +43,7 @@
 	errHost      = &Error{http.StatusBadRequest, "Host is missing, given twice or malformed"}
 	errLength    = &Error{http.StatusBadRequest, "Content-Length is malformed or given twice"}
 	errTooLong   = &Error{http.StatusRequestEntityTooLarge, "the body is too long"}
-	errTransfer  = &Error{http.StatusLengthRequired, "Transfer-Encoding is not taken, send Content-Length"}
+	errTransfer  = &Error{http.StatusBadRequest, "Transfer-Encoding is not chunked alone, or Content-Length stands beside it"}
 	errExpect    = &Error{http.StatusExpectationFailed, "Expect is not 100-continue"}
 	errConnected = &Error{http.StatusBadRequest, "Connection is malformed"}
 )
@@ -54,13 +54,16 @@
 // Head is the head of a request. A parser fills it in; its strings share one copy of the head, not the caller's buffer.
 type Head struct {
 	Method string
-	Target string // origin form (RFC 9112, 3.2.1): it begins with a slash
+	Target string // origin form (RFC 9112, 3.2.1): it begins with a slash, or is * for OPTIONS
 	Host   string
 	Old    bool  // HTTP/1.0: no kept connection, and nothing but GET without a body is to be trusted
 	Length int64 // of the body in bytes, -1 where none is told
+	Chunks bool  // the body comes in chunks; Length is -1 then
 	Close  bool  // the client wants the connection closed behind the answer
 	Expect bool  // the client waits for 100 (Continue) before it sends the body
 	Fields []Field
+
+	authority string // of a target in absolute form, which goes before Host
 }
 
 // Get is the first value of a field by its canonical name, "" where there is none.
@@ -196,7 +199,16 @@
 	default:
 		return errLine
 	}
-	if target == "" || target[0] != '/' {
+	switch {
+	case target == "*" && method == http.MethodOptions:
+		h.Method, h.Target = method, target
+		return nil
+	case target != "" && target[0] != '/':
+		var ok bool
+		if target, h.authority, ok = absolute(target); !ok {
+			return errTarget
+		}
+	case target == "":
 		return errTarget
 	}
 	for i := 0; i < len(target); i++ {
@@ -213,6 +225,22 @@
 	return nil
 }
 
+// absolute takes a target in absolute form apart (RFC 9112, 3.2.2), which every server must take.
+func absolute(target string) (path, authority string, ok bool) {
+	const scheme = "http://"
+	if len(target) < len(scheme) || !strings.EqualFold(target[:len(scheme)], scheme) {
+		return "", "", false
+	}
+	rest := target[len(scheme):]
+	if i := strings.IndexAny(rest, "/?"); i >= 0 {
+		rest, path = rest[:i], rest[i:]
+	}
+	if path == "" || path[0] != '/' {
+		path = "/" + path
+	}
+	return path, rest, rest != "" && isHost(rest) && !strings.Contains(rest, "@")
+}
+
 // field reads one line of RFC 9112, 5.
 func (h *Head) field(line string) error {
 	if line[0] == ' ' || line[0] == '\t' {
@@ -249,7 +277,7 @@
 // framing reads what says where the request ends and what becomes of its connection.
 func (h *Head) framing() error {
 	hosts := 0
-	transfer := false
+	transfer := ""
 	for i := range h.Fields {
 		value := h.Fields[i].Value
 		switch h.Fields[i].Name {
@@ -268,7 +296,12 @@
 				h.Length = 10*h.Length + int64(value[j]-'0')
 			}
 		case "Transfer-Encoding":
-			transfer = true
+			if transfer != "" { // lists over several fields: two readers may take different ones
+				return errTransfer
+			}
+			if transfer = strings.ToLower(value); transfer == "" {
+				return errTransfer
+			}
 		case "Expect":
 			if !strings.EqualFold(value, "100-continue") {
 				return errExpect
@@ -286,18 +319,24 @@
 	}
 	if h.Old { // Host is not needed there, and Transfer-Encoding means nothing or something, by reader
 		h.Close = true
-		if transfer {
+		if transfer != "" {
 			return errVersion
 		}
 	} else if hosts == 0 {
 		return errHost
 	}
-	if transfer {
-		return errTransfer
+	if transfer != "" {
+		if transfer != "chunked" || h.Length >= 0 {
+			return errTransfer
+		}
+		h.Chunks = true
 	}
 	if hosts > 1 || !isHost(h.Host) {
 		return errHost
 	}
+	if h.authority != "" {
+		h.Host = h.authority
+	}
 	return nil
 }
 
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -27,14 +27,12 @@
 )
 
 const (
-	answerLimit = 512 << 10 // bytes of a whole answer on the wire, headers and framing included
-	interimMost = 8         // 1xx answers that are read over before the one that counts
-	idleMargin  = time.Second
-	settleTime  = 10 * time.Millisecond // see take
-	holdTime    = 2 * time.Millisecond  // see write; of the time that there is
-	holdPart    = 50                    // no more than one part in so many,
-	holdLeast   = 200 * time.Microsecond
-	soon        = 2 * holdTime // a reset that the request itself brings has come by then
+	idleMargin = time.Second
+	settleTime = 10 * time.Millisecond // see take
+	holdTime   = 2 * time.Millisecond  // see write; of the time that there is
+	holdPart   = 50                    // no more than one part in so many,
+	holdLeast  = 200 * time.Microsecond
+	soon       = 2 * holdTime // a reset that the request itself brings has come by then
 )
 
 // Config says how servers are reached.
@@ -232,6 +230,11 @@
 			done(call.Result{Ending: ending})
 			return
 		}
+		if s := streamOf(res); s != nil { // it is passed on while it comes
+			done(call.Result{Ending: policy.Served, Status: res.StatusCode, Header: res.Header, Stream: s, Carried: true, Load: u.load(res.Header.Get("X-Server-Load"))})
+			u.follow(x, to, s)
+			return
+		}
 		out := call.Result{Ending: policy.Errored, Status: res.StatusCode, Header: res.Header, Body: body, Load: u.load(res.Header.Get("X-Server-Load"))}
 		switch never := res.Header.Get("X-Not-Processed") == "1"; {
 		case res.StatusCode == http.StatusOK:
@@ -289,10 +292,21 @@
 			}
 		}
 	}
-	if m.Method != http.MethodGet {
+	switch {
+	case m.More != nil && m.More.Length < 0:
+		line("Transfer-Encoding", "chunked")
+	case m.More != nil:
+		line("Content-Length", strconv.FormatInt(m.More.Length, 10))
+	case m.Method != http.MethodGet:
 		line("Content-Length", strconv.Itoa(len(m.Body)))
 	}
 	out.WriteString("\r\n")
+	if m.More != nil && m.More.Length < 0 {
+		out.WriteString(strconv.FormatInt(int64(len(m.Body)), 16) + "\r\n")
+		out.Write(m.Body)
+		out.WriteString("\r\n")
+		return out.Bytes()
+	}
 	out.Write(m.Body)
 	return out.Bytes()
 }
@@ -323,7 +337,30 @@
 		return nil, nil, policy.NotSent
 	}
 	_ = c.SetDeadline(u.clock.At(until)) // fails only on a closed connection, as the write then does
-	if err := u.write(c, bytesOf(m, until-begun), m.Method != http.MethodGet, until); err != nil {
+	if m.More != nil {
+		var early bool
+		var err error
+		if until, early, err = u.upload(c, m, until); err != nil {
+			u.discard(c)
+			if errors.Is(err, errClaimed) || errors.Is(err, errSource) {
+				return nil, nil, policy.NotSent // the client's lack: no word on the server
+			}
+			return nil, nil, unsent(err)
+		}
+		if early { // it does not want the rest, and its answer says why
+			res, _, err := c.answer(u, m, until)
+			u.discard(c)
+			switch {
+			case x.givenUp():
+				return nil, nil, policy.Cancelled
+			case err != nil:
+				return nil, nil, policy.NoConnection
+			case res.StatusCode == http.StatusOK: // of what? nobody knows what it did
+				return nil, nil, policy.Broken
+			}
+			return res, nil, policy.Errored
+		}
+	} else if err := u.write(c, bytesOf(m, until-begun), m.Method != http.MethodGet, until); err != nil {
 		if !x.givenUp() { // else it was closed by ourselves
 			u.lost(to, c)
 		}
@@ -334,8 +371,10 @@
 		u.wrote()
 	}
 	written := u.clock.Now()
-	res, body, err := c.answer(m.Method)
+	res, body, err := c.answer(u, m, until)
 	switch {
+	case err == nil && streamOf(res) != nil:
+		return res, nil, policy.Served // its connection is its own till its end
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
 		u.keepIdle(to, c)
 	default: // broken, to be closed, with bytes left over behind the answer, or given up
@@ -422,45 +461,11 @@
 }
 
 var (
-	errEarly   = errors.New("an answer came before the request was whole")
-	errTooLong = errors.New("the body is too long")
-	errLate    = errors.New("the time was up before a connection was opened")
-	errNoRoom  = errors.New("no descriptor is left for a connection")
+	errEarly  = errors.New("an answer came before the request was whole")
+	errLate   = errors.New("the time was up before a connection was opened")
+	errNoRoom = errors.New("no descriptor is left for a connection")
 )
 
-// answer reads one whole answer.
-func (c *conn) answer(method string) (*http.Response, []byte, error) {
-	c.limit.N = answerLimit
-	req := &http.Request{Method: method} // tells whether the answer has a body
-	for range interimMost {
-		res, err := http.ReadResponse(c.r, req)
-		if err != nil {
-			return nil, nil, err
-		}
-		if res.StatusCode/100 == 1 {
-			continue
-		}
-		switch {
-		case res.ContentLength > call.BodyLimit:
-			return nil, nil, errTooLong // known before any of it is read
-		case res.ContentLength >= 0:
-			body := make([]byte, res.ContentLength)
-			_, err := io.ReadFull(res.Body, body)
-			return res, body, err
-		case len(res.TransferEncoding) == 0:
-			// It would end with the connection: nothing tells a whole one from a cut one, and servers
-			// keep their connections.
-			return nil, nil, errors.New("the answer has neither a length nor chunks")
-		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, call.BodyLimit+1))
-		if err == nil && len(body) > call.BodyLimit {
-			err = errTooLong
-		}
-		return res, body, err
-	}
-	return nil, nil, errors.New("too many interim answers")
-}
-
 // connect returns a kept connection that still stands, or opens one.
 func (u *Transport) connect(x *exchange, to *host, until time.Duration) (*conn, error) {
 	for {
