--- a/internal/h1/chunked.go
+++ b/internal/h1/chunked.go
@@ -18,11 +18,12 @@
 type chunkState int
 
 const (
-	chunkSize chunkState = iota // its digits
-	chunkExt                    // what follows them
-	chunkLF                     // the LF of its line
-	chunkData                   // what it holds
-	chunkCR                     // CR LF behind that
+	chunkSize  chunkState = iota // its digits
+	chunkSpace                   // white space behind them, before an extension or the line's end
+	chunkExt                     // what follows them
+	chunkLF                      // the LF of its line
+	chunkData                    // what it holds
+	chunkCR                      // CR LF behind that
 	chunkDataLF
 	trailerStart // the beginning of a line of trailers
 	trailerName
@@ -70,6 +71,18 @@
 	switch d.state {
 	case chunkSize:
 		return d.size(c)
+	case chunkSpace:
+		switch {
+		case c == ';':
+			d.state = chunkExt
+		case c == '\r':
+			d.state = chunkLF
+		case c != ' ' && c != '\t': // a second size, for some
+			return errChunkSize
+		}
+		if d.line++; d.line > chunkLineMost {
+			return errChunkExt
+		}
 	case chunkExt:
 		if d.line++; d.line > chunkLineMost || c < ' ' && c != '\t' && c != '\r' || c == 0x7f {
 			return errChunkExt
@@ -115,9 +128,12 @@
 	case c == '\r':
 		d.state = chunkLF
 		return nil
-	case c == ';' || c == ' ' || c == '\t': // RFC 9112, 7.1.1: white space before an extension is to be read
+	case c == ';':
 		d.state = chunkExt
 		return nil
+	case c == ' ' || c == '\t': // RFC 9112, 7.1.1: to be read over
+		d.state = chunkSpace
+		return nil
 	default:
 		return errChunkSize
 	}
