--- a/policy/policy.go
+++ b/policy/policy.go
@@ -512,6 +512,11 @@
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
 	b.weigh(now)
+	for _, s := range b.servers {
+		if s.coldAt < 0 { // all balancers are told at the same time: first sends are spread, by the whole list's weight
+			s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+		}
+	}
 	b.feed(now)
 }
 
@@ -522,9 +527,7 @@
 	}
 	s := b.listed(e.ID)
 	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
-		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
-		// All balancers are told at about the same time: their first sends are spread too.
-		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1, coldAt: -1}
 	}
 	s.Server = e
 	if s.State == Draining {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -299,6 +299,28 @@
 	}
 }
 
+// A cold server of the very first list has its part from the start on: a process that takes over, or starts again after a release, must not leave it out till it is warm.
+func TestColdServerOfTheFirstListIsUsed(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers = 1
+	list := ready(1, 2)
+	list[0].Started = 9*time.Second + 999*ms
+	h := newFakeHost()
+	b, err := New(cfg, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(10 * time.Second)
+	b.List(10*time.Second, ListCached, list)
+	for now, id := 10*time.Second, RequestID(0); now < 11*time.Second; now, id = now+2*ms, id+1 {
+		ask(b, now, id, safeClass)
+		end(b, now+ms, id, 0, Served)
+	}
+	if n, budget := float64(h.sentTo(1)), 100.0/2*0.3*3; n < budget/4 || n > budget {
+		t.Errorf("%v sends in the first second, want a good part of %.1f", n, budget)
+	}
+}
+
 func TestColdServerIsSpared(t *testing.T) {
 	for _, balancers := range []int{1, 4} {
 		cfg := testConfig()
