--- a/policy/policy.go
+++ b/policy/policy.go
@@ -513,7 +513,7 @@
 	}
 	b.weigh(now)
 	for _, s := range b.servers {
-		if s.coldAt < 0 { // all balancers are told at the same time: first sends are spread, by the whole list's weight
+		if s.coldAt < 0 { // told at about the same time, balancers spread first sends, by the whole list
 			s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
 		}
 	}
