One that leaves gives its seat up once it holds little, not when it ends

The old process may wait seconds for its last answer; so long its successor was bound to half of the clients' connections and of what may rest there, fewer than the application opens, and closed at rest what came back at once (counters: hundreds closed). Now the old one shrinks to an eighth and gives its seat up as soon as it holds no more; what rests is no longer divided.

--- a/cmd/caperarch/replace_test.go
+++ b/cmd/caperarch/replace_test.go
@@ -235,3 +235,32 @@
 	defer p.log.mu.Unlock()
 	return p.log.b.String()
 }
+
+// An old process that waits for its last answer has given its part up long before: its successor must not be held to half for as long as that takes.
+func TestSuccessorHasAllWhileTheOldOneWaits(t *testing.T) {
+	var l rig.Ledger
+	n := rig.NewHTTPNode(t, "s-0", &l)
+	n.Do(rig.Always(rig.Hang))
+	s := newSidecar(t, n)
+	old := s.start().ready(t)
+	go func() {
+		req, _ := http.NewRequest("POST", "http://"+s.listen+"/entry", strings.NewReader("1"))
+		for name, value := range map[string]string{"X-Request-ID": "r", "X-Priority-Class": "entry", "X-Tenant-Id": "north", "X-Timeout": "20000m"} {
+			req.Header.Set(name, value)
+		}
+		if res, err := http.DefaultClient.Do(req); err == nil {
+			res.Body.Close()
+		}
+	}()
+	rig.Until(t, "the request to be out", func() bool { return l.Len() == 1 })
+	young := s.start().ready(t)
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	rig.Until(t, "the successor to have all", func() bool { return strings.Contains(young.logText(), "now=1 before=2") })
+	select {
+	case err := <-old.ended:
+		t.Errorf("the old process ended before its request did: %v", err)
+	default:
+	}
+}
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -102,12 +102,16 @@
 	seen := s.seat.Look()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	seen.Few = s.few()
 	do := s.machine.Look(seen)
 	if do.Parts != s.divided {
 		s.log.Info("processes of this sidecar", "now", do.Parts, "before", s.divided)
 		s.divided = do.Parts
 		s.share()
 	}
+	if do.Leave { // behind the shrinking
+		s.seat.Leave()
+	}
 	if do.Tell == "" {
 		return
 	}
@@ -120,6 +124,19 @@
 	}
 }
 
+// few says whether this process holds no more than what one that leaves may hold. The caller holds the lock.
+func (s *service) few() bool {
+	if s.front == nil || s.front.Counters().Open > s.most/handover.LeavingPart {
+		return false
+	}
+	for p := range s.parts {
+		if p.transport.Busy() > max(1, p.conns/handover.LeavingPart) {
+			return false
+		}
+	}
+	return true
+}
+
 // share bounds this process to its part of what the sidecar may hold. The caller holds the lock, or is alone.
 func (s *service) share() {
 	if s.memory > 0 {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -30,6 +30,7 @@
 	control net.Listener     // nil: operators call nowhere
 	callers int              // at once
 	memory  int64            // bytes that the heap may have; 0: no limit is known
+	most    int              // clients' connections, of all processes of this sidecar together
 	seat    *handover.Seat   // nil: a process that comes while this one lives finds its address in use
 	record  *handover.Record // what the process before told; nil: nothing
 
@@ -44,6 +45,7 @@
 func newService(cfg *config.Config, log *slog.Logger) (*service, error) {
 	s := &service{
 		log: log, figures: new(figures.Set), parts: make(map[*parts]bool), callers: control.CallersFor(cfg.Sockets),
+		most:   cfg.ClientConns(),
 		memory: int64(cfg.MemoryMB) << 20 / 2, // well under what the process is killed at
 	}
 	dir := ""
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -52,12 +52,9 @@
 	return Bounds{Most: most, Rest: [kinds]int{over: part(4), silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
 }
 
-// part are the bounds of one of so many processes.
+// part are the bounds of one of so many processes. What rests is bounded as ever: that is for the application's side of the wire, which is one.
 func (b Bounds) part(of int) Bounds {
 	b.Most = max(1, b.Most/max(1, of))
-	for k := range b.Rest {
-		b.Rest[k] = max(1, b.Rest[k]/max(1, of))
-	}
 	return b
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -29,6 +29,8 @@
 	step(Seen{Seat: true, Newcomer: true, Arrival: "b"}, Do{Parts: 2, Tell: "b"}) // the next one
 	m.Leaving()
 	step(Seen{Seat: true, Newcomer: true, Arrival: "c"}, Do{Parts: 2}) // the one that stays tells
+	step(Seen{Seat: true, Newcomer: true, Few: true}, Do{Parts: LeavingPart, Leave: true})
+	step(Seen{}, Do{Parts: LeavingPart, Leave: true}) // for good
 	m = &Machine{Mark: "b"}
 	m.Serving()
 	step(Seen{Arrival: "b"}, Do{Parts: 2})            // the older lives, and this is its own mark
--- a/internal/handover/machine.go
+++ b/internal/handover/machine.go
@@ -7,19 +7,26 @@
 	Seat     bool   // it has the seat: none that is older lives
 	Newcomer bool   // a younger one lives that has no seat yet
 	Arrival  string // the mark of the one that came last; "": none ever did
+	Few      bool   // this process holds few connections
 }
 
 // Do is what is to be done now.
 type Do struct {
 	Parts int    // what is budgeted is divided among so many processes
 	Tell  string // the mark of a newcomer that a record is to be written for; "": none
+	Leave bool   // the seat is to be given up: the one that stays may have all
 }
 
+// LeavingPart is what one that leaves and has given up its seat may hold at most: one part of so many. What is kept back beside clients' and upstreams'
+// connections has room for it.
+const LeavingPart = 8
+
 // Machine decides for one process. Every call may be the last one of any process: it goes by what is seen alone, never by what another was to do next.
 type Machine struct {
 	Mark    string // its own, as a newcomer; "": it came first
 	told    string
 	leaving bool
+	left    bool
 	serving bool
 }
 
@@ -31,6 +38,11 @@
 
 // Look says what is to be done, by what is seen.
 func (m *Machine) Look(s Seen) Do {
+	// One that leaves may have to wait for its last answers for seconds. Seen: meanwhile its successor, bound to half of the connections, closed at rest what its clients came back
+	// on at once, and 300 requests of one upgrade met a closed door.
+	if m.left = m.left || m.leaving && s.Few && s.Seat; m.left {
+		return Do{Parts: LeavingPart, Leave: true}
+	}
 	d := Do{Parts: 1}
 	if !s.Seat {
 		d.Parts++
--- a/internal/handover/seat.go
+++ b/internal/handover/seat.go
@@ -27,6 +27,7 @@
 	held  bool
 	young *os.File // the newcomers' lock
 	yours bool     // young is locked by this process
+	left  bool     // it gave its place up, and lives on
 }
 
 // Open takes the seat, or a newcomer's place where an older process has it.
@@ -75,6 +76,9 @@
 
 // Look sees who lives. Where the older process is gone it takes the seat.
 func (s *Seat) Look() Seen {
+	if s.left {
+		return Seen{}
+	}
 	if !s.held {
 		if s.held, _ = lock(s.seat); s.held && s.yours { // its place is the next newcomer's
 			_ = syscall.Flock(int(s.young.Fd()), syscall.LOCK_UN)
@@ -135,6 +139,14 @@
 
 const awaitEvery = 5 * time.Millisecond
 
+// Leave gives the place up for good; a second call changes nothing.
+func (s *Seat) Leave() {
+	if !s.left {
+		s.left = true
+		s.Close()
+	}
+}
+
 // Close gives the place up.
 func (s *Seat) Close() {
 	for _, f := range []*os.File{s.seat, s.young} {
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// Busy is how many connections are in use or being opened.
+func (u *Transport) Busy() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := u.open
+	for _, list := range u.idle {
+		n -= len(list)
+	}
+	return n
+}
+
 // Server is a server at an address.
 func (u *Transport) Server(address string) call.Server { return &host{u: u, address: address} }
 
