--- a/internal/cordon/overlay.go
+++ b/internal/cordon/overlay.go
@@ -11,9 +11,6 @@
 	"caperarch/policy"
 )
 
-// everMost bounds how many upstreams are remembered that have left the list: ids come and go without end.
-const everMost = 16384
-
 // ErrNever is why an id can't be banned: it would be a slip of the pen that nobody notices.
 var ErrNever = errors.New("no upstream of this id was ever listed")
 
@@ -23,8 +20,7 @@
 type Overlay struct {
 	banned map[policy.ServerID]bool
 	listed map[policy.ServerID]listed
-	ever   map[policy.ServerID]bool
-	order  []policy.ServerID // of ever, oldest first
+	ever   ever
 	last   int64             // version heard
 }
 
@@ -35,7 +31,7 @@
 
 // NewOverlay makes one with no list and no bans.
 func NewOverlay() *Overlay {
-	return &Overlay{banned: make(map[policy.ServerID]bool), listed: make(map[policy.ServerID]listed), ever: make(map[policy.ServerID]bool)}
+	return &Overlay{banned: make(map[policy.ServerID]bool), listed: make(map[policy.ServerID]listed)}
 }
 
 // Heard takes a list, whole or changes, and returns what is to be handed on in its place.
@@ -66,47 +62,6 @@
 	return s
 }
 
-func (o *Overlay) remember(id policy.ServerID) {
-	if o.ever[id] {
-		return
-	}
-	o.ever[id] = true
-	if o.order = append(o.order, id); len(o.order) <= everMost {
-		return
-	}
-	kept := o.order[:0]
-	excess := len(o.order) - everMost
-	for _, old := range o.order {
-		if _, here := o.listed[old]; excess > 0 && !here && !o.banned[old] {
-			delete(o.ever, old)
-			excess--
-			continue
-		}
-		kept = append(kept, old)
-	}
-	o.order = kept
-}
-
-// Left are the upstreams that are remembered and not listed any more.
-func (o *Overlay) Left() (ids []policy.ServerID) {
-	for _, id := range o.order {
-		if _, here := o.listed[id]; !here {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// Remember takes upstreams that were listed before this process came.
-func (o *Overlay) Remember(ids []policy.ServerID) {
-	for _, id := range ids {
-		o.remember(id)
-	}
-}
-
-// Ever says whether an upstream was listed since the start, whether or not it still is.
-func (o *Overlay) Ever(id string) bool { return o.ever[call.ServerID(id)] }
-
 // Set takes which ids are banned from now on, and returns the whole list as it is to be handed on. An id that is not listed, or never was, is kept: it may be
 // on the way.
 func (o *Overlay) Set(ids []string) call.Listing {
--- a/internal/cordon/overlay_test.go
+++ b/internal/cordon/overlay_test.go
@@ -109,7 +109,7 @@
 	for i := range 2 * everMost {
 		o.remember(policy.ServerID(i))
 	}
-	if len(o.ever) > everMost+1 || len(o.order) > everMost+1 || !o.Ever("stays") {
-		t.Errorf("%d remembered, stays %v", len(o.ever), o.Ever("stays"))
+	if len(o.ever.ids) > everMost+1 || len(o.ever.order) > everMost+1 || !o.Ever("stays") {
+		t.Errorf("%d remembered, stays %v", len(o.ever.ids), o.Ever("stays"))
 	}
 }
