--- a/internal/cordon/overlay.go
+++ b/internal/cordon/overlay.go
@@ -21,7 +21,7 @@
 	banned map[policy.ServerID]bool
 	listed map[policy.ServerID]listed
 	ever   ever
-	last   int64             // version heard
+	last   int64 // version heard
 }
 
 type listed struct {
