--- a/cmd/measure/child.go
+++ b/cmd/measure/child.go
@@ -46,6 +46,11 @@
 			<-r.Context().Done()
 			return
 		}
+		if r.URL.RawQuery == "answer=large" {
+			w.Header().Set("Content-Length", strconv.Itoa(bulkSize))
+			_, _ = io.CopyN(w, zeros{}, bulkSize)
+			return
+		}
 		time.Sleep(nodeTime)
 		w.Header().Set("Content-Length", "4")
 		_, _ = io.WriteString(w, "done")
--- /dev/null
+++ b/cmd/measure/service.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	controlBound = time.Second // an operator's answer, under any load
+	touchedBound = 2           // requests an upgrade that meet a closed door
+	silentOnes   = 200
+)
+
+// service is a sidecar whose processes come and go.
+type service struct {
+	b       *bench
+	binary  string
+	listen  string
+	tmp     string
+	process *exec.Cmd
+	control string
+	n       int
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// start starts a process and returns once it says yes.
+func (s *service) start() (cmd *exec.Cmd, control string, err error) {
+	if control, err = freePort(); err != nil {
+		return nil, "", err
+	}
+	raw, err := os.ReadFile(s.b.config)
+	if err != nil {
+		return nil, "", err
+	}
+	var file map[string]any
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return nil, "", err
+	}
+	file["listen"], file["control"] = s.listen, control
+	if raw, err = json.Marshal(file); err != nil {
+		return nil, "", err
+	}
+	s.n++
+	path := filepath.Join(s.b.dir, fmt.Sprintf("service-%d.json", s.n))
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return nil, "", err
+	}
+	cmd = exec.Command(s.binary)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "TMPDIR="+s.tmp)
+	if err := cmd.Start(); err != nil {
+		return nil, "", err
+	}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if text, err := ask(control, "health"); err == nil && strings.HasPrefix(text, "200") {
+			return cmd, control, nil
+		}
+	}
+	return nil, "", fmt.Errorf("no yes within 10 s")
+}
+
+// ask calls a control address.
+func ask(control, line string) (string, error) {
+	c, err := net.Dial("tcp", control)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	raw, err := io.ReadAll(c)
+	return string(raw), err
+}
+
+func (s *service) kill() {
+	if s.process != nil {
+		_ = s.process.Process.Kill()
+		_ = s.process.Wait()
+	}
+}
+
+// pair is what a sidecar's processes hold: bytes in memory, descriptors.
+func pair(pids ...int) (rss int64, descriptors int) {
+	for _, pid := range pids {
+		if _, r, err := usage(pid); err == nil {
+			rss += r
+		}
+		if all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
+			descriptors += len(all)
+		}
+	}
+	return rss, descriptors
+}
+
+// steady sends at a rate until it is stopped, and counts what met a closed door: what failed, and what had to be sent again.
+type steady struct {
+	client          http.Client
+	address         string
+	stop            context.CancelFunc
+	done            sync.WaitGroup
+	sent, failed    atomic.Int64
+	again, refusals atomic.Int64
+}
+
+func newSteady(address string, rate float64) *steady {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &steady{address: address, stop: stop, client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 5 * time.Second}}
+	l.done.Go(func() {
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-ticker.C:
+				l.done.Go(func() { l.call(n) })
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return l
+}
+
+func (l *steady) call(n int) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+l.address+"/entry", strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	h := req.Header
+	h["X-Request-Id"] = []string{fmt.Sprintf("u-%d-%d", os.Getpid(), n)}
+	h["X-Priority-Class"], h["X-Tenant-Id"], h["X-Timeout"] = []string{"entry"}, []string{"north"}, []string{"2000m"}
+	req.GetBody = func() (io.ReadCloser, error) { // the client found its kept connection closed
+		l.again.Add(1)
+		return io.NopCloser(strings.NewReader(body)), nil
+	}
+	l.sent.Add(1)
+	res, err := l.client.Do(req)
+	if err != nil {
+		l.failed.Add(1)
+		return
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	switch {
+	case res.StatusCode == http.StatusServiceUnavailable:
+		l.refusals.Add(1)
+	case err != nil || res.StatusCode != http.StatusOK:
+		l.failed.Add(1)
+	}
+}
+
+// upgrades replaces the process so many times under a rate, and returns how many requests met a closed door and what the pair held at most.
+func (s *service) upgrades(times int, rate float64) (l *steady, rss int64, descriptors int, err error) {
+	l = newSteady(s.listen, rate)
+	defer l.done.Wait()
+	defer l.stop()
+	for range times {
+		time.Sleep(300 * time.Millisecond)
+		next, control, err := s.start()
+		if err != nil {
+			return l, 0, 0, err
+		}
+		r, d := pair(s.process.Process.Pid, next.Process.Pid)
+		rss, descriptors = max(rss, r), max(descriptors, d)
+		if err := s.process.Process.Signal(syscall.SIGTERM); err != nil {
+			return l, 0, 0, err
+		}
+		if err := s.process.Wait(); err != nil {
+			return l, 0, 0, fmt.Errorf("the old process: %w", err)
+		}
+		s.process, s.control = next, control
+	}
+	time.Sleep(300 * time.Millisecond)
+	return l, rss, descriptors, nil
+}
+
+// callUnder is how long operators' calls take while clients saturate the process, and beside callers that say nothing.
+func (s *service) callUnder(seconds float64, silent int) (times []time.Duration, err error) {
+	for range silent {
+		c, err := net.Dial("tcp", s.control)
+		if err != nil {
+			return nil, err
+		}
+		defer c.Close()
+	}
+	var loading sync.WaitGroup
+	defer loading.Wait()
+	loading.Go(func() {
+		_, _ = load{Mode: "through", Address: s.listen, Connections: 256, Seconds: seconds, Seed: uint64(time.Now().UnixNano()), Lenient: true}.run()
+	})
+	for end := time.Now().Add(time.Duration(seconds * float64(time.Second))); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		begun := time.Now()
+		text, err := ask(s.control, "counters")
+		if err != nil || !strings.HasSuffix(text, "EOF\n") {
+			return nil, fmt.Errorf("an operator's call: %q, %v", text, err)
+		}
+		times = append(times, time.Since(begun))
+	}
+	return times, nil
+}
+
+// measureService: operators' calls while the core is saturated, replacements under load, streams beside the standard library's reverse proxy.
+func measureService(short bool) (string, []string, error) {
+	b, err := newBenchOf("", 1000, 20000)
+	if err != nil {
+		return "", nil, err
+	}
+	defer b.close()
+	s := &service{b: b, binary: filepath.Join(b.dir, "caperarch"), tmp: b.dir}
+	if s.listen, err = freePort(); err != nil {
+		return "", nil, err
+	}
+	if s.process, s.control, err = s.start(); err != nil {
+		return "", nil, err
+	}
+	defer s.kill()
+	times, seconds := 30, 8.0
+	if short {
+		times, seconds = 3, 2.0
+	}
+	result, missed := "", []string(nil)
+	for _, silent := range []int{0, silentOnes} {
+		took, err := s.callUnder(seconds, silent)
+		if err != nil {
+			return "", nil, err
+		}
+		p50, most := quantile(took, 0.5), quantile(took, 1)
+		fmt.Printf("operators' calls beside 256 busy clients and %d silent callers: p50 %.2f ms, most %.1f ms, %d calls\n", silent, p50, most, len(took))
+		result += fmt.Sprintf("call_p50_ms_%d=%.2f call_most_ms_%d=%.1f ", silent, p50, silent, most)
+		if most > float64(controlBound.Milliseconds()) {
+			missed = append(missed, fmt.Sprintf("an operator waited %.0f ms, %v at most", most, controlBound))
+		}
+	}
+	for _, rate := range []float64{350, 2100} {
+		l, rss, descriptors, err := s.upgrades(times, rate)
+		if err != nil {
+			return "", nil, err
+		}
+		touched := float64(l.failed.Load()+l.again.Load()) / float64(times)
+		fmt.Printf("%d upgrades at %.0f/s: %d requests, %d failed, %d sent again, %d refused; the pair held %.1f MiB and %d descriptors at most\n",
+			times, rate, l.sent.Load(), l.failed.Load(), l.again.Load(), l.refusals.Load(), float64(rss)/(1<<20), descriptors)
+		result += fmt.Sprintf("touched_%.0f=%.2f failed_%.0f=%d ", rate, touched, rate, l.failed.Load())
+		if touched > touchedBound || l.failed.Load() > 0 {
+			missed = append(missed, fmt.Sprintf("%.2f requests an upgrade met a closed door at %.0f/s, %d failed", touched, rate, l.failed.Load()))
+		}
+	}
+	streams, worse, err := measureStreams(short)
+	return result + streams, append(missed, worse...), err
+}
