--- a/cmd/caperarch/replace_test.go
+++ b/cmd/caperarch/replace_test.go
@@ -46,6 +46,7 @@
 	listen    string
 	discovery string
 	known     string
+	limits    map[string]any // nil: the rig's
 }
 
 func freeAddress(t *testing.T) string {
@@ -64,6 +65,9 @@
 	p := &process{control: freeAddress(s.t), ended: make(chan error, 1)}
 	text := rig.ConfigText(s.t, s.known, func(file, _ map[string]any) {
 		file["listen"], file["discovery"], file["control"] = s.listen, s.discovery, p.control
+		if s.limits != nil {
+			file["limits"] = s.limits
+		}
 	})
 	path := filepath.Join(s.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -184,6 +184,13 @@
 	a.signal()
 }
 
+// moves takes that a good piece of a connection's request came.
+func (a *acceptor) moves(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books.moves(a.clock.Now(), &c.entry)
+}
+
 // last takes that a connection has its last answer, and is read over.
 func (a *acceptor) last(c *conn) {
 	a.mu.Lock()
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -21,6 +21,8 @@
 	leaveTime = 2 * time.Second
 	// windowSize is how much of a stream is in our hands at a time.
 	windowSize = 32 << 10
+	// goodPiece is what a legal slow client sends in a quarter of a second. Who sends less in twice that is one of those that make room.
+	goodPiece = 16 << 10
 )
 
 // windows are buffers of streams; one that rests between two pieces has none of its own beyond that.
@@ -148,6 +150,7 @@
 // prefix reads as much as is held whole, within bodyTime. whole says that this is all of it.
 func (b *bodyReader) prefix(size int64) (body []byte, whole bool, err error) {
 	body = make([]byte, 0, min(max(size, scratchSize), call.BodyLimit))
+	moved := 0
 	for len(body) < call.BodyLimit {
 		if len(body) == cap(body) {
 			grown := make([]byte, len(body), min(call.BodyLimit, 2*cap(body)))
@@ -155,7 +158,10 @@
 			body = grown
 		}
 		n, err := b.read(body[len(body):cap(body)], false)
-		body = body[:len(body)+n]
+		if body = body[:len(body)+n]; len(body)-moved >= goodPiece {
+			moved = len(body)
+			b.c.a.moves(b.c)
+		}
 		if errors.Is(err, io.EOF) {
 			return body, true, nil
 		}
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -253,6 +253,14 @@
 // unread takes that the request on a connection is not whole yet.
 func (b *books) unread(now time.Duration, e *entry) { b.into(now, e, reading) }
 
+// moves takes that a good piece of the request on a connection came: it is slow, not stuck, and others have stood for longer.
+func (b *books) moves(now time.Duration, e *entry) {
+	if e.place != nil && e.in == reading {
+		e.since = now
+		b.rests[reading].MoveToBack(e.place)
+	}
+}
+
 // last takes that a connection has its last answer, while its client may still send.
 func (b *books) last(now time.Duration, e *entry) { b.into(now, e, over) }
 
--- a/internal/front/http1/books_test.go
+++ b/internal/front/http1/books_test.go
@@ -160,3 +160,26 @@
 		t.Errorf("%d leave once they rest for too long", len(leave))
 	}
 }
+
+// Where too many requests are being read, those that stand still make room, not those that come slowly.
+func TestSlowOnesStayWhereStuckOnesGo(t *testing.T) {
+	b := books{bounds: BoundsOf(128, 85)}
+	add := func() *entry {
+		e := &entry{}
+		b.add(0, e)
+		b.busy(e)
+		b.unread(0, e)
+		return e
+	}
+	slow := add() // the first: it would go first
+	for range 40 {
+		add()
+	}
+	for now := time.Duration(0); now <= 2*time.Second; now += 250 * time.Millisecond {
+		b.moves(now, slow)
+		b.sweep(now)
+	}
+	if slow.gone || b.open > b.bounds.Rest[reading] {
+		t.Errorf("the slow one is gone: %v; %d open, %d may be read", slow.gone, b.open, b.bounds.Rest[reading])
+	}
+}
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -401,7 +401,12 @@
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
 	c.a.unread(c)
+	moved := len(body)
 	for len(body) < length {
+		if len(body)-moved >= goodPiece {
+			moved = len(body)
+			c.a.moves(c)
+		}
 		if len(body) == cap(body) { // no more memory than twice what has come
 			grown := make([]byte, len(body), min(length, 2*cap(body)))
 			copy(grown, body)
