Cold budgets and retry budget are divided while two processes live; a drain crosses fewer requests

What was used within 250 ms is now left for its next answer, which says that it closes, for the first half second.

--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -26,9 +26,18 @@
 	return nil
 }
 
+// Parts is among how many processes a budget is divided, at least one.
+func Parts(of func() int) float64 {
+	if of == nil {
+		return 1
+	}
+	return float64(max(1, of()))
+}
+
 // Budget keeps count of what a Limit allows. It is used from one goroutine.
 type Budget struct {
 	Limit
+	Parts       func() int // processes that Free is divided among; nil: one
 	taken, more window
 }
 
@@ -46,7 +55,7 @@
 		return false
 	}
 	from := now - b.Span
-	return float64(b.more.since(from)+1) > b.Free+b.Share*float64(b.taken.since(from+1))
+	return float64(b.more.since(from)+1) > b.Free/Parts(b.Parts)+b.Share*float64(b.taken.since(from+1))
 }
 
 // Tried counts an attempt after a request's first.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,8 +121,10 @@
 		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns / s.parted(), Reports: cfg.Reports, Columns: cfg.Columns,
 		Wrote: s.figures.Tried,
 	})}
+	decisions := cfg.Policy
+	decisions.Parts = func() int { return int(s.living.Load()) }
 	e, err := engine.New(engine.Config{
-		Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: p.transport, Log: log, Watch: func() { p.follower.Ask() },
+		Policy: decisions, Seed: cfg.Seed, Clock: c, Transport: p.transport, Log: log, Watch: func() { p.follower.Ask() },
 		Module: o.module(),
 	})
 	if err != nil {
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -139,6 +139,7 @@
 
 // share bounds this process to its part of what the sidecar may hold. The caller holds the lock, or is alone.
 func (s *service) share() {
+	s.living.Store(int32(s.divided))
 	if s.memory > 0 {
 		debug.SetMemoryLimit(s.memory / int64(s.divided))
 	}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"caperarch/internal/bans"
@@ -34,6 +35,8 @@
 	seat    *handover.Seat   // nil: a process that comes while this one lives finds its address in use
 	record  *handover.Record // what the process before told; nil: nothing
 
+	living atomic.Int32 // divided, for those who must not wait
+
 	mu      sync.Mutex
 	machine handover.Machine
 	divided int               // processes that live
--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -146,11 +146,11 @@
 	return a.listener.Close()
 }
 
-// closeResting closes what no request is open on.
-func (a *acceptor) closeResting() {
+// closeResting closes what no request is open on, and has not been for a time.
+func (a *acceptor) closeResting(least time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	closeAll(a.books.resting(a.clock.Now()))
+	closeAll(a.books.resting(a.clock.Now(), least))
 }
 
 // counters are the books' figures.
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -178,8 +178,8 @@
 	return leave, wait, false
 }
 
-// resting takes off what no request is open on. One whose first request may be on its way is left for a while.
-func (b *books) resting(now time.Duration) (leave []*entry) {
+// resting takes off what no request is open on, and has not been for a time. One whose first request may be on its way is left for a while.
+func (b *books) resting(now, least time.Duration) (leave []*entry) {
 	for k := range kinds {
 		if k == reading || k == over {
 			continue
@@ -187,7 +187,7 @@
 		for place := b.rests[k].Front(); place != nil; {
 			e := place.Value.(*entry)
 			place = place.Next()
-			if k == silent && now-e.since < newFor || b.speaks != nil && b.speaks(e) {
+			if now-e.since < least || k == silent && now-e.since < newFor || b.speaks != nil && b.speaks(e) {
 				continue
 			}
 			b.end(e)
--- a/internal/front/http1/drain.go
+++ b/internal/front/http1/drain.go
@@ -7,6 +7,7 @@
 
 const (
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
+	restLeft   = 250 * time.Millisecond // a connection that was used so lately is likely to be used again meanwhile
 	closeEvery = 50 * time.Millisecond  // between two looks at what rests
 	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
 )
@@ -19,11 +20,13 @@
 	f.ready.Store(false)
 	f.draining.Store(true)
 	a := f.conns
-	a.closeResting()
-	time.Sleep(lingerTime)
+	// What clients use often closes with its next answer, which crosses nothing; only what they let rest is closed under them at first.
+	for begun := a.clock.Now(); a.clock.Now()-begun < lingerTime; time.Sleep(closeEvery) {
+		a.closeResting(restLeft)
+	}
 	err := a.close()
 	for end := time.After(f.cfg.Longest + exitMargin); ; {
-		a.closeResting()
+		a.closeResting(0)
 		if a.counters().Open == 0 {
 			break
 		}
--- a/policy/api.go
+++ b/policy/api.go
@@ -107,7 +107,8 @@
 	ProbePrice     float64 // price of a probe, against a worth of 1
 	CrossZonePrice float64 // price of an attempt that leaves the zone, against a worth of 1
 
-	Gate func(rng *rand.Rand) admission.Gate `json:"-"` // who may try for a slot at all; nil: the module's own way. To weigh others.
+	Parts func() int                          `json:"-"` // processes that are this balancer for now, as one replaces the other; nil: one
+	Gate  func(rng *rand.Rand) admission.Gate `json:"-"` // who may try for a slot at all; nil: the module's own way. To weigh others.
 }
 
 // State is what the server list says of a server.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,7 @@
 	}
 	b.worth = cmp.Or(b.worth, 1)
 	b.asking = asking.New(b.rng, cfg.Balancers, cfg.AskWithin)
-	b.budget = admission.Budget{Limit: cfg.Budget}
+	b.budget = admission.Budget{Limit: cfg.Budget, Parts: cfg.Parts}
 	health := admission.NewHealth()
 	shares := 0.0
 	for _, t := range cfg.tenants() {
@@ -382,7 +382,7 @@
 // well within its budget: each keeps an even part, whatever traffic it has.
 func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
 	rate := cmp.Or(b.quota/float64(b.cfg.Balancers), float64(max(b.out, 1))/b.pace.Seconds())
-	rate = b.part(rate, s) * b.weight / max(b.reach, s.Weight) * b.warmth(now, s)
+	rate = b.part(rate, s) * b.weight / max(b.reach, s.Weight) * b.warmth(now, s) / admission.Parts(b.cfg.Parts)
 	return time.Duration(float64(time.Second) / max(rate*coldPart*max(b.cfg.ColdMultiple, 1), 0.01))
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -321,6 +321,27 @@
 	}
 }
 
+// While two processes are one balancer, each sends a cold server half of what one would.
+func TestColdBudgetIsDivided(t *testing.T) {
+	sends := map[int]int{}
+	for _, parts := range []int{1, 2} {
+		cfg := testConfig()
+		cfg.Balancers, cfg.Parts = 1, func() int { return parts }
+		list := ready(1, 2)
+		b, h := start(t, cfg, list)
+		list[0].Started = 10 * time.Second
+		b.List(10*time.Second, ListDelta, list[:1])
+		for now, id := 10*time.Second, RequestID(0); now < 12*time.Second; now, id = now+2*ms, id+1 {
+			ask(b, now, id, safeClass)
+			end(b, now+ms, id, 0, Served)
+		}
+		sends[parts] = h.sentTo(1)
+	}
+	if ratio := float64(sends[2]) / float64(sends[1]); ratio < 0.4 || ratio > 0.6 {
+		t.Errorf("sends by processes: %v", sends)
+	}
+}
+
 func TestColdServerIsSpared(t *testing.T) {
 	for _, balancers := range []int{1, 4} {
 		cfg := testConfig()
