--- a/conformance/cases.go
+++ b/conformance/cases.go
@@ -468,6 +468,7 @@
 		if a := rig.Wait(t, "its end", answered); a.Kind != Gone {
 			t.Errorf("%+v, want gone", a)
 		}
+		time.Sleep(100 * time.Millisecond) // its end crosses the loopback, and the client's own goroutine closes it
 		n := w.subject.Node(t, "s-late", w.Ledger)
 		w.Discovery.Set(n, "ready")
 		rig.Until(t, "the node to take part", func() bool { return w.Do(w.Usable("look")).Kind == Served })
