--- a/cmd/caperarch/replace_test.go
+++ b/cmd/caperarch/replace_test.go
@@ -240,6 +240,23 @@
 	return p.log.b.String()
 }
 
+// A folder that can't be used takes nothing away but the replacement: the process serves, and says yes to a ban that holds in itself.
+func TestServesWithoutAFolder(t *testing.T) {
+	var l rig.Ledger
+	for _, dir := range []string{"", filepath.Join(t.TempDir(), "none")} {
+		s := newSidecar(t, rig.NewHTTPNode(t, "s-0", &l))
+		s.dir = dir
+		p := s.start().ready(t)
+		if got := p.call("cordon s-0"); !strings.HasPrefix(got, "200") {
+			t.Errorf("folder %q: %s", dir, got)
+		}
+		if got := p.call("counters"); !strings.Contains(got, "\nedge_skipped_upstreams 1\n") {
+			t.Errorf("folder %q: the ban does not hold: %s", dir, got)
+		}
+		p.stop(t)
+	}
+}
+
 // An old process that waits for its last answer has given its part up long before: its successor must not be held to half for as long as that takes.
 func TestSuccessorHasAllWhileTheOldOneWaits(t *testing.T) {
 	var l rig.Ledger
--- a/internal/handover/seat.go
+++ b/internal/handover/seat.go
@@ -33,9 +33,10 @@
 // Open takes the seat, or a newcomer's place where an older process has it.
 func Open(dir string) (s *Seat, err error) {
 	s = &Seat{dir: dir}
+	made := s // a return with an error leaves none in s
 	defer func() {
 		if err != nil {
-			s.Close()
+			made.Close()
 		}
 	}()
 	if s.seat, err = os.OpenFile(filepath.Join(dir, seatName), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
