Both ends of a stream share one window, write, look and frame of a chunk

An upload's deadline for its answer is set in one place, a reader of chunks is told to wait without an assertion, linger's branch that no caller reached any more is gone, ownedPause no longer stands under another bound's comment.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,10 +21,11 @@
 	countersEvery = 10 * time.Second // how often the module's counters go to the log
 	eventQueue    = 256
 
+	ownedPause = 200 * time.Millisecond // before a client sends a large body anew
+
 	// The module is woken every 100 ms at least. Where more than stalledAfter has passed between two events,
 	// the process was stopped: what was told in the meantime is heard before anything is sent, for
 	// hearWithin at most. Else requests that waited would go to servers that drain or are gone by then.
-	ownedPause   = 200 * time.Millisecond // before a client sends a large body anew
 	stalledAfter = 500 * time.Millisecond
 	hearWithin   = 50 * time.Millisecond
 )
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -11,23 +11,16 @@
 
 	"caperarch/internal/call"
 	"caperarch/internal/h1"
+	"caperarch/internal/stream"
 )
 
 const (
-	// standTime is how long an end of a stream may stand still. Slow ones that are legal give or take something each second; their
-	// system's buffers hide some of that from us, never so much.
-	standTime = 15 * time.Second
 	// leaveTime is how long the rest of a body is read over whose request has its answer: its client may look for that only once it has sent all.
 	leaveTime = 2 * time.Second
-	// windowSize is how much of a stream is in our hands at a time.
-	windowSize = 32 << 10
 	// goodPiece is what a legal slow client sends in a quarter of a second. Who sends less in twice that is one of those that make room.
 	goodPiece = 16 << 10
 )
 
-// windows are buffers of streams; one that rests between two pieces has none of its own beyond that.
-var windows = sync.Pool{New: func() any { return new([windowSize]byte) }}
-
 // bodyReader reads the body of one request from its client, in whatever form it comes. While it is read on another goroutine (see call.Upload) the connection's
 // own must not read: stop ends that.
 type bodyReader struct {
@@ -59,7 +52,7 @@
 	return b
 }
 
-// Read reads on, and waits for standTime at most for the next piece.
+// Read reads on, and waits for stream.StandTime at most for the next piece.
 func (b *bodyReader) Read(p []byte) (int, error) { return b.read(p, true) }
 
 func (b *bodyReader) read(p []byte, timed bool) (n int, err error) {
@@ -84,10 +77,10 @@
 			continue
 		}
 		if timed {
-			if b.chunks != nil && len(b.buf) < windowSize/2 { // more is to come than what is held
-				b.buf = make([]byte, windowSize/2)
+			if b.chunks != nil && len(b.buf) < stream.WindowSize/2 { // more is to come than what is held
+				b.buf = make([]byte, stream.WindowSize/2)
 			}
-			_ = b.c.net.SetReadDeadline(time.Now().Add(standTime))
+			_ = b.c.net.SetReadDeadline(time.Now().Add(stream.StandTime))
 			if b.stopped.Load() { // its own deadline came first
 				return 0, errStopped
 			}
@@ -196,8 +189,8 @@
 
 // over reads the rest of the body over; false: it did not come.
 func (b *bodyReader) over() bool {
-	p := windows.Get().(*[windowSize]byte)
-	defer windows.Put(p)
+	p := stream.Take()
+	defer stream.Give(p)
 	for {
 		if _, err := b.read(p[:], false); err != nil {
 			return errors.Is(err, io.EOF)
@@ -236,18 +229,17 @@
 		case <-ended:
 		}
 	}()
-	window := windows.Get().(*[windowSize]byte)
-	defer windows.Put(window)
+	window := stream.Take()
+	defer stream.Give(window)
 	chunked := head.Length < 0
 	for {
-		const room = 8 // before the piece, for its size, and behind it, for CR LF
-		n, err := body.Read(window[room : windowSize-room])
+		n, err := body.Read(window[h1.FrameBefore : stream.WindowSize-h1.FrameBehind])
 		if n > 0 {
-			piece := window[room : room+n]
+			piece := window[h1.FrameBefore : h1.FrameBefore+n]
 			if chunked {
-				piece = frame(window[:], room, n)
+				piece = h1.Frame(window[:], n)
 			}
-			if c.writeWithin(piece, standTime) != nil {
+			if stream.Write(c.net, piece) != nil {
 				return false
 			}
 		}
@@ -259,37 +251,9 @@
 			return false
 		}
 	}
-	if chunked && c.writeWithin([]byte("0\r\n\r\n"), standTime) != nil {
+	if chunked && stream.Write(c.net, []byte(h1.LastChunk)) != nil || c.net.SetWriteDeadline(time.Time{}) != nil {
 		return false
 	}
 	counts.Handled(outcome(http.StatusOK))
 	return true
 }
-
-// frame puts a chunk's frame round n bytes at b[room:], and returns it all.
-func frame(b []byte, room, n int) []byte {
-	const hex = "0123456789abcdef"
-	at := room
-	put := func(c byte) { at--; b[at] = c }
-	put('\n')
-	put('\r')
-	for size := n; size > 0; size >>= 4 {
-		put(hex[size&15])
-	}
-	return append(b[at:room+n], '\r', '\n')
-}
-
-// writeWithin writes all of p, of which each part is taken within a time.
-func (c *conn) writeWithin(p []byte, within time.Duration) error {
-	for len(p) > 0 {
-		if err := c.net.SetWriteDeadline(time.Now().Add(within)); err != nil {
-			return err
-		}
-		n, err := c.net.Write(p)
-		p = p[n:]
-		if err != nil && !(n > 0 && errors.Is(err, os.ErrDeadlineExceeded)) {
-			return err
-		}
-	}
-	return c.net.SetWriteDeadline(time.Time{})
-}
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -17,6 +17,7 @@
 	"caperarch/internal/call"
 	"caperarch/internal/figures"
 	"caperarch/internal/h1"
+	"caperarch/internal/stream"
 )
 
 // lingerMost bounds in bytes what is read over behind a rejected request: several whole ones.
@@ -95,8 +96,7 @@
 func (c *conn) left() bool {
 	gone := true
 	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := stream.Peek(fd)
 		gone = n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 	})
 	return err != nil || gone
@@ -123,8 +123,7 @@
 
 // readable says whether there is something to read, the end included.
 func (c *conn) readable(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	_, err := stream.Peek(fd)
 	return !errors.Is(err, syscall.EAGAIN)
 }
 
@@ -134,10 +133,7 @@
 		return false
 	}
 	n := 0
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	err := c.raw.Control(func(fd uintptr) { n, _ = stream.Peek(fd) })
 	// In this order: who takes the bytes out of the buffer has said so before.
 	return err == nil && (n > 0 || c.taken.Load())
 }
@@ -307,13 +303,14 @@
 	if bad != nil {
 		return c.reject(bad)
 	}
-	c.of, c.counts = t, t.class(q.Class)
+	counts := t.class(q.Class)
+	c.of, c.counts = t, counts
 	c.a.asked(c, &t.owner)
 	if f.gate.Load() != nil && c.a.crowded(c) { // a pool that has more than its part makes room for those that come
 		return c.refuseHead(h)
 	}
 	// What is held of the body at a time; of one in chunks nothing is known yet.
-	id, length := h.Get("X-Request-Id"), min(max(h.Length, 0), call.BodyLimit+windowSize)
+	id, length := h.Get("X-Request-Id"), min(max(h.Length, 0), call.BodyLimit+stream.WindowSize)
 	if !t.enter(id) {
 		return c.reject(&Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
 	}
@@ -337,7 +334,7 @@
 	} else if body, ok = c.begin(h, m); ok {
 		length = int64(len(m.Body))
 		if body != nil {
-			length += windowSize
+			length += stream.WindowSize
 		}
 	}
 	if !ok {
@@ -358,8 +355,8 @@
 	}
 	f.held.Add(1)
 	defer f.held.Add(-1)
-	t.class(q.Class).Began()
-	defer t.class(q.Class).Ended()
+	counts.Began()
+	defer counts.Ended()
 	reply := make(chan call.Answer, 1)
 	c.leave()
 	number := t.Engine.Ask(q, m, arrived+left, reply)
@@ -465,7 +462,7 @@
 	if !c.final(a) {
 		return false
 	}
-	c.lingerFor(leaveTime, lingerWhole)
+	c.linger(leaveTime, lingerWhole)
 	return false
 }
 
@@ -481,7 +478,7 @@
 	if rest := h.Length - have; !h.Chunks && rest > call.BodyLimit || c.s.head.Close && (h.Chunks || rest > 0) {
 		c.s.head.Close = true
 		if c.refuse(time.Second) {
-			c.lingerFor(leaveTime, lingerWhole)
+			c.linger(leaveTime, lingerWhole)
 		}
 		return false
 	}
@@ -508,34 +505,30 @@
 		a.Pause = time.Second
 	}
 	if c.answer(&a, []byte(bad.Reason+"\n")) {
-		c.linger(lingerMost)
+		c.linger(rejectTime, lingerMost)
 	}
 	return false
 }
 
-// linger ends our side and reads over what a client still sends, for rejectTime and so many bytes: closed with
+// linger ends our side and reads over what a client still sends, for a time and so many bytes: closed with
 // something unread a connection is reset, and the client finds that instead of its answer (RFC 9112, 9.6).
 // That is no place which others wait for: it goes first where room is short.
-func (c *conn) linger(most int64) { c.lingerFor(rejectTime, most) }
-
-func (c *conn) lingerFor(within time.Duration, most int64) {
+func (c *conn) linger(within time.Duration, most int64) {
 	tcp, ok := c.net.(*net.TCPConn)
 	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(within)) != nil {
 		return
 	}
 	c.a.last(c)
-	if c.readOver(most) && most < lingerMost {
-		c.readOver(1) // the client's own end, so that nothing is left that it could not have read
-	}
+	c.readOver(most)
 }
 
 // readOver reads so many bytes over; false: they did not come.
 func (c *conn) readOver(rest int64) bool {
-	b := overs.Get().(*[overSize]byte)
-	defer overs.Put(b)
+	b := stream.Take()
+	defer stream.Give(b)
 	c.start, c.end = 0, 0 // what was here is part of it
 	for rest > 0 {
-		n, err := c.read(b[:min(rest, overSize)])
+		n, err := c.read(b[:min(rest, stream.WindowSize)])
 		if rest -= int64(n); err != nil || n == 0 {
 			return false
 		}
--- a/internal/front/http1/scratch.go
+++ b/internal/front/http1/scratch.go
@@ -36,9 +36,3 @@
 	s.parser.Reset()
 	scratches.Put(s)
 }
-
-// overSize is read over at a time: a body in few system calls.
-const overSize = 32 << 10
-
-// overs are buffers that what nobody wants is read into.
-var overs = sync.Pool{New: func() any { return new([overSize]byte) }}
--- a/internal/h1/chunked.go
+++ b/internal/h1/chunked.go
@@ -185,3 +185,25 @@
 	}
 	return nil
 }
+
+// A chunk's frame: its size stands before what it holds, CR LF behind it.
+const (
+	FrameBefore = 10
+	FrameBehind = 2
+	LastChunk   = "0\r\n\r\n"
+)
+
+// Frame makes n bytes at b[FrameBefore:] a chunk and returns it. b has room for FrameBehind behind them, and n is above 0 and below 1<<32.
+func Frame(b []byte, n int) []byte {
+	const digits = "0123456789abcdef"
+	at := FrameBefore
+	put := func(c byte) { at--; b[at] = c }
+	put('\n')
+	put('\r')
+	for size := n; size > 0; size >>= 4 {
+		put(digits[size&15])
+	}
+	end := FrameBefore + n
+	b[end], b[end+1] = '\r', '\n'
+	return b[at : end+FrameBehind]
+}
--- a/internal/h1/chunked_test.go
+++ b/internal/h1/chunked_test.go
@@ -117,3 +117,15 @@
 		}
 	}
 }
+
+// What is framed is read back as the same.
+func TestFrame(t *testing.T) {
+	for _, n := range []int{1, 9, 15, 16, 255, 4096, 32 << 10} {
+		b := make([]byte, FrameBefore+n+FrameBehind)
+		copy(b[FrameBefore:], strings.Repeat("x", n))
+		text := string(Frame(b, n)) + LastChunk
+		if body, done, err := unchunk([]byte(text), 7); !done || err != nil || len(body) != n || strings.Trim(string(body), "x") != "" {
+			t.Errorf("%d bytes: %d, done %v, %v", n, len(body), done, err)
+		}
+	}
+}
--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -6,14 +6,13 @@
 	"io"
 	"math"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"caperarch/internal/call"
 	"caperarch/internal/h1"
+	"caperarch/internal/stream"
 	"caperarch/policy"
 )
 
@@ -21,11 +20,8 @@
 	answerLimit = 512 << 10 // bytes of an answer's head, and of a whole answer on the wire, framing included
 	interimMost = 8         // 1xx answers that are read over before the one that counts
 
-	// standTime is how long a server's end of a stream may stand still: slow ones that are legal move each second.
-	standTime = 15 * time.Second
 	// holdBody is how long an answer of unknown length is held, in the hope that it is short and comes whole: then it can still be given up for another attempt.
-	holdBody   = 100 * time.Millisecond
-	windowSize = 32 << 10 // of an upload that is in our hands at a time
+	holdBody = 100 * time.Millisecond
 )
 
 var (
@@ -34,90 +30,59 @@
 	errSource  = errors.New("the body's rest did not come")
 )
 
-var windows = sync.Pool{New: func() any { return new([windowSize]byte) }}
-
-// upload writes a request whose body is passed on as it comes, and returns until when its answer is waited for: the time that was given for that counts from the last
-// byte. early says that the server answers before it has the whole body. An error says that the last byte did not go out: it never ran.
-func (u *Transport) upload(c *conn, m *call.Message, until time.Duration) (_ time.Duration, early bool, err error) {
-	wait := until - u.clock.Now()
+// upload writes a request whose body is passed on as it comes; wait is how long its answer is waited for. early says that the server answers before it has the whole
+// body. An error says that the last byte did not go out: it never ran.
+func (c *conn) upload(m *call.Message, wait time.Duration) (early bool, err error) {
 	if m.More.Claimed() {
-		return 0, false, errClaimed
+		return false, errClaimed
 	}
 	if _, err := c.Write(bytesOf(m, wait)); err != nil { // it can still be sent again
-		return 0, false, err
+		return false, err
 	}
 	if !m.More.Claim() {
-		return 0, false, errClaimed
+		return false, errClaimed
 	}
 	chunked := m.More.Length < 0
-	window := windows.Get().(*[windowSize]byte)
-	defer windows.Put(window)
+	window := stream.Take()
+	defer stream.Give(window)
 	for {
-		const head = 8 // room for a chunk's size
-		n, source := m.More.Read(window[head : windowSize-2])
+		n, source := m.More.Read(window[h1.FrameBefore : stream.WindowSize-h1.FrameBehind])
 		if c.spoken() {
-			_ = c.SetDeadline(u.clock.At(u.clock.Now() + wait))
-			return u.clock.Now() + wait, true, nil
+			return true, nil
 		}
 		if n > 0 {
-			piece := window[head : head+n]
+			piece := window[h1.FrameBefore : h1.FrameBefore+n]
 			if chunked {
-				size := strconv.AppendInt(make([]byte, 0, head), int64(n), 16)
-				size = append(size, "\r\n"...)
-				at := head - len(size)
-				copy(window[at:], size)
-				piece = append(window[at:head+n], "\r\n"...)
+				piece = h1.Frame(window[:], n)
 			}
-			if err := c.writeAll(piece); err != nil {
+			if err := stream.Write(c, piece); err != nil {
 				if c.spoken() { // it closed behind an answer
-					_ = c.SetDeadline(u.clock.At(u.clock.Now() + wait))
-					return u.clock.Now() + wait, true, nil
+					return true, nil
 				}
-				return 0, false, err
+				return false, err
 			}
 		}
 		if errors.Is(source, io.EOF) {
 			break
 		}
 		if source != nil {
-			return 0, false, errors.Join(errSource, source)
+			return false, errors.Join(errSource, source)
 		}
 	}
 	if chunked {
-		if err := c.writeAll([]byte("0\r\n\r\n")); err != nil {
-			return 0, false, err
-		}
-	}
-	until = u.clock.Now() + wait
-	return until, false, c.SetDeadline(u.clock.At(until))
-}
-
-// writeAll writes all of p, of which each part is taken within standTime.
-func (c *conn) writeAll(p []byte) error {
-	for len(p) > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(standTime)); err != nil {
-			return err
-		}
-		n, err := c.Write(p)
-		p = p[n:]
-		if err != nil && !(n > 0 && errors.Is(err, os.ErrDeadlineExceeded)) {
-			return err
-		}
+		return false, stream.Write(c, []byte(h1.LastChunk))
 	}
-	return nil
+	return false, nil
 }
 
 // spoken says whether bytes are here that were not read yet.
 func (c *conn) spoken() bool {
 	n := 0
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	err := c.raw.Control(func(fd uintptr) { n, _ = stream.Peek(fd) })
 	return err == nil && n > 0
 }
 
-// answer reads one answer: whole, or with a *stream for its Body where it is to be passed on while it comes.
+// answer reads one answer: whole, or with a *passed for its Body where it is to be passed on while it comes.
 func (c *conn) answer(u *Transport, m *call.Message, until time.Duration) (*http.Response, []byte, error) {
 	c.limit.N = answerLimit
 	req := &http.Request{Method: m.Method} // tells whether the answer has a body
@@ -129,9 +94,9 @@
 		if res.StatusCode/100 == 1 {
 			continue
 		}
-		passed := m.Stream && res.StatusCode == http.StatusOK
+		pass := m.Stream && res.StatusCode == http.StatusOK
 		switch {
-		case res.ContentLength > call.BodyLimit && !passed:
+		case res.ContentLength > call.BodyLimit && !pass:
 			if res.StatusCode != http.StatusOK { // what it says is enough
 				res.Close = true
 				return res, nil, nil
@@ -143,7 +108,7 @@
 			body := make([]byte, res.ContentLength)
 			_, err := io.ReadFull(res.Body, body)
 			return res, body, err
-		case passed:
+		case pass:
 			return c.unknown(u, res, until)
 		case len(res.TransferEncoding) == 0:
 			// It ends with the connection: nothing tells a whole one from a cut one.
@@ -161,8 +126,9 @@
 // unknown reads an answer that does not tell its length: as a whole one where it comes within holdBody and is short, else as one that is passed on.
 func (c *conn) unknown(u *Transport, res *http.Response, until time.Duration) (*http.Response, []byte, error) {
 	c.limit.N = math.MaxInt64 // its end would pass for the answer's
+	frames := &chunks{r: c.r}
 	if len(res.TransferEncoding) > 0 {
-		res.Body = &chunks{r: c.r}
+		res.Body = io.NopCloser(frames)
 	}
 	hold := min(until, u.clock.Now()+holdBody)
 	body := make([]byte, 0, 4<<10)
@@ -187,6 +153,7 @@
 			return res, nil, err
 		}
 	}
+	frames.waits = true
 	return c.pass(res, body), nil, nil
 }
 
@@ -201,12 +168,6 @@
 // errMore is why a Read that does not wait has nothing: only a part of a chunk's frame was here.
 var errMore = errors.New("more has to come")
 
-// Close is there for a response's body; the connection's owner ends it.
-func (c *chunks) Close() error { return nil }
-
-// wait has Read wait from now on.
-func (c *chunks) wait() { c.waits = true }
-
 func (c *chunks) Read(p []byte) (int, error) {
 	for {
 		if c.state.Done() {
@@ -237,8 +198,7 @@
 func (c *conn) speaks(u *Transport, hold, until time.Duration) bool {
 	_ = c.SetReadDeadline(u.clock.At(hold))
 	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := stream.Peek(fd)
 		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 	})
 	_ = c.SetReadDeadline(u.clock.At(until))
@@ -248,31 +208,28 @@
 // pass makes an answer one that is passed on, with what was read of it already.
 func (c *conn) pass(res *http.Response, begun []byte) *http.Response {
 	c.limit.N = math.MaxInt64
-	if b, ok := res.Body.(interface{ wait() }); ok {
-		b.wait()
-	}
-	res.Body = streamed{&stream{c: c, res: res, body: res.Body, begun: begun, ended: make(chan policy.Ending, 1)}}
+	res.Body = streamed{&passed{c: c, res: res, body: res.Body, begun: begun, ended: make(chan policy.Ending, 1)}}
 	return res
 }
 
 // streamed has a stream stand for a response's body, which closes in another form.
-type streamed struct{ *stream }
+type streamed struct{ *passed }
 
 func (s streamed) Close() error {
-	s.stream.Close()
+	s.passed.Close()
 	return nil
 }
 
 // streamOf is the stream of an answer that is passed on, or nil.
-func streamOf(res *http.Response) *stream {
+func streamOf(res *http.Response) *passed {
 	if s, ok := res.Body.(streamed); ok {
-		return s.stream
+		return s.passed
 	}
 	return nil
 }
 
-// stream is a call.Body over the connection that it comes on, which is its own until its end.
-type stream struct {
+// passed is a call.Body over the connection that it comes on, which is its own until its end.
+type passed struct {
 	c     *conn
 	res   *http.Response
 	body  io.Reader
@@ -282,16 +239,16 @@
 }
 
 // Length is the body's in bytes; -1: unknown.
-func (s *stream) Length() int64 { return s.res.ContentLength }
+func (s *passed) Length() int64 { return s.res.ContentLength }
 
-// Read reads on, and waits for standTime at most.
-func (s *stream) Read(p []byte) (int, error) {
+// Read reads on, and waits for stream.StandTime at most.
+func (s *passed) Read(p []byte) (int, error) {
 	if len(s.begun) > 0 {
 		n := copy(p, s.begun)
 		s.begun = s.begun[n:]
 		return n, nil
 	}
-	if err := s.c.SetReadDeadline(time.Now().Add(standTime)); err != nil {
+	if err := s.c.SetReadDeadline(time.Now().Add(stream.StandTime)); err != nil {
 		s.end(policy.Broken)
 		return 0, err
 	}
@@ -306,10 +263,10 @@
 }
 
 // Close gives the answer up; behind its end it changes nothing.
-func (s *stream) Close() { s.end(policy.Cancelled) }
+func (s *passed) Close() { s.end(policy.Cancelled) }
 
 // end is the one place where a stream's end is told: the first word counts.
-func (s *stream) end(how policy.Ending) {
+func (s *passed) end(how policy.Ending) {
 	s.once.Do(func() {
 		if how != policy.Served {
 			s.c.Conn.Close() // whoever reads is woken
@@ -319,7 +276,7 @@
 }
 
 // follow waits for the end of an answer that is passed on.
-func (u *Transport) follow(x *exchange, to *host, s *stream) {
+func (u *Transport) follow(x *exchange, to *host, s *passed) {
 	if ending := <-s.ended; ending == policy.Served && !s.res.Close && s.c.r.Buffered() == 0 && x.begin(nil) {
 		u.keepIdle(to, s.c)
 	} else {
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -22,6 +22,7 @@
 
 	"caperarch/internal/call"
 	"caperarch/internal/clock"
+	"caperarch/internal/stream"
 	"caperarch/internal/wire"
 	"caperarch/policy"
 )
@@ -349,15 +350,17 @@
 	}
 	_ = c.SetDeadline(u.clock.At(until)) // fails only on a closed connection, as the write then does
 	if m.More != nil {
-		var early bool
-		var err error
-		if until, early, err = u.upload(c, m, until); err != nil {
+		wait := until - begun
+		early, err := c.upload(m, wait)
+		if err != nil {
 			u.discard(c)
 			if errors.Is(err, errClaimed) || errors.Is(err, errSource) {
 				return nil, nil, policy.NotSent // the client's lack: no word on the server
 			}
 			return nil, nil, unsent(err)
 		}
+		until = u.clock.Now() + wait // what was given for the answer counts from the last byte
+		_ = c.SetDeadline(u.clock.At(until))
 		if early { // it does not want the rest, and its answer says why
 			res, _, err := c.answer(u, m, until)
 			u.discard(c)
@@ -451,8 +454,7 @@
 	}
 	var broken error
 	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := stream.Peek(fd)
 		switch {
 		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
 			return false
