What is held of a long body grows with what has come, not with what its head tells

The reader of long bodies made room for 64 KiB at the head alone; the path of short ones keeps to twice what has come, as clients that tell of a body and do not send it must not use up the memory.

--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -141,11 +141,11 @@
 }
 
 // prefix reads as much as is held whole, within bodyTime. whole says that this is all of it.
-func (b *bodyReader) prefix(size int64) (body []byte, whole bool, err error) {
-	body = make([]byte, 0, min(max(size, scratchSize), call.BodyLimit))
+func (b *bodyReader) prefix() (body []byte, whole bool, err error) {
+	body = make([]byte, 0, 2*scratchSize)
 	moved := 0
 	for len(body) < call.BodyLimit {
-		if len(body) == cap(body) {
+		if len(body) == cap(body) { // no more memory than twice what has come, whatever the head tells
 			grown := make([]byte, len(body), min(call.BodyLimit, 2*cap(body)))
 			copy(grown, body)
 			body = grown
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -429,7 +429,7 @@
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
 	c.a.unread(c)
-	body, whole, err := b.prefix(h.Length)
+	body, whole, err := b.prefix()
 	if err != nil {
 		if bad := b.fault(err); bad != nil {
 			c.reject(bad)
