How many processes live is kept once, and one place fits a pool to it

The count stood twice, under the lock and as an atomic, and three places bounded a pool's connections by it; one made its transport by the count before the pool was entered, so a change between the two was missed till the next.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,11 +118,11 @@
 // assemble puts an engine together with the transport that it sends over and the list that it follows. Nothing runs yet.
 func assemble(name string, cfg *config.Config, c clock.Clock, conns int, log *slog.Logger, s *service, o *options) (*parts, error) {
 	p := &parts{name: name, conns: conns, transport: http1.New(http1.Config{
-		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns / s.parted(), Reports: cfg.Reports, Columns: cfg.Columns,
+		Clock: c, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, MostConns: conns, Reports: cfg.Reports, Columns: cfg.Columns,
 		Wrote: s.figures.Tried,
 	})}
 	decisions := cfg.Policy
-	decisions.Parts = func() int { return int(s.living.Load()) }
+	decisions.Parts = s.parted
 	e, err := engine.New(engine.Config{
 		Policy: decisions, Seed: cfg.Seed, Clock: c, Transport: p.transport, Log: log, Watch: func() { p.follower.Ask() },
 		Module: o.module(),
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -20,7 +20,7 @@
 
 // sit takes this process' place among those of its sidecar, and reads what the one before told.
 func (s *service) sit(dir string) {
-	s.divided = 1
+	s.divided.Store(1)
 	if dir != "" {
 		seat, err := handover.Open(dir)
 		if err != nil {
@@ -39,7 +39,7 @@
 	if s.machine.Mark == "" {
 		return
 	}
-	s.divided = 2
+	s.divided.Store(2)
 	var err error
 	if s.record, err = s.seat.Await(recordIn); err != nil {
 		s.log.Warn("another process serves, this one starts without what that one knows", "error", err)
@@ -50,14 +50,14 @@
 
 // listen listens for clients, on an address that the next process may listen on too.
 func (s *service) listen(cfg *config.Config) (net.Listener, error) {
+	var l net.Listener
+	var err error
+	steered := true
 	if s.seat == nil {
-		l, err := net.Listen("tcp", cfg.Listen)
-		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-		return l, nil
+		l, err = net.Listen("tcp", cfg.Listen)
+	} else {
+		l, steered, err = handover.Listen(cfg.Listen)
 	}
-	l, steered, err := handover.Listen(cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -104,9 +104,9 @@
 	defer s.mu.Unlock()
 	seen.Few = s.few()
 	do := s.machine.Look(seen)
-	if do.Parts != s.divided {
-		s.log.Info("processes of this sidecar", "now", do.Parts, "before", s.divided)
-		s.divided = do.Parts
+	if before := s.parted(); do.Parts != before {
+		s.log.Info("processes of this sidecar", "now", do.Parts, "before", before)
+		s.divided.Store(int32(do.Parts))
 		s.share()
 	}
 	if do.Leave { // behind the shrinking
@@ -139,32 +139,32 @@
 
 // share bounds this process to its part of what the sidecar may hold. The caller holds the lock, or is alone.
 func (s *service) share() {
-	s.living.Store(int32(s.divided))
 	if s.memory > 0 {
-		debug.SetMemoryLimit(s.memory / int64(s.divided))
+		debug.SetMemoryLimit(s.memory / int64(s.parted()))
 	}
 	for p := range s.parts {
-		p.transport.Resize(p.conns / s.divided)
-		p.target.Divide(s.divided)
+		s.fit(p)
 	}
 	if s.front != nil {
-		s.front.Divide(s.divided)
+		s.front.Divide(s.parted())
 	}
 }
 
-// parted is how many processes live.
-func (s *service) parted() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.divided
+// fit bounds a pool to this process' part of what it may hold.
+func (s *service) fit(p *parts) {
+	p.transport.Resize(p.conns / s.parted())
+	p.target.Divide(s.parted())
 }
 
+// parted is how many processes live. It never waits.
+func (s *service) parted() int { return int(s.divided.Load()) }
+
 // resize gives a pool another part of the connections to servers.
 func (s *service) resize(p *parts, conns int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.conns = conns
-	p.transport.Resize(conns / s.divided)
+	s.fit(p)
 }
 
 // leaving takes that this process was told to stop.
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -35,11 +35,10 @@
 	seat    *handover.Seat   // nil: a process that comes while this one lives finds its address in use
 	record  *handover.Record // what the process before told; nil: nothing
 
-	living atomic.Int32 // divided, for those who must not wait
+	divided atomic.Int32 // processes that live; changed under the lock
 
 	mu      sync.Mutex
 	machine handover.Machine
-	divided int               // processes that live
 	front   *fronthttp1.Front // nil: not yet
 	parts   map[*parts]bool
 }
@@ -80,7 +79,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.parts[p] = true
-	p.target.Divide(s.divided)
+	s.fit(p)
 	unfollow := s.figures.Follow(func() (known, skipped int) {
 		known, out := p.list.Counts()
 		return known, min(known, out+p.engine.Avoided())
@@ -99,7 +98,7 @@
 	s.mu.Lock()
 	s.front = f
 	s.machine.Serving()
-	f.Divide(s.divided)
+	f.Divide(s.parted())
 	s.mu.Unlock()
 	if s.control == nil {
 		return
