One way to replace a file, one start of the reverse proxy in measurements

bans and handover each wrote a file aside and renamed it, measurements of daemon and streams each started the proxy: internal/durable and bench.startProxy serve both. ErrNever stood in cordon, which does not use it, under another name in bans, which does.

--- a/cmd/measure/bench.go
+++ b/cmd/measure/bench.go
@@ -97,6 +97,20 @@
 	return o, float64((after - before).Microseconds()) / float64(o.Requests), err
 }
 
+// startProxy starts the standard library's reverse proxy before the nodes, and returns its address.
+func (b *bench) startProxy() (*process, string, error) {
+	p, err := startChild(nil, "proxy", b.addresses...)
+	if err != nil {
+		return nil, "", err
+	}
+	line, err := p.line("listen=")
+	if err != nil {
+		p.kill()
+		return nil, "", err
+	}
+	return p, strings.TrimSpace(strings.TrimPrefix(line, "proxy listen=")), nil
+}
+
 // measureDaemon: 16 connections, nodes that take 2 ms; direct calls, the standard library's reverse proxy and the
 // daemon, each of the two held to one core.
 func measureDaemon(short bool) (string, []string, error) {
@@ -105,16 +119,11 @@
 		return "", nil, err
 	}
 	defer b.close()
-	proxy, err := startChild(nil, "proxy", b.addresses...)
+	proxy, proxyAt, err := b.startProxy()
 	if err != nil {
 		return "", nil, err
 	}
 	defer proxy.kill()
-	line, err := proxy.line("listen=")
-	if err != nil {
-		return "", nil, err
-	}
-	proxyAt := strings.TrimSpace(strings.TrimPrefix(line, "proxy listen="))
 
 	rounds, seconds := 7, 5.0
 	if short {
--- a/cmd/measure/streams.go
+++ b/cmd/measure/streams.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -21,16 +20,11 @@
 		return "", nil, err
 	}
 	defer b.close()
-	proxy, err := startChild(nil, "proxy", b.addresses...)
+	proxy, proxyAt, err := b.startProxy()
 	if err != nil {
 		return "", nil, err
 	}
 	defer proxy.kill()
-	line, err := proxy.line("listen=")
-	if err != nil {
-		return "", nil, err
-	}
-	proxyAt := strings.TrimSpace(strings.TrimPrefix(line, "proxy listen="))
 	rounds, each := 7, 64
 	if short {
 		rounds, each = 3, 16
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -25,7 +25,7 @@
 
 // What a call is told no for.
 var (
-	ErrNever = cordon.ErrNever
+	ErrNever = errors.New("no upstream of this id was ever listed") // a slip of the pen, that nobody would notice
 	errBusy  = errors.New("not taken up within 0.8 s, call again")
 	errMany  = fmt.Errorf("%d upstreams are out by hand already", most)
 	errID    = fmt.Errorf("an id has 1 to %d bytes, no white space and no control bytes", idMost)
--- a/internal/bans/file.go
+++ b/internal/bans/file.go
@@ -10,6 +10,8 @@
 	"slices"
 	"syscall"
 
+	"caperarch/internal/durable"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -97,17 +99,7 @@
 	if err != nil {
 		return err
 	}
-	t, err := os.CreateTemp(f.dir, fileName+".*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(t.Name()) // after the rename there is none
-	_, err = t.Write(raw)
-	err = errors.Join(err, t.Sync(), t.Close())
-	if err != nil {
-		return err
-	}
-	return os.Rename(t.Name(), f.path())
+	return durable.Replace(f.path(), raw, true)
 }
 
 // change reads, edits and writes the bans while no other process does. The result is what they are now, also where they could not be
--- a/internal/cordon/overlay.go
+++ b/internal/cordon/overlay.go
@@ -3,7 +3,6 @@
 package cordon
 
 import (
-	"errors"
 	"maps"
 	"slices"
 
@@ -11,9 +10,6 @@
 	"caperarch/policy"
 )
 
-// ErrNever is why an id can't be banned: it would be a slip of the pen that nobody notices.
-var ErrNever = errors.New("no upstream of this id was ever listed")
-
 // Overlay is a list of upstreams with the bans that lie over it. A banned one is handed on as draining, whatever the
 // list says: the module sends it nothing new and lets it finish, and knows nothing of bans. Lifted, it is what the
 // list says now, with its present start time, so it is cold if it was restarted meanwhile. It is not safe for concurrent use.
--- a/internal/handover/seat.go
+++ b/internal/handover/seat.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"caperarch/internal/durable"
 )
 
 const (
@@ -52,7 +54,7 @@
 		return nil, err
 	}
 	s.mark = rand.Text()
-	if err := replace(filepath.Join(dir, arrivalName), []byte(s.mark)); err != nil {
+	if err := durable.Replace(filepath.Join(dir, arrivalName), []byte(s.mark), false); err != nil {
 		return nil, fmt.Errorf("arrival: %w", err)
 	}
 	return s, nil
@@ -111,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	return replace(filepath.Join(s.dir, recordName), raw)
+	return durable.Replace(filepath.Join(s.dir, recordName), raw, false)
 }
 
 // ErrNoRecord is why a newcomer starts without a record.
@@ -156,17 +158,3 @@
 		}
 	}
 }
-
-// replace writes a file whole or not at all.
-func replace(path string, raw []byte) error {
-	t, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(t.Name()) // after the rename there is none
-	_, err = t.Write(raw)
-	if err = errors.Join(err, t.Close()); err != nil {
-		return err
-	}
-	return os.Rename(t.Name(), path)
-}
