--- a/cmd/caperarch/replace_test.go
+++ b/cmd/caperarch/replace_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -49,20 +48,10 @@
 	limits    map[string]any // nil: the rig's
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // start starts a process and returns without waiting.
 func (s *sidecar) start() *process {
 	s.t.Helper()
-	p := &process{control: freeAddress(s.t), ended: make(chan error, 1)}
+	p := &process{control: rig.FreeAddress(s.t), ended: make(chan error, 1)}
 	text := rig.ConfigText(s.t, s.known, func(file, _ map[string]any) {
 		file["listen"], file["discovery"], file["control"] = s.listen, s.discovery, p.control
 		if s.limits != nil {
@@ -91,15 +80,11 @@
 
 // call calls a process; "" where it can't be reached.
 func (p *process) call(line string) string {
-	c, err := net.Dial("tcp", p.control)
+	text, err := rig.Operate(p.control, line)
 	if err != nil {
 		return ""
 	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(rig.Generous))
-	_, _ = io.WriteString(c, line+"\n")
-	b, _ := io.ReadAll(c)
-	return string(b)
+	return text
 }
 
 func (p *process) ready(t *testing.T) *process {
@@ -120,7 +105,7 @@
 
 func newSidecar(t *testing.T, nodes ...*rig.Node) *sidecar {
 	t.Helper()
-	return &sidecar{t: t, dir: t.TempDir(), listen: freeAddress(t), discovery: rig.NewDiscovery(t, nodes...).Address, known: rig.Known(nodes...)}
+	return &sidecar{t: t, dir: t.TempDir(), listen: rig.FreeAddress(t), discovery: rig.NewDiscovery(t, nodes...).Address, known: rig.Known(nodes...)}
 }
 
 // Three replacements under load: every request has its one final answer, none meets a connection that broke or was refused, no entry runs twice, and each old
--- a/cmd/caperarch/streams_test.go
+++ b/cmd/caperarch/streams_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -22,42 +21,17 @@
 // bulkNode answers /look?large with 32 MB, written as fast as it is read, reads what comes at its own pace, and answers all else at once.
 func bulkNode(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
-						return
-					}
-					if req.URL.RawQuery != "large" {
-						if !rig.OK(c, "ok") {
-							return
-						}
-						continue
-					}
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 32<<20)
-					if _, err := io.CopyN(c, zeros{}, 32<<20); err != nil {
-						return
-					}
-				}
-			}()
+	return rig.NewHandler(t, func(c net.Conn, req *http.Request) bool {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return false
+		}
+		if req.URL.RawQuery != "large" {
+			return rig.OK(c, "ok")
 		}
-	}()
-	return l.Addr().String()
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 32<<20)
+		_, err := io.CopyN(c, zeros{}, 32<<20)
+		return err == nil
+	})
 }
 
 type zeros struct{}
@@ -87,7 +61,7 @@
 		t.Skip("some seconds")
 	}
 	node := bulkNode(t)
-	s := &sidecar{t: t, dir: t.TempDir(), listen: freeAddress(t), discovery: "127.0.0.1:1", known: rig.Listed(1, "ready", node), limits: map[string]any{"memory_mb": 32, "sockets": 256}}
+	s := &sidecar{t: t, dir: t.TempDir(), listen: rig.FreeAddress(t), discovery: "127.0.0.1:1", known: rig.Listed(1, "ready", node), limits: map[string]any{"memory_mb": 32, "sockets": 256}}
 	p := s.start().ready(t)
 	before := rss(t, p.cmd.Process.Pid)
 	request := func(id, class, query string, body io.Reader, size int64) *http.Request {
--- a/cmd/measure/service.go
+++ b/cmd/measure/service.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"caperarch/internal/rig"
 )
 
 const (
@@ -34,20 +36,9 @@
 	n       int
 }
 
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // start starts a process and returns once it says yes.
 func (s *service) start() (cmd *exec.Cmd, control string, err error) {
-	if control, err = freePort(); err != nil {
-		return nil, "", err
-	}
+	control = rig.FreeAddress(panics{})
 	raw, err := os.ReadFile(s.b.config)
 	if err != nil {
 		return nil, "", err
@@ -71,28 +62,13 @@
 		return nil, "", err
 	}
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if text, err := ask(control, "health"); err == nil && strings.HasPrefix(text, "200") {
+		if text, err := rig.Operate(control, "health"); err == nil && strings.HasPrefix(text, "200") {
 			return cmd, control, nil
 		}
 	}
 	return nil, "", fmt.Errorf("no yes within 10 s")
 }
 
-// ask calls a control address.
-func ask(control, line string) (string, error) {
-	c, err := net.Dial("tcp", control)
-	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	if _, err := io.WriteString(c, line+"\n"); err != nil {
-		return "", err
-	}
-	raw, err := io.ReadAll(c)
-	return string(raw), err
-}
-
 func (s *service) kill() {
 	if s.process != nil {
 		_ = s.process.Process.Kill()
@@ -210,7 +186,7 @@
 	})
 	for end := time.Now().Add(time.Duration(seconds * float64(time.Second))); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		begun := time.Now()
-		text, err := ask(s.control, "counters")
+		text, err := rig.Operate(s.control, "counters")
 		if err != nil || !strings.HasSuffix(text, "EOF\n") {
 			return nil, fmt.Errorf("an operator's call: %q, %v", text, err)
 		}
@@ -226,10 +202,7 @@
 		return "", nil, err
 	}
 	defer b.close()
-	s := &service{b: b, binary: filepath.Join(b.dir, "caperarch"), tmp: b.dir}
-	if s.listen, err = freePort(); err != nil {
-		return "", nil, err
-	}
+	s := &service{b: b, binary: filepath.Join(b.dir, "caperarch"), tmp: b.dir, listen: rig.FreeAddress(panics{})}
 	if s.process, s.control, err = s.start(); err != nil {
 		return "", nil, err
 	}
--- a/internal/daemon/bodies_test.go
+++ b/internal/daemon/bodies_test.go
@@ -18,34 +18,6 @@
 	"caperarch/internal/rig"
 )
 
-// feed is a server that reads bodies at its own pace and answers as a test says.
-func feed(t *testing.T, answer func(c net.Conn, req *http.Request) bool) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil || !answer(c, req) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // pattern is the byte at a place of a long body, so that none is lost, doubled or moved unseen.
 func pattern(i int) byte { return byte(i*7 + i>>8) }
 
@@ -87,7 +59,7 @@
 
 // Bodies of any size go through whole, both ways, in every framing.
 func TestLargeBodies(t *testing.T) {
-	address := feed(t, func(c net.Conn, req *http.Request) bool {
+	address := rig.NewHandler(t, func(c net.Conn, req *http.Request) bool {
 		n, err := check(req.Body)
 		if err != nil {
 			return false
@@ -146,7 +118,7 @@
 func TestCutAnswersShow(t *testing.T) {
 	var mu sync.Mutex
 	times := map[string]int{}
-	address := feed(t, func(c net.Conn, req *http.Request) bool {
+	address := rig.NewHandler(t, func(c net.Conn, req *http.Request) bool {
 		mu.Lock()
 		times[req.Header.Get("X-Request-ID")]++
 		mu.Unlock()
@@ -182,7 +154,7 @@
 // An upload whose server breaks off before the last byte never ran: it is refused, and sent once.
 func TestBrokenUploadIsRefused(t *testing.T) {
 	arrived := make(chan struct{}, 10)
-	address := feed(t, func(c net.Conn, req *http.Request) bool {
+	address := rig.NewHandler(t, func(c net.Conn, req *http.Request) bool {
 		arrived <- struct{}{}
 		_, _ = io.CopyN(io.Discard, req.Body, 1<<20)
 		return false
@@ -244,7 +216,7 @@
 	release := make(chan struct{})
 	var once sync.Once
 	t.Cleanup(func() { once.Do(func() { close(release) }) })
-	address := feed(t, func(c net.Conn, req *http.Request) bool {
+	address := rig.NewHandler(t, func(c net.Conn, req *http.Request) bool {
 		_, _ = io.Copy(io.Discard, req.Body)
 		if req.URL.Query().Get("slow") == "" {
 			return rig.OK(c, "quick")
--- a/internal/daemon/service_test.go
+++ b/internal/daemon/service_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,12 +20,7 @@
 // operated starts a sidecar with a control address and a folder for bans.
 func operated(t *testing.T, addresses ...string) (*running, operator) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	o := operator{l.Addr().String()}
-	l.Close()
+	o := operator{rig.FreeAddress(t)}
 	t.Setenv("TMPDIR", t.TempDir())
 	side := start(t, func(file, _ map[string]any) { file["control"] = o.address }, addresses...)
 	rig.Until(t, "the control address", func() bool {
@@ -41,20 +35,11 @@
 
 func (o operator) call(t *testing.T, line string) string {
 	t.Helper()
-	c, err := net.Dial("tcp", o.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(rig.Generous))
-	if _, err := io.WriteString(c, line+"\n"); err != nil {
-		t.Fatal(err)
-	}
-	b, err := io.ReadAll(c)
+	text, err := rig.Operate(o.address, line)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return string(b)
+	return text
 }
 
 func (o operator) figures(t *testing.T) map[string]int {
--- a/internal/rig/stub.go
+++ b/internal/rig/stub.go
@@ -86,3 +86,32 @@
 
 // Silent never answers.
 func Silent(net.Conn, Received) bool { return true }
+
+// NewHandler starts a server that hands each request to a function before its body is read, with the connection to answer on, and returns its address. If
+// answer returns false the connection is closed.
+func NewHandler(t TB, answer func(c net.Conn, r *http.Request) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("handler: %v", err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil || !answer(c, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
