--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -43,18 +43,20 @@
 type Bounds struct {
 	Most int        // in all; one more waits
 	Rest [kinds]int // at rest or being read, by kind; the ones longest so go beyond that
+	own  int        // that the application may open on its side
 }
 
 // BoundsOf are the bounds for so many connections in all, of which the application may open so many on its own side.
 // What rests there is left no more than half of the application's part, so that half is always free for what it opens.
 func BoundsOf(most, application int) Bounds {
 	part := func(of int) int { return max(2, application/of) }
-	return Bounds{Most: most, Rest: [kinds]int{over: part(4), silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
+	return Bounds{Most: most, own: application, Rest: [kinds]int{over: part(4), silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
 }
 
-// part are the bounds of one of so many processes. What rests is bounded as ever: that is for the application's side of the wire, which is one.
+// part are the bounds of one of so many processes. The application is one, whatever it is that it connects to: all that it may open must find room in each, and what rests is bounded as
+// ever. Half of all is less: what an application in need opens to the newcomer beyond that stands unaccepted till the old process has let go of its last answers.
 func (b Bounds) part(of int) Bounds {
-	b.Most = max(1, b.Most/max(1, of))
+	b.Most = max(1, b.Most/max(1, of), min(b.Most, b.own))
 	return b
 }
 
--- a/internal/front/http1/books_test.go
+++ b/internal/front/http1/books_test.go
@@ -183,3 +183,21 @@
 		t.Errorf("the slow one is gone: %v; %d open, %d may be read", slow.gone, b.open, b.bounds.Rest[reading])
 	}
 }
+
+// While two processes live the one that came last takes all that the application may open, each with a request that waits: the application is one, and what it opens
+// beyond a bound of ours stands unaccepted for as long as the other process needs for its last answers.
+func TestDividedBoundsLeaveRoomForTheApplication(t *testing.T) {
+	const most, application = 128, 85
+	b := books{bounds: BoundsOf(most, application).part(2)}
+	for i := range application {
+		if _, _, ok := b.room(0); !ok {
+			t.Fatalf("no room for connection %d of the application's %d", i+1, application)
+		}
+		e := &entry{}
+		b.add(0, e)
+		b.busy(e)
+	}
+	if whole := BoundsOf(most, application).part(1); whole.Most != most {
+		t.Errorf("undivided: %d of %d", whole.Most, most)
+	}
+}
