--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -20,6 +20,8 @@
 	Share float64       // of the requests
 	Work  time.Duration // mean, on a core of speed 1
 	Shape int           // gamma-distributed of this shape; 0: 4, some 50% of standard deviation
+	Tail  float64       // above 0: Pareto-distributed instead, with this coefficient of variation
+	Noise float64       // each attempt's own work differs from its request's by so much (standard deviation of the logarithm)
 }
 
 // Tenant is a tenant's traffic.
@@ -32,13 +34,16 @@
 type Clients struct {
 	Retries int           // further tries at most
 	Backoff time.Duration // before the first of them, doubled after each; a longer Retry-After is heeded
+	Part    float64       // of the deadline that one try is waited for; 0: all that is left of it
 }
 
 // Config is a fleet. The module is told none of it but what Module has.
 type Config struct {
 	Seed     uint64
 	Sidecars int
-	Rate     float64 // requests a second over all sidecars
+	Rate     float64                                      // requests a second over all sidecars
+	Shares   []float64                                    // of each sidecar, against the others'; nil: even ones
+	Times    func(sidecar int, now time.Duration) float64 // its traffic is so many times the usual; nil: 1
 	Servers  []Server
 	Classes  []Class
 	Tenants  []Tenant
@@ -58,6 +63,7 @@
 	byID     map[policy.ServerID]*node // gone ones too
 	nextNode policy.ServerID
 	sidecars []*sidecar
+	shares   float64 // sum of Config.Shares
 	meanWork float64 // s of work a request, over the classes
 	buckets  []Bucket
 	err      error
@@ -71,6 +77,8 @@
 	Worth, Earned                                     float64
 	Tenant                                            []Count
 	Capacity                                          float64 // work that the servers can do, in seconds of work a second
+	Held                                              int     // requests that the servers hold as it begins
+	Tipped                                            int     // servers that are slower as they were crowded
 	Work                                              float64 // work asked for
 }
 
@@ -99,10 +107,13 @@
 	for _, c := range cfg.Classes {
 		f.meanWork += c.Share * c.Work.Seconds()
 	}
+	for _, share := range cfg.Shares {
+		f.shares += share
+	}
 	for i := range cfg.Sidecars {
 		c := cfg.Module
 		c.Balancers, c.Index = cfg.Sidecars, i
-		s := &sidecar{f: f, open: make(map[policy.RequestID]*request)}
+		s := &sidecar{f: f, index: i, open: make(map[policy.RequestID]*request)}
 		var err error
 		if s.m, err = cfg.New(c, f.rng.Uint64(), s); err != nil {
 			return nil, err
@@ -132,7 +143,7 @@
 func (f *Fleet) list() (entries []policy.Server) {
 	for _, n := range f.nodes {
 		if !n.gone {
-			entries = append(entries, policy.Server{ID: n.id, State: policy.Ready, Weight: 1, Cell: n.spec.Cell, Started: n.started})
+			entries = append(entries, policy.Server{ID: n.id, State: policy.Ready, Weight: cmp.Or(n.spec.Weight, 1), Cell: n.spec.Cell, Started: n.started})
 		}
 	}
 	return entries
@@ -222,7 +233,14 @@
 // Run plays up to a time since the fleet was made.
 func (f *Fleet) Run(until time.Duration) {
 	for t := f.Now(); t < until; {
-		f.bucket(t).Capacity = f.capacity()
+		b := f.bucket(t)
+		b.Capacity = f.capacity()
+		for _, n := range f.nodes {
+			b.Held += len(n.running) + len(n.waiting)
+			if n.tipped {
+				b.Tipped++
+			}
+		}
 		t = min(until, t-t%f.cfg.Bucket+f.cfg.Bucket)
 		f.clock.Until(time.Hour + t)
 	}
@@ -247,7 +265,7 @@
 
 // next asks for a sidecar's next request: a Poisson stream, of each tenant's rate at that time.
 func (f *Fleet) next(s *sidecar) {
-	rate := f.cfg.Rate / float64(f.cfg.Sidecars)
+	rate := f.rate(s.index)
 	most := 0.0
 	for _, t := range f.cfg.Tenants {
 		most += t.Share * t.times(f.Now())
@@ -279,6 +297,18 @@
 	})
 }
 
+// rate is that of a sidecar now.
+func (f *Fleet) rate(sidecar int) float64 {
+	rate := f.cfg.Rate / float64(f.cfg.Sidecars)
+	if f.cfg.Shares != nil {
+		rate = f.cfg.Rate * f.cfg.Shares[sidecar] / f.shares
+	}
+	if f.cfg.Times != nil {
+		rate *= f.cfg.Times(sidecar, f.Now())
+	}
+	return rate
+}
+
 func (t *Tenant) times(now time.Duration) float64 {
 	if t.Times == nil {
 		return 1
@@ -288,6 +318,10 @@
 
 // work draws a request's work, in seconds.
 func (f *Fleet) work(c *Class) float64 {
+	if c.Tail > 0 { // cv² = 1 / (a (a - 2))
+		a := 1 + math.Sqrt(1+1/(c.Tail*c.Tail))
+		return c.Work.Seconds() * (a - 1) / a / math.Pow(1-f.rng.Float64(), 1/a)
+	}
 	shape := c.Shape
 	if shape == 0 {
 		shape = 4
--- /dev/null
+++ b/internal/emu/mass.go
@@ -0,0 +1,211 @@
+package emu
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"caperarch/policy"
+)
+
+// Mass is a day of a fleet of hundreds: many sidecars of little and uneven traffic, requests of a long tail, servers that tip where they
+// hold too many and come back only when they rest, clients that come again. What the deployment is like is drawn from the seed.
+type Mass struct {
+	Sidecars, Servers int
+	Load              float64 // of the capacity, at the usual rate
+	Burst             float64 // the rate is so many times the usual, from BurstFrom for BurstFor; 0: as usual
+	Flood             float64 // and so is the smaller tenant's, besides
+	Shift             bool    // half of the sidecars have more of the traffic, then the others
+	Heavy             bool    // a tenth of the sidecars has half of the traffic
+	Tipped            float64 // share of the servers that has tipped as the burst begins, whatever they hold
+	Slow              float64 // share of the servers that is three times slower from the burst's beginning on
+	BurstFrom         time.Duration
+	BurstFor          time.Duration
+	Until             time.Duration
+}
+
+// between draws from a range.
+func between(rng *rand.Rand, from, to float64) float64 { return from + (to-from)*rng.Float64() }
+
+// Config draws the fleet.
+func (m *Mass) Config(seed uint64) Config {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	c := Config{
+		Seed: seed, Sidecars: m.Sidecars, Trip: time.Millisecond,
+		Classes: []Class{
+			{Share: 0.8, Work: time.Duration(between(rng, 39, 70) * float64(time.Millisecond)), Tail: between(rng, 1.4, 2.6), Noise: between(rng, 0.07, 0.48)},
+			{Share: 0.2, Work: time.Duration(between(rng, 50, 91) * float64(time.Millisecond)), Tail: between(rng, 1.6, 2.8), Noise: between(rng, 0.06, 0.44)},
+		},
+		Clients: Clients{Retries: 2, Backoff: time.Duration(between(rng, 25, 200) * float64(time.Millisecond)), Part: between(rng, 0.5, 0.8)},
+		Module: policy.Config{
+			Classes: []policy.Class{
+				{Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 5, Effect: policy.Keyed, Scope: policy.ScopeCell, Window: 600 * time.Millisecond},
+				{Aim: 600 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 2, Effect: policy.Unsafe},
+			},
+			MaxAttempts: 3, MayCancel: true, MayProbe: true, MaxRetryAfter: time.Second, Tick: time.Millisecond, MarksRepeat: true,
+			ColdFrom: 0.32, ColdTime: 8500 * time.Millisecond, ColdMultiple: 2.5, ProbePrice: 0.08,
+			Reports: policy.HasInFlight | policy.HasService | policy.HasServed | policy.HasErrors,
+		},
+	}
+	at, over, slower := between(rng, 4, 7), between(rng, 1.5, 2.5), between(rng, 2.1, 3.3)
+	rest, below, until := between(rng, 2.3, 4.7), between(rng, 0.25, 0.4), between(rng, 21, 32)
+	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	work := c.Classes[0].Share*c.Classes[0].Work.Seconds() + c.Classes[1].Share*c.Classes[1].Work.Seconds()
+	capacity := 0.0
+	for i := range m.Servers {
+		kind := []struct{ speed, cv float64 }{{1.6, 0.12}, {0.6, 0.15}, {0.95, 0.1}, {0.6, 0.15}, {1.6, 0.12}}[i%5]
+		s := Server{Cores: 2, Speed: kind.speed * math.Exp(kind.cv*rng.NormFloat64()), Room: int(2 * between(rng, 11, 36)), Cell: i / 8, Weight: kind.speed}
+		s.Crowd = &Crowd{
+			Over: seconds(over), Most: min(0.7*float64(s.Cores+s.Room), float64(s.Cores)+at*math.Sqrt(float64(s.Cores))),
+			Slower: slower, Rest: seconds(rest), Below: below, Until: seconds(until),
+		}
+		c.Servers = append(c.Servers, s)
+		capacity += float64(s.Cores) * s.Speed / work
+	}
+	c.Rate = m.Load * capacity
+	cv := between(rng, 0.3, 0.8)
+	sigma := math.Sqrt(math.Log(1 + cv*cv))
+	for i := range m.Sidecars {
+		share := math.Exp(sigma * rng.NormFloat64())
+		if m.Heavy && i%10 == 0 {
+			share *= 9
+		}
+		c.Shares = append(c.Shares, share)
+	}
+	burst := func(now time.Duration) bool { return now >= m.BurstFrom && now < m.BurstFrom+m.BurstFor }
+	if m.Burst > 0 || m.Shift {
+		c.Times = func(sidecar int, now time.Duration) float64 {
+			times := 1.0
+			if burst(now) && m.Burst > 0 {
+				times = m.Burst
+			}
+			if m.Shift && (sidecar%2 == 0) == (int(now/(8*time.Second))%2 == 0) {
+				times *= 1.5
+			} else if m.Shift {
+				times *= 0.5
+			}
+			return times
+		}
+	}
+	c.Tenants = []Tenant{{Share: 0.79}, {Share: 0.21}}
+	if m.Flood > 0 {
+		c.Tenants[1].Times = func(now time.Duration) float64 {
+			if burst(now) {
+				return m.Flood
+			}
+			return 1
+		}
+	}
+	quota := between(rng, 0.73, 0.92) * capacity
+	for _, t := range c.Tenants {
+		c.Module.Tenants = append(c.Module.Tenants, policy.Tenant{Share: t.Share, Quota: t.Share * quota})
+	}
+	return c
+}
+
+// Massed is what came of a day.
+type Massed struct {
+	InTime   float64 // share of the worth
+	Worst    float64 // in the worst 10 s
+	Tries    float64 // attempts a request
+	Probes   float64 // a request
+	Tipped   int     // times that a server tipped
+	Recovery float64 // s from the end of the burst until nine tenths of the best second's share is in time
+	Seconds  []MassSecond
+}
+
+// MassSecond is a second of it.
+type MassSecond struct {
+	Requests, Held, Tipped int
+	InTime, Refused, Load  float64
+}
+
+// Run plays the day from a seed; edit changes the fleet before. The error is the first rule that was broken.
+func (m *Mass) Run(seed uint64, edit func(*Config)) (Massed, error) {
+	c := m.Config(seed)
+	if edit != nil {
+		edit(&c)
+	}
+	f, err := New(c)
+	if err != nil {
+		return Massed{}, err
+	}
+	if m.Slow > 0 {
+		f.At(m.BurstFrom, func() {
+			for i, n := range f.nodes {
+				if float64(i%20) < 20*m.Slow {
+					n.set(State{Slower: 3})
+				}
+			}
+		})
+	}
+	if m.Tipped > 0 {
+		f.At(m.BurstFrom, func() {
+			for i, n := range f.nodes {
+				if float64(i%20) < 20*m.Tipped && !n.tipped {
+					n.held = n.spec.Crowd.Most + 1e9
+					n.crowded()
+				}
+			}
+		})
+	}
+	f.Start()
+	f.Run(m.Until + 3*time.Second)
+	if err := f.Err(); err != nil {
+		return Massed{}, err
+	}
+	return m.sum(f), nil
+}
+
+func (m *Mass) sum(f *Fleet) (o Massed) {
+	each := int(time.Second / f.cfg.Bucket)
+	buckets := f.Buckets()[:int(m.Until/f.cfg.Bucket)]
+	earned, worth, sent, probes, asked := 0.0, 0.0, 0, 0, 0
+	var shares []float64
+	for len(buckets) >= each {
+		var s MassSecond
+		e, w, refused, load := 0.0, 0.0, 0, 0.0
+		for _, b := range buckets[:each] {
+			s.Requests, s.Held, s.Tipped = s.Requests+b.Requests, s.Held+b.Held, max(s.Tipped, b.Tipped)
+			e, w, refused = e+b.Earned, w+b.Worth, refused+b.Refused
+			sent, probes, load = sent+b.Attempts, probes+b.Probes, load+b.Work
+		}
+		s.Held /= each
+		s.InTime, s.Refused = e/max(w, 1e-9), float64(refused)/float64(max(1, s.Requests))
+		s.Load = load / max(1e-9, f.build())
+		asked, earned, worth = asked+s.Requests, earned+e, worth+w
+		o.Seconds, shares, buckets = append(o.Seconds, s), append(shares, s.InTime), buckets[each:]
+	}
+	o.InTime, o.Tries, o.Probes = earned/worth, float64(sent)/float64(asked), float64(probes)/float64(asked)
+	o.Worst = 1
+	for i := 0; i+10 <= len(shares); i++ {
+		sum := 0.0
+		for _, s := range shares[i : i+10] {
+			sum += s / 10
+		}
+		o.Worst = min(o.Worst, sum)
+	}
+	for _, n := range f.nodes {
+		o.Tipped += n.times
+	}
+	best, ends := 0.95*slices.Max(shares), int((m.BurstFrom+m.BurstFor)/time.Second)
+	for ends+int(o.Recovery) < len(shares) && shares[ends+int(o.Recovery)] < best {
+		o.Recovery++
+	}
+	return o
+}
+
+// build is the work that its servers could do a second, were they all well.
+func (f *Fleet) build() (sum float64) {
+	for _, n := range f.nodes {
+		sum += float64(n.spec.Cores) * n.spec.Speed
+	}
+	return sum
+}
+
+// CalmMass is the day on which nothing fails: a burst of half as much again, and traffic that moves.
+var CalmMass = Mass{
+	Sidecars: 300, Servers: 200, Load: 0.62, Burst: 1.5, Shift: true,
+	BurstFrom: 10 * time.Second, BurstFor: 8 * time.Second, Until: 30 * time.Second,
+}
--- a/internal/emu/server.go
+++ b/internal/emu/server.go
@@ -11,10 +11,22 @@
 
 // Server is a server's build.
 type Server struct {
-	Cores int
-	Speed float64 // work done a second on each core
-	Room  int     // requests that may wait; beyond that it turns away
-	Cell  int
+	Cores  int
+	Speed  float64 // work done a second on each core
+	Room   int     // requests that may wait; beyond that it turns away
+	Cell   int
+	Weight float64 // in the list; 0: 1
+	Crowd  *Crowd  // what becomes of it where it holds too many; nil: nothing
+}
+
+// Crowd is how a server tips where it holds more than it bears, and how it comes back.
+type Crowd struct {
+	Over   time.Duration // the mean over so long
+	Most   float64       // of what it holds is above this:
+	Slower float64       // so many times slower,
+	Below  float64       // until its cores were busy for less than this share
+	Rest   time.Duration // of so long,
+	Until  time.Duration // or so long has passed
 }
 
 // State is how a server behaves for now; the zero value is well.
@@ -44,6 +56,7 @@
 	at      time.Duration // when these were taken
 	tokens  float64       // of State.Most
 	tokenAt time.Duration
+	crowding
 }
 
 // job is an attempt at a server.
@@ -76,6 +89,7 @@
 // take takes an attempt on. done is called once, but for one that is given up.
 func (n *node) take(work float64, done func(policy.Ending)) *job {
 	j := &job{node: n, work: work, done: done}
+	n.crowded()
 	switch {
 	case n.gone || n.state.Refuses:
 		j.end(turnAwayTime, policy.NoConnection)
@@ -130,6 +144,9 @@
 	if n.state.Slower > 0 {
 		s /= n.state.Slower
 	}
+	if n.tipped {
+		s /= n.spec.Crowd.Slower
+	}
 	return s
 }
 
@@ -144,6 +161,7 @@
 
 // leave takes a request off and begins the next.
 func (n *node) leave(j *job) {
+	n.crowded()
 	if i := slices.Index(n.running, j); i >= 0 {
 		n.running = slices.Delete(n.running, i, i+1)
 	}
--- a/internal/emu/sidecar.go
+++ b/internal/emu/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"caperarch/internal/engine"
@@ -16,6 +17,7 @@
 type sidecar struct {
 	f      *Fleet
 	m      engine.Module
+	index  int
 	lastID policy.RequestID
 	open   map[policy.RequestID]*request
 	turned uint64 // away at once, as counted so far
@@ -66,6 +68,9 @@
 		f.buckets[w.bucket].Failed++
 		return
 	}
+	if part := f.cfg.Clients.Part; part > 0 {
+		deadline = min(deadline, f.clock.Now+time.Duration(part*float64(f.cfg.Module.Classes[w.class].Deadline)))
+	}
 	s.lastID++
 	r := &request{id: s.lastID, first: w, try: n, deadline: deadline}
 	s.open[r.id] = r
@@ -124,7 +129,11 @@
 			return
 		}
 		n := f.byID[to]
-		a.job = n.take(r.first.work, func(e policy.Ending) { f.clock.After(f.cfg.Trip/2, func() { end(e) }) })
+		work := r.first.work
+		if noise := f.cfg.Classes[r.first.class].Noise; noise > 0 {
+			work *= math.Exp(noise*f.rng.NormFloat64() - noise*noise/2)
+		}
+		a.job = n.take(work, func(e policy.Ending) { f.clock.After(f.cfg.Trip/2, func() { end(e) }) })
 	})
 }
 
@@ -168,7 +177,7 @@
 	}
 	again := r.try < f.cfg.Clients.Retries && (refused || f.cfg.Module.Classes[r.first.class].Effect != policy.Unsafe)
 	wait := max(pause, f.jitter(f.cfg.Clients.backoff(r.try)))
-	if again && f.clock.Now+wait < r.deadline {
+	if again && f.clock.Now+wait < r.first.at+f.cfg.Module.Classes[r.first.class].Deadline {
 		f.clock.After(wait, func() { s.try(r.first, r.try+1) })
 		return
 	}
