--- a/internal/emu/mass.go
+++ b/internal/emu/mass.go
@@ -238,3 +238,32 @@
 	Sidecars: 300, Servers: 200, Load: 0.62, Burst: 1.5, Shift: true,
 	BurstFrom: 10 * time.Second, BurstFor: 8 * time.Second, Until: 30 * time.Second,
 }
+
+// MassDay is a day with its name.
+type MassDay struct {
+	Name string
+	Mass
+}
+
+// MassDays are the days that walls over a whole fleet are judged by: the calm one, and what is different from it.
+var MassDays = []MassDay{
+	calmBut("burst of 1.5", func(*Mass) {}),
+	calmBut("burst of 1.5 on 0.72", func(m *Mass) { m.Load = 0.72 }),
+	calmBut("one tenant x 5", func(m *Mass) { m.Burst, m.Flood = 1, 5 }),
+	calmBut("a tenth has half of it", func(m *Mass) { m.Heavy = true }),
+	calmBut("the same, 70% killed", func(m *Mass) { m.Heavy, m.Killed = true, 0.7 }),
+	calmBut("15% silent", func(m *Mass) { m.Burst, m.Hang, m.Load = 1, 0.15, 0.6 }),
+	calmBut("an eighth slow", func(m *Mass) { m.Burst, m.Slow = 1, 0.125 }),
+	calmBut("a fifth tipped", func(m *Mass) { m.Burst, m.Tipped, m.BurstFor = 1, 0.2, time.Second }),
+	calmBut("all tipped", func(m *Mass) { m.Burst, m.Tipped, m.BurstFor = 1, 1, time.Second }),
+	calmBut("1,000 on 60", func(m *Mass) { m.Sidecars, m.Servers = 1000, 60 }),
+	calmBut("15 on 10", func(m *Mass) { m.Sidecars, m.Servers = 15, 10 }),
+	calmBut("3 on 3", func(m *Mass) { m.Sidecars, m.Servers = 3, 3 }),
+	calmBut("1 on 3", func(m *Mass) { m.Sidecars, m.Servers = 1, 3 }),
+}
+
+func calmBut(name string, edit func(*Mass)) MassDay {
+	d := MassDay{name, CalmMass}
+	edit(&d.Mass)
+	return d
+}
