fleetlog sums over a fleet what was sent, held back and refused, by cause

Need: one sidecar's counters say nothing of three hundred; the sum of what is held back beside what is refused tells whether the fleet is short of servers or one sidecar is walled by itself. Change: counters of all logs are added up by the second they were told in, over restarts; the sidecars that were held back most are named. A figure that is no number, or a line that was cut off, is passed over.

--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -28,11 +28,13 @@
 	Passed  int // lines that no pattern of the daemon's fits
 	seconds map[int64]*Second
 	doubted map[string]map[string]bool // by server: which logs
+	tallies map[string]*tally          // by log
+	told    map[int64]*Causes          // by second
 }
 
 // New makes an empty one.
 func New() *Fleet {
-	return &Fleet{seconds: make(map[int64]*Second), doubted: make(map[string]map[string]bool)}
+	return &Fleet{seconds: make(map[int64]*Second), doubted: make(map[string]map[string]bool), tallies: make(map[string]*tally), told: make(map[int64]*Causes)}
 }
 
 var (
@@ -58,6 +60,9 @@
 func (f *Fleet) Read(name string, r io.Reader) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, longest)
+	counts := new(tally)
+	counts.begin()
+	f.tallies[name] = counts
 	for lines.Scan() {
 		at, message, ok := when(lines.Text())
 		if !ok {
@@ -72,6 +77,7 @@
 		switch {
 		case strings.HasPrefix(message, "serving"):
 			s.Starts++
+			counts.begin()
 		case strings.HasPrefix(message, "list "):
 			if strings.Contains(message, "whole=true") {
 				s.Whole++
@@ -80,6 +86,12 @@
 			}
 		case strings.HasPrefix(message, "discovery"):
 			s.Failed++
+		case strings.HasPrefix(message, "counters"):
+			told := counts.take(message)
+			if f.told[at.Unix()] == nil {
+				f.told[at.Unix()] = new(Causes)
+			}
+			f.told[at.Unix()].add(&told)
 		case strings.HasPrefix(message, "stopped for a while"):
 			s.Stopped++
 		default:
@@ -146,6 +158,9 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	if err := f.reportCauses(w); err != nil {
+		return err
+	}
 	for _, d := range f.Doubted(10) {
 		if _, err := fmt.Fprintf(w, "server %s: doubted by %d sidecars\n", d.Server, d.Sidecars); err != nil {
 			return err
--- a/internal/walls/walls.go
+++ b/internal/walls/walls.go
@@ -11,9 +11,9 @@
 
 const (
 	crowdAt = 0.17 // answers take this share of the aim: from here on room shrinks
-	steep   = 2.0 // with this power of what they take more; and Little's law has the rate fall with one power more
-	usual   = 2.0 // so many times what one's own traffic holds where servers are not crowded,
-	chance  = 2.0 // and so many standard deviations of such a count
+	steep   = 2.0  // with this power of what they take more; and Little's law has the rate fall with one power more
+	usual   = 2.0  // so many times what one's own traffic holds where servers are not crowded,
+	chance  = 2.0  // and so many standard deviations of such a count
 
 	within = 1.5 // so much more for a tenant that holds less than its share
 
