--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,7 +18,7 @@
 // plots is the folder that plots go to; "": none are made.
 var plots string
 
-var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain, "service": measureService, "walls": measureWalls}
+var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain, "service": measureService, "walls": measureWalls, "rest": measureRest}
 
 func main() {
 	if len(os.Args) > 2 && os.Args[1] == "child" {
