--- a/cmd/measure/rest.go
+++ b/cmd/measure/rest.go
@@ -10,8 +10,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"caperarch/internal/rig"
 )
 
 const (
@@ -94,18 +92,10 @@
 		return "", nil, err
 	}
 	defer b.close()
-	binary, err := buildDaemon(b.dir)
-	if err != nil {
-		return "", nil, err
-	}
-	tmp, err := os.MkdirTemp(b.dir, "tmp")
+	s, err := newService(b)
 	if err != nil {
 		return "", nil, err
 	}
-	s := &service{b: b, binary: binary, listen: rig.FreeAddress(panics{}), tmp: tmp}
-	if s.process, s.control, err = s.start(); err != nil {
-		return "", nil, err
-	}
 	defer s.kill()
 	pid := s.process.Process.Pid
 	time.Sleep(time.Second) // what a start does is over
--- a/cmd/measure/service.go
+++ b/cmd/measure/service.go
@@ -36,6 +36,13 @@
 	n       int
 }
 
+// newService starts the first process of one, of the daemon that the bench has built.
+func newService(b *bench) (s *service, err error) {
+	s = &service{b: b, binary: filepath.Join(b.dir, "caperarch"), tmp: b.dir, listen: rig.FreeAddress(panics{})}
+	s.process, s.control, err = s.start()
+	return s, err
+}
+
 // start starts a process and returns once it says yes.
 func (s *service) start() (cmd *exec.Cmd, control string, err error) {
 	control = rig.FreeAddress(panics{})
@@ -202,8 +209,8 @@
 		return "", nil, err
 	}
 	defer b.close()
-	s := &service{b: b, binary: filepath.Join(b.dir, "caperarch"), tmp: b.dir, listen: rig.FreeAddress(panics{})}
-	if s.process, s.control, err = s.start(); err != nil {
+	s, err := newService(b)
+	if err != nil {
 		return "", nil, err
 	}
 	defer s.kill()
--- a/cmd/measure/walls.go
+++ b/cmd/measure/walls.go
@@ -31,7 +31,7 @@
 		for seed := range seeds {
 			all.Go(func() {
 				cores <- true
-				played[i][seed], fails[i][seed] = days[i].Run(uint64(seed+1), nil)
+				played[i][seed], fails[i][seed] = days[i].Run(uint64(seed + 1))
 				<-cores
 			})
 		}
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"caperarch/internal/call"
+	"caperarch/internal/clock"
 	"caperarch/internal/cordon"
 	"caperarch/policy"
 )
@@ -215,16 +216,7 @@
 	if k.file.dir == "" {
 		return
 	}
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			k.look()
-		case <-ctx.Done():
-			return
-		}
-	}
+	clock.Every(ctx, lookEvery, k.look)
 }
 
 // usable says whether text may be an id: whatever stands in the list may, but for what would break a line of the log.
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"caperarch/internal/call"
+	"caperarch/internal/clock"
 	"caperarch/internal/config"
 	"caperarch/internal/handover"
 	"caperarch/policy"
@@ -85,16 +86,7 @@
 	if s.seat == nil {
 		return
 	}
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.look()
-		case <-ctx.Done():
-			return
-		}
-	}
+	clock.Every(ctx, lookEvery, s.look)
 }
 
 // look does what is to be done by who lives now: this process shrinks before a newcomer is told that it may take its part.
--- a/internal/emu/fleet.go
+++ b/internal/emu/fleet.go
@@ -111,11 +111,8 @@
 		f.shares += share
 	}
 	for i := range cfg.Sidecars {
-		c := cfg.Module
-		c.Balancers, c.Index = cfg.Sidecars, i
 		s := &sidecar{f: f, index: i, open: make(map[policy.RequestID]*request)}
-		var err error
-		if s.m, err = cfg.New(c, f.rng.Uint64(), s); err != nil {
+		if err := s.module(); err != nil {
 			return nil, err
 		}
 		f.sidecars = append(f.sidecars, s)
--- a/internal/emu/mass.go
+++ b/internal/emu/mass.go
@@ -115,7 +115,7 @@
 	Probes   float64 // a request
 	Quiet    float64 // share of the larger tenant's requests that came while the burst lasted, in time
 	Tipped   int     // times that a server tipped
-	Recovery float64 // s from the end of the burst until nine tenths of the best second's share is in time
+	Recovery float64 // s from the end of the burst until 95% of the best second's share is in time
 	Seconds  []MassSecond
 }
 
@@ -125,49 +125,47 @@
 	InTime, Refused, Load  float64
 }
 
-// Run plays the day from a seed; edit changes the fleet before. The error is the first rule that was broken.
-func (m *Mass) Run(seed uint64, edit func(*Config)) (Massed, error) {
-	c := m.Config(seed)
-	if edit != nil {
-		edit(&c)
+// some is a share of all, spread over the list.
+func some[T any](all []T, share float64) (some []T) {
+	for i, one := range all {
+		if float64(i%20) < 20*share {
+			some = append(some, one)
+		}
+	}
+	return some
+}
+
+// setSome has a share of the servers behave in a way from now on.
+func setSome(nodes []*node, share float64, s State) {
+	for _, n := range some(nodes, share) {
+		n.set(s)
 	}
-	f, err := New(c)
+}
+
+// Run plays the day from a seed. The error is the first rule that was broken.
+func (m *Mass) Run(seed uint64) (Massed, error) {
+	f, err := New(m.Config(seed))
 	if err != nil {
 		return Massed{}, err
 	}
 	if m.Slow > 0 {
-		f.At(m.BurstFrom, func() {
-			for i, n := range f.nodes {
-				if float64(i%20) < 20*m.Slow {
-					n.set(State{Slower: 3})
-				}
-			}
-		})
+		f.At(m.BurstFrom, func() { setSome(f.nodes, m.Slow, State{Slower: 3}) })
 	}
 	if m.Killed > 0 {
 		f.At(m.BurstFrom+2*time.Second, func() {
-			for i, s := range f.sidecars {
-				if float64(i%20) < 20*m.Killed && err == nil {
-					err = s.restart()
-				}
+			for _, s := range some(f.sidecars, m.Killed) {
+				err = cmp.Or(err, s.restart())
 			}
 		})
 	}
 	if m.Hang > 0 {
-		hang := func(s State) {
-			for i, n := range f.nodes {
-				if float64(i%20) < 20*m.Hang {
-					n.set(s)
-				}
-			}
-		}
-		f.At(m.BurstFrom, func() { hang(State{Silent: true}) })
-		f.At(m.BurstFrom+m.BurstFor, func() { hang(State{}) })
+		f.At(m.BurstFrom, func() { setSome(f.nodes, m.Hang, State{Silent: true}) })
+		f.At(m.BurstFrom+m.BurstFor, func() { setSome(f.nodes, m.Hang, State{}) })
 	}
 	if m.Tipped > 0 {
 		f.At(m.BurstFrom, func() {
-			for i, n := range f.nodes {
-				if float64(i%20) < 20*m.Tipped && !n.tipped {
+			for _, n := range some(f.nodes, m.Tipped) {
+				if !n.tipped {
 					n.held = n.spec.Crowd.Most + 1e9
 					n.crowded()
 				}
--- a/internal/emu/mass_test.go
+++ b/internal/emu/mass_test.go
@@ -20,7 +20,7 @@
 			t.Parallel()
 			m := CalmMass
 			m.Sidecars, m.Servers = 60, 40
-			o, err := m.Run(seed, nil)
+			o, err := m.Run(seed)
 			if err != nil {
 				t.Fatalf("seed %d: %v", seed, err)
 			}
--- a/internal/emu/sidecar.go
+++ b/internal/emu/sidecar.go
@@ -54,6 +54,23 @@
 	ran   bool
 }
 
+// module gives the sidecar a module that knows nothing yet.
+func (s *sidecar) module() (err error) {
+	c := s.f.cfg.Module
+	c.Balancers, c.Index = s.f.cfg.Sidecars, s.index
+	s.m, err = s.f.cfg.New(c, s.f.rng.Uint64(), s)
+	return err
+}
+
+// callOff ends an attempt that is out, and its work.
+func (a *attempt) callOff() {
+	a.ended = true
+	a.limit.Off()
+	if a.job != nil {
+		a.job.giveUp()
+	}
+}
+
 // ask is a client's first try.
 func (s *sidecar) ask(class, tenant int) {
 	f := s.f
@@ -165,20 +182,20 @@
 }
 
 // Refuse ends a request; its client may come back.
-func (s *sidecar) Refuse(id policy.RequestID, pause time.Duration) { s.answer(id, pause, true) }
+func (s *sidecar) Refuse(id policy.RequestID, pause time.Duration) { s.answer(s.open[id], pause, true) }
 
 // Fail ends a request with no promise. Its client comes back where the class allows that.
-func (s *sidecar) Fail(id policy.RequestID) { s.answer(id, 0, false) }
+func (s *sidecar) Fail(id policy.RequestID) { s.answer(s.open[id], 0, false) }
 
-func (s *sidecar) answer(id policy.RequestID, pause time.Duration, refused bool) {
-	f, r := s.f, s.open[id]
+func (s *sidecar) answer(r *request, pause time.Duration, refused bool) {
+	f := s.f
 	if r.over {
-		f.err = fmt.Errorf("emu: request %d was answered twice", id)
+		f.err = fmt.Errorf("emu: request %d was answered twice", r.id)
 		return
 	}
 	r.over = true
 	if r.out == 0 {
-		delete(s.open, id)
+		delete(s.open, r.id)
 	}
 	again := r.try < f.cfg.Clients.Retries && (refused || f.cfg.Module.Classes[r.first.class].Effect != policy.Unsafe)
 	wait := max(pause, f.jitter(f.cfg.Clients.backoff(r.try)))
@@ -201,12 +218,7 @@
 	if r == nil || r.attempts[number].ended {
 		return
 	}
-	a := r.attempts[number]
-	a.ended = true
-	a.limit.Off()
-	if a.job != nil {
-		a.job.giveUp()
-	}
+	r.attempts[number].callOff()
 	s.f.clock.After(0, func() { s.outcome(r, number, policy.Cancelled) })
 }
 
@@ -243,32 +255,22 @@
 
 // restart ends the sidecar as a kill does, and begins it anew: what it held breaks off, and its clients come again.
 func (s *sidecar) restart() error {
-	f, c := s.f, s.f.cfg.Module
-	c.Balancers, c.Index = f.cfg.Sidecars, s.index
-	m, err := f.cfg.New(c, f.rng.Uint64(), s)
-	if err != nil {
+	if err := s.module(); err != nil {
 		return err
 	}
-	held := s.open
-	s.m, s.open, s.turned = m, make(map[policy.RequestID]*request), 0
-	m.Start(f.clock.Now)
-	m.List(f.clock.Now, policy.ListCached, f.list())
+	f, held := s.f, s.open
+	s.open, s.turned = make(map[policy.RequestID]*request), 0
+	s.m.Start(f.clock.Now)
+	s.m.List(f.clock.Now, policy.ListCached, f.list())
 	for _, id := range slices.Sorted(maps.Keys(held)) {
 		r := held[id]
 		for _, a := range r.attempts {
-			if a.ended {
-				continue
-			}
-			a.ended = true
-			a.limit.Off()
-			if a.job != nil {
-				a.job.giveUp()
+			if !a.ended {
+				a.callOff()
 			}
 		}
 		if !r.over {
-			s.open[id] = r // for its answer
-			s.answer(id, 0, false)
-			delete(s.open, id)
+			s.answer(r, 0, false)
 		}
 	}
 	return nil
--- a/internal/fleetlog/causes.go
+++ b/internal/fleetlog/causes.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"regexp"
 	"slices"
 	"strconv"
@@ -13,9 +14,9 @@
 
 // Causes are what all sidecars did by their counters, and why they held back or refused.
 type Causes struct {
-	Sent, Retries                            uint64 // first sends, and further ones
-	Held, Walled, Throttled, Queued, Late    uint64 // by the wall over all attempts, by servers' portions, by admission, by a full compartment, as their time was gone
-	Refused, Failed, Crossed, Dialled, Stale uint64
+	Sent, Retries                         uint64 // first sends, and further ones
+	Held, Walled, Throttled, Queued, Late uint64 // by the wall over all attempts, by servers' portions, by admission, by a full compartment, as their time was gone
+	Refused, Failed, Dialled              uint64
 }
 
 // fields are the counters' names in the log, and where each is added up.
@@ -29,9 +30,7 @@
 	"Late":      func(c *Causes) *uint64 { return &c.Late },
 	"Refused":   func(c *Causes) *uint64 { return &c.Refused },
 	"Failed":    func(c *Causes) *uint64 { return &c.Failed },
-	"Crossed":   func(c *Causes) *uint64 { return &c.Crossed },
 	"dialled":   func(c *Causes) *uint64 { return &c.Dialled },
-	"stale":     func(c *Causes) *uint64 { return &c.Stale },
 }
 
 var counter = regexp.MustCompile(`(\w+):(\d+)`)
@@ -94,14 +93,10 @@
 
 // reportCauses writes what was told second by second: a line of counters tells of the ten seconds before it.
 func (f *Fleet) reportCauses(w io.Writer) error {
-	var order []int64
-	for at := range f.told {
-		order = append(order, at)
-	}
+	order := slices.Sorted(maps.Keys(f.told))
 	if len(order) == 0 {
 		return nil
 	}
-	slices.Sort(order)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "told at\tsent\tmore\theld\twalled\tthrottled\tqueued\tlate\trefused\tfailed\tdialled\t")
 	line := func(at string, c Causes) {
--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"regexp"
 	"slices"
 	"strings"
@@ -144,11 +145,7 @@
 
 // Report writes the table, from the first second that has anything.
 func (f *Fleet) Report(w io.Writer) error {
-	var order []int64
-	for at := range f.seconds {
-		order = append(order, at)
-	}
-	slices.Sort(order)
+	order := slices.Sorted(maps.Keys(f.seconds))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "second\tstarts\twhole lists\tchanges\tcalls failed\tin doubt\tstopped\t")
 	for _, at := range order {
--- a/internal/walls/walls_test.go
+++ b/internal/walls/walls_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// Clients that come again bring no room: refusals would feed on themselves. And one long answer among quick ones is no crowd.
+// One long answer among quick ones is no crowd, slow ones are.
 func TestOneLongAnswerIsNoCrowd(t *testing.T) {
 	w := New(0.06)
 	now := time.Hour
--- a/policy/state.go
+++ b/policy/state.go
@@ -195,13 +195,8 @@
 }
 
 // ready returns the ready servers, in order of their ids.
-func (b *Balancer) ready() (all []*server) {
-	for _, s := range b.servers {
-		if s.State == Ready {
-			all = append(all, s)
-		}
-	}
-	return all
+func (b *Balancer) ready() []*server {
+	return slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return s.State != Ready })
 }
 
 // hold counts an attempt that begins (1) or ends (-1) wherever it counts.
