Sidecars that know of each other: swim, hints, and datagrams between them

Change: internal/swim says who is there and whether one is in contact, a state machine over messages and time; internal/hints what sidecars tell each other of servers; internal/peer is the one socket, with a budget. Played in virtual time by internal/swim/swimnet.

--- /dev/null
+++ b/internal/peer/code.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"caperarch/internal/peer/peerpb"
+	"caperarch/internal/swim"
+)
+
+// Longest is the longest datagram, in bytes: a longer one is not allowed between sidecars.
+const Longest = 256
+
+// form is the newest form of a datagram that is read.
+const form = 0
+
+// FleetTag stands for a fleet's name in datagrams.
+func FleetTag(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// What a datagram is not read for.
+var (
+	errLength  = errors.New("no datagram of 1 to 256 bytes")
+	errSpoilt  = errors.New("it can't be read")
+	errFleet   = errors.New("another fleet's")
+	errForm    = errors.New("a newer form")
+	errAddress = errors.New("the sender's number is not that of its address")
+)
+
+// encode is a message of swim as a record.
+func encode(m *swim.Message) *peerpb.Contact {
+	c := &peerpb.Contact{
+		Turn: m.Session.Turn, Kind: uint32(m.Kind), Stamp: m.Stamp, Echo: m.Echo, Mute: m.Mute, About: uint32(m.About), Mark: m.Mark, Digest: m.Digest,
+		Count: uint32(m.Count),
+	}
+	if m.Echo != 0 {
+		c.EchoOf = m.EchoOf
+	}
+	for _, r := range m.Rumours {
+		c.Rumour = append(c.Rumour, &peerpb.Rumour{
+			Member: uint32(r.Member), Life: r.Session.Life, Turn: r.Session.Turn, State: uint32(r.State), By: uint32(r.By),
+		})
+	}
+	return c
+}
+
+// decode reads such a record. Numbers that no member can have become ones that swim passes over.
+func decode(from int, life uint64, c *peerpb.Contact) *swim.Message {
+	m := &swim.Message{
+		From: from, Session: swim.Session{Life: life, Turn: c.Turn}, Kind: swim.Kind(min(c.Kind, 255)), Stamp: c.Stamp, Echo: c.Echo, EchoOf: c.EchoOf,
+		Mute: c.Mute, About: int(c.About), Mark: c.Mark, Digest: c.Digest, Count: int(min(c.Count, swim.Most)),
+	}
+	for _, r := range c.Rumour {
+		m.Rumours = append(m.Rumours, swim.Rumour{
+			Member: int(r.Member), Session: swim.Session{Life: r.Life, Turn: r.Turn}, State: swim.State(min(r.State, 255)), By: int(r.By),
+		})
+	}
+	return m
+}
+
+// Size is how many bytes a message takes on the way.
+func Size(m *swim.Message) int {
+	return proto.Size(&peerpb.Datagram{Fleet: 1, From: uint32(m.From) + 1, Life: m.Session.Life, Contact: []*peerpb.Contact{encode(m)}})
+}
+
+// fit packs a message, with as many of its rumours as there is room for.
+func fit(d *peerpb.Datagram, c *peerpb.Contact) ([]byte, error) {
+	d.Contact = []*peerpb.Contact{c}
+	for {
+		raw, err := proto.Marshal(d)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(raw) <= Longest:
+			return raw, nil
+		case len(c.Rumour) == 0:
+			return nil, fmt.Errorf("a message of %d bytes", len(raw))
+		}
+		c.Rumour = c.Rumour[:len(c.Rumour)-1]
+	}
+}
+
+// read takes a datagram apart.
+func read(raw []byte, fleet uint32) (*peerpb.Datagram, error) {
+	if len(raw) == 0 || len(raw) > Longest {
+		return nil, errLength
+	}
+	d := new(peerpb.Datagram)
+	switch err := proto.Unmarshal(raw, d); {
+	case err != nil || d.From == 0 || d.Life == 0:
+		return nil, errSpoilt
+	case d.Fleet != fleet:
+		return nil, errFleet
+	case d.Form > form:
+		return nil, errForm
+	}
+	return d, nil
+}
--- a/internal/rig/discovery.go
+++ b/internal/rig/discovery.go
@@ -61,6 +61,13 @@
 	d.change()
 }
 
+// Draining says whether a node is listed as draining.
+func (d *Discovery) Draining(n *Node) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.entries, func(e entry) bool { return e.node == n && e.lifecycle == "draining" })
+}
+
 // Down has it answer nothing but 503, or serve again.
 func (d *Discovery) Down(down bool) {
 	d.mu.Lock()
--- a/internal/rig/grpc.go
+++ b/internal/rig/grpc.go
@@ -84,7 +84,7 @@
 		<-s.Context().Done()
 		return s.Context().Err()
 	case Slow:
-		time.Sleep(time.Duration(n.Delay.Load()))
+		n.slow()
 	}
 	answers := 1
 	if count, ok := strings.CutPrefix(in.GetValue(), "stream "); ok {
--- a/internal/rig/http.go
+++ b/internal/rig/http.go
@@ -89,7 +89,7 @@
 		_, _ = io.WriteString(c, "SMTP ready\r\n\r\n")
 		return false
 	case Slow:
-		time.Sleep(time.Duration(n.Delay.Load()))
+		n.slow()
 	}
 	return say(http.StatusOK, "", text)
 }
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -22,7 +22,7 @@
 	Reset       // breaks the connection behind the request's last byte
 	Cut         // breaks it in the middle of the answer
 	Garbage     // answers with what is none
-	Slow        // serves after Node.Delay
+	Slow        // serves after Node.Delay, or as Node.Takes has it
 )
 
 func (a Act) String() string {
@@ -43,8 +43,10 @@
 	Started time.Time
 	Address string
 	Ledger  *Ledger
-	Delay   atomic.Int64  // of Slow, in nanoseconds
-	Load    func() string // the load report of an answer and a probe, in the protocol's form; nil: none
+	Delay   atomic.Int64         // of Slow, in nanoseconds
+	Takes   func() time.Duration // of Slow; nil: Delay. It is set before the first request and called from many goroutines
+	Times   atomic.Int64         // thousandths of that, or of Delay, that it takes; 0: all of it
+	Load    func() string        // the load report of an answer and a probe, in the protocol's form; nil: none
 	Probes  atomic.Int64
 
 	script atomic.Pointer[Script]
@@ -129,6 +131,18 @@
 	return len(n.conns)
 }
 
+// slow waits as long as the node takes for a request.
+func (n *Node) slow() {
+	takes := time.Duration(n.Delay.Load())
+	if n.Takes != nil {
+		takes = n.Takes()
+	}
+	if by := n.Times.Load(); by > 0 {
+		takes = takes * time.Duration(by) / 1000
+	}
+	time.Sleep(takes)
+}
+
 // breakConn resets the connection to an address.
 func (n *Node) breakConn(address string) {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/swim/swim_test.go
@@ -0,0 +1,27 @@
+package swim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"caperarch/internal/swim"
+	"caperarch/internal/swim/swimnet"
+)
+
+func settled(t *testing.T, n *swimnet.Net) {
+	t.Helper()
+	if !n.Until(4*swim.LeaseFor(n.Size)+20*time.Second, func() bool { return n.InContact() == n.Size && n.Agree() }) {
+		t.Fatalf("seed %d: %d of %d in contact after %v, agree %v", n.Seed, n.InContact(), n.Size, n.Now-time.Hour, n.Agree())
+	}
+}
+
+func TestSettles(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 5, 9, 40} {
+		n := swimnet.New(swimnet.Config{Size: size, Seed: uint64(size)})
+		begun := n.Now
+		settled(t, n)
+		t.Logf("%d: %v", size, n.Now-begun)
+	}
+	_ = fmt.Sprint()
+}
--- a/internal/virtual/clock.go
+++ b/internal/virtual/clock.go
@@ -48,14 +48,31 @@
 	return a
 }
 
-// Until plays up to a time.
-func (c *Clock) Until(t time.Duration) {
+// To plays up to a time.
+func (c *Clock) To(t time.Duration) {
+	c.While(t, func() bool { return true })
+}
+
+// Run plays on for a while.
+func (c *Clock) Run(d time.Duration) { c.To(c.Now + d) }
+
+// Until plays on until something holds, looked at after each call, for a while at most; it says whether it came to that.
+func (c *Clock) Until(d time.Duration, holds func() bool) bool {
+	return !c.While(c.Now+d, func() bool { return !holds() })
+}
+
+// While plays up to a time as long as something holds, looked at after each call; it says whether it still does.
+func (c *Clock) While(t time.Duration, holds func() bool) bool {
 	for len(c.due) > 0 && c.due[0].at <= t {
 		a := heap.Pop(&c.due).(*Alarm)
 		c.Now = a.at
-		if a.do != nil {
-			a.do()
+		if a.do == nil {
+			continue
+		}
+		if a.do(); !holds() {
+			return false
 		}
 	}
 	c.Now = t
+	return true
 }
