--- /dev/null
+++ b/internal/accord/history_test.go
@@ -0,0 +1,150 @@
+package accord_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"caperarch/internal/accord/accordnet"
+	"caperarch/internal/agree"
+)
+
+var (
+	seed      = flag.Uint64("seed", 0, "play the history of this seed alone")
+	histories = flag.Int("histories", 150, "how many are played")
+)
+
+// change has a fleet of five to nine live through faults while its operators propose, and call off.
+func change(seed uint64) (n *accordnet.Net, lost bool) {
+	size := 5 + int(seed%5)
+	n = accordnet.New(accordnet.Config{Size: size, Seed: seed, Lease: 3 * time.Second, Rate: 0.01, Disks: seed%3 == 0})
+	rng := n.Rng
+	n.Run(time.Second)
+	if err := n.Nodes[0].Found(n.Nodes[0].Time(), 1); err != nil {
+		n.Broken = append(n.Broken, err.Error())
+	}
+	n.Watch(20 * time.Millisecond)
+	n.Run(20 * time.Second)
+	for range rng.IntN(6) {
+		at, length := time.Duration(rng.Int64N(int64(40*time.Second))), time.Duration(rng.Int64N(int64(12*time.Second)))
+		who := rng.Perm(size)
+		switch rng.IntN(7) {
+		case 0:
+			n.After(at, func() { n.Stop(who[0], length) })
+		case 1, 2:
+			side := make(map[int]bool)
+			for _, i := range who[:1+rng.IntN(size-1)] {
+				side[i] = true
+			}
+			oneWay := rng.IntN(3) == 0
+			n.After(at, func() {
+				n.Cut = func(from, to int) bool { return side[from] != side[to] && (!oneWay || side[from]) }
+				n.After(length, func() { n.Cut = nil })
+			})
+		case 3:
+			n.After(at, func() { n.Loss, n.Twice, n.Most = 0.3*rng.Float64(), 0.3, 300*time.Millisecond })
+			n.After(at+length, func() { n.Loss, n.Twice, n.Most = 0, 0, 10*time.Millisecond })
+		case 4:
+			n.After(at, func() { n.Crash(who[0]) })
+			n.After(at+length, func() { n.Boot(who[0]) })
+		case 5:
+			n.After(at, func() { n.Held = n.Now + 3*time.Second })
+		case 6: // most at once, the voters among them
+			for _, i := range who[:size*7/10] {
+				n.After(at, func() { n.Crash(i) })
+				n.After(at+length, func() { n.Boot(i) })
+			}
+		}
+	}
+	for k := range 6 {
+		m := n.Nodes[rng.IntN(size)]
+		n.After(time.Duration(rng.Int64N(int64(45*time.Second))), func() {
+			if !m.Lives() {
+				return
+			}
+			if rng.IntN(5) == 0 {
+				n.Cannot[[2]int{rng.IntN(size), k}] = true
+			}
+			text := accordnet.Text(k)
+			if rng.IntN(4) == 0 { // a long one: it goes round first
+				for len(text) < 2000 {
+					text = append(text, fmt.Sprintf("# %x\n", rng.Uint64())...)
+				}
+			}
+			if _, err := m.Propose(m.Time(), text, m.View(m.Time()).State.Holds.Version); err != nil {
+				n.Counts["told no"]++
+			} else if rng.IntN(5) == 0 {
+				n.After(time.Duration(rng.Int64N(int64(time.Second))), func() {
+					if m.Lives() {
+						_, _ = m.Abort(m.Time())
+					}
+				})
+			}
+		})
+	}
+	n.Run(60 * time.Second)
+	n.Cut, n.Loss, n.Twice, n.Most = nil, 0, 0, 10*time.Millisecond
+	for at := range n.Cannot { // its settings are mended, for which it starts anew
+		n.Crash(at[0])
+	}
+	n.Cannot = make(map[[2]int]bool)
+	for i := range n.Nodes {
+		n.Boot(i)
+	}
+	whole := func() bool { return n.Broken != nil || n.Quiet() }
+	if lost = n.Lost(); lost && rng.IntN(2) == 0 {
+		n.Run(time.Duration(rng.Int64N(int64(10 * time.Second))))
+	}
+	if lost && n.Disks {
+		n.Broken = append(n.Broken, "the log is lost, though all have kept their votes:"+n.Text())
+	}
+	if lost {
+		// An operator begins anew, by way of any of them; whoever goes by the last log's policy still does not do so beside the new one's.
+		m := n.Nodes[rng.IntN(size)]
+		if err := m.Found(m.Time(), 1<<40); err != nil && !errors.Is(err, agree.ErrExists) { // some hold on to a leader that is none for a moment
+			n.Broken = append(n.Broken, err.Error())
+		} else if err != nil {
+			n.Run(10 * time.Second)
+			_ = m.Found(m.Time(), 1<<40)
+		}
+	}
+	if !n.Until(110*time.Second, whole) { // a text on offer whose only holder was lost is given up behind a minute
+		n.Broken = append(n.Broken, "110 s after all is well:"+n.Text())
+	}
+	for _, m := range n.Nodes {
+		if m.TooLong > 0 {
+			n.Broken = append(n.Broken, fmt.Sprintf("%d messages that were too long", m.TooLong))
+		}
+	}
+	return n, lost
+}
+
+// Whatever is cut, stopped, crashed, held and lost while policies change: nobody goes by one policy alone while another goes by another alone, and in the end all go by
+// the same.
+func TestChanges(t *testing.T) {
+	first, last := uint64(1), uint64(*histories)
+	if *seed != 0 {
+		first, last = *seed, *seed
+	}
+	sum, lost, both, cut, longest := make(map[string]int), 0, 0, 0, 0
+	for s := first; s <= last; s++ {
+		n, gone := change(s)
+		if n.Broken != nil {
+			t.Fatalf("seed %d: %s", s, strings.Join(n.Broken, "\n"))
+		}
+		if gone {
+			lost++
+		}
+		for what, times := range n.Counts {
+			sum[what] += times
+		}
+		both, cut, longest = both+n.Both, cut+n.CutOff, max(longest, n.Longest)
+	}
+	t.Logf("%v; looks at one that goes by both %d, cut off %d; the log lost and begun anew %d times; the longest message %d bytes", sum, both, cut, lost, longest)
+	if *seed == 0 && (sum["taken"] < *histories || sum["called off"] < *histories/10 || sum["told no"] < *histories/10 || both == 0 || cut == 0) {
+		t.Error("hardly anything happened")
+	}
+}
--- /dev/null
+++ b/internal/agree/agree_test.go
@@ -0,0 +1,428 @@
+package agree_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"caperarch/internal/agree"
+	"caperarch/internal/agree/agreenet"
+)
+
+var (
+	seed      = flag.Uint64("seed", 0, "play the history of this seed alone")
+	histories = flag.Int("histories", 150, "how many are played")
+)
+
+// founded is a fleet whose log has all its voters.
+func founded(t *testing.T, size int, seed uint64) *agreenet.Net {
+	t.Helper()
+	return foundedOn(t, agreenet.New(size, seed), seed)
+}
+
+func foundedOn(t *testing.T, n *agreenet.Net, seed uint64) *agreenet.Net {
+	t.Helper()
+	n.Run(time.Second)
+	if err := n.Nodes[0].Found(n.Now, 1); err != nil {
+		t.Fatal(err)
+	}
+	if !n.Until(20*time.Second, func() bool { return complete(n) }) {
+		t.Fatalf("seed %d: after 20 s %d seats, leader %d", seed, len(n.Nodes[0].Seats()), n.Leader())
+	}
+	return n
+}
+
+// complete says whether all that run have the same log with all its voters, which run.
+func complete(n *agreenet.Net) bool {
+	have := uint64(0)
+	for _, m := range n.Nodes {
+		if !m.Lives() {
+			continue
+		}
+		if have == 0 {
+			have = m.Have()
+		}
+		if m.Have() != have || m.Epoch() == 0 || len(m.Seats()) != agree.VotersFor(n.Size) {
+			return false
+		}
+	}
+	return n.Leader() >= 0
+}
+
+func TestFoundedAndFollowed(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 5, 9, 30} {
+		n := founded(t, size, uint64(size))
+		heard := 0
+		for _, m := range n.Nodes {
+			m.Heard = func(agree.Entry) { heard++ }
+		}
+		if err := n.Nodes[size-1].Propose(n.Now, []byte("first")); err != nil {
+			t.Fatal(err)
+		}
+		begun := n.Now
+		if !n.Until(20*time.Second, func() bool { return heard == size }) {
+			t.Fatalf("%d of %d have it", heard, size)
+		}
+		t.Logf("%d sidecars: known to all after %v, %d messages in all, the longest of some %d bytes", size, n.Now-begun, n.Sent, n.Longest)
+		if n.Longest > 215 { // of 256, less what stands round it
+			t.Errorf("a message of %d bytes", n.Longest)
+		}
+	}
+}
+
+// operation is a sidecar's compare and set: a new value where the last one is as it says.
+type operation struct{ base, value int }
+
+// register is what the log makes of them: of entries in their order, those whose base is the last one's value hold.
+var register = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, in, out any) (bool, any) {
+		op, held := in.(operation), out.(bool)
+		if state.(int) == op.base {
+			return held, op.value
+		}
+		return !held, state
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// history has a fleet of five to nine live through faults while its sidecars set a register, each by what it has itself; the whole is checked by porcupine.
+func history(t *testing.T, seed uint64) (broken []string, sum sums) {
+	size := 5 + int(seed%5)
+	n := agreenet.New(size, seed)
+	if seed%3 == 0 { // machines have disks that last
+		n.NewDisks()
+	}
+	foundedOn(t, n, seed)
+	rng := rand.New(rand.NewPCG(seed, 6))
+	value := make([]int, size)
+	var ops []porcupine.Operation
+	last := 0
+	watch := func(i int, mine *operation, done func(held bool)) func(agree.Entry) {
+		return func(e agree.Entry) {
+			var op operation
+			_, _ = fmt.Sscanf(string(e.Data), "%d %d", &op.base, &op.value)
+			held := op.base == value[i]
+			if held {
+				value[i] = op.value
+			}
+			if mine != nil && op == *mine {
+				done(held)
+				mine = nil
+			}
+		}
+	}
+	for i, m := range n.Nodes {
+		m.Heard = watch(i, nil, nil)
+	}
+	// Faults: at most a minority of the voters is lost within the time that it takes to replace them, else the log is lost by its own promise.
+	for range 1 + rng.IntN(5) {
+		at, length := time.Duration(rng.Int64N(int64(20*time.Second))), time.Duration(rng.Int64N(int64(8*time.Second)))
+		who := rng.Perm(size)
+		switch rng.IntN(4) {
+		case 0:
+			n.After(at, func() { n.Stop(who[0], length) })
+		case 1:
+			side := make(map[int]bool)
+			for _, i := range who[:1+rng.IntN(size-1)] {
+				side[i] = true
+			}
+			oneWay := rng.IntN(2) == 0
+			n.After(at, func() {
+				n.Cut = func(from, to int) bool { return side[from] != side[to] && (!oneWay || side[from]) }
+				n.After(length, func() { n.Cut = nil })
+			})
+		case 2:
+			n.After(at, func() { n.Loss, n.Twice, n.Most = 0.3*rng.Float64(), 0.3, 300*time.Millisecond })
+			n.After(at+length, func() { n.Loss, n.Twice, n.Most = 0, 0, 10*time.Millisecond })
+		case 3:
+			i := who[0]
+			n.After(at, func() { n.Crash(i) })
+			n.After(at+length, func() {
+				if !n.Nodes[i].Down {
+					return // another fault's end came first
+				}
+				value[i] = 0 // it has forgotten all, and hears the log from its beginning
+				n.Boot(i)
+				n.Nodes[i].Heard = watch(i, nil, nil)
+			})
+		}
+	}
+	for k := range 12 {
+		i := rng.IntN(size)
+		n.After(time.Duration(rng.Int64N(int64(25*time.Second))), func() {
+			m := n.Nodes[i]
+			if !m.Lives() {
+				return
+			}
+			last++
+			op := operation{value[i], 100*seed2(seed) + last}
+			if m.Propose(n.Now, fmt.Appendf(nil, "%d %d", op.base, op.value)) != nil {
+				return
+			}
+			at := len(ops)
+			ops = append(ops, porcupine.Operation{ClientId: k, Input: op, Call: int64(n.Now), Output: true, Return: -1})
+			m.Heard = watch(i, &op, func(held bool) { ops[at].Output, ops[at].Return = held, int64(n.Now) })
+		})
+	}
+	n.Run(35 * time.Second)
+	n.Cut, n.Loss, n.Twice, n.Most = nil, 0, 0, 10*time.Millisecond
+	settled := n.Until(30*time.Second, func() bool { return complete(n) })
+	lost := !settled && n.Lost()
+	if !settled && !lost {
+		text := ""
+		for i, m := range n.Nodes {
+			text += fmt.Sprintf(" n%d lives %v has %d of epoch %d, leads %v, votes %v, seats %v;", i, m.Lives(), m.Have(), m.Epoch(), m.Leads(), m.Voter(), m.Seats())
+		}
+		broken = append(broken, "30 s after all is well logs or voters differ:"+text)
+	}
+	var known []porcupine.Operation
+	for _, op := range ops {
+		if op.Return >= 0 {
+			known = append(known, op)
+		}
+	}
+	// What has not come back may hold at any time, or never: both are tried with porcupine's partial histories by leaving it open to the end.
+	for _, op := range ops {
+		if op.Return < 0 && taken(n, op.Input.(operation)) {
+			op.Return, op.Output = int64(n.Now)+1, true
+			known = append(known, op)
+		}
+	}
+	if !porcupine.CheckOperations(register, known) {
+		broken = append(broken, fmt.Sprintf("not linearizable: %+v", known))
+	}
+	sum.proposed = len(ops)
+	for _, op := range ops {
+		if op.Return >= 0 && op.Output.(bool) {
+			sum.held++
+		} else if op.Return >= 0 {
+			sum.refused++
+		}
+	}
+	if lost {
+		sum.lost = 1
+	}
+	return append(broken, n.Broken...), sum
+}
+
+// sums say whether histories were worth looking at.
+type sums struct{ proposed, held, refused, lost int }
+
+func seed2(seed uint64) int { return int(seed % 1000) }
+
+// taken replays the log as the register that it is, and says whether an operation held in it.
+func taken(n *agreenet.Net, op operation) bool {
+	value := 0
+	for _, e := range n.Agreed(1) {
+		var x operation
+		if c, _ := fmt.Sscanf(e, "%d %d", &x.base, &x.value); c == 2 && x.base == value {
+			if value = x.value; x == op {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestHistories(t *testing.T) {
+	first, last := uint64(1), uint64(*histories)
+	if *seed != 0 {
+		first, last = *seed, *seed
+	}
+	var all sums
+	for s := first; s <= last; s++ {
+		broken, sum := history(t, s)
+		if broken != nil {
+			t.Fatalf("seed %d: %v", s, broken)
+		}
+		all = sums{all.proposed + sum.proposed, all.held + sum.held, all.refused + sum.refused, all.lost + sum.lost}
+	}
+	if t.Logf("%+v", all); *seed == 0 && (all.held < *histories || all.refused < *histories/4) {
+		t.Error("hardly anything was agreed on")
+	}
+}
+
+// A leader is confirmed within a second and a half, and every second sidecar knows who leads.
+func TestConfirmed(t *testing.T) {
+	n := founded(t, 9, 4)
+	n.Run(1500 * time.Millisecond)
+	leader := n.Nodes[n.Leader()]
+	if at, index := leader.Confirmed(); at < n.Now-1500*time.Millisecond || index == 0 {
+		t.Errorf("confirmed %v ago, %d entries", n.Now-at, index)
+	}
+	for i, m := range n.Nodes {
+		if m.Leader() != n.Leader() {
+			t.Errorf("n%d takes %d for the leader, it is %d", i, m.Leader(), n.Leader())
+		}
+	}
+	lone := n.Leader()
+	n.Cut = func(from, to int) bool { return from == lone || to == lone }
+	n.Run(10 * time.Second)
+	if at, _ := leader.Confirmed(); n.Now-at < 8*time.Second && at > 0 {
+		t.Errorf("cut off from all for 10 s it was confirmed %v ago", n.Now-at)
+	}
+}
+
+// One who hears nothing proposes: it stands in the log once, however often it is proposed again.
+func TestProposedAgainStandsOnce(t *testing.T) {
+	for _, votes := range []bool{true, false} {
+		proposedAgain(t, votes)
+	}
+}
+
+func proposedAgain(t *testing.T, votes bool) {
+	n := founded(t, 9, 2)
+	deaf := 0
+	for n.Nodes[deaf].Voter() != votes || deaf == n.Leader() {
+		deaf++
+	}
+	n.Cut = func(_, to int) bool { return to == deaf }
+	before := n.Nodes[n.Leader()].Have()
+	if err := n.Nodes[deaf].Propose(n.Now, []byte("again")); err != nil {
+		t.Fatal(err)
+	}
+	n.Run(40 * time.Second)
+	again := 0
+	for _, e := range n.Agreed(1) {
+		if e == "again" {
+			again++
+		}
+	}
+	if grown := n.Nodes[n.Leader()].Have() - before; again != 1 || grown > 8 {
+		t.Errorf("it stands there %d times, the log has grown by %d", again, grown)
+	}
+}
+
+// A majority of the voters is lost at once: nothing can be agreed on any more, and a new beginning is refused while the log answers, taken when it does not, and yielded to by those of the old one.
+func TestNewBeginning(t *testing.T) {
+	n := founded(t, 5, 3)
+	if err := n.Nodes[1].Found(n.Now, 2); err == nil && !n.Nodes[1].Voter() {
+		t.Error("a new beginning while the log answers")
+	}
+	n = founded(t, 5, 3)
+	for i := range 3 {
+		n.Crash(i)
+	}
+	n.Cut = func(from, to int) bool { return from == 4 || to == 4 } // it stays with the old log for now
+	for i := range 3 {
+		n.Boot(i)
+	}
+	n.Run(20 * time.Second)
+	before := len(n.Agreed(1))
+	_ = n.Nodes[3].Propose(n.Now, []byte("lost"))
+	n.Run(10 * time.Second)
+	if len(n.Agreed(1)) != before {
+		t.Error("two of five agreed on something")
+	}
+	if err := n.Nodes[0].Found(n.Now, 1); err == nil {
+		t.Error("the same epoch again")
+	}
+	if err := n.Nodes[0].Found(n.Now, 2); err != nil {
+		t.Fatal(err)
+	}
+	n.Run(10 * time.Second)
+	n.Cut = nil
+	if !n.Until(20*time.Second, func() bool { return complete(n) && n.Nodes[4].Epoch() == 2 }) {
+		t.Fatalf("epochs %d and %d", n.Nodes[0].Epoch(), n.Nodes[4].Epoch())
+	}
+	if err := n.Nodes[4].Propose(n.Now, []byte("new")); err != nil {
+		t.Fatal(err)
+	}
+	n.Run(5 * time.Second)
+	all := n.Agreed(2)
+	if len(all) == 0 || all[len(all)-1] != "new" || n.Broken != nil {
+		t.Errorf("%q, %v", all, n.Broken)
+	}
+	have := n.Nodes[2].Have()
+	n.Nodes[2].Take(n.Now, 1, &agree.Message{Epoch: 1, Have: 100, Entries: []agree.Entry{{Index: have + 1, Data: []byte("12345678old")}}})
+	if n.Nodes[2].Have() != have {
+		t.Error("an entry of the old log is in the new one")
+	}
+}
+
+// With disks that last the log outlives a stop of all at once; a voter whose disk fails votes no more, and says why.
+func TestDisks(t *testing.T) {
+	n := agreenet.New(5, 4)
+	n.NewDisks()
+	foundedOn(t, n, 4)
+	if err := n.Nodes[3].Propose(n.Now, []byte("kept")); err != nil {
+		t.Fatal(err)
+	}
+	n.Run(time.Second)
+	for i := range n.Nodes {
+		n.Crash(i)
+	}
+	n.Run(10 * time.Second)
+	for i := range n.Nodes {
+		n.Boot(i)
+	}
+	if !n.Until(20*time.Second, func() bool { return complete(n) }) {
+		t.Fatalf("leader %d, epoch %d", n.Leader(), n.Nodes[0].Epoch())
+	}
+	if err := n.Nodes[2].Propose(n.Now, []byte("later")); err != nil {
+		t.Fatal(err)
+	}
+	n.Run(2 * time.Second)
+	all := n.Agreed(1)
+	if !slices.Contains(all, "kept") || all[len(all)-1] != "later" || n.Broken != nil {
+		t.Errorf("the log: %q; %v", all, n.Broken)
+	}
+	lame := n.Leader()
+	n.Disks[lame].Full = true
+	if err := n.Nodes[(lame+1)%5].Propose(n.Now, []byte("beyond")); err != nil {
+		t.Fatal(err)
+	}
+	n.Run(20 * time.Second)
+	if n.Nodes[lame].Mute() == nil || n.Nodes[lame].Voter() || n.Leader() == lame {
+		t.Errorf("with a full disk: %v, votes %v, leader %d of %d", n.Nodes[lame].Mute(), n.Nodes[lame].Voter(), n.Leader(), lame)
+	}
+	if all := n.Agreed(1); all[len(all)-1] != "beyond" || n.Nodes[lame].Have() != n.Nodes[n.Leader()].Have() {
+		t.Errorf("the log: %q, %d entries at the one that votes no more", all, n.Nodes[lame].Have())
+	}
+	if err := n.Nodes[lame].Found(n.Now, 9); err == nil {
+		t.Error("one that can't vote began a log")
+	}
+}
+
+// A leader that the log takes its seat from stands down: it can add nothing any more, and as long as it is heard nobody else stands for election.
+func TestLeaderWithoutSeat(t *testing.T) {
+	tried := 0
+	for s := range uint64(40) {
+		n := founded(t, 5, s)
+		n.Run(3 * time.Second)
+		first := n.Leader()
+		next := (first + 1 + int(s)%4) % 5
+		n.Cut = func(_, to int) bool { return to == first } // what it sends arrives, what it is answered does not
+		n.Nodes[first].Tend(n.Now, func(seat agree.Seat) bool { return seat.Number == next }, nil)
+		n.Run(50 * time.Millisecond)
+		n.Crash(first)
+		n.Cut = nil
+		if !n.Until(20*time.Second, func() bool { return n.Leader() >= 0 }) {
+			t.Fatalf("seed %d: nobody leads", s)
+		}
+		if n.Leader() != next {
+			continue
+		}
+		tried++
+		n.Run(10 * time.Second)
+		if leader := n.Leader(); leader < 0 || !n.Nodes[leader].Voter() {
+			t.Fatalf("seed %d: %d leads, its seat was taken", s, leader)
+		}
+		if err := n.Nodes[next].Propose(n.Now, []byte("beyond")); err != nil {
+			t.Fatal(err)
+		}
+		n.Run(10 * time.Second)
+		if all := n.Agreed(1); !slices.Contains(all, "beyond") {
+			t.Fatalf("seed %d: nothing can be added: %q", s, all)
+		}
+	}
+	if tried < 3 {
+		t.Errorf("it came to it %d times", tried)
+	}
+}
--- /dev/null
+++ b/internal/agree/agreenet/net.go
@@ -0,0 +1,231 @@
+// Package agreenet plays the sidecars that share an agreed log in virtual time: messages lost, late, doubled and cut off, processes that stop, crash and come back having
+// forgotten. One seed plays one history. It is for tests and measurements; nothing that ships imports it.
+package agreenet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"caperarch/internal/agree"
+	"caperarch/internal/virtual"
+)
+
+// outAfter is when a process that has ended is known to be gone for good: what internal/swim tells takes about so long.
+const outAfter = 6 * time.Second
+
+// Net is a fleet.
+type Net struct {
+	Size int
+	virtual.Clock
+	virtual.Faults
+	Nodes []*Node
+	Disks []*Disk // by number, where machines have some that last; nil: none has
+
+	Broken  []string
+	Sent    int
+	Longest int                  // bytes of a message, about
+	agreed  map[[2]uint64]string // by epoch and index: what somebody has
+	ended   map[agree.Seat]time.Duration
+	life    uint64
+}
+
+// Node is one sidecar.
+type Node struct {
+	*agree.Node
+	virtual.Process
+	net   *Net
+	seat  agree.Seat
+	last  uint64
+	term  uint64              // that it leads, or led last
+	led   time.Duration       // since when
+	Heard func(e agree.Entry) // what it applies; nil: nobody looks
+}
+
+// New makes a fleet whose processes all run.
+func New(size int, seed uint64) *Net {
+	n := &Net{
+		Size: size, Clock: virtual.Clock{Now: time.Hour}, Faults: virtual.Faults{Rng: rand.New(rand.NewPCG(seed, 5)), Most: 10 * time.Millisecond}, agreed: make(map[[2]uint64]string),
+		ended: make(map[agree.Seat]time.Duration),
+	}
+	for range size {
+		n.Nodes = append(n.Nodes, &Node{net: n, Process: virtual.Process{Down: true}})
+	}
+	for i := range size {
+		n.Boot(i)
+	}
+	return n
+}
+
+// Boot starts the process of a number, as one that remembers nothing.
+func (n *Net) Boot(i int) {
+	m := n.Nodes[i]
+	if !m.Down {
+		return
+	}
+	n.life++
+	m.Begin()
+	m.seat, m.last = agree.Seat{Number: i, Life: n.life}, 0
+	cfg := agree.Config{Size: n.Size, Self: m.seat, Life: n.life, Rand: rand.New(rand.NewPCG(n.life, n.Rng.Uint64())), Host: m}
+	if n.Disks != nil {
+		d := n.Disks[i]
+		if d.Life == 0 {
+			d.Life = n.life
+		}
+		m.seat.Life, cfg.Self.Life, cfg.Disk = d.Life, d.Life, d
+		delete(n.ended, m.seat)
+	}
+	node, err := agree.New(cfg)
+	if err != nil {
+		panic(err) // the test's own mistake
+	}
+	m.Node = node
+	if n.Disks != nil {
+		if err := node.Restore(n.Now, n.Disks[i].Saved()); err != nil {
+			panic(err)
+		}
+	}
+	var tick func()
+	tick = func() {
+		if m.Node != node || m.Down {
+			return
+		}
+		if m.Stopped == 0 {
+			node.Tick(n.Now)
+			node.Tend(n.Now, n.out, n.there())
+			m.lead()
+		}
+		n.After(agree.Period, tick)
+	}
+	n.After(time.Duration(n.Rng.Int64N(int64(agree.Period))), tick)
+}
+
+// Crash ends a process without a word.
+func (n *Net) Crash(i int) {
+	if m := n.Nodes[i]; !m.Down {
+		m.Down = true
+		n.ended[m.seat] = n.Now
+	}
+}
+
+// Stop has a process stand still. What comes meanwhile waits in its socket.
+func (n *Net) Stop(i int, d time.Duration) { n.Nodes[i].StandStill(&n.Clock, d, nil) }
+
+func (n *Net) out(s agree.Seat) bool {
+	at, ended := n.ended[s]
+	return ended && n.Now-at >= outAfter
+}
+
+func (n *Net) there() (all []agree.Seat) {
+	for _, m := range n.Nodes {
+		if !m.Down && m.Stopped == 0 {
+			all = append(all, m.seat)
+		}
+	}
+	slices.SortFunc(all, func(a, b agree.Seat) int {
+		if a.ID() < b.ID() {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Send is called by a node.
+func (m *Node) Send(to int, msg *agree.Message) {
+	n, from := m.net, m.seat.Number
+	n.Sent++
+	raw, err := msg.Encode()
+	if err != nil {
+		n.Broken = append(n.Broken, err.Error())
+		return
+	}
+	n.Longest = max(n.Longest, len(raw))
+	take := func() {
+		c, err := agree.Decode(raw)
+		if err != nil {
+			n.Broken = append(n.Broken, err.Error())
+			return
+		}
+		n.Nodes[to].Take(n.Now, from, c)
+	}
+	n.Carry(&n.Clock, from, to, func() { n.Nodes[to].Arrive(100, take) })
+}
+
+// lead checks that what a leader takes for confirmed is of its own term.
+func (m *Node) lead() {
+	if !m.Leads() {
+		return
+	}
+	if term := m.Term(); term != m.term {
+		m.term, m.led = term, m.net.Now
+	}
+	if at, _ := m.Confirmed(); at > 0 && at < m.led {
+		m.net.Broken = append(m.net.Broken, fmt.Sprintf("n%d leads since %v and takes a word of %v for a confirmation", m.seat.Number, m.led, at))
+	}
+}
+
+// Applied is called by a node: what one has, all have.
+func (m *Node) Applied(e agree.Entry) {
+	n := m.net
+	key := [2]uint64{m.Epoch(), e.Index}
+	switch had, known := n.agreed[key]; {
+	case known && had != string(e.Data):
+		n.Broken = append(n.Broken, fmt.Sprintf("n%d has %q at %d of epoch %d, another has %q", m.seat.Number, e.Data, e.Index, m.Epoch(), had))
+	case e.Index <= m.last:
+		n.Broken = append(n.Broken, fmt.Sprintf("n%d applies %d behind %d", m.seat.Number, e.Index, m.last))
+	}
+	n.agreed[key], m.last = string(e.Data), e.Index
+	if m.Heard != nil {
+		m.Heard(e)
+	}
+}
+
+// Reset is called by a node.
+func (m *Node) Reset(uint64) { m.last = 0 }
+
+// Leader is a node that leads; -1: none does.
+func (n *Net) Leader() int {
+	for i, m := range n.Nodes {
+		if m.Lives() && m.Leads() {
+			return i
+		}
+	}
+	return -1
+}
+
+// Lost says whether the log is lost, as it may be where a majority of the voters is: of the seats that anybody holds for the voters', most are of processes that have ended.
+func (n *Net) Lost() bool {
+	for _, m := range n.Nodes {
+		if m.Down || m.Epoch() == 0 {
+			continue
+		}
+		alive := 0
+		for _, s := range m.Seats() {
+			if _, ended := n.ended[s]; !ended {
+				alive++
+			}
+		}
+		if 2*alive <= len(m.Seats()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Agreed is what stands in the log of an epoch, as far as anybody has it.
+func (n *Net) Agreed(epoch uint64) (all []string) {
+	most := uint64(0)
+	for key := range n.agreed {
+		if key[0] == epoch {
+			most = max(most, key[1])
+		}
+	}
+	for i := uint64(1); i <= most; i++ {
+		if e, here := n.agreed[[2]uint64{epoch, i}]; here {
+			all = append(all, e)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleetpolicy/state.go
@@ -0,0 +1,159 @@
+package fleetpolicy
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"caperarch/internal/fleetpolicy/policypb"
+)
+
+// Kind is what an entry of the log says.
+type Kind uint32
+
+// The kinds. A change is proposed, then taken or called off, and settled once nobody goes by what was before. Begun comes first, once no grant of an earlier log can count
+// any more: a log that an operator has founded anew must not let anybody go by its policy beside those who still go by the last one's.
+const (
+	Proposed Kind = iota + 1
+	Taken
+	CalledOff
+	Settled
+	Begun
+	Offered // of a long text: a change to it is proposed once it is there, so that nobody has to be cut off for want of it
+)
+
+func (k Kind) String() string {
+	if k < Proposed || k > Offered {
+		return "unknown"
+	}
+	return [...]string{"proposed", "taken", "called off", "settled", "begun", "offered"}[k-1]
+}
+
+// Ref names a version of the policy by its number and its text's hash. The zero Ref is what holds before any was agreed on: the settings.
+type Ref struct {
+	Version uint32
+	Hash    [sha256.Size]byte
+}
+
+// Step is an entry of the log.
+type Step struct {
+	Kind Kind
+	Ref
+	Base uint32 // Proposed: the version that it was made from
+	By   int
+	Why  string // CalledOff
+}
+
+const (
+	whyMost     = 32 // bytes of Why: an entry has 96
+	historyMost = 64
+)
+
+// Encode is the step as an entry.
+func (s Step) Encode() ([]byte, error) {
+	p := &policypb.Step{Kind: uint32(s.Kind), Version: s.Version, Base: s.Base, By: uint32(s.By) + 1, Why: strings.ToValidUTF8(s.Why[:min(len(s.Why), whyMost)], "")}
+	if s.Kind == Proposed || s.Kind == Offered {
+		p.Hash = s.Hash[:]
+	}
+	return proto.Marshal(p)
+}
+
+var errEntry = errors.New("an entry that can't be read: of a newer version of the program, maybe")
+
+// DecodeStep reads an entry. What can't be understood is an error: it must not be passed over.
+func DecodeStep(raw []byte) (s Step, err error) {
+	p := new(policypb.Step)
+	if proto.Unmarshal(raw, p) != nil || p.Kind < uint32(Proposed) || p.Kind > uint32(Offered) || (p.Version == 0) != (p.Kind == uint32(Begun)) || p.By == 0 {
+		return s, errEntry
+	}
+	s = Step{Kind: Kind(p.Kind), Ref: Ref{Version: p.Version}, Base: p.Base, By: int(p.By) - 1, Why: p.Why}
+	if s.Kind == Proposed || s.Kind == Offered {
+		if len(p.Hash) != sha256.Size {
+			return s, errEntry
+		}
+		copy(s.Hash[:], p.Hash)
+	}
+	return s, nil
+}
+
+// Past is one change that has its outcome.
+type Past struct {
+	Ref
+	By      int
+	Outcome Kind // Taken or CalledOff
+	Ended   int  // who put that into the log, or can't apply it
+	Why     string
+}
+
+// State is what the log makes of the policy: the same at everyone who has the same entries.
+type State struct {
+	Begun   bool
+	Holds   Ref
+	Offer   Ref    // Version 0: none; its text goes round
+	Pending Ref    // Version 0: nothing is under way
+	By      int    // who proposed either
+	Last    uint32 // the highest version there was
+	Open    uint32 // the version whose outcome has not settled; 0: nobody goes by what was before
+	OpenAt  uint64 // index of that outcome
+	History []Past // the last historyMost
+}
+
+// Apply takes the next entry, by its index. refused says why it changes nothing: so that of two proposals at once the second hears so.
+func (s *State) Apply(index uint64, e Step) (refused string) {
+	switch e.Kind {
+	case Begun:
+		if s.Begun {
+			return "it has begun already"
+		}
+		s.Begun = true
+	case Proposed, Offered:
+		offer := e.Kind == Proposed && s.Offer.Version != 0 && e.Ref == s.Offer
+		switch {
+		case !s.Begun:
+			return "the log has not begun yet"
+		case s.Pending.Version != 0 || s.Offer.Version != 0 && !offer:
+			return fmt.Sprintf("version %d is under way", max(s.Pending.Version, s.Offer.Version))
+		case s.Open != 0:
+			return fmt.Sprintf("version %d has not settled yet", s.Open)
+		case e.Base != s.Holds.Version:
+			return fmt.Sprintf("it was made from version %d, %d holds", e.Base, s.Holds.Version)
+		case e.Version != s.Last+1 && !offer:
+			return fmt.Sprintf("version %d is the next one", s.Last+1)
+		}
+		if s.By, s.Last, s.Offer = e.By, e.Version, e.Ref; e.Kind == Proposed {
+			s.Pending, s.Offer = e.Ref, Ref{}
+		}
+	case Taken, CalledOff:
+		if e.Kind == CalledOff && e.Version == s.Offer.Version && e.Version != 0 { // nobody has gone by it
+			s.past(s.Offer, e)
+			s.Offer = Ref{}
+			return ""
+		}
+		if e.Version != s.Pending.Version || e.Version == 0 {
+			return "it is not under way"
+		}
+		s.past(s.Pending, e)
+		if e.Kind == Taken {
+			s.Holds = s.Pending
+		}
+		s.Pending, s.Open, s.OpenAt = Ref{}, e.Version, index
+	case Settled:
+		if e.Version != s.Open || e.Version == 0 {
+			return "it is not open"
+		}
+		s.Open = 0
+	}
+	return ""
+}
+
+// past notes what became of a version.
+func (s *State) past(r Ref, e Step) {
+	s.History = append(s.History, Past{r, s.By, e.Kind, e.By, e.Why})
+	s.History = s.History[max(0, len(s.History)-historyMost):]
+}
+
+// Busy is the version that is under way, or whose outcome has not settled; 0: none, so another may be proposed.
+func (s *State) Busy() uint32 { return max(s.Offer.Version, s.Pending.Version, s.Open) }
