--- /dev/null
+++ b/internal/outage/leader_test.go
@@ -0,0 +1,239 @@
+package outage
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const planText = "all = true\nbears = 10.0\ncut_off = \"awaited\"\nlongest = \"1m\"\nback = \"started\"\n[out]\nfleet = \"2\"\nzone = \"2\"\ncell = \"1\"\n"
+
+// stage is a leader of eight machines with a plan under way.
+type stage struct {
+	t     *testing.T
+	l     *Leader
+	s     State
+	w     World
+	plan  *Plan
+	clear bool
+}
+
+func newStage(t *testing.T) *stage {
+	t.Helper()
+	p, err := Parse([]byte(planText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &stage{t: t, l: NewLeader(1, 0), plan: p}
+	g.w = World{Now: time.Hour, Current: true, Machines: machines(8), Traffic: 40, InTime: 1, Clear: func(uint32) bool { return g.clear }, Plan: func([32]byte) (*Plan, bool) { return g.plan, g.plan != nil }}
+	g.enter(Step{Kind: Planned, Number: 1, Hash: [32]byte{1}, By: 1})
+	g.next(Leads)
+	return g
+}
+
+func (g *stage) enter(s Step) {
+	g.t.Helper()
+	if refused := g.s.Apply(s); refused != "" {
+		g.t.Fatalf("%s: %s", s.Kind, refused)
+	}
+}
+
+// next wants the leader's next decision to be of a kind, and enters it.
+func (g *stage) next(want Kind) Step {
+	g.t.Helper()
+	s, due := g.l.Decide(&g.w, &g.s)
+	if !due || s.Kind != want {
+		g.t.Fatalf("decided %v %s, want %s; it waits for %q", due, s.Kind, want, g.l.Waits(1))
+	}
+	g.enter(s)
+	return s
+}
+
+// nothing wants it to decide nothing, and to say why.
+func (g *stage) nothing(why string) {
+	g.t.Helper()
+	if s, due := g.l.Decide(&g.w, &g.s); due {
+		g.t.Fatalf("decided %s %d", s.Kind, s.Number)
+	}
+	if got := g.l.Waits(1); !strings.Contains(got, why) {
+		g.t.Fatalf("it waits for %q, want something about %q", got, why)
+	}
+}
+
+func (g *stage) after(d time.Duration) { g.w.Now += d }
+
+// One turn from its beginning to its end, and what has to be there for each step.
+func TestTurn(t *testing.T) {
+	g := newStage(t)
+	turn := g.next(Given)
+	g.nothing("just been given")
+	g.after(10 * time.Second)
+	g.nothing("") // somebody may still have something out there
+	g.clear = true
+	g.next(Freed)
+	m := find(g.w.Machines, turn.Machine)
+	m.State = Down
+	g.next(Given) // a second one may be out
+	g.next(Freed)
+	g.nothing("would be out")
+	m.State, m.Started, m.Warmth = Ready, g.w.Now+time.Minute, 0.3
+	if done := g.next(Done); done.Number != turn.Number {
+		t.Fatalf("turn %d is done, %d has started", done.Number, turn.Number)
+	}
+	g.nothing("would be out") // it is cold
+	m.Warmth = 1
+	g.w.InTime = 0.9
+	g.nothing("in time")
+	g.w.InTime = 1
+	if over := g.next(Over); over.Number != turn.Number {
+		t.Fatalf("turn %d is over", over.Number)
+	}
+	if third := g.next(Given); third.Machine == turn.Machine {
+		t.Fatal("it has had its turn")
+	}
+}
+
+// When in doubt nobody goes next; a turn already given goes on.
+func TestDoubt(t *testing.T) {
+	for name, c := range map[string]struct {
+		doubt func(g *stage)
+		why   string
+	}{
+		"an old list":             {func(g *stage) { g.w.Current = false }, "old"},
+		"sidecars out of contact": {func(g *stage) { g.w.Unheard = 1 }, "out of contact"},
+		"late answers":            {func(g *stage) { g.w.InTime = 0.94 }, "in time"},
+		"no text":                 {func(g *stage) { g.plan = nil }, "text"},
+		"three are down":          {func(g *stage) { g.downBut(&g.w.Machines[5], 3) }, "would be out"},
+		"three are cold":          {func(g *stage) { g.w.Machines[0].Warmth, g.w.Machines[4].Warmth, g.w.Machines[7].Warmth = 0.9, 0.9, 0.9 }, "would be out"},
+		"some drain, or are out by hand": {func(g *stage) {
+			g.w.Machines[0].State, g.w.Machines[4].State, g.w.Machines[7].State = Draining, Draining, Draining
+		}, "would be out"},
+		"too much traffic": {func(g *stage) { g.w.Traffic = 64 }, "the others carry 63"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newStage(t)
+			c.doubt(g)
+			g.nothing(c.why)
+			g = newStage(t)
+			g.next(Given)
+			g.clear = true
+			g.next(Freed)
+			c.doubt(g)
+			g.after(time.Second)
+			if s, due := g.l.Decide(&g.w, &g.s); due && s.Kind != Given {
+				t.Errorf("a turn that was free is %s", s.Kind)
+			}
+		})
+	}
+}
+
+// Up to the moment at which somebody is told that it may be worked on, what has become of the others counts.
+func TestWithdrawn(t *testing.T) {
+	for name, change := range map[string]func(g *stage, m *Machine){
+		"two others went down":       func(g *stage, m *Machine) { g.downBut(m, 2) },
+		"traffic doubled":            func(g *stage, _ *Machine) { g.w.Traffic = 80 },
+		"somebody sends on and on":   func(g *stage, _ *Machine) { g.clear = false; g.after(61 * time.Second) },
+		"its plan was cancelled":     func(g *stage, _ *Machine) { g.enter(Step{Kind: Cancelled, Number: 1, By: 1}) },
+		"its cell's other went down": func(g *stage, m *Machine) { find(g.w.Machines, (m.ID-1)^1+1).State = Down },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newStage(t)
+			turn := g.next(Given)
+			g.clear = false
+			if _, due := g.l.Decide(&g.w, &g.s); due {
+				t.Fatal("it is not clear yet")
+			}
+			g.clear = true
+			change(g, find(g.w.Machines, turn.Machine))
+			if w := g.next(Withdrawn); w.Number != turn.Number {
+				t.Errorf("turn %d was withdrawn", w.Number)
+			}
+			if len(g.s.Out()) != 0 {
+				t.Errorf("out: %v", g.s.Out())
+			}
+		})
+	}
+}
+
+func (g *stage) downBut(m *Machine, n int) {
+	for i := range g.w.Machines {
+		if o := &g.w.Machines[i]; o.ID != m.ID && n > 0 {
+			o.State = Down
+			n--
+		}
+	}
+}
+
+// A plan stops, and says why, where a turn takes too long, a machine never comes back, or service gets worse; resumed, it goes on.
+func TestPlanStops(t *testing.T) {
+	for why, spoil := range map[string]func(g *stage, turn Step){
+		"takes too long": func(g *stage, _ Step) { g.after(61 * time.Second) },
+		"never came back": func(g *stage, turn Step) {
+			g.enter(Step{Kind: Done, Number: turn.Number, By: 1})
+			find(g.w.Machines, turn.Machine).State = Down
+			g.look()
+			g.after(61 * time.Second)
+		},
+		"service got worse": func(g *stage, _ Step) {
+			g.w.InTime = 0.5
+			g.look()
+			g.after(9 * time.Second)
+			g.look()
+			g.after(time.Second)
+		},
+	} {
+		t.Run(why, func(t *testing.T) {
+			g := newStage(t)
+			turn := g.next(Given)
+			g.clear = true
+			g.next(Freed)
+			g.w.Unheard = 1 // nobody goes next
+			g.look()
+			spoil(g, turn)
+			if s := g.next(Paused); !strings.Contains(s.Why, why) {
+				t.Errorf("paused: %q", s.Why)
+			}
+			g.w.Unheard, g.w.InTime = 0, 1
+			g.nothing("paused")
+			g.enter(Step{Kind: Resumed, Number: 1, By: 1})
+		})
+	}
+}
+
+// look has the leader look, and wants it to decide nothing.
+func (g *stage) look() {
+	g.t.Helper()
+	if s, due := g.l.Decide(&g.w, &g.s); due {
+		g.t.Fatalf("decided %s", s.Kind)
+	}
+}
+
+// Cells are spread, strained machines go first, then those that carry most; the same inputs give the same order.
+func TestOrder(t *testing.T) {
+	order := func() (ids []uint64) {
+		g := newStage(t)
+		g.clear = true
+		g.w.Machines[6].Strained, g.w.Machines[2].Weight = true, 2
+		for len(ids) < 8 {
+			turn := g.next(Given)
+			ids = append(ids, turn.Machine)
+			g.next(Freed)
+			g.enter(Step{Kind: Done, Number: turn.Number, By: 1})
+			g.next(Over)
+		}
+		g.next(Finished)
+		return ids
+	}
+	ids := order()
+	if ids[0] != 7 || ids[1] != 3 {
+		t.Errorf("order %v: the strained one first, then the heaviest of the other cell", ids)
+	}
+	for i := range ids[1:] {
+		if (ids[i]-1)/4 == (ids[i+1]-1)/4 {
+			t.Errorf("order %v: two of one cell, one behind the other", ids)
+		}
+	}
+	if again := order(); len(again) != len(ids) || again[5] != ids[5] {
+		t.Errorf("another order: %v", again)
+	}
+}
--- /dev/null
+++ b/internal/outage/outagepb/doc.go
@@ -0,0 +1,4 @@
+// Package outagepb is the generated form of step.proto.
+package outagepb
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative step.proto
--- /dev/null
+++ b/internal/outage/plan_test.go
@@ -0,0 +1,126 @@
+package outage
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func machines(n int) (all []Machine) {
+	for i := range n {
+		all = append(all, Machine{ID: uint64(i + 1), Name: fmt.Sprintf("s-%d", i), Zone: []string{"a", "b"}[i%2], Cell: i / 4, Weight: 1, State: Ready, Warmth: 1})
+	}
+	return all
+}
+
+// What can't be used is an error that names its field or line; what no bound ever allows is told at once.
+func TestPlansThatCantBeUsed(t *testing.T) {
+	for text, want := range map[string]string{
+		"all = true\n": "out.fleet",
+		"all = true\ncells = [1]\nout.fleet = \"1\"":           "one of machines",
+		"out.fleet = \"1\"":                                    "one of machines",
+		"all = true\nout.fleet = \"0\"":                        "no bound",
+		"all = true\nout.fleet = \"1000000000\"":               "no bound",
+		"all = true\nout.fleet = \"0%\"":                       "no share",
+		"all = true\nout.fleet = \"nan%\"":                     "no share",
+		"all = true\nout.fleet = \"101%\"":                     "no share",
+		"all = true\nout.fleet = \"1\"\nreserve = 1.0":         "reserve",
+		"all = true\nout.fleet = \"1\"\nreserve = nan":         "reserve",
+		"all = true\nout.fleet = \"1\"\nbears = inf":           "bears",
+		"all = true\nout.fleet = \"1\"\nin_time = 1.5":         "in_time",
+		"all = true\nout.fleet = \"1\"\nlongest = \"0s\"":      "longest",
+		"all = true\nout.fleet = \"1\"\nlongest = \"10000h\"":  "longest",
+		"all = true\nout.fleet = \"1\"\nlongest = \"soon\"":    "soon",
+		"all = true\nout.fleet = \"1\"\nback = \"later\"":      "back",
+		"all = true\nout.fleet = \"1\"\ncut_off = \"ignored\"": "cut_off",
+		"all = true\nout.fleet = \"1\"\nboth = 1":              "line 3",
+		"machines = [\"s-1\", \"s-1\"]\nout.fleet = \"1\"":     "twice",
+		"machines = [\"\"]\nout.fleet = \"1\"":                 "machines[0]",
+		"machines = [\"s-99\"]\nout.fleet = \"1\"":             "s-99 is not listed",
+		"cells = [99]\nout.fleet = \"1\"":                      "no machine",
+		"cells = [1]\nout.fleet = \"1\"\nout.cell = \"20%\"":   "out.cell",
+		"all = true\nout.fleet = \"5%\"":                       "out.fleet",
+		"all = true\nout.fleet = \"1\"\n[out]\nrack = \"1\"":   "line",
+	} {
+		p, err := Parse([]byte(text))
+		if err == nil {
+			err = p.Usable(machines(8))
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want something about %q", text, err, want)
+		}
+	}
+	p, err := Parse([]byte("zones = [\"a\"]\nbears = 10.0\nback = \"started\"\n[out]\nfleet = \"25%\"\ncell = \"1\"\n"))
+	if err == nil {
+		err = p.Usable(machines(8))
+	}
+	if err != nil {
+		t.Error(err)
+	}
+	if err := p.Usable(machines(1)); err == nil || !strings.Contains(err.Error(), "less than one") {
+		t.Errorf("a quarter of one: %v", err)
+	}
+	long := "machines = ["
+	for i := range machinesMost + 1 {
+		long += fmt.Sprintf("\"s-%d\",", i)
+	}
+	if _, err := Parse([]byte(long + "]\nout.fleet = \"1\"")); err == nil || !strings.Contains(err.Error(), "10001 of them") {
+		t.Errorf("ten thousand and one: %v", err)
+	}
+}
+
+// An entry fits into the log whatever it says, comes back as it was, and what is none is refused.
+func TestEntries(t *testing.T) {
+	for _, s := range []Step{
+		{Kind: Leads, Term: 7, By: 299},
+		{Kind: Planned, Number: 1 << 30, By: 4999, Hash: [32]byte{1, 2, 3}},
+		{Kind: Given, Number: 1 << 30, Plan: 1 << 30, Plans: 1 << 30, Machine: ^uint64(0), Term: ^uint64(0), By: 4999},
+		{Kind: Withdrawn, Number: 3, Term: 1, Why: strings.Repeat("x", whyMost)},
+		{Kind: Paused, Number: 3, Why: "too long"},
+	} {
+		raw, err := s.Encode()
+		if err != nil || len(raw) > 84 { // an entry of the log has 96, what tells it from a policy's takes some
+			t.Fatalf("%+v: %d bytes, %v", s, len(raw), err)
+		}
+		if back, err := Decode(raw); err != nil || back != s {
+			t.Errorf("%+v came back as %+v, %v", s, back, err)
+		}
+	}
+	raw, _ := Step{Kind: Withdrawn, Number: 3, Term: 1, Why: strings.Repeat("ä", 40)}.Encode()
+	if _, err := Decode(raw); err != nil {
+		t.Error(err)
+	}
+	for name, s := range map[string]Step{
+		"a turn of nobody": {Kind: Given, Number: 1, Plan: 1, Machine: 1}, "a kind of a newer version": {Kind: kinds, Number: 1}, "no number": {Kind: Done}, "a machine that is none": {Kind: Given, Number: 1, Plan: 1, Term: 1},
+	} {
+		raw, _ := s.Encode()
+		if _, err := Decode(raw); err == nil {
+			t.Errorf("%s was read", name)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	raw, _ := Step{Kind: Given, Number: 1, Plan: 1, Plans: 1, Machine: 5, Term: 2}.Encode()
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if s, err := Decode(raw); err == nil {
+			again, err := s.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if back, err := Decode(again); err != nil || back != s && len(s.Why) <= whyMost {
+				t.Fatalf("%+v came back as %+v, %v", s, back, err)
+			}
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("all = true\nout.fleet = \"10%\"\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if p, err := Parse([]byte(text)); err == nil {
+			_ = p.Usable(machines(5))
+		}
+	})
+}
