A stand-in that vanishes takes nothing more, also while children are being started

A child between fork and exec holds copies of all descriptors, and cases that run beside each other start daemons: the vanished node's listener still took a connection, the request was written, and the reset came behind it, which rightly counts as may have run. Change: rig's Vanish ends the listening socket itself (shutdown) and resets connections while no child is being started; the lines to blame are the plain Close in Vanish and abort.

--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -52,11 +53,12 @@
 	script atomic.Pointer[Script]
 	serve  func(net.Listener) (stop func())
 
-	mu    sync.Mutex
-	stop  func()
-	gone  bool
-	conns map[string]net.Conn // by the other side's address
-	Dials atomic.Int64
+	mu       sync.Mutex
+	stop     func()
+	listener net.Listener
+	gone     bool
+	conns    map[string]net.Conn // by the other side's address
+	Dials    atomic.Int64
 }
 
 func newNode(t TB, id string, l *Ledger, serve func(*Node, net.Listener) func()) *Node {
@@ -68,7 +70,7 @@
 	if err != nil {
 		t.Fatalf("node %s: %v", id, err)
 	}
-	n.Address = listener.Addr().String()
+	n.Address, n.listener = listener.Addr().String(), listener
 	n.stop = n.serve(tracked{listener, n})
 	t.Cleanup(n.Vanish)
 	return n
@@ -95,6 +97,7 @@
 	if stop == nil {
 		return
 	}
+	deafen(n.listener)
 	stop() // first: what is accepted behind BreakAll would live on
 	n.BreakAll()
 }
@@ -110,7 +113,7 @@
 	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.Started, n.gone = time.Now(), false
+	n.Started, n.gone, n.listener = time.Now(), false, l
 	n.stop = n.serve(tracked{l, n})
 }
 
@@ -157,7 +160,26 @@
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
-	_ = c.Close()
+	unforked(func() { _ = c.Close() })
+}
+
+// A child of this process holds a copy of every descriptor until its own program begins, and a copy keeps what is closed here alive: a
+// listener goes on taking connections, and a reset is not sent till then. Both of these end it at once.
+
+// unforked ends something while no child is being started.
+func unforked(end func()) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	end()
+}
+
+// deafen has a listener take no further connection, through whichever copy.
+func deafen(l net.Listener) {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return // closed already
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RD) })
 }
 
 // tracked is a listener that keeps the node's book of connections.
