--- a/cmd/caperarch/command.go
+++ b/cmd/caperarch/command.go
@@ -114,6 +114,7 @@
 			RunE:  func(_ *cobra.Command, args []string) error { return done(operate(args[0], "peers", out, log)) },
 		},
 		policyCommand(out, log),
+		workCommand(out, log),
 		&cobra.Command{
 			Use:   "demo",
 			Short: "Start stand-in nodes, discovery and a daemon on loopback, send a load and break things; needs a checkout and the Go tool chain",
--- a/cmd/caperarch/policy.go
+++ b/cmd/caperarch/policy.go
@@ -111,10 +111,8 @@
 			return err
 		}
 	}
-	for i := range fleet.UploadCount(text) {
-		if _, err := ask(address, "policy-text "+strings.Join(fleet.UploadPiece(text, i), " ")); err != nil {
-			return err
-		}
+	if err := upload(address, text); err != nil {
+		return err
 	}
 	answer, err := ask(address, fmt.Sprintf("policy-propose %s %d", fleetpolicy.Hash(text), base))
 	if err != nil {
@@ -144,6 +142,16 @@
 	return fmt.Errorf("version %s has no outcome after %v", number[1], wait)
 }
 
+// upload hands a text over in pieces.
+func upload(address string, text []byte) error {
+	for i := range fleet.UploadCount(text) {
+		if _, err := ask(address, "policy-text "+strings.Join(fleet.UploadPiece(text, i), " ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readPolicy reads a policy's file; what is wrong with it has been told where it returns an error.
 func readPolicy(path string, log io.Writer) (p *fleetpolicy.Policy, hash string, err error) {
 	text, err := os.ReadFile(path)
--- a/internal/accord/accord.go
+++ b/internal/accord/accord.go
@@ -16,6 +16,7 @@
 	"caperarch/internal/accord/accordpb"
 	"caperarch/internal/agree"
 	"caperarch/internal/fleetpolicy"
+	"caperarch/internal/outage"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -44,6 +45,8 @@
 	// Send sends a message; where there is not room for all, the urgent ones go first.
 	Send(to int, raw []byte, urgent bool)
 	Changed(e Event)
+	// Worked takes that the log has an entry about work on machines that changed something.
+	Worked(s outage.Step)
 }
 
 // Event is something that people are told.
@@ -66,6 +69,9 @@
 	Check func(text []byte) error // why a policy can't be applied here; nil: it can
 	Life  uint64                  // of the process, where its seat is an earlier one's that kept its vote; 0: the seat's
 	Disk  Disk                    // nil: nothing outlives the process
+
+	Work     Work          // nil: nothing is known of machines here
+	Deadline time.Duration // the longest that a request may be out at one
 }
 
 // Disk keeps what must outlive the process, where an operator gives it a place.
@@ -98,6 +104,7 @@
 	mine   []Mine
 	goes   fleetpolicy.Now // as last told
 	behind behindOf
+	work   work
 }
 
 // New makes a node that knows of no log yet, and goes by CutOff.
@@ -164,6 +171,7 @@
 	if n.leader != nil {
 		n.log.Tend(now, func(s agree.Seat) bool { return n.gone(now, s) }, n.there(now))
 	}
+	n.leadWork(now)
 	n.tell(now) // before the report: who is told that this one goes by both may count on it
 	n.report(now)
 	n.flush(now)
@@ -193,6 +201,7 @@
 		n.takeReports(now, from, m)
 		n.takeGrants(now, from, m)
 		n.takeBehind(now, from, m)
+		n.takeWork(now, from, m)
 	}
 	n.takeText(now, from, m)
 	n.lead(now)
@@ -284,7 +293,7 @@
 	n := h.n
 	n.holder.Forget()
 	n.leader, n.reports, n.relay = nil, reports{answers: make(map[int][]*accordpb.Granted)}, relay{waits: make(map[uint32]relayed)}
-	n.mine, n.behind = nil, behindOf{}
+	n.mine, n.behind, n.work = nil, behindOf{}, work{}
 	n.Host.Changed(Event{What: "log", By: n.Self.Number, Why: fmt.Sprintf("epoch %x", epoch)})
 }
 
--- a/internal/accord/accordnet/net.go
+++ b/internal/accord/accordnet/net.go
@@ -12,6 +12,7 @@
 	"caperarch/internal/agree"
 	"caperarch/internal/agree/agreenet"
 	"caperarch/internal/fleetpolicy"
+	"caperarch/internal/outage"
 	"caperarch/internal/virtual"
 )
 
@@ -22,6 +23,7 @@
 	Lease time.Duration
 	Rate  float64 // clocks are off by up to so much
 	Disks bool    // machines have disks that last
+	Site  *Site   // what they send to; nil: nothing
 	Spend float64 // bytes a second that each may send, and two seconds' worth at a time; 0: as many as it likes
 }
 
@@ -57,6 +59,8 @@
 	Bytes   int
 	level   float64
 	levelAt time.Duration
+	own     outage.Own
+	born    time.Duration // of the process, by its clock
 }
 
 // disk is a machine's.
@@ -86,6 +90,9 @@
 	for i := range cfg.Size {
 		n.Nodes = append(n.Nodes, &Node{net: n, number: i, rate: 1 + cfg.Rate*(2*n.Rng.Float64()-1), Process: virtual.Process{Down: true}})
 	}
+	if n.Site != nil {
+		n.open()
+	}
 	for i := range cfg.Size {
 		n.Boot(i)
 	}
@@ -113,7 +120,7 @@
 	}
 	n.life++
 	m.Begin()
-	m.Life, m.seat = n.life, agree.Seat{Number: i, Life: n.life}
+	m.Life, m.seat, m.own, m.born = n.life, agree.Seat{Number: i, Life: n.life}, outage.Own{}, m.Time()
 	cfg := accord.Config{
 		Size: n.Size, Life: n.life, Lease: n.Lease, Rate: n.Rate, Rand: rand.New(rand.NewPCG(n.life, n.Rng.Uint64())), Host: m,
 		Check: func(text []byte) error {
@@ -123,6 +130,9 @@
 			return nil
 		},
 	}
+	if n.Site != nil {
+		cfg.Work, cfg.Deadline = m, n.Site.Deadline
+	}
 	if n.Disks {
 		if m.Disk.Life == 0 {
 			m.Disk.Life = n.life
--- /dev/null
+++ b/internal/accord/accordnet/work.go
@@ -0,0 +1,165 @@
+package accordnet
+
+import (
+	"fmt"
+	"time"
+
+	"caperarch/internal/accord"
+	"caperarch/internal/fleetpolicy"
+	"caperarch/internal/outage"
+)
+
+// Site is the machines that the fleet's sidecars send to, seen from outside: what arrives there, and what the log says of them, each entry counted where it is applied first.
+type Site struct {
+	Machines []outage.Machine
+	Deadline time.Duration // the longest that a request is out
+	Bound    int           // machines that may be out at once
+	Returns  time.Duration // from when a machine's work is done until it is warm
+	Given    int
+	Freed    int
+	Over     int
+	Sent     int
+	Astray   int // to a machine that is free, by one that was out of contact
+
+	last  map[outage.Step]bool // entries that were counted
+	free  map[uint64]uint32    // machines that may be worked on, by turn
+	turns map[uint32]uint64    // that are not over
+	cold  map[uint64]time.Duration
+	out   []sent
+}
+
+// sent is a request that is out.
+type sent struct {
+	life    uint64
+	machine uint64
+	until   time.Duration
+	contact bool // its sidecar was in contact then
+}
+
+// Forget takes that the log is begun anew: it knows of no turn.
+func (s *Site) Forget() { clear(s.last); clear(s.free); clear(s.turns) }
+
+const perSecond = 10 // requests of each sidecar
+
+// open has the sidecars send from now on.
+func (n *Net) open() {
+	s := n.Site
+	s.last, s.free, s.turns, s.cold = make(map[outage.Step]bool), make(map[uint64]uint32), make(map[uint32]uint64), make(map[uint64]time.Duration)
+	for i := range n.Nodes {
+		var send func()
+		send = func() {
+			n.send(i)
+			n.After(time.Duration((0.5+n.Rng.Float64())/perSecond*float64(time.Second)), send)
+		}
+		n.After(time.Duration(n.Rng.Int64N(int64(time.Second))), send)
+	}
+}
+
+func (n *Net) send(i int) {
+	m, s := n.Nodes[i], n.Site
+	if !m.Lives() {
+		return
+	}
+	out := make(map[uint64]bool)
+	for _, id := range m.Out() {
+		out[id] = true
+	}
+	x := &s.Machines[n.Rng.IntN(len(s.Machines))]
+	if out[x.ID] || x.State != outage.Ready {
+		return
+	}
+	s.Sent++
+	contact := m.Node.Now(m.Time()).Mode != fleetpolicy.CutOff
+	if turn, free := s.free[x.ID]; free {
+		if contact {
+			n.Broken = append(n.Broken, fmt.Sprintf("%.3fs: n%d is in contact and sends to %s, which turn %d has free", (n.Now-time.Hour).Seconds(), i, x.Name, turn))
+		}
+		s.Astray++
+	}
+	s.out = append(s.out, sent{m.Life, x.ID, n.Now + time.Duration(n.Rng.Int64N(int64(s.Deadline))), contact})
+}
+
+// Machines is what a sidecar knows of them: as they are, but cold ones.
+func (m *Node) Machines() (all []outage.Machine, current bool) {
+	s := m.net.Site
+	for _, x := range s.Machines {
+		if warm := s.cold[x.ID]; m.net.Now < warm {
+			x.Warmth = 0.5
+		}
+		all = append(all, x)
+	}
+	return all, true
+}
+
+// Own is what a sidecar says of itself.
+func (m *Node) Own(st *outage.State) outage.Report {
+	s := m.net.Site
+	asks := m.own.Asks(st)
+	for turn, machine := range asks {
+		quiet := true
+		for _, r := range s.out {
+			quiet = quiet && !(r.life == m.Life && r.machine == machine && m.net.Now < r.until)
+		}
+		if quiet {
+			m.own.Seen(turn)
+		}
+	}
+	return outage.Report{Clear: m.own.Clear(m.Time()-m.born, accord.Patience(s.Deadline, m.net.Rate), st), Rate: 10, InTime: 1}
+}
+
+// Worked is called by a node, for what stands in the log: it is counted once.
+func (m *Node) Worked(e outage.Step) {
+	n, s := m.net, m.net.Site
+	if s == nil || s.last[e] {
+		return
+	}
+	s.last[e] = true
+	switch e.Kind {
+	case outage.Given:
+		s.Given++
+		s.turns[e.Number] = e.Machine
+		out := len(s.turns)
+		for id, warm := range s.cold {
+			if n.Now < warm && !s.isOut(id) {
+				out++
+			}
+		}
+		if out > s.Bound {
+			n.Broken = append(n.Broken, fmt.Sprintf("%.3fs: turn %d, %d machines are out, %d may be", (n.Now-time.Hour).Seconds(), e.Number, out, s.Bound))
+		}
+	case outage.Freed:
+		s.Freed++
+		s.free[e.Machine] = e.Number
+		for _, r := range s.out {
+			if r.machine == e.Machine && n.Now < r.until && r.contact {
+				n.Broken = append(n.Broken, fmt.Sprintf("%.3fs: turn %d is free, and a request is out there that life %d sent while in contact", (n.Now-time.Hour).Seconds(), e.Number, r.life))
+			}
+		}
+	case outage.Done:
+		delete(s.free, e.Machine)
+		s.cold[e.Machine] = n.Now + s.Returns
+	case outage.Withdrawn, outage.Over:
+		delete(s.turns, e.Number)
+		if e.Kind == outage.Over {
+			s.Over++
+		}
+	}
+	if len(s.out) > 10_000 { // what has ended goes
+		kept := s.out[:0]
+		for _, r := range s.out {
+			if n.Now < r.until {
+				kept = append(kept, r)
+			}
+		}
+		s.out = kept
+	}
+}
+
+func (s *Site) isOut(id uint64) bool {
+	for _, m := range s.turns {
+		if m == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/accord/change.go
+++ b/internal/accord/change.go
@@ -114,6 +114,10 @@
 
 // applied takes an entry of the log.
 func (n *Node) applied(e agree.Entry) {
+	if step, is, err := unwrap(e.Data); is {
+		n.appliedWork(e, step, err)
+		return
+	}
 	s := n.holder.State()
 	pending, by := s.Pending, s.By
 	if pending.Version == 0 {
@@ -178,6 +182,7 @@
 		for _, b := range all[:min(len(all), behindMost)] {
 			answer.Behind = append(answer.Behind, &accordpb.Behind{Number: uint32(b.Number), Why: short(b.Why, behindTold)})
 		}
+		n.tellWork(now, answer)
 		n.send(from, answer)
 	}
 	if m.Count > 0 && from == n.log.Leader() {
--- a/internal/accord/reports.go
+++ b/internal/accord/reports.go
@@ -57,6 +57,8 @@
 	begun  bool
 	openAt uint64
 	seats  int
+	clear  uint32 // of turns on which work is done
+	turns  uint32 // the last of them that is known
 }
 
 // relay is what this sidecar hands on for others.
@@ -95,7 +97,7 @@
 	n.poked = false
 	r := n.holder.Report(now)
 	s := n.holder.State()
-	is := reported{r.Now, r.Cannot, r.Ready, s.Begun, s.OpenAt, min(len(seats), 2)}
+	is := reported{r.Now, r.Cannot, r.Ready, s.Begun, s.OpenAt, min(len(seats), 2), n.clear(), n.work.state.LastTurn}
 	switch due := n.toldAt + n.Lease*reportPart/100; {
 	case is != n.told: // at once
 		n.tries = 0
@@ -125,10 +127,12 @@
 	case n.life != n.Self.Life:
 		seat = n.Self.Life
 	}
-	return &accordpb.Report{
+	p := &accordpb.Report{
 		Number: uint32(n.Self.Number), Life: n.life, Seat: seat, Stamp: stamp(r.Stamp), Mode: uint32(r.Now.Mode), Old: r.Now.Old.Version, New: r.Now.New.Version, Have: r.Have, Turn: r.Turn,
 		Ready: r.Ready, Cannot: short(r.Cannot, cannotMost),
 	}
+	n.ownWork(p)
+	return p
 }
 
 // again is when a report that was not granted is sent again.
@@ -260,6 +264,7 @@
 	if n.leader == nil || n.term != n.log.Term() || n.epoch != n.log.Epoch() || at == 0 || n.log.Have() < index {
 		return false
 	}
+	n.heardWork(p)
 	s := n.holder.State()
 	ref := func(version uint32) fleetpolicy.Ref { // in one epoch a version is one text
 		switch version {
--- a/internal/accord/texts.go
+++ b/internal/accord/texts.go
@@ -15,7 +15,7 @@
 const (
 	pieceBytes = 160
 	piecesMost = (fleetpolicy.TextMost+fleetpolicy.TextMost/8)/pieceBytes + 1 // a text that can't be made smaller grows a little
-	textsMost  = 8                                                            // kept; those that matter are few
+	textsMost  = 14                                                           // kept; those that matter are few
 	halfMost   = 3                                                            // texts that are half here
 	halfTime   = 20 * time.Second                                             // without a further piece
 	wantMost   = 4                                                            // pieces that are asked for at a time
@@ -130,6 +130,9 @@
 			all = append(all, r.Hash)
 		}
 	}
+	for _, w := range n.work.state.Works {
+		all = append(all, w.Hash)
+	}
 	return all
 }
 
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// Away takes which upstreams are out by the fleet's plans of work, whatever is said by hand. It does not wait.
+func (l *List) Away(ids []policy.ServerID) {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	l.engine.Relist(l.overlay.SetAway(ids), nil)
+}
+
+// Entries are the upstreams that are listed, plans of work left aside.
+func (l *List) Entries() []cordon.Entry {
+	l.k.mu.Lock()
+	defer l.k.mu.Unlock()
+	return l.overlay.Entries()
+}
+
 // out is all that is out, by hand and by policy.
 func (l *List) out() []string { return slices.Concat(l.k.bans, l.also) }
 
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -71,6 +71,9 @@
 	Load    policy.Load
 	Stream  Stream
 	Carried bool // with Stream: the attempt has ended with the answer's beginning, and no second Result follows. A slow client holds no place that others need.
+
+	// After has something called once nothing of a Carried answer comes any more. It is to be asked before the function that the Result is handed to returns; nil: the transport can't tell.
+	After func(end func())
 }
 
 // Attempt is one attempt under way.
@@ -109,6 +112,7 @@
 	Whole   bool // all servers; else those that changed
 	Servers []policy.Server
 	Address map[policy.ServerID]string
+	Name    map[policy.ServerID]string // as people call them, where that is known
 }
 
 // ServerID names a server by a hash of its instance id (FNV-1a, 64 bits): the same at every sidecar and
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -45,6 +45,8 @@
 	_, err := fmt.Fprintf(w, "%s %q\n", c.Verb, c.Arguments)
 	return err
 }
+func (d desk) Work(c Call, w io.Writer) error { return d.Policy(c, w) }
+
 func start(t *testing.T, most int) (string, desk) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0") // the plain way: Listen's makes silent callers cost nothing
--- a/internal/control/listener.go
+++ b/internal/control/listener.go
@@ -37,6 +37,8 @@
 	Peers(to io.Writer) error
 	// Policy carries out one of the calls on the fleet's policy.
 	Policy(c Call, to io.Writer) error
+	// Work carries out one of the calls on plans of work.
+	Work(c Call, to io.Writer) error
 }
 
 // CallersFor is how many callers there may be at once where the process may hold so many descriptors.
@@ -180,6 +182,8 @@
 		return text("200 ok\n", s.calls.Peers)
 	case PolicyText, PolicyPropose, PolicyShow, PolicyHistory, PolicyAbort, PolicyFound:
 		return text("200 ok\n", func(to io.Writer) error { return s.calls.Policy(c, to) })
+	case WorkPlan, WorkShow, WorkDone, WorkPause, WorkResume, WorkCancel:
+		return text("200 ok\n", func(to io.Writer) error { return s.calls.Work(c, to) })
 	case Health:
 		err = s.calls.Health()
 	case Cordon:
--- a/internal/control/protocol.go
+++ b/internal/control/protocol.go
@@ -28,12 +28,20 @@
 	PolicyHistory Verb = "policy-history"
 	PolicyAbort   Verb = "policy-abort"
 	PolicyFound   Verb = "policy-found"
+
+	WorkPlan   Verb = "work-plan"
+	WorkShow   Verb = "work-show"
+	WorkDone   Verb = "work-done"
+	WorkPause  Verb = "work-pause"
+	WorkResume Verb = "work-resume"
+	WorkCancel Verb = "work-cancel"
 )
 
 // arguments is how many each call has.
 var arguments = map[Verb]int{
 	Health: 0, Counters: 0, Cordon: 1, Uncordon: 1, Peers: 0,
 	PolicyText: 4, PolicyPropose: 2, PolicyShow: 0, PolicyHistory: 0, PolicyAbort: 0, PolicyFound: 0,
+	WorkPlan: 1, WorkShow: 0, WorkDone: 1, WorkPause: 1, WorkResume: 1, WorkCancel: 1,
 }
 
 // Call is one line, read.
@@ -62,7 +70,7 @@
 	switch given := len(words) - 1; {
 	case !known:
 		return Call{}, fmt.Errorf("unknown call: one of %s is needed", verbs)
-	case given < need && need == 1:
+	case given < need && (c.Verb == Cordon || c.Verb == Uncordon):
 		return Call{}, fmt.Errorf("%s needs the id of an upstream", c.Verb)
 	case given < need:
 		return Call{}, fmt.Errorf("%s has %d words behind it, %d are needed", c.Verb, given, need)
@@ -73,4 +81,4 @@
 	return c, nil
 }
 
-const verbs = "health, counters, cordon ID, uncordon ID, peers, policy-show, policy-history, policy-abort, policy-found"
+const verbs = "health, counters, cordon ID, uncordon ID, peers, policy-show, policy-history, policy-abort, policy-found, work-show, work-done TURN, work-pause PLAN, work-resume PLAN, work-cancel PLAN"
--- a/internal/cordon/overlay.go
+++ b/internal/cordon/overlay.go
@@ -3,6 +3,7 @@
 package cordon
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -14,7 +15,8 @@
 // list says: the module sends it nothing new and lets it finish, and knows nothing of bans. Lifted, it is what the
 // list says now, with its present start time, so it is cold if it was restarted meanwhile. It is not safe for concurrent use.
 type Overlay struct {
-	banned map[policy.ServerID]bool
+	banned map[policy.ServerID]bool // by hand, or by the fleet's policy
+	away   map[policy.ServerID]bool // by the fleet's plans of work
 	listed map[policy.ServerID]listed
 	ever   ever
 	last   int64 // version heard
@@ -23,6 +25,7 @@
 type listed struct {
 	policy.Server
 	address string
+	name    string
 }
 
 // NewOverlay makes one with no list and no bans.
@@ -42,7 +45,11 @@
 		if s.State == policy.Gone {
 			delete(o.listed, s.ID)
 		} else {
-			o.listed[s.ID] = listed{s, l.Address[s.ID]}
+			name := l.Name[s.ID]
+			if name == "" {
+				name = o.listed[s.ID].name
+			}
+			o.listed[s.ID] = listed{s, l.Address[s.ID], name}
 		}
 		servers = append(servers, o.seen(s))
 	}
@@ -52,7 +59,7 @@
 
 // seen is a server as the module is to see it.
 func (o *Overlay) seen(s policy.Server) policy.Server {
-	if s.State == policy.Ready && o.banned[s.ID] {
+	if s.State == policy.Ready && (o.banned[s.ID] || o.away[s.ID]) {
 		s.State = policy.Draining
 	}
 	return s
@@ -65,6 +72,20 @@
 	for _, id := range ids {
 		o.banned[call.ServerID(id)] = true
 	}
+	return o.now()
+}
+
+// SetAway takes which servers are out by plans of work from now on, and returns the whole list as it is to be handed on.
+func (o *Overlay) SetAway(ids []policy.ServerID) call.Listing {
+	o.away = make(map[policy.ServerID]bool, len(ids))
+	for _, id := range ids {
+		o.away[id] = true
+	}
+	return o.now()
+}
+
+// now is the whole list as it is to be handed on.
+func (o *Overlay) now() call.Listing {
 	l := o.Whole()
 	for i, s := range l.Servers {
 		l.Servers[i] = o.seen(s)
@@ -72,6 +93,27 @@
 	return l
 }
 
+// Entry is an upstream as it is listed, plans of work left aside: one that is out by hand drains.
+type Entry struct {
+	policy.Server
+	Name string // as people call it
+}
+
+// Entries are those that are listed.
+func (o *Overlay) Entries() (all []Entry) {
+	for _, id := range slices.Sorted(maps.Keys(o.listed)) {
+		e := Entry{o.listed[id].Server, o.listed[id].name}
+		if e.State == policy.Ready && o.banned[id] {
+			e.State = policy.Draining
+		}
+		if e.Name == "" {
+			e.Name = fmt.Sprintf("%016x", uint64(id))
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
 // Counts are how many upstreams are listed, and how many of them are not ready or banned.
 func (o *Overlay) Counts() (known, out int) {
 	for _, e := range o.listed {
@@ -84,11 +126,14 @@
 
 // Whole is the list as the list has it, bans left aside.
 func (o *Overlay) Whole() call.Listing {
-	l := call.Listing{Version: o.last, Whole: true, Address: make(map[policy.ServerID]string, len(o.listed))}
+	l := call.Listing{Version: o.last, Whole: true, Address: make(map[policy.ServerID]string, len(o.listed)), Name: make(map[policy.ServerID]string, len(o.listed))}
 	for _, id := range slices.Sorted(maps.Keys(o.listed)) {
 		e := o.listed[id]
 		l.Servers = append(l.Servers, e.Server)
 		l.Address[id] = e.address
+		if e.name != "" {
+			l.Name[id] = e.name
+		}
 	}
 	return l
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync/atomic"
 
 	"caperarch/internal/bans"
 	"caperarch/internal/call"
@@ -78,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	s.attach(p, cfg, c)
 	f := fronthttp1.New(fronthttp1.Config{
 		Route: fronthttp1.To(p.target), Conns: fronthttp1.BoundsOf(cfg.ClientConns(), cfg.ApplicationConns()), Longest: cfg.Longest, Log: log,
 	}, c)
@@ -117,7 +119,8 @@
 	follower  *membership.Follower
 	transport *http1.Transport
 	list      *bans.List
-	leave     func() // the service
+	leave     func()      // the service
+	current   atomic.Bool // discovery's last answer could be used
 }
 
 // assemble puts an engine together with the transport that it sends over and the list that it follows. Nothing runs yet.
@@ -129,7 +132,7 @@
 	decisions := cfg.Policy
 	decisions.Parts = s.parted
 	ended := s.know(&decisions)
-	limits := s.rule(func(out []string) { p.list.Also(out) }, func(open int) { p.target.Bound(open) })
+	limits := s.rule(func(out []string) { p.list.Also(out) }, func(ids []policy.ServerID) { p.list.Away(ids) }, func(open int) { p.target.Bound(open) })
 	e, err := engine.New(engine.Config{
 		Policy: decisions, Seed: cfg.Seed, Clock: c, Transport: p.transport, Log: log, Watch: func() { p.follower.Ask() },
 		Module: o.module(), AttemptEnded: ended, Limits: limits,
@@ -149,9 +152,11 @@
 		Address: cfg.Discovery, Zones: cfg.Zones, Asked: cfg.Policy.AskList, Known: known,
 		Heard: func(l call.Listing) {
 			log.Info("list", "version", l.Version, "whole", l.Whole, "entries", len(l.Servers))
+			p.current.Store(true)
 			p.list.Heard(l)
 		},
 		Failed: func(err error) {
+			p.current.Store(false)
 			log.Warn("discovery", "error", err)
 			e.ListFailed()
 		},
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -5,8 +5,13 @@
 	"errors"
 	"io"
 
+	"caperarch/internal/clock"
+	"caperarch/internal/cold"
+	"caperarch/internal/config"
 	"caperarch/internal/control"
+	"caperarch/internal/figures"
 	"caperarch/internal/fleet"
+	"caperarch/internal/outage"
 	"caperarch/policy"
 )
 
@@ -67,12 +72,21 @@
 
 // rule has what serves clients go by the fleet's policy: it returns the module's limits that hold now, and sees to the rest of them; nil: there is none. It is called by
 // the engine alone.
-func (s *service) rule(out func([]string), open func(int)) func() *policy.Limits {
+func (s *service) rule(out func([]string), away func([]policy.ServerID), open func(int)) func() *policy.Limits {
 	if s.fleet == nil || s.fleet.Policy() == nil {
 		return nil
 	}
 	var last *fleet.InForce
+	var lastAway *[]uint64
 	return func() *policy.Limits {
+		if now := s.fleet.Policy().Out(); now != lastAway {
+			lastAway = now
+			var ids []policy.ServerID
+			for _, id := range *now {
+				ids = append(ids, policy.ServerID(id))
+			}
+			away(ids)
+		}
 		now := s.fleet.Policy().Now()
 		if now != last {
 			last = now
@@ -83,6 +97,86 @@
 	}
 }
 
+// Work carries out a call on plans of work.
+func (s *service) Work(c control.Call, to io.Writer) error {
+	if s.fleet == nil {
+		return errNoFleet
+	}
+	p := s.fleet.Policy()
+	switch {
+	case p == nil:
+		return errNoPolicy
+	case c.Verb == control.WorkPlan:
+		return p.Plan(c.Arguments, to)
+	case c.Verb == control.WorkShow:
+		return p.ShowWork(to)
+	}
+	return p.Operate(map[control.Verb]outage.Kind{
+		control.WorkDone: outage.Done, control.WorkPause: outage.Paused, control.WorkResume: outage.Resumed, control.WorkCancel: outage.Cancelled,
+	}[c.Verb], c.Arguments, to)
+}
+
+// site is what this process has to do with machines that plans of work are about.
+type site struct {
+	parts   *parts
+	cfg     *config.Config
+	clock   clock.Clock
+	figures *figures.Set
+	zones   map[int]string
+}
+
+// attach tells the fleet's plans of work of an engine's list.
+func (s *service) attach(p *parts, cfg *config.Config, c clock.Clock) {
+	if s.fleet == nil || s.fleet.Policy() == nil {
+		return
+	}
+	x := &site{p, cfg, c, s.figures, make(map[int]string)}
+	for name, i := range cfg.Zones {
+		x.zones[i] = name
+	}
+	s.fleet.Policy().Attach(x)
+}
+
+func (x *site) Machines() (all []outage.Machine, current bool) {
+	now := x.clock.Now()
+	for _, e := range x.parts.list.Entries() {
+		m := outage.Machine{ID: uint64(e.ID), Name: e.Name, Zone: x.zones[e.Zone], Cell: e.Cell, Weight: e.Weight, State: outage.Draining, Started: e.Started, Warmth: 1}
+		if e.State == policy.Ready {
+			m.State = outage.Ready
+		}
+		if e.Started > 0 {
+			m.Warmth = cold.Warmth(e.Started+x.cfg.Policy.ColdTime-now, x.cfg.Policy.ColdTime, x.cfg.Policy.ColdFrom)
+		}
+		all = append(all, m)
+	}
+	return all, x.parts.current.Load()
+}
+
+func (x *site) Quiet(ids []uint64, told func([]uint64)) {
+	servers := make([]policy.ServerID, len(ids))
+	for i, id := range ids {
+		servers[i] = policy.ServerID(id)
+	}
+	x.parts.engine.Quiet(servers, func(quiet []policy.ServerID) {
+		all := make([]uint64, len(quiet))
+		for i, id := range quiet {
+			all[i] = uint64(id)
+		}
+		told(all)
+	})
+}
+
+func (x *site) Handled() (all, passed uint64) {
+	for _, by := range x.figures.Handled() {
+		for o, n := range by {
+			if all += n; figures.Outcome(o) == figures.Passed {
+				passed += n
+			}
+		}
+	}
+	return all, passed
+}
+
 // Peers writes what is known of the other sidecars.
 func (s *service) Peers(to io.Writer) error {
 	if s.fleet == nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,7 +38,7 @@
 	Transport call.Transport // on the same clock
 	Log       *slog.Logger
 	Watch     func() // subscribes to the list; nil: it comes by itself
-	Quiet     bool   // no counters in the log
+	Silent    bool   // no counters in the log
 
 	// AttemptEnded hears how each attempt ended, and must not wait; nil: nobody does.
 	AttemptEnded func(to policy.ServerID, end policy.Ending)
@@ -86,6 +86,7 @@
 	now      time.Duration // the time of the event under way
 	requests map[policy.RequestID]*request
 	servers  map[policy.ServerID]*server // those that are listed and not gone
+	out      map[policy.ServerID]int     // attempts with no end yet
 	notSent  []policy.Outcome            // owed once the event under way is over
 	wakes    []time.Duration             // when Wake is due, in order
 	timer    *time.Timer                 // set for the first of them
@@ -123,6 +124,7 @@
 		ended:    make(chan struct{}),
 		requests: make(map[policy.RequestID]*request),
 		servers:  make(map[policy.ServerID]*server),
+		out:      make(map[policy.ServerID]int),
 		told:     make(chan struct{}, 1),
 		timer:    time.NewTimer(time.Hour),
 	}
@@ -160,7 +162,7 @@
 	e.running.Store(true)
 	defer e.running.Store(false)
 	var counters <-chan time.Time
-	if !e.Quiet {
+	if !e.Silent {
 		ticker := time.NewTicker(countersEvery)
 		defer ticker.Stop()
 		counters = ticker.C
@@ -239,21 +241,40 @@
 	}
 }
 
+// Quiet has told called with those of some servers at which nothing is out, once what was told of the list before it is taken. It does not wait, and told must not.
+func (e *Engine) Quiet(ids []policy.ServerID, told func(quiet []policy.ServerID)) {
+	go e.post(func(time.Duration) {
+		select {
+		case <-e.told:
+			e.hear()
+		default:
+		}
+		told(slices.DeleteFunc(slices.Clone(ids), func(id policy.ServerID) bool { return e.out[id] > 0 }))
+	})
+}
+
+// ended takes that an attempt at a server has its end.
+func (e *Engine) settled(at policy.ServerID) {
+	if e.out[at]--; e.out[at] <= 0 {
+		delete(e.out, at)
+	}
+}
+
 // limit has the module go by the limits that hold now.
 func (e *Engine) limit() {
 	if e.Config.Limits == nil {
 		return
 	}
 	l := e.Config.Limits()
-	if l == nil || l == e.limits {
-		return
-	}
-	e.limits = l
 	select {
-	case <-e.told: // servers that are out by them
+	case <-e.told: // servers that are out by them, or by what else the fleet has settled
 		e.hear()
 	default:
 	}
+	if l == nil || l == e.limits {
+		return
+	}
+	e.limits = l
 	if err := e.b.Reconfigure(e.now, *l); err != nil {
 		e.Log.Error("limits that the module can't take, the last ones hold", "error", err)
 	}
--- a/internal/engine/pause_test.go
+++ b/internal/engine/pause_test.go
@@ -62,7 +62,7 @@
 				Balancers: 1, MaxAttempts: 3, MayCancel: true, MaxRetryAfter: time.Second,
 				Classes: []policy.Class{{Aim: 500 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1, Effect: policy.Unsafe}},
 			},
-			Clock: clock.NewMovable(), Transport: r, Log: slog.New(slog.DiscardHandler), Quiet: true,
+			Clock: clock.NewMovable(), Transport: r, Log: slog.New(slog.DiscardHandler), Silent: true,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -161,7 +161,7 @@
 			r := new(recorder)
 			e, err := New(Config{
 				Policy: policy.Config{Balancers: 1, MaxAttempts: 3, MayCancel: true, Classes: []policy.Class{{Aim: time.Second, Deadline: 2 * time.Second, Effect: policy.Unsafe}}},
-				Clock:  clock.New(), Transport: r, Log: slog.New(slog.DiscardHandler), Quiet: true,
+				Clock:  clock.New(), Transport: r, Log: slog.New(slog.DiscardHandler), Silent: true,
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -152,24 +152,31 @@
 	Peers          *Peers `json:",omitempty"` // nil: there is no fleet
 }
 
+// Handled is how many clients were told what, by class.
+func (s *Set) Handled() map[string][3]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string][3]uint64, len(s.classes))
+	for _, c := range s.classes {
+		var by [outcomes]uint64
+		for o := range by {
+			by[o] = c.handled[o].Load()
+		}
+		all[c.name] = by
+	}
+	return all
+}
+
 // Snapshot reads the figures.
 func (s *Set) Snapshot() Snapshot {
 	s.mu.Lock()
-	classes := slices.Clone(s.classes)
 	lists := make([]Upstreams, 0, len(s.lists))
 	for u := range s.lists {
 		lists = append(lists, *u)
 	}
 	peers := s.peers
 	s.mu.Unlock()
-	out := Snapshot{Handled: make(map[string][3]uint64, len(classes)), Tries: s.tries.Load(), InProgress: max(0, s.progress.Load())}
-	for _, c := range classes {
-		var by [outcomes]uint64
-		for o := range by {
-			by[o] = c.handled[o].Load()
-		}
-		out.Handled[c.name] = by
-	}
+	out := Snapshot{Handled: s.Handled(), Tries: s.tries.Load(), InProgress: max(0, s.progress.Load())}
 	if peers != nil {
 		p := peers()
 		out.Peers = &p
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -51,6 +51,9 @@
 	store *state.Store // nil: nothing outlives the process
 	now   time.Duration
 
+	out  atomic.Pointer[[]uint64] // by plans of work
+	work work
+
 	muted    bool              // that was logged
 	uploads  []*upload         // by operators
 	outcomes map[string]uint64 // changes that were taken, called off, refused
@@ -68,6 +71,7 @@
 	p.cutOff = p.inForce(fleetpolicy.Now{}, l)
 	p.force.Store(p.cutOff)
 	p.until.Store(math.MaxInt64)
+	p.out.Store(new([]uint64))
 	p.cfg = accord.Config{
 		Size: len(f.peers), Life: f.life, Lease: cmp.Or(f.file.Lease, swim.LeaseFor(len(f.peers))), Rate: cmp.Or(f.file.Rate, swim.DefaultRate),
 		Rand: rand.New(rand.NewPCG(f.cfg.Seed, 3)), Host: policyHost{p}, Check: p.check,
@@ -172,7 +176,9 @@
 	}
 	p.link, p.now = link, p.f.now()
 	p.node = node
-	return node.Restore(p.now, saved, texts)
+	err = node.Restore(p.now, saved, texts)
+	p.bar()
+	return err
 }
 
 // openState opens what was kept. The process before this one may be about to close it.
@@ -206,6 +212,7 @@
 		return
 	}
 	p.now = p.f.now()
+	p.look()
 	p.node.Tick(p.now)
 	p.publish()
 	if err := p.node.Mute(); err != nil && !p.muted {
@@ -228,6 +235,7 @@
 
 // publish has Now tell what the node goes by. The caller holds the lock; the node itself calls for it before it tells the fleet by what it goes.
 func (p *Policy) publish() {
+	p.bar()
 	goes := p.node.Now(p.now)
 	until := p.node.Until()
 	if goes.Mode == fleetpolicy.CutOff {
--- /dev/null
+++ b/internal/fleet/work.go
@@ -0,0 +1,261 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperarch/internal/accord"
+	"caperarch/internal/fleetpolicy"
+	"caperarch/internal/outage"
+)
+
+// Site is what this process has to do with the machines that plans of work are about.
+type Site interface {
+	// Machines are those that are listed, plans left aside; current: discovery has answered lately.
+	Machines() (all []outage.Machine, current bool)
+	// Quiet has told called with those of some machines to which nothing goes any more, and at which nothing is out. It does not wait.
+	Quiet(ids []uint64, told func(quiet []uint64))
+	// Handled is how many requests were answered since the start, and how many of them were served.
+	Handled() (all, passed uint64)
+}
+
+// work is this process's part in plans of work. The policy's lock guards it.
+type work struct {
+	site   Site
+	begun  time.Duration
+	roll   outage.Roll
+	own    outage.Own
+	load   outage.Load
+	asking bool // the site has not told yet
+}
+
+// Attach gives the policy the machines. It is to be called before the fleet runs; without it this sidecar is never clear, and leads no plan.
+func (p *Policy) Attach(site Site) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.work.site, p.work.begun = site, p.f.now()
+	p.cfg.Work, p.cfg.Deadline = policyWork{p}, p.f.cfg.Longest+overrun
+}
+
+// overrun is what a request may take beyond its deadline till its end is known here.
+const overrun = 700 * time.Millisecond
+
+// Out are the machines to which nothing new may be sent, by plans of work. It never waits; another slice is another answer, and each is its caller's to read only.
+func (p *Policy) Out() *[]uint64 { return p.out.Load() }
+
+// look brings what is known of machines and of this sidecar up to date. The caller holds the lock.
+func (p *Policy) look() {
+	w := &p.work
+	if w.site == nil {
+		return
+	}
+	if w.load.Due(p.now) {
+		all, passed := w.site.Handled()
+		w.load.Count(p.now, all, passed)
+	}
+	asks := w.own.Asks(p.node.WorkState())
+	if len(asks) == 0 || w.asking {
+		return
+	}
+	w.asking = true
+	var ids []uint64
+	for _, id := range asks {
+		ids = append(ids, id)
+	}
+	w.site.Quiet(ids, func(quiet []uint64) {
+		go func() { // whoever tells must not wait
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			w.asking = false
+			for turn, id := range asks {
+				if slices.Contains(quiet, id) {
+					w.own.Seen(turn)
+				}
+			}
+		}()
+	})
+}
+
+// bar has Out tell what the log says now. The caller holds the lock.
+func (p *Policy) bar() {
+	if now := p.node.Out(); !slices.Equal(now, *p.out.Load()) {
+		p.out.Store(&now)
+	}
+}
+
+// policyWork is what the node asks; its methods are called with the lock held.
+type policyWork struct{ p *Policy }
+
+func (w policyWork) Machines() (all []outage.Machine, current bool) {
+	p := w.p
+	listed, current := p.work.site.Machines()
+	p.work.roll.Heard(p.now, listed)
+	return p.work.roll.All(p.now), current
+}
+
+func (w policyWork) Own(s *outage.State) outage.Report {
+	p := w.p
+	rate, served := p.work.load.Lately()
+	return outage.Report{Clear: p.work.own.Clear(p.now-p.work.begun, accord.Patience(p.cfg.Deadline, p.cfg.Rate), s), Rate: rate, InTime: served}
+}
+
+func (h policyHost) Worked(s outage.Step) {
+	p := h.p
+	if s.Kind == outage.Given || s.Kind == outage.Withdrawn || s.Kind == outage.Done {
+		if p.node != nil {
+			p.bar()
+		}
+	}
+	if s.Kind == outage.Leads {
+		return
+	}
+	args := []any{"number", s.Number, "by", s.By}
+	if s.Machine != 0 {
+		args = append(args, "machine", p.nameOf(s.Machine))
+	}
+	if s.Plan != 0 {
+		args = append(args, "plan", s.Plan)
+	}
+	if s.Why != "" {
+		args = append(args, "why", s.Why)
+	}
+	p.f.log.Info("work: "+s.Kind.String(), args...)
+}
+
+// nameOf is a machine as people call it. The caller holds the lock.
+func (p *Policy) nameOf(id uint64) string {
+	if p.work.site != nil {
+		all, _ := policyWork{p}.Machines()
+		for i := range all {
+			if all[i].ID == id {
+				return all[i].Name
+			}
+		}
+	}
+	return fmt.Sprintf("%016x", id)
+}
+
+var errNumber = errors.New("a number is needed, of a turn (done) or of a plan")
+
+// Plan has the fleet take machines out by a plan whose text was handed over.
+func (p *Policy) Plan(words []string, to io.Writer) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text, err := p.uploaded(words[0])
+	if err != nil {
+		return err
+	}
+	if p.node == nil {
+		return errNotYet
+	}
+	p.now = p.f.now()
+	number, err := p.node.Plan(p.now, text)
+	if err != nil {
+		return err
+	}
+	p.publish()
+	_, err = fmt.Fprintf(to, "plan %d is to begin, hash %s\n", number, fleetpolicy.Hash(text))
+	return err
+}
+
+// Operate carries out an operator's word on a turn (done) or a plan (paused, resumed, cancelled).
+func (p *Policy) Operate(kind outage.Kind, words []string, to io.Writer) error {
+	number, err := strconv.ParseUint(words[0], 10, 32)
+	if err != nil || number == 0 {
+		return errNumber
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.node == nil {
+		return errNotYet
+	}
+	p.now = p.f.now()
+	if err := p.node.Operate(p.now, kind, uint32(number)); err != nil {
+		return err
+	}
+	p.publish()
+	what := "plan"
+	if kind == outage.Done {
+		what = "turn"
+	}
+	_, err = fmt.Fprintf(to, "%s %d is to be %s\n", what, number, kind)
+	return err
+}
+
+// ShowWork writes plans and turns, what they wait for, and who is out of contact; the leader is asked for the last two.
+func (p *Policy) ShowWork(to io.Writer) error {
+	v, known := p.viewWork()
+	if known && v.Aways < 0 && len(v.State.Works)+len(v.State.Turns) > 0 {
+		p.mu.Lock()
+		if p.node != nil {
+			p.node.AskBehind(p.f.now())
+		}
+		p.mu.Unlock()
+		for end := time.Now().Add(behindWait); v.Aways < 0 && time.Now().Before(end); v, _ = p.viewWork() {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	if !known {
+		return errNotYet
+	}
+	b, s := new(strings.Builder), &v.State
+	p.mu.Lock()
+	for _, w := range s.Works {
+		state := "under way"
+		if w.Paused != "" {
+			state = "paused: " + w.Paused
+		}
+		fmt.Fprintf(b, "plan %d of sidecar %d, hash %x: %s; %d have had a turn or have it, %d turns withdrawn\n", w.Number, w.By, w.Hash, state, len(w.Worked), w.Skipped)
+	}
+	for _, e := range s.Ended {
+		fmt.Fprintf(b, "plan %d: %s, %d had a turn\n", e.Number, e.Outcome, e.Worked)
+	}
+	for _, t := range s.Turns {
+		state := t.Phase.String()
+		if t.Phase == outage.Free {
+			state = "out, free to work on"
+		}
+		fmt.Fprintf(b, "turn %d of plan %d: %s: %s\n", t.Number, t.Plan, p.nameOf(t.Machine), state)
+	}
+	for _, x := range s.Past[max(0, len(s.Past)-pastShown):] {
+		why := ""
+		if x.Why != "" {
+			why = ", " + x.Why
+		}
+		fmt.Fprintf(b, "turn %d of plan %d: %s: %s%s\n", x.Number, x.Plan, p.nameOf(x.Machine), x.Outcome, why)
+	}
+	p.mu.Unlock()
+	switch {
+	case len(s.Works)+len(s.Turns) == 0:
+		fmt.Fprintln(b, "no plan is under way")
+	case v.Aways < 0:
+		fmt.Fprintln(b, "the leader does not say what is waited for")
+	default:
+		if v.Waits != "" {
+			fmt.Fprintf(b, "waits: %s\n", v.Waits)
+		}
+		fmt.Fprintf(b, "out of contact: %d sidecars, which may send to machines that are out\n", v.Aways)
+		for _, a := range v.Away {
+			fmt.Fprintf(b, "out of contact: sidecar %d, %s\n", a.Number, a.Why)
+		}
+	}
+	_, err := io.WriteString(to, b.String())
+	return err
+}
+
+// pastShown is how many turns that are over are shown: an answer is short.
+const pastShown = 20
+
+func (p *Policy) viewWork() (accord.WorkView, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.node == nil {
+		return accord.WorkView{}, false
+	}
+	return p.node.ViewWork(p.f.now()), true
+}
--- a/internal/fleetpolicy/holder.go
+++ b/internal/fleetpolicy/holder.go
@@ -71,6 +71,9 @@
 	return h.state.Apply(index, e), nil
 }
 
+// Blind takes that an entry of another kind could not be read: what it says may matter.
+func (h *Holder) Blind() { h.blind = true }
+
 // Upto takes that the log is here up to an index, whatever its last entries say.
 func (h *Holder) Upto(index uint64) { h.have = max(h.have, index) }
 
--- a/internal/fleetpolicy/leader.go
+++ b/internal/fleetpolicy/leader.go
@@ -73,9 +73,17 @@
 // Since is when the term began.
 func (l *Leader) Since() time.Duration { return l.since }
 
+// Until is when no grant of a sidecar can count any more, by this leader's clock.
+func (l *Leader) Until(i int) time.Duration {
+	if granted := l.members[i].granted; granted != 0 {
+		return max(l.quiet(), granted+l.Patience)
+	}
+	return l.quiet()
+}
+
 // free says that a sidecar goes by CutOff for certain: it has no grant that counts, of this leader or one before.
 func (l *Leader) free(now time.Duration, i int) bool {
-	return now >= l.quiet() && (l.members[i].granted == 0 || now >= l.members[i].granted+l.Patience)
+	return now >= l.Until(i)
 }
 
 // Decide says what the log needs next; false: nothing now.
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -38,23 +38,27 @@
 type Server struct {
 	policy.Server
 	Address string `json:"address"`
+	Name    string `json:"name,omitempty"`
 }
 
 // PoolOf puts a whole list in a record's form.
 func PoolOf(l call.Listing, ever []policy.ServerID) Pool {
 	p := Pool{Version: l.Version, Ever: ever}
 	for _, s := range l.Servers {
-		p.Servers = append(p.Servers, Server{s, l.Address[s.ID]})
+		p.Servers = append(p.Servers, Server{s, l.Address[s.ID], l.Name[s.ID]})
 	}
 	return p
 }
 
 // Listing is the list that a pool's record holds.
 func (p Pool) Listing() call.Listing {
-	l := call.Listing{Version: p.Version, Whole: true, Address: make(map[policy.ServerID]string, len(p.Servers))}
+	l := call.Listing{Version: p.Version, Whole: true, Address: make(map[policy.ServerID]string, len(p.Servers)), Name: make(map[policy.ServerID]string, len(p.Servers))}
 	for _, s := range p.Servers {
 		l.Servers = append(l.Servers, s.Server)
 		l.Address[s.ID] = s.Address
+		if s.Name != "" {
+			l.Name[s.ID] = s.Name
+		}
 	}
 	return l
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -52,7 +52,7 @@
 	if answer.Generation == nil {
 		return call.Listing{}, errors.New("no generation")
 	}
-	l := call.Listing{Version: *answer.Generation, Whole: answer.Reset, Address: make(map[policy.ServerID]string)}
+	l := call.Listing{Version: *answer.Generation, Whole: answer.Reset, Address: make(map[policy.ServerID]string), Name: make(map[policy.ServerID]string)}
 	for i, e := range answer.Instances {
 		if e.InstanceID == "" {
 			return call.Listing{}, fmt.Errorf("instance %d has no instanceId", i)
@@ -78,6 +78,7 @@
 		} else if s.State != policy.Gone {
 			return call.Listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
 		}
+		l.Name[s.ID] = e.InstanceID
 		l.Servers = append(l.Servers, s)
 	}
 	return l, nil
--- a/internal/outage/leader.go
+++ b/internal/outage/leader.go
@@ -38,13 +38,14 @@
 	Traffic  float64                // requests a second, over all sidecars
 	InTime   float64                // share of them that is served in time
 	Unheard  int                    // sidecars that have told nothing for a lease: what they send is not known
+	Slack    time.Duration          // a lease and the longest deadline: a turn may wait for as long before it is free
 	Clear    func(turn uint32) bool // all that are in contact send nothing to its machine, and have nothing out there; the leases of the others, and the longest deadline behind them, are over
 	Plan     func(hash [32]byte) (*Plan, bool)
 }
 
 const (
 	badFor   = 10 * time.Second // traffic out of time for so long stops a plan
-	leaveFor = time.Minute      // a turn that is not free after so long is withdrawn
+	leaveFor = time.Minute      // a turn that is not free after so long, and what leases and deadlines take, is withdrawn
 )
 
 // Leader is the part of the sidecar that leads the log. What it remembers is of its own term: a new one watches anew, so times run longer rather than shorter.
@@ -152,9 +153,9 @@
 		switch why := l.leaving(w, s, t, p); {
 		case why != "":
 			return l.step(Withdrawn, t.Number, why)
-		case w.Clear(t.Number):
+		case w.Clear(t.Number) && (p.CutOff != Awaited || w.Unheard == 0): // who is out of contact sends by its list
 			return l.step(Freed, t.Number, "")
-		case long > leaveFor:
+		case long > leaveFor+w.Slack:
 			return l.step(Withdrawn, t.Number, "somebody still sends")
 		}
 	case Free:
--- a/internal/outage/outagepb/doc.go
+++ b/internal/outage/outagepb/doc.go
@@ -1,4 +1,4 @@
-// Package outagepb is the generated form of step.proto.
+// Package outagepb is the generated form of turn.proto.
 package outagepb
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative step.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative turn.proto
--- /dev/null
+++ b/internal/outage/own.go
@@ -0,0 +1,84 @@
+package outage
+
+import "time"
+
+// Own is how far a sidecar is clear of the machines that are out. The zero value is clear of none.
+type Own struct {
+	clear map[uint32]bool // by turn
+}
+
+// Asks are the machines, by turn, of which it is not known that nothing is out there.
+func (o *Own) Asks(s *State) map[uint32]uint64 {
+	var all map[uint32]uint64
+	for _, t := range s.Turns {
+		if t.Phase != Returning && !o.clear[t.Number] {
+			if all == nil {
+				all = make(map[uint32]uint64)
+			}
+			all[t.Number] = t.Machine
+		}
+	}
+	return all
+}
+
+// Seen takes that nothing goes to a turn's machine any more, and nothing is out there. It stays so while the turn lasts, as nothing new is sent.
+func (o *Own) Seen(turn uint32) {
+	if o.clear == nil {
+		o.clear = make(map[uint32]bool)
+	}
+	o.clear[turn] = true
+}
+
+// Clear is the number up to which this sidecar is clear of all turns that are not over. A process that is younger than the longest deadline says of none: the one before it, which it knows nothing of, may have
+// something out there.
+func (o *Own) Clear(age, deadline time.Duration, s *State) uint32 {
+	for turn := range o.clear {
+		if s.Turn(turn) == nil {
+			delete(o.clear, turn)
+		}
+	}
+	if age < deadline {
+		return 0
+	}
+	for _, t := range s.Turns { // the oldest first
+		if t.Phase != Returning && !o.clear[t.Number] {
+			return t.Number - 1
+		}
+	}
+	return s.LastTurn
+}
+
+const (
+	sampleEvery = time.Second
+	samples     = 6 // one more than the seconds over which load is measured
+)
+
+// Load is what a sidecar answers lately, from counters that only grow. The zero value is ready.
+type Load struct {
+	at           [samples]time.Duration
+	all, passed  [samples]uint64
+	next, filled int
+}
+
+// Due says whether the counters are to be read.
+func (l *Load) Due(now time.Duration) bool {
+	return l.filled == 0 || now >= l.at[(l.next+samples-1)%samples]+sampleEvery
+}
+
+// Count takes how many requests were answered since the start, and how many of them were served.
+func (l *Load) Count(now time.Duration, all, passed uint64) {
+	l.at[l.next], l.all[l.next], l.passed[l.next] = now, all, passed
+	l.next, l.filled = (l.next+1)%samples, min(l.filled+1, samples)
+}
+
+// Lately is how many were answered a second, and which share of them was served; 1 where there were none.
+func (l *Load) Lately() (rate, served float64) {
+	last := (l.next + samples - 1) % samples
+	first := (l.next + samples - l.filled) % samples
+	span := (l.at[last] - l.at[first]).Seconds()
+	all, passed := l.all[last]-l.all[first], l.passed[last]-l.passed[first]
+	if span <= 0 || all == 0 {
+		return 0, 1
+	}
+	return float64(all) / span, float64(passed) / float64(all)
+}
--- a/internal/outage/state.go
+++ b/internal/outage/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -44,7 +45,7 @@
 
 const (
 	pastMost  = 256
-	worksMost = 16
+	worksMost = 8
 )
 
 // State is what the log makes of it: the same at everyone who has the same entries.
@@ -65,6 +66,16 @@
 	Worked  int
 }
 
+// Clone is a copy that shares nothing.
+func (s *State) Clone() State {
+	c := *s
+	c.Works, c.Turns, c.Past, c.Ended = slices.Clone(s.Works), slices.Clone(s.Turns), slices.Clone(s.Past), slices.Clone(s.Ended)
+	for i := range c.Works {
+		c.Works[i].Worked = maps.Clone(c.Works[i].Worked)
+	}
+	return c
+}
+
 // Work is a plan that has not ended, or nil.
 func (s *State) Work(number uint32) *Work {
 	for i := range s.Works {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -79,7 +79,7 @@
 	p := &Pool{cfg: cfg, open: make(map[string]bool), ran: make(chan struct{}), empty: make(chan struct{}), gone: make(chan struct{})}
 	var follower *membership.Follower
 	e, err := engine.New(engine.Config{
-		Policy: cfg.Policy, Seed: cfg.Seed, Clock: cfg.Clock, Transport: cfg.Transport, Log: cfg.Log, Quiet: true,
+		Policy: cfg.Policy, Seed: cfg.Seed, Clock: cfg.Clock, Transport: cfg.Transport, Log: cfg.Log, Silent: true,
 		Watch: func() {
 			if follower != nil {
 				follower.Ask()
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -243,8 +243,12 @@
 			return
 		}
 		if s := streamOf(res); s != nil { // it is passed on while it comes
-			done(call.Result{Ending: policy.Served, Status: res.StatusCode, Header: res.Header, Stream: s, Carried: true, Load: u.load(res.Header.Get("X-Server-Load"))})
+			over := func() {}
+			done(call.Result{
+				Ending: policy.Served, Status: res.StatusCode, Header: res.Header, Stream: s, Carried: true, After: func(end func()) { over = end }, Load: u.load(res.Header.Get("X-Server-Load")),
+			})
 			u.follow(x, to, s)
+			over()
 			return
 		}
 		out := call.Result{Ending: policy.Errored, Status: res.StatusCode, Header: res.Header, Body: body, Load: u.load(res.Header.Get("X-Server-Load"))}
