--- /dev/null
+++ b/internal/rig/fleet/work.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	program "caperarch/internal/fleet"
+	"caperarch/internal/fleetpolicy"
+	"caperarch/internal/rig"
+)
+
+// Stay is one machine's time with an operator: from when somebody was told that it is free to work on, until that one says that the work is done.
+type Stay struct {
+	Turn     int
+	Node     *rig.Node
+	From, To time.Time // To is zero while it lasts
+	Warm     time.Time // when it is warm again, by the settings; zero: it was not restarted
+}
+
+// Round is operators who work on whatever machine is free, whoever of the sidecars tells them so. They don't know of each other.
+type Round struct {
+	f     *Fleet
+	Cold  time.Duration // a restarted machine is warm so long after
+	Takes time.Duration // somebody works on one
+
+	mu    sync.Mutex
+	stays map[int]*Stay
+	ended bool
+	Shown string // last
+	quit  chan struct{}
+	done  chan struct{}
+}
+
+// Work has the fleet go by a plan, by way of one process.
+func (s *Sidecar) Work(plan string) error {
+	raw := []byte(plan)
+	for i := range program.UploadCount(raw) {
+		if err := s.operate("policy-text " + strings.Join(program.UploadPiece(raw, i), " ")); err != nil {
+			return err
+		}
+	}
+	return s.operate("work-plan " + fleetpolicy.Hash(raw))
+}
+
+// WorkShow is what a process says of plans and turns.
+func (s *Sidecar) WorkShow() (string, error) {
+	text, err := rig.Operate(s.control(), "work-show")
+	if err == nil && !strings.HasPrefix(text, "200 ") {
+		err = fmt.Errorf("%s", strings.TrimSpace(text))
+	}
+	return text, err
+}
+
+// WorkDo says a word on a turn or a plan: done, pause, resume, cancel.
+func (s *Sidecar) WorkDo(word string, number int) error {
+	return s.operate(fmt.Sprintf("work-%s %d", word, number))
+}
+
+var (
+	freeTurn   = regexp.MustCompile(`(?m)^turn (\d+) of plan \d+: (\S+): out, free to work on$`)
+	pausedPlan = regexp.MustCompile(`(?m)^plan (\d+) of sidecar .*: paused: `)
+)
+
+// Operators begin to work on what is free. Every other machine is restarted for it.
+func (f *Fleet) Operators(seed uint64, takes, cold time.Duration) *Round {
+	r := &Round{f: f, Cold: cold, Takes: takes, stays: make(map[int]*Stay), quit: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		rng := rand.New(rand.NewPCG(seed, 7))
+		var at sync.WaitGroup
+		defer at.Wait()
+		for {
+			select {
+			case <-r.quit:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			s := f.Sidecars[rng.IntN(len(f.Sidecars))]
+			text, err := s.WorkShow()
+			if err != nil || !s.Runs() {
+				continue
+			}
+			r.mu.Lock()
+			r.Shown = text
+			// A process that has just come knows nothing yet, and says the same.
+			r.ended = strings.Contains(text, ": finished,") && strings.Contains(text, "no plan is under way")
+			r.mu.Unlock()
+			for _, m := range freeTurn.FindAllStringSubmatch(text, -1) {
+				turn, _ := strconv.Atoi(m[1])
+				if x := r.begin(turn, m[2]); x != nil {
+					at.Go(func() { r.work(x, rand.New(rand.NewPCG(seed, uint64(turn)))) })
+				}
+			}
+			for _, m := range pausedPlan.FindAllStringSubmatch(text, -1) {
+				plan, _ := strconv.Atoi(m[1])
+				_ = s.WorkDo("resume", plan)
+			}
+		}
+	}()
+	return r
+}
+
+// begin takes that somebody begins; nil: another has.
+func (r *Round) begin(turn int, name string) *Stay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stays[turn] != nil {
+		return nil
+	}
+	for _, n := range r.f.Nodes {
+		if n.ID == name {
+			r.stays[turn] = &Stay{Turn: turn, Node: n, From: time.Now()}
+			return r.stays[turn]
+		}
+	}
+	return nil
+}
+
+// work works on a machine, and says that it is done until somebody has taken that.
+func (r *Round) work(x *Stay, rng *rand.Rand) {
+	time.Sleep(r.Takes)
+	restart := x.Turn%2 == 0
+	if restart {
+		x.Node.Vanish()
+		time.Sleep(100 * time.Millisecond)
+	}
+	r.mu.Lock()
+	x.To = time.Now()
+	if restart {
+		x.Warm = x.To.Add(r.Cold)
+	}
+	r.mu.Unlock()
+	if restart {
+		x.Node.Return(r.f.t)
+		r.f.Discovery.Set(x.Node, "ready")
+	}
+	for {
+		s := r.f.Sidecars[rng.IntN(len(r.f.Sidecars))]
+		if err := s.WorkDo("done", x.Turn); s.Runs() && (err == nil || strings.Contains(err.Error(), fmt.Sprintf("turn %d is", x.Turn))) {
+			// Taken on, or in the log already. A leader that dies takes what it was told with it: so somebody looks again.
+			time.Sleep(2 * time.Second)
+			if text, err := s.WorkShow(); err == nil && !strings.Contains(text, fmt.Sprintf("turn %d of plan 1: %s: out, free", x.Turn, x.Node.ID)) {
+				return
+			}
+		}
+		select {
+		case <-r.quit:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// Ended says whether the plan is finished, as a process has said.
+func (r *Round) Ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
+// End sends the operators home.
+func (r *Round) End() {
+	close(r.quit)
+	<-r.done
+}
+
+// Stays are all so far.
+func (r *Round) Stays() (all []Stay) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.stays {
+		all = append(all, *x)
+	}
+	return all
+}
+
+// Check says what was broken, by the operators' and the upstreams' own records: more machines out at once than bound, requests at a machine that somebody worked on, and requests that were still out
+// there when it was said to be free; of those that sidecars sent that nothing had gone wrong with for a while. An upstream takes delay for each request.
+func (r *Round) Check(bound int, delay, lease time.Duration) (broken []string, astray int) {
+	by := make(map[string]answer)
+	for _, x := range r.f.Answers.all() {
+		by[x.id] = x
+	}
+	all, arrivals := r.Stays(), r.f.Ledger.All()
+	for _, x := range all {
+		to := x.To
+		if to.IsZero() {
+			to = time.Now()
+		}
+		out := 1
+		for _, y := range all {
+			if y.Turn != x.Turn && y.From.Before(x.From) && (y.To.IsZero() || y.To.After(x.From) || y.Warm.After(x.From)) {
+				out++
+			}
+		}
+		if out > bound {
+			broken = append(broken, fmt.Sprintf("turn %d: %d machines are out or cold when %s is free, %d may be", x.Turn, out, x.Node.ID, bound))
+		}
+		for _, a := range arrivals {
+			if a.Node != x.Node.ID || a.At.After(to) || a.At.Add(delay).Before(x.From) || a.At.Before(x.From) && a.Class == "look" { // a look is called off where another answers first
+				continue
+			}
+			if sender := by[a.ID]; sender.id == "" || !r.f.Sidecars[sender.sidecar].steady(a.At.Add(-2*lease), a.At) {
+				astray++
+				continue
+			}
+			broken = append(broken, fmt.Sprintf("turn %d: %s is free from %s on, %s of sidecar %d came %v behind that", x.Turn, x.Node.ID, x.From.Format("05.000"), a.ID, by[a.ID].sidecar, a.At.Sub(x.From)))
+		}
+	}
+	return broken, astray
+}
