What plans of work stand on has tests of its own: who is waited for, load, and when a server is quiet

Need: the process test does not see a machine called quiet too early where attempts end within 60 ms; each guard is to be seen to fail by itself. Change: tests of outage.Book, Roll and Load, and of Engine.Quiet (attempts called off, answers that are passed on).

--- a/cmd/caperarch/work_test.go
+++ b/cmd/caperarch/work_test.go
@@ -115,7 +115,7 @@
 	file := filepath.Join(t.TempDir(), "plan.toml")
 	for text, says := range map[string]string{
 		"all = true\n[out]\nfleet = \"0\"\n":              "1 to 10000",
-		"all = true\nzones = [\"a\"]\n[out]\nfleet = 1\n": "fleet",
+		"all = true\nzones = [\"a\"]\n[out]\nfleet = 1\n": "one of machines",
 		"all = true\n": "out.fleet is missing",
 		"all = true\nback = \"maybe\"\n[out]\nfleet = \"1\"\n":        "back",
 		"machines = [\"a\", \"a\"]\n[out]\nfleet = \"1\"\n":           "stands there twice",
--- /dev/null
+++ b/internal/engine/quiet_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"caperarch/internal/call"
+	"caperarch/internal/rig"
+	"caperarch/policy"
+)
+
+// quietNow asks whether nothing is out at a server.
+func quietNow(t *testing.T, e *Engine, id policy.ServerID) bool {
+	t.Helper()
+	told := make(chan []policy.ServerID, 1)
+	e.Quiet([]policy.ServerID{id}, func(quiet []policy.ServerID) { told <- quiet })
+	e.next(t)
+	return len(rig.Wait(t, "the word", told)) == 1
+}
+
+// A server is quiet once its last attempt has ended: one that is called off too, and one whose answer is passed on while it comes only behind that answer's last byte.
+func TestQuiet(t *testing.T) {
+	rest := make(chan struct{})
+	long := strings.Repeat("x", 1<<20)
+	s := rig.NewStub(t, func(c net.Conn, r rig.Received) bool {
+		if r.ID() != "stream" {
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*len(long), long)
+		<-rest
+		_, err := io.WriteString(c, long)
+		return err == nil
+	})
+	e := idle(t, s.Address)
+	to := call.ServerID("s-0")
+	if !quietNow(t, e, to) {
+		t.Fatal("a server that got nothing is not quiet")
+	}
+	e.hold(7)
+	host{e}.Send(7, to, 0)
+	rig.Wait(t, "the request", s.Seen)
+	if quietNow(t, e, to) {
+		t.Error("quiet with an attempt out")
+	}
+	host{e}.Fail(7) // its client has an answer, the server is still at it
+	if quietNow(t, e, to) {
+		t.Error("quiet behind the client's answer")
+	}
+	host{e}.Cancel(7, 0)
+	e.next(t)
+	if !quietNow(t, e, to) {
+		t.Error("not quiet behind the end of its last attempt")
+	}
+	r, reply := e.hold(8)
+	m := testMessage("stream")
+	m.Stream = true
+	r.message = m
+	host{e}.Send(8, to, 0)
+	e.next(t)
+	a := rig.Wait(t, "the answer's beginning", reply)
+	if a.Stream == nil {
+		t.Fatalf("%+v, want an answer that is passed on", a)
+	}
+	if len(e.requests) != 0 || quietNow(t, e, to) {
+		t.Error("quiet while its answer still comes")
+	}
+	close(rest)
+	a.Stream.Close()
+	e.next(t)
+	if !quietNow(t, e, to) || len(e.out) != 0 {
+		t.Errorf("not quiet behind the answer's end: %v", e.out)
+	}
+}
--- /dev/null
+++ b/internal/outage/book_test.go
@@ -0,0 +1,77 @@
+package outage
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Who has a grant has to tell; behind its end the longest deadline has to be over.
+func TestBookWaits(t *testing.T) {
+	b := Book{Size: 3, Deadline: 10 * time.Second}
+	until := func(i int) time.Duration { return []time.Duration{100 * time.Second, 100 * time.Second, 95 * time.Second}[i] }
+	want := func(now time.Duration, all ...int) {
+		t.Helper()
+		if got := b.Waits(now, 4, until); !slices.Equal(got, all) {
+			t.Errorf("at %v it waits for %v, want %v", now, got, all)
+		}
+	}
+	want(99*time.Second, 0, 1, 2)
+	b.Heard(0, 7, 2, Report{Clear: 4})
+	b.Heard(0, 7, 1, Report{Clear: 3}) // overtaken on the way
+	b.Heard(1, 7, 1, Report{Clear: 3})
+	want(99*time.Second, 1, 2)
+	b.Heard(1, 8, 1, Report{Clear: 0}) // another process, which has forgotten
+	b.Heard(1, 7, 9, Report{Clear: 9}) // and the last word of the one before it
+	want(99*time.Second, 1, 2)
+	want(101*time.Second, 0, 1, 2) // its word does not count without a grant
+	want(106*time.Second, 0, 1)
+	want(110 * time.Second)
+	b.Heard(9, 1, 1, Report{}) // nobody
+}
+
+// Who is away is taken to have as much traffic as the others; nobody's word is waited for who may have none.
+func TestBookSum(t *testing.T) {
+	b := Book{Size: 4}
+	until := func(i int) time.Duration { return []time.Duration{100, 100, 100, 50}[i] }
+	b.Heard(0, 1, 1, Report{Rate: 30, InTime: 1})
+	b.Heard(1, 1, 1, Report{Rate: 10, InTime: 0.5})
+	if s := b.Sum(60, until); s.Whole || !slices.Equal(s.Away, []int{3}) {
+		t.Errorf("%+v", s)
+	}
+	b.Heard(2, 1, 1, Report{Rate: 20, InTime: 1})
+	if s := b.Sum(60, until); !s.Whole || s.Traffic != 80 || s.InTime != 55.0/60 {
+		t.Errorf("%+v", s)
+	}
+	if s := b.Sum(200, until); len(s.Away) != 4 || s.Traffic != 0 || s.InTime != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// A machine that leaves the list is down for a while, then gone for good; the counters' rate is of the last seconds.
+func TestRollAndLoad(t *testing.T) {
+	var r Roll
+	two := machines(2)
+	r.Heard(time.Hour, two)
+	r.Heard(time.Hour, two[:1])
+	if all := r.All(time.Hour + lately/2); len(all) != 2 || all[1].State != Down {
+		t.Errorf("%+v", all)
+	}
+	if all := r.All(time.Hour + lately); len(all) != 1 {
+		t.Errorf("%+v", all)
+	}
+	var l Load
+	if rate, served := l.Lately(); rate != 0 || served != 1 || !l.Due(0) {
+		t.Errorf("%v %v", rate, served)
+	}
+	for i := range 20 {
+		now := time.Duration(i) * time.Second
+		if !l.Due(now) || i > 0 && l.Due(now-time.Millisecond) {
+			t.Errorf("due at %v", now)
+		}
+		l.Count(now, uint64(100*i), uint64(90*i))
+	}
+	if rate, served := l.Lately(); rate != 100 || served != 0.9 {
+		t.Errorf("%v %v", rate, served)
+	}
+}
