--- a/cmd/caperarch/work_test.go
+++ b/cmd/caperarch/work_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,11 +97,11 @@
 	round.End()
 	stop()
 	tally, broken := f.Check()
-	more, astray := round.Check(2, delay, fleetLease)
-	for _, b := range append(broken, more...) {
+	found := round.Check(2, delay, fleetLease)
+	for _, b := range slices.Concat(broken, found.Bounds, found.Arrived) {
 		t.Error(b)
 	}
-	t.Logf("six machines after %v; %+v, statuses other than 200: %v; %d requests at a free machine by sidecars that something had just happened to", took, tally, f.Status(), astray)
+	t.Logf("six machines after %v; %+v, statuses other than 200: %v; %d requests at a free machine by sidecars that something had just happened to", took, tally, f.Status(), found.Astray)
 	seen := make(map[string]int)
 	for _, x := range round.Stays() {
 		seen[x.Node.ID]++
--- a/internal/accord/accordnet/work.go
+++ b/internal/accord/accordnet/work.go
@@ -1,6 +1,7 @@
 package accordnet
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -15,6 +16,7 @@
 	Deadline time.Duration // the longest that a request is out
 	Bound    int           // machines that may be out at once
 	Returns  time.Duration // from when a machine's work is done until it is warm
+	Every    time.Duration // a sidecar sends so often, on average; 0: ten times a second
 	Given    int
 	Freed    int
 	Over     int
@@ -39,17 +41,16 @@
 // Forget takes that the log is begun anew: it knows of no turn.
 func (s *Site) Forget() { clear(s.last); clear(s.free); clear(s.turns) }
 
-const perSecond = 10 // requests of each sidecar
-
 // open has the sidecars send from now on.
 func (n *Net) open() {
 	s := n.Site
 	s.last, s.free, s.turns, s.cold = make(map[outage.Step]bool), make(map[uint64]uint32), make(map[uint32]uint64), make(map[uint64]time.Duration)
+	every := cmp.Or(s.Every, 100*time.Millisecond)
 	for i := range n.Nodes {
 		var send func()
 		send = func() {
 			n.send(i)
-			n.After(time.Duration((0.5+n.Rng.Float64())/perSecond*float64(time.Second)), send)
+			n.After(time.Duration((0.5+n.Rng.Float64())*float64(every)), send)
 		}
 		n.After(time.Duration(n.Rng.Int64N(int64(time.Second))), send)
 	}
--- a/internal/accord/reports.go
+++ b/internal/accord/reports.go
@@ -283,7 +283,7 @@
 func (n *Node) flush(now time.Duration) {
 	s := n.holder.State()
 	wait := n.Lease * handPart / 100
-	if s.Busy() != 0 {
+	if s.Busy() != 0 || n.leaves() {
 		wait = handSoon
 	}
 	if now < min(n.handAt, n.handedAt+wait) && len(n.batch) < full {
--- a/internal/accord/work.go
+++ b/internal/accord/work.go
@@ -179,6 +179,12 @@
 	return n.Work.Own(&n.work.state).Clear
 }
 
+// leaves says whether a turn waits for all to tell that they are clear.
+func (n *Node) leaves() bool {
+	turns := n.work.state.Turns
+	return len(turns) > 0 && turns[len(turns)-1].Phase == outage.Leaving // the last that was given is the only one
+}
+
 // heardWork takes that from a report.
 func (n *Node) heardWork(p *accordpb.Report) {
 	if n.leadsWork() && p.Served > 0 {
--- a/internal/outage/book_test.go
+++ b/internal/outage/book_test.go
@@ -9,7 +9,9 @@
 // Who has a grant has to tell; behind its end the longest deadline has to be over.
 func TestBookWaits(t *testing.T) {
 	b := Book{Size: 3, Deadline: 10 * time.Second}
-	until := func(i int) time.Duration { return []time.Duration{100 * time.Second, 100 * time.Second, 95 * time.Second}[i] }
+	until := func(i int) time.Duration {
+		return []time.Duration{100 * time.Second, 100 * time.Second, 95 * time.Second}[i]
+	}
 	want := func(now time.Duration, all ...int) {
 		t.Helper()
 		if got := b.Waits(now, 4, until); !slices.Equal(got, all) {
--- a/internal/rig/fleet/work.go
+++ b/internal/rig/fleet/work.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -123,6 +125,26 @@
 
 // work works on a machine, and says that it is done until somebody has taken that.
 func (r *Round) work(x *Stay, rng *rand.Rand) {
+	r.handle(x)
+	for {
+		s := r.f.Sidecars[rng.IntN(len(r.f.Sidecars))]
+		if err := s.WorkDo("done", x.Turn); s.Runs() && (err == nil || strings.Contains(err.Error(), fmt.Sprintf("turn %d is", x.Turn))) {
+			// Taken on, or in the log already. A leader that dies takes what it was told with it: so somebody looks again.
+			time.Sleep(2 * time.Second)
+			if text, err := s.WorkShow(); err == nil && !strings.Contains(text, fmt.Sprintf("turn %d of plan 1: %s: out, free", x.Turn, x.Node.ID)) {
+				return
+			}
+		}
+		select {
+		case <-r.quit:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// handle is the work itself.
+func (r *Round) handle(x *Stay) {
 	time.Sleep(r.Takes)
 	restart := x.Turn%2 == 0
 	if restart {
@@ -139,21 +161,6 @@
 		x.Node.Return(r.f.t)
 		r.f.Discovery.Set(x.Node, "ready")
 	}
-	for {
-		s := r.f.Sidecars[rng.IntN(len(r.f.Sidecars))]
-		if err := s.WorkDo("done", x.Turn); s.Runs() && (err == nil || strings.Contains(err.Error(), fmt.Sprintf("turn %d is", x.Turn))) {
-			// Taken on, or in the log already. A leader that dies takes what it was told with it: so somebody looks again.
-			time.Sleep(2 * time.Second)
-			if text, err := s.WorkShow(); err == nil && !strings.Contains(text, fmt.Sprintf("turn %d of plan 1: %s: out, free", x.Turn, x.Node.ID)) {
-				return
-			}
-		}
-		select {
-		case <-r.quit:
-			return
-		case <-time.After(200 * time.Millisecond):
-		}
-	}
 }
 
 // Ended says whether the plan is finished, as a process has said.
@@ -179,9 +186,16 @@
 	return all
 }
 
-// Check says what was broken, by the operators' and the upstreams' own records: more machines out at once than bound, requests at a machine that somebody worked on, and requests that were still out
-// there when it was said to be free; of those that sidecars sent that nothing had gone wrong with for a while. An upstream takes delay for each request.
-func (r *Round) Check(bound int, delay, lease time.Duration) (broken []string, astray int) {
+// Found is what was broken in a round.
+type Found struct {
+	Bounds  []string // more machines out or cold at once than may be
+	Arrived []string // at a machine that somebody worked on, or still out there when it was said to be free
+	Astray  int      // the same, by sidecars that something had gone wrong with lately: they may have missed it
+	Most    int      // machines out or cold at once
+}
+
+// Check looks at the operators' and the upstreams' own records. An upstream takes delay for each request.
+func (r *Round) Check(bound int, delay, lease time.Duration) (found Found) {
 	by := make(map[string]answer)
 	for _, x := range r.f.Answers.all() {
 		by[x.id] = x
@@ -198,19 +212,81 @@
 				out++
 			}
 		}
-		if out > bound {
-			broken = append(broken, fmt.Sprintf("turn %d: %d machines are out or cold when %s is free, %d may be", x.Turn, out, x.Node.ID, bound))
+		if found.Most = max(found.Most, out); out > bound {
+			found.Bounds = append(found.Bounds, fmt.Sprintf("turn %d: %d machines are out or cold when %s is free, %d may be", x.Turn, out, x.Node.ID, bound))
 		}
 		for _, a := range arrivals {
 			if a.Node != x.Node.ID || a.At.After(to) || a.At.Add(delay).Before(x.From) || a.At.Before(x.From) && a.Class == "look" { // a look is called off where another answers first
 				continue
 			}
 			if sender := by[a.ID]; sender.id == "" || !r.f.Sidecars[sender.sidecar].steady(a.At.Add(-2*lease), a.At) {
-				astray++
+				found.Astray++
 				continue
 			}
-			broken = append(broken, fmt.Sprintf("turn %d: %s is free from %s on, %s of sidecar %d came %v behind that", x.Turn, x.Node.ID, x.From.Format("05.000"), a.ID, by[a.ID].sidecar, a.At.Sub(x.From)))
+			found.Arrived = append(found.Arrived, fmt.Sprintf("turn %d: %s is free from %s on, %s of sidecar %d came %v behind that", x.Turn, x.Node.ID, x.From.Format("05.000"), a.ID, by[a.ID].sidecar, a.At.Sub(x.From)))
 		}
 	}
-	return broken, astray
+	return found
+}
+
+// Script is what operators do without a plan: in the list's order, so many at a time, each machine is cordoned at each sidecar that answers, one after the other; what is out there is given its time; then somebody works on
+// it, has it used again at each, and waits until it is warm.
+func (f *Fleet) Script(atOnce int, takes, cold time.Duration) *Round {
+	r := &Round{f: f, Cold: cold, Takes: takes, stays: make(map[int]*Stay), quit: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		for i := 0; i < len(f.Nodes); i += atOnce {
+			var at sync.WaitGroup
+			for k, n := range f.Nodes[i:min(i+atOnce, len(f.Nodes))] {
+				f.everywhere("cordon " + n.ID)
+				at.Go(func() {
+					time.Sleep(Timeout)
+					x := r.begin(i+k+1, n.ID)
+					r.handle(x)
+				})
+			}
+			at.Wait()
+			for _, n := range f.Nodes[i:min(i+atOnce, len(f.Nodes))] {
+				f.everywhere("uncordon " + n.ID)
+			}
+			select {
+			case <-r.quit:
+				return
+			case <-time.After(cold):
+			}
+		}
+		r.mu.Lock()
+		r.ended = true
+		r.mu.Unlock()
+	}()
+	return r
+}
+
+// everywhere makes a call at each sidecar that runs.
+func (f *Fleet) everywhere(call string) {
+	for _, s := range f.Sidecars {
+		if s.Runs() {
+			_ = s.operate(call)
+		}
+	}
+}
+
+// Served is which share of the requests since a moment was served, and the time in seconds within which 99 in 100 were; of sidecars that nothing had gone wrong with.
+func (f *Fleet) Served(since time.Time) (share, p99 float64) {
+	served, all := 0, 0
+	var took []float64
+	for _, x := range f.Answers.all() {
+		if x.sent.Before(since) || !f.Sidecars[x.sidecar].steady(x.sent.Add(-time.Second), x.at) {
+			continue
+		}
+		if all++; x.status == http.StatusOK {
+			served++
+			took = append(took, x.at.Sub(x.sent).Seconds())
+		}
+	}
+	if served == 0 {
+		return 0, 0
+	}
+	slices.Sort(took)
+	return float64(served) / float64(all), took[len(took)*99/100]
 }
