--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -21,7 +21,7 @@
 // seed is the only one that is played, of the measurements that draw from several; 0: all are.
 var seed uint64
 
-var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain, "service": measureService, "walls": measureWalls, "rest": measureRest, "mutants": measureMutants, "plans": measurePlans, "peers": measurePeers, "vast": measureVast, "policyplans": measurePolicyPlans, "policy": measurePolicy, "even": measureEven, "evenreal": measureEvenReal, "evenevents": measureEvenEvents, "work": measureWork}
+var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain, "service": measureService, "walls": measureWalls, "rest": measureRest, "mutants": measureMutants, "plans": measurePlans, "peers": measurePeers, "vast": measureVast, "policyplans": measurePolicyPlans, "policy": measurePolicy, "even": measureEven, "evenreal": measureEvenReal, "evenevents": measureEvenEvents, "work": measureWork, "workplans": measureWorkPlans}
 
 func main() {
 	if len(os.Args) > 2 && os.Args[1] == "child" {
--- a/cmd/measure/plans.go
+++ b/cmd/measure/plans.go
@@ -5,12 +5,14 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"caperarch/internal/rig/fleet"
+	"caperarch/internal/swim"
 )
 
 // cleanups is a rig.TB for a program that gives back what one part of it took.
@@ -180,6 +182,57 @@
 	return fmt.Sprintf("seeds=%d broken=%d proposed=%d turned=%d lost=%d settled_median=%.2f served=%d", seeds, len(missed), sum.Proposed, turned, anew, settled.median(), sum.Served), missed, nil
 }
 
+// measureWorkPlans has fleets of five to nine real processes take machines out for work while they live through plans of faults drawn from seeds 1, 2 and so on.
+func measureWorkPlans(short bool) (string, []string, error) {
+	seeds, at := 300, 12
+	if short {
+		seeds, at = 4, 4
+	}
+	binary, end, err := tempDaemon()
+	if err != nil {
+		return "", nil, err
+	}
+	defer end()
+	var mu sync.Mutex
+	var missed []string
+	var ended spread
+	var sum fleet.WorkTally
+	anew := 0
+	faults := make(map[string]int)
+	seeds = eachSeed(seeds, at, func(seed uint64) {
+		t := newCleanups()
+		defer t.end()
+		size := 5 + int(seed%5)
+		f := fleet.New(t, fleet.Config{
+			Size: size, Nodes: 6, CutOff: "[limits]\nopen = 40\n", Command: func() *exec.Cmd { return exec.Command(binary) },
+			Edit: func(_, settings map[string]any) { settings["rules"].(map[string]any)["cold_ms"] = 1500.0 },
+		})
+		plan := fleet.Draw(seed, size, planLength)
+		plan.Steps = slices.DeleteFunc(plan.Steps, func(s fleet.Step) bool { return s.What == fleet.Drain }) // for good: its machine would never come back
+		tally, broken := f.PlayWork(plan, planLoad, 2, swim.LeaseFor(size), 60*time.Millisecond, 300*time.Millisecond, 1500*time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		ended.add(tally.Ended.Seconds())
+		sum.Served += tally.Served
+		sum.Refused += tally.Refused
+		sum.Failed += tally.Failed
+		sum.Shaky += tally.Shaky
+		sum.Turns += tally.Turns
+		sum.Astray += tally.Astray
+		sum.Most = max(sum.Most, tally.Most)
+		if tally.Lost {
+			anew++
+		}
+		for _, s := range plan.Steps {
+			faults[s.What]++
+		}
+		missed = append(missed, told(f, plan, broken)...)
+	})
+	fmt.Printf("%d plans of %v with 5 to 9 processes: faults %v; %d machines were worked on, at most %d out or cold at once; %d requests there by processes that had just begun; the log lost %d times; requests %+v; the round over %v s after all was well\n",
+		seeds, planLength, faults, sum.Turns, sum.Most, sum.Astray, anew, sum.Tally, ended)
+	return fmt.Sprintf("seeds=%d broken=%d turns=%d astray=%d lost=%d ended_median=%.2f served=%d", seeds, len(missed), sum.Turns, sum.Astray, anew, ended.median(), sum.Served), missed, nil
+}
+
 // keepLogs writes what processes logged where KEEP_LOGS says, for a run that was broken.
 func keepLogs(f *fleet.Fleet, seed uint64) {
 	keep := os.Getenv("KEEP_LOGS")
--- a/internal/rig/fleet/fleet.go
+++ b/internal/rig/fleet/fleet.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	starts  int
+	began   []time.Time // when its processes did
 	stopped bool
 	log     *os.File
 	broken  []span // when no client could count on it
@@ -226,6 +227,7 @@
 	s.f.ways.restore(s.Number)
 	s.cmd = cmd
 	s.starts++
+	s.began = append(s.began, time.Now())
 	s.whole()
 }
 
@@ -351,6 +353,13 @@
 	return slices.ContainsFunc(spans, func(b span) bool { return (b.to.IsZero() || b.to.After(from)) && b.from.Before(to) })
 }
 
+// begins says whether a process began in a stretch.
+func (s *Sidecar) begins(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.began, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // Runs says whether the process lives and does not stand still.
 func (s *Sidecar) Runs() bool {
 	s.mu.Lock()
