Figures of work, fleetlog draws a plan's turns, planted faults of work in measure mutants

Change: edge_work_machines, _plans, _plans_paused, _turn; cmd/fleetlog -work FILE.svg and a line for each turn; measure mutants -in PACKAGE, and seven faults in what a leader is told.

--- a/cmd/fleetlog/main.go
+++ b/cmd/fleetlog/main.go
@@ -1,11 +1,14 @@
 // Command fleetlog counts over the logs of a whole fleet, second by second.
 //
-//	fleetlog FILE-OR-FOLDER ...
+//	fleetlog [-work FILE.svg] FILE-OR-FOLDER ...
 //
+// -work draws the turns of machines that were taken out for work.
 // A folder stands for all its files whose names end in .log.
 package main
 
 import (
+	"bytes"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -22,8 +25,13 @@
 }
 
 func run(args []string, out io.Writer) error {
-	if len(args) == 0 {
-		return fmt.Errorf("usage: fleetlog FILE-OR-FOLDER ...")
+	flags := flag.NewFlagSet("fleetlog", flag.ContinueOnError)
+	work := flags.String("work", "", "draw the turns of machines that were taken out for work, as SVG to `FILE`")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if args = flags.Args(); len(args) == 0 {
+		return fmt.Errorf("usage: fleetlog [-work FILE.svg] FILE-OR-FOLDER ...")
 	}
 	fleet := fleetlog.New()
 	for _, arg := range args {
@@ -37,9 +45,22 @@
 			}
 		}
 	}
+	if *work != "" {
+		if err := draw(fleet, *work); err != nil {
+			return err
+		}
+	}
 	return fleet.Report(out)
 }
 
+func draw(fleet *fleetlog.Fleet, name string) error {
+	var svg bytes.Buffer
+	if err := fleet.DrawWork(&svg); err != nil {
+		return err
+	}
+	return os.WriteFile(name, svg.Bytes(), 0o644)
+}
+
 // logs are the files that an argument stands for.
 func logs(arg string) ([]string, error) {
 	info, err := os.Stat(arg)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,6 +18,9 @@
 // plots is the folder that plots go to; "": none are made.
 var plots string
 
+// within is a part of the names of the packages that are looked at; "": all are.
+var within string
+
 // seed is the only one that is played, of the measurements that draw from several; 0: all are.
 var seed uint64
 
@@ -43,6 +46,7 @@
 	short := flags.Bool("short", false, "end within 45 s")
 	flags.StringVar(&plots, "plots", "", "folder for plots (SVG), of the measurements that have some")
 	flags.Uint64Var(&seed, "seed", 0, "play this seed alone, of the measurements that draw from several")
+	flags.StringVar(&within, "in", "", "only what is about packages whose names have this in them, of the measurements that go by packages")
 	flags.StringVar(&before, "before", "", "the daemon of an earlier release, to be measured beside the present one by those that can")
 	_ = flags.Parse(os.Args[2:]) // exits on an error
 	endOnSignal()
--- a/cmd/measure/mutants.go
+++ b/cmd/measure/mutants.go
@@ -4,12 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,11 +16,17 @@
 // mutant is a fault that is planted to see whether a checker finds it.
 type mutant struct{ file, old, new, what string }
 
-// planted are the faults by package.
-var planted = map[string][]mutant{"internal/swim": swimMutants, "internal/fleetpolicy": policyMutants, "internal/agree": agreeMutants, "internal/accord": accordMutants, "internal/outage": outageMutants}
+// batch is faults in one package, and where histories are played that may find them, where that is not the package itself.
+type batch struct {
+	in, where string
+	faults    []mutant
+}
 
-// played is where the histories of a package's part are played, where that is not the package itself.
-var played = map[string]string{"internal/fleetpolicy": "internal/accord"}
+// planted are all faults.
+var planted = []batch{
+	{"internal/accord", "", accordMutants}, {"internal/agree", "", agreeMutants}, {"internal/fleetpolicy", "internal/accord", policyMutants}, {"internal/outage", "", outageMutants},
+	{"internal/outage", "internal/accord", roundMutants}, {"internal/swim", "", swimMutants},
+}
 
 // swimMutants are faults in what a sidecar holds of others and of its own contact.
 var swimMutants = []mutant{
@@ -74,13 +78,25 @@
 	{"leader.go", "case zones[it.Zone] > p.Out.Zone.of(byZone[it.Zone]):", "case false:", "no bound by zone"},
 	{"leader.go", "case slices.ContainsFunc(s.Turns, func(t Turn) bool { return t.Phase == Leaving }):", "case false:", "two turns by one look"},
 	{"leader.go", "case back && (p == nil || w.InTime >= p.InTime && w.Current):", "case m != nil && (p == nil || w.InTime >= p.InTime && w.Current):", "over before it is warm"},
-	{"leader.go", "		case w.Clear(t.Number):\n			return l.step(Freed, t.Number, \"\")", "		case true:\n			return l.step(Freed, t.Number, \"\")", "free before it is clear"},
-	{"leader.go", "case long > leaveFor:", "case false:", "a turn that nobody lets go of stands for ever"},
+	{"leader.go", "case w.Clear(t.Number) && (", "case (", "free before it is clear"},
+	{"leader.go", "(p.CutOff != Awaited || w.Unheard == 0)", "true", "free while sidecars are out of contact that were to be waited for"},
+	{"leader.go", "case long > leaveFor+w.Slack:", "case false:", "a turn that nobody lets go of stands for ever"},
 	{"leader.go", "case w.Unheard > 0 && p.CutOff == Awaited:", "case false:", "sidecars out of contact are not waited for"},
 	{"leader.go", "if p.carries(w.Machines, out(s), w.Traffic) != \"\" {", "if false {", "freed though the others are short"},
 	{"leader.go", "case mine > 0 && l.badAt > 0 && w.Now-l.badAt >= badFor:", "case false:", "a plan goes on though service got worse"},
 }
 
+// roundMutants are faults in what a leader is told of turns, found where whole fleets play.
+var roundMutants = []mutant{
+	{"book.go", "case now < end && t.heard && t.Clear >= turn:", "case now < end && t.heard:", "who has told anything is clear"},
+	{"book.go", "case now >= end+b.Deadline:", "case now >= end:", "what is out there is not given its time behind a lease"},
+	{"book.go", "!t.heard || life > t.life || life == t.life && turn > t.turn {", "t != nil {", "an overtaken report counts"},
+	{"book.go", "s.Whole = false", "", "a new leader takes those it has not heard of for idle"},
+	{"own.go", "if age < deadline {", "if false {", "a process that has just begun is clear of what the one before it has out"},
+	{"own.go", "return t.Number - 1", "continue", "a sidecar is clear of a turn whose machine it has something out at"},
+	{"own.go", "if t.Phase != Returning && !o.clear[t.Number] {\n\t\t\tif all", "if false {\n\t\t\tif all", "nobody looks whether anything is out there"},
+}
+
 // policyMutants are faults in how a change of policy takes hold.
 var policyMutants = []mutant{
 	{"holder.go", "if h.blind || !h.Granted(now) ||", "if h.blind ||", "who has no grant goes by the log all the same"},
@@ -94,7 +110,7 @@
 	{"leader.go", "case s.Pending.Version != 0 && !goesByBoth(r, s):", "case false:", "who goes by the old one is granted on during a change"},
 	{"leader.go", "m.granted = now\n", "m.granted = 0\n", "the leader forgets whom it granted"},
 	{"leader.go", "return l.since + l.Patience + l.Confirm + l.Confirm/4", "return l.since", "a new leader does not wait for others' grants"},
-	{"leader.go", "return now >= l.quiet() && (l.members[i].granted == 0 || now >= l.members[i].granted+l.Patience)", "return now >= l.quiet() && (l.members[i].granted == 0 || now >= l.members[i].granted+l.Patience/4)", "a grant is taken for over before it is"},
+	{"leader.go", "return max(l.quiet(), granted+l.Patience)", "return max(l.quiet(), granted)", "a grant is taken for over before it is"},
 	{"leader.go", "if l.all(now, func(r Report) bool { return goesByBoth(r, s) }) && 2*there > l.Size {", "if 2*there > l.Size {", "taken once a majority is there"},
 	{"leader.go", "if s.Open != 0 && l.all(", "if s.Open != 0 || l.all(", "settled while some go by both still"},
 	{"leader.go", "return r.Have >= s.OpenAt && r.Now", "return r.Now", "a report of before the outcome counts as one of behind it"},
@@ -138,6 +154,7 @@
 	{"change.go", "case base != s.Holds.Version:", "case false:", "a proposal on an old base is begun"},
 	{"change.go", "if x.pieces() > pushPieces {", "if false {", "a long text does not go round first"},
 	{"texts.go", "nameOf(sum) != x.name", "false", "a text that was spoilt on the way is taken"},
+	{"work.go", "p.Clear, p.Rate, p.Served = r.Clear,", "p.Clear, p.Rate, p.Served = n.work.state.LastTurn,", "a sidecar tells that it is clear of all that it knows of"},
 }
 
 var failedSeed = regexp.MustCompile(`seed (\d+)`)
@@ -151,7 +168,7 @@
 }
 
 // find plays histories with a fault planted, and says at which seed it was found; 0: by another test, -1: not at all.
-func (m mutant) find(in, dir string, number, most int) (seed int, err error) {
+func (m mutant) find(in, where, dir string, number, most int) (seed int, err error) {
 	path, err := filepath.Abs(filepath.Join(in, m.file))
 	if err != nil {
 		return 0, err
@@ -176,7 +193,7 @@
 		return 0, err
 	}
 	args := []string{"test", "-overlay", list, "-vet=off", "caperarch/" + in}
-	if where := played[in]; where != "" { // first what needs no histories
+	if where != "" { // first what needs no histories
 		if out, err := exec.Command("go", args...).CombinedOutput(); err != nil && !strings.Contains(string(out), "build failed") {
 			return 0, nil
 		}
@@ -211,13 +228,17 @@
 	var errs []error
 	needed, found, all := spread(nil), 0, 0
 	places, done := make(chan struct{}, 3), new(sync.WaitGroup)
-	for _, in := range slices.Sorted(maps.Keys(planted)) {
-		for i, m := range planted[in] {
+	for _, b := range planted {
+		if !strings.Contains(b.in, within) {
+			continue
+		}
+		for _, m := range b.faults {
+			in, number := b.in, all
 			all++
 			done.Go(func() {
 				places <- struct{}{}
 				defer func() { <-places }()
-				seed, err := m.find(in, dir, i, most)
+				seed, err := m.find(in, b.where, dir, number, most)
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
--- a/cmd/measure/mutants_test.go
+++ b/cmd/measure/mutants_test.go
@@ -8,8 +8,9 @@
 
 // A fault whose place has changed is planted nowhere, and nobody looks for it any more.
 func TestPlantedFaultsHaveTheirPlaces(t *testing.T) {
-	for in, all := range planted {
-		for _, m := range all {
+	for _, b := range planted {
+		in := b.in
+		for _, m := range b.faults {
 			text, err := os.ReadFile(filepath.Join("..", "..", in, m.file))
 			if err == nil {
 				err = m.fits(string(text))
--- a/cmd/measure/work.go
+++ b/cmd/measure/work.go
@@ -1,11 +1,17 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"os"
 	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"caperarch/internal/accord/accordnet"
+	"caperarch/internal/fleetlog"
 	"caperarch/internal/outage"
 	"caperarch/internal/rig"
 	"caperarch/internal/rig/fleet"
@@ -215,5 +221,26 @@
 	r.served, r.p99 = f.Served(from)
 	found := round.Check(realAtOnce, realDelay, swim.LeaseFor(size))
 	r.wrong, r.most = len(found.Arrived), found.Most
-	return r, nil
+	if byScript {
+		return r, nil
+	}
+	return r, drawRound(f)
+}
+
+// drawRound draws a round as its processes logged it, if there is a folder for plots.
+func drawRound(f *fleet.Fleet) error {
+	if plots == "" {
+		return nil
+	}
+	all := fleetlog.New()
+	for _, s := range f.Sidecars {
+		if err := all.Read(strconv.Itoa(s.Number), strings.NewReader(s.Log())); err != nil {
+			return err
+		}
+	}
+	var svg bytes.Buffer
+	if err := all.DrawWork(&svg); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(plots, "work-round.svg"), svg.Bytes(), 0o644)
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -41,6 +41,14 @@
 	Goes     string            // by: one, both, cut off
 	UnderWay uint32            // a version without its outcome, or that not all go by yet; 0: none
 	Changes  map[string]uint64 // heard of since the start, by outcome
+	Work     Work
+}
+
+// Work is what a sidecar knows of machines taken out for work.
+type Work struct {
+	Plans, Paused int // that have not ended
+	Turn          uint32
+	Machines      map[string]int // with a turn that is not over, by how far it is
 }
 
 // String is for the log, which has the figures as a whole.
--- a/internal/figures/text.go
+++ b/internal/figures/text.go
@@ -81,7 +81,15 @@
 	for _, outcome := range slices.Sorted(maps.Keys(p.Changes)) {
 		changes.Metric = append(changes.Metric, counter(p.Changes[outcome], label("outcome", outcome)))
 	}
+	machines := family("work_machines", "Upstreams with a turn that is not over, by how far it is.", dto.MetricType_GAUGE)
+	for _, phase := range slices.Sorted(maps.Keys(p.Work.Machines)) {
+		v := float64(p.Work.Machines[phase])
+		machines.Metric = append(machines.Metric, &dto.Metric{Gauge: &dto.Gauge{Value: &v}, Label: []*dto.LabelPair{label("phase", phase)}})
+	}
 	return []*dto.MetricFamily{
+		machines, gauge("work_plans", "Plans of work that have not ended.", float64(p.Work.Plans)),
+		gauge("work_plans_paused", "Plans of work that are paused: somebody has to look.", float64(p.Work.Paused)),
+		gauge("work_turn", "Number of the last turn that was given.", float64(p.Work.Turn)),
 		gauge("policy_version", "Version of the policy that holds, as far as this sidecar knows.", float64(p.Holds)),
 		gauge("policy_under_way", "Version that is under way; 0: none is.", float64(p.UnderWay)), goes, changes,
 	}
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -293,7 +293,7 @@
 	v := p.View()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &figures.Policy{Holds: v.State.Holds.Version, Goes: v.Goes.Mode.String(), UnderWay: v.State.Busy(), Changes: maps.Clone(p.outcomes)}
+	return &figures.Policy{Holds: v.State.Holds.Version, Goes: v.Goes.Mode.String(), UnderWay: v.State.Busy(), Changes: maps.Clone(p.outcomes), Work: p.workFigures()}
 }
 
 // policyHost carries out what the node decides; its methods are called with the lock held.
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"caperarch/internal/accord"
+	"caperarch/internal/figures"
 	"caperarch/internal/fleetpolicy"
 	"caperarch/internal/outage"
 )
@@ -251,6 +252,25 @@
 // pastShown is how many turns that are over are shown: an answer is short.
 const pastShown = 20
 
+// workFigures is the present state in numbers. The caller holds the lock.
+func (p *Policy) workFigures() figures.Work {
+	w := figures.Work{Machines: map[string]int{outage.Leaving.String(): 0, outage.Free.String(): 0, outage.Returning.String(): 0}}
+	if p.node == nil {
+		return w
+	}
+	s := p.node.WorkState()
+	for _, t := range s.Turns {
+		w.Machines[t.Phase.String()]++
+	}
+	for i := range s.Works {
+		if s.Works[i].Paused != "" {
+			w.Paused++
+		}
+	}
+	w.Plans, w.Turn = len(s.Works), s.LastTurn
+	return w
+}
+
 func (p *Policy) viewWork() (accord.WorkView, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -32,12 +32,13 @@
 	tallies map[string]*tally          // by log
 	told    map[int64]*Causes          // by second
 	goes    []goes                     // by what policy sidecars went, as logged
+	turns   map[uint64]*turn           // of machines that were taken out for work, by number
 	steps   map[string]map[int64]int   // what was heard of changes of policy, by second
 }
 
 // New makes an empty one.
 func New() *Fleet {
-	return &Fleet{seconds: make(map[int64]*Second), doubted: make(map[string]map[string]bool), tallies: make(map[string]*tally), told: make(map[int64]*Causes), steps: make(map[string]map[int64]int)}
+	return &Fleet{seconds: make(map[int64]*Second), doubted: make(map[string]map[string]bool), tallies: make(map[string]*tally), told: make(map[int64]*Causes), steps: make(map[string]map[int64]int), turns: make(map[uint64]*turn)}
 }
 
 var (
@@ -97,6 +98,7 @@
 			f.told[at.Unix()].add(&told)
 		case strings.HasPrefix(message, "stopped for a while"):
 			s.Stopped++
+		case f.work(at.Unix(), message):
 		case f.policy(at.Unix(), name, message):
 		default:
 			if m := strained.FindStringSubmatch(message); m != nil {
@@ -165,6 +167,9 @@
 		if err := f.reportPolicy(w, order[0]); err != nil {
 			return err
 		}
+		if err := f.reportWork(w, order[0]); err != nil {
+			return err
+		}
 	}
 	for _, d := range f.Doubted(10) {
 		if _, err := fmt.Fprintf(w, "server %s: doubted by %d sidecars\n", d.Server, d.Sidecars); err != nil {
