--- a/cmd/measure/plans.go
+++ b/cmd/measure/plans.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 }
 
 func newCleanups() cleanups {
+	if ending.Load() {
+		select {} // the program is about to end
+	}
 	c := cleanups{all: new([]func())}
 	open.Store(c, true)
 	return c
@@ -30,12 +34,16 @@
 // open are those whose end has not come. A measurement that is called off must leave no process behind: a hundred of one went on beside the next.
 var open sync.Map
 
+// ending says that the program was told to end: nothing new is begun.
+var ending atomic.Bool
+
 // endOnSignal gives everything back when the program is told to end.
 func endOnSignal() {
 	told := make(chan os.Signal, 1)
 	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-told
+		ending.Store(true)
 		open.Range(func(c, _ any) bool {
 			c.(cleanups).end()
 			return true
--- a/internal/rig/fleet/fleet.go
+++ b/internal/rig/fleet/fleet.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	starts  int
+	over    bool        // the fleet is: a plan that still plays must leave no process behind
 	began   []time.Time // when its processes did
 	stopped bool
 	log     *os.File
@@ -192,6 +193,9 @@
 	}
 	s.log = log
 	f.t.Cleanup(func() {
+		s.mu.Lock()
+		s.over = true
+		s.mu.Unlock()
 		s.Crash()
 		log.Close()
 	})
@@ -204,7 +208,7 @@
 func (s *Sidecar) Start() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cmd != nil {
+	if s.cmd != nil || s.over {
 		return
 	}
 	cmd := s.f.Command()
