Tests for what planted faults showed to be unguarded: awaited sidecars, entries of another phase

Need: measure mutants found nobody who noticed a turn freed beside sidecars that were to be waited for, and one withdrawn while somebody works on it. Change: TestAwaitedBeforeFree, TestEntriesFitPhases; measure -seeds N. Measured: both fail with the guards left out.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,6 +18,9 @@
 // plots is the folder that plots go to; "": none are made.
 var plots string
 
+// seedsMost is how many seeds are played; 0: as many as are usual.
+var seedsMost int
+
 // within is a part of the names of the packages that are looked at; "": all are.
 var within string
 
@@ -45,6 +48,7 @@
 	flags := flag.NewFlagSet(name, flag.ExitOnError)
 	short := flags.Bool("short", false, "end within 45 s")
 	flags.StringVar(&plots, "plots", "", "folder for plots (SVG), of the measurements that have some")
+	flags.IntVar(&seedsMost, "seeds", 0, "play seeds 1 to `N` instead of as many as are usual, of the measurements that draw from several")
 	flags.Uint64Var(&seed, "seed", 0, "play this seed alone, of the measurements that draw from several")
 	flags.StringVar(&within, "in", "", "only what is about packages whose names have this in them, of the measurements that go by packages")
 	flags.StringVar(&before, "before", "", "the daemon of an earlier release, to be measured beside the present one by those that can")
--- a/cmd/measure/plans.go
+++ b/cmd/measure/plans.go
@@ -116,6 +116,9 @@
 
 // eachSeed has something done for seeds 1, 2 and so on, some at a time, or for the one that was asked for; it returns for how many.
 func eachSeed(seeds, at int, do func(seed uint64)) int {
+	if seedsMost > 0 {
+		seeds = seedsMost
+	}
 	first, last := uint64(1), uint64(seeds)
 	if seed != 0 {
 		first, last = seed, seed
--- a/internal/outage/leader_test.go
+++ b/internal/outage/leader_test.go
@@ -237,3 +237,56 @@
 		t.Errorf("another order: %v", again)
 	}
 }
+
+// A plan that waits for sidecars out of contact has no turn become free while there are any, and one that waits too long is withdrawn; what leases and deadlines take is not too long.
+func TestAwaitedBeforeFree(t *testing.T) {
+	g := newStage(t)
+	g.w.Slack = 30 * time.Second
+	g.next(Given)
+	g.clear, g.w.Unheard = true, 1
+	g.nothing("out of contact")
+	g.after(leaveFor + g.w.Slack)
+	g.nothing("out of contact")
+	g.after(time.Second)
+	if s := g.next(Withdrawn); s.Why == "" {
+		t.Error("withdrawn with no word on why")
+	}
+	g.nothing("out of contact")
+	g.w.Unheard = 0
+	g.next(Given)
+	g.w.Unheard = 1
+	g.nothing("out of contact")
+	g.w.Unheard = 0
+	g.next(Freed)
+}
+
+// A turn's entries fit one phase each, whoever puts them into the log and however late.
+func TestEntriesFitPhases(t *testing.T) {
+	g := newStage(t)
+	turn := g.next(Given)
+	step := func(k Kind) Step { return Step{Kind: k, Number: turn.Number, Term: g.l.Term, By: 0} }
+	refused := func(k Kind) {
+		t.Helper()
+		if g.s.Apply(step(k)) == "" {
+			t.Errorf("%s was taken", k)
+		}
+	}
+	for _, k := range []Kind{Done, Over} {
+		refused(k)
+	}
+	g.enter(step(Freed))
+	for _, k := range []Kind{Freed, Withdrawn, Over} { // somebody works on it
+		refused(k)
+	}
+	if len(g.s.Out()) != 1 {
+		t.Errorf("out: %v", g.s.Out())
+	}
+	g.enter(step(Done))
+	for _, k := range []Kind{Freed, Withdrawn, Done} {
+		refused(k)
+	}
+	g.enter(step(Over))
+	for _, k := range []Kind{Freed, Withdrawn, Done, Over} {
+		refused(k)
+	}
+}
