A log that is begun anew takes nothing of the last one's turns for clear

Cause: a sidecar notes by a turn's number that it has nothing out at its machine; the numbers of a log that is begun anew start over, and one that hears several of its turns at once took the old notes for theirs. Change: notes are by number and machine, go with the log, and what the engine still tells of the last log's turns is dropped.

--- a/cmd/measure/mutants.go
+++ b/cmd/measure/mutants.go
@@ -94,7 +94,7 @@
 	{"book.go", "s.Whole = false", "", "a new leader takes those it has not heard of for idle"},
 	{"own.go", "if age < deadline {", "if false {", "a process that has just begun is clear of what the one before it has out"},
 	{"own.go", "return t.Number - 1", "continue", "a sidecar is clear of a turn whose machine it has something out at"},
-	{"own.go", "if t.Phase != Returning && !o.clear[t.Number] {\n\t\t\tif all", "if false {\n\t\t\tif all", "nobody looks whether anything is out there"},
+	{"own.go", "if t.Phase != Returning && o.clear[t.Number] != t.Machine {\n\t\t\tif all", "if false {\n\t\t\tif all", "nobody looks whether anything is out there"},
 }
 
 // policyMutants are faults in how a change of policy takes hold.
--- a/internal/accord/accordnet/net.go
+++ b/internal/accord/accordnet/net.go
@@ -209,7 +209,10 @@
 		return
 	}
 	switch e.What {
-	case "goes by", "leads", "log":
+	case "log":
+		m.own = outage.Own{}
+		return
+	case "goes by", "leads":
 		return
 	case "entry":
 		n.Broken = append(n.Broken, e.Why)
--- a/internal/accord/accordnet/work.go
+++ b/internal/accord/accordnet/work.go
@@ -102,7 +102,7 @@
 			quiet = quiet && !(r.life == m.Life && r.machine == machine && m.net.Now < r.until)
 		}
 		if quiet {
-			m.own.Seen(turn)
+			m.own.Seen(turn, machine)
 		}
 	}
 	return outage.Report{Clear: m.own.Clear(m.Time()-m.born, accord.Patience(s.Deadline, m.net.Rate), st), Rate: 10, InTime: 1}
--- a/internal/accord/work.go
+++ b/internal/accord/work.go
@@ -30,9 +30,9 @@
 )
 
 var (
-	errNoWork  = errors.New("this process knows of no machines: it has no part in work on them")
-	errEntry   = errors.New("an entry about work that can't be read: of a newer version of the program, maybe")
-	errNoTexts = fmt.Errorf("a plan has %d bytes at most", fleetpolicy.TextMost)
+	errNoWork = errors.New("this process knows of no machines: it has no part in work on them")
+	errEntry  = errors.New("an entry about work that can't be read: of a newer version of the program, maybe")
+	errLong   = fmt.Errorf("a plan has %d bytes at most", fleetpolicy.TextMost)
 )
 
 // work is a node's part in machines taken out for work: what the log makes of it, and the leader's part.
@@ -199,7 +199,7 @@
 		return 0, errNoWork
 	}
 	if len(raw) > fleetpolicy.TextMost {
-		return 0, errNoTexts
+		return 0, errLong
 	}
 	p, err := outage.Parse(raw)
 	if err != nil {
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -17,6 +17,7 @@
 	"caperarch/internal/config"
 	"caperarch/internal/figures"
 	"caperarch/internal/fleetpolicy"
+	"caperarch/internal/outage"
 	"caperarch/internal/peer"
 	"caperarch/internal/state"
 	"caperarch/internal/swim"
@@ -317,6 +318,9 @@
 		h.p.publish()
 		log.Info("policy: goes by", "mode", e.Goes.Mode.String(), "version", e.Goes.New.Version, "old", e.Goes.Old.Version)
 	case "leads", "log":
+		if e.What == "log" {
+			h.p.work.own, h.p.work.logs = outage.Own{}, h.p.work.logs+1
+		}
 		log.Info("policy: "+e.What, "number", e.By, "what", e.Why)
 	case "entry":
 		log.Error("policy: an entry of the log can't be read, this sidecar is cut off", "error", e.Why)
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -33,6 +33,7 @@
 	own    outage.Own
 	load   outage.Load
 	asking bool // the site has not told yet
+	logs   int  // that this process has known: what the site tells of an earlier one's turns counts no more
 }
 
 // Attach gives the policy the machines. It is to be called before the fleet runs; without it this sidecar is never clear, and leads no plan.
@@ -65,6 +66,7 @@
 	}
 	w.asking = true
 	var ids []uint64
+	log := w.logs
 	for _, id := range asks {
 		ids = append(ids, id)
 	}
@@ -74,8 +76,8 @@
 			defer p.mu.Unlock()
 			w.asking = false
 			for turn, id := range asks {
-				if slices.Contains(quiet, id) {
-					w.own.Seen(turn)
+				if w.logs == log && slices.Contains(quiet, id) {
+					w.own.Seen(turn, id)
 				}
 			}
 		}()
--- a/internal/outage/book_test.go
+++ b/internal/outage/book_test.go
@@ -77,3 +77,28 @@
 		t.Errorf("%v %v", rate, served)
 	}
 }
+
+// A sidecar is clear up to the first turn of whose machine it is not known that nothing is out there; a process younger than the longest deadline is clear of nothing; another log's turn of the same number is another one.
+func TestOwn(t *testing.T) {
+	var o Own
+	s := &State{LastTurn: 5, Turns: []Turn{{Number: 3, Machine: 30}, {Number: 5, Machine: 50}}}
+	const old, deadline = time.Hour, time.Minute
+	want := func(clear uint32, asks int) {
+		t.Helper()
+		if got := o.Clear(old, deadline, s); got != clear || len(o.Asks(s)) != asks {
+			t.Errorf("clear up to %d, %d asked of; want %d and %d", got, len(o.Asks(s)), clear, asks)
+		}
+	}
+	want(2, 2)
+	o.Seen(5, 50)
+	want(2, 1)
+	o.Seen(3, 30)
+	want(5, 0)
+	if got := o.Clear(deadline-1, deadline, s); got != 0 {
+		t.Errorf("a process that has just begun is clear up to %d", got)
+	}
+	s.Turns[0].Phase = Returning
+	want(5, 0)
+	s.Turns = []Turn{{Number: 5, Machine: 51}}
+	want(4, 1)
+}
--- a/internal/outage/own.go
+++ b/internal/outage/own.go
@@ -4,14 +4,14 @@
 
 // Own is how far a sidecar is clear of the machines that are out. The zero value is clear of none.
 type Own struct {
-	clear map[uint32]bool // by turn
+	clear map[uint32]uint64 // machines by turn: in another log the same number may be another one's
 }
 
 // Asks are the machines, by turn, of which it is not known that nothing is out there.
 func (o *Own) Asks(s *State) map[uint32]uint64 {
 	var all map[uint32]uint64
 	for _, t := range s.Turns {
-		if t.Phase != Returning && !o.clear[t.Number] {
+		if t.Phase != Returning && o.clear[t.Number] != t.Machine {
 			if all == nil {
 				all = make(map[uint32]uint64)
 			}
@@ -22,11 +22,11 @@
 }
 
 // Seen takes that nothing goes to a turn's machine any more, and nothing is out there. It stays so while the turn lasts, as nothing new is sent.
-func (o *Own) Seen(turn uint32) {
+func (o *Own) Seen(turn uint32, machine uint64) {
 	if o.clear == nil {
-		o.clear = make(map[uint32]bool)
+		o.clear = make(map[uint32]uint64)
 	}
-	o.clear[turn] = true
+	o.clear[turn] = machine
 }
 
 // Clear is the number up to which this sidecar is clear of all turns that are not over. A process that is younger than the longest deadline says of none: the one before it, which it knows nothing of, may have
@@ -41,7 +41,7 @@
 		return 0
 	}
 	for _, t := range s.Turns { // the oldest first
-		if t.Phase != Returning && !o.clear[t.Number] {
+		if t.Phase != Returning && o.clear[t.Number] != t.Machine {
 			return t.Number - 1
 		}
 	}
