--- a/internal/outage/leader_test.go
+++ b/internal/outage/leader_test.go
@@ -281,6 +281,12 @@
 	if len(g.s.Out()) != 1 {
 		t.Errorf("out: %v", g.s.Out())
 	}
+	for _, number := range []uint32{turn.Number, turn.Number + 2} { // one that came late, one that overtook another
+		other := Step{Kind: Given, Number: number, Plan: 1, Plans: 1, Machine: g.w.Machines[7].ID, Term: g.l.Term}
+		if g.s.Apply(other) == "" {
+			t.Errorf("turn %d was taken behind turn %d", number, turn.Number)
+		}
+	}
 	g.enter(step(Done))
 	for _, k := range []Kind{Freed, Withdrawn, Done} {
 		refused(k)
@@ -290,3 +296,27 @@
 		refused(k)
 	}
 }
+
+// A bound by zone holds where the fleet's would allow more: with one out in each zone nobody goes.
+func TestBoundByZone(t *testing.T) {
+	g := newStage(t)
+	p, err := Parse([]byte("all = true\n[out]\nfleet = 8\nzone = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.plan, g.clear = p, true
+	zones := make(map[string]bool)
+	for _, m := range g.w.Machines {
+		zones[m.Zone] = true
+	}
+	for range zones {
+		turn := g.next(Given)
+		zone := find(g.w.Machines, turn.Machine).Zone
+		if !zones[zone] {
+			t.Fatalf("a second one of zone %s", zone)
+		}
+		zones[zone] = false
+		g.next(Freed)
+	}
+	g.nothing("would be out in zone")
+}
