Turns that the log refuses are told nobody, and plans' entries name no machine

Cause, found by reading: a refused Given was told all the same (a deferred call ran on every way out), and a plan's entry was told with the machine of the turn of the same number. Both reached the log lines and fleetlog, nothing that decides. Change: what is told is told behind Apply alone; Kind.OfTurn says whose number an entry has.

--- a/internal/accord/accordnet/work.go
+++ b/internal/accord/accordnet/work.go
@@ -115,8 +115,14 @@
 		return
 	}
 	s.last[e] = true
+	if e.Kind.OfTurn() != (e.Machine != 0) {
+		n.Broken = append(n.Broken, fmt.Sprintf("%s %d is told with machine %d", e.Kind, e.Number, e.Machine))
+	}
 	switch e.Kind {
 	case outage.Given:
+		if _, again := s.turns[e.Number]; again {
+			n.Broken = append(n.Broken, fmt.Sprintf("turn %d is told twice", e.Number))
+		}
 		s.Given++
 		s.turns[e.Number] = e.Machine
 		out := len(s.turns)
--- a/internal/accord/work.go
+++ b/internal/accord/work.go
@@ -84,18 +84,10 @@
 		n.Host.Changed(Event{What: "entry", By: n.Self.Number, Why: err.Error()})
 		return
 	}
-	if s.Kind == outage.Given { // before it is applied: who hears of it has its machine's name
-		defer n.Host.Worked(s)
+	if t := n.work.state.Turn(s.Number); s.Kind.OfTurn() && t != nil { // before it is applied: the turn may be over by it
+		s.Machine = t.Machine
 	}
-	machine := uint64(0)
-	if t := n.work.state.Turn(s.Number); t != nil {
-		machine = t.Machine
-	}
-	if refused := n.work.state.Apply(s); refused != "" {
-		return
-	}
-	if s.Kind != outage.Given {
-		s.Machine = machine
+	if refused := n.work.state.Apply(s); refused == "" {
 		n.Host.Worked(s)
 	}
 }
--- a/internal/outage/step.go
+++ b/internal/outage/step.go
@@ -41,6 +41,11 @@
 	return k == Leads || k == Given || k == Freed || k == Withdrawn || k == Over || k == Finished
 }
 
+// OfTurn says whether such an entry's number is a turn's; else it is a plan's.
+func (k Kind) OfTurn() bool {
+	return k == Given || k == Freed || k == Withdrawn || k == Done || k == Over
+}
+
 // Step is an entry of the log.
 type Step struct {
 	Kind    Kind
