Read again: guards, uploads, tallies, gauges and names stand once

Need: the change had written some pieces twice. Change: service.agreed, Engine.catchUp, Sidecar.ask and upload, Fleet.round, Tally.Add, figures' gauges; a machine's name comes from the roll, where each turn that was shown, and each entry replayed at a start, had made the whole list anew. Engine.settled is returned now: settle is another thing.

--- a/cmd/measure/plans.go
+++ b/cmd/measure/plans.go
@@ -97,10 +97,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		healed.add(took.Seconds())
-		sum.Served += tally.Served
-		sum.Refused += tally.Refused
-		sum.Failed += tally.Failed
-		sum.Shaky += tally.Shaky
+		sum.Add(tally)
 		lost += f.Peers.Lost.Load()
 		delayed += f.Peers.Delayed.Load()
 		doubled += f.Peers.Doubled.Load()
@@ -173,10 +170,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		settled.add(tally.Settled.Seconds())
-		sum.Served += tally.Served
-		sum.Tally.Refused += tally.Tally.Refused
-		sum.Failed += tally.Failed
-		sum.Shaky += tally.Shaky
+		sum.Add(tally.Tally)
 		sum.Proposed += tally.Proposed
 		sum.Refused += tally.Refused
 		turned += tally.Turns
@@ -224,10 +218,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		ended.add(tally.Ended.Seconds())
-		sum.Served += tally.Served
-		sum.Refused += tally.Refused
-		sum.Failed += tally.Failed
-		sum.Shaky += tally.Shaky
+		sum.Add(tally.Tally)
 		sum.Turns += tally.Turns
 		sum.Astray += tally.Astray
 		sum.Most = max(sum.Most, tally.Most)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -47,15 +47,23 @@
 
 var errNoPolicy = errors.New("this process has no part in a policy of the fleet: the file of -fleet has no [policy]")
 
-// Policy carries out a call on the fleet's policy.
-func (s *service) Policy(c control.Call, to io.Writer) error {
+// agreed is this process's part in what the fleet agrees on.
+func (s *service) agreed() (*fleet.Policy, error) {
 	if s.fleet == nil {
-		return errNoFleet
+		return nil, errNoFleet
 	}
-	p := s.fleet.Policy()
+	if p := s.fleet.Policy(); p != nil {
+		return p, nil
+	}
+	return nil, errNoPolicy
+}
+
+// Policy carries out a call on the fleet's policy.
+func (s *service) Policy(c control.Call, to io.Writer) error {
+	p, err := s.agreed()
 	switch {
-	case p == nil:
-		return errNoPolicy
+	case err != nil:
+		return err
 	case c.Verb == control.PolicyText:
 		return p.Upload(c.Arguments)
 	case c.Verb == control.PolicyPropose:
@@ -99,13 +107,10 @@
 
 // Work carries out a call on plans of work.
 func (s *service) Work(c control.Call, to io.Writer) error {
-	if s.fleet == nil {
-		return errNoFleet
-	}
-	p := s.fleet.Policy()
+	p, err := s.agreed()
 	switch {
-	case p == nil:
-		return errNoPolicy
+	case err != nil:
+		return err
 	case c.Verb == control.WorkPlan:
 		return p.Plan(c.Arguments, to)
 	case c.Verb == control.WorkShow:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -244,33 +244,34 @@
 // Quiet has told called with those of some servers at which nothing is out, once what was told of the list before it is taken. It does not wait, and told must not.
 func (e *Engine) Quiet(ids []policy.ServerID, told func(quiet []policy.ServerID)) {
 	go e.post(func(time.Duration) {
-		select {
-		case <-e.told:
-			e.hear()
-		default:
-		}
+		e.catchUp()
 		told(slices.DeleteFunc(slices.Clone(ids), func(id policy.ServerID) bool { return e.out[id] > 0 }))
 	})
 }
 
-// ended takes that an attempt at a server has its end.
-func (e *Engine) settled(at policy.ServerID) {
+// returned takes that an attempt at a server has its end.
+func (e *Engine) returned(at policy.ServerID) {
 	if e.out[at]--; e.out[at] <= 0 {
 		delete(e.out, at)
 	}
 }
 
+// catchUp takes the news, if there is some.
+func (e *Engine) catchUp() {
+	select {
+	case <-e.told:
+		e.hear()
+	default:
+	}
+}
+
 // limit has the module go by the limits that hold now.
 func (e *Engine) limit() {
 	if e.Config.Limits == nil {
 		return
 	}
 	l := e.Config.Limits()
-	select {
-	case <-e.told: // servers that are out by them, or by what else the fleet has settled
-		e.hear()
-	default:
-	}
+	e.catchUp() // servers that are out by them, or by what else the fleet has settled
 	if l == nil || l == e.limits {
 		return
 	}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -33,14 +33,14 @@
 	e.out[to]++
 	r.attempts = append(r.attempts, s.Send(r.message, e.now+timeout, func(res call.Result) {
 		if res.After != nil { // the attempt is over, and the server still at it
-			res.After(func() { e.post(func(time.Duration) { e.settled(to) }) })
+			res.After(func() { e.post(func(time.Duration) { e.returned(to) }) })
 		}
 		e.post(func(time.Duration) {
 			if e.AttemptEnded != nil {
 				e.AttemptEnded(to, res.Ending)
 			}
 			if res.Stream == nil || res.Carried && res.After == nil { // else its answer comes on
-				e.settled(to)
+				e.returned(to)
 			}
 			e.attemptEnded(id, number, res)
 		})
--- a/internal/figures/text.go
+++ b/internal/figures/text.go
@@ -48,11 +48,7 @@
 
 // families are a fleet's figures.
 func (p *Peers) families() []*dto.MetricFamily {
-	members := family("peers", "Other sidecars of the fleet, by what is held of them.", dto.MetricType_GAUGE)
-	for _, state := range slices.Sorted(maps.Keys(p.Members)) {
-		v := float64(p.Members[state])
-		members.Metric = append(members.Metric, &dto.Metric{Gauge: &dto.Gauge{Value: &v}, Label: []*dto.LabelPair{label("state", state)}})
-	}
+	members := gauges("peers", "Other sidecars of the fleet, by what is held of them.", "state", p.Members)
 	contact := 0.0
 	if p.Contact {
 		contact = 1
@@ -81,11 +77,7 @@
 	for _, outcome := range slices.Sorted(maps.Keys(p.Changes)) {
 		changes.Metric = append(changes.Metric, counter(p.Changes[outcome], label("outcome", outcome)))
 	}
-	machines := family("work_machines", "Upstreams with a turn that is not over, by how far it is.", dto.MetricType_GAUGE)
-	for _, phase := range slices.Sorted(maps.Keys(p.Work.Machines)) {
-		v := float64(p.Work.Machines[phase])
-		machines.Metric = append(machines.Metric, &dto.Metric{Gauge: &dto.Gauge{Value: &v}, Label: []*dto.LabelPair{label("phase", phase)}})
-	}
+	machines := gauges("work_machines", "Upstreams with a turn that is not over, by how far it is.", "phase", p.Work.Machines)
 	return []*dto.MetricFamily{
 		machines, gauge("work_plans", "Plans of work that have not ended.", float64(p.Work.Plans)),
 		gauge("work_plans_paused", "Plans of work that are paused: somebody has to look.", float64(p.Work.Paused)),
@@ -106,6 +98,16 @@
 	return f
 }
 
+// gauges are one figure by a label's values, in their order.
+func gauges(name, help, of string, by map[string]int) *dto.MetricFamily {
+	f := family(name, help, dto.MetricType_GAUGE)
+	for _, value := range slices.Sorted(maps.Keys(by)) {
+		v := float64(by[value])
+		f.Metric = append(f.Metric, &dto.Metric{Gauge: &dto.Gauge{Value: &v}, Label: []*dto.LabelPair{label(of, value)}})
+	}
+	return f
+}
+
 func counter(n uint64, labels ...*dto.LabelPair) *dto.Metric {
 	v := float64(n)
 	return &dto.Metric{Label: labels, Counter: &dto.Counter{Value: &v}}
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -132,15 +132,15 @@
 
 // nameOf is a machine as people call it. The caller holds the lock.
 func (p *Policy) nameOf(id uint64) string {
-	if p.work.site != nil {
-		all, _ := policyWork{p}.Machines()
-		for i := range all {
-			if all[i].ID == id {
-				return all[i].Name
-			}
-		}
+	name, known := p.work.roll.Name(p.now, id)
+	if !known && p.work.site != nil { // listed since the list was last looked at, maybe
+		policyWork{p}.Machines()
+		name, known = p.work.roll.Name(p.now, id)
+	}
+	if !known {
+		return fmt.Sprintf("%016x", id)
 	}
-	return fmt.Sprintf("%016x", id)
+	return name
 }
 
 var errNumber = errors.New("a number is needed, of a turn (done) or of a plan")
--- a/internal/outage/roll.go
+++ b/internal/outage/roll.go
@@ -44,6 +44,15 @@
 	r.listed = next
 }
 
+// Name is a machine as people call it; false: it is neither listed nor down.
+func (r *Roll) Name(now time.Duration, id uint64) (string, bool) {
+	if m, here := r.listed[id]; here {
+		return m.Name, true
+	}
+	g, left := r.left[id]
+	return g.Name, left && now-g.at < lately
+}
+
 // All is the list with those that are down, in the order of ids.
 func (r *Roll) All(now time.Duration) []Machine {
 	all := slices.Collect(maps.Values(r.listed))
--- a/internal/rig/fleet/answers.go
+++ b/internal/rig/fleet/answers.go
@@ -119,6 +119,11 @@
 // Tally is how the clients' requests ended, those of steady machines.
 type Tally struct{ Served, Refused, Failed, Shaky int }
 
+// Add adds another run's.
+func (t *Tally) Add(o Tally) {
+	t.Served, t.Refused, t.Failed, t.Shaky = t.Served+o.Served, t.Refused+o.Refused, t.Failed+o.Failed, t.Shaky+o.Shaky
+}
+
 const (
 	slack      = 500 * time.Millisecond // an answer may be so late on a busy machine
 	drainGrace = 2 * time.Second
--- a/internal/rig/fleet/policy.go
+++ b/internal/rig/fleet/policy.go
@@ -74,11 +74,27 @@
 func (s *Sidecar) Abort() error { return s.operate("policy-abort") }
 
 func (s *Sidecar) operate(call string) error {
-	answer, err := rig.Operate(s.control(), call)
+	_, err := s.ask(call)
+	return err
+}
+
+// ask makes an operator's call; what it is told no for is an error.
+func (s *Sidecar) ask(call string) (answer string, err error) {
+	answer, err = rig.Operate(s.control(), call)
 	if err == nil && !strings.HasPrefix(answer, "200 ") {
 		err = fmt.Errorf("%s", strings.TrimSpace(answer))
 	}
-	return err
+	return answer, err
+}
+
+// upload hands a text over in pieces.
+func (s *Sidecar) upload(raw []byte) error {
+	for i := range program.UploadCount(raw) {
+		if err := s.operate("policy-text " + strings.Join(program.UploadPiece(raw, i), " ")); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Propose proposes a policy by way of a process, from the version that holds there. What it is told no for is an error.
@@ -88,10 +104,8 @@
 		return fmt.Errorf("%d says nothing", s.Number)
 	}
 	raw := []byte(text)
-	for i := range program.UploadCount(raw) {
-		if err := s.operate("policy-text " + strings.Join(program.UploadPiece(raw, i), " ")); err != nil {
-			return err
-		}
+	if err := s.upload(raw); err != nil {
+		return err
 	}
 	return s.operate(fmt.Sprintf("policy-propose %s %d", fleetpolicy.Hash(raw), v.Holds))
 }
--- a/internal/rig/fleet/work.go
+++ b/internal/rig/fleet/work.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	program "caperarch/internal/fleet"
 	"caperarch/internal/fleetpolicy"
 	"caperarch/internal/rig"
 )
@@ -41,22 +40,14 @@
 // Work has the fleet go by a plan, by way of one process.
 func (s *Sidecar) Work(plan string) error {
 	raw := []byte(plan)
-	for i := range program.UploadCount(raw) {
-		if err := s.operate("policy-text " + strings.Join(program.UploadPiece(raw, i), " ")); err != nil {
-			return err
-		}
+	if err := s.upload(raw); err != nil {
+		return err
 	}
 	return s.operate("work-plan " + fleetpolicy.Hash(raw))
 }
 
 // WorkShow is what a process says of plans and turns.
-func (s *Sidecar) WorkShow() (string, error) {
-	text, err := rig.Operate(s.control(), "work-show")
-	if err == nil && !strings.HasPrefix(text, "200 ") {
-		err = fmt.Errorf("%s", strings.TrimSpace(text))
-	}
-	return text, err
-}
+func (s *Sidecar) WorkShow() (string, error) { return s.ask("work-show") }
 
 // WorkDo says a word on a turn or a plan: done, pause, resume, cancel.
 func (s *Sidecar) WorkDo(word string, number int) error {
@@ -68,9 +59,13 @@
 	pausedPlan = regexp.MustCompile(`(?m)^plan (\d+) of sidecar .*: paused: `)
 )
 
+func (f *Fleet) round(takes, cold time.Duration) *Round {
+	return &Round{f: f, Cold: cold, Takes: takes, stays: make(map[int]*Stay), quit: make(chan struct{}), done: make(chan struct{})}
+}
+
 // Operators begin to work on what is free. Every other machine is restarted for it.
 func (f *Fleet) Operators(seed uint64, takes, cold time.Duration) *Round {
-	r := &Round{f: f, Cold: cold, Takes: takes, stays: make(map[int]*Stay), quit: make(chan struct{}), done: make(chan struct{})}
+	r := f.round(takes, cold)
 	go func() {
 		defer close(r.done)
 		rng := rand.New(rand.NewPCG(seed, 7))
@@ -286,7 +281,7 @@
 // Script is what operators do without a plan: in the list's order, so many at a time, each machine is cordoned at each sidecar that answers, one after the other; what is out there is given its time; then somebody works on
 // it, has it used again at each, and waits until it is warm.
 func (f *Fleet) Script(atOnce int, takes, cold time.Duration) *Round {
-	r := &Round{f: f, Cold: cold, Takes: takes, stays: make(map[int]*Stay), quit: make(chan struct{}), done: make(chan struct{})}
+	r := f.round(takes, cold)
 	go func() {
 		defer close(r.done)
 		for i := 0; i < len(f.Nodes); i += atOnce {
