--- /dev/null
+++ b/cmd/athenaeum/main.go
@@ -0,0 +1,91 @@
+// Athenaeum is the mesh's one program for all machines: "athenaeum branch" is the sidecar beside an upstream, "athenaeum stacks" the core machine that holds the configuration.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"caperarch/internal/mesh/branch"
+	"caperarch/internal/mesh/daybook"
+	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/stacks"
+)
+
+const usage = `usage: athenaeum ROLE
+
+roles:
+  branch   the sidecar beside an upstream
+  stacks   a core machine, which holds the configuration
+
+The settings file is named by ` + settings.BootVariable + `.
+`
+
+// collectAt has garbage collected when the heap has grown by so many per cent: memory is dear on these machines, and the heap small.
+const collectAt = 50
+
+func main() {
+	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
+	flag.Parse()
+	if flag.NArg() != 1 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	os.Exit(run(flag.Arg(0)))
+}
+
+// run is the program's life in a role; it returns the exit status.
+func run(role string) int {
+	if role != "branch" && role != "stacks" {
+		flag.Usage()
+		return 2
+	}
+	set, err := settings.Boot()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "athenaeum:", err)
+		return 2
+	}
+	debug.SetGCPercent(collectAt)
+	log, ring := daybook.New(os.Stderr, daybook.DefaultBytes)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	reload := make(chan *settings.Settings)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				ring.Dump("asked for")
+				continue
+			}
+			again, err := settings.Boot()
+			if err != nil {
+				log.Warn("settings that can't be used, the last ones hold: " + err.Error())
+				continue
+			}
+			select {
+			case reload <- again:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	if role == "branch" {
+		err = branch.Run(ctx, set, reload, log)
+	} else {
+		go func() { // the members are known from the disk
+			for range reload {
+			}
+		}()
+		err = stacks.Run(ctx, set, log)
+	}
+	if err != nil {
+		log.Error("ended: " + err.Error())
+		return 1
+	}
+	return 0
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -442,7 +442,7 @@
 // endOwned answers a request whose body only this attempt could pass on, by what its end proves.
 func (e *Engine) endOwned(id policy.RequestID, r *request, res *call.Result) {
 	switch res.Ending {
-	case policy.NoConnection, policy.TurnedAway, policy.NotSent: // it never ran
+	case policy.NoConnection, policy.TurnedAway, policy.NotSent, policy.Gated: // it never ran
 		e.finish(id, r, &call.Answer{Kind: call.Refused, Pause: ownedPause})
 	default:
 		e.finish(id, r, &call.Answer{Kind: call.Failed, TimedOut: r.timedOut, Last: r.last})
@@ -456,6 +456,6 @@
 		go res.Stream.Close() // from outside: its end is handed over to the goroutine that this is
 		return
 	}
-	e.finish(id, r, &call.Answer{Kind: call.Served, Header: res.Header, Stream: res.Stream})
+	e.finish(id, r, &call.Answer{Kind: call.Served, Status: res.Status, Header: res.Header, Stream: res.Stream})
 	e.b.StreamBegun(id)
 }
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -201,10 +202,10 @@
 // fault is what a client is told whose body can't be read; nil: it left, and nobody is left to tell.
 func (b *bodyReader) fault(err error) *Rejection {
 	if bad := (*h1.Error)(nil); errors.As(err, &bad) {
-		return &Rejection{bad.Status, bad.Reason}
+		return &Rejection{Status: bad.Status, Reason: bad.Reason}
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, os.ErrDeadlineExceeded) {
-		return b.c.late(&Rejection{http.StatusRequestTimeout, "the body does not end"})
+		return b.c.late(&Rejection{Status: http.StatusRequestTimeout, Reason: "the body does not end"})
 	}
 	return nil
 }
@@ -212,7 +213,7 @@
 // pass passes an answer on as it comes; false: the connection can't go on.
 func (c *conn) pass(a *call.Answer, body call.Body) bool {
 	defer body.Close()
-	head := h1.Answer{Status: http.StatusOK, Header: a.Header, Length: body.Length()}
+	head := h1.Answer{Status: cmp.Or(a.Status, http.StatusOK), Header: a.Header, Length: body.Length()}
 	counts := c.counts
 	c.counts = nil // the head alone is no outcome
 	if !c.answer(&head, nil) {
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"log/slog"
@@ -229,7 +230,7 @@
 	for {
 		n, err := s.parser.Parse(s.in[c.start:c.end], &s.head)
 		if bad := (*h1.Error)(nil); errors.As(err, &bad) {
-			c.reject(&Rejection{bad.Status, bad.Reason})
+			c.reject(&Rejection{Status: bad.Status, Reason: bad.Reason})
 			return 0, false
 		}
 		if n > 0 {
@@ -254,7 +255,7 @@
 		c.end += read
 		if read == 0 {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				c.reject(c.late(&Rejection{http.StatusRequestTimeout, "the head doesn't end"}))
+				c.reject(c.late(&Rejection{Status: http.StatusRequestTimeout, Reason: "the head doesn't end"}))
 			}
 			return 0, false
 		}
@@ -265,7 +266,7 @@
 // had to make room.
 func (c *conn) late(own *Rejection) *Rejection {
 	if c.a.isGone(c) {
-		return &Rejection{http.StatusServiceUnavailable, "too many requests are being read"}
+		return &Rejection{Status: http.StatusServiceUnavailable, Reason: "too many requests are being read"}
 	}
 	return own
 }
@@ -278,14 +279,14 @@
 	if c.a.busy(c) {
 		return true
 	}
-	c.reject(&Rejection{http.StatusServiceUnavailable, "too many requests are being read"})
+	c.reject(&Rejection{Status: http.StatusServiceUnavailable, Reason: "too many requests are being read"})
 	return false
 }
 
 // request answers a request whose head is here. What can be refused is refused before its body is read.
 func (c *conn) request(h *h1.Head, arrived time.Duration) bool {
 	f := c.front
-	if path, _, _ := strings.Cut(h.Target, "?"); path == "/up" && h.Method == http.MethodGet && h.Length <= 0 {
+	if path, _, _ := strings.Cut(h.Target, "?"); f.cfg.Dialect == nil && path == "/up" && h.Method == http.MethodGet && h.Length <= 0 {
 		status := http.StatusOK
 		if !f.ready.Load() {
 			status = http.StatusServiceUnavailable
@@ -299,7 +300,10 @@
 	if bad != nil {
 		return c.reject(bad)
 	}
-	q, left, bad := t.read(h)
+	q, left, bad := t.read(f.cfg.Dialect, h)
+	if bad != nil && bad.Keep {
+		return c.turnAway(h, &h1.Answer{Status: bad.Status, Pause: bad.Pause, Header: c.own(nil)})
+	}
 	if bad != nil {
 		return c.reject(bad)
 	}
@@ -310,11 +314,14 @@
 		return c.refuseHead(h)
 	}
 	// What is held of the body at a time; of one in chunks nothing is known yet.
-	id, length := h.Get("X-Request-Id"), min(max(h.Length, 0), call.BodyLimit+stream.WindowSize)
-	if !t.enter(id) {
-		return c.reject(&Rejection{http.StatusConflict, "a request of this X-Request-ID is open"})
+	length := min(max(h.Length, 0), call.BodyLimit+stream.WindowSize)
+	if f.cfg.Dialect == nil {
+		id := h.Get("X-Request-Id")
+		if !t.enter(id) {
+			return c.reject(&Rejection{Status: http.StatusConflict, Reason: "a request of this X-Request-ID is open"})
+		}
+		defer t.leave(id)
 	}
-	defer t.leave(id)
 	walls := t.walls.Load()
 	if walls != nil {
 		if !(*walls).Enter() { // bodies that come a byte at a time would hold all connections otherwise
@@ -327,6 +334,9 @@
 	}
 	// The head's strings are its own; the rest of the scratch is used again for what follows.
 	m := &call.Message{Method: h.Method, URI: h.Target, Host: h.Host, Header: h.EndToEnd(), Stream: true}
+	if f.cfg.Dialect != nil {
+		f.cfg.Dialect.Pass(&q, m.Header)
+	}
 	var body *bodyReader // of one that is passed on as it comes
 	var ok bool
 	if !h.Chunks && h.Length <= call.BodyLimit {
@@ -412,7 +422,7 @@
 		n, err := c.read(body[len(body):cap(body)])
 		if body = body[:len(body)+n]; n == 0 {
 			if errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
-				c.reject(c.late(&Rejection{http.StatusRequestTimeout, "the body is shorter than Content-Length"}))
+				c.reject(c.late(&Rejection{Status: http.StatusRequestTimeout, Reason: "the body is shorter than Content-Length"}))
 			}
 			return nil, false
 		}
@@ -474,15 +484,21 @@
 // refuseHead refuses a request by its head, at once. A body that is still to come is read over, so that the
 // connection goes on; it is one of those that are being read as long as that takes. One that would take long ends the connection.
 func (c *conn) refuseHead(h *h1.Head) bool {
+	a := call.Answer{Kind: call.Refused, Pause: time.Second}
+	return c.turnAway(h, &h1.Answer{Status: http.StatusServiceUnavailable, Pause: a.Pause, Header: c.own(&a)})
+}
+
+// turnAway answers a request by its head; see refuseHead.
+func (c *conn) turnAway(h *h1.Head, a *h1.Answer) bool {
 	have := int64(c.end - c.start)
 	if rest := h.Length - have; !h.Chunks && rest > call.BodyLimit || c.s.head.Close && (h.Chunks || rest > 0) {
 		c.s.head.Close = true
-		if c.refuse(time.Second) {
+		if c.answer(a, nil) {
 			c.linger(leaveTime, lingerWhole)
 		}
 		return false
 	}
-	if !c.refuse(time.Second) {
+	if !c.answer(a, nil) {
 		return false
 	}
 	if h.Length <= 0 && !h.Chunks {
@@ -500,7 +516,7 @@
 
 // reject answers a request that can't be taken on and closes its connection: where it ends is not to be trusted.
 func (c *conn) reject(bad *Rejection) bool {
-	a := h1.Answer{Status: bad.Status, Length: int64(len(bad.Reason) + 1), Text: true, Close: true}
+	a := h1.Answer{Status: bad.Status, Length: int64(len(bad.Reason) + 1), Text: true, Close: true, Header: c.own(nil)}
 	if bad.Status == http.StatusServiceUnavailable { // nothing of it was sent: harmless to repeat
 		a.Pause = time.Second
 	}
@@ -546,18 +562,23 @@
 		a.Stream.Close() // of another protocol's transport: a fault of ours
 		return c.answer(&h1.Answer{Status: http.StatusBadGateway}, nil)
 	case a.Kind == call.Served:
-		return c.answer(&h1.Answer{Status: http.StatusOK, Header: a.Header, Length: int64(len(a.Body))}, a.Body)
-	case a.Kind == call.Refused:
-		return c.refuse(a.Pause)
+		return c.answer(&h1.Answer{Status: cmp.Or(a.Status, http.StatusOK), Header: a.Header, Length: int64(len(a.Body))}, a.Body)
+	case a.Kind == call.Refused: // trying again is harmless, best after the pause
+		return c.answer(&h1.Answer{Status: http.StatusServiceUnavailable, Pause: a.Pause, Header: c.own(a)}, nil)
+	case a.Last != nil && c.front.cfg.Dialect != nil: // the server's own word
+		return c.answer(&h1.Answer{Status: a.Last.Status, Header: a.Last.Header, Length: int64(len(a.Last.Body))}, a.Last.Body)
 	case a.TimedOut:
-		return c.answer(&h1.Answer{Status: http.StatusGatewayTimeout}, nil)
+		return c.answer(&h1.Answer{Status: http.StatusGatewayTimeout, Header: c.own(a)}, nil)
 	}
-	return c.answer(&h1.Answer{Status: http.StatusBadGateway}, nil)
+	return c.answer(&h1.Answer{Status: http.StatusBadGateway, Header: c.own(a)}, nil)
 }
 
-// refuse answers that trying again is harmless, best after the pause.
-func (c *conn) refuse(pause time.Duration) bool {
-	return c.answer(&h1.Answer{Status: http.StatusServiceUnavailable, Pause: pause}, nil)
+// own are the fields of an answer that is not a server's; nil for a rejection.
+func (c *conn) own(a *call.Answer) http.Header {
+	if c.front.cfg.Dialect == nil {
+		return nil
+	}
+	return c.front.cfg.Dialect.Own(&c.s.head, a)
 }
 
 // answer sends an answer; false: the connection can't go on.
--- a/internal/front/http1/drain.go
+++ b/internal/front/http1/drain.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -21,7 +22,7 @@
 	f.draining.Store(true)
 	a := f.conns
 	// What clients use often closes with its next answer, which crosses nothing; only what they let rest is closed under them at first.
-	for begun := a.clock.Now(); a.clock.Now()-begun < lingerTime; time.Sleep(closeEvery) {
+	for begun := a.clock.Now(); a.clock.Now()-begun < cmp.Or(f.cfg.Linger, lingerTime); time.Sleep(closeEvery) {
 		a.closeResting(restLeft)
 	}
 	err := a.close()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,8 @@
 type Config struct {
 	// Route says where a request goes, by its head, or why it goes nowhere. It is called from many goroutines.
 	Route   func(h *h1.Head) (*Target, *Rejection)
+	Dialect *Dialect      // nil: the daemon's own
+	Linger  time.Duration // new connections go on coming for so long after a stop is asked for; 0: lingerTime
 	Conns   Bounds        // on clients' connections
 	Longest time.Duration // the longest deadline of any class: what a drain waits for
 	Log     *slog.Logger
@@ -173,10 +176,22 @@
 	}
 }
 
+// Dialect is what requests say of themselves where that is not the daemon's own way. With one there is no GET /up, and an id may be open more than once.
+type Dialect struct {
+	// Read takes what a request says of itself; what it can't be taken on for is a rejection. It is called from many goroutines, and what it returns holds no part of h but strings.
+	Read func(h *h1.Head) (q policy.Request, left time.Duration, bad *Rejection)
+	// Pass changes what goes on to a server.
+	Pass func(q *policy.Request, fields http.Header)
+	// Own are the fields of an answer that is not a server's; h is its request's head, a is nil for a rejection.
+	Own func(h *h1.Head, a *call.Answer) http.Header
+}
+
 // Rejection is why a request can't be taken on: an answer for its client alone.
 type Rejection struct {
 	Status int
 	Reason string
+	Keep   bool          // the head is sound: its connection goes on
+	Pause  time.Duration // Retry-After; 0: none
 }
 
 // room says whether so many requests more, with so many bytes of bodies, could be held now. Nothing is taken.
--- a/internal/front/http1/request.go
+++ b/internal/front/http1/request.go
@@ -48,9 +48,12 @@
 
 // read takes what a request says of itself. What is missing or malformed is a rejection: nothing of
 // it may reach the module or an upstream, whose 400 would count as the upstream's failure.
-func (t *Target) read(r *h1.Head) (q policy.Request, left time.Duration, bad *Rejection) {
+func (t *Target) read(d *Dialect, r *h1.Head) (q policy.Request, left time.Duration, bad *Rejection) {
+	if d != nil {
+		return d.Read(r)
+	}
 	no := func(status int, reason string) (policy.Request, time.Duration, *Rejection) {
-		return policy.Request{}, 0, &Rejection{status, reason}
+		return policy.Request{}, 0, &Rejection{Status: status, Reason: reason}
 	}
 	if r.Old { // others pass over Transfer-Encoding there
 		return no(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
--- /dev/null
+++ b/internal/mesh/allowance/dealer.go
@@ -0,0 +1,263 @@
+package allowance
+
+import (
+	"time"
+
+	"caperarch/internal/mesh/faultlist"
+)
+
+const (
+	// claimLife is how long a node's last ask counts when tokens are divided. It guards against a node that asks often
+	// taking what another that asked just before it needs.
+	claimLife = 350 * time.Millisecond
+	// maxAsks is the most asks that one call may bring. It guards against a call that holds the dealer up.
+	maxAsks = 4096
+	// maxNodes is the most nodes that are told apart. It guards against names that use up the memory.
+	maxNodes = 4096
+	// maxNodeName is the longest name of a node. It guards the same.
+	maxNodeName = 256
+)
+
+// Dealer deals the tokens of all tenants to the sidecars that ask. It belongs to the core's sequencer; the epoch is the
+// number of the view in which it has that duty.
+type Dealer struct {
+	rules   Rules
+	limits  map[string]Limit
+	tenants map[string]*account
+	members tally
+	planned int // members that the plans are made for
+
+	epoch     uint64
+	begun     bool
+	dealsFrom time.Duration
+	at        time.Duration            // of the last settling
+	flown     float64                  // seconds of full flow since the start, less the floors' part
+	heard     map[string]time.Duration // when each node last asked
+}
+
+// account is one tenant's bucket. What nodes have been reserved is part of it.
+type account struct {
+	plan
+	free, flown float64
+	claims      map[string]*claim
+}
+
+// claim is what a node asked for last, and what is kept for its next ask.
+type claim struct {
+	want, reserved float64
+	at             time.Duration
+}
+
+// NewDealer returns a dealer that knows no tenant yet.
+func NewDealer(rules Rules) (*Dealer, error) {
+	if err := rules.check(); err != nil {
+		return nil, err
+	}
+	d := &Dealer{rules: rules, heard: map[string]time.Duration{}, tenants: map[string]*account{}}
+	d.members.set(0, 1)
+	return d, nil
+}
+
+// Configure sets the limits of all tenants and the number of sidecars. A lower limit holds at once; a tenant that is
+// new starts with an empty bucket. Limits that can't be used change nothing.
+func (d *Dealer) Configure(now time.Duration, limits map[string]Limit, members int) error {
+	if err := checkLimits(limits, members); err != nil {
+		return err
+	}
+	d.settle(now)
+	d.members.set(now, members)
+	d.limits = make(map[string]Limit, len(limits))
+	for name, l := range limits {
+		if l.Rate > 0 {
+			d.limits[name] = l
+		}
+	}
+	d.replan(now)
+	return nil
+}
+
+// replan brings the plans in line with limits and members. Buckets are filled first under the plans that held so far.
+func (d *Dealer) replan(now time.Duration) {
+	d.planned = d.members.at(now)
+	for name, a := range d.tenants {
+		if _, ok := d.limits[name]; !ok {
+			delete(d.tenants, name)
+			continue
+		}
+		a.fill(d.flown)
+	}
+	for name, l := range d.limits {
+		a := d.tenants[name]
+		if a == nil {
+			a = &account{flown: d.flown, claims: map[string]*claim{}}
+			d.tenants[name] = a
+		}
+		a.plan = d.rules.plan(l, d.planned)
+		a.clamp()
+	}
+}
+
+// settle counts the flow up to now. A node counts as holding its floor back only if it still does so at the end.
+func (d *Dealer) settle(now time.Duration) {
+	if now <= d.at {
+		return
+	}
+	for node, at := range d.heard {
+		if now-at > dealerHold {
+			delete(d.heard, node)
+		}
+	}
+	members := d.members.at(now)
+	silent := max(0, members-len(d.heard))
+	d.flown += (now - d.at).Seconds() * (1 - floorShare*float64(silent)/float64(members))
+	d.at = now
+	if members != d.planned {
+		d.replan(now)
+	}
+}
+
+// begin starts a new duty: buckets are empty, and nothing is dealt until the tokens of the last duty have expired.
+func (d *Dealer) begin(now time.Duration, epoch uint64) {
+	d.epoch, d.begun, d.dealsFrom = epoch, true, now+TokenLife
+	clear(d.heard)
+	for _, a := range d.tenants {
+		a.free, a.flown = 0, d.flown
+		clear(a.claims)
+	}
+}
+
+// Deal answers the asks of a node in the duty of the given epoch; the answer goes to the node with that epoch. The first
+// call of a later epoch starts the duty anew. An epoch before the newest is Stale; within TokenLife of the duty's start
+// all is Busy, and the node mustn't be told that it was granted anything. Tenants without a limit are passed over. The
+// answer also counts as the node's promise to hold its floor back, so a node also asks when it wants nothing.
+func (d *Dealer) Deal(now time.Duration, epoch uint64, node string, asks []Ask) ([]Grant, error) {
+	if node == "" || len(node) > maxNodeName {
+		return nil, faultlist.New(faultlist.Invalid, "a node's name has 1 to %d bytes, this one %d", maxNodeName, len(node))
+	}
+	if len(asks) > maxAsks {
+		return nil, faultlist.New(faultlist.TooLarge, "%d asks, at most %d are taken", len(asks), maxAsks)
+	}
+	for _, ask := range asks {
+		if !amount(ask.Want) {
+			return nil, faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be wanted", ask.Tenant, ask.Want)
+		}
+	}
+	if d.begun && epoch < d.epoch {
+		return nil, faultlist.New(faultlist.Stale, "epoch %d is over, this is %d", epoch, d.epoch)
+	}
+	d.settle(now)
+	if !d.begun || epoch > d.epoch {
+		d.begin(now, epoch)
+	}
+	if now < d.dealsFrom {
+		return nil, faultlist.New(faultlist.Busy, "epoch %d deals in %v", epoch, d.dealsFrom-now)
+	}
+	if _, ok := d.heard[node]; !ok && len(d.heard) >= maxNodes {
+		return nil, faultlist.New(faultlist.Busy, "%d nodes are asking, no more are taken", maxNodes)
+	}
+	d.heard[node] = now
+	grants := make([]Grant, 0, len(asks))
+	for _, ask := range asks {
+		if a := d.tenants[ask.Tenant]; a != nil {
+			a.fill(d.flown)
+			if tokens := a.deal(now, node, ask.Want); tokens > 0 {
+				grants = append(grants, Grant{ask.Tenant, tokens})
+			}
+		}
+	}
+	return grants, nil
+}
+
+// fill adds what has flown since the last time, up to the depth.
+func (a *account) fill(flown float64) {
+	a.free += a.rate * (flown - a.flown)
+	a.flown = flown
+	a.clamp()
+}
+
+// clamp keeps the bucket, with what is reserved in it, within its depth.
+func (a *account) clamp() {
+	held := a.free
+	for _, c := range a.claims {
+		held += c.reserved
+	}
+	if held <= a.depth {
+		return
+	}
+	a.free -= held - a.depth
+	if a.free < 0 {
+		// What was reserved under a higher limit is void.
+		for _, c := range a.claims {
+			c.reserved = 0
+		}
+		a.free = a.depth
+	}
+}
+
+// deal gives the node what it wants if that leaves enough for the others that asked lately. Otherwise what is free is
+// reserved for all of them max-min fairly, and the node gets what has been reserved for it.
+func (a *account) deal(now time.Duration, node string, want float64) float64 {
+	mine := a.claims[node]
+	if mine == nil {
+		mine = &claim{}
+		a.claims[node] = mine
+	}
+	mine.want, mine.at = want, now
+	missing := 0.0
+	for name, c := range a.claims {
+		if now-c.at > claimLife {
+			a.free += c.reserved
+			delete(a.claims, name)
+			continue
+		}
+		if over := c.reserved - c.want; over > 0 {
+			a.free += over
+			c.reserved = c.want
+		}
+		missing += c.want - c.reserved
+	}
+	if missing <= a.free {
+		a.free -= want - mine.reserved
+	} else {
+		a.reserve()
+		want = mine.reserved
+	}
+	mine.reserved = 0
+	return want
+}
+
+// reserve divides what is free among the claims: each gets an equal part, or all that it lacks where that is less.
+func (a *account) reserve() {
+	for a.free > 0 {
+		open, least := 0, 0.0
+		for _, c := range a.claims {
+			if lack := c.want - c.reserved; lack > 0 {
+				if open == 0 || lack < least {
+					least = lack
+				}
+				open++
+			}
+		}
+		if open == 0 {
+			return
+		}
+		part := a.free / float64(open)
+		last := part <= least
+		for _, c := range a.claims {
+			switch lack := c.want - c.reserved; {
+			case lack <= 0:
+			case last:
+				c.reserved += part
+			case lack <= least:
+				c.reserved = c.want
+			default:
+				c.reserved += least
+			}
+		}
+		if last {
+			a.free = 0
+			return
+		}
+		a.free -= least * float64(open)
+	}
+}
--- /dev/null
+++ b/internal/mesh/allowance/purse.go
@@ -0,0 +1,298 @@
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"caperarch/internal/mesh/faultlist"
+)
+
+const (
+	// askSpacing is the shortest time between two asks. It guards the sequencer against an ask for each request.
+	askSpacing = 60 * time.Millisecond
+	// askScarce is the time between two asks when only tenants run short whose last ask wasn't granted in full. It
+	// guards the sequencer against many sidecars under pressure, where asking sooner brings no more.
+	askScarce = 120 * time.Millisecond
+	// askIdle is the longest time between two asks. It is half of dealerHold, so that one late ask doesn't cost a
+	// sidecar's share.
+	askIdle = 250 * time.Millisecond
+	// horizon is the time ahead for which tokens are held.
+	horizon = 250 * time.Millisecond
+	// headroom is how many standard deviations above the predicted demand are held. It guards against refusals by chance.
+	headroom = 2
+	// leastWant is the smallest ask. It guards against calls that carry crumbs.
+	leastWant = 0.01
+	// runningShort is the part of what should be held below which the dealer is asked soon. It guards against a purse
+	// that is empty before the next regular ask.
+	runningShort = 0.7
+	// averaged is the time constant of the averages that follow a change of the demand.
+	averaged = 300 * time.Millisecond
+	// averagedLong is the time constant of the average that stands between two requests of a small demand. It guards
+	// against a purse that lets its tokens go whenever nothing came for a moment.
+	averagedLong = 3 * time.Second
+	// leastRetry and mostRetry bound what refused clients are told. They guard against a herd that comes back at once
+	// and against clients that stay away when there is room again.
+	leastRetry, mostRetry = 100 * time.Millisecond, 2 * time.Second
+)
+
+// Purse is what one sidecar may spend for each tenant: tokens that the dealer gave and a floor of its own.
+type Purse struct {
+	rules   Rules
+	limits  map[string]Limit
+	tenants map[string]*pocket
+	members tally
+	planned int // members that the plans are made for
+
+	epoch     uint64
+	at        time.Duration // up to when free is counted
+	free      float64       // seconds in which floors have filled
+	heldUntil time.Duration // floors don't fill before
+	asked     time.Duration
+	everAsked bool
+	awaiting  bool // the last Asks has no answer yet
+	urgent    bool // a tenant runs short since the last ask
+	pressed   bool // a tenant whose last ask wasn't granted in full does
+}
+
+// pocket is one tenant's part of a purse.
+type pocket struct {
+	plan
+	lots           []lot // by expiry, the first first
+	floor, free    float64
+	demand, served average
+	usual          average // the demand over a longer time
+	wanted         float64 // in the last ask
+	scarce         bool    // the last ask wasn't granted in full
+}
+
+type lot struct {
+	tokens  float64
+	expires time.Duration
+}
+
+// average is a moving average of events a second.
+type average struct {
+	rate float64
+	at   time.Duration
+}
+
+func (a *average) value(now, over time.Duration) float64 {
+	if now > a.at {
+		a.rate *= math.Exp(-(now - a.at).Seconds() / over.Seconds())
+		a.at = now
+	}
+	return a.rate
+}
+
+func (a *average) count(now, over time.Duration) { a.rate = a.value(now, over) + 1/over.Seconds() }
+
+// NewPurse returns a purse that knows no tenant yet.
+func NewPurse(rules Rules) (*Purse, error) {
+	if err := rules.check(); err != nil {
+		return nil, err
+	}
+	p := &Purse{rules: rules, tenants: map[string]*pocket{}}
+	p.members.set(0, 1)
+	return p, nil
+}
+
+// Configure sets the limits of all tenants and the number of sidecars. A lower limit holds at once for the floor, and
+// within TokenLife for what was dealt before. A tenant that is new starts with a full floor. Limits that can't be used
+// change nothing.
+func (p *Purse) Configure(now time.Duration, limits map[string]Limit, members int) error {
+	if err := checkLimits(limits, members); err != nil {
+		return err
+	}
+	p.settle(now)
+	p.members.set(now, members)
+	p.limits = make(map[string]Limit, len(limits))
+	for name, l := range limits {
+		if l.Rate > 0 {
+			p.limits[name] = l
+		}
+	}
+	p.replan(now)
+	return nil
+}
+
+// replan brings the plans in line with limits and members. Floors are filled first under the plans that held so far.
+func (p *Purse) replan(now time.Duration) {
+	p.planned = p.members.at(now)
+	for name, t := range p.tenants {
+		if _, ok := p.limits[name]; !ok {
+			delete(p.tenants, name)
+			continue
+		}
+		t.settle(now, p.free)
+	}
+	for name, l := range p.limits {
+		t := p.tenants[name]
+		if t == nil {
+			t = &pocket{free: p.free, floor: math.Inf(1)}
+			p.tenants[name] = t
+		}
+		t.plan = p.rules.plan(l, p.planned)
+		t.floor = min(t.floor, t.floorDepth)
+	}
+}
+
+// settle counts the time in which floors fill, up to now.
+func (p *Purse) settle(now time.Duration) {
+	if from := max(p.at, p.heldUntil); now > from {
+		p.free += (now - from).Seconds()
+	}
+	p.at = max(p.at, now)
+	if p.members.at(now) != p.planned {
+		p.replan(now)
+	}
+}
+
+// settle fills the floor and drops into it what has expired, up to its depth.
+func (t *pocket) settle(now time.Duration, free float64) {
+	t.floor += t.floorRate * (free - t.free)
+	t.free = free
+	gone := 0
+	for gone < len(t.lots) && t.lots[gone].expires <= now {
+		t.floor += t.lots[gone].tokens
+		gone++
+	}
+	t.lots = append(t.lots[:0], t.lots[gone:]...)
+	t.floor = min(t.floor, t.floorDepth)
+}
+
+func (t *pocket) held() float64 {
+	sum := t.floor
+	for _, l := range t.lots {
+		sum += l.tokens
+	}
+	return sum
+}
+
+// spend takes one token, of those that expire first first and of the floor last.
+func (t *pocket) spend() {
+	left, gone := 1.0, 0
+	for gone < len(t.lots) && t.lots[gone].tokens <= left {
+		left -= t.lots[gone].tokens
+		gone++
+	}
+	t.lots = append(t.lots[:0], t.lots[gone:]...)
+	if len(t.lots) > 0 {
+		t.lots[0].tokens -= left
+		return
+	}
+	t.floor = max(0, t.floor-left)
+}
+
+// target is what the pocket should hold: the demand of the horizon with headroom, and no less than a full floor. A
+// single request is no sign of more, so the short average counts less one.
+func (t *pocket) target(now time.Duration) float64 {
+	lately := t.demand.value(now, averaged) - 1/averaged.Seconds()
+	expected := max(lately, t.usual.value(now, averagedLong)) * horizon.Seconds()
+	return max(expected+headroom*math.Sqrt(expected), t.floorDepth)
+}
+
+// Take says whether a request of the tenant may run now, and spends a token on it if so. It belongs right before the
+// send, as the quota counts runs. A tenant that the limits don't name, or whose rate is 0, has no limit.
+func (p *Purse) Take(now time.Duration, tenant string) bool {
+	p.settle(now)
+	t := p.tenants[tenant]
+	if t == nil {
+		return true
+	}
+	t.settle(now, p.free)
+	t.demand.count(now, averaged)
+	t.usual.count(now, averagedLong)
+	held := t.held()
+	taken := held >= whole
+	if taken {
+		t.spend()
+		t.served.count(now, averaged)
+		held--
+	}
+	if !taken || held < runningShort*t.target(now) {
+		if t.scarce {
+			p.pressed = true
+		} else {
+			p.urgent = true
+		}
+	}
+	return taken
+}
+
+// Asks returns what to ask the dealer for now; it is empty when nothing is wanted. The call is made all the same, as
+// its answer renews the lease. One call is under way at a time; the tokens that it brings live from here.
+func (p *Purse) Asks(now time.Duration) []Ask {
+	p.settle(now)
+	p.asked, p.everAsked, p.awaiting = now, true, true
+	p.urgent, p.pressed = false, false
+	var asks []Ask
+	for name, t := range p.tenants {
+		t.settle(now, p.free)
+		t.wanted = t.target(now) - t.held()
+		if t.wanted >= leastWant {
+			asks = append(asks, Ask{name, t.wanted})
+		} else {
+			t.wanted = 0
+		}
+	}
+	return asks
+}
+
+// NextAsk returns when the dealer is to be asked again: soon if something runs short, in time for the lease otherwise.
+// It is to be looked at again after a Take.
+func (p *Purse) NextAsk(now time.Duration) time.Duration {
+	switch {
+	case !p.everAsked:
+		return now
+	case p.urgent:
+		return p.asked + askSpacing
+	case p.pressed:
+		return p.asked + askScarce
+	}
+	return p.asked + askIdle
+}
+
+// Granted takes the answer to the last Asks in. The floors are held back until purseHold after that ask. An answer of an
+// older epoch than one seen before is Stale and changes nothing, as is one that wasn't asked for.
+func (p *Purse) Granted(now time.Duration, epoch uint64, grants []Grant) error {
+	if !p.awaiting {
+		return faultlist.New(faultlist.Stale, "grants of epoch %d that nobody awaits", epoch)
+	}
+	if epoch < p.epoch {
+		return faultlist.New(faultlist.Stale, "grants of epoch %d, the newest seen is %d", epoch, p.epoch)
+	}
+	for _, g := range grants {
+		if !amount(g.Tokens) {
+			return faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be granted", g.Tenant, g.Tokens)
+		}
+	}
+	p.settle(now)
+	p.epoch, p.awaiting = epoch, false
+	p.heldUntil = max(p.heldUntil, p.asked+purseHold)
+	for _, t := range p.tenants {
+		t.scarce = t.wanted > 0
+	}
+	for _, g := range grants {
+		if t := p.tenants[g.Tenant]; t != nil {
+			t.scarce = g.Tokens < t.wanted*whole
+			t.settle(now, p.free)
+			t.lots = append(t.lots, lot{g.Tokens, p.asked + TokenLife})
+		}
+	}
+	return nil
+}
+
+// RetryAfter returns when a refused client of the tenant should try again: the longer, the further the demand here is
+// above what was served here lately.
+func (p *Purse) RetryAfter(now time.Duration, tenant string) time.Duration {
+	t := p.tenants[tenant]
+	if t == nil {
+		return leastRetry
+	}
+	served := max(t.served.value(now, averaged), t.rate/float64(p.planned))
+	if served <= 0 {
+		return mostRetry
+	}
+	wait := averaged.Seconds() * min(t.demand.value(now, averaged)/served, mostRetry.Seconds()/averaged.Seconds())
+	return max(leastRetry, time.Duration(wait*float64(time.Second)))
+}
--- /dev/null
+++ b/internal/mesh/allowance/quota.go
@@ -0,0 +1,183 @@
+// Package allowance holds the quotas of tenants and the budgets of further tries, over all sidecars together. Its three
+// state machines, Dealer, Purse and Budget, have no clock, no I/O and no lock: the caller passes the monotonic time and
+// calls each of them from one goroutine at a time or under its own lock.
+//
+// # How the quota is kept
+//
+// Let R be a tenant's rate, B its burst, W the window, m the members. The rule allows (R*W + B)*(1+overage) + slack in
+// any window. A request runs on a token, and tokens come from two sources:
+//
+//   - the Dealer's bucket, of depth b. Its tokens live TokenLife from the ask at the purse, so what is spent within a
+//     window was dealt within W+TokenLife;
+//   - the floor of each Purse, of depth F/m, which needs no contact. It fills at floorShare*T*R/m, but only while the
+//     purse has had no answer of a dealer for purseHold; before that the answer stands as a lease under which the purse
+//     leaves its share to the dealer. Dealt tokens that expire fall into the floor up to its depth.
+//
+// The Dealer's bucket fills at T*R less floorShare*T*R/m for every member that it hasn't heard within dealerHold, which
+// is shorter than purseHold. So the two sources together flow at T*R at most, wherever the demand is and whoever is out
+// of contact, and a window sees at most
+//
+//	T*R*(W+TokenLife) + b + F.
+//
+// T is 1 where the burst leaves room for b and F, and down to about 0.9 where it doesn't; b+F is what is left under the rule
+// after a reserve. With W 5 s, overage 0.1, slack 20, R = B = 172 and m = 12: the rule allows 1155, T*R*(W+TokenLife) is
+// 912, the reserve 36, F 84 (7 at each purse), b 123. With R = B = 8: 73, 38, 4, F 24 (2 at each), b 7.
+//
+// A new dealer starts empty and waits, so that nothing of the old one's is dealt twice. Two dealers at once, each heard by a
+// part of the members, fill by (1-floorShare)*T*R more than one. That, answers that are lost after the dealer counted
+// them (floorShare*R/m for dealerHold each), purses that start anew with a full floor (F/m each) and the time between
+// the take and the run come out of the reserve.
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"caperarch/internal/mesh/faultlist"
+)
+
+// TokenLife is how long a dealt token can be spent, from the ask that brought it. It bounds what a dealer that is gone
+// has left behind.
+const TokenLife = 300 * time.Millisecond
+
+const (
+	// dealerHold is how long the dealer counts a member as holding its floor back. It is shorter than purseHold by the
+	// longest way of an ask that is still allowed for, so that no share is given out twice.
+	dealerHold = 450 * time.Millisecond
+	// purseHold is how long a purse holds its floor back after an ask that was answered. It guards against a share that
+	// the dealer gives to others while its owner spends it; it isn't shorter than TokenLife.
+	purseHold = 600 * time.Millisecond
+	// floorShare is the part of the rate that all floors together may flow at. It is well above the usual demand of
+	// 1/1.6 of the rate, so an even load runs with no dealer at all; what it leaves guards against miscounted members.
+	floorShare = 0.9
+	// floorDepth is the part of a second's rate that all floors together hold, if that is more than leastFloor each. It
+	// bounds a burst out of contact.
+	floorDepth = 0.5
+	// floorMost is the part of the room that floors may take, whatever the number of members. It guards against a
+	// token for each of many members breaking the quota of a small tenant.
+	floorMost = 0.85
+	// leastBucket is the part of a second's rate that the dealer's bucket holds, up to half of the room. It guards
+	// against a bucket that overflows before all members have asked.
+	leastBucket = 0.15
+	// reserveRate and reserveSlack are the parts of a second's rate and of the rule's slack that are never given out.
+	// They guard against what the package's comment lists as not counted.
+	reserveRate, reserveSlack = 0.2, 0.1
+	// leastRoomRate and leastRoomSlack make the depth that is kept for buckets even where the burst is small. They
+	// guard against buckets so shallow that they overflow between two asks.
+	leastRoomRate, leastRoomSlack = 0.2, 0.5
+	// leastTokens is the room for each member that is made by lowering the rate, and leastShare how far the rate is
+	// lowered for it at most. They guard a small tenant's requests against refusals by chance.
+	leastTokens, leastShare = 6, 0.1
+	// leastFloor is what each floor holds, where the room allows it.
+	leastFloor = 5
+	// memberMemory is how long a larger count of members stands. It guards against floors that grow while sidecars
+	// that have just left, or are only thought to have left, still spend theirs.
+	memberMemory = 10 * time.Second
+	// mostAmount is the largest rate, burst, slack or number of tokens. It guards against sums that overflow.
+	mostAmount = 1e12
+	// whole is what counts as a whole token. It guards against a request refused for a rounding error.
+	whole = 1 - 1e-9
+)
+
+// Rules are the settings of the quota: the sliding window, and what the rule allows above rate and burst.
+type Rules struct {
+	Window         time.Duration
+	Overage, Slack float64
+}
+
+func (r Rules) check() error {
+	if r.Window <= 0 || !amount(r.Overage) || !amount(r.Slack) {
+		return faultlist.New(faultlist.Invalid, "quota rules: window %v, overage %v, slack %v", r.Window, r.Overage, r.Slack)
+	}
+	return nil
+}
+
+// Limit is what a tenant is allowed: a rate in requests a second and a burst on top. Rate 0 means no limit.
+type Limit struct {
+	Rate, Burst float64
+}
+
+// Ask is what a sidecar wants for a tenant.
+type Ask struct {
+	Tenant string  `json:"tenant"`
+	Want   float64 `json:"want"`
+}
+
+// Grant is what a sidecar gets for a tenant.
+type Grant struct {
+	Tenant string  `json:"tenant"`
+	Tokens float64 `json:"tokens"`
+}
+
+// amount says whether x is a number of something: not negative, and mostAmount at most.
+func amount(x float64) bool { return x >= 0 && x <= mostAmount }
+
+func checkLimits(limits map[string]Limit, members int) error {
+	if members < 1 {
+		return faultlist.New(faultlist.Invalid, "%d members: at least one is there", members)
+	}
+	for name, l := range limits {
+		if !amount(l.Rate) || !amount(l.Burst) {
+			return faultlist.New(faultlist.Invalid, "tenant %q: rate %v and burst %v must lie between 0 and 1e12", name, l.Rate, l.Burst)
+		}
+	}
+	return nil
+}
+
+// plan is how a limit is divided among the dealer and the floors; the package's comment works it out.
+type plan struct {
+	rate       float64 // T*R, the flow of both sources together
+	depth      float64 // b, the dealer's bucket
+	floorRate  float64 // of one member
+	floorDepth float64 // of one member
+}
+
+func (r Rules) plan(l Limit, members int) plan {
+	window, m := r.Window.Seconds(), float64(members)
+	flowing := l.Rate * (window + TokenLife.Seconds())
+	allowed := (l.Rate*window + l.Burst) * (1 + r.Overage)
+	room := allowed + r.Slack - flowing - reserveRate*l.Rate - reserveSlack*r.Slack
+	share := 1.0
+	least := leastRoomRate*l.Rate + leastRoomSlack*r.Slack
+	if tokens := min(leastTokens*m, room+leastShare*flowing); tokens > least {
+		least = tokens
+	}
+	if room < least {
+		share = max(0, 1-(least-room)/flowing)
+		room = least
+	}
+	most := max(room/2, min(floorMost*room, room-leastBucket*l.Rate))
+	floor := min(max(leastFloor, floorDepth*l.Rate/m), most/m)
+	if floor > 1 {
+		floor = math.Floor(floor)
+	}
+	return plan{
+		rate:       share * l.Rate,
+		depth:      room - floor*m,
+		floorRate:  floorShare * share * l.Rate / m,
+		floorDepth: floor,
+	}
+}
+
+// tally is the number of members, the larger one of those seen lately.
+type tally struct {
+	current, high int
+	until         time.Duration
+}
+
+func (t *tally) set(now time.Duration, members int) {
+	if high := t.at(now); members < high {
+		if members < t.current {
+			t.until = now + memberMemory
+		}
+		t.high = high
+	}
+	t.current = members
+}
+
+func (t *tally) at(now time.Duration) int {
+	if now < t.until {
+		return max(t.current, t.high)
+	}
+	return t.current
+}
--- /dev/null
+++ b/internal/mesh/archive/log.go
@@ -0,0 +1,89 @@
+package archive
+
+// entryLog is the log in memory: a snapshot and the entries after it, without gaps.
+type entryLog struct {
+	snapshot Snapshot
+	entries  []Entry
+	bytes    int
+}
+
+func (l *entryLog) last() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
+
+// view returns the view of the entry at index; ok is false when the log doesn't hold it.
+func (l *entryLog) view(index uint64) (view uint64, ok bool) {
+	switch {
+	case index == l.snapshot.Index:
+		return l.snapshot.View, true
+	case index < l.snapshot.Index || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.snapshot.Index-1].View, true
+}
+
+func (l *entryLog) lastView() uint64 {
+	view, _ := l.view(l.last())
+	return view
+}
+
+// holds says whether the entry at index is the one numbered in view.
+func (l *entryLog) holds(index, view uint64) bool {
+	v, ok := l.view(index)
+	return ok && v == view
+}
+
+// from returns the entries from index on, as many as fit into limit bytes and at least one if there is one.
+func (l *entryLog) from(index uint64, limit int) []Entry {
+	if index <= l.snapshot.Index || index > l.last() {
+		return nil
+	}
+	rest := l.entries[index-l.snapshot.Index-1:]
+	n, size := 0, 0
+	for n < len(rest) && (n == 0 || size+len(rest[n].Cmd) <= limit) {
+		size += len(rest[n].Cmd)
+		n++
+	}
+	return rest[:n:n]
+}
+
+// between returns the entries after index up to end.
+func (l *entryLog) between(after, end uint64) []Entry {
+	if end <= after || after < l.snapshot.Index {
+		return nil
+	}
+	return l.entries[after-l.snapshot.Index : end-l.snapshot.Index : end-l.snapshot.Index]
+}
+
+func (l *entryLog) append(entries ...Entry) {
+	for i := range entries {
+		l.bytes += len(entries[i].Cmd)
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on. The rest is copied, since entries
+// handed out before may still be on their way.
+func (l *entryLog) truncate(index uint64) {
+	keep := l.entries[:index-l.snapshot.Index-1]
+	l.entries = append(make([]Entry, 0, len(keep)), keep...)
+	l.count()
+}
+
+// reset puts a snapshot in place of everything.
+func (l *entryLog) reset(s Snapshot) {
+	*l = entryLog{snapshot: s}
+}
+
+// trim puts a snapshot in place of the entries up to its index.
+func (l *entryLog) trim(s Snapshot) {
+	rest := l.entries[s.Index-l.snapshot.Index:]
+	l.entries = append(make([]Entry, 0, len(rest)), rest...)
+	l.snapshot = s
+	l.count()
+}
+
+func (l *entryLog) count() {
+	l.bytes = 0
+	for i := range l.entries {
+		l.bytes += len(l.entries[i].Cmd)
+	}
+}
--- /dev/null
+++ b/internal/mesh/branch/branch.go
@@ -0,0 +1,348 @@
+// Package branch is a sidecar of the mesh: the way out for requests that begin on its machine, the gate for those that are for the upstream beside it, and what it tells the core and
+// hears from it. It wires; decisions are the porter's and the carrel's.
+package branch
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/clock"
+	"caperarch/internal/engine"
+	fronthttp1 "caperarch/internal/front/http1"
+	"caperarch/internal/h1"
+	"caperarch/internal/mesh/carrel"
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/daybook"
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/porter"
+	"caperarch/internal/mesh/registrar"
+	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/slip"
+	"caperarch/internal/transport/http1"
+	"caperarch/policy"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// dialTimeout is how long a connection may take to come up, twice the way between zones and more. A machine that is gone says nothing.
+	dialTimeout = 300 * time.Millisecond
+	// silence is when a machine that acknowledges nothing is given up: what was sent to it may have run, and its client is told so at once.
+	silence = 1200 * time.Millisecond
+	// peerIdle and upstreamIdle are how long kept connections are used again; upstreams close theirs after 10 s as a rule.
+	peerIdle     = 60 * time.Second
+	upstreamIdle = 8 * time.Second
+	// mostSends bounds attempts of one request, turned back ones included.
+	mostSends = 12
+	// reserved descriptors are for what is neither a client's connection nor one to others.
+	reserved = 300
+	// mostHeld bounds requests held at once, on each of the two ways.
+	mostHeld = 400
+	// bodyBytes bounds the bodies held at once, on each of the two ways.
+	bodyBytes = 16 << 20
+	// lingerShare and drainShare of the grace period: new clients still come for so long, and what is held has so long to end after that.
+	lingerShare = 0.37
+	drainShare  = 0.38
+)
+
+// Branch is a running sidecar.
+type Branch struct {
+	set     *settings.Settings
+	clock   clock.Clock
+	log     *zap.Logger
+	client  *http.Client
+	charter atomic.Pointer[charter.Charter]
+	shelves *shelves
+	quota   *quota
+	news    *circulation.Subscriber
+	life    uint64
+
+	in       *inbound
+	inner    *engine.Engine // the gate's
+	outer    *engine.Engine // the porter's
+	stopping atomic.Bool
+	mu       sync.Mutex // over taking configurations
+}
+
+// Run is a sidecar's life: it serves until ctx ends, and then ends what it has taken.
+func Run(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings, log *zap.Logger) error {
+	b := &Branch{set: set, clock: clock.New(), log: log, client: desk.NewClient(dialTimeout), life: uint64(time.Now().UnixNano())}
+	b.charter.Store(charter.Empty())
+	zones := make([]string, 0, len(set.Network.Zones))
+	for z := range set.Network.Zones {
+		zones = append(zones, z)
+	}
+	slices.Sort(zones)
+	b.shelves = newShelves(zones, set.Network.ListenAddresses.Inbound)
+	b.news = circulation.NewSubscriber(circulation.SubscriberConfig{
+		Node: set.Self.NodeName, Life: b.life, Zone: set.Self.Zone, Seeds: seeds(set), Client: b.client, State: b.lease, Charter: func() int64 { return b.charter.Load().Version() },
+		OnCharter: b.take, OnCatalogue: b.catalogue, Log: log,
+	})
+	var err error
+	if b.quota, err = newQuota(set.Guarantees.Bounds, b.clock, set.Self.NodeName, b.shelves.name, b.news.Peers, b.client, log); err != nil {
+		return err
+	}
+	return b.run(ctx, reload)
+}
+
+// seeds are the internal addresses of the core machines that the settings name.
+func seeds(set *settings.Settings) []string {
+	var all []string
+	for _, address := range set.Network.SeedNodes {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			all = append(all, set.InternalAddress(host))
+		}
+	}
+	return all
+}
+
+func (b *Branch) run(ctx context.Context, reload <-chan *settings.Settings) error {
+	addresses, logs := b.set.Network.ListenAddresses, daybook.Slog(b.log)
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(b.set.Self.NodeName))
+	files := b.set.Self.Limits.MaxOpenFiles - reserved
+	links := http1.New(http1.Config{
+		Clock: b.clock, DialTimeout: dialTimeout, ConnIdle: peerIdle, MostConns: files / 4, Rest: -1, Silence: silence,
+		Dialect: &http1.Dialect{Timeout: slip.Timeout, Mine: slip.Mine, Judge: b.judgeGate},
+	})
+	b.in = new(inbound)
+	beside := http1.New(http1.Config{
+		Clock: b.clock, DialTimeout: dialTimeout, ConnIdle: upstreamIdle, MostConns: files / 8,
+		Dialect: &http1.Dialect{Timeout: slip.Timeout, Mine: slip.Mine, Judge: b.in.judge},
+	})
+	var err error
+	b.outer, err = engine.New(engine.Config{
+		Policy: policy.Config{MaxAttempts: mostSends}, Seed: seed.Sum64(), Clock: b.clock, Transport: network{links}, Log: logs, Silent: true,
+		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
+			return porter.New(porter.Config{Zone: b.shelves.zones[b.set.Self.Zone], Members: b.members, Budget: b.quota}, host), nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	b.inner, err = engine.New(engine.Config{
+		Policy: policy.Config{MaxAttempts: 1}, Seed: seed.Sum64(), Clock: b.clock, Transport: beside, Log: logs, Silent: true,
+		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
+			b.in.gate = carrel.New(host)
+			return b.in.gate, nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	grace := b.set.Guarantees.Bounds.GracePeriod
+	out := &outbound{b: b, caller: []string{b.set.Self.ServiceName}}
+	outFront := fronthttp1.New(fronthttp1.Config{
+		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.outer, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: out.dialect(), Conns: fronthttp1.BoundsOf(files*3/8, files/4),
+		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
+	}, b.clock)
+	inFront := fronthttp1.New(fronthttp1.Config{
+		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.inner, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: b.in.dialect(), Conns: fronthttp1.BoundsOf(files/4, files/4),
+		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
+	}, b.clock)
+
+	life, stop := context.WithCancel(context.Background())
+	defer stop()
+	go b.outer.Run(life, call.Listing{})
+	go b.inner.Run(life, call.Listing{})
+	failed := make(chan error, 5)
+	for address, serve := range map[string]func(net.Listener) error{
+		addresses.Inbound: inFront.Serve, addresses.Outbound: outFront.Serve, addresses.ControlPlane: httpServer(b.control()), addresses.Readiness: httpServer(b.readiness()),
+	} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return faultlist.Wrap(err, faultlist.Internal, "listen at %s", address)
+		}
+		go func() { failed <- serve(l) }()
+	}
+	go b.news.Run(life)
+	go b.quota.run(life)
+	b.log.Info("serving", zap.String("node", b.set.Self.NodeName), zap.Strings("seeds", seeds(b.set)))
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case set := <-reload:
+			b.news.SetSeeds(seeds(set))
+		case <-ctx.Done():
+			return b.drain(outFront, inFront)
+		}
+	}
+}
+
+// drain ends without losing a request: others are told first, clients still come for a while, and what was taken is answered.
+func (b *Branch) drain(fronts ...*fronthttp1.Front) error {
+	b.stopping.Store(true)
+	b.news.Poke()
+	var all sync.WaitGroup
+	for _, f := range fronts {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := f.Drain(); err != nil {
+				b.log.Warn("requests were left", zap.Error(err))
+			}
+		}()
+	}
+	all.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	b.news.Leave(ctx)
+	return nil
+}
+
+func httpServer(h http.Handler) func(net.Listener) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
+	return s.Serve
+}
+
+// network reaches gates: an address is that of a sidecar's inbound side, with the instance beside it that a request is for.
+type network struct{ *http1.Transport }
+
+// Server is the upstream at such an address.
+func (n network) Server(address string) call.Server {
+	at, instance, _ := strings.Cut(address, " ")
+	return n.ServerWith(at, h1.Field{Name: slip.Target, Value: instance})
+}
+
+// judgeGate says what a gate's answer proves.
+func (b *Branch) judgeGate(res *http.Response) (policy.Ending, policy.Load) {
+	ending, load := slip.JudgeGate(res)
+	slip.Bare(res.Header)
+	return ending, load
+}
+
+func (b *Branch) members() int { return max(1, b.news.Members()) }
+
+// lease is what this sidecar tells the core.
+func (b *Branch) lease() catalogue.Lease {
+	l := catalogue.Lease{Zone: b.set.Self.Zone, Applied: b.charter.Load().Version(), Leaving: b.stopping.Load(), Upstream: b.shelves.beside()}
+	if l.Upstream != nil && l.Leaving && l.Upstream.State == catalogue.Ready {
+		l.Upstream.State = catalogue.Draining // no gate will be here soon
+	}
+	return l
+}
+
+// catalogue takes news of the upstreams.
+func (b *Branch) catalogue(full bool, upserts []catalogue.Upstream, removals []string) {
+	b.shelves.take(full, upserts, removals)
+	b.outer.List(b.shelves.listing())
+	b.quota.configure(b.charter.Load(), b.members())
+}
+
+// Frame is a change of the configuration as it is pushed: the changes that lead on from a version, or a whole charter.
+type Frame struct {
+	Version int64             `json:"version"`
+	Changes []json.RawMessage `json:"changes,omitempty"`
+	Whole   json.RawMessage   `json:"whole,omitempty"`
+}
+
+// take takes a configuration that is pushed; false: the whole is needed. Nothing older than what holds is ever taken.
+func (b *Branch) take(frame json.RawMessage) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, err := Take(b.charter.Load(), frame)
+	if err != nil {
+		b.log.Warn("a configuration that does not follow", zap.Error(err))
+		return false
+	}
+	b.charter.Store(next)
+	b.quota.configure(next, b.members())
+	b.log.Info("configuration", zap.Int64("version", next.Version()))
+	b.news.Poke()
+	return true
+}
+
+// readiness tells whether clients are to come here: there is a configuration and an upstream, and no stop was asked for.
+func (b *Branch) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if b.stopping.Load() || b.charter.Load().Version() == 0 || !b.shelves.known() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// control is what the upstream beside us calls, and operators: their calls are passed on.
+func (b *Branch) control() http.Handler {
+	mux := http.NewServeMux()
+	registrar.Upstreams(mux, b)
+	registrar.Operators(mux, registrar.Forward{Client: b.client, To: b.news.Peers})
+	return mux
+}
+
+// Beat takes a heartbeat of the upstream beside us. It is settled here, also with the core gone: nothing comes to the upstream but through our gate.
+func (b *Branch) Beat(u catalogue.Upstream) error {
+	if u.Address != b.set.Self.AppAddress {
+		b.log.Warn("a beat of another address", zap.String("instance", u.Instance), zap.String("address", u.Address))
+		return faultlist.New(faultlist.Invalid, "address %s is not beside this sidecar", u.Address)
+	}
+	u.Node, u.Zone, u.Region = b.set.Self.NodeName, b.set.Self.Zone, b.set.Self.Region
+	before := b.shelves.beside()
+	if !b.shelves.tell(u) {
+		return nil // it has said something later before
+	}
+	if before == nil || before.Instance != u.Instance || before.State != u.State || before.Slots != u.Slots {
+		b.own()
+	}
+	return nil
+}
+
+// Deregister takes that an instance beside us has ended.
+func (b *Branch) Deregister(instance string) error {
+	b.shelves.gone(instance)
+	b.own()
+	return nil
+}
+
+// own has the gate, our own way out and the core know of the upstream beside us as it is now.
+func (b *Branch) own() {
+	if u := b.shelves.beside(); u != nil {
+		b.in.instance.Store(&u.Instance)
+	}
+	b.inner.List(b.shelves.besideListing(b.set.Self.AppAddress))
+	b.inner.Flush() // what it said holds before it is acknowledged
+	b.outer.List(b.shelves.listing())
+	b.news.Poke()
+}
+
+// Take is the charter after a frame, applied on the one that holds.
+func Take(held *charter.Charter, frame json.RawMessage) (*charter.Charter, error) {
+	var f Frame
+	if err := json.Unmarshal(frame, &f); err != nil {
+		return nil, faultlist.Wrap(err, faultlist.Unreadable, "frame")
+	}
+	if f.Version <= held.Version() {
+		return held, nil
+	}
+	if f.Whole != nil {
+		return charter.Decode(f.Whole)
+	}
+	next := held
+	for _, raw := range f.Changes {
+		change, err := charter.ReadChange(raw)
+		if err != nil {
+			return nil, err
+		}
+		if change.Version() <= next.Version() {
+			continue
+		}
+		if next, _, err = next.Apply(change); err != nil {
+			return nil, err
+		}
+	}
+	return next, nil
+}
--- /dev/null
+++ b/internal/mesh/branch/outbound.go
@@ -0,0 +1,165 @@
+package branch
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/front/http1"
+	"caperarch/internal/h1"
+	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/porter"
+	"caperarch/internal/mesh/slip"
+	"caperarch/policy"
+)
+
+const (
+	// noCharterPause is when a client comes back that was here before the configuration.
+	noCharterPause = 300 * time.Millisecond
+	// standardAim is the aim of a route that names none.
+	standardAim = time.Second
+	// mostShare is the largest part of all slots that one tenant's compartment may have: well under the whole, whatever its rate.
+	mostShare = 0.35
+	// innerShare is the part that the compartment of a service has for requests without a tenant, where the configuration has tenants.
+	innerShare = 0.5
+	// lowestRank is that of what names none.
+	lowestRank = 9
+)
+
+// outbound reads the requests that begin on this machine, by the configuration in force.
+type outbound struct {
+	b      *Branch
+	caller []string // the service of this machine
+
+	mu     sync.Mutex
+	shares map[string]float64 // of tenants, of the charter that they were worked out for
+	of     *charter.Charter
+}
+
+func (o *outbound) dialect() *http1.Dialect {
+	return &http1.Dialect{Read: o.read, Pass: o.pass, Own: func(h *h1.Head, _ *call.Answer) http.Header {
+		if id := h.Get(slip.AttemptID); id != "" {
+			return http.Header{slip.AttemptID: {id}}
+		}
+		return nil
+	}}
+}
+
+// read finds a request's route, its tenant and the service that is to run it.
+func (o *outbound) read(h *h1.Head) (q policy.Request, left time.Duration, bad *http1.Rejection) {
+	no := func(status int, reason string, keep bool) (policy.Request, time.Duration, *http1.Rejection) {
+		return policy.Request{}, 0, &http1.Rejection{Status: status, Reason: reason, Keep: keep}
+	}
+	if h.Old {
+		return no(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed", false)
+	}
+	if name := slip.Twice(h, slip.AttemptID, slip.Timeout, slip.Key); name != "" {
+		return no(http.StatusBadRequest, name+" is given twice", false)
+	}
+	if h.Get(slip.AttemptID) == "" {
+		return no(http.StatusBadRequest, slip.AttemptID+" is missing", false)
+	}
+	c := o.b.charter.Load()
+	if c.Version() == 0 {
+		return policy.Request{}, 0, &http1.Rejection{Status: http.StatusServiceUnavailable, Reason: "no configuration yet", Keep: true, Pause: noCharterPause}
+	}
+	path, _, _ := strings.Cut(h.Target, "?")
+	route := c.Match(h.Host, path)
+	if route == nil {
+		return no(http.StatusNotFound, "no route", true)
+	}
+	if h.Length > c.Limits().BodyBytes {
+		return no(http.StatusRequestEntityTooLarge, "the body is too long", false)
+	}
+	left = route.Timeout
+	if text := h.Get(slip.Timeout); text != "" {
+		told, ok := slip.Milliseconds(text)
+		if !ok {
+			return no(http.StatusBadRequest, slip.Timeout+" is malformed", true)
+		}
+		if left = min(told, route.Timeout); route.Timeout == 0 {
+			left = told
+		}
+	}
+	if left <= 0 {
+		left = standardAim
+	}
+	aim, rank, name := route.TargetLatency, route.Priority, ""
+	if aim <= 0 {
+		aim = standardAim
+	}
+	service := target(route)
+	wall := porter.Wall{Name: "service " + service, Share: o.b.shelves.share(service)}
+	if c.HasTenants() && !route.Public {
+		tenant := c.Tenant(h.Get(slip.Key))
+		if tenant == nil {
+			return no(http.StatusUnauthorized, "no such key", true)
+		}
+		name = tenant.Name
+		if tenant.Priority >= 0 {
+			rank = tenant.Priority
+		}
+		wall = porter.Wall{Name: "tenant " + tenant.Name, Share: o.share(c, tenant)}
+		if pause, ok := o.b.quota.take(tenant.Name); !ok {
+			return policy.Request{}, 0, &http1.Rejection{Status: http.StatusTooManyRequests, Reason: "over the quota", Keep: true, Pause: pause}
+		}
+	} else if c.HasTenants() {
+		wall.Share *= innerShare
+	}
+	return policy.Request{Terms: &porter.Order{
+		Service: o.b.shelves.number(service), Wall: wall, Tenant: name, Rank: min(max(0, rank), lowestRank), Safe: route.Idempotent, Attempts: route.MaxAttempts, Aim: aim,
+	}}, left, nil
+}
+
+// target draws the service by the route's weights.
+func target(r *charter.Route) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	at := rand.Float64() * sum
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// share is a tenant's part of all slots: by its rate against all tenants' rates, evenly where none is limited, and never more than mostShare.
+func (o *outbound) share(c *charter.Charter, t *charter.Tenant) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.of != c {
+		o.of, o.shares = c, make(map[string]float64)
+		sum, all := 0.0, c.Tenants()
+		for _, t := range all {
+			sum += t.RatePerS
+		}
+		for _, t := range all {
+			share := 1 / float64(len(all))
+			if sum > 0 && t.RatePerS > 0 {
+				share = t.RatePerS / sum
+			}
+			o.shares[t.Name] = min(mostShare, share)
+		}
+	}
+	return o.shares[t.Name]
+}
+
+// pass changes what goes on: what only the system may say is its own, the key stays here.
+func (o *outbound) pass(q *policy.Request, fields http.Header) {
+	slip.Strip(fields)
+	order := q.Terms.(*porter.Order)
+	fields[slip.Caller] = o.caller
+	if order.Tenant != "" {
+		fields[slip.Tenant] = []string{order.Tenant}
+	}
+	slip.Visit{Rank: order.Rank, Aim: order.Aim, Safe: order.Safe}.Put(fields)
+}
--- /dev/null
+++ b/internal/mesh/branch/quota.go
@@ -0,0 +1,196 @@
+package branch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"caperarch/internal/clock"
+	"caperarch/internal/mesh/allowance"
+	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/settings"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// dealTimeout bounds one call for tokens: they live hardly longer.
+	dealTimeout = 500 * time.Millisecond
+	// dealPause is how long after a failed call the next one is made.
+	dealPause = 100 * time.Millisecond
+	// dealLeast is the least time between two calls.
+	dealLeast = 20 * time.Millisecond
+)
+
+// DealPath is where core members take asks for tokens.
+const DealPath = "/mesh/deal"
+
+// DealAsk is a sidecar's ask for tokens, and Dealt the answer.
+type (
+	DealAsk struct {
+		Node   string          `json:"node"`
+		Asks   []allowance.Ask `json:"asks"`
+		Passed bool            `json:"passed,omitempty"` // by one member to another: it goes no further
+	}
+	Dealt struct {
+		Epoch  uint64            `json:"epoch"`
+		Grants []allowance.Grant `json:"grants"`
+	}
+)
+
+// quota is what this sidecar may let in for each tenant, and may send again for each service.
+type quota struct {
+	clock clock.Clock
+	node  string
+	peers func() []string
+	to    *http.Client
+	log   *zap.Logger
+	some  chan struct{} // has an item once there are tenants with a limit
+
+	mu      sync.Mutex
+	purse   *allowance.Purse
+	budget  *allowance.Budget
+	names   func(service int) string
+	limited bool
+	members int
+}
+
+func newQuota(b settings.Bounds, c clock.Clock, node string, names func(int) string, peers func() []string, to *http.Client, log *zap.Logger) (*quota, error) {
+	q := &quota{clock: c, node: node, peers: peers, to: to, log: log, names: names, members: 1, some: make(chan struct{}, 1)}
+	var err error
+	window := b.QuotaWindow
+	if window <= 0 { // no quotas here: nobody asks
+		window = time.Second
+	}
+	if q.purse, err = allowance.NewPurse(allowance.Rules{Window: window, Overage: b.QuotaOverage, Slack: b.QuotaSlack}); err != nil {
+		return nil, err
+	}
+	q.budget, err = allowance.NewBudget(allowance.BudgetRules{Window: b.RetryWindow, Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack})
+	return q, err
+}
+
+// configure takes the limits of a configuration, and how many sidecars there are.
+func (q *quota) configure(c *charter.Charter, members int) {
+	limits := Limits(c)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.members = max(1, members)
+	now := q.clock.Now()
+	if err := q.purse.Configure(now, limits, q.members); err != nil {
+		q.log.Error("limits that can't be used, the last ones hold", zap.Error(err))
+	}
+	if err := q.budget.Configure(now, q.members); err != nil {
+		q.log.Error("members that can't be used", zap.Error(err))
+	}
+	if q.limited = len(limits) > 0; q.limited {
+		q.rouse()
+	}
+}
+
+// rouse has run look at what is wanted.
+func (q *quota) rouse() {
+	select {
+	case q.some <- struct{}{}:
+	default:
+	}
+}
+
+// Limits are the limits of a configuration's tenants.
+func Limits(c *charter.Charter) map[string]allowance.Limit {
+	limits := make(map[string]allowance.Limit)
+	for _, t := range c.Tenants() {
+		if t.RatePerS > 0 {
+			limits[t.Name] = allowance.Limit{Rate: t.RatePerS, Burst: t.Burst}
+		}
+	}
+	return limits
+}
+
+// take takes a token; without one it tells when the client is to come back.
+func (q *quota) take(tenant string) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	taken := q.purse.Take(now, tenant)
+	if q.purse.NextAsk(now) <= now {
+		q.rouse()
+	}
+	if taken {
+		return 0, true
+	}
+	return q.purse.RetryAfter(now, tenant), false
+}
+
+// run asks for tokens as long as some are wanted.
+func (q *quota) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-q.some:
+		}
+		q.mu.Lock()
+		now := q.clock.Now()
+		limited, due := q.limited, q.purse.NextAsk(now)
+		var asks []allowance.Ask
+		if limited && due <= now {
+			asks = q.purse.Asks(now)
+		}
+		q.mu.Unlock()
+		switch {
+		case !limited:
+			continue // until there are limits again
+		case due > now:
+			timer.Reset(due - now)
+		case q.ask(ctx, asks): // also where nothing is wanted: the dealer counts on who keeps asking
+			timer.Reset(dealLeast)
+		default:
+			timer.Reset(dealPause)
+		}
+	}
+}
+
+// ask asks the member that we keep to; false: no answer came.
+func (q *quota) ask(ctx context.Context, asks []allowance.Ask) bool {
+	peers := q.peers()
+	if len(peers) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, dealTimeout)
+	defer cancel()
+	dealt, err := desk.Call[DealAsk, Dealt](ctx, q.to, "http://"+peers[0]+DealPath, &DealAsk{Node: q.node, Asks: asks})
+	if err != nil {
+		q.log.Debug("no tokens", zap.Error(err))
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err := q.purse.Granted(q.clock.Now(), dealt.Epoch, dealt.Grants); err != nil {
+		q.log.Debug("tokens that can't be used", zap.Error(err))
+	}
+	return true
+}
+
+// Request, May and Spent are the budget of further tries, by a service's number.
+func (q *quota) Request(now time.Duration, service int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.budget.Request(now, q.names(service))
+}
+
+func (q *quota) May(now time.Duration, service int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.budget.May(now, q.names(service))
+}
+
+func (q *quota) Spent(now time.Duration, service int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.budget.Spent(now, q.names(service))
+}
--- /dev/null
+++ b/internal/mesh/branch/shelves.go
@@ -0,0 +1,198 @@
+package branch
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"caperarch/internal/call"
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/policy"
+)
+
+// shelves are the upstreams as this sidecar knows them: the catalogue, as it was pushed here, and the one beside it, of which it knows at first hand. They number services, as
+// the modules know them by number.
+type shelves struct {
+	mu       sync.Mutex
+	all      map[string]catalogue.Upstream // by instance
+	own      *catalogue.Upstream           // beside us; nil: it has not told yet
+	numbers  map[string]int
+	names    []string       // of services, by number
+	slots    map[string]int // of the ready upstreams of a service
+	total    int
+	zones    map[string]int
+	inbound  string // of this sidecar
+	toldAt   time.Time
+	warmedAt time.Time // when the one beside us is warm
+}
+
+func newShelves(zones []string, inbound string) *shelves {
+	s := &shelves{all: make(map[string]catalogue.Upstream), numbers: make(map[string]int), slots: make(map[string]int), zones: make(map[string]int), inbound: inbound}
+	for i, z := range zones {
+		s.zones[z] = i
+	}
+	return s
+}
+
+// number is a service's number, the same for this process's life.
+func (s *shelves) number(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.numberOf(service)
+}
+
+func (s *shelves) numberOf(service string) int {
+	n, known := s.numbers[service]
+	if !known {
+		n = len(s.numbers)
+		s.numbers[service] = n
+		s.names = append(s.names, service)
+	}
+	return n
+}
+
+// name is the service of a number.
+func (s *shelves) name(number int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.names[number]
+}
+
+// share is a service's part of all slots.
+func (s *shelves) share(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.total == 0 {
+		return 1
+	}
+	return max(1, float64(s.slots[service])) / float64(s.total)
+}
+
+// take takes what was pushed.
+func (s *shelves) take(full bool, upserts []catalogue.Upstream, removals []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if full {
+		clear(s.all)
+	}
+	for _, u := range upserts {
+		s.all[u.Instance] = u
+	}
+	for _, instance := range removals {
+		delete(s.all, instance)
+	}
+	s.count()
+}
+
+// tell takes what the upstream beside us says; false: it has said something later before.
+func (s *shelves) tell(u catalogue.Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own != nil && s.own.Instance == u.Instance && (u.Sequence < s.own.Sequence || s.own.State > u.State) {
+		return false
+	}
+	u.Inbound = s.inbound
+	s.own, s.toldAt = &u, time.Now()
+	s.warmedAt = s.toldAt.Add(time.Duration(u.WarmupRemaining * float64(time.Second)))
+	s.count()
+	return true
+}
+
+// gone takes that an instance has ended.
+func (s *shelves) gone(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own != nil && s.own.Instance == instance {
+		own := *s.own
+		own.State = catalogue.Gone
+		s.own = &own
+	}
+	if u, known := s.all[instance]; known {
+		u.State = catalogue.Gone
+		s.all[instance] = u
+	}
+	s.count()
+}
+
+// beside is the upstream beside us as a lease tells of it.
+func (s *shelves) beside() *catalogue.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own == nil {
+		return nil
+	}
+	u := *s.own
+	u.WarmupRemaining = max(0, time.Until(s.warmedAt).Seconds())
+	return &u
+}
+
+func (s *shelves) count() {
+	clear(s.slots)
+	s.total = 0
+	for _, u := range s.all {
+		if u.State == catalogue.Ready {
+			s.slots[u.Service] += u.Slots
+			s.total += u.Slots
+		}
+	}
+}
+
+// listing is the list that requests are sent by. Of the one beside us our own knowledge goes first.
+func (s *shelves) listing() call.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := call.Listing{Whole: true, Address: make(map[policy.ServerID]string), Name: make(map[policy.ServerID]string)}
+	add := func(u catalogue.Upstream) {
+		if u.State == catalogue.Gone || u.Inbound == "" {
+			return
+		}
+		id := call.ServerID(u.Instance)
+		l.Servers = append(l.Servers, policy.Server{ID: id, Zone: s.zones[u.Zone], Cell: s.numberOf(u.Service), State: stateOf(u.State), Weight: float64(u.Slots)})
+		l.Address[id], l.Name[id] = u.Inbound+" "+u.Instance, u.Instance
+	}
+	for _, u := range s.all {
+		if s.own == nil || u.Inbound != s.inbound {
+			add(u)
+		}
+	}
+	if s.own != nil {
+		add(*s.own)
+	}
+	slices.SortFunc(l.Servers, func(a, b policy.Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
+
+// besideListing is the list that the gate goes by: the one upstream.
+func (s *shelves) besideListing(address string) call.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := call.Listing{Whole: true, Address: make(map[policy.ServerID]string)}
+	if s.own != nil {
+		id := call.ServerID(s.own.Instance)
+		l.Servers = []policy.Server{{ID: id, State: stateOf(s.own.State), Weight: float64(max(1, s.own.Slots))}}
+		l.Address[id] = address
+	}
+	return l
+}
+
+// known says whether there is an upstream that a request can go to.
+func (s *shelves) known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total > 0
+}
+
+func stateOf(s catalogue.State) policy.State {
+	switch s {
+	case catalogue.Ready:
+		return policy.Ready
+	case catalogue.Draining:
+		return policy.Draining
+	}
+	return policy.Gone
+}
--- /dev/null
+++ b/internal/mesh/charter/change.go
@@ -0,0 +1,214 @@
+package charter
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"unicode/utf8"
+
+	"caperarch/internal/mesh/faultlist"
+)
+
+// The two forms of a change, as they stand in what Change.Bytes gives.
+const (
+	formReplace = "replace"
+	formUpdate  = "update"
+)
+
+// digest tells one change's content from another's.
+type digest [sha256.Size]byte
+
+// MarshalText gives the digest as hexadecimal text.
+func (d digest) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, d[:]), nil
+}
+
+// UnmarshalText reads what MarshalText gave.
+func (d *digest) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(d) {
+		return errors.New("a digest of another length")
+	}
+	_, err := hex.Decode(d[:], text)
+	return err
+}
+
+// Change is one operator's order, read and checked as far as it can be without knowing the charter
+// that it builds on. It is immutable.
+type Change struct {
+	form    string
+	body    []byte
+	digest  digest
+	version int64
+	base    int64
+	items   []*item
+	removed []id
+}
+
+// Version is the configVersion that the change puts in place.
+func (c *Change) Version() int64 { return c.version }
+
+// Base is the version that the change builds on.
+func (c *Change) Base() int64 { return c.base }
+
+// envelope is a change on its way between processes. Its body may be re-spaced and HTML-escaped on
+// the way, as encoding/json does to raw messages: neither alters the change's digest.
+type envelope struct {
+	Form string          `json:"form"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Bytes gives the change with its form as one JSON value, which ReadChange reads on another process.
+func (c *Change) Bytes() []byte {
+	out := make([]byte, 0, len(c.body)+len(`{"form":"","body":}`)+len(c.form))
+	out = append(out, `{"form":"`...)
+	out = append(out, c.form...)
+	out = append(out, `","body":`...)
+	out = append(out, c.body...)
+	return append(out, '}')
+}
+
+// ReadChange reads what Bytes gave. The change has the digest it had where it was first read.
+func ReadChange(bytes []byte) (*Change, error) {
+	var e envelope
+	if err := unmarshal(bytes, &e); err != nil {
+		return nil, err
+	}
+	switch e.Form {
+	case formReplace:
+		return ReadReplace(e.Body)
+	case formUpdate:
+		return ReadUpdate(e.Body)
+	}
+	return nil, faultlist.New(faultlist.Invalid, "a change of the form %q: neither %q nor %q", e.Form, formReplace, formUpdate)
+}
+
+// versions are the two numbers that every change names. Without a baseVersion it is 0.
+type versions struct {
+	ConfigVersion *int64 `json:"configVersion"`
+	BaseVersion   int64  `json:"baseVersion"`
+}
+
+// whole is the body of a replace, and the layout of the document.
+type whole struct {
+	versions
+	Resources *[]json.RawMessage `json:"resources"`
+}
+
+// partial is the body of an update.
+type partial struct {
+	versions
+	Upsert struct {
+		Resources []json.RawMessage `json:"resources"`
+	} `json:"upsert"`
+	Remove struct {
+		Routes   []string `json:"routes"`
+		Services []string `json:"services"`
+		Tenants  []string `json:"tenants"`
+		Limits   []string `json:"limits"`
+	} `json:"remove"`
+}
+
+// ReadReplace reads the body of a call that puts a whole configuration. What is cut short or is no
+// JSON is Unreadable; what the schemas don't allow is Invalid. The body isn't kept.
+func ReadReplace(body []byte) (*Change, error) {
+	var w whole
+	c, err := readBody(formReplace, body, &w)
+	if err != nil {
+		return nil, err
+	}
+	if w.Resources == nil {
+		return nil, faultlist.New(faultlist.Invalid, "resources: the list is missing")
+	}
+	return c.fill(w.versions, *w.Resources)
+}
+
+// ReadUpdate reads the body of a call that changes named items, under the terms of ReadReplace.
+func ReadUpdate(body []byte) (*Change, error) {
+	var p partial
+	c, err := readBody(formUpdate, body, &p)
+	if err != nil {
+		return nil, err
+	}
+	for _, list := range []struct {
+		kind  kind
+		names []string
+	}{{routes, p.Remove.Routes}, {services, p.Remove.Services}, {tenants, p.Remove.Tenants}, {limits, p.Remove.Limits}} {
+		for _, name := range list.names {
+			c.removed = append(c.removed, id{list.kind, name})
+		}
+	}
+	return c.fill(p.versions, p.Upsert.Resources)
+}
+
+// readBody reads a body into a value and begins its change with the canonical body and its digest.
+func readBody(form string, body []byte, into any) (*Change, error) {
+	canonical, err := canonical(body)
+	if err != nil {
+		return nil, err
+	}
+	if err := unmarshal(canonical, into); err != nil {
+		return nil, err
+	}
+	hash := sha256.New()
+	hash.Write([]byte(form))
+	hash.Write(canonical)
+	c := &Change{form: form, body: canonical}
+	hash.Sum(c.digest[:0])
+	return c, nil
+}
+
+// fill takes over the numbers and reads the items. Two items of one kind with one name are Invalid.
+func (c *Change) fill(v versions, raws []json.RawMessage) (*Change, error) {
+	if v.ConfigVersion == nil {
+		return nil, faultlist.New(faultlist.Invalid, "configVersion: the number is missing")
+	}
+	if *v.ConfigVersion < 0 || v.BaseVersion < 0 {
+		return nil, faultlist.New(faultlist.Invalid, "configVersion %d on baseVersion %d: a version is below 0", *v.ConfigVersion, v.BaseVersion)
+	}
+	c.version, c.base = *v.ConfigVersion, v.BaseVersion
+	c.items = make([]*item, 0, len(raws))
+	seen := make(map[id]bool, len(raws))
+	for i, raw := range raws {
+		it, err := readItem(i, raw)
+		if err != nil {
+			return nil, err
+		}
+		if seen[it.id()] {
+			return nil, faultlist.New(faultlist.Invalid, "%s %q stands twice in the list", it.kind, it.name)
+		}
+		seen[it.id()] = true
+		c.items = append(c.items, it)
+	}
+	return c, nil
+}
+
+// canonical gives a body without spaces between its tokens and with the escapes that encoding/json
+// puts into raw messages, so that a body has one digest however often it is passed on.
+func canonical(body []byte) ([]byte, error) {
+	if !utf8.Valid(body) {
+		return nil, faultlist.New(faultlist.Unreadable, "the body is no UTF-8")
+	}
+	var tight, escaped bytes.Buffer
+	tight.Grow(len(body))
+	if err := json.Compact(&tight, body); err != nil {
+		return nil, faultlist.Wrap(err, faultlist.Unreadable, "the body is no whole JSON value")
+	}
+	escaped.Grow(tight.Len())
+	json.HTMLEscape(&escaped, tight.Bytes())
+	return escaped.Bytes(), nil
+}
+
+// unmarshal reads JSON: a value of the wrong type is Invalid, what is no JSON is Unreadable.
+func unmarshal(text []byte, into any) error {
+	err := json.Unmarshal(text, into)
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &wrongType):
+		return faultlist.Wrap(err, faultlist.Invalid, "%s: a value of the wrong type", wrongType.Field)
+	}
+	return faultlist.Wrap(err, faultlist.Unreadable, "no whole JSON value")
+}
--- /dev/null
+++ b/internal/mesh/charter/schema.go
@@ -0,0 +1,301 @@
+package charter
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strings"
+	"time"
+	"unicode"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"caperarch/internal/mesh/faultlist"
+)
+
+const (
+	// MaxTimeoutS is the longest timeoutS a route may have: a request held longer would outlive
+	// every client.
+	MaxTimeoutS = 600.0
+	// maxDuration caps the times that have no bound of their own: it guards the conversion from
+	// seconds against overflow.
+	maxDuration = 24 * time.Hour
+)
+
+// kind is a resourceType.
+type kind string
+
+const (
+	routes   kind = "routes"
+	services kind = "services"
+	tenants  kind = "tenants"
+	limits   kind = "limits"
+)
+
+// id names an item: no charter holds two items with one id.
+type id struct {
+	kind kind
+	name string
+}
+
+// item is one entry of the resources, as it was sent and as it is meant. It is immutable.
+type item struct {
+	kind    kind
+	name    string
+	raw     json.RawMessage
+	meaning any // *Route, *Service, *Tenant or *Limits, by the kind
+}
+
+// id gives the item's id. A charter has one set of limits, whatever name it bears.
+func (it *item) id() id {
+	if it.kind == limits {
+		return id{kind: limits}
+	}
+	return id{it.kind, it.name}
+}
+
+// specification is an item's specification as it is sent, with its schema.
+type specification interface {
+	validation.Validatable
+	// meaning turns a valid specification into what the item means.
+	meaning(name string) any
+}
+
+// schema gives an empty specification of a kind, or nil for a kind there isn't.
+func schema(k kind) specification {
+	switch k {
+	case routes:
+		return new(routeSpecification)
+	case services:
+		return new(serviceSpecification)
+	case tenants:
+		return new(tenantSpecification)
+	case limits:
+		return new(limitsSpecification)
+	}
+	return nil
+}
+
+// readItem reads an entry of the resources and checks it against the schema of its kind.
+func readItem(position int, raw json.RawMessage) (*item, error) {
+	var head struct {
+		ResourceType kind `json:"resourceType"`
+		Metadata     struct {
+			Name string `json:"name"`
+		} `json:"metadata"`
+		Specification json.RawMessage `json:"specification"`
+	}
+	if err := unmarshal(raw, &head); err != nil {
+		return nil, faultlist.Wrap(err, faultlist.Of(err), "resource %d (%s %q)", position, head.ResourceType, head.Metadata.Name)
+	}
+	it := &item{kind: head.ResourceType, name: head.Metadata.Name, raw: raw}
+	spec := schema(it.kind)
+	switch {
+	case spec == nil:
+		return nil, faultlist.New(faultlist.Invalid, "resource %d (%q): there is no resourceType %q", position, it.name, it.kind)
+	case it.name == "" && it.kind != limits:
+		return nil, faultlist.New(faultlist.Invalid, "resource %d (%s): the name is missing", position, it.kind)
+	case strings.ContainsFunc(it.name, unicode.IsControl):
+		return nil, faultlist.New(faultlist.Invalid, "%s %q: the name holds a control character", it.kind, it.name)
+	case len(head.Specification) == 0 || string(head.Specification) == "null":
+		return nil, faultlist.New(faultlist.Invalid, "%s %q: the specification is missing", it.kind, it.name)
+	}
+	if err := unmarshal(head.Specification, spec); err != nil {
+		return nil, faultlist.Wrap(err, faultlist.Of(err), "%s %q", it.kind, it.name)
+	}
+	if err := spec.Validate(); err != nil {
+		return nil, faultlist.New(faultlist.Invalid, "%s %q: %v", it.kind, it.name, err)
+	}
+	it.meaning = spec.meaning(it.name)
+	return it, nil
+}
+
+type targetSpecification struct {
+	ServiceName string   `json:"serviceName"`
+	Weight      *float64 `json:"weight"`
+}
+
+// Validate says what is wrong with a weighted target.
+func (s targetSpecification) Validate() error {
+	return validation.ValidateStruct(&s,
+		validation.Field(&s.ServiceName, validation.Required),
+		validation.Field(&s.Weight, validation.NotNil, validation.Min(0.0)),
+	)
+}
+
+type routeSpecification struct {
+	Hostname        string                `json:"hostname"`
+	PathPrefix      string                `json:"pathPrefix"`
+	RouteType       string                `json:"routeType"`
+	TimeoutS        *float64              `json:"timeoutS"`
+	TargetLatencyS  float64               `json:"targetLatencyS"`
+	Priority        int                   `json:"priority"`
+	ServiceName     string                `json:"serviceName"`
+	WeightedTargets []targetSpecification `json:"weightedTargets"`
+	MaxAttempts     int                   `json:"maxAttempts"`
+	Public          bool                  `json:"public"`
+}
+
+const (
+	idempotent    = "idempotent"
+	nonIdempotent = "non_idempotent"
+)
+
+// Validate says what is wrong with a route, other services and routes apart.
+func (s *routeSpecification) Validate() error {
+	if err := validation.ValidateStruct(s,
+		validation.Field(&s.Hostname, validation.Required, validation.By(namesHost)),
+		validation.Field(&s.PathPrefix, validation.Required, validation.By(beginsWithSlash)),
+		validation.Field(&s.RouteType, validation.Required, validation.In(idempotent, nonIdempotent)),
+		validation.Field(&s.TimeoutS, validation.NotNil, validation.Min(0.0), validation.Max(MaxTimeoutS)),
+		validation.Field(&s.TargetLatencyS, validation.Min(0.0)),
+		validation.Field(&s.Priority, validation.Min(0)),
+		validation.Field(&s.WeightedTargets),
+		validation.Field(&s.MaxAttempts, validation.Min(0)),
+	); err != nil {
+		return err
+	}
+	if len(s.WeightedTargets) == 0 {
+		if s.ServiceName == "" {
+			return errors.New("the route names no service")
+		}
+		return nil
+	}
+	sum := 0.0
+	for _, t := range s.WeightedTargets {
+		sum += *t.Weight
+	}
+	if sum == 0 || math.IsInf(sum, 0) {
+		return errors.New("the weights add up to 0 or to no number")
+	}
+	return nil
+}
+
+func namesHost(value any) error {
+	if len(appendHost(nil, value.(string))) == 0 {
+		return errors.New("names no host")
+	}
+	return nil
+}
+
+func beginsWithSlash(value any) error {
+	if !strings.HasPrefix(value.(string), "/") {
+		return errors.New("must begin with a slash")
+	}
+	return nil
+}
+
+func (s *routeSpecification) meaning(name string) any {
+	r := &Route{
+		Name:          name,
+		Host:          string(appendHost(nil, s.Hostname)),
+		Prefix:        s.PathPrefix,
+		Idempotent:    s.RouteType == idempotent,
+		Timeout:       seconds(*s.TimeoutS),
+		TargetLatency: seconds(s.TargetLatencyS),
+		Priority:      s.Priority,
+		MaxAttempts:   max(s.MaxAttempts, 1),
+		Public:        s.Public,
+	}
+	if len(s.WeightedTargets) == 0 {
+		r.Targets = []Target{{Service: s.ServiceName, Weight: 1}}
+		return r
+	}
+	for _, t := range s.WeightedTargets {
+		if *t.Weight > 0 {
+			r.Targets = append(r.Targets, Target{Service: t.ServiceName, Weight: *t.Weight})
+		} else {
+			r.unweighted = append(r.unweighted, t.ServiceName)
+		}
+	}
+	if s.ServiceName != "" {
+		r.unweighted = append(r.unweighted, s.ServiceName)
+	}
+	return r
+}
+
+type serviceSpecification struct {
+	HealthCheckPath string `json:"healthCheckPath"`
+	MaxConnections  int    `json:"maxConnections"`
+}
+
+// Validate says what is wrong with a service.
+func (s *serviceSpecification) Validate() error {
+	return validation.ValidateStruct(s,
+		validation.Field(&s.HealthCheckPath, validation.When(s.HealthCheckPath != "", validation.By(beginsWithSlash))),
+		validation.Field(&s.MaxConnections, validation.Min(0)),
+	)
+}
+
+func (s *serviceSpecification) meaning(name string) any {
+	return &Service{Name: name, HealthPath: s.HealthCheckPath, MaxConnections: s.MaxConnections}
+}
+
+type tenantSpecification struct {
+	APIKeys    []string `json:"apiKeys"`
+	Priority   *int     `json:"priority"`
+	RatePerS   float64  `json:"ratePerS"`
+	BurstLimit float64  `json:"burstLimit"`
+}
+
+// Validate says what is wrong with a tenant, other tenants apart. A tenant may have no key for the
+// time being, but the list must be there.
+func (s *tenantSpecification) Validate() error {
+	return validation.ValidateStruct(s,
+		validation.Field(&s.APIKeys, validation.NotNil, validation.Each(validation.Required)),
+		validation.Field(&s.Priority, validation.Min(0)),
+		validation.Field(&s.RatePerS, validation.Min(0.0)),
+		validation.Field(&s.BurstLimit, validation.Min(0.0)),
+	)
+}
+
+func (s *tenantSpecification) meaning(name string) any {
+	t := &Tenant{Name: name, Priority: NoPriority, RatePerS: s.RatePerS, Burst: s.BurstLimit, keys: s.APIKeys}
+	if s.Priority != nil {
+		t.Priority = *s.Priority
+	}
+	return t
+}
+
+type limitsSpecification struct {
+	MaxHeaderBytes int64   `json:"maxHeaderBytes"`
+	MaxBodyBytes   int64   `json:"maxBodyBytes"`
+	HeaderTimeoutS float64 `json:"headerTimeoutS"`
+	IdleTimeoutS   float64 `json:"idleTimeoutS"`
+}
+
+// Validate says what is wrong with the limits.
+func (s *limitsSpecification) Validate() error {
+	return validation.ValidateStruct(s,
+		validation.Field(&s.MaxHeaderBytes, validation.Min(0)),
+		validation.Field(&s.MaxBodyBytes, validation.Min(0)),
+		validation.Field(&s.HeaderTimeoutS, validation.Min(0.0)),
+		validation.Field(&s.IdleTimeoutS, validation.Min(0.0)),
+	)
+}
+
+// meaning puts the default in place of every limit that is 0 or left out.
+func (s *limitsSpecification) meaning(string) any {
+	l := defaultLimits
+	if s.MaxHeaderBytes > 0 {
+		l.HeaderBytes = s.MaxHeaderBytes
+	}
+	if s.MaxBodyBytes > 0 {
+		l.BodyBytes = s.MaxBodyBytes
+	}
+	if s.HeaderTimeoutS > 0 {
+		l.HeaderTimeout = seconds(s.HeaderTimeoutS)
+	}
+	if s.IdleTimeoutS > 0 {
+		l.IdleTimeout = seconds(s.IdleTimeoutS)
+	}
+	return &l
+}
+
+// seconds turns a number of seconds that is not negative into a time of maxDuration at most.
+func seconds(s float64) time.Duration {
+	if s >= maxDuration.Seconds() {
+		return maxDuration
+	}
+	return time.Duration(math.Round(s * float64(time.Second)))
+}
--- /dev/null
+++ b/internal/mesh/charter/table.go
@@ -0,0 +1,242 @@
+package charter
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"caperarch/internal/mesh/faultlist"
+)
+
+// NoPriority is the Priority of a tenant that was given none: the route's holds for it.
+const NoPriority = -1
+
+// Route is a route of the configuration. It is immutable, and its pointer stays the same from one
+// charter to the next for as long as the item is sent unchanged.
+type Route struct {
+	// Name is the item's name.
+	Name string
+	// Host is the host name in small letters and without a port.
+	Host string
+	// Prefix begins every path of the route.
+	Prefix string
+	// Idempotent says that a request may run more than once.
+	Idempotent bool
+	// Timeout is the longest that the operator wants a request held, MaxTimeoutS at most.
+	Timeout time.Duration
+	// TargetLatency is the time within which an answer earns its full worth; 0 when none was given.
+	TargetLatency time.Duration
+	// Priority is the route's rank; 0 is the highest.
+	Priority int
+	// Targets are the services that requests go to: one at least, each with a weight above 0.
+	Targets []Target
+	// MaxAttempts is the largest number of upstreams that one try may be sent to, 1 at least.
+	MaxAttempts int
+	// Public says that requests need no key.
+	Public bool
+
+	// unweighted are the services that the route names but sends nothing to; they must exist too.
+	unweighted []string
+}
+
+// Target is a service with its share of a route.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a service of the configuration. HealthPath is empty and MaxConnections 0 when none was
+// given. Its pointer stays the same as a Route's does.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+}
+
+// Tenant is a tenant of the configuration; a RatePerS or Burst of 0 is no limit. Its pointer stays
+// the same as a Route's does.
+type Tenant struct {
+	Name     string
+	Priority int
+	RatePerS float64
+	Burst    float64
+
+	keys []string
+}
+
+// Limits bound what a client may send and how long it may take or stay idle.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// defaultLimits hold where the configuration says nothing: they guard a sidecar against endless
+// headers and bodies, and against connections held open by clients that are gone.
+var defaultLimits = Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     64 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// entry is a route in the order of a host's prefixes. Enclosing is the position of the longest other
+// prefix of the host that begins this one, or -1.
+type entry struct {
+	route     *Route
+	enclosing int32
+}
+
+// table is what the items of a charter mean, laid out for look-ups. It is immutable.
+type table struct {
+	hosts    map[string][]entry
+	services map[string]*Service
+	byName   []*Service
+	keys     map[string]*Tenant
+	tenants  []*Tenant
+	limits   Limits
+}
+
+// newTable lays out items whose ids differ. What the items mean together must be valid: every
+// service that a route names is there, no two routes have one host and prefix, and no two tenants
+// share a key. The first fault in the order of the items, or of hosts and prefixes, is answered, so
+// that every replica answers the same.
+func newTable(items []*item) (*table, error) {
+	t := &table{
+		hosts:    make(map[string][]entry),
+		services: make(map[string]*Service),
+		keys:     make(map[string]*Tenant),
+		limits:   defaultLimits,
+	}
+	var all []*Route
+	for _, it := range items {
+		switch m := it.meaning.(type) {
+		case *Route:
+			all = append(all, m)
+		case *Service:
+			t.services[m.Name] = m
+			t.byName = append(t.byName, m)
+		case *Tenant:
+			t.tenants = append(t.tenants, m)
+			for _, key := range m.keys {
+				if holder := t.keys[key]; holder != nil && holder != m {
+					return nil, faultlist.New(faultlist.Invalid, "tenants %q: shares a key with %q", m.Name, holder.Name)
+				}
+				t.keys[key] = m
+			}
+		case *Limits:
+			t.limits = *m
+		}
+	}
+	for _, r := range all {
+		if err := t.checkServices(r); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(t.byName, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(t.tenants, func(a, b *Tenant) int { return strings.Compare(a.Name, b.Name) })
+	return t, t.layOut(all)
+}
+
+func (t *table) checkServices(r *Route) error {
+	for _, target := range r.Targets {
+		if t.services[target.Service] == nil {
+			return faultlist.New(faultlist.Invalid, "routes %q: there is no service %q", r.Name, target.Service)
+		}
+	}
+	for _, name := range r.unweighted {
+		if t.services[name] == nil {
+			return faultlist.New(faultlist.Invalid, "routes %q: there is no service %q", r.Name, name)
+		}
+	}
+	return nil
+}
+
+// layOut sorts the routes by host and prefix and gives each host its part.
+func (t *table) layOut(all []*Route) error {
+	slices.SortFunc(all, func(a, b *Route) int {
+		return cmp.Or(strings.Compare(a.Host, b.Host), strings.Compare(a.Prefix, b.Prefix), strings.Compare(a.Name, b.Name))
+	})
+	entries := make([]entry, len(all))
+	first := 0
+	for i, r := range all {
+		if i > 0 && all[i-1].Host != r.Host {
+			first = i
+		}
+		part := entries[first : i+1 : i+1]
+		enclosing := int32(i-first) - 1
+		for enclosing >= 0 && !strings.HasPrefix(r.Prefix, part[enclosing].route.Prefix) {
+			enclosing = part[enclosing].enclosing
+		}
+		if enclosing >= 0 && part[enclosing].route.Prefix == r.Prefix {
+			return faultlist.New(faultlist.Invalid, "routes %q: has the host and prefix of %q", r.Name, part[enclosing].route.Name)
+		}
+		part[i-first] = entry{route: r, enclosing: enclosing}
+		t.hosts[r.Host] = part
+	}
+	return nil
+}
+
+// maxPlainHost is the longest host name that is looked up without allocating: none in the DNS is
+// longer.
+const maxPlainHost = 255
+
+// Match gives the route for a Host header and a path, or nil if there is none: among the routes of
+// the host, the one with the longest prefix that begins the path. A port, the case of the host's
+// letters and a query make no difference. It doesn't allocate.
+func (c *Charter) Match(host, path string) *Route {
+	var room [maxPlainHost]byte
+	part := c.table.hosts[string(appendHost(room[:0], host))]
+	if end := strings.IndexByte(path, '?'); end >= 0 {
+		path = path[:end]
+	}
+	at, found := slices.BinarySearchFunc(part, path, func(e entry, path string) int {
+		return strings.Compare(e.route.Prefix, path)
+	})
+	// Every prefix that sorts between the longest one that begins the path and the path itself
+	// begins with that one, so it is found on the way outwards from the last that sorts before.
+	if !found {
+		at--
+	}
+	for at >= 0 {
+		if strings.HasPrefix(path, part[at].route.Prefix) {
+			return part[at].route
+		}
+		at = int(part[at].enclosing)
+	}
+	return nil
+}
+
+// appendHost appends a host in small letters and without its port.
+func appendHost(to []byte, host string) []byte {
+	if colon := strings.LastIndexByte(host, ':'); colon > strings.LastIndexByte(host, ']') {
+		host = host[:colon]
+	}
+	to = append(to, host...)
+	for i, b := range to {
+		if 'A' <= b && b <= 'Z' {
+			to[i] = b + 'a' - 'A'
+		}
+	}
+	return to
+}
+
+// Tenant gives the tenant that holds a key, or nil.
+func (c *Charter) Tenant(key string) *Tenant { return c.table.keys[key] }
+
+// HasTenants says whether requests need the key of a tenant.
+func (c *Charter) HasTenants() bool { return len(c.table.tenants) > 0 }
+
+// Tenants gives the tenants ordered by name. The slice is shared and must not be changed.
+func (c *Charter) Tenants() []*Tenant { return c.table.tenants }
+
+// Service gives the service of a name, or nil.
+func (c *Charter) Service(name string) *Service { return c.table.services[name] }
+
+// Services gives the services ordered by name. The slice is shared and must not be changed.
+func (c *Charter) Services() []*Service { return c.table.byName }
+
+// Limits gives the limits in force.
+func (c *Charter) Limits() Limits { return c.table.limits }
--- /dev/null
+++ b/internal/mesh/circulation/circulation_test.go
@@ -0,0 +1,452 @@
+package circulation
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/faultlist"
+)
+
+// network joins hosts by pipes within a bubble of synctest, so that time is virtual. A cut link refuses and breaks off.
+type network struct {
+	mu    sync.Mutex
+	ports map[string]*port
+	cut   map[string]bool
+	links map[string][]net.Conn
+}
+
+type port struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+}
+
+func (p *port) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (p *port) Close() error   { close(p.closed); return nil }
+func (p *port) Addr() net.Addr { return &net.UnixAddr{Name: p.address} }
+
+func (n *network) client(from string) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: func(_ context.Context, _, to string) (net.Conn, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		p := n.ports[to]
+		if p == nil || n.cut[from+to] {
+			return nil, io.ErrClosedPipe
+		}
+		here, there := net.Pipe()
+		n.links[from+to] = append(n.links[from+to], here)
+		p.conns <- there
+		return here, nil
+	}}}
+}
+
+func (n *network) sever(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[from+to] = true
+	for _, c := range n.links[from+to] {
+		_ = c.Close()
+	}
+}
+
+// charters is a log of numbered changes: version v has the frame `v`, and the whole is `[v]`.
+type charters struct {
+	mu      sync.Mutex
+	version int64
+}
+
+func (c *charters) Current() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+func (c *charters) Since(version int64) (frames []json.RawMessage, ok bool) {
+	for v := version + 1; v <= c.Current(); v++ {
+		frames = append(frames, json.RawMessage(fmt.Sprint(v)))
+	}
+	return frames, version > 0
+}
+func (c *charters) Whole() json.RawMessage { return json.RawMessage(fmt.Sprintf("[%d]", c.Current())) }
+
+type member struct {
+	*Hub
+	charters *charters
+	mu       sync.Mutex
+	outside  bool
+	stop     func()
+}
+
+func (m *member) put(version int64) {
+	m.charters.mu.Lock()
+	m.charters.version = version
+	m.charters.mu.Unlock()
+	m.Publish()
+}
+
+func (m *member) contact(in bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outside = !in
+}
+
+var all = []string{"m1:1", "m2:1", "m3:1"}
+
+func (n *network) member(name string, epoch uint64) *member {
+	m := &member{charters: &charters{}}
+	client := n.client(name)
+	m.Hub = NewHub(HubConfig{
+		Self: name, Zone: "zone-" + name, Epoch: epoch, Peers: func() []string { return all }, Charters: m.charters,
+		InContact: func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.outside },
+		Client:    client, Log: zap.NewNop(),
+	})
+	mux := http.NewServeMux()
+	m.Register(mux)
+	server := &http.Server{Handler: mux}
+	p := &port{name, make(chan net.Conn, 64), make(chan struct{})}
+	n.mu.Lock()
+	n.ports[name] = p
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { m.Run(ctx) })
+	running.Go(func() { _ = server.Serve(p) })
+	m.stop = sync.OnceFunc(func() {
+		n.mu.Lock()
+		delete(n.ports, name)
+		n.mu.Unlock()
+		_ = server.Close()
+		cancel()
+		running.Wait()
+		client.CloseIdleConnections()
+	})
+	return m
+}
+
+type sidecar struct {
+	*Subscriber
+	mu       sync.Mutex
+	up       catalogue.Upstream
+	services []string
+	refuse   bool
+	version  int64
+	frames   []string
+	held     map[string]catalogue.Upstream
+	fulls    int
+	stop     func()
+}
+
+func (n *network) sidecar(name, zone string, seeds ...string) *sidecar {
+	s := &sidecar{held: map[string]catalogue.Upstream{}, up: catalogue.Upstream{
+		Instance: "i-" + name, Service: "s-" + name, Address: name + ":80", Inbound: name + ":90", Sequence: 1,
+	}}
+	client := n.client(name)
+	s.Subscriber = NewSubscriber(SubscriberConfig{
+		Node: name, Life: uint64(time.Now().UnixNano()), Zone: zone, Seeds: seeds, Client: client, Log: zap.NewNop(),
+		State: func() catalogue.Lease {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			up := s.up
+			return catalogue.Lease{Upstream: &up, Applied: s.version}
+		},
+		Charter: func() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.version },
+		OnCharter: func(f json.RawMessage) bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.frames = append(s.frames, string(f))
+			if s.refuse {
+				s.refuse = false
+				return false
+			}
+			var v int64
+			_, _ = fmt.Sscanf(strings.Trim(string(f), "[]"), "%d", &v)
+			s.version = max(s.version, v)
+			s.Poke()
+			return true
+		},
+		OnCatalogue: func(full bool, upserts []catalogue.Upstream, removals []string) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if full {
+				s.fulls++
+				clear(s.held)
+			}
+			for _, u := range upserts {
+				s.held[u.Instance] = u
+			}
+			for _, instance := range removals {
+				delete(s.held, instance)
+			}
+		},
+		Services: func() []string { s.mu.Lock(); defer s.mu.Unlock(); return s.services },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	s.stop = sync.OnceFunc(func() { cancel(); running.Wait(); client.CloseIdleConnections() })
+	return s
+}
+
+// sees gives the instances held, the stale with a question mark and the draining with an exclamation mark.
+func (s *sidecar) sees() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, u := range s.held {
+		mark := ""
+		if u.Stale {
+			mark = "?"
+		}
+		if u.State == catalogue.Draining {
+			mark += "!"
+		}
+		list = append(list, u.Instance+mark)
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+func (s *sidecar) change(f func()) {
+	s.mu.Lock()
+	f()
+	s.mu.Unlock()
+}
+
+// pass lets virtual time go by and everything settle.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+const ms = time.Millisecond
+
+// mesh plays a trace in a bubble with three members and the sidecars c1 to c3, each in the zone of a member, after all
+// have settled.
+func mesh(t *testing.T, what string, trace func(n *network, m []*member, c []*sidecar)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{ports: map[string]*port{}, cut: map[string]bool{}, links: map[string][]net.Conn{}}
+		var m []*member
+		var c []*sidecar
+		for i, name := range all {
+			m = append(m, n.member(name, uint64(i+1)))
+		}
+		for i, name := range all {
+			c = append(c, n.sidecar(fmt.Sprint("c", i+1), "zone-"+name, all[0]))
+		}
+		defer func() {
+			for i := range all {
+				c[i].stop()
+				m[i].stop()
+			}
+		}()
+		pass(5 * time.Second)
+		Convey(what, t, func() {
+			for i, s := range c {
+				So(s.Connected(), ShouldBeTrue)
+				So(s.Peers()[0], ShouldEqual, all[i])
+				So(s.sees(), ShouldEqual, "i-c1 i-c2 i-c3")
+				So(s.Members(), ShouldEqual, 3)
+			}
+			trace(n, m, c)
+		})
+	})
+}
+
+func TestNewsReachesAll(t *testing.T) {
+	mesh(t, "Upstreams and charters reach every sidecar at once, and each is counted", func(_ *network, m []*member, c []*sidecar) {
+		c[2].change(func() { c[2].up.State, c[2].up.Sequence = catalogue.Draining, 2 })
+		c[2].Poke()
+		pass(15 * ms)
+		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1 i-c2 i-c3!,i-c1 i-c2 i-c3!")
+
+		So(m[0].Behind(7), ShouldEqual, 3)
+		for _, one := range m {
+			one.put(7)
+		}
+		began := time.Now()
+		So(m[0].WaitApplied(context.Background(), 7), ShouldEqual, 0)
+		So(time.Since(began), ShouldBeLessThanOrEqualTo, 15*ms)
+		So(c[0].frames, ShouldResemble, []string{"[7]"})
+		m[0].put(9)
+		m[1].put(9)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		So(m[0].WaitApplied(ctx, 9), ShouldEqual, 1)
+		So(c[0].frames, ShouldResemble, []string{"[7]", "8", "9"})
+
+		// A frame that does not fit is followed by the whole.
+		c[2].change(func() { c[2].refuse = true })
+		m[2].put(9)
+		pass(30 * ms)
+		So(c[2].frames, ShouldResemble, []string{"[7]", "8", "[9]"})
+		So(m[1].Behind(9), ShouldEqual, 0)
+
+		// A deregistration that reaches a member directly holds everywhere, against the sidecar that still renews.
+		So(m[0].Beat(catalogue.Upstream{Instance: "i-c2", State: catalogue.Gone}), ShouldBeNil)
+		pass(30 * ms)
+		So(c[2].sees(), ShouldEqual, "i-c1 i-c3!")
+		c[1].change(func() { c[1].up.Sequence++ })
+		pass(5 * time.Second)
+		So(c[1].sees(), ShouldEqual, "i-c1 i-c3!")
+		So(faultlist.Of(m[0].Beat(catalogue.Upstream{})), ShouldEqual, faultlist.Invalid)
+	})
+}
+
+func TestMembersFail(t *testing.T) {
+	mesh(t, "A sidecar goes on to another member at once, takes nothing older there, and loses nothing", func(n *network, m []*member, c []*sidecar) {
+		m[0].put(5)
+		pass(15 * ms)
+		fulls := c[0].fulls
+		m[0].stop()
+		pass(20 * ms)
+		So(c[0].Connected(), ShouldBeTrue)
+		So(c[0].Peers()[0], ShouldNotEqual, "m1:1")
+		m[1].put(4)
+		m[2].put(4)
+		pass(3 * time.Second)
+		So(c[0].version, ShouldEqual, 5)
+		So(c[0].frames, ShouldResemble, []string{"[5]"})
+		So(c[0].fulls, ShouldEqual, fulls+1)
+		So(m[1].Behind(5)*10+m[2].Behind(4), ShouldEqual, 20)
+
+		// Cut off from the others, a member holds no sidecar and tells no charter.
+		was := c[1].Peers()[0]
+		for i, one := range m {
+			one.contact(all[i] != was)
+			if all[i] == was {
+				one.put(6)
+			}
+		}
+		pass(1200 * ms)
+		So(c[1].Peers()[0], ShouldNotEqual, was)
+		So(c[1].version, ShouldEqual, 4)
+		_, err := desk.Call[watchRequest, struct{}](context.Background(), c[1].cfg.Client, "http://"+was+watchPath, &watchRequest{Node: "x"})
+		So(faultlist.Of(err), ShouldEqual, faultlist.NoQuorum)
+
+		// A member that starts anew learns all from the others, and says it is young until it has.
+		fresh := n.member("m1:1", 99)
+		defer fresh.stop()
+		pass(50 * ms)
+		So(fresh.Young(), ShouldBeTrue)
+		So(len(fresh.Upstreams()), ShouldEqual, 3)
+		for _, s := range c {
+			So(s.sees(), ShouldEqual, "i-c1 i-c2 i-c3")
+		}
+	})
+}
+
+func TestSilentMembers(t *testing.T) {
+	mesh(t, "All members gone and back: what is held stays until the new tables have heard from all", func(n *network, m []*member, c []*sidecar) {
+		for _, one := range m {
+			one.stop()
+		}
+		c[2].stop()
+		pass(10 * time.Second)
+		So(c[0].Connected(), ShouldBeFalse)
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c2 i-c3")
+		began := time.Now()
+		fresh := n.member("m2:1", 99)
+		defer fresh.stop()
+		pass(900 * ms)
+		So(c[0].Connected() && c[1].Connected(), ShouldBeTrue)
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c2 i-c3")
+		So(c[0].Members(), ShouldEqual, 3)
+		pass(youngTime + beatEvery - time.Since(began))
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c2")
+		So(c[0].Members(), ShouldEqual, 2)
+	})
+}
+
+func TestSidecarsFail(t *testing.T) {
+	mesh(t, "A sidecar that is cut off goes stale and is dropped late; one that leaves is gone at once", func(n *network, m []*member, c []*sidecar) {
+		So(c[1].Leave(context.Background()), ShouldBeNil)
+		pass(30 * ms)
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
+		c[1].stop()
+		for _, name := range all {
+			n.sever("c3", name)
+		}
+		pass(2 * time.Second)
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
+		m[0].put(2)
+		So(m[0].WaitApplied(context.Background(), 2), ShouldEqual, 0)
+		pass(time.Second)
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c3?")
+		live, largest := m[1].Members()
+		So([]int{live, largest}, ShouldResemble, []int{1, 3})
+		So(c[2].Connected(), ShouldBeFalse)
+		// Its upstream finds a member by itself.
+		So(m[1].Beat(catalogue.Upstream{Instance: "i-c3", Service: "s-c3", Address: "c3:80", Sequence: 5}), ShouldBeNil)
+		pass(30 * ms)
+		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
+		So(c[0].held["i-c3"].Inbound, ShouldEqual, "c3:90")
+		pass(catalogue.StaleTime + 3*time.Second)
+		So(c[0].sees(), ShouldEqual, "i-c1")
+	})
+}
+
+func TestCutBetweenMembers(t *testing.T) {
+	mesh(t, "A cut between two members hides nothing while a third reaches both", func(n *network, m []*member, c []*sidecar) {
+		n.sever("m1:1", "m2:1")
+		n.sever("m2:1", "m1:1")
+		pass(10 * time.Second)
+		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1 i-c2 i-c3,i-c1 i-c2 i-c3")
+		c[0].change(func() { c[0].up.State, c[0].up.Sequence = catalogue.Draining, 2 })
+		c[0].Poke()
+		pass(30 * ms)
+		So(c[1].sees(), ShouldEqual, "i-c1! i-c2 i-c3")
+		So(m[0].Beat(catalogue.Upstream{Instance: "i-c3", State: catalogue.Gone}), ShouldBeNil)
+		pass(time.Second)
+		So(c[1].sees(), ShouldEqual, "i-c1! i-c2")
+	})
+}
+
+func TestServicesAndSlowSidecars(t *testing.T) {
+	mesh(t, "A sidecar hears of the services it calls, and one that does not read holds nobody up", func(n *network, m []*member, c []*sidecar) {
+		c[0].change(func() { c[0].services = []string{"s-c2"} })
+		c[0].Resubscribe()
+		pass(15 * ms)
+		So(c[0].sees(), ShouldEqual, "i-c2")
+		So(c[0].Peers()[0], ShouldEqual, "m1:1")
+		c[2].change(func() { c[2].up.State, c[2].up.Sequence = catalogue.Draining, 2 })
+		c[2].Poke()
+		pass(15 * ms)
+		So(c[0].sees(), ShouldEqual, "i-c2")
+
+		conn, err := n.client("slow").Transport.(*http.Transport).DialContext(context.Background(), "tcp", "m1:1")
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST "+watchPath+" HTTP/1.1\r\nHost: m1\r\nContent-Length: 15\r\n\r\n{\"node\":\"slow\"}")
+		So(err, ShouldBeNil)
+		pass(50 * ms)
+		So(len(m[0].watches), ShouldEqual, 2)
+		c[1].change(func() { c[1].up.State, c[1].up.Sequence = catalogue.Draining, 2 })
+		c[1].Poke()
+		pass(15 * ms)
+		So(c[0].sees(), ShouldEqual, "i-c2!")
+		pass(writeTimeout + 500*ms)
+		So(len(m[0].watches), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/internal/mesh/circulation/gossip.go
@@ -0,0 +1,261 @@
+package circulation
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/desk"
+)
+
+const (
+	// gossipEvery is the time between renewals told to another member. With
+	// renewEvery it stays well under a lease.
+	gossipEvery = 500 * time.Millisecond
+	// gossipGap is the least time between two messages to one member, so that a
+	// burst of changes makes few.
+	gossipGap = 10 * time.Millisecond
+	// maxBatch bounds the leases of one message, against large bodies; the rest
+	// follows in the next.
+	maxBatch = 1024
+	// maxBeats bounds the direct beats that wait for a member, against memory
+	// taken while it is away. Beats come again.
+	maxBeats = 1024
+	// rollTimeout bounds the call for all leases, which may be a large answer.
+	rollTimeout = 2 * time.Second
+)
+
+// neighbour is another member and what it has not been told yet. Of each node
+// only its name waits, so that the queue is bounded by the leases held. The
+// Hub's lock guards it.
+type neighbour struct {
+	address string
+	cancel  context.CancelFunc
+	wake    chan struct{}
+
+	zone    string
+	dirty   map[string]bool // true: the whole lease, false: only its renewal
+	beats   map[string]waitingBeat
+	failing bool // the last call failed
+	asking  bool // it is to be asked for all it holds
+}
+
+type waitingBeat struct {
+	up catalogue.Upstream
+	at time.Duration
+}
+
+func newNeighbour(address string, cancel context.CancelFunc) *neighbour {
+	n := &neighbour{
+		address: address, cancel: cancel, wake: make(chan struct{}, 1),
+		dirty: map[string]bool{}, beats: map[string]waitingBeat{},
+	}
+	n.ask()
+	return n
+}
+
+func (n *neighbour) rouse() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (n *neighbour) ask() {
+	n.asking = true
+	n.rouse()
+}
+
+// mark queues a node's lease: whole and at once, or as a renewal.
+func (n *neighbour) mark(node string, whole bool) {
+	n.dirty[node] = n.dirty[node] || whole
+	if whole {
+		n.rouse()
+	}
+}
+
+func (n *neighbour) tell(up catalogue.Upstream, now time.Duration) {
+	if _, waits := n.beats[up.Instance]; waits || len(n.beats) < maxBeats {
+		n.beats[up.Instance] = waitingBeat{up, now}
+		n.rouse()
+	}
+}
+
+// converse tells one member what it has not been told, until ctx ends.
+func (h *Hub) converse(ctx context.Context, n *neighbour) {
+	pause := time.NewTimer(gossipEvery)
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wake:
+		case <-pause.C:
+		}
+		gap := gossipGap
+		if err := h.exchange(ctx, n); err != nil {
+			h.cfg.Log.Debug("A member is not reached.", zap.String("member", n.address), zap.Error(err))
+			gap = gossipEvery
+		}
+		pause.Reset(gap)
+		select {
+		case <-ctx.Done():
+			return
+		case <-pause.C:
+		}
+		pause.Reset(gossipEvery)
+	}
+}
+
+func (h *Hub) exchange(ctx context.Context, n *neighbour) error {
+	h.mu.Lock()
+	asking := n.asking
+	h.mu.Unlock()
+	if asking {
+		if err := h.askAll(ctx, n); err != nil {
+			return err
+		}
+	}
+	q, sent := h.batch(n)
+	if len(q.Leases)+len(q.Renewals)+len(q.Beats) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := desk.Call[gossip, gossipAnswer](ctx, h.cfg.Client, "http://"+n.address+gossipPath, q)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n.failing = err != nil
+	if err != nil {
+		now := h.now()
+		for node, whole := range sent.dirty {
+			if _, held := h.table.Remote(now, node); held {
+				n.dirty[node] = n.dirty[node] || whole
+			}
+		}
+		for instance, b := range sent.beats {
+			if _, later := n.beats[instance]; !later && len(n.beats) < maxBeats {
+				n.beats[instance] = b
+			}
+		}
+		return err
+	}
+	n.zone = a.Zone
+	for _, node := range a.Unknown {
+		if _, held := h.table.Renewal(h.now(), node); held {
+			n.mark(node, true)
+		}
+	}
+	return nil
+}
+
+// askAll asks a member for all it holds.
+func (h *Hub) askAll(ctx context.Context, n *neighbour) error {
+	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
+	defer cancel()
+	a, err := desk.Call[struct{}, rollAnswer](ctx, h.cfg.Client, "http://"+n.address+rollPath, &struct{}{})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n.failing = err != nil
+	if err != nil {
+		return err
+	}
+	n.zone, n.asking = a.Zone, false
+	now := h.now()
+	h.table.Merge(now, a.Leases)
+	for _, b := range a.Beats {
+		h.table.BeatFor(now, b.Upstream, b.Remaining)
+	}
+	h.table.Expire(now)
+	h.spread()
+	return nil
+}
+
+// sent is what one message took from a neighbour's queue.
+type sent struct {
+	dirty map[string]bool
+	beats map[string]waitingBeat
+}
+
+func (h *Hub) batch(n *neighbour) (*gossip, sent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	q := &gossip{From: h.cfg.Self}
+	s := sent{map[string]bool{}, n.beats}
+	for node, whole := range n.dirty {
+		if len(s.dirty) == maxBatch {
+			n.rouse()
+			break
+		}
+		delete(n.dirty, node)
+		s.dirty[node] = whole
+		if whole {
+			if r, ok := h.table.Remote(now, node); ok {
+				q.Leases = append(q.Leases, r)
+			}
+		} else if r, ok := h.table.Renewal(now, node); ok {
+			q.Renewals = append(q.Renewals, r)
+		}
+	}
+	for _, b := range n.beats {
+		q.Beats = append(q.Beats, catalogue.Vouched{Upstream: b.up, Remaining: max(b.at+catalogue.LeaseTime-now, 0)})
+	}
+	n.beats = map[string]waitingBeat{}
+	for address, other := range h.neighbours {
+		if other.failing && address != n.address {
+			q.Unreached = append(q.Unreached, address)
+		}
+	}
+	return q, s
+}
+
+// gossip takes another member's news. It passes on what is new here to the
+// members that the sender does not reach, so that a cut between two members
+// hides nothing as long as a third reaches both.
+func (h *Hub) gossip(_ *http.Request, q *gossip) (*gossipAnswer, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	whole := h.table.Merge(now, q.Leases)
+	renewed, unknown := h.table.Extend(now, q.Renewals)
+	for _, b := range q.Beats {
+		if h.table.BeatFor(now, b.Upstream, b.Remaining) {
+			for _, n := range h.cutOff(q) {
+				n.tell(b.Upstream, now)
+			}
+		}
+	}
+	for _, n := range h.cutOff(q) {
+		for _, node := range whole {
+			n.mark(node, true)
+		}
+		for _, node := range renewed {
+			n.mark(node, false)
+		}
+	}
+	h.spread()
+	return &gossipAnswer{Zone: h.cfg.Zone, Unknown: unknown}, nil
+}
+
+// cutOff gives the neighbours that the sender of q does not reach.
+func (h *Hub) cutOff(q *gossip) []*neighbour {
+	var cut []*neighbour
+	for address, n := range h.neighbours {
+		if address != q.From && slices.Contains(q.Unreached, address) {
+			cut = append(cut, n)
+		}
+	}
+	return cut
+}
+
+func (h *Hub) roll(*http.Request, *struct{}) (*rollAnswer, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	return &rollAnswer{Zone: h.cfg.Zone, Leases: h.table.Roll(now), Beats: h.table.Unleased(now)}, nil
+}
--- /dev/null
+++ b/internal/mesh/circulation/wire.go
@@ -0,0 +1,123 @@
+// Package circulation is how news reaches the sidecars: the Hub of a core
+// member, which holds the leases and pushes what changed, and the Subscriber
+// of a sidecar, which keeps to one core member at a time.
+package circulation
+
+import (
+	"encoding/json"
+	"time"
+
+	"caperarch/internal/mesh/catalogue"
+)
+
+const (
+	// beatEvery is the time between beats on a watch.
+	beatEvery = 400 * time.Millisecond
+	// silence is how long a watch may be without a byte before the sidecar goes
+	// to another member. It spans two beats and guards against held
+	// connections to members that are gone.
+	silence = 1100 * time.Millisecond
+	// renewEvery is the time between lease renewals: three to a lease.
+	renewEvery = 800 * time.Millisecond
+	// callTimeout bounds one call, against peers that take it and say nothing.
+	callTimeout = time.Second
+	// maxFrame bounds a frame of a watch, against a member gone wrong. It
+	// leaves room for the largest configuration.
+	maxFrame = 72 << 20
+	// maxLeaseBody and maxWatchBody bound what a sidecar sends, and
+	// maxGossipBody what a member does, against junk taking memory.
+	maxLeaseBody  = 64 << 10
+	maxWatchBody  = 1 << 20
+	maxGossipBody = 8 << 20
+)
+
+const (
+	leasePath  = "/mesh/lease"
+	watchPath  = "/mesh/watch"
+	gossipPath = "/mesh/gossip"
+	rollPath   = "/mesh/roll"
+)
+
+// Peer is a core member as sidecars are told of it. The zone is empty while
+// it is not known.
+type Peer struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone,omitempty"`
+}
+
+// LeaseAnswer answers a renewal.
+type LeaseAnswer struct {
+	// TTL is how long the lease lasts, in seconds.
+	TTL float64 `json:"ttl"`
+	// Members counts the live leases, Largest is the largest count lately.
+	// While Young both may be too small.
+	Members int  `json:"members"`
+	Largest int  `json:"largest"`
+	Young   bool `json:"young,omitempty"`
+	// Sequencer is a hint where the sequencer is.
+	Sequencer string `json:"sequencer,omitempty"`
+	// Zone is the answering member's, and Peers are all core members.
+	Zone  string `json:"zone,omitempty"`
+	Peers []Peer `json:"peers"`
+	// Caught says that this member is in contact with a quorum and the sidecar
+	// has applied the newest configuration known here.
+	Caught bool `json:"caught"`
+}
+
+// watchRequest opens a watch from what the sidecar holds.
+type watchRequest struct {
+	Node    string `json:"node"`
+	Life    uint64 `json:"life"`
+	Charter int64  `json:"charter"`
+	// Whole asks for the whole charter whatever is held.
+	Whole    bool     `json:"whole,omitempty"`
+	Epoch    uint64   `json:"epoch"`
+	Number   uint64   `json:"number"`
+	Services []string `json:"services,omitempty"`
+}
+
+type frame struct {
+	Charter   json.RawMessage `json:"charter,omitempty"`
+	Catalogue *catalogueFrame `json:"catalogue,omitempty"`
+	Beat      *beatFrame      `json:"beat,omitempty"`
+}
+
+type catalogueFrame struct {
+	Epoch  uint64 `json:"epoch"`
+	Number uint64 `json:"number"`
+	Full   bool   `json:"full,omitempty"`
+	// Young says that the member may not have heard from everybody yet, so that
+	// what it does not list may well be there.
+	Young    bool                 `json:"young,omitempty"`
+	Upserts  []catalogue.Upstream `json:"upserts,omitempty"`
+	Removals []string             `json:"removals,omitempty"`
+}
+
+type beatFrame struct {
+	Version int64 `json:"version"`
+	Members int   `json:"members"`
+	Largest int   `json:"largest"`
+	Young   bool  `json:"young,omitempty"`
+}
+
+// gossip is what one member tells another. Unreached are the members the
+// sender does not reach: the receiver passes the news on to them.
+type gossip struct {
+	From      string              `json:"from"`
+	Unreached []string            `json:"unreached,omitempty"`
+	Leases    []catalogue.Remote  `json:"leases,omitempty"`
+	Renewals  []catalogue.Renewal `json:"renewals,omitempty"`
+	Beats     []catalogue.Vouched `json:"beats,omitempty"`
+}
+
+// gossipAnswer names the nodes whose lease has to be sent whole.
+type gossipAnswer struct {
+	Zone    string   `json:"zone,omitempty"`
+	Unknown []string `json:"unknown,omitempty"`
+}
+
+type rollAnswer struct {
+	Zone   string              `json:"zone,omitempty"`
+	Leases []catalogue.Remote  `json:"leases,omitempty"`
+	Beats  []catalogue.Vouched `json:"beats,omitempty"`
+}
--- /dev/null
+++ b/internal/mesh/daybook/daybook_test.go
@@ -0,0 +1,72 @@
+package daybook
+
+import (
+	"bytes"
+	"math/rand"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+)
+
+func TestDumps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Entries stay in memory until something goes wrong, and are written out once a second at most", t, func() {
+			var out bytes.Buffer
+			written := func() string {
+				defer out.Reset()
+				return out.String()
+			}
+			log, ring := New(&out, 0)
+			log.Named("desk").With(zap.Int("a", 1)).Debug("quiet", zap.Duration("b", time.Second))
+			So(written(), ShouldEqual, "")
+			log.Warn("odd")
+			So(written(), ShouldEqual, "00:00:00.000 WARN odd\n")
+			log.Error("bad")
+			So(written(), ShouldEqual, "== daybook: 3 entries up to: bad\n"+
+				"00:00:00.000 DEBUG desk quiet {\"a\": 1, \"b\": \"1s\"}\n00:00:00.000 WARN odd\n00:00:00.000 ERROR bad\n")
+
+			time.Sleep(dumpInterval - time.Millisecond)
+			log.Info("then")
+			log.Error("bad again")
+			So(written(), ShouldEqual, "00:00:00.999 ERROR bad again\n")
+			ring.Dump("asked")
+			So(written(), ShouldEqual, "")
+			time.Sleep(time.Millisecond)
+			ring.Dump("asked")
+			So(written(), ShouldEqual,
+				"== daybook: 2 entries up to: asked\n00:00:00.999 INFO then\n00:00:00.999 ERROR bad again\n")
+		})
+	})
+}
+
+func TestRing(t *testing.T) {
+	Convey("The ring holds just the last entries that fit, whatever their lengths", t, func() {
+		random := rand.New(rand.NewSource(1))
+		for _, size := range []int{1, 50, 3000, 8 * entryLimit} {
+			_, ring := New(&bytes.Buffer{}, size)
+			var kept []string
+			for i := range 5000 {
+				// Half of the entries are tiny, so that their number is what bounds the ring, and some are cut.
+				line := strings.Repeat(string(rune('a'+i%26)), random.Intn([]int{4, entryLimit + 100}[random.Intn(2)*(i/2500)])) + "\n"
+				ring.keep([]byte(line))
+				if limit := min(entryLimit, size); len(line) > limit {
+					line = line[:limit-1] + "\n"
+				}
+				kept = append(kept, line)
+				for len(kept) > maxEntries || len(strings.Join(kept, "")) > size {
+					kept = kept[1:]
+				}
+				if i%1250 == 1249 {
+					ring.lastDump = time.Time{}
+					_, body, _ := strings.Cut(string(ring.take("", time.Now())), "\n")
+					So(body, ShouldEqual, strings.Join(kept, ""))
+					kept = nil
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/mesh/registrar/registrar.go
@@ -0,0 +1,145 @@
+// Package registrar takes what upstreams tell of themselves and what operators ask: the calls of the control plane's address, the same on every machine. Who settles a call is the
+// caller's: a Register for upstreams, an Operator for operators.
+package registrar
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/faultlist"
+)
+
+const (
+	// beatLimit bounds a heartbeat's body.
+	beatLimit = 16 << 10
+	// ChangeLimit bounds a configuration's body.
+	ChangeLimit = 48 << 20
+)
+
+// Beat is a heartbeat's body.
+type Beat struct {
+	Address  string   `json:"address"`
+	NodeInfo NodeInfo `json:"nodeInfo"`
+	Status   Status   `json:"status"`
+}
+
+// NodeInfo is what stays the same for an instance's life.
+type NodeInfo struct {
+	ServiceName   string `json:"serviceName"`
+	ConfigVersion string `json:"configVersion"` // of its software
+	Zone          string `json:"zone"`
+	CapacitySlots int    `json:"capacitySlots"`
+}
+
+// Status is how it fares.
+type Status struct {
+	State            string  `json:"state"` // ready or draining
+	CallSequence     int64   `json:"callSequence"`
+	WarmupRemainingS float64 `json:"warmupRemainingS"`
+}
+
+// Acknowledged is the answer to a heartbeat. Beats go on to where they came.
+type Acknowledged struct {
+	HeartbeatEndpoint string `json:"heartbeatEndpoint,omitempty"`
+}
+
+// Upstream is what a beat says of an instance.
+func (b *Beat) Upstream(instance string) (catalogue.Upstream, error) {
+	u := catalogue.Upstream{
+		Instance: instance, Service: b.NodeInfo.ServiceName, Address: b.Address, Zone: b.NodeInfo.Zone, Version: b.NodeInfo.ConfigVersion, Slots: b.NodeInfo.CapacitySlots,
+		WarmupRemaining: b.Status.WarmupRemainingS, Sequence: b.Status.CallSequence,
+	}
+	switch b.Status.State {
+	case "ready":
+		u.State = catalogue.Ready
+	case "draining":
+		u.State = catalogue.Draining
+	default:
+		return u, faultlist.New(faultlist.Invalid, "status.state: %.32q is neither ready nor draining", b.Status.State)
+	}
+	if b.Address == "" {
+		return u, faultlist.New(faultlist.Invalid, "address: missing")
+	}
+	return u, u.Check()
+}
+
+// Register takes what upstreams say.
+type Register interface {
+	// Beat takes a heartbeat. With no error it is acknowledged: what it says holds from now on.
+	Beat(u catalogue.Upstream) error
+	// Deregister takes that an instance has ended.
+	Deregister(instance string) error
+}
+
+// Upstreams serves what upstreams call.
+func Upstreams(mux *http.ServeMux, to Register) {
+	desk.Handle(mux, "POST /api/instances/{id}/heartbeat", beatLimit, func(r *http.Request, b *Beat) (*Acknowledged, error) {
+		u, err := b.Upstream(r.PathValue("id"))
+		if err != nil {
+			return nil, err
+		}
+		return &Acknowledged{}, to.Beat(u)
+	})
+	desk.Raw(mux, "POST /api/instances/{id}/deregister", beatLimit, func(r *http.Request, _ []byte) (*Acknowledged, error) {
+		return &Acknowledged{}, to.Deregister(r.PathValue("id"))
+	})
+}
+
+// Operator settles what operators ask.
+type Operator interface {
+	// Change takes a whole configuration, or a change of named items, as it came; it returns the version that is in force with it.
+	Change(r *http.Request, whole bool, body []byte) (*Taken, error)
+	// Describe is the configuration in force, no older than any that was acknowledged before.
+	Describe(r *http.Request) (*json.RawMessage, error)
+}
+
+// Taken is the answer to a change.
+type Taken struct {
+	ConfigVersion int64 `json:"configVersion"`
+}
+
+// Operators serves what operators call.
+func Operators(mux *http.ServeMux, to Operator) {
+	for path, whole := range map[string]bool{"POST /api/configuration/replace": true, "POST /api/configuration/update": false} {
+		desk.Raw(mux, path, ChangeLimit, func(r *http.Request, body []byte) (*Taken, error) { return to.Change(r, whole, body) })
+	}
+	desk.HandleGet(mux, "/api/configuration/describe", to.Describe)
+}
+
+// Forward is an Operator that passes calls on to core members, one after the other until one settles them.
+type Forward struct {
+	Client *http.Client
+	To     func() []string // internal addresses, in the order in which they are tried
+}
+
+// Change passes a change on.
+func (f Forward) Change(r *http.Request, whole bool, body []byte) (*Taken, error) {
+	path := "/api/configuration/update"
+	if whole {
+		path = "/api/configuration/replace"
+	}
+	return forward(f, func(address string) (*Taken, error) {
+		return desk.Post[Taken](r.Context(), f.Client, "http://"+address+path, body)
+	})
+}
+
+// Describe passes a reading on.
+func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
+	return forward(f, func(address string) (*json.RawMessage, error) {
+		return desk.Get[json.RawMessage](r.Context(), f.Client, "http://"+address+"/api/configuration/describe")
+	})
+}
+
+// forward asks one after the other. What one refuses for good is refused; what it can't settle the next may.
+func forward[A any](f Forward, ask func(address string) (*A, error)) (*A, error) {
+	err := faultlist.New(faultlist.NoQuorum, "no core member is known")
+	for _, address := range f.To() {
+		var a *A
+		if a, err = ask(address); err == nil || faultlist.Of(err).Status() < http.StatusInternalServerError {
+			return a, err
+		}
+	}
+	return nil, err
+}
--- /dev/null
+++ b/internal/mesh/stacks/minutes.go
@@ -0,0 +1,182 @@
+package stacks
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"sync"
+
+	"caperarch/internal/mesh/branch"
+	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/faultlist"
+
+	"go.uber.org/zap"
+)
+
+// mostKept is how many changes are kept for those who hold an older version: who is further behind gets the whole.
+const mostKept = 64
+
+// minutes are the configuration as the log has settled it: each command is a change with the number of the proposal that brought it, and is applied in the log's order on every member.
+type minutes struct {
+	log     *zap.Logger
+	changed func() // another version is in force
+
+	mu      sync.Mutex
+	charter *charter.Charter
+	kept    []*charter.Change // that led to it, the newest last
+	asked   map[uint64]chan verdict
+}
+
+// verdict is what became of a proposal.
+type verdict struct {
+	version int64
+	err     error
+}
+
+func newMinutes(log *zap.Logger, changed func()) *minutes {
+	return &minutes{log: log, changed: changed, charter: charter.Empty(), asked: make(map[uint64]chan verdict)}
+}
+
+func (m *minutes) current() *charter.Charter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.charter
+}
+
+// expect has the verdict on a proposal told; forget ends that.
+func (m *minutes) expect(number uint64) <-chan verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	told := make(chan verdict, 1)
+	m.asked[number] = told
+	return told
+}
+
+func (m *minutes) forget(number uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asked, number)
+}
+
+// command is a change as the log has it.
+func command(number uint64, change *charter.Change) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, number), change.Bytes()...)
+}
+
+// apply applies a command of the log.
+func (m *minutes) apply(index uint64, command []byte) {
+	if len(command) < 8 {
+		return // a view's beginning
+	}
+	change, err := charter.ReadChange(command[8:])
+	m.mu.Lock()
+	outcome := charter.Refused
+	if err == nil {
+		var next *charter.Charter
+		if next, outcome, err = m.charter.Apply(change); outcome == charter.Applied {
+			m.charter = next
+			if m.kept = append(m.kept, change); len(m.kept) > mostKept {
+				m.kept = append([]*charter.Change(nil), m.kept[1:]...)
+			}
+		}
+	}
+	version := m.charter.Version()
+	if outcome == charter.Repeated {
+		version = change.Version()
+	}
+	if told := m.asked[binary.BigEndian.Uint64(command)]; told != nil {
+		told <- verdict{version, err}
+		delete(m.asked, binary.BigEndian.Uint64(command))
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.log.Info("a change was refused", zap.Uint64("index", index), zap.Error(err))
+		return
+	}
+	if outcome == charter.Applied {
+		m.log.Info("a change is in force", zap.Uint64("index", index), zap.Int64("version", version))
+		m.changed()
+	}
+}
+
+// restore takes a snapshot.
+func (m *minutes) restore(data []byte) {
+	c, err := charter.Decode(data)
+	if err != nil {
+		m.log.Error("a snapshot that can't be read", zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	m.charter, m.kept = c, nil
+	m.mu.Unlock()
+	m.changed()
+}
+
+func (m *minutes) snapshot() []byte {
+	data, err := m.current().Encode()
+	if err != nil {
+		m.log.Error("no snapshot", zap.Error(err))
+		return nil
+	}
+	return data
+}
+
+// Current is the version in force.
+func (m *minutes) Current() int64 { return m.current().Version() }
+
+// Since is the changes that lead on from a version, or false where it is none of those that are kept.
+func (m *minutes) Since(version int64) ([]json.RawMessage, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version == m.charter.Version() {
+		return nil, true
+	}
+	for i, change := range m.kept {
+		if change.Base() != version {
+			continue
+		}
+		f := branch.Frame{Version: m.charter.Version()}
+		for _, change := range m.kept[i:] {
+			f.Changes = append(f.Changes, change.Bytes())
+		}
+		return m.frames(f)
+	}
+	return nil, false
+}
+
+func (m *minutes) frames(f branch.Frame) ([]json.RawMessage, bool) {
+	data, err := json.Marshal(f)
+	if err != nil {
+		m.log.Error("a frame that can't be written", zap.Error(err))
+		return nil, false
+	}
+	return []json.RawMessage{data}, true
+}
+
+// Whole is the whole configuration; nil: there is none.
+func (m *minutes) Whole() json.RawMessage {
+	c := m.current()
+	if c.Version() == 0 {
+		return nil
+	}
+	whole, err := c.Encode()
+	if err != nil {
+		m.log.Error("a configuration that can't be written", zap.Error(err))
+		return nil
+	}
+	frames, ok := m.frames(branch.Frame{Version: c.Version(), Whole: whole})
+	if !ok {
+		return nil
+	}
+	return frames[0]
+}
+
+// await waits for the verdict on a proposal that the log has taken.
+func await(ctx context.Context, told <-chan verdict) (int64, error) {
+	select {
+	case v := <-told:
+		return v.version, v.err
+	case <-ctx.Done():
+		return 0, faultlist.New(faultlist.Late, "the change has no clear answer in time")
+	}
+}
--- /dev/null
+++ b/internal/mesh/stacks/stacks.go
@@ -0,0 +1,288 @@
+// Package stacks is a core machine of the mesh: it holds the configuration on its disk, as one of those that agree on it, and tells the sidecars that keep to it.
+package stacks
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"caperarch/internal/mesh/allowance"
+	"caperarch/internal/mesh/archive"
+	"caperarch/internal/mesh/branch"
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/registrar"
+	"caperarch/internal/mesh/settings"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// dialTimeout is how long a connection to another machine may take to come up.
+	dialTimeout = 300 * time.Millisecond
+	// changeTime bounds a change: operators go on to another machine after a second of silence, longer for large bodies.
+	changeTime = 900 * time.Millisecond
+	// appliedTime is how long an operator's answer waits for sidecars that have not applied the change: it is settled without them, and they are told to within the bound.
+	appliedTime = 350 * time.Millisecond
+	// openPause is between tries to open a disk that refuses.
+	openPause = 300 * time.Millisecond
+	// dealLimit bounds an ask for tokens.
+	dealLimit = 256 << 10
+	// proposePath is where the sequencer takes changes that reached another member, and readPath where it confirms that what is known is the newest.
+	proposePath = "/mesh/propose"
+	describe    = "/mesh/describe"
+)
+
+// Stacks is a running core machine.
+type Stacks struct {
+	set     *settings.Settings
+	log     *zap.Logger
+	client  *http.Client
+	start   time.Time
+	node    *archive.Node
+	hub     *circulation.Hub
+	minutes *minutes
+
+	mu     sync.Mutex
+	dealer *allowance.Dealer
+}
+
+// Run is a core machine's life until ctx ends.
+func Run(ctx context.Context, set *settings.Settings, log *zap.Logger) error {
+	s := &Stacks{set: set, log: log, client: desk.NewClient(dialTimeout), start: time.Now()}
+	window := set.Guarantees.Bounds.QuotaWindow
+	if window <= 0 {
+		window = time.Second
+	}
+	var err error
+	if s.dealer, err = allowance.NewDealer(allowance.Rules{Window: window, Overage: set.Guarantees.Bounds.QuotaOverage, Slack: set.Guarantees.Bounds.QuotaSlack}); err != nil {
+		return err
+	}
+	s.minutes = newMinutes(log, func() {
+		if s.hub != nil { // else the log is being read back
+			s.hub.Publish()
+		}
+	})
+	return s.run(ctx)
+}
+
+// peers are the core machines: those that the settings name, and this one.
+func peers(set *settings.Settings) []string {
+	self := set.Internal()
+	all := []string{self}
+	for _, address := range set.Network.SeedNodes {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			all = append(all, set.InternalAddress(host))
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// open opens the disk; one that refuses is tried again until ctx ends.
+func (s *Stacks) open(ctx context.Context) (*archive.Store, archive.State, error) {
+	for {
+		store, state, err := archive.OpenOrForget(s.set.Self.DataDirectory, peers(s.set), s.set.Self.FirstStart, s.log)
+		if err == nil {
+			return store, state, nil
+		}
+		s.log.Warn("the disk refuses", zap.Error(err))
+		select {
+		case <-time.After(openPause):
+		case <-ctx.Done():
+			return nil, archive.State{}, err
+		}
+	}
+}
+
+func (s *Stacks) run(ctx context.Context) error {
+	store, state, err := s.open(ctx)
+	if err != nil {
+		return err
+	}
+	members := state.Members
+	self := s.set.Internal()
+	var post *archive.Post
+	delivered := make(chan struct{})
+	post = archive.NewPost(self, s.client, func(from string, msgs []archive.Message) {
+		<-delivered
+		s.node.Deliver(from, msgs)
+	}, s.log)
+	defer post.Close()
+	s.hub = circulation.NewHub(circulation.HubConfig{
+		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: func() []string { return members },
+		InContact: func() bool { return s.node.InContact() }, Sequencer: func() string { id, _ := s.node.Sequencer(); return id }, Charters: s.minutes, Client: s.client, Log: s.log,
+	})
+	s.node, err = archive.Start(archive.NodeConfig{
+		ID: self, Disk: store, State: state, Send: post.Send, Apply: s.minutes.apply, Restore: s.minutes.restore, Snapshot: s.minutes.snapshot, Log: s.log,
+	})
+	if err != nil {
+		return err
+	}
+	close(delivered)
+	defer func() { _ = s.node.Close() }()
+
+	inside, outside := http.NewServeMux(), http.NewServeMux()
+	archive.Register(inside, s.node)
+	s.hub.Register(inside)
+	desk.Handle(inside, branch.DealPath, dealLimit, s.deal)
+	desk.Raw(inside, proposePath+"/whole", registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
+		return s.propose(r.Context(), true, body)
+	})
+	desk.Raw(inside, proposePath+"/part", registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
+		return s.propose(r.Context(), false, body)
+	})
+	desk.HandleGet(inside, describe, func(r *http.Request) (*json.RawMessage, error) { return s.confirm(r.Context()) })
+	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
+		registrar.Upstreams(mux, s)
+		registrar.Operators(mux, s)
+	}
+	failed := make(chan error, 2)
+	for address, mux := range map[string]*http.ServeMux{self: inside, s.set.Network.ListenAddresses.ControlPlane: outside} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return faultlist.Wrap(err, faultlist.Internal, "listen at %s", address)
+		}
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 16 << 10}
+		defer server.Close()
+		go func() { failed <- server.Serve(l) }()
+	}
+	life, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.hub.Run(life)
+	s.log.Info("serving", zap.String("member", self), zap.Strings("members", members), zap.Bool("remembers", state.Hard.Remembers))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (s *Stacks) now() time.Duration { return time.Since(s.start) }
+
+// deal deals tokens where this member is the sequencer, whose duty that is; the epoch is its view. Else the ask goes on to it.
+func (s *Stacks) deal(r *http.Request, q *branch.DealAsk) (*branch.Dealt, error) {
+	sequencer, view := s.node.Sequencer()
+	if sequencer != s.set.Internal() {
+		if sequencer == "" || q.Passed {
+			return nil, faultlist.New(faultlist.NotSequencer, "nobody deals here")
+		}
+		q.Passed = true
+		return desk.Call[branch.DealAsk, branch.Dealt](r.Context(), s.client, "http://"+sequencer+branch.DealPath, q)
+	}
+	if !s.node.InContact() {
+		return nil, faultlist.New(faultlist.NoQuorum, "this view may be over")
+	}
+	live, largest := s.hub.Members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if err := s.dealer.Configure(now, branch.Limits(s.minutes.current()), max(1, live, largest)); err != nil {
+		return nil, err
+	}
+	grants, err := s.dealer.Deal(now, view, q.Node, q.Asks)
+	if err != nil {
+		return nil, err
+	}
+	return &branch.Dealt{Epoch: view, Grants: grants}, nil
+}
+
+// Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
+func (s *Stacks) Change(r *http.Request, whole bool, body []byte) (*registrar.Taken, error) {
+	if _, err := read(whole, body); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTime+time.Duration(len(body))*time.Microsecond)
+	defer cancel()
+	sequencer, _ := s.node.Sequencer()
+	switch sequencer {
+	case "":
+		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
+	case s.set.Internal():
+		return s.propose(ctx, whole, body)
+	}
+	path := proposePath + "/part"
+	if whole {
+		path = proposePath + "/whole"
+	}
+	return desk.Post[registrar.Taken](ctx, s.client, "http://"+sequencer+path, body)
+}
+
+func read(whole bool, body []byte) (*charter.Change, error) {
+	if whole {
+		return charter.ReadReplace(body)
+	}
+	return charter.ReadUpdate(body)
+}
+
+// propose puts a change into the log and waits until it is settled, and, for a while, until sidecars have it.
+func (s *Stacks) propose(ctx context.Context, whole bool, body []byte) (*registrar.Taken, error) {
+	change, err := read(whole, body)
+	if err != nil {
+		return nil, err
+	}
+	number := rand.Uint64()
+	told := s.minutes.expect(number)
+	defer s.minutes.forget(number)
+	if _, err := s.node.Propose(ctx, command(number, change)); err != nil {
+		return nil, err
+	}
+	version, err := await(ctx, told)
+	if err != nil {
+		return nil, err
+	}
+	within, cancel := context.WithTimeout(ctx, appliedTime)
+	defer cancel()
+	if behind := s.hub.WaitApplied(within, version); behind > 0 {
+		s.log.Info("acknowledged before all have it", zap.Int64("version", version), zap.Int("behind", behind))
+	}
+	return &registrar.Taken{ConfigVersion: version}, nil
+}
+
+// Describe is the configuration, as the sequencer has it once it knows that no other is one.
+func (s *Stacks) Describe(r *http.Request) (*json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTime)
+	defer cancel()
+	sequencer, _ := s.node.Sequencer()
+	switch sequencer {
+	case "":
+		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
+	case s.set.Internal():
+		return s.confirm(ctx)
+	}
+	return desk.Get[json.RawMessage](ctx, s.client, "http://"+sequencer+describe)
+}
+
+func (s *Stacks) confirm(ctx context.Context) (*json.RawMessage, error) {
+	if err := s.node.Read(ctx); err != nil {
+		return nil, err
+	}
+	document := s.minutes.current().Document()
+	return &document, nil
+}
+
+// Beat takes a heartbeat that reached a core machine, as the sidecar beside its upstream did not take it.
+func (s *Stacks) Beat(u catalogue.Upstream) error {
+	if host, _, err := net.SplitHostPort(u.Address); err == nil {
+		for _, known := range s.hub.Upstreams() {
+			if h, _, err := net.SplitHostPort(known.Inbound); err == nil && h == host {
+				u.Node, u.Inbound = known.Node, known.Inbound
+			}
+		}
+	}
+	return s.hub.Beat(u)
+}
+
+// Deregister takes that an instance has ended.
+func (s *Stacks) Deregister(instance string) error {
+	return s.hub.Beat(catalogue.Upstream{Instance: instance, State: catalogue.Gone})
+}
--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -30,13 +30,13 @@
 	errSource  = errors.New("the body's rest did not come")
 )
 
-// upload writes a request whose body is passed on as it comes; wait is how long its answer is waited for. early says that the server answers before it has the whole
+// upload writes a request whose body is passed on as it comes, of which head is what is here already. early says that the server answers before it has the whole
 // body. An error says that the last byte did not go out: it never ran.
-func (c *conn) upload(m *call.Message, wait time.Duration) (early bool, err error) {
+func (c *conn) upload(head []byte, m *call.Message) (early bool, err error) {
 	if m.More.Claimed() {
 		return false, errClaimed
 	}
-	if _, err := c.Write(bytesOf(m, wait)); err != nil { // it can still be sent again
+	if _, err := c.Write(head); err != nil { // it can still be sent again
 		return false, err
 	}
 	if !m.More.Claim() {
@@ -95,6 +95,17 @@
 			continue
 		}
 		pass := m.Stream && res.StatusCode == http.StatusOK
+		if u.dialect != nil && m.Header != nil { // else it is a probe
+			if !u.dialect.Mine(m, res) { // it belongs to no request, or to one before
+				if _, err := io.Copy(io.Discard, res.Body); err != nil {
+					return nil, nil, err
+				}
+				continue
+			}
+			if ending, _ := u.dialect.Judge(res); ending != policy.Served {
+				pass = false
+			}
+		}
 		switch {
 		case res.ContentLength > call.BodyLimit && !pass:
 			if res.StatusCode != http.StatusOK { // what it says is enough
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,9 +23,12 @@
 
 	"caperarch/internal/call"
 	"caperarch/internal/clock"
+	"caperarch/internal/h1"
 	"caperarch/internal/stream"
 	"caperarch/internal/wire"
 	"caperarch/policy"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -45,6 +49,21 @@
 	Reports     []string      // names of a load report's fields, in the order of Columns; none: there are no reports
 	Columns     wire.Columns
 	Wrote       func() // takes that an attempt was written whole; nil: nobody counts
+	Dialect     *Dialect
+	Rest        time.Duration // connections rest so long after an answer; 0: settleTime, negative: not at all
+	Silence     time.Duration // TCP_USER_TIMEOUT: a machine that acknowledges nothing for so long is gone; 0: the system's own
+}
+
+// Dialect is how requests and answers go where that is not the daemon's own way. nil: the daemon's own.
+type Dialect struct {
+	Timeout string // field that tells a server how many milliseconds are left
+	// Mine says whether an answer belongs to a request; one that doesn't is read over, and the next one is looked at.
+	Mine func(m *call.Message, res *http.Response) bool
+	// Judge says what an answer's head proves. Only what is Served may be passed on while it comes.
+	Judge func(res *http.Response) (policy.Ending, policy.Load)
+	// Probe is the path that tells whether a server is well, and Told reads its answer.
+	Probe string
+	Told  func(res *http.Response) (bool, policy.Load)
 }
 
 // Transport carries attempts and probes to the servers, over connections that it keeps. It is not
@@ -60,6 +79,8 @@
 	columns     wire.Columns
 	probePath   string
 
+	dialect  *Dialect
+	silence  time.Duration
 	running  sync.WaitGroup // attempts and probes
 	wrote    func()
 	breaking atomic.Bool // so many connections are, that write keeps the last byte back
@@ -81,8 +102,9 @@
 type host struct {
 	u       *Transport
 	address string
-	left    bool // no longer listed: connections to it are not kept. Under the transport's lock, as is the next.
-	ages    ages // of its connections that broke, and that stood
+	fields  []h1.Field // that each request has besides its own
+	left    bool       // no longer listed: connections to it are not kept. Under the transport's lock, as is the next.
+	ages    ages       // of its connections that broke, and that stood
 }
 
 // conn is a connection to a server; it carries one exchange at a time.
@@ -101,7 +123,9 @@
 		clock: cfg.Clock, dialTimeout: cfg.DialTimeout, reports: cfg.Reports, columns: cfg.Columns,
 		// Well before the server closes it: a request written from then on would end as a reset.
 		keep:      cfg.ConnIdle - min(idleMargin, cfg.ConnIdle/4),
-		settle:    settleTime,
+		settle:    max(0, cmp.Or(cfg.Rest, settleTime)),
+		dialect:   cfg.Dialect,
+		silence:   cfg.Silence,
 		most:      cfg.MostConns,
 		probePath: "/alive",
 		wrote:     cfg.Wrote,
@@ -114,6 +138,9 @@
 	if len(cfg.Reports) > 0 {
 		u.probePath = "/metrics/load"
 	}
+	if u.dialect != nil {
+		u.probePath = u.dialect.Probe
+	}
 	return u
 }
 
@@ -143,6 +170,11 @@
 // Server is a server at an address.
 func (u *Transport) Server(address string) call.Server { return &host{u: u, address: address} }
 
+// ServerWith is a server at an address whose requests have some fields besides their own, as far as they are no probes.
+func (u *Transport) ServerWith(address string, fields ...h1.Field) call.Server {
+	return &host{u: u, address: address, fields: fields}
+}
+
 // Send starts an attempt.
 func (h *host) Send(m *call.Message, until time.Duration, done func(call.Result)) call.Attempt {
 	return h.u.send(h, m, until, done)
@@ -242,29 +274,38 @@
 			done(call.Result{Ending: ending})
 			return
 		}
+		judged, load := u.judge(res)
 		if s := streamOf(res); s != nil { // it is passed on while it comes
 			over := func() {}
 			done(call.Result{
-				Ending: policy.Served, Status: res.StatusCode, Header: res.Header, Stream: s, Carried: true, After: func(end func()) { over = end }, Load: u.load(res.Header.Get("X-Server-Load")),
+				Ending: policy.Served, Status: res.StatusCode, Header: res.Header, Stream: s, Carried: true, After: func(end func()) { over = end }, Load: load,
 			})
 			u.follow(x, to, s)
 			over()
 			return
 		}
-		out := call.Result{Ending: policy.Errored, Status: res.StatusCode, Header: res.Header, Body: body, Load: u.load(res.Header.Get("X-Server-Load"))}
-		switch never := res.Header.Get("X-Not-Processed") == "1"; {
-		case res.StatusCode == http.StatusOK:
-			out.Ending = policy.Served
-		case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
-			out.Ending = policy.TurnedAway
-		case res.StatusCode/100 == 4 && res.StatusCode != http.StatusTooManyRequests && res.StatusCode != http.StatusRequestTimeout:
-			out.Ending = policy.Rejected // RFC 9110, 15.5: the client's fault; 408 and 429 are no word on the request
-		}
-		done(out)
+		done(call.Result{Ending: judged, Status: res.StatusCode, Header: res.Header, Body: body, Load: load})
 	}()
 	return x
 }
 
+// judge says what an answer's head proves.
+func (u *Transport) judge(res *http.Response) (policy.Ending, policy.Load) {
+	if u.dialect != nil {
+		return u.dialect.Judge(res)
+	}
+	load := u.load(res.Header.Get("X-Server-Load"))
+	switch never := res.Header.Get("X-Not-Processed") == "1"; {
+	case res.StatusCode == http.StatusOK:
+		return policy.Served, load
+	case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
+		return policy.TurnedAway, load
+	case res.StatusCode/100 == 4 && res.StatusCode != http.StatusTooManyRequests && res.StatusCode != http.StatusRequestTimeout:
+		return policy.Rejected, load // RFC 9110, 15.5: the client's fault; 408 and 429 are no word on the request
+	}
+	return policy.Errored, load
+}
+
 // probe asks a server for its load report. The result goes to told, once.
 func (u *Transport) probe(to *host, now time.Duration, told func(ok bool, load policy.Load)) {
 	x := u.enter()
@@ -281,13 +322,17 @@
 			told(false, policy.Load{})
 			return
 		}
+		if u.dialect != nil {
+			told(u.dialect.Told(res))
+			return
+		}
 		told(res.StatusCode == http.StatusOK, u.load(string(body)))
 	}()
 }
 
 // bytes is the request as it is written, told how long its answer is waited for. A client's headers
 // have been read by net/http, so none holds what would end it early.
-func bytesOf(m *call.Message, left time.Duration) []byte {
+func (u *Transport) bytesOf(to *host, m *call.Message, left time.Duration) []byte {
 	var out bytes.Buffer
 	out.Grow(512 + len(m.Body))
 	put := func(parts ...string) {
@@ -298,12 +343,22 @@
 	line := func(name, value string) { put(name, ": ", value, "\r\n") }
 	put(m.Method, " ", m.URI, " HTTP/1.1\r\n")
 	line("Host", m.Host)
-	if m.Header.Get("X-Request-ID") != "" {
-		line("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
+	timeout, unit, fields := "X-Timeout", "m", []h1.Field(nil)
+	if u.dialect != nil {
+		timeout, unit = u.dialect.Timeout, ""
+	}
+	if m.Header != nil { // else it is a probe
+		fields = to.fields
+	}
+	if u.dialect != nil && m.Header != nil || m.Header.Get("X-Request-ID") != "" {
+		line(timeout, strconv.FormatInt(max(1, left.Milliseconds()), 10)+unit)
+	}
+	for _, f := range fields {
+		line(f.Name, f.Value)
 	}
 	for name, values := range m.Header {
 		for _, value := range values {
-			if name != "X-Timeout" {
+			if name != timeout {
 				line(name, value)
 			}
 		}
@@ -313,7 +368,7 @@
 		line("Transfer-Encoding", "chunked")
 	case m.More != nil:
 		line("Content-Length", strconv.FormatInt(m.More.Length, 10))
-	case m.Method != http.MethodGet:
+	case m.Method != http.MethodGet || len(m.Body) > 0:
 		line("Content-Length", strconv.Itoa(len(m.Body)))
 	}
 	out.WriteString("\r\n")
@@ -355,7 +410,7 @@
 	_ = c.SetDeadline(u.clock.At(until)) // fails only on a closed connection, as the write then does
 	if m.More != nil {
 		wait := until - begun
-		early, err := c.upload(m, wait)
+		early, err := c.upload(u.bytesOf(to, m, wait), m)
 		if err != nil {
 			u.discard(c)
 			if errors.Is(err, errClaimed) || errors.Is(err, errSource) {
@@ -378,7 +433,7 @@
 			}
 			return res, nil, policy.Errored
 		}
-	} else if err := u.write(c, bytesOf(m, until-begun), m.Method != http.MethodGet, until); err != nil {
+	} else if err := u.write(c, u.bytesOf(to, m, until-begun), m.Method != http.MethodGet, until); err != nil {
 		if !x.givenUp() { // else it was closed by ourselves
 			u.lost(to, c)
 		}
@@ -516,6 +571,9 @@
 	}
 	var d net.Dialer
 	d.KeepAlive = -1 // no use against a silent machine; the time-outs are
+	if u.silence > 0 {
+		d.Control = u.silent
+	}
 	raw, err := d.DialContext(ctx, "tcp", to.address)
 	if err != nil {
 		u.mu.Lock()
@@ -533,6 +591,17 @@
 	return c, nil
 }
 
+// silent has the system give a connection up whose other end acknowledges nothing any more.
+func (u *Transport) silent(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if told := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(u.silence.Milliseconds()))
+	}); told != nil {
+		return told
+	}
+	return err
+}
+
 // take returns the idle connection that has rested longest, or nil once it has counted a new one that
 // is to be opened. An answer may bring more than belongs to it, a second copy even, and nothing in it tells
 // whose it is: on a connection that is used again at once it would be read as the next request's answer.
--- a/policy/api.go
+++ b/policy/api.go
@@ -137,6 +137,7 @@
 	Left   time.Duration // until the client gives up
 	Work   time.Duration // expected work; 0 where unknown
 	Repeat bool          // known to be a client's own further try
+	Terms  any           // for a module that knows more terms than this one, which passes them over
 }
 
 // Ending says how an attempt ended.
@@ -155,6 +156,7 @@
 	Cancelled
 	NotSent
 	Rejected // the server says that the request is at fault, not itself: it would be rejected everywhere
+	Gated    // the gate beside the server turned it back: it never ran, and never came to the server
 )
 
 // Outcome is the end of one attempt.
