--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -1,4 +1,5 @@
-// Athenaeum is the mesh's one program for all machines: "athenaeum branch" is the sidecar beside an upstream, "athenaeum stacks" the core machine that holds the configuration.
+// Athenaeum is the mesh's one program for all machines: "athenaeum branch" is the sidecar beside an upstream, "athenaeum stacks" the core machine that holds the configuration. Its
+// other words are the operators' verbs.
 package main
 
 import (
@@ -12,18 +13,21 @@
 
 	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/daybook"
+	"caperarch/internal/mesh/enquiry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/stacks"
 )
 
 const usage = `usage: athenaeum ROLE
+       athenaeum VERB [ARGUMENTS] [FLAGS]
 
 roles:
   branch   the sidecar beside an upstream
   stacks   a core machine, which holds the configuration
 
-The settings file is named by ` + settings.BootVariable + `.
-`
+The settings file of a role is named by ` + settings.BootVariable + `.
+
+` + enquiry.Usage
 
 // collectAt has garbage collected when the heap has grown by so many per cent: memory is dear on these machines, and the heap small.
 const collectAt = 50
@@ -31,6 +35,9 @@
 func main() {
 	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
 	flag.Parse()
+	if enquiry.Knows(flag.Arg(0)) {
+		os.Exit(enquiry.Main(context.Background(), flag.Args(), os.Stdin, os.Stdout, os.Stderr, os.Getenv))
+	}
 	if flag.NArg() != 1 {
 		flag.Usage()
 		os.Exit(2)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -39,6 +39,7 @@
 	Log       *slog.Logger
 	Watch     func() // subscribes to the list; nil: it comes by itself
 	Silent    bool   // no counters in the log
+	Sleeps    bool   // the module asks for no wakes where nothing is open: a long time between two events is no sign that the process was stopped
 
 	// AttemptEnded hears how each attempt ended, and must not wait; nil: nobody does.
 	AttemptEnded func(to policy.ServerID, end policy.Ending)
@@ -285,7 +286,7 @@
 func (e *Engine) advance() {
 	defer e.limit()
 	before := e.now
-	if e.now = e.Clock.Now(); e.now-before < stalledAfter {
+	if e.now = e.Clock.Now(); e.now-before < stalledAfter || e.Sleeps {
 		return
 	}
 	e.Log.Warn("stopped for a while", "time", e.now-before)
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -219,16 +219,14 @@
 	if !c.answer(&head, nil) {
 		return false
 	}
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() { // a client that leaves must not keep its server's connection
-		select {
-		case <-c.hung:
-			if c.left() {
-				body.Close()
-			}
-		case <-ended:
-		}
+	ended, joined := make(chan struct{}), make(chan struct{})
+	defer func() {
+		close(ended)
+		<-joined // until then what is read ahead is the other goroutine's
+	}()
+	go func() {
+		defer close(joined)
+		c.besides(body, ended)
 	}()
 	window := stream.Take()
 	defer stream.Give(window)
@@ -258,3 +256,29 @@
 	counts.Handled(outcome(http.StatusOK))
 	return true
 }
+
+// besides looks to a connection while an answer is passed on: a client that leaves must not keep its server's connection, and what it sends is read ahead.
+func (c *conn) besides(body call.Body, ended <-chan struct{}) {
+	defer func() {
+		if r := recover(); r != nil { // as in serve
+			c.front.panicked(r)
+			body.Close()
+		}
+	}()
+	for hung := c.hung; ; {
+		select {
+		case <-hung:
+			if c.left() {
+				body.Close()
+				return
+			}
+			hung = nil
+		case <-c.more:
+			if c.unread = true; c.readAhead() {
+				hung = c.hung
+			}
+		case <-ended:
+			return
+		}
+	}
+}
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -55,6 +55,15 @@
 
 	counts *figures.Class // that the answer under way counts for; nil: none
 
+	// What is read ahead, see readAhead:
+	line   *line         // nil: nothing has been since it rested
+	along  bool          // the request whose turn it is may be open together with others
+	more   chan struct{} // has an item where armed and bytes may have come; nil: nothing is ever read ahead
+	armed  bool          // the watcher tells
+	unread bool          // bytes may be in the kernel's buffer
+	waited bool          // the first bytes of a request were not there yet when they were looked for
+	alone  int           // answers in a row that nothing had come behind
+
 	taken    atomic.Bool   // bytes were read that the books may not know of
 	hung     chan struct{} // closed when the client may have gone
 	hangOnce sync.Once
@@ -74,12 +83,17 @@
 // serve answers a connection's requests, one after the other, until one side closes it.
 func (f *Front) serve(c *conn) {
 	c.front = f
+	if d := f.cfg.Dialect; d != nil && d.Ahead != nil && c.raw != nil {
+		c.more, c.armed = make(chan struct{}, 1), true
+	}
 	f.watch.add(c)
 	defer func() {
 		if r := recover(); r != nil { // one request's fault must not end all others
-			f.cfg.Log.Error("a connection's goroutine panicked", "panic", r, "stack", string(debug.Stack()))
+			f.panicked(r)
 		}
 		f.watch.remove(c)
+		c.callOff()
+		c.freeLine()
 		if c.s != nil {
 			c.s.free()
 		}
@@ -90,6 +104,10 @@
 	}
 }
 
+func (f *Front) panicked(r any) {
+	f.cfg.Log.Error("a connection's goroutine panicked", "panic", r, "stack", string(debug.Stack()))
+}
+
 // hang takes that the client may have ended its side.
 func (c *conn) hang() { c.hangOnce.Do(func() { close(c.hung) }) }
 
@@ -115,6 +133,7 @@
 		if errors.Is(err, syscall.EAGAIN) {
 			s.free()
 			c.taken.Store(false)
+			c.waited = true
 			return false
 		}
 		c.s, c.start, c.end, c.err = s, 0, max(n, 0), err
@@ -171,7 +190,9 @@
 		c.s.free()
 		c.s = nil
 	}
+	c.freeLine()
 	if c.raw != nil {
+		c.waited = false
 		if c.front.gate.Load() != nil { // it waits for its turn with the bytes in the kernel's buffer
 			if c.raw.Read(c.readable) != nil {
 				return false
@@ -181,6 +202,9 @@
 		if c.raw.Read(c.try) != nil {
 			return false
 		}
+		if !c.waited {
+			c.pipelines()
+		}
 		return c.err == nil && c.end > 0
 	}
 	c.s = takeScratch()
@@ -192,7 +216,11 @@
 // next takes one request and answers it; false: the connection is to be closed.
 func (c *conn) next() bool {
 	defer c.leave()
-	c.counts, c.wholeAt = nil, 0
+	c.counts, c.wholeAt, c.along = nil, 0, false
+	if c.waiting() {
+		return c.goesOn(c.inTurn())
+	}
+	c.unblock()
 	if c.start == c.end { // else the next request's bytes came with the last one's
 		c.start, c.end = 0, 0
 		if !c.first() {
@@ -215,9 +243,25 @@
 	if c.front.draining.Load() {
 		h.Close = true
 	}
-	ok = c.request(h, arrived)
-	if !ok || h.Close {
+	return c.goesOn(c.request(h, arrived))
+}
+
+// goesOn takes that a request is over, and says whether its connection goes on.
+func (c *conn) goesOn(answered bool) bool {
+	switch {
+	case !answered:
+		return false
+	case c.s.head.Close && c.waiting(): // its client is likely to go on sending, which must not cost it the answer
+		c.callOff()
+		c.linger(rejectTime, lingerMost)
+		return false
+	case c.s.head.Close:
 		return false
+	case c.waiting():
+		return true
+	}
+	if c.start == c.end {
+		c.calm()
 	}
 	c.a.rest(c)
 	return true
@@ -227,6 +271,7 @@
 func (c *conn) head() (size int, ok bool) {
 	s, timed := c.s, false
 	s.parser.Reset()
+	s.head = h1.Head{Fields: s.head.Fields[:0]} // what can't be read is not answered by the last one's
 	for {
 		n, err := s.parser.Parse(s.in[c.start:c.end], &s.head)
 		if bad := (*h1.Error)(nil); errors.As(err, &bad) {
@@ -244,13 +289,7 @@
 			_ = c.net.SetReadDeadline(time.Now().Add(headerTime))
 			c.a.unread(c)
 		}
-		switch {
-		case c.start > 0: // pipelined bytes move to the front
-			c.end = copy(s.in, s.in[c.start:c.end])
-			c.start = 0
-		case c.end == len(s.in):
-			s.in = append(s.in, make([]byte, h1.HeadLimit-len(s.in))...)
-		}
+		c.makeRoom()
 		read, err := c.read(s.in[c.end:])
 		c.end += read
 		if read == 0 {
@@ -262,6 +301,18 @@
 	}
 }
 
+// makeRoom has room in the buffer behind what is unread there, which is less than a longest head.
+func (c *conn) makeRoom() {
+	s := c.s
+	switch {
+	case c.start > 0: // pipelined bytes move to the front
+		c.end = copy(s.in, s.in[c.start:c.end])
+		c.start = 0
+	case c.end == len(s.in):
+		s.in = append(s.in, make([]byte, h1.HeadLimit-len(s.in))...)
+	}
+}
+
 // late is why a request that did not come whole in time is answered with an error: its own fault, unless it
 // had to make room.
 func (c *conn) late(own *Rejection) *Rejection {
@@ -296,17 +347,14 @@
 	if h.Target == "*" { // of the server itself (RFC 9110, 9.3.7)
 		return c.answer(&h1.Answer{Status: http.StatusOK, Header: http.Header{"Allow": {"GET, POST, OPTIONS"}}}, nil) && h.Length <= 0 && !h.Chunks
 	}
-	t, bad := f.cfg.Route(h)
-	if bad != nil {
-		return c.reject(bad)
-	}
-	q, left, bad := t.read(f.cfg.Dialect, h)
-	if bad != nil && bad.Keep {
-		return c.turnAway(h, &h1.Answer{Status: bad.Status, Pause: bad.Pause, Header: c.own(nil)})
-	}
-	if bad != nil {
+	v := c.look(h)
+	if bad := v.bad; bad != nil {
+		if bad.Keep && v.t != nil {
+			return c.turnAway(h, &h1.Answer{Status: bad.Status, Pause: bad.Pause, Header: c.own(nil)})
+		}
 		return c.reject(bad)
 	}
+	t, q := v.t, v.q
 	counts := t.class(q.Class)
 	c.of, c.counts = t, counts
 	c.a.asked(c, &t.owner)
@@ -322,29 +370,23 @@
 		}
 		defer t.leave(id)
 	}
-	walls := t.walls.Load()
-	if walls != nil {
-		if !(*walls).Enter() { // bodies that come a byte at a time would hold all connections otherwise
-			return c.refuseHead(h)
-		}
-		defer (*walls).Exit()
-	}
-	if !t.room(1, length) || walls != nil && !(*walls).Room(length) {
+	o := open{t: t, counts: counts, walls: t.walls.Load(), size: length}
+	if !o.enter() { // bodies that come a byte at a time would hold all connections otherwise
 		return c.refuseHead(h)
 	}
-	// The head's strings are its own; the rest of the scratch is used again for what follows.
-	m := &call.Message{Method: h.Method, URI: h.Target, Host: h.Host, Header: h.EndToEnd(), Stream: true}
-	if f.cfg.Dialect != nil {
-		f.cfg.Dialect.Pass(&q, m.Header)
+	defer o.exit()
+	if !o.room() {
+		return c.refuseHead(h)
 	}
+	m := c.message(h, &q)
 	var body *bodyReader // of one that is passed on as it comes
 	var ok bool
 	if !h.Chunks && h.Length <= call.BodyLimit {
 		m.Body, ok = c.body(h, int(length))
 	} else if body, ok = c.begin(h, m); ok {
-		length = int64(len(m.Body))
+		o.size = int64(len(m.Body))
 		if body != nil {
-			length += stream.WindowSize
+			o.size += stream.WindowSize
 		}
 	}
 	if !ok {
@@ -353,36 +395,40 @@
 	arrived = max(arrived, c.wholeAt) // its time counts from its last byte, and that of one that is passed on from there on
 	// Counted only now: clients that tell of a body and don't send it must not use up what the others
 	// may hold. Until here the bounds on connections hold for them.
-	if !t.take(length) {
+	defer o.give(f)
+	if !o.take(f) {
 		return c.refuseBody(body)
 	}
-	defer t.give(length)
-	if walls != nil {
-		if !(*walls).Take(length) {
-			return c.refuseBody(body)
-		}
-		defer (*walls).Give(length)
-	}
-	f.held.Add(1)
-	defer f.held.Add(-1)
-	counts.Began()
-	defer counts.Ended()
-	reply := make(chan call.Answer, 1)
+	o.reply = make(chan call.Answer, 1)
+	c.along = c.alongside(h, &q)
 	c.leave()
-	number := t.Engine.Ask(q, m, arrived+left, reply)
+	o.number = t.Engine.Ask(q, m, arrived+v.left, o.reply)
+	return c.conclude(&o, body)
+}
+
+// conclude waits for the reply to the request whose turn it is, reads ahead meanwhile, and answers.
+func (c *conn) conclude(o *open, body *bodyReader) bool {
+	c.readAhead() // what came with its head, or found no place before
 	for hung := c.hung; ; {
 		select {
-		case a := <-reply:
+		case a := <-o.reply:
 			return c.behind(&a, body)
+		case <-c.more:
+			if c.unread = true; c.readAhead() {
+				hung = c.hung // what it had waited with may be taken by now
+			}
 		case <-hung:
 			if c.start == c.end && c.left() { // with no answer: nobody is left to take it
-				t.Engine.Gone(number)
+				o.t.Engine.Gone(o.number)
+				if c.along { // its answer may have been here before its turn
+					forget([]chan call.Answer{o.reply})
+				}
 				return false
 			}
 			hung = nil // more requests came before the end: it still waits for their answers
-		case <-t.Engine.Ended(): // its pool was taken away: what it had taken is answered by then
+		case <-o.t.Engine.Ended(): // its pool was taken away: what it had taken is answered by then
 			select {
-			case a := <-reply:
+			case a := <-o.reply:
 				return c.behind(&a, body)
 			default: // it never came to the module
 				return c.refuseBody(body)
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -182,6 +182,10 @@
 	Read func(h *h1.Head) (q policy.Request, left time.Duration, bad *Rejection)
 	// Pass changes what goes on to a server.
 	Pass func(q *policy.Request, fields http.Header)
+	// Ahead says whether a request may be worked on while those before it on its connection are open, and may have others beside it that came behind it: an
+	// idempotent one may. Such a request without a body is read ahead, at most aheadMost of them; answers go back in the order of the requests. An
+	// answer that closes the connection has those behind it called off. nil: one at a time.
+	Ahead func(q *policy.Request) bool
 	// Own are the fields of an answer that is not a server's; h is its request's head, a is nil for a rejection.
 	Own func(h *h1.Head, a *call.Answer) http.Header
 }
--- a/internal/front/http1/watch_linux.go
+++ b/internal/front/http1/watch_linux.go
@@ -41,7 +41,7 @@
 
 func (w *watcher) close() { w.file.Close() }
 
-// add has a connection told once when its client ends its side or breaks it.
+// add has a connection told once when its client ends its side or breaks it, and each time that bytes come if it is armed.
 func (w *watcher) add(c *conn) {
 	if c.raw == nil {
 		return
@@ -51,10 +51,23 @@
 		w.mu.Lock()
 		w.conns[c.fd] = c
 		w.mu.Unlock()
-		event := syscall.EpollEvent{Events: syscall.EPOLLRDHUP | epollET, Fd: c.fd}
-		_ = w.raw.Control(func(epoll uintptr) {
-			_ = syscall.EpollCtl(int(epoll), syscall.EPOLL_CTL_ADD, int(fd), &event)
-		})
+		w.control(syscall.EPOLL_CTL_ADD, c)
+	})
+}
+
+// change has a connection told of bytes as well, or no longer, by c.armed. What has come already is told too.
+func (w *watcher) change(c *conn) {
+	_ = c.raw.Control(func(uintptr) { w.control(syscall.EPOLL_CTL_MOD, c) })
+}
+
+// control is called while the connection's descriptor is sure to be its own.
+func (w *watcher) control(op int, c *conn) {
+	event := syscall.EpollEvent{Events: syscall.EPOLLRDHUP | epollET, Fd: c.fd}
+	if c.armed {
+		event.Events |= syscall.EPOLLIN
+	}
+	_ = w.raw.Control(func(epoll uintptr) {
+		_ = syscall.EpollCtl(int(epoll), op, int(c.fd), &event)
 	})
 }
 
@@ -83,7 +96,12 @@
 		for _, e := range events[:max(n, 0)] {
 			// The descriptor may be another connection's by now: who is told looks for itself, see conn.left.
 			if c := w.conns[e.Fd]; c != nil {
-				c.hang()
+				if e.Events&^syscall.EPOLLIN != 0 {
+					c.hang()
+				}
+				if e.Events&syscall.EPOLLIN != 0 {
+					c.comes()
+				}
 			}
 		}
 		w.mu.Unlock()
--- a/internal/front/http1/watch_other.go
+++ b/internal/front/http1/watch_other.go
@@ -2,10 +2,11 @@
 
 package http1
 
-// watcher is for Linux. Elsewhere a client's going away is noticed when its answer is written.
+// watcher is for Linux. Elsewhere a client's going away is noticed when its answer is written, and only what comes with a request's head is read ahead.
 type watcher struct{}
 
 func newWatcher() (*watcher, error) { return new(watcher), nil }
 func (*watcher) close()             {}
 func (*watcher) add(*conn)          {}
+func (*watcher) change(*conn)       {}
 func (*watcher) remove(*conn)       {}
--- a/internal/mesh/archive/member.go
+++ b/internal/mesh/archive/member.go
@@ -476,7 +476,8 @@
 	known[id] = memory
 	m.hard.Known = known
 	m.hardDirty = true
-	if p := m.peers[id]; p != nil && p.epoch < memory.Epoch {
+	// Also what a shorter life said at this epoch, before it was wiped in turn, is void.
+	if p := m.peers[id]; p != nil && p.epoch <= memory.Epoch {
 		m.peers[id] = &peer{epoch: memory.Epoch, forgotten: true, next: m.log.last() + 1, sent: p.sent}
 	}
 }
--- a/internal/mesh/archive/member_test.go
+++ b/internal/mesh/archive/member_test.go
@@ -18,15 +18,17 @@
 
 func play(seed uint64) *world {
 	n := 3
-	if seed%3 == 0 {
+	if seed%2 == 0 {
 		n = 5
 	}
 	w := newWorld(seed, n)
 	w.clients(25 * time.Millisecond)
-	for range 6 + w.rng.IntN(10) {
-		w.run(w.now+w.upTo(700*time.Millisecond), nil)
+	w.spite = seed%4 < 3
+	pace := []time.Duration{250 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}[w.rng.IntN(3)]
+	for w.now < 8*time.Second && len(w.faults) == 0 {
+		w.run(w.now+w.upTo(pace), nil)
 		w.hurt()
-		if w.rng.IntN(4) == 0 {
+		if w.rng.IntN(2) == 0 {
 			w.cut = map[[2]string]bool{}
 		}
 	}
@@ -100,14 +102,12 @@
 			other = w.nodes[w.ids[1]]
 		}
 		So(id, ShouldNotBeEmpty)
-		Convey("a follower that was frozen and one that heard nobody leave the view as it is", func() {
+		Convey("a follower that was frozen and one that doesn't hear the sequencer leave the view as it is", func() {
 			other.frozen = true
 			w.run(w.now+2*time.Second, nil)
 			other.frozen = false
 			w.pump(other)
-			for _, from := range w.ids {
-				w.cut[[2]string{from, other.id}] = true
-			}
+			w.cut[[2]string{lead.id, other.id}] = true
 			w.run(w.now+3*time.Second, nil)
 			w.cut = map[[2]string]bool{}
 			w.run(w.now+2*time.Second, nil)
--- a/internal/mesh/archive/world_test.go
+++ b/internal/mesh/archive/world_test.go
@@ -20,6 +20,9 @@
 	cut    map[[2]string]bool
 	loss   float64
 	delay  time.Duration
+	// spite makes faults strike where the protocol is at its most delicate:
+	// right after a vote, an answer to one that forgot, or an acknowledgement.
+	spite bool
 
 	issued  int
 	acked   map[uint64]string // index -> command, as told to a proposer
@@ -304,8 +307,18 @@
 	if w.loss > 0 && w.rng.Float64() < w.loss {
 		copies = w.rng.IntN(2) * 2
 	}
+	late := time.Duration(0)
+	if w.spite {
+		if w.rng.IntN(30) == 0 {
+			late = w.upTo(1500 * time.Millisecond)
+		}
+		odds := map[Kind]int{KindBallot: 4, KindBallotAnswer: 3, KindRecoverAnswer: 6, KindAppendAnswer: 400}[msg.Kind]
+		if odds > 0 && w.rng.IntN(odds) == 0 {
+			w.after(w.upTo(10*time.Millisecond), func() { w.strike(w.nodes[from]) })
+		}
+	}
 	for range copies {
-		w.after(time.Millisecond+w.upTo(w.delay), func() {
+		w.after(time.Millisecond+late+w.upTo(w.delay), func() {
 			n := w.nodes[to]
 			if w.cut[[2]string{from, to}] || n.m == nil {
 				return
@@ -350,21 +363,65 @@
 	w.after(every/2+w.upTo(every), func() { w.clients(every) })
 }
 
-// forgetful counts the members whose disk doesn't remember.
-func (w *world) forgetful() int {
+// forgetful counts the members other than one whose disk doesn't remember.
+func (w *world) forgetful(but *machine) int {
 	k := 0
 	for _, n := range w.nodes {
-		if !n.disk.Hard.Remembers {
+		if n != but && !n.disk.Hard.Remembers {
 			k++
 		}
 	}
 	return k
 }
 
+// split parts the members into two sides that don't hear each other, chosen by lot.
+func (w *world) split() {
+	side := map[string]bool{}
+	for _, id := range w.ids {
+		side[id] = w.rng.IntN(2) == 0
+	}
+	w.cut = map[[2]string]bool{}
+	for _, from := range w.ids {
+		for _, to := range w.ids {
+			w.cut[[2]string{from, to}] = side[from] != side[to]
+		}
+	}
+}
+
+// strike power-cycles a member, with its disk or without, or parts the network anew.
+func (w *world) strike(n *machine) {
+	if !w.spite {
+		return
+	}
+	switch w.rng.IntN(5) {
+	case 0:
+		w.powerOff(n)
+	case 1, 2:
+		if w.forgetful(n)+1 > len(w.ids)/2 {
+			return
+		}
+		w.wipe(n)
+	case 3:
+		w.split()
+		return
+	case 4:
+		w.cut = map[[2]string]bool{}
+		return
+	}
+	w.after(w.upTo(150*time.Millisecond), func() { w.powerOn(n.id) })
+}
+
 // hurt does one random fault.
 func (w *world) hurt() {
 	n := w.pick()
-	switch w.rng.IntN(12) {
+	if w.rng.IntN(2) == 0 {
+		for _, id := range w.ids {
+			if m := w.nodes[id].m; m != nil && m.role == sequencer {
+				n = w.nodes[id]
+			}
+		}
+	}
+	switch w.rng.IntN(14) {
 	case 0, 1:
 		w.powerOff(n)
 		w.after(w.upTo(1500*time.Millisecond), func() { w.powerOn(n.id) })
@@ -374,7 +431,7 @@
 			w.after(w.upTo(600*time.Millisecond), func() { w.powerOn(id) })
 		}
 	case 3, 4, 5:
-		if w.forgetful()+1 > len(w.ids)/2 {
+		if w.forgetful(n)+1 > len(w.ids)/2 {
 			return
 		}
 		w.wipe(n)
@@ -402,14 +459,16 @@
 	case 10:
 		n.slow = w.upTo(1500 * time.Millisecond)
 		w.after(w.upTo(2*time.Second), func() { n.slow = 0 })
-	case 11:
+	case 11, 12:
+		w.split()
+	case 13:
 		w.loss, w.delay = w.rng.Float64()/2, w.upTo(200*time.Millisecond)
 	}
 }
 
 // heal ends all trouble.
 func (w *world) heal() {
-	w.cut, w.loss, w.delay = map[[2]string]bool{}, 0, 5*time.Millisecond
+	w.cut, w.loss, w.delay, w.spite = map[[2]string]bool{}, 0, 5*time.Millisecond, false
 	for _, id := range w.ids {
 		n := w.nodes[id]
 		n.full, n.slow, n.frozen = false, 0, false
--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -124,7 +124,7 @@
 	})
 	var err error
 	b.outer, err = engine.New(engine.Config{
-		Policy: policy.Config{MaxAttempts: mostSends}, Seed: seed.Sum64(), Clock: b.clock, Transport: network{links}, Log: logs, Silent: true,
+		Policy: policy.Config{MaxAttempts: mostSends}, Seed: seed.Sum64(), Clock: b.clock, Transport: network{links}, Log: logs, Silent: true, Sleeps: true,
 		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
 			return porter.New(porter.Config{Zone: b.shelves.zones[b.set.Self.Zone], Members: b.members, Budget: b.quota}, host), nil
 		},
@@ -133,7 +133,7 @@
 		return err
 	}
 	b.inner, err = engine.New(engine.Config{
-		Policy: policy.Config{MaxAttempts: 1}, Seed: seed.Sum64(), Clock: b.clock, Transport: beside, Log: logs, Silent: true,
+		Policy: policy.Config{MaxAttempts: 1}, Seed: seed.Sum64(), Clock: b.clock, Transport: beside, Log: logs, Silent: true, Sleeps: true,
 		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
 			b.in.gate = carrel.New(host)
 			return b.in.gate, nil
--- a/internal/mesh/branch/outbound.go
+++ b/internal/mesh/branch/outbound.go
@@ -1,8 +1,10 @@
 package branch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,8 +25,8 @@
 	standardAim = time.Second
 	// mostShare is the largest part of all slots that one tenant's compartment may have: well under the whole, whatever its rate.
 	mostShare = 0.35
-	// innerShare is the part that the compartment of a service has for requests without a tenant, where the configuration has tenants.
-	innerShare = 0.5
+	// callsOfRun is how many internal checks one run of the upstream beside us may have under way, for the size of their compartment.
+	callsOfRun = 3
 	// lowestRank is that of what names none.
 	lowestRank = 9
 )
@@ -35,8 +37,9 @@
 	caller []string // the service of this machine
 
 	mu     sync.Mutex
-	shares map[string]float64 // of tenants, of the charter that they were worked out for
-	of     *charter.Charter
+	of     *charter.Charter // that the next two were worked out for
+	shares map[string]float64
+	checks map[*charter.Route]bool
 }
 
 func (o *outbound) dialect() *http1.Dialect {
@@ -102,12 +105,15 @@
 		if tenant.Priority >= 0 {
 			rank = tenant.Priority
 		}
-		wall = porter.Wall{Name: "tenant " + tenant.Name, Share: o.share(c, tenant)}
+		wall = porter.Wall{Name: "tenant " + tenant.Name, Share: o.share(c, tenant.Name)}
 		if pause, ok := o.b.quota.take(tenant.Name); !ok {
 			return policy.Request{}, 0, &http1.Rejection{Status: http.StatusTooManyRequests, Reason: "over the quota", Keep: true, Pause: pause}
 		}
-	} else if c.HasTenants() {
-		wall.Share *= innerShare
+	}
+	rank++ // below internal checks, whatever the operator's ranks are
+	if name == "" && o.isCheck(c, route) {
+		rank = 0
+		wall.Name, wall.Least = "checks of "+service, callsOfRun*o.b.shelves.slotsBeside()
 	}
 	return policy.Request{Terms: &porter.Order{
 		Service: o.b.shelves.number(service), Wall: wall, Tenant: name, Rank: min(max(0, rank), lowestRank), Safe: route.Idempotent, Attempts: route.MaxAttempts, Aim: aim,
@@ -133,24 +139,53 @@
 }
 
 // share is a tenant's part of all slots: by its rate against all tenants' rates, evenly where none is limited, and never more than mostShare.
-func (o *outbound) share(c *charter.Charter, t *charter.Tenant) float64 {
+func (o *outbound) share(c *charter.Charter, tenant string) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.work(c)
+	return o.shares[tenant]
+}
+
+// isCheck says whether requests of a route are internal checks: calls that a run makes, which go before all else, as the request that waits for them holds a slot meanwhile. Nothing in a
+// request tells. A route is one if all the time that it may take fits into the aim of every route that may take longer: else it could be no part of their requests.
+func (o *outbound) isCheck(c *charter.Charter, r *charter.Route) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.of != c {
-		o.of, o.shares = c, make(map[string]float64)
-		sum, all := 0.0, c.Tenants()
-		for _, t := range all {
-			sum += t.RatePerS
+	o.work(c)
+	return o.checks[r]
+}
+
+// work works out what a configuration means for requests, once for each.
+func (o *outbound) work(c *charter.Charter) {
+	if o.of == c {
+		return
+	}
+	o.of, o.shares, o.checks = c, make(map[string]float64), make(map[*charter.Route]bool)
+	sum, all := 0.0, c.Tenants()
+	for _, t := range all {
+		sum += t.RatePerS
+	}
+	for _, t := range all {
+		share := 1 / float64(len(all))
+		if sum > 0 && t.RatePerS > 0 {
+			share = t.RatePerS / sum
+		}
+		o.shares[t.Name] = min(mostShare, share)
+	}
+	routes := slices.SortedFunc(slices.Values(c.Routes()), func(a, b *charter.Route) int { return cmp.Compare(b.Timeout, a.Timeout) })
+	least := time.Duration(0) // aim of those that may take longer; 0: there is none
+	for i := 0; i < len(routes); {
+		next := i
+		for ; next < len(routes) && routes[next].Timeout == routes[i].Timeout; next++ {
+			r := routes[next]
+			o.checks[r] = least > 0 && r.Timeout > 0 && r.Timeout <= least && r.Idempotent && (r.Public || !c.HasTenants())
 		}
-		for _, t := range all {
-			share := 1 / float64(len(all))
-			if sum > 0 && t.RatePerS > 0 {
-				share = t.RatePerS / sum
+		for ; i < next; i++ {
+			if aim := routes[i].TargetLatency; aim > 0 && (least == 0 || aim < least) {
+				least = aim
 			}
-			o.shares[t.Name] = min(mostShare, share)
 		}
 	}
-	return o.shares[t.Name]
 }
 
 // pass changes what goes on: what only the system may say is its own, the key stays here.
--- a/internal/mesh/branch/shelves.go
+++ b/internal/mesh/branch/shelves.go
@@ -98,6 +98,16 @@
 	return true
 }
 
+// slotsBeside is how many requests the upstream beside us works on at once.
+func (s *shelves) slotsBeside() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own == nil {
+		return 1
+	}
+	return max(1, s.own.Slots)
+}
+
 // gone takes that an instance has ended.
 func (s *shelves) gone(instance string) {
 	s.mu.Lock()
--- a/internal/mesh/carrel/carrel.go
+++ b/internal/mesh/carrel/carrel.go
@@ -33,6 +33,8 @@
 	fewestWaiting = 2
 	// waitShare is the part of a request's aim that it may wait for: the rest belongs to its work.
 	waitShare = 4
+	// urgentShare is the part of all its time that a request of the highest rank waits at most: half of it is left for its work.
+	urgentShare = 2
 	// meanShare is the weight of the past in the mean service time: high enough that one slow request does not turn
 	// all others back, low enough that a change shows within some dozens of requests.
 	meanShare = 16
@@ -140,6 +142,9 @@
 		aim = left
 	}
 	r := &request{id: q.ID, rank: rank, came: now, startBy: now + aim/waitShare, deadline: now + left}
+	if rank == 0 { // an internal check has no other try, and takes the request that made it along
+		r.startBy = now + left/urgentShare
+	}
 	switch {
 	case left <= 0 || !g.open(now):
 		g.refuse(now, r)
--- a/internal/mesh/carrel/carrel_test.go
+++ b/internal/mesh/carrel/carrel_test.go
@@ -292,8 +292,12 @@
 				for range rapid.IntRange(1, 8).Draw(t, "burst") {
 					next++
 					left := time.Duration(rapid.IntRange(-10, 1000).Draw(t, "left")) * ms
-					waits[next] = s.now + left/4
-					s.ask(next, rapid.IntRange(-1, 20).Draw(t, "rank"), left, 0)
+					rank, part := rapid.IntRange(-1, 20).Draw(t, "rank"), time.Duration(4)
+					if rank <= 0 { // internal checks have no other try
+						part = 2
+					}
+					waits[next] = s.now + left/part
+					s.ask(next, rank, left, 0)
 				}
 			}
 			running, queued, _ := s.g.Load()
--- a/internal/mesh/catalogue/table_test.go
+++ b/internal/mesh/catalogue/table_test.go
@@ -127,6 +127,9 @@
 		up.Sequence, up.WarmupRemaining = 3, 10
 		So(renew(table, at(4000), Lease{Node: "n1", Life: 1, Sequence: 3, Upstream: &up}), ShouldBeTrue)
 		So(table.Number(), ShouldEqual, 2)
+		// A renewal that repeats the beat says nothing new of the warm-up.
+		So(renew(table, at(6000), Lease{Node: "n1", Life: 1, Sequence: 4, Upstream: &up}), ShouldBeFalse)
+		So(table.Upstreams(at(6000))[0].WarmupRemaining, ShouldEqual, 8)
 	})
 	Convey("A renewal extends only what it is a renewal of", t, func() {
 		here, there, up := New(1), New(2), upstream("a", 1)
--- a/internal/mesh/charter/table.go
+++ b/internal/mesh/charter/table.go
@@ -226,6 +226,17 @@
 // Tenant gives the tenant that holds a key, or nil.
 func (c *Charter) Tenant(key string) *Tenant { return c.table.keys[key] }
 
+// Routes are all routes, in no particular order.
+func (c *Charter) Routes() []*Route {
+	var all []*Route
+	for _, entries := range c.table.hosts {
+		for _, e := range entries {
+			all = append(all, e.route)
+		}
+	}
+	return all
+}
+
 // HasTenants says whether requests need the key of a tenant.
 func (c *Charter) HasTenants() bool { return len(c.table.tenants) > 0 }
 
--- a/internal/mesh/circulation/circulation_test.go
+++ b/internal/mesh/circulation/circulation_test.go
@@ -228,6 +228,36 @@
 	return strings.Join(list, " ")
 }
 
+func (s *sidecar) inbound(instance string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[instance].Inbound
+}
+
+func (s *sidecar) heard() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.frames)
+}
+
+func (s *sidecar) replaced() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fulls
+}
+
+func (s *sidecar) leases() uint64 {
+	s.Subscriber.mu.Lock()
+	defer s.Subscriber.mu.Unlock()
+	return s.sequence
+}
+
+func (m *member) watched() int {
+	m.Hub.mu.Lock()
+	defer m.Hub.mu.Unlock()
+	return len(m.watches)
+}
+
 func (s *sidecar) change(f func()) {
 	s.mu.Lock()
 	f()
@@ -288,19 +318,19 @@
 		began := time.Now()
 		So(m[0].WaitApplied(context.Background(), 7), ShouldEqual, 0)
 		So(time.Since(began), ShouldBeLessThanOrEqualTo, 15*ms)
-		So(c[0].frames, ShouldResemble, []string{"[7]"})
+		So(c[0].heard(), ShouldResemble, []string{"[7]"})
 		m[0].put(9)
 		m[1].put(9)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		So(m[0].WaitApplied(ctx, 9), ShouldEqual, 1)
-		So(c[0].frames, ShouldResemble, []string{"[7]", "8", "9"})
+		So(c[0].heard(), ShouldResemble, []string{"[7]", "8", "9"})
 
 		// A frame that does not fit is followed by the whole.
 		c[2].change(func() { c[2].refuse = true })
 		m[2].put(9)
 		pass(30 * ms)
-		So(c[2].frames, ShouldResemble, []string{"[7]", "8", "[9]"})
+		So(c[2].heard(), ShouldResemble, []string{"[7]", "8", "[9]"})
 		So(m[1].Behind(9), ShouldEqual, 0)
 
 		// A deregistration that reaches a member directly holds everywhere, against the sidecar that still renews.
@@ -318,7 +348,7 @@
 	mesh(t, "A sidecar goes on to another member at once, takes nothing older there, and loses nothing", func(n *network, m []*member, c []*sidecar) {
 		m[0].put(5)
 		pass(15 * ms)
-		fulls := c[0].fulls
+		fulls := c[0].replaced()
 		m[0].stop()
 		pass(20 * ms)
 		So(c[0].Connected(), ShouldBeTrue)
@@ -326,9 +356,9 @@
 		m[1].put(4)
 		m[2].put(4)
 		pass(3 * time.Second)
-		So(c[0].version, ShouldEqual, 5)
-		So(c[0].frames, ShouldResemble, []string{"[5]"})
-		So(c[0].fulls, ShouldEqual, fulls+1)
+		So(c[0].cfg.Charter(), ShouldEqual, 5)
+		So(c[0].heard(), ShouldResemble, []string{"[5]"})
+		So(c[0].replaced(), ShouldEqual, fulls+1)
 		So(m[1].Behind(5)*10+m[2].Behind(4), ShouldEqual, 20)
 
 		// Cut off from the others, a member holds no sidecar and tells no charter.
@@ -341,7 +371,7 @@
 		}
 		pass(1200 * ms)
 		So(c[1].Peers()[0], ShouldNotEqual, was)
-		So(c[1].version, ShouldEqual, 4)
+		So(c[1].cfg.Charter(), ShouldEqual, 4)
 		_, err := desk.Call[watchRequest, struct{}](context.Background(), c[1].cfg.Client, "http://"+was+watchPath, &watchRequest{Node: "x"})
 		So(faultlist.Of(err), ShouldEqual, faultlist.NoQuorum)
 
@@ -369,7 +399,7 @@
 		began := time.Now()
 		fresh := n.member("m2:1", 99)
 		defer fresh.stop()
-		pass(900 * ms)
+		pass(lastPause + 4*firstPause)
 		So(c[0].Connected() && c[1].Connected(), ShouldBeTrue)
 		So(c[0].sees(), ShouldEqual, "i-c1 i-c2 i-c3")
 		So(c[0].Members(), ShouldEqual, 3)
@@ -384,11 +414,15 @@
 		So(c[1].Leave(context.Background()), ShouldBeNil)
 		pass(30 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
+		sent := c[1].leases()
+		pass(2 * time.Second)
+		So(c[1].leases(), ShouldEqual, sent)
 		c[1].stop()
 		for _, name := range all {
 			n.sever("c3", name)
 		}
-		pass(2 * time.Second)
+		// The last renewal may be renewEvery old.
+		pass(catalogue.LeaseTime - renewEvery - ms)
 		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
 		m[0].put(2)
 		So(m[0].WaitApplied(context.Background(), 2), ShouldEqual, 0)
@@ -401,7 +435,7 @@
 		So(m[1].Beat(catalogue.Upstream{Instance: "i-c3", Service: "s-c3", Address: "c3:80", Sequence: 5}), ShouldBeNil)
 		pass(30 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
-		So(c[0].held["i-c3"].Inbound, ShouldEqual, "c3:90")
+		So(c[0].inbound("i-c3"), ShouldEqual, "c3:90")
 		pass(catalogue.StaleTime + 3*time.Second)
 		So(c[0].sees(), ShouldEqual, "i-c1")
 	})
@@ -441,12 +475,12 @@
 		_, err = io.WriteString(conn, "POST "+watchPath+" HTTP/1.1\r\nHost: m1\r\nContent-Length: 15\r\n\r\n{\"node\":\"slow\"}")
 		So(err, ShouldBeNil)
 		pass(50 * ms)
-		So(len(m[0].watches), ShouldEqual, 2)
+		So(m[0].watched(), ShouldEqual, 2)
 		c[1].change(func() { c[1].up.State, c[1].up.Sequence = catalogue.Draining, 2 })
 		c[1].Poke()
 		pass(15 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c2!")
 		pass(writeTimeout + 500*ms)
-		So(len(m[0].watches), ShouldEqual, 1)
+		So(m[0].watched(), ShouldEqual, 1)
 	})
 }
--- a/internal/mesh/circulation/subscriber.go
+++ b/internal/mesh/circulation/subscriber.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// firstPause and lastPause bound the growing pause between members that
-	// fail one after the other, against a crowd that knocks without a break.
+	// firstPause and lastPause bound the pauses between members that fail one
+	// after the other, against a crowd that knocks without a break.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
 	// steadyAfter is how long a member must have served for its failure to
@@ -192,16 +192,25 @@
 		}
 		failures++
 		s.cfg.Log.Debug("A core member is left.", zap.String("member", address), zap.Error(err))
-		if failures > 1 {
-			sleep(ctx, backOff(failures))
-		}
+		sleep(ctx, s.backOff(failures))
 	}
 	s.leave()
 }
 
-// backOff is the jittered pause before the next member is tried.
-func backOff(failures int) time.Duration {
-	pause := min(firstPause<<min(failures-2, 10), lastPause)
+// backOff is the jittered pause before the next member is tried: none after the
+// first failure, short ones within a round of the members, and one between
+// rounds that grows, so that a single member that is there is found soon.
+func (s *Subscriber) backOff(failures int) time.Duration {
+	s.mu.Lock()
+	members := max(len(s.order()), 1)
+	s.mu.Unlock()
+	pause := firstPause
+	switch {
+	case failures == 1:
+		return 0
+	case failures%members == 0:
+		pause = min(firstPause<<min(failures/members, 10), lastPause)
+	}
 	return pause/2 + rand.N(pause/2+1)
 }
 
--- /dev/null
+++ b/internal/mesh/enquiry/enquiry_test.go
@@ -0,0 +1,171 @@
+package enquiry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/stacks"
+)
+
+// coreSettings are of a core machine that is alone: its address, the mesh's port and the data directory are filled in.
+const coreSettings = `
+self: {nodeName: core-1, role: stacks, machineClass: core, servedRoles: [control_plane], ipAddress: 127.0.0.1, zone: a, region: r, countedInQuorum: true,
+  firstStart: true, dataDirectory: %[3]q, limits: {cpuShare: 1, cpuCores: 1, memoryMb: 256, maxOpenFiles: 1024, bandwidthMbps: 100, diskMb: 64}}
+network: {listenAddresses: {controlPlane: "%[1]s"}, internalPortRange: [%[2]s, %[2]s], seedNodes: ["%[1]s"], zones: {a: r}}
+provider: {discoverySource: static, entryType: static, heartbeatIntervalS: 1}
+guarantees: {contracts: [base], faultTolerance: {machines: 0, zones: 0, regions: 0}, bounds: {}}
+`
+
+const first = `
+configVersion: 3
+resources:
+  - {resourceType: services, metadata: {name: tea}, specification: {healthCheckPath: /health}}
+  - {resourceType: services, metadata: {name: milk}, specification: {}}
+  - {resourceType: routes, metadata: {name: cups}, specification: {hostname: tea.example, pathPrefix: /cup/, routeType: idempotent, timeoutS: 1.5, priority: 2, maxAttempts: 2,
+      weightedTargets: [{serviceName: tea, weight: 3}, {serviceName: milk, weight: 1}]}}
+  - {resourceType: routes, metadata: {name: open}, specification: {hostname: tea.example, pathPrefix: /open/, routeType: non_idempotent, timeoutS: 1, serviceName: milk, public: true}}
+  - {resourceType: tenants, metadata: {name: house}, specification: {apiKeys: [k-1, k-2], priority: 0, ratePerS: 50}}
+`
+
+// free gives a loopback address that nobody listens at.
+func free() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// said runs a verb, and gives the exit code and what it wrote.
+func said(at string, words ...string) (int, string) {
+	var out bytes.Buffer
+	code := Main(context.Background(), words, strings.NewReader(first), &out, &out, func(name string) string {
+		return map[string]string{AtVariable: at}[name]
+	})
+	return code, out.String()
+}
+
+func TestVerbs(t *testing.T) {
+	Convey("Every verb against a core machine", t, func() {
+		at, inside := free(), free()
+		_, port, _ := net.SplitHostPort(inside)
+		set, err := settings.Parse(fmt.Appendf(nil, coreSettings, at, port, t.TempDir()))
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- stacks.Run(ctx, set, zap.NewNop()) }()
+		Reset(func() {
+			cancel()
+			So(<-ended, ShouldBeNil)
+		})
+		// has runs a verb and looks for what it is to write.
+		has := func(code int, words string, parts ...string) {
+			got, text := said(at, strings.Fields(words)...)
+			So(got, ShouldEqual, code)
+			for _, part := range parts {
+				So(text, ShouldContainSubstring, part)
+			}
+		}
+
+		// The core is still choosing itself: the library asks until there is an answer.
+		has(Done, "why tea.example /cup/1", "No configuration is in force yet: the answer is 503.")
+		has(Done, "apply -", "version 3 is in force, built on version 0")
+		has(Done, "apply - --output json", `"configVersion": 3`, `"baseVersion": 0`)
+		next := filepath.Join(t.TempDir(), "next.yaml")
+		text := strings.Replace(strings.Replace(strings.Replace(first, "3\nres", "5\nres", 1), "name: open", "name: wide", 1), "1.5", "2.5", 1)
+		So(os.WriteFile(next, []byte(text), 0o600), ShouldBeNil)
+		has(Done, "diff "+next, "from version 3, which is in force, to version 5 of the file: 3 differences\n~ routes cups\n- routes open\n+ routes wide\n")
+		has(Failed, "apply "+next+" --base 2", "stale: "+at, "builds on 2, but 3 is in place")
+		has(Done, "apply "+next+" --base 3", "version 5 is in force, built on version 3")
+		has(Done, "apply "+next+" --base 3", "version 5 is in force") // the very same again
+		has(Failed, "apply -", "invalid: ", "configVersion: 3 is not above 5")
+		has(Done, "describe", "version 5 is in force, built on version 3, with 5 items", "tea.example/cup/ idempotent to tea:3,milk:1", "2 keys, 50 a second")
+		has(Done, "describe --output json", `"apiKeys"`, `"k-1"`)
+
+		// A sidecar with its upstream, and an upstream that reached the core alone.
+		client := desk.NewClient(time.Second)
+		defer client.CloseIdleConnections()
+		_, err = desk.Call[catalogue.Lease, circulation.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &catalogue.Lease{
+			Node: "side-1", Life: 1, Sequence: 1, Zone: "a", Applied: 5,
+			Upstream: &catalogue.Upstream{Instance: "i-1", Service: "tea", Address: "10.0.0.1:80", Inbound: "10.0.0.1:81", Zone: "a", Slots: 4, Sequence: 1},
+		})
+		So(err, ShouldBeNil)
+		res, err := client.Post("http://"+at+"/api/instances/i-2/heartbeat", "", strings.NewReader(
+			`{"address":"10.0.0.2:80","nodeInfo":{"serviceName":"tea","zone":"b","capacitySlots":7},"status":{"state":"ready","callSequence":1}}`))
+		So(err, ShouldBeNil)
+		So(res.StatusCode, ShouldEqual, http.StatusOK)
+		So(res.Body.Close(), ShouldBeNil)
+		has(Done, "members", "as core-1 knows it", inside+"  core-1  5        sequencer,in contact", "side-1   a     5        i-1       here")
+		has(Done, "members --output json", `"asOf": "core-1"`, `"node": "side-1"`, `"sequencer": true`)
+		has(Done, "upstreams", "i-1       tea      a     side-1  4      ready", "i-2       tea      b     -       7      ready")
+		has(Done, "view", "node core-1", "sequencer "+inside, "version 5", "in contact true", "remembers true", "sick false")
+
+		has(Done, "why TEA.example:80 /cup/1?x --key k-2", "Route cups takes it", "It may run more than once. One try is sent to 2 upstreams at most and held for 2.5s at most.",
+			"tenant house's, which may have 50 requests", "Its priority is 0, the tenant's", "Service tea gets 75% of the route's requests; core-1 knows 2 upstreams of it, 1 of which",
+			"i-1 in zone a, 4 slots: ready", "i-2 in zone b, 7 slots: no sidecar beside it is known", "Service milk gets 25%", "Nothing can run it there")
+		has(Done, "why tea.example /cup/1 --output json --key k", `"refusal": 401`, "No tenant has this key")
+		has(Done, "why tea.example /cup/1", "none is given (--key): the answer is 401")
+		has(Done, "why tea.example /open/1", "Route wide takes it", "at most once", "The route is public", "the compartment of the service")
+		has(Done, "why tea.example /cups/1", "the answer is 404")
+	})
+}
+
+func TestMisuse(t *testing.T) {
+	Convey("What is used wrongly, faulty files and silence have their codes and are named", t, func() {
+		file := func(text string) string {
+			path := filepath.Join(t.TempDir(), "file")
+			So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+			return path
+		}
+		core := fmt.Sprintf(coreSettings, "127.0.0.1:1", "2", "/data")
+		faulty := strings.NewReplacer("timeoutS: 1.5", "timeoutS: 700", "serviceName: milk, public", "serviceName: mlik, public", "ratePerS: 50", "ratePerS: -1").Replace(first)
+		shared := first + "  - {resourceType: tenants, metadata: {name: guest}, specification: {apiKeys: [k-2]}}\n"
+		for _, x := range []struct {
+			code  int
+			words []string
+			parts []string
+		}{
+			{Misused, nil, []string{"verbs:", "exit codes"}},
+			{Misused, []string{"aply"}, []string{"verbs:"}},
+			{Done, []string{"apply", "-h"}, []string{"verbs:"}},
+			{Misused, []string{"view"}, []string{"give --at or set ATHENAEUM_AT"}},
+			{Misused, []string{"view", "--at", "core"}, []string{`"core" is not a host with a port`}},
+			{Misused, []string{"view", "--base", "3"}, []string{"not defined: -base"}},
+			{Misused, []string{"apply", "-", "--base", "x", "--at", "a:1"}, []string{"not a version"}},
+			{Misused, []string{"why", "--at", "a:1", "host"}, []string{"1 arguments are given, 2 are needed"}},
+			{Misused, []string{"why", "--at", "a:1", "--", "host", "-path"}, []string{"does not begin with a slash"}},
+			{Misused, []string{"apply", "--at", "a:1", file("")}, []string{"not a configuration"}},
+			{Misused, []string{"apply", "--at", "a:1", file("{\"configVersion\":1,\"resorces\":[]}")}, []string{"resorces"}},
+			{Misused, []string{"diff", "--at", "a:1", filepath.Join(t.TempDir(), "none")}, []string{"no such file"}},
+			{Unclear, []string{"view", "--at", free(), "--timeout", "100ms"}, []string{"unreached: "}},
+			{Done, []string{"check", "-"}, []string{"configuration: no fault was found"}},
+			{Done, []string{"check", file(core)}, []string{"settings: no fault was found"}},
+			{Misused, []string{"check", file(strings.Replace(core, "ipAddress: 127.0.0.1", "ipAddress: here", 1))}, []string{"self.ipAddress: must be an IP address"}},
+			{Misused, []string{"check", file(faulty)}, []string{
+				"routes \"cups\": timeoutS: must be no greater than 600.\n", "routes \"open\": there is no service \"mlik\"\n", "tenants \"house\": ratePerS: ", "faults in the configuration: 3",
+			}},
+			{Misused, []string{"check", file(strings.Replace(first, "resourceType: tenants", "resourceType: guests", 1))}, []string{"guests \"house\": there is no resourceType \"guests\"\n"}},
+			{Misused, []string{"check", file(shared), "--output", "json"}, []string{`shares a key with`, `"kind": "configuration"`}},
+			{Misused, []string{"check", file("- a\n: b")}, []string{"neither"}},
+		} {
+			code, text := said("", x.words...)
+			missing := slices.DeleteFunc(x.parts, func(part string) bool { return strings.Contains(strings.ToLower(text), strings.ToLower(part)) })
+			So(fmt.Sprintln(x.words, code, missing), ShouldEqual, fmt.Sprintln(x.words, x.code, []string{}))
+		}
+	})
+}
--- a/internal/mesh/porter/porter.go
+++ b/internal/mesh/porter/porter.go
@@ -17,6 +17,12 @@
 const (
 	// waitShare of the aim is the longest that a request may wait here and be refused still in time to be served elsewhere or later.
 	waitShare = 0.2
+	// urgentShare of all its time is the same for a request of the highest rank.
+	urgentShare = 0.4
+	// errorShare of a service's requests may have another run after the upstream's own failure: one in so many is chance, more is a fault that further runs only feed (what a run
+	// calls is called again with it). errorMost may come at once.
+	errorShare = 0.02
+	errorMost  = 4
 	// pauseLeast and pauseMost bound what a refused client is told to wait.
 	pauseLeast = 20 * time.Millisecond
 	pauseMost  = time.Second
@@ -46,13 +52,13 @@
 	Safe     bool          // it may run more than once
 	Attempts int           // upstreams that it may be sent to at most
 	Aim      time.Duration // an answer within this is worth all
-	Again    bool          // its client's further try: it is refused last
 }
 
 // Wall names a request's compartment and tells its part of all of them.
 type Wall struct {
 	Name  string
 	Share float64 // of the slots of all compartments, above 0 and below 1
+	Least int     // slots that it has at least: internal checks come many at once from few sidecars
 }
 
 // Budget bounds arrivals at a service after each request's first.
@@ -79,6 +85,7 @@
 	waiting  int
 	total    float64 // slots of all that are ready
 	members  int
+	errors   map[int]float64 // runs after a failure that a service has left
 	wakeAt   time.Duration
 	sweepAt  time.Duration
 	count    policy.Counters
@@ -97,6 +104,7 @@
 type compartment struct {
 	name   string
 	share  float64
+	least  int
 	slots  int
 	places int
 	used   int
@@ -113,6 +121,7 @@
 	until    time.Duration // it waits no longer than this before its first send
 	attempts []attempt
 	arrivals int // attempts that came to an upstream, or may have
+	paid     int // of the further ones, that the budget was charged with
 	out      bool
 	held     bool // it holds a slot of its compartment
 	over     bool
@@ -128,7 +137,7 @@
 
 // New makes one.
 func New(cfg Config, host policy.Host) *Porter {
-	return &Porter{cfg: cfg, host: host, requests: make(map[policy.RequestID]*request), walls: make(map[string]*compartment), members: 1}
+	return &Porter{cfg: cfg, host: host, requests: make(map[policy.RequestID]*request), walls: make(map[string]*compartment), errors: make(map[int]float64), members: 1}
 }
 
 // Start begins its life.
@@ -143,10 +152,11 @@
 		return
 	}
 	p.cfg.Budget.Request(now, o.Service)
+	p.errors[o.Service] = min(errorMost, p.errors[o.Service]+errorShare)
 	r := &request{id: q.ID, order: o, home: p.compartment(now, o.Wall), arrived: now, deadline: now + q.Left - endMargin}
 	r.until = min(r.deadline, now+time.Duration(waitShare*float64(o.Aim)))
-	if o.Again { // it has been refused before, and has no other try left, maybe
-		r.until = min(r.deadline, now+o.Aim/2)
+	if o.Rank == 0 { // an internal check has no other try, and takes the request that made it along
+		r.until = max(r.until, now+time.Duration(urgentShare*float64(q.Left)))
 	}
 	p.requests[q.ID] = r
 	if p.dispatch(now, r) {
@@ -171,8 +181,8 @@
 		p.members = n
 		p.resize()
 	}
-	if c.share != w.Share {
-		c.share = w.Share
+	if c.share != w.Share || c.least != w.Least {
+		c.share, c.least = w.Share, w.Least
 		p.size(c)
 	}
 	return c
@@ -181,7 +191,8 @@
 // size derives a compartment's slots: by its share of what the slots of all ready upstreams come to at one of so many sidecars, see sizing.Compartments.
 func (p *Porter) size(c *compartment) {
 	all, _ := sizing.Compartments(p.total*c.share, p.members, 0, -1, 1, []float64{1})
-	c.slots, c.places = all[0].Slots, max(1, all[0].Places)
+	c.slots = max(all[0].Slots, c.least)
+	c.places = max(1, all[0].Places, c.least/2)
 }
 
 func (p *Porter) resize() {
@@ -211,6 +222,10 @@
 	if u.Zone != p.cfg.Zone {
 		p.count.Crossed++
 	}
+	if r.arrivals > r.paid {
+		r.paid = r.arrivals
+		p.cfg.Budget.Spent(now, r.order.Service)
+	}
 	r.attempts = append(r.attempts, attempt{to: u, sent: now})
 	r.out = true
 	u.out++
@@ -413,14 +428,11 @@
 		r.arrivals++
 		r.mayRun = true
 	}
-	if r.arrivals > 1 {
-		p.cfg.Budget.Spent(now, r.order.Service)
-	}
 	if r.mayRun && !r.order.Safe || r.arrivals >= max(1, r.order.Attempts) || now >= r.deadline {
 		p.finish(now, r)
 		return
 	}
-	if !free && !p.cfg.Budget.May(now, r.order.Service) {
+	if !free && !p.again(now, r, end) {
 		p.finish(now, r)
 		return
 	}
@@ -428,7 +440,7 @@
 		return
 	}
 	// All have been asked. Those whose gates turned it back may have room soon.
-	r.again()
+	r.forgive()
 	if now >= r.until || r.mayRun {
 		p.finish(now, r)
 		return
@@ -437,8 +449,22 @@
 	p.wait(now, r, true)
 }
 
-// again lets upstreams whose gates turned a request back have it once more.
-func (r *request) again() {
+// again says whether a request that came to an upstream may go to another.
+func (p *Porter) again(now time.Duration, r *request, end policy.Ending) bool {
+	if !p.cfg.Budget.May(now, r.order.Service) {
+		return false
+	}
+	if end == policy.Errored {
+		if p.errors[r.order.Service] < 1 {
+			return false
+		}
+		p.errors[r.order.Service]--
+	}
+	return true
+}
+
+// forgive lets upstreams whose gates turned a request back have it once more.
+func (r *request) forgive() {
 	for i := range r.attempts {
 		if r.attempts[i].gated {
 			r.attempts[i].to = nil
--- /dev/null
+++ b/internal/mesh/stacks/inspect.go
@@ -0,0 +1,90 @@
+package stacks
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/desk"
+	"caperarch/librarian"
+)
+
+const (
+	// askTime bounds the question to each core machine for its word on itself, so that one that is gone holds up no answer.
+	askTime = 400 * time.Millisecond
+	// rollPath is the hub's page of all leases.
+	rollPath = "/mesh/roll"
+)
+
+// inspect serves what operators look at. Every answer is this machine's knowledge, and says so.
+func (s *Stacks) inspect(mux *http.ServeMux, members []string) {
+	desk.HandleGet(mux, librarian.ViewPath, func(*http.Request) (*librarian.View, error) { return s.viewed(), nil })
+	desk.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), members) })
+	desk.HandleGet(mux, librarian.UpstreamsPath, func(*http.Request) (*librarian.UpstreamList, error) { return s.upstreamsKnown(), nil })
+}
+
+// viewed is this machine's word on itself.
+func (s *Stacks) viewed() *librarian.View {
+	sequencer, view := s.node.Sequencer()
+	return &librarian.View{
+		AsOf: s.set.Self.NodeName, View: view, Sequencer: sequencer, ConfigVersion: s.minutes.Current(), Applied: s.node.Applied(),
+		InContact: s.node.InContact(), Remembers: s.node.Remembers(), Sick: s.node.Sick(),
+	}
+}
+
+// membersKnown is the core machines, each with its own word where that is to be had, and the sidecars whose leases this machine holds.
+func (s *Stacks) membersKnown(ctx context.Context, members []string) (*librarian.Members, error) {
+	own := s.viewed()
+	a := &librarian.Members{AsOf: own.AsOf, View: own.View, Sequencer: own.Sequencer, Young: s.hub.Young(), Core: make([]librarian.CoreMember, len(members)), Sidecars: []librarian.Sidecar{}}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var asked sync.WaitGroup
+	for i, address := range members {
+		m := &a.Core[i]
+		m.Address, m.Sequencer = address, address == own.Sequencer
+		if address == s.set.Internal() {
+			m.Said = own
+			continue
+		}
+		asked.Go(func() {
+			if said, err := desk.Get[librarian.View](ctx, s.client, "http://"+address+librarian.ViewPath); err == nil {
+				m.Said = said
+			}
+		})
+	}
+	roll, err := desk.Call[struct{}, struct {
+		Leases []catalogue.Remote `json:"leases"`
+	}](ctx, s.client, "http://"+s.set.Internal()+rollPath, &struct{}{})
+	asked.Wait()
+	if err != nil {
+		return nil, err
+	}
+	for _, held := range roll.Leases {
+		l := held.Lease
+		if l.Left {
+			continue
+		}
+		sidecar := librarian.Sidecar{Node: l.Node, Zone: l.Zone, Applied: l.Applied, Leaving: l.Leaving, RemainingS: held.Remaining.Seconds()}
+		if l.Upstream != nil {
+			sidecar.Instance = l.Upstream.Instance
+		}
+		a.Sidecars = append(a.Sidecars, sidecar)
+	}
+	slices.SortFunc(a.Sidecars, func(x, y librarian.Sidecar) int { return strings.Compare(x.Node, y.Node) })
+	return a, nil
+}
+
+// upstreamsKnown is the upstreams that are known here.
+func (s *Stacks) upstreamsKnown() *librarian.UpstreamList {
+	a := &librarian.UpstreamList{AsOf: s.set.Self.NodeName, Young: s.hub.Young(), Upstreams: []librarian.Upstream{}}
+	for _, u := range s.hub.Upstreams() {
+		a.Upstreams = append(a.Upstreams, librarian.Upstream{
+			Instance: u.Instance, Service: u.Service, Address: u.Address, Node: u.Node, Zone: u.Zone, State: u.State.String(), Slots: u.Slots, Stale: u.Stale,
+		})
+	}
+	return a
+}
--- a/internal/mesh/stacks/stacks.go
+++ b/internal/mesh/stacks/stacks.go
@@ -144,6 +144,7 @@
 	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
 		registrar.Upstreams(mux, s)
 		registrar.Operators(mux, s)
+		s.inspect(mux, members)
 	}
 	failed := make(chan error, 2)
 	for address, mux := range map[string]*http.ServeMux{self: inside, s.set.Network.ListenAddresses.ControlPlane: outside} {
--- /dev/null
+++ b/librarian/example_test.go
@@ -0,0 +1,110 @@
+package librarian_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"caperarch/librarian"
+)
+
+// standIn stands in for a core machine that holds version 5; a real program has the addresses of the control plane.
+func standIn() *httptest.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/configuration/describe", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"configVersion":5,"baseVersion":0,"resources":[{"resourceType":"services","metadata":{"name":"tea"},"specification":{}}]}`)
+	})
+	mux.HandleFunc("POST /api/configuration/update", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"configVersion":6}`) })
+	mux.HandleFunc("POST /api/configuration/replace", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Mesh-Fault", "Stale")
+		w.WriteHeader(http.StatusPreconditionFailed)
+		fmt.Fprint(w, `{"errorMessage":"another version is in place"}`)
+	})
+	mux.HandleFunc("POST /api/instances/{id}/{what}", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.PathValue("what") == "deregister" {
+			fmt.Println(r.PathValue("id"), "has ended")
+		} else if strings.Contains(string(body), "draining") {
+			fmt.Println(r.PathValue("id"), "is draining")
+		}
+		fmt.Fprint(w, `{}`)
+	})
+	return httptest.NewServer(mux)
+}
+
+// A route is added to whatever is in force; another operator's change in between does no harm.
+func ExampleClient_Change() {
+	core := standIn()
+	defer core.Close()
+	client := &librarian.Client{Addresses: []string{core.Listener.Addr().String()}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	version, err := client.Change(ctx, func(doc librarian.Document) (librarian.Change, error) {
+		if _, ok := doc.Find(librarian.Services, "tea"); !ok {
+			return librarian.Change{}, errors.New("there is no such service")
+		}
+		route, err := librarian.NewResource(librarian.Routes, "afternoon", map[string]any{
+			"hostname": "tea.example", "pathPrefix": "/cup/", "routeType": "idempotent", "timeoutS": 1, "serviceName": "tea",
+		})
+		if err != nil {
+			return librarian.Change{}, err
+		}
+		return librarian.Change{Upsert: librarian.Upsert{Resources: []librarian.Resource{route}}}, nil
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("version", version, "is in force")
+	// Output: version 6 is in force
+}
+
+// What became of a call is asked with errors.Is, the rest with errors.As.
+func ExampleClient_Replace() {
+	core := standIn()
+	defer core.Close()
+	client := &librarian.Client{Addresses: []string{core.Listener.Addr().String()}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	_, err := client.Replace(ctx, librarian.Document{ConfigVersion: 4, BaseVersion: 3})
+	var failed *librarian.Error
+	switch {
+	case errors.Is(err, librarian.Unclear):
+		fmt.Println("it may be in force: send it again unchanged")
+	case errors.As(err, &failed):
+		fmt.Println(failed.Kind, failed.Status, failed.Message)
+	}
+	// Output: stale 412 another version is in place
+}
+
+// An upstream beats while it runs, and takes leave before it ends.
+func ExampleBeats() {
+	core := standIn()
+	defer core.Close()
+	beats := &librarian.Beats{
+		Client:       &librarian.Client{Addresses: []string{core.Listener.Addr().String()}},
+		Instance:     librarian.Instance{ID: "i-7f3a", Service: "tea", Address: "10.0.0.9:8080", Zone: "hall-a", Slots: 8},
+		Interval:     time.Second,
+		DrainTimeout: 10 * time.Millisecond, // seconds, in earnest
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- beats.Run(ctx) }()
+
+	if err := beats.Drain(ctx); err != nil {
+		fmt.Println(err)
+	}
+	fmt.Println(<-ended)
+	// Output:
+	// i-7f3a is draining
+	// i-7f3a has ended
+	// <nil>
+}
--- /dev/null
+++ b/librarian/inspection.go
@@ -0,0 +1,108 @@
+package librarian
+
+import (
+	"context"
+	"net/http"
+)
+
+// The paths of the inspection calls, which core machines answer.
+const (
+	ViewPath      = "/api/view"
+	MembersPath   = "/api/members"
+	UpstreamsPath = "/api/upstreams"
+)
+
+// View is one core machine's word on itself and on whom it follows.
+type View struct {
+	// AsOf names the machine that says so.
+	AsOf string `json:"asOf"`
+	// View numbers the term of the sequencer, the machine that orders changes; the Sequencer is its internal address,
+	// empty while none is known.
+	View      uint64 `json:"view"`
+	Sequencer string `json:"sequencer"`
+	// ConfigVersion is the version in force on this machine, Applied the last place of the log that it has applied.
+	ConfigVersion int64  `json:"configVersion"`
+	Applied       uint64 `json:"applied"`
+	// InContact says that the machine has heard of a majority of late; Remembers is false after it lost its disk, until it
+	// has recovered; Sick says that its disk takes no writes.
+	InContact bool `json:"inContact"`
+	Remembers bool `json:"remembers"`
+	Sick      bool `json:"sick"`
+}
+
+// Members is who takes part, as one core machine knows it.
+type Members struct {
+	// AsOf names the machine that says so.
+	AsOf string `json:"asOf"`
+	// View and Sequencer are as in View, as this machine knows them.
+	View      uint64 `json:"view"`
+	Sequencer string `json:"sequencer"`
+	// Young says that the machine may not have heard from every sidecar yet.
+	Young bool `json:"young"`
+	// Core is the core machines, Sidecars those whose lease has not run out.
+	Core     []CoreMember `json:"core"`
+	Sidecars []Sidecar    `json:"sidecars"`
+}
+
+// CoreMember is a core machine.
+type CoreMember struct {
+	// Address is its internal address.
+	Address string `json:"address"`
+	// Sequencer says that the answering machine takes it for the sequencer.
+	Sequencer bool `json:"sequencer"`
+	// Said is its own word on itself; nil: the answering machine got none just now.
+	Said *View `json:"said,omitempty"`
+}
+
+// Sidecar is a sidecar that holds a lease.
+type Sidecar struct {
+	Node string `json:"node"`
+	Zone string `json:"zone"`
+	// Applied is the version of the configuration in force there.
+	Applied int64 `json:"applied"`
+	// Leaving says that it is on its way out.
+	Leaving bool `json:"leaving"`
+	// Instance is the upstream beside it, empty while it has heard from none.
+	Instance string `json:"instance,omitempty"`
+	// RemainingS is how many seconds its lease still has.
+	RemainingS float64 `json:"remainingS"`
+}
+
+// UpstreamList is the upstreams that one core machine knows.
+type UpstreamList struct {
+	// AsOf names the machine that says so.
+	AsOf string `json:"asOf"`
+	// Young says that the machine may not have heard from everybody yet.
+	Young     bool       `json:"young"`
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// Upstream is one upstream.
+type Upstream struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	// Node is the sidecar beside it, empty while that is not known; then nothing is sent to it.
+	Node string `json:"node,omitempty"`
+	Zone string `json:"zone"`
+	// State is ready or draining.
+	State string `json:"state"`
+	Slots int    `json:"slots"`
+	// Stale says that nobody has vouched for it of late. It may be alive.
+	Stale bool `json:"stale"`
+}
+
+// View asks one core machine for its word on itself.
+func (c *Client) View(ctx context.Context) (*View, error) {
+	return call[View](ctx, c, http.MethodGet, ViewPath, nil)
+}
+
+// Members asks one core machine who takes part.
+func (c *Client) Members(ctx context.Context) (*Members, error) {
+	return call[Members](ctx, c, http.MethodGet, MembersPath, nil)
+}
+
+// Upstreams asks one core machine which upstreams there are.
+func (c *Client) Upstreams(ctx context.Context) (*UpstreamList, error) {
+	return call[UpstreamList](ctx, c, http.MethodGet, UpstreamsPath, nil)
+}
