catalogue and circulation: beats that wait age out; tests of both, played in virtual time

Cause: a beat queued for a member that can't be reached was told whenever it came back, as if it were news. Change: queued beats have the rest of the time that they are vouched for; traces of the table and of hub and subscriber under testing/synctest.

--- a/internal/front/http1/ahead_test.go
+++ b/internal/front/http1/ahead_test.go
@@ -238,12 +238,14 @@
 				if rest := d.front.Counters().Rest; d.target.Held() != 3 || rest != [kinds]int{} {
 					t.Errorf("%d held, at rest %v; want 3 and none", d.target.Held(), rest)
 				}
-				for _, a := range slices.Backward(all) {
-					a.serve()
-				}
-				for _, uri := range uris {
-					c.takes(200, "done "+uri)
-				}
+				all[2].serve()
+				all[0].serve()
+				c.takes(200, "done "+uris[0])
+				d.hasNone(t, "")
+				d.front.conns.closeResting(0) // nor does one with requests behind an answer
+				all[1].serve()
+				c.takes(200, "done "+uris[1])
+				c.takes(200, "done "+uris[2])
 			}
 		})
 	}
@@ -364,6 +366,15 @@
 	d.tells(t, all...)
 	rig.Wait(t, "that the answer is given up", b.closed)
 
+	for range 10 { // whether its end or its last request is noticed first
+		c = d.dial(t)
+		c.send(get("/safe/1"))
+		all = d.has(t, "/safe/1")
+		c.send(get("/safe/2"))
+		c.Close()
+		d.tells(t, append(all, d.has(t, "/safe/2")...)...)
+	}
+
 	c = d.dial(t)
 	c.send(get("/safe/1", "/safe/2") + "GET /safe/3")
 	all = d.has(t, "/safe/1", "/safe/2")
--- a/internal/mesh/catalogue/table_test.go
+++ b/internal/mesh/catalogue/table_test.go
@@ -97,6 +97,9 @@
 		So(beat(table, 0, direct), ShouldBeTrue)
 		renew(table, at(10), Lease{Node: "n1", Life: 1, Sequence: 2, Upstream: &up})
 		So(show(table, 0), ShouldEqual, "a@10.0.0.1:90 draining")
+		// A sidecar that is behind its upstream's beats still vouches for it.
+		table.Expire(LeaseTime + at(9))
+		So(show(table, 0), ShouldEqual, "a@10.0.0.1:90 draining")
 		// The next instance at the address stands beside the same sidecar; the one before does not push it out.
 		So(beat(table, at(20), Upstream{Instance: "b", Service: "s1", Address: "10.0.0.1:80", Sequence: 1}), ShouldBeTrue)
 		So(show(table, 0), ShouldEqual, "b@10.0.0.1:90 ready")
--- a/internal/mesh/circulation/circulation_test.go
+++ b/internal/mesh/circulation/circulation_test.go
@@ -71,6 +71,12 @@
 	}
 }
 
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
 // charters is a log of numbered changes: version v has the frame `v`, and the whole is `[v]`.
 type charters struct {
 	mu      sync.Mutex
@@ -87,7 +93,7 @@
 	for v := version + 1; v <= c.Current(); v++ {
 		frames = append(frames, json.RawMessage(fmt.Sprint(v)))
 	}
-	return frames, version > 0
+	return frames, version > 0 && version <= c.Current()
 }
 func (c *charters) Whole() json.RawMessage { return json.RawMessage(fmt.Sprintf("[%d]", c.Current())) }
 
@@ -332,6 +338,11 @@
 		pass(30 * ms)
 		So(c[2].heard(), ShouldResemble, []string{"[7]", "8", "[9]"})
 		So(m[1].Behind(9), ShouldEqual, 0)
+		c[2].change(func() { c[2].refuse = true })
+		m[2].put(10)
+		pass(30 * ms)
+		So(c[2].heard(), ShouldResemble, []string{"[7]", "8", "[9]", "10", "[10]"})
+		So(c[2].Peers()[0], ShouldEqual, "m3:1")
 
 		// A deregistration that reaches a member directly holds everywhere, against the sidecar that still renews.
 		So(m[0].Beat(catalogue.Upstream{Instance: "i-c2", State: catalogue.Gone}), ShouldBeNil)
@@ -454,6 +465,15 @@
 		So(m[0].Beat(catalogue.Upstream{Instance: "i-c3", State: catalogue.Gone}), ShouldBeNil)
 		pass(time.Second)
 		So(c[1].sees(), ShouldEqual, "i-c1! i-c2")
+
+		// Away from all for so long that its leases are forgotten, a member is told them whole again.
+		n.sever("m3:1", "m2:1")
+		n.sever("m2:1", "m3:1")
+		pass(catalogue.LeaseTime + catalogue.BuriedTime + catalogue.StaleTime)
+		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1! i-c3,i-c2")
+		n.heal()
+		pass(2 * time.Second)
+		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1! i-c2 i-c3,i-c1! i-c2 i-c3")
 	})
 }
 
@@ -482,5 +502,14 @@
 		So(c[0].sees(), ShouldEqual, "i-c2!")
 		pass(writeTimeout + 500*ms)
 		So(m[0].watched(), ShouldEqual, 1)
+
+		// A node's newer watch ends the older one.
+		ctx, cancel := context.WithTimeout(context.Background(), 50*ms)
+		defer cancel()
+		_, err = desk.Call[watchRequest, struct{}](ctx, c[1].cfg.Client, "http://m1:1"+watchPath, &watchRequest{Node: "c1"})
+		So(faultlist.Of(err), ShouldEqual, faultlist.Unreachable)
+		synctest.Wait()
+		So(c[0].Peers()[0], ShouldNotEqual, "m1:1")
+		So(c[0].Connected(), ShouldBeTrue)
 	})
 }
--- a/internal/mesh/circulation/gossip.go
+++ b/internal/mesh/circulation/gossip.go
@@ -49,6 +49,15 @@
 	at time.Duration
 }
 
+// lasts is how long the beat is worth telling: a deregistration as long as it is
+// remembered, any other as long as it vouches.
+func (b waitingBeat) lasts() time.Duration {
+	if b.up.State == catalogue.Gone {
+		return catalogue.BuriedTime
+	}
+	return catalogue.LeaseTime
+}
+
 func newNeighbour(address string, cancel context.CancelFunc) *neighbour {
 	n := &neighbour{
 		address: address, cancel: cancel, wake: make(chan struct{}, 1),
@@ -138,7 +147,7 @@
 			}
 		}
 		for instance, b := range sent.beats {
-			if _, later := n.beats[instance]; !later && len(n.beats) < maxBeats {
+			if _, later := n.beats[instance]; !later && len(n.beats) < maxBeats && now-b.at < b.lasts() {
 				n.beats[instance] = b
 			}
 		}
