Pipelined requests are worked on at the same time; the log is read back beside its own work

Change: front/http1 reads ahead on connections whose clients pipeline (Dialect.Ahead: idempotent routes), answers in order. A sidecar asks the upstream beside it who it is, once, at its start. athenaeum -say LEVEL.

--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -16,9 +16,11 @@
 	"caperarch/internal/mesh/enquiry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/stacks"
+
+	"go.uber.org/zap/zapcore"
 )
 
-const usage = `usage: athenaeum ROLE
+const usage = `usage: athenaeum [-say LEVEL] ROLE
        athenaeum VERB [ARGUMENTS] [FLAGS]
 
 roles:
@@ -34,6 +36,8 @@
 
 func main() {
 	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
+	said := zapcore.WarnLevel
+	flag.Var(&said, "say", "level from which on log entries of a role are written out at once: debug, info, warn, error")
 	flag.Parse()
 	if enquiry.Knows(flag.Arg(0)) {
 		os.Exit(enquiry.Main(context.Background(), flag.Args(), os.Stdin, os.Stdout, os.Stderr, os.Getenv))
@@ -42,11 +46,11 @@
 		flag.Usage()
 		os.Exit(2)
 	}
-	os.Exit(run(flag.Arg(0)))
+	os.Exit(run(flag.Arg(0), said))
 }
 
 // run is the program's life in a role; it returns the exit status.
-func run(role string) int {
+func run(role string, said zapcore.Level) int {
 	if role != "branch" && role != "stacks" {
 		flag.Usage()
 		return 2
@@ -58,6 +62,7 @@
 	}
 	debug.SetGCPercent(collectAt)
 	log, ring := daybook.New(os.Stderr, daybook.DefaultBytes)
+	ring.Said = said
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signals := make(chan os.Signal, 4)
--- a/internal/front/http1/ahead_test.go
+++ b/internal/front/http1/ahead_test.go
@@ -179,26 +179,28 @@
 	return all
 }
 
-// hasNone says that nothing else was asked: the dialect has read this target, if one is named, and another connection had a whole request since.
-func (d *desk) hasNone(t *testing.T, read string) {
+// hasNone says that nothing else was asked while so many are held: the dialect has read this target, if one is named, and another connection had a whole request since.
+func (d *desk) hasNone(t *testing.T, held int64, read string) {
 	t.Helper()
-	for is, end := read == "", time.Now().Add(rig.Generous); !is; runtime.Gosched() {
-		if time.Now().After(end) {
-			t.Fatalf("%s was not read", read)
-		}
+	until(t, read+" is read", func() bool {
 		d.mu.Lock()
-		is = slices.Contains(d.reads, read)
-		d.mu.Unlock()
-	}
-	held := d.target.Held()
+		defer d.mu.Unlock()
+		return read == "" || slices.Contains(d.reads, read)
+	})
 	c := d.dial(t)
 	c.send(get("/safe/between"))
 	d.has(t, "/safe/between")[0].serve()
 	c.takes(200, "done /safe/between")
 	c.Close()
-	for end := time.Now().Add(rig.Generous); d.target.Held() != held; runtime.Gosched() { // its place is given back behind its answer
+	until(t, "all others' places are free", func() bool { return d.target.Held() == held }) // each is given back behind its answer
+}
+
+// until waits until something is so.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(rig.Generous); !is(); runtime.Gosched() {
 		if time.Now().After(end) {
-			t.Fatalf("%d held, want %d", d.target.Held(), held)
+			t.Fatalf("waited in vain until %s", what)
 		}
 	}
 }
@@ -234,14 +236,15 @@
 					c.send(get(uris...))
 					all = d.has(t, uris...)
 				}
+				until(t, "the last round's places are free", func() bool { return d.target.Held() == 3 })
 				d.front.conns.closeResting(0)
-				if rest := d.front.Counters().Rest; d.target.Held() != 3 || rest != [kinds]int{} {
-					t.Errorf("%d held, at rest %v; want 3 and none", d.target.Held(), rest)
+				if rest := d.front.Counters().Rest; rest != [kinds]int{} {
+					t.Errorf("at rest %v, want none", rest)
 				}
 				all[2].serve()
 				all[0].serve()
 				c.takes(200, "done "+uris[0])
-				d.hasNone(t, "")
+				d.hasNone(t, 2, "")
 				d.front.conns.closeResting(0) // nor does one with requests behind an answer
 				all[1].serve()
 				c.takes(200, "done "+uris[1])
@@ -280,19 +283,19 @@
 	c := d.dial(t)
 	c.send(get("/safe/1", "/safe/2", "/run/3") + "POST /safe/4 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n42" + get("/safe/5", "/safe/6"))
 	first := d.has(t, "/safe/1", "/safe/2")
-	d.hasNone(t, "/run/3")
+	d.hasNone(t, 2, "/run/3")
 	first[1].serve()
 	first[0].serve()
 	c.takes(200, "done /safe/1")
 	c.takes(200, "done /safe/2")
 	alone := d.has(t, "/run/3")[0]
-	d.hasNone(t, "")
+	d.hasNone(t, 1, "")
 	alone.serve()
 	c.takes(200, "done /run/3")
 	if alone = d.has(t, "/safe/4")[0]; alone.body != "42" {
 		t.Errorf("body %q", alone.body)
 	}
-	d.hasNone(t, "")
+	d.hasNone(t, 1, "")
 	alone.serve()
 	c.takes(200, "done /safe/4")
 	for _, a := range slices.Backward(d.has(t, "/safe/5", "/safe/6")) {
@@ -381,7 +384,7 @@
 	if err := c.CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	d.hasNone(t, "")
+	d.hasNone(t, 2, "")
 	all[1].serve()
 	all[0].serve()
 	c.takes(200, "done /safe/1")
@@ -397,9 +400,7 @@
 	all := d.has(t, "/safe/1", "/safe/2", "/safe/3")
 	drained := make(chan error, 1)
 	go func() { drained <- d.drain() }()
-	for !d.front.draining.Load() {
-		runtime.Gosched()
-	}
+	until(t, "it drains", d.front.draining.Load)
 	c.send(get("/safe/4"))
 	all[1].serve()
 	all[0].serve()
@@ -419,7 +420,7 @@
 	c := d.dial(t)
 	c.send(get("/safe/1", "/over/2", "/safe/3", "/safe/4", "/safe/5"))
 	first := d.has(t, "/safe/1")[0]
-	d.hasNone(t, "/over/2")
+	d.hasNone(t, 1, "/over/2")
 	first.serve()
 	c.takes(200, "done /safe/1")
 	if res := c.takes(429, ""); res.Header.Get("Of") != "/over/2" {
@@ -455,7 +456,7 @@
 	all := d.has(t, uris[:1+aheadMost]...)
 	for i, uri := range uris {
 		if i+aheadMost < len(uris) {
-			d.hasNone(t, "")
+			d.hasNone(t, 1+aheadMost, "")
 		}
 		all[i].serve()
 		c.takes(200, "done "+uri)
--- a/internal/mesh/archive/member.go
+++ b/internal/mesh/archive/member.go
@@ -51,7 +51,7 @@
 	maxReads = 4096
 	// trimEntries and trimBytes are how much log is kept before a snapshot
 	// takes its place; they bound memory, disk and the time to start.
-	trimEntries = 64
+	trimEntries = 8
 	trimBytes   = 1 << 20
 )
 
--- a/internal/mesh/archive/node.go
+++ b/internal/mesh/archive/node.go
@@ -39,7 +39,7 @@
 	Apply func(index uint64, cmd []byte)
 	// Restore puts the state of an earlier Snapshot in place of the application's.
 	Restore func(data []byte)
-	// Snapshot returns the application's state.
+	// Snapshot returns the application's state; nil: not now, it is asked again.
 	Snapshot func() []byte
 	Log      *zap.Logger
 }
@@ -356,7 +356,9 @@
 	n.tell(r.Proposals)
 	n.tell(r.Reads)
 	if n.member.WantsSnapshot() {
-		n.member.Compact(n.cfg.Snapshot())
+		if data := n.cfg.Snapshot(); data != nil {
+			n.member.Compact(data)
+		}
 	}
 }
 
@@ -404,6 +406,9 @@
 
 func (n *Node) publish(now time.Duration) {
 	seq, view := n.member.Sequencer()
+	if before := n.status.Load(); before != nil && (before.seq != seq || before.view != view) {
+		n.cfg.Log.Info("view", zap.Uint64("number", view), zap.String("sequencer", seq))
+	}
 	n.status.Store(&status{
 		seq:     seq,
 		view:    view,
--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -44,6 +44,9 @@
 	// peerIdle and upstreamIdle are how long kept connections are used again; upstreams close theirs after 10 s as a rule.
 	peerIdle     = 60 * time.Second
 	upstreamIdle = 8 * time.Second
+	// meetPause and meetMost bound the time between two looks for the upstream beside us.
+	meetPause = 20 * time.Millisecond
+	meetMost  = 2 * time.Second
 	// mostSends bounds attempts of one request, turned back ones included.
 	mostSends = 12
 	// reserved descriptors are for what is neither a client's connection nor one to others.
@@ -169,6 +172,7 @@
 	}
 	go b.news.Run(life)
 	go b.quota.run(life)
+	go b.meet(life)
 	b.log.Info("serving", zap.String("node", b.set.Self.NodeName), zap.Strings("seeds", seeds(b.set)))
 	for {
 		select {
@@ -308,6 +312,48 @@
 	return nil
 }
 
+// meet asks the upstream beside us who it is, until it has told by itself: its next beat may be more than a second away, and requests for it would be turned back until then.
+func (b *Branch) meet(ctx context.Context) {
+	for pause := meetPause; b.shelves.beside() == nil; pause = min(2*pause, meetMost) {
+		if b.charter.Load().Version() > 0 { // it tells the path
+			if u, ok := b.introduced(ctx); ok && b.shelves.meet(u) {
+				b.own()
+				return
+			}
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// introduced asks once.
+func (b *Branch) introduced(ctx context.Context) (catalogue.Upstream, bool) {
+	path := "/health"
+	if s := b.charter.Load().Service(b.set.Self.ServiceName); s != nil && s.HealthPath != "" {
+		path = s.HealthPath
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.set.Self.AppAddress+path, nil)
+	if err != nil {
+		return catalogue.Upstream{}, false
+	}
+	r.Close = true
+	answer, err := b.client.Do(r)
+	if err != nil {
+		return catalogue.Upstream{}, false
+	}
+	answer.Body.Close()
+	u := catalogue.Upstream{
+		Instance: answer.Header.Get(slip.Instance), Service: b.set.Self.ServiceName, Address: b.set.Self.AppAddress, Node: b.set.Self.NodeName, Zone: b.set.Self.Zone, Region: b.set.Self.Region,
+		Slots: slip.Slots(answer.Header.Get(slip.Load)),
+	}
+	return u, answer.StatusCode == http.StatusOK && u.Instance != "" && u.Slots > 0
+}
+
 // own has the gate, our own way out and the core know of the upstream beside us as it is now.
 func (b *Branch) own() {
 	if u := b.shelves.beside(); u != nil {
--- a/internal/mesh/branch/outbound.go
+++ b/internal/mesh/branch/outbound.go
@@ -43,7 +43,7 @@
 }
 
 func (o *outbound) dialect() *http1.Dialect {
-	return &http1.Dialect{Read: o.read, Pass: o.pass, Own: func(h *h1.Head, _ *call.Answer) http.Header {
+	return &http1.Dialect{Read: o.read, Pass: o.pass, Ahead: func(q *policy.Request) bool { return q.Terms.(*porter.Order).Safe }, Own: func(h *h1.Head, _ *call.Answer) http.Header {
 		if id := h.Get(slip.AttemptID); id != "" {
 			return http.Header{slip.AttemptID: {id}}
 		}
--- a/internal/mesh/branch/shelves.go
+++ b/internal/mesh/branch/shelves.go
@@ -84,6 +84,14 @@
 	s.count()
 }
 
+// meet takes who is beside us by its own answer to a question; false: it has told by itself meanwhile.
+func (s *shelves) meet(u catalogue.Upstream) bool {
+	s.mu.Lock()
+	known := s.own != nil
+	s.mu.Unlock()
+	return !known && s.tell(u)
+}
+
 // tell takes what the upstream beside us says; false: it has said something later before.
 func (s *shelves) tell(u catalogue.Upstream) bool {
 	s.mu.Lock()
--- a/internal/mesh/stacks/minutes.go
+++ b/internal/mesh/stacks/minutes.go
@@ -25,6 +25,16 @@
 	charter *charter.Charter
 	kept    []*charter.Change // that led to it, the newest last
 	asked   map[uint64]chan verdict
+	queue   []settled // by the log, and not applied yet
+	working bool
+	done    chan struct{} // closed, and made anew, when the queue is empty
+}
+
+// settled is a command of the log, or a snapshot in place of those before. Reading one may take long (10,000 routes: most of a second), and the log must not stand still meanwhile.
+type settled struct {
+	index    uint64
+	command  []byte
+	snapshot bool
 }
 
 // verdict is what became of a proposal.
@@ -34,7 +44,7 @@
 }
 
 func newMinutes(log *zap.Logger, changed func()) *minutes {
-	return &minutes{log: log, changed: changed, charter: charter.Empty(), asked: make(map[uint64]chan verdict)}
+	return &minutes{log: log, changed: changed, charter: charter.Empty(), asked: make(map[uint64]chan verdict), done: make(chan struct{})}
 }
 
 func (m *minutes) current() *charter.Charter {
@@ -63,11 +73,66 @@
 	return append(binary.BigEndian.AppendUint64(nil, number), change.Bytes()...)
 }
 
-// apply applies a command of the log.
+// apply takes a command of the log, to be applied behind those before.
 func (m *minutes) apply(index uint64, command []byte) {
-	if len(command) < 8 {
-		return // a view's beginning
+	if len(command) > 8 { // else it is a view's beginning
+		m.enter(settled{index: index, command: command})
+	}
+}
+
+// restore takes a snapshot in place of all before.
+func (m *minutes) restore(data []byte) { m.enter(settled{command: data, snapshot: true}) }
+
+func (m *minutes) enter(s settled) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.queue = append(m.queue, s)
+	if !m.working {
+		m.working = true
+		go m.work()
 	}
+}
+
+// work applies what is in the queue, in order, and ends with it.
+func (m *minutes) work() {
+	for {
+		m.mu.Lock()
+		if len(m.queue) == 0 {
+			m.working = false
+			close(m.done)
+			m.done = make(chan struct{})
+			m.mu.Unlock()
+			return
+		}
+		s := m.queue[0]
+		m.queue = m.queue[1:]
+		m.mu.Unlock()
+		if s.snapshot {
+			m.replace(s.command)
+		} else {
+			m.settle(s.index, s.command)
+		}
+	}
+}
+
+// idle waits until all is applied that the log has settled so far.
+func (m *minutes) idle(ctx context.Context) error {
+	m.mu.Lock()
+	working, done := m.working, m.done
+	m.mu.Unlock()
+	if !working {
+		return nil
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return faultlist.New(faultlist.Late, "the configuration is still being read")
+	}
+}
+
+// settle applies a command of the log.
+func (m *minutes) settle(index uint64, command []byte) {
 	change, err := charter.ReadChange(command[8:])
 	m.mu.Lock()
 	outcome := charter.Refused
@@ -99,8 +164,8 @@
 	}
 }
 
-// restore takes a snapshot.
-func (m *minutes) restore(data []byte) {
+// replace puts a snapshot in place of what is there.
+func (m *minutes) replace(data []byte) {
 	c, err := charter.Decode(data)
 	if err != nil {
 		m.log.Error("a snapshot that can't be read", zap.Error(err))
@@ -112,8 +177,15 @@
 	m.changed()
 }
 
+// snapshot is the state where all that the log has settled is applied; nil: not now.
 func (m *minutes) snapshot() []byte {
-	data, err := m.current().Encode()
+	m.mu.Lock()
+	c, working := m.charter, m.working
+	m.mu.Unlock()
+	if working {
+		return nil
+	}
+	data, err := c.Encode()
 	if err != nil {
 		m.log.Error("no snapshot", zap.Error(err))
 		return nil
--- a/internal/mesh/stacks/stacks.go
+++ b/internal/mesh/stacks/stacks.go
@@ -267,6 +267,9 @@
 	if err := s.node.Read(ctx); err != nil {
 		return nil, err
 	}
+	if err := s.minutes.idle(ctx); err != nil {
+		return nil, err
+	}
 	document := s.minutes.current().Document()
 	return &document, nil
 }
