Eleven faults that tests of porter, slip, branch and minutes found, and checks at the gate

Cause: traces played against the parts (files of this commit): an upstream back from a rest had all turns it missed; budgets were asked at the failure and spent at the send; newcomers overtook who waits; a request was sent with no time left; readiness and shares counted the catalogue without the upstream beside us; an instance that ended came back by a late beat; a frame could lead back; three overflows of what peers say. Change: as the tests say. At the gate the guard of lower ranks goes by the slots' time, not by turns, and internal checks have places of their own.

--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -69,7 +69,7 @@
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
 	reload := make(chan *settings.Settings)
 	go func() {
-		for s := range signals {
+		for s := range settings.Changes(ctx, signals) {
 			if s == syscall.SIGUSR1 {
 				ring.Dump("asked for")
 				continue
--- a/cmd/measure/child.go
+++ b/cmd/measure/child.go
@@ -29,7 +29,7 @@
 
 // child is this program in another part.
 func child(part string, args []string) {
-	err := map[string]func([]string) error{"nodes": serveNodes, "proxy": serveProxy, "host": host, "flood": flood}[part](args)
+	err := map[string]func([]string) error{"nodes": serveNodes, "proxy": serveProxy, "host": host, "flood": flood, "hollow": hollowSidecars, "meshupstream": meshUpstream, "meshcallers": meshCallers}[part](args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", part+":", err)
 		os.Exit(1)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -27,7 +27,7 @@
 // seed is the only one that is played, of the measurements that draw from several; 0: all are.
 var seed uint64
 
-var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain, "service": measureService, "walls": measureWalls, "rest": measureRest, "mutants": measureMutants, "plans": measurePlans, "peers": measurePeers, "vast": measureVast, "policyplans": measurePolicyPlans, "policy": measurePolicy, "even": measureEven, "evenreal": measureEvenReal, "evenevents": measureEvenEvents, "work": measureWork, "workplans": measureWorkPlans}
+var measurements = map[string]measurement{"daemon": measureDaemon, "plugin": measurePlugin, "pools": measurePools, "turnaway": measureTurnaway, "strain": measureStrain, "service": measureService, "walls": measureWalls, "rest": measureRest, "mutants": measureMutants, "plans": measurePlans, "peers": measurePeers, "vast": measureVast, "policyplans": measurePolicyPlans, "policy": measurePolicy, "even": measureEven, "evenreal": measureEvenReal, "evenevents": measureEvenEvents, "work": measureWork, "workplans": measureWorkPlans, "mesh": measureMesh, "meshlarge": measureMeshLarge}
 
 func main() {
 	if len(os.Args) > 2 && os.Args[1] == "child" {
--- /dev/null
+++ b/cmd/measure/mesh_core.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/settings"
+	"caperarch/librarian"
+)
+
+// meshZones are the zones of the measured mesh; meshPrefix is the loopback network in which each of its machines has an address of its own, as ports are alike on all.
+var meshZones = []string{"hall-a", "hall-b", "hall-c"}
+
+const (
+	meshPrefix = "127.77.0."
+	// meshUp bounds how long a mesh takes to come up here, against a measurement that hangs.
+	meshUp = 20 * time.Second
+)
+
+// meshCore is core members as processes of cmd/athenaeum, on loopback addresses of their own.
+type meshCore struct {
+	binary, dir string
+	control     int // ports
+	internal    int
+	members     []*process
+	hosts       []string
+	client      *http.Client
+	version     int64
+	resources   []json.RawMessage
+}
+
+// buildAthenaeum builds the mesh's program into a folder.
+func buildAthenaeum(dir string) (string, error) {
+	path := filepath.Join(dir, "athenaeum")
+	out, err := exec.Command("go", "build", "-o", path, "caperarch/cmd/athenaeum").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building athenaeum: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// meshPort is a port that is free on the first machine's address.
+func meshPort() (int, error) {
+	l, err := net.Listen("tcp", meshPrefix+"1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// startMeshCore starts core members with empty disks and returns once a sequencer is known.
+func startMeshCore(c cleanups, binary string, members int) (*meshCore, error) {
+	dir, err := os.MkdirTemp("", "mesh")
+	if err != nil {
+		return nil, err
+	}
+	c.Cleanup(func() { os.RemoveAll(dir) })
+	m := &meshCore{binary: binary, dir: dir, client: desk.NewClient(time.Second)}
+	if m.control, err = meshPort(); err != nil {
+		return nil, err
+	}
+	if m.internal, err = meshPort(); err != nil {
+		return nil, err
+	}
+	for i := range members {
+		m.hosts = append(m.hosts, meshPrefix+strconv.Itoa(i+1))
+	}
+	for i, host := range m.hosts {
+		disk := filepath.Join(dir, host)
+		if err := os.Mkdir(disk, 0o700); err != nil {
+			return nil, err
+		}
+		p, err := m.start(c, "stacks", host, meshZones[i%len(meshZones)], map[string]any{"dataDirectory": disk, "machineClass": settings.Core}, nil)
+		if err != nil {
+			return nil, err
+		}
+		m.members = append(m.members, p)
+	}
+	for end := time.Now().Add(meshUp); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if _, err := m.sequencer(); err == nil {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("%d core members have no sequencer after %v", members, meshUp)
+}
+
+// start starts one machine's process with a settings file of its own.
+func (m *meshCore) start(c cleanups, role, host, zone string, self, listen map[string]any) (*process, error) {
+	var seeds []string
+	for _, h := range m.hosts {
+		seeds = append(seeds, net.JoinHostPort(h, strconv.Itoa(m.control)))
+	}
+	regions := make(map[string]string)
+	for _, z := range meshZones {
+		regions[z] = "kochi"
+	}
+	all := map[string]any{
+		"nodeName": "node-" + host, "role": role, "servedRoles": []string{role}, "ipAddress": host, "zone": zone, "region": "kochi", "countedInQuorum": role == "stacks", "firstStart": true,
+		"limits": map[string]any{"cpuShare": 0.3, "cpuCores": 1, "memoryMb": 284, "maxOpenFiles": 8192, "bandwidthMbps": 1000, "diskMb": 256},
+	}
+	for k, v := range self {
+		all[k] = v
+	}
+	addresses := map[string]any{"controlPlane": net.JoinHostPort(host, strconv.Itoa(m.control))}
+	for k, v := range listen {
+		addresses[k] = v
+	}
+	file := map[string]any{
+		"self": all,
+		"network": map[string]any{
+			"listenAddresses": addresses, "internalPortRange": []int{m.internal, min(m.internal+15, 65535)}, "seedNodes": seeds, "zones": regions,
+		},
+		"provider": map[string]any{"discoverySource": "static", "entryType": "static", "heartbeatIntervalS": 1.5},
+		"guarantees": map[string]any{
+			"contracts": []string{"base", "drain", "config", "retry", "recover", "tenants", "quota"}, "faultTolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
+			"bounds": map[string]any{"gracePeriodS": 2, "configApplyS": 14, "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 20, "retryBudgetRatio": 0.2, "retryWindowS": 10, "retryBudgetSlack": 62},
+		},
+	}
+	raw, err := json.Marshal(file) // JSON is YAML
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(m.dir, "settings-"+host)
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return nil, err
+	}
+	p, err := start(exec.Command(m.binary, "-say", "error", role), []string{settings.BootVariable + "=" + path, "GOMAXPROCS=1"}, false)
+	if err != nil {
+		return nil, err
+	}
+	c.Cleanup(p.kill)
+	return p, nil
+}
+
+// sequencer is the number of the member that is the sequencer, by the first one's word.
+func (m *meshCore) sequencer() (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	view, err := desk.Get[librarian.View](ctx, m.client, m.url(0, librarian.ViewPath))
+	if err != nil {
+		return 0, err
+	}
+	for i, host := range m.hosts {
+		if strings.HasPrefix(view.Sequencer, host+":") && view.InContact {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("no sequencer is known")
+}
+
+func (m *meshCore) url(member int, path string) string {
+	return "http://" + net.JoinHostPort(m.hosts[member], strconv.Itoa(m.control)) + path
+}
+
+// seeds are the members' internal addresses.
+func (m *meshCore) seeds() (all []string) {
+	for _, h := range m.hosts {
+		all = append(all, net.JoinHostPort(h, strconv.Itoa(m.internal)))
+	}
+	return all
+}
+
+// change puts a change to the first member, and the same once more where no clear answer came. It returns the moments of the first sending and of the answer, and the body's size.
+func (m *meshCore) change(path string, body map[string]any) (sent, answered time.Time, size int, err error) {
+	body["configVersion"], body["baseVersion"] = m.version+1, m.version
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return sent, answered, 0, err
+	}
+	sent = time.Now()
+	for end := sent.Add(meshUp); ; {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err = desk.Post[json.RawMessage](ctx, m.client, m.url(0, path), raw)
+		cancel()
+		if err == nil {
+			m.version++
+			return sent, time.Now(), len(raw), nil
+		}
+		if time.Now().After(end) {
+			return sent, answered, 0, err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (m *meshCore) replace(resources []json.RawMessage) (sent, answered time.Time, size int, err error) {
+	m.resources = resources
+	return m.change("/api/configuration/replace", map[string]any{"resources": resources})
+}
+
+// update changes one route.
+func (m *meshCore) update(route int, priority int) (sent, answered time.Time, size int, err error) {
+	return m.change("/api/configuration/update", map[string]any{"upsert": map[string]any{"resources": []json.RawMessage{meshRoute(route, priority)}}})
+}
+
+func meshRoute(i, priority int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"route-%04d"},"specification":{"hostname":"host%03d.example","pathPrefix":"/part%04d/","routeType":"non_idempotent","timeoutS":2,"targetLatencyS":0.25,"priority":%d,"weightedTargets":[{"serviceName":"service%02d","weight":90},{"serviceName":"service%02d","weight":10}],"maxAttempts":2,"public":true}}`,
+		i, i%200, i, priority, i%meshServices, (i+1)%meshServices))
+}
+
+// meshServices and meshTenants are how many services and tenants every measured configuration has.
+const (
+	meshServices = 65
+	meshTenants  = 10
+)
+
+func meshTenantNames() (names []string) {
+	for i := range meshTenants {
+		names = append(names, fmt.Sprintf("tenant%02d", i))
+	}
+	return names
+}
+
+// meshResources is a configuration of so many routes.
+func meshResources(routes int) (all []json.RawMessage) {
+	for i := range meshServices {
+		all = append(all, json.RawMessage(fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"service%02d"},"specification":{"healthCheckPath":"/health","maxConnections":130,"protocol":"h1","tlsEnabled":false}}`, i)))
+	}
+	for i, name := range meshTenantNames() {
+		all = append(all, json.RawMessage(fmt.Sprintf(`{"resourceType":"tenants","metadata":{"name":"%s"},"specification":{"apiKeys":["key-%02d-kcuyj8pjbvk9m68k"],"priority":1,"ratePerS":3000,"burstLimit":3000}}`, name, i)))
+	}
+	for i := range routes {
+		all = append(all, meshRoute(i, 1))
+	}
+	return all
+}
+
+// bytesOf are what a process has read and written so far: sockets, and its disk.
+func bytesOf(pid int) (read, written float64, err error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	for line := range strings.Lines(string(raw)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		n, _ := strconv.ParseFloat(value, 64)
+		switch name {
+		case "rchar":
+			read = n
+		case "wchar":
+			written = n
+		}
+	}
+	return read, written, nil
+}
--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -47,6 +47,8 @@
 	// meetPause and meetMost bound the time between two looks for the upstream beside us.
 	meetPause = 20 * time.Millisecond
 	meetMost  = 2 * time.Second
+	// unknownMembers is how many sidecars there are taken to be until the core says.
+	unknownMembers = 64
 	// mostSends bounds attempts of one request, turned back ones included.
 	mostSends = 12
 	// reserved descriptors are for what is neither a client's connection nor one to others.
@@ -94,7 +96,7 @@
 		OnCharter: b.take, OnCatalogue: b.catalogue, Log: log,
 	})
 	var err error
-	if b.quota, err = newQuota(set.Guarantees.Bounds, b.clock, set.Self.NodeName, b.shelves.name, b.news.Peers, b.client, log); err != nil {
+	if b.quota, err = newQuota(set.Guarantees.Bounds, b.clock, set.Self.NodeName, b.shelves.name, b.members, b.news.Peers, b.client, log); err != nil {
 		return err
 	}
 	return b.run(ctx, reload)
@@ -228,7 +230,13 @@
 	return ending, load
 }
 
-func (b *Branch) members() int { return max(1, b.news.Members()) }
+// members is how many sidecars share quotas and budgets: the largest number lately, or, as long as the core has told none, more than are likely, as each would take the whole for its own.
+func (b *Branch) members() int {
+	if n := b.news.Largest(); n > 0 {
+		return n
+	}
+	return unknownMembers
+}
 
 // lease is what this sidecar tells the core.
 func (b *Branch) lease() catalogue.Lease {
@@ -241,9 +249,10 @@
 
 // catalogue takes news of the upstreams.
 func (b *Branch) catalogue(full bool, upserts []catalogue.Upstream, removals []string) {
-	b.shelves.take(full, upserts, removals)
+	if b.shelves.take(full, upserts, removals) {
+		b.own() // a core machine took its word, as we were not there
+	}
 	b.outer.List(b.shelves.listing())
-	b.quota.configure(b.charter.Load(), b.members())
 }
 
 // Frame is a change of the configuration as it is pushed: the changes that lead on from a version, or a whole charter.
@@ -263,7 +272,7 @@
 		return false
 	}
 	b.charter.Store(next)
-	b.quota.configure(next, b.members())
+	b.quota.configure(next)
 	b.log.Info("configuration", zap.Int64("version", next.Version()))
 	b.news.Poke()
 	return true
@@ -374,10 +383,12 @@
 	if f.Version <= held.Version() {
 		return held, nil
 	}
+	next, err := held, error(nil)
 	if f.Whole != nil {
-		return charter.Decode(f.Whole)
+		if next, err = charter.Decode(f.Whole); err != nil {
+			return nil, err
+		}
 	}
-	next := held
 	for _, raw := range f.Changes {
 		change, err := charter.ReadChange(raw)
 		if err != nil {
@@ -390,5 +401,8 @@
 			return nil, err
 		}
 	}
+	if next.Version() != f.Version {
+		return nil, faultlist.New(faultlist.Invalid, "a frame of version %d leads to %d", f.Version, next.Version())
+	}
 	return next, nil
 }
--- a/internal/mesh/branch/outbound.go
+++ b/internal/mesh/branch/outbound.go
@@ -147,7 +147,7 @@
 }
 
 // isCheck says whether requests of a route are internal checks: calls that a run makes, which go before all else, as the request that waits for them holds a slot meanwhile. Nothing in a
-// request tells. A route is one if all the time that it may take fits into the aim of every route that may take longer: else it could be no part of their requests.
+// request tells. A route is one if all the time that it may take fits into the aim of every route that may take longer and is none: else it could be no part of their requests.
 func (o *outbound) isCheck(c *charter.Charter, r *charter.Route) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -173,7 +173,7 @@
 		o.shares[t.Name] = min(mostShare, share)
 	}
 	routes := slices.SortedFunc(slices.Values(c.Routes()), func(a, b *charter.Route) int { return cmp.Compare(b.Timeout, a.Timeout) })
-	least := time.Duration(0) // aim of those that may take longer; 0: there is none
+	least := time.Duration(0) // aim of those that may take longer and are no checks; 0: there is none
 	for i := 0; i < len(routes); {
 		next := i
 		for ; next < len(routes) && routes[next].Timeout == routes[i].Timeout; next++ {
@@ -181,7 +181,7 @@
 			o.checks[r] = least > 0 && r.Timeout > 0 && r.Timeout <= least && r.Idempotent && (r.Public || !c.HasTenants())
 		}
 		for ; i < next; i++ {
-			if aim := routes[i].TargetLatency; aim > 0 && (least == 0 || aim < least) {
+			if aim := routes[i].TargetLatency; aim > 0 && !o.checks[routes[i]] && (least == 0 || aim < least) {
 				least = aim
 			}
 		}
--- a/internal/mesh/branch/quota.go
+++ b/internal/mesh/branch/quota.go
@@ -53,12 +53,14 @@
 	purse   *allowance.Purse
 	budget  *allowance.Budget
 	names   func(service int) string
+	count   func() int // sidecars that share the limits
+	limits  map[string]allowance.Limit
 	limited bool
 	members int
 }
 
-func newQuota(b settings.Bounds, c clock.Clock, node string, names func(int) string, peers func() []string, to *http.Client, log *zap.Logger) (*quota, error) {
-	q := &quota{clock: c, node: node, peers: peers, to: to, log: log, names: names, members: 1, some: make(chan struct{}, 1)}
+func newQuota(b settings.Bounds, c clock.Clock, node string, names func(int) string, count func() int, peers func() []string, to *http.Client, log *zap.Logger) (*quota, error) {
+	q := &quota{clock: c, node: node, peers: peers, to: to, log: log, names: names, count: count, some: make(chan struct{}, 1)}
 	var err error
 	window := b.QuotaWindow
 	if window <= 0 { // no quotas here: nobody asks
@@ -71,22 +73,30 @@
 	return q, err
 }
 
-// configure takes the limits of a configuration, and how many sidecars there are.
-func (q *quota) configure(c *charter.Charter, members int) {
-	limits := Limits(c)
+// configure takes the limits of a configuration.
+func (q *quota) configure(c *charter.Charter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.members = max(1, members)
-	now := q.clock.Now()
-	if err := q.purse.Configure(now, limits, q.members); err != nil {
+	q.limits, q.members = Limits(c), 0
+	q.share(q.clock.Now())
+	if q.limited = len(q.limits) > 0; q.limited {
+		q.rouse()
+	}
+}
+
+// share divides the limits by the sidecars that there are now. The caller holds the lock.
+func (q *quota) share(now time.Duration) {
+	members := max(1, q.count())
+	if members == q.members {
+		return
+	}
+	q.members = members
+	if err := q.purse.Configure(now, q.limits, members); err != nil {
 		q.log.Error("limits that can't be used, the last ones hold", zap.Error(err))
 	}
-	if err := q.budget.Configure(now, q.members); err != nil {
+	if err := q.budget.Configure(now, members); err != nil {
 		q.log.Error("members that can't be used", zap.Error(err))
 	}
-	if q.limited = len(limits) > 0; q.limited {
-		q.rouse()
-	}
 }
 
 // rouse has run look at what is wanted.
@@ -113,6 +123,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
+	q.share(now)
 	taken := q.purse.Take(now, tenant)
 	if q.purse.NextAsk(now) <= now {
 		q.rouse()
@@ -180,6 +191,7 @@
 func (q *quota) Request(now time.Duration, service int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.share(now)
 	q.budget.Request(now, q.names(service))
 }
 
--- a/internal/mesh/branch/shelves.go
+++ b/internal/mesh/branch/shelves.go
@@ -16,6 +16,7 @@
 	mu       sync.Mutex
 	all      map[string]catalogue.Upstream // by instance
 	own      *catalogue.Upstream           // beside us; nil: it has not told yet
+	ended    []string                      // instances that were beside us, the last mostEnded
 	numbers  map[string]int
 	names    []string       // of services, by number
 	slots    map[string]int // of the ready upstreams of a service
@@ -26,6 +27,9 @@
 	warmedAt time.Time // when the one beside us is warm
 }
 
+// mostEnded bounds the instances that are remembered to have ended.
+const mostEnded = 64
+
 func newShelves(zones []string, inbound string) *shelves {
 	s := &shelves{all: make(map[string]catalogue.Upstream), numbers: make(map[string]int), slots: make(map[string]int), zones: make(map[string]int), inbound: inbound}
 	for i, z := range zones {
@@ -68,8 +72,8 @@
 	return max(1, float64(s.slots[service])) / float64(s.total)
 }
 
-// take takes what was pushed.
-func (s *shelves) take(full bool, upserts []catalogue.Upstream, removals []string) {
+// take takes what was pushed. It says whether that tells more of the one beside us than we know: that it drains, told to a core machine while we were not there.
+func (s *shelves) take(full bool, upserts []catalogue.Upstream, removals []string) (more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if full {
@@ -77,11 +81,17 @@
 	}
 	for _, u := range upserts {
 		s.all[u.Instance] = u
+		if s.own != nil && s.own.Instance == u.Instance && u.Sequence > s.own.Sequence && u.State > s.own.State {
+			own := *s.own
+			own.State, own.Sequence, more = u.State, u.Sequence, true
+			s.own = &own
+		}
 	}
 	for _, instance := range removals {
 		delete(s.all, instance)
 	}
 	s.count()
+	return more
 }
 
 // meet takes who is beside us by its own answer to a question; false: it has told by itself meanwhile.
@@ -96,9 +106,12 @@
 func (s *shelves) tell(u catalogue.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.own != nil && s.own.Instance == u.Instance && (u.Sequence < s.own.Sequence || s.own.State > u.State) {
+	if slices.Contains(s.ended, u.Instance) || s.own != nil && s.own.Instance == u.Instance && (u.Sequence < s.own.Sequence || s.own.State > u.State) {
 		return false
 	}
+	if s.own != nil && s.own.Instance != u.Instance {
+		s.end(s.own.Instance)
+	}
 	u.Inbound = s.inbound
 	s.own, s.toldAt = &u, time.Now()
 	s.warmedAt = s.toldAt.Add(time.Duration(u.WarmupRemaining * float64(time.Second)))
@@ -116,10 +129,18 @@
 	return max(1, s.own.Slots)
 }
 
+// end remembers that an instance beside us has ended: a late word of it brings it back to nobody. The caller holds the lock.
+func (s *shelves) end(instance string) {
+	if s.ended = append(s.ended, instance); len(s.ended) > mostEnded {
+		s.ended = slices.Delete(s.ended, 0, 1)
+	}
+}
+
 // gone takes that an instance has ended.
 func (s *shelves) gone(instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.end(instance)
 	if s.own != nil && s.own.Instance == instance {
 		own := *s.own
 		own.State = catalogue.Gone
@@ -147,11 +168,23 @@
 func (s *shelves) count() {
 	clear(s.slots)
 	s.total = 0
-	for _, u := range s.all {
+	s.each(func(u catalogue.Upstream) {
 		if u.State == catalogue.Ready {
 			s.slots[u.Service] += u.Slots
 			s.total += u.Slots
 		}
+	})
+}
+
+// each has told called with every upstream; of those beside us only with the one that told us itself, if one has. The caller holds the lock.
+func (s *shelves) each(told func(catalogue.Upstream)) {
+	for _, u := range s.all {
+		if s.own == nil || u.Inbound != s.inbound {
+			told(u)
+		}
+	}
+	if s.own != nil {
+		told(*s.own)
 	}
 }
 
@@ -160,22 +193,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := call.Listing{Whole: true, Address: make(map[policy.ServerID]string), Name: make(map[policy.ServerID]string)}
-	add := func(u catalogue.Upstream) {
+	s.each(func(u catalogue.Upstream) {
 		if u.State == catalogue.Gone || u.Inbound == "" {
 			return
 		}
 		id := call.ServerID(u.Instance)
 		l.Servers = append(l.Servers, policy.Server{ID: id, Zone: s.zones[u.Zone], Cell: s.numberOf(u.Service), State: stateOf(u.State), Weight: float64(u.Slots)})
 		l.Address[id], l.Name[id] = u.Inbound+" "+u.Instance, u.Instance
-	}
-	for _, u := range s.all {
-		if s.own == nil || u.Inbound != s.inbound {
-			add(u)
-		}
-	}
-	if s.own != nil {
-		add(*s.own)
-	}
+	})
 	slices.SortFunc(l.Servers, func(a, b policy.Server) int {
 		if a.ID < b.ID {
 			return -1
--- a/internal/mesh/carrel/carrel.go
+++ b/internal/mesh/carrel/carrel.go
@@ -11,6 +11,7 @@
 package carrel
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -25,14 +26,16 @@
 	usualRank = 2
 	// lowestRank bounds the number of queues; what ranks lower queues with it.
 	lowestRank = 15
-	// turnEvery guards the lower ranks against being kept waiting for good: of so many slots handed out while one of
-	// them waits, one goes to the one that has waited longest.
+	// turnEvery guards the lower ranks against being kept waiting for good: of so much of the slots' time that is handed
+	// out while one of them waits, one part goes to the one that has waited longest.
 	turnEvery = 8
 	// fewestWaiting is how many may wait before an upstream with fewer slots than that; else as many as it has slots.
 	// The bound guards against a queue that only makes callers late.
 	fewestWaiting = 2
 	// waitShare is the part of a request's aim that it may wait for: the rest belongs to its work.
 	waitShare = 4
+	// urgentPlaces is how many times as many of the highest rank may wait.
+	urgentPlaces = 4
 	// urgentShare is the part of all its time that a request of the highest rank waits at most: half of it is left for its work.
 	urgentShare = 2
 	// meanShare is the weight of the past in the mean service time: high enough that one slow request does not turn
@@ -78,7 +81,7 @@
 	requests map[policy.RequestID]*request // those that wait, and those whose attempt is out
 	queues   [lowestRank + 1][]*request    // by rank, in the order of arrival
 	waiting  int
-	passed   int // slots handed out in a row past a lower rank that waited
+	owed     time.Duration // of slots' time to lower ranks that wait
 
 	upstream policy.ServerID
 	state    policy.State
@@ -86,9 +89,10 @@
 	running  int // attempts out at the upstream
 	retired  []policy.ServerID
 
-	mean      time.Duration   // of service; 0: not known
-	shed      []time.Duration // when each slot that the upstream has shed counts again, in order
-	missed    int             // connections that failed in a row
+	mean      time.Duration                 // of service; 0: not known
+	means     [lowestRank + 1]time.Duration // of each rank
+	shed      []time.Duration               // when each slot that the upstream has shed counts again, in order
+	missed    int                           // connections that failed in a row
 	deadFor   time.Duration
 	deadUntil time.Duration
 	wakeAt    time.Duration // when Wake is due next; 0: nothing was asked for
@@ -153,7 +157,7 @@
 		g.send(now, r)
 	case now+g.wait(now, rank) >= g.latest(r):
 		g.refuse(now, r)
-	case g.waiting >= g.room() && !g.displace(now, rank):
+	case g.full(rank) && (rank == 0 || !g.displace(now, rank)):
 		g.refuse(now, r)
 	default:
 		g.requests[r.id] = r
@@ -252,6 +256,7 @@
 	if g.state != policy.Ready {
 		g.upstream, g.state = e.ID, policy.Ready
 		g.slots, g.mean, g.shed = 1, 0, nil
+		g.means = [lowestRank + 1]time.Duration{}
 		g.missed, g.deadFor, g.deadUntil = 0, 0, 0
 		g.running = 0 // what is out at the one before is no load of this one
 		for _, r := range g.requests {
@@ -295,10 +300,12 @@
 	case policy.NoConnection:
 		g.miss(now, r)
 	default: // it held a slot that long
-		if took := now - r.sentAt; g.mean == 0 {
-			g.mean = took
-		} else {
-			g.mean += (took - g.mean) / meanShare
+		for _, mean := range []*time.Duration{&g.mean, &g.means[r.rank]} {
+			if took := now - r.sentAt; *mean == 0 {
+				*mean = took
+			} else {
+				*mean += (took - *mean) / meanShare
+			}
 		}
 	}
 }
@@ -324,9 +331,17 @@
 	return max(1, g.slots-len(g.shed))
 }
 
-// room is how many requests may wait.
+// room is how many requests may wait below the highest rank.
 func (g *Gate) room() int { return max(fewestWaiting, g.slots) }
 
+// full says whether no more of a rank may wait. Those of the highest have places of their own: they are short, and bounded by their time, and none below would ever wait beside them.
+func (g *Gate) full(rank int) bool {
+	if rank == 0 {
+		return len(g.queues[0]) >= urgentPlaces*g.room()
+	}
+	return g.waiting-len(g.queues[0]) >= g.room()
+}
+
 // wait is how long one more request of a rank is expected to wait for a slot.
 func (g *Gate) wait(now time.Duration, rank int) time.Duration {
 	position := 1
@@ -337,7 +352,7 @@
 }
 
 // latest is when a request has to have started: within its share of the aim, and early enough to end in time.
-func (g *Gate) latest(r *request) time.Duration { return min(r.startBy, r.deadline-g.mean) }
+func (g *Gate) latest(r *request) time.Duration { return min(r.startBy, r.deadline-g.expected(r.rank)) }
 
 // advance turns back what has no chance any more, hands out what slots are free, and keeps the queue to its length.
 func (g *Gate) advance(now time.Duration) {
@@ -356,7 +371,7 @@
 		g.unqueue(r)
 		g.send(now, r)
 	}
-	for g.waiting > g.room() {
+	for g.waiting-len(g.queues[0]) > g.room() {
 		g.turnBack(now, g.last())
 	}
 }
@@ -403,16 +418,21 @@
 	}
 	switch {
 	case lower == nil:
-		g.passed = 0
-	case g.passed == turnEvery-1:
-		g.passed = 0
+		g.owed = 0
+	case g.owed >= (turnEvery-1)*g.expected(lower.rank):
+		g.owed -= (turnEvery - 1) * g.expected(lower.rank)
 		return lower
 	default:
-		g.passed++
+		g.owed += g.expected(first.rank)
 	}
 	return first
 }
 
+// expected is how long a request of a rank holds a slot. Where nothing is known all are alike.
+func (g *Gate) expected(rank int) time.Duration {
+	return cmp.Or(g.means[rank], g.mean, time.Millisecond)
+}
+
 // last is the one that came last of the lowest rank that waits. Something waits.
 func (g *Gate) last() *request {
 	for rank := lowestRank; ; rank-- {
--- a/internal/mesh/porter/porter.go
+++ b/internal/mesh/porter/porter.go
@@ -85,6 +85,7 @@
 	waiting  int
 	total    float64 // slots of all that are ready
 	members  int
+	turn     map[int]float64 // time of round robin, by service
 	errors   map[int]float64 // runs after a failure that a service has left
 	wakeAt   time.Duration
 	sweepAt  time.Duration
@@ -137,7 +138,7 @@
 
 // New makes one.
 func New(cfg Config, host policy.Host) *Porter {
-	return &Porter{cfg: cfg, host: host, requests: make(map[policy.RequestID]*request), walls: make(map[string]*compartment), errors: make(map[int]float64), members: 1}
+	return &Porter{cfg: cfg, host: host, requests: make(map[policy.RequestID]*request), walls: make(map[string]*compartment), turn: make(map[int]float64), errors: make(map[int]float64), members: 1}
 }
 
 // Start begins its life.
@@ -146,7 +147,7 @@
 // Request takes a request on.
 func (p *Porter) Request(now time.Duration, q policy.Request) {
 	o, ok := q.Terms.(*Order)
-	if !ok || q.Left <= 0 || p.requests[q.ID] != nil {
+	if !ok || q.Left <= endMargin || p.requests[q.ID] != nil {
 		p.count.Refused++
 		p.host.Refuse(q.ID, 0)
 		return
@@ -156,10 +157,11 @@
 	r := &request{id: q.ID, order: o, home: p.compartment(now, o.Wall), arrived: now, deadline: now + q.Left - endMargin}
 	r.until = min(r.deadline, now+time.Duration(waitShare*float64(o.Aim)))
 	if o.Rank == 0 { // an internal check has no other try, and takes the request that made it along
-		r.until = max(r.until, now+time.Duration(urgentShare*float64(q.Left)))
+		r.until = min(r.deadline, max(r.until, now+time.Duration(urgentShare*float64(q.Left))))
 	}
 	p.requests[q.ID] = r
-	if p.dispatch(now, r) {
+	p.feed(now) // who waits goes first
+	if !r.home.waits(o.Service) && p.dispatch(now, r) {
 		return
 	}
 	if len(r.home.queue) >= r.home.places {
@@ -169,6 +171,11 @@
 	p.wait(now, r, false)
 }
 
+// waits says whether a request for a service waits in a compartment.
+func (c *compartment) waits(service int) bool {
+	return slices.ContainsFunc(c.queue, func(r *request) bool { return r.order.Service == service })
+}
+
 // compartment is the one of a name, sized by its share now.
 func (p *Porter) compartment(now time.Duration, w Wall) *compartment {
 	c := p.walls[w.Name]
@@ -203,7 +210,11 @@
 
 // dispatch sends a request if its compartment has a slot and an upstream has its turn.
 func (p *Porter) dispatch(now time.Duration, r *request) bool {
-	if !r.held && r.home.used >= r.home.slots {
+	if !r.held && r.home.used >= r.home.slots || now >= r.deadline {
+		return false
+	}
+	further := r.arrivals > r.paid // the budget is asked where it is spent: others may have spent it since
+	if further && !p.cfg.Budget.May(now, r.order.Service) {
 		return false
 	}
 	u := p.pick(now, r)
@@ -222,7 +233,7 @@
 	if u.Zone != p.cfg.Zone {
 		p.count.Crossed++
 	}
-	if r.arrivals > r.paid {
+	if further {
 		r.paid = r.arrivals
 		p.cfg.Budget.Spent(now, r.order.Service)
 	}
@@ -238,7 +249,6 @@
 // full, the one whose queue is shortest.
 func (p *Porter) pick(now time.Duration, r *request) *upstream {
 	var near, any, least *upstream
-	var ahead float64 // the least due of those that could go: nobody falls behind it for good
 	for _, u := range p.servers {
 		if u.Cell != r.order.Service || u.State != policy.Ready || now < u.backAt || r.tried(u) {
 			continue
@@ -264,10 +274,9 @@
 	if best == nil {
 		return nil
 	}
-	if any != nil {
-		ahead = any.due
-	}
-	best.due = max(best.due, ahead) + 1/best.Weight
+	// Whoever had no turns for a while is due first once, and does not have all that it missed.
+	p.turn[r.order.Service] = max(p.turn[r.order.Service], best.due)
+	best.due = p.turn[r.order.Service] + 1/best.Weight
 	return best
 }
 
@@ -301,12 +310,17 @@
 	p.wake(now, min(r.until, p.opens(now, r))-now)
 }
 
-// opens is when an upstream has turns again that has none now; far off where none is out of turns.
+// opens is when an upstream has turns again that has none now, or its gate's word is old; far off where there is no such time.
 func (p *Porter) opens(now time.Duration, r *request) time.Duration {
 	at := now + time.Hour
 	for _, u := range p.servers {
-		if u.Cell == r.order.Service && u.backAt > now {
-			at = min(at, u.backAt)
+		if u.Cell != r.order.Service {
+			continue
+		}
+		for _, t := range []time.Duration{u.backAt, u.toldAt + toldFor + 1} {
+			if t > now {
+				at = min(at, t)
+			}
 		}
 	}
 	return at
@@ -531,13 +545,7 @@
 			p.servers[at].Server = e
 			continue
 		}
-		u := &upstream{Server: e}
-		for _, other := range p.servers { // it begins beside the others, not with all the turns that they had
-			if other.Cell == e.Cell && (u.due == 0 || other.due < u.due) {
-				u.due = other.due
-			}
-		}
-		p.servers = slices.Insert(p.servers, at, u)
+		p.servers = slices.Insert(p.servers, at, &upstream{Server: e, due: p.turn[e.Cell]})
 	}
 	p.servers = slices.DeleteFunc(p.servers, func(u *upstream) bool { return u.State == policy.Gone })
 	p.total = 0
--- a/internal/mesh/registrar/registrar.go
+++ b/internal/mesh/registrar/registrar.go
@@ -14,8 +14,8 @@
 const (
 	// beatLimit bounds a heartbeat's body.
 	beatLimit = 16 << 10
-	// ChangeLimit bounds a configuration's body.
-	ChangeLimit = 48 << 20
+	// ChangeLimit bounds a configuration's body: what the log takes as one command, with some room for what is written round it. 10,000 routes are some 3 MiB.
+	ChangeLimit = 7 << 20
 )
 
 // Beat is a heartbeat's body.
--- a/internal/mesh/slip/slip.go
+++ b/internal/mesh/slip/slip.go
@@ -41,6 +41,9 @@
 	unknown = "unknown" // nobody can say
 )
 
+// mostLoad guards against sums that overflow: no upstream holds so many.
+const mostLoad = 1 << 20
+
 // longest is what longer time-outs count as.
 const longest = 10 * time.Minute
 
@@ -50,7 +53,8 @@
 	if err != nil || !(ms > 0) {
 		return 0, false
 	}
-	return time.Duration(min(ms, float64(longest/time.Millisecond)) * float64(time.Millisecond)), true
+	left := time.Duration(min(ms, float64(longest/time.Millisecond)) * float64(time.Millisecond))
+	return left, left > 0
 }
 
 // Twice is the name of a field that steers a request and is given twice, or "": two readers may heed different ones.
@@ -106,7 +110,7 @@
 	if bad != nil || bad2 != nil || aim < 0 || rank < 0 {
 		return Visit{}, false
 	}
-	return Visit{Rank: rank, Aim: min(longest, time.Duration(aim)*time.Millisecond), Safe: parts[2] == "1"}, true
+	return Visit{Rank: rank, Aim: time.Duration(min(aim, longest.Milliseconds())) * time.Millisecond, Safe: parts[2] == "1"}, true
 }
 
 // Stripped takes off what is the gate's alone, before a request goes to the upstream.
@@ -142,7 +146,7 @@
 	}
 	running, bad := strconv.Atoi(strings.TrimSpace(parts[0]))
 	waiting, bad2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if bad != nil || bad2 != nil || running < 0 || waiting < 0 {
+	if bad != nil || bad2 != nil || running < 0 || waiting < 0 || max(running, waiting) > mostLoad {
 		return policy.Load{}
 	}
 	return policy.Load{Has: policy.HasInFlight | policy.HasQueued, InFlight: float64(running + waiting), Queued: float64(waiting)}
@@ -199,4 +203,7 @@
 func Bare(fields http.Header) { delete(fields, gateLoad) }
 
 // Stamp has an upstream's answer tell the gate's load to the caller's sidecar.
-func Stamp(fields http.Header, load string) { fields[gateLoad] = []string{load} }
+func Stamp(fields http.Header, load string) {
+	delete(fields, verdict) // only a gate may say
+	fields[gateLoad] = []string{load}
+}
--- /dev/null
+++ b/internal/mesh/stacks/minutes_test.go
@@ -0,0 +1,221 @@
+package stacks
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"caperarch/internal/mesh/branch"
+	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/faultlist"
+)
+
+// put is a change to a version that builds on another, with services of these names in place of all.
+func put(version, base int64, services ...string) *charter.Change {
+	items := make([]string, len(services))
+	for i, name := range services {
+		items[i] = fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"specification":{"x":"<&>"}}`, name)
+	}
+	change, err := charter.ReadReplace(fmt.Appendf(nil, `{"configVersion": %d, "baseVersion": %d, "resources": [%s]}`, version, base, strings.Join(items, ",")))
+	if err != nil {
+		panic(err)
+	}
+	return change
+}
+
+// drop is a change that takes a service out.
+func drop(version, base int64, service string) *charter.Change {
+	change, err := charter.ReadUpdate(fmt.Appendf(nil, `{"configVersion":%d,"baseVersion":%d,"remove":{"services":["%s"]}}`, version, base, service))
+	if err != nil {
+		panic(err)
+	}
+	return change
+}
+
+// encoded is all that a charter holds, with the changes that it remembers.
+func encoded(c *charter.Charter) string {
+	data, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func settle(m *minutes) {
+	if err := m.idle(context.Background()); err != nil {
+		panic(err)
+	}
+}
+
+// told is a verdict that must be there by now.
+func told(of <-chan verdict) (int64, faultlist.Kind, bool) {
+	select {
+	case v := <-of:
+		if v.err != nil {
+			return v.version, faultlist.Of(v.err), true
+		}
+		return v.version, 0, true
+	default:
+		return 0, 0, false
+	}
+}
+
+func TestMinutes(t *testing.T) {
+	ctx := context.Background()
+	Convey("Commands hold in the log's order, a refused one changes nothing, and each proposer hears of its own", t, func() {
+		changes := 0
+		m := newMinutes(zap.NewNop(), func() { changes++ })
+		So(m.Whole(), ShouldBeNil)
+		first, second, third, fourth := m.expect(1), m.expect(2), m.expect(3), m.expect(4)
+		forgotten := m.expect(6)
+		m.forget(6)
+		m.apply(1, []byte("a view"))
+		m.apply(2, command(1, put(3, 0, "a", "b")))
+		m.apply(3, command(2, drop(5, 0, "a"))) // builds on what is no more
+		m.apply(4, command(3, drop(5, 3, "a")))
+		m.apply(5, command(4, put(3, 0, "a", "b"))) // the first once more
+		m.apply(6, command(5, drop(6, 5, "b")))
+		m.apply(7, command(6, put(7, 6)))
+		m.apply(8, append(command(7, put(8, 7))[:20], "cut"...))
+		settle(m)
+		for i, want := range []struct {
+			of      <-chan verdict
+			version int64
+			kind    faultlist.Kind
+		}{{first, 3, 0}, {second, 3, faultlist.Stale}, {third, 5, 0}, {fourth, 3, 0}} {
+			version, kind, ok := told(want.of)
+			So([]any{i, version, kind, ok}, ShouldResemble, []any{i, want.version, want.kind, true})
+		}
+		_, _, ok := told(forgotten)
+		So(ok, ShouldBeFalse)
+		So(m.Current(), ShouldEqual, 7)
+		So(string(m.current().Document()), ShouldEqual, `{"configVersion":7,"baseVersion":6,"resources":[]}`)
+		So(changes, ShouldEqual, 4)
+		gone, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err := await(gone, m.expect(9))
+		So(faultlist.Of(err), ShouldEqual, faultlist.Late)
+	})
+	Convey("A snapshot takes the place of all before, one that can't be read of nothing, and a change from before it is known as repeated", t, func() {
+		m, other := newMinutes(zap.NewNop(), func() {}), newMinutes(zap.NewNop(), func() {})
+		m.apply(1, command(1, put(3, 0, "a")))
+		m.apply(2, command(2, put(4, 3, "b")))
+		settle(m)
+		snapshot := m.snapshot()
+		other.apply(1, command(1, put(9, 0, "z")))
+		other.restore(snapshot)
+		other.restore(snapshot[:len(snapshot)-1])
+		repeated := other.expect(77)
+		other.apply(3, command(77, put(3, 0, "a")))
+		settle(other)
+		So(encoded(other.current()), ShouldEqual, encoded(m.current()))
+		version, kind, ok := told(repeated)
+		So([]any{version, kind, ok}, ShouldResemble, []any{int64(3), faultlist.Kind(0), true})
+		for _, version := range []int64{0, 3, 9} {
+			_, ok = other.Since(version)
+			So(ok, ShouldBeFalse)
+		}
+		none, ok := other.Since(4)
+		So(ok, ShouldBeTrue)
+		So(none, ShouldBeEmpty)
+	})
+}
+
+func TestTake(t *testing.T) {
+	Convey("A frame leads to its version or to an error, and never back", t, func() {
+		m := newMinutes(zap.NewNop(), func() {})
+		m.apply(1, command(1, put(3, 0, "a")))
+		settle(m)
+		old, held3 := m.Whole(), m.current()
+		m.apply(2, command(2, put(5, 3, "b")))
+		settle(m)
+		held := m.current()
+		for _, frame := range []json.RawMessage{old, m.Whole()} {
+			next, err := branch.Take(held, frame)
+			So(err, ShouldBeNil)
+			So(next, ShouldPointTo, held)
+		}
+		var wrong []string
+		for _, frame := range []string{
+			``, `[]`, `{"version":9`, `{"version":"9"}`, `{"version":9,"whole":null}`, `{"version":9,"whole":{}}`, `{"version":9,"changes":[{}]}`, `{"version":9,"changes":[7]}`,
+			`{"version":9,"changes":[` + string(put(9, 3, "c").Bytes()) + `]}`,
+			`{"version":9,"whole":` + encoded(held3) + `}`,
+			`{"version":9}`,
+			`{"version":9,"changes":[` + string(put(7, 5, "c").Bytes()) + `]}`,
+		} {
+			next, err := branch.Take(held, json.RawMessage(frame))
+			if err == nil && next.Version() != 9 {
+				wrong = append(wrong, fmt.Sprintf("%s led from 5 to %d", frame, next.Version()))
+			}
+		}
+		So(wrong, ShouldBeEmpty)
+	})
+}
+
+// TestFrames plays random changes, good ones and others: whoever holds any version before gets to the very same charter by what Since or Whole gives, and so does a machine that was
+// given a snapshot at any time and the commands behind it.
+func TestFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, late := newMinutes(zap.NewNop(), func() {}), newMinutes(zap.NewNop(), func() {})
+		history := []*charter.Charter{charter.Empty()} // as the changes have it, by themselves
+		restored := -1
+		for step := range rapid.IntRange(1, 130).Draw(t, "changes") {
+			now := history[len(history)-1]
+			version := now.Version() + int64(rapid.IntRange(0, 3).Draw(t, "version"))
+			base := rapid.SampledFrom([]int64{now.Version(), now.Version(), now.Version(), max(0, now.Version()-1)}).Draw(t, "base")
+			change := put(version, base, slices.Compact(slices.Sorted(slices.Values(rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 3).Draw(t, "services"))))...)
+			if rapid.Bool().Draw(t, "update") {
+				change = drop(version, base, rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "service"))
+			}
+			next, outcome, err := now.Apply(change)
+			if outcome == charter.Applied {
+				history = append(history, next)
+			}
+			heard := m.expect(uint64(step))
+			m.apply(uint64(step), command(uint64(step), change))
+			if restored >= 0 {
+				late.apply(uint64(step), command(uint64(step), change))
+			}
+			settle(m)
+			if _, kind, ok := told(heard); !ok || (err != nil) != (kind != 0) {
+				t.Fatalf("change %d on %d: told %v, %v, not %v", version, base, ok, kind, err)
+			}
+			if restored < 0 && rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				restored = len(history) - 1
+				late.restore(m.snapshot())
+			}
+		}
+		want := encoded(history[len(history)-1])
+		settle(late)
+		if encoded(m.current()) != want || restored >= 0 && encoded(late.current()) != want {
+			t.Fatalf("the charters differ: %s, %s and %s", want, encoded(m.current()), encoded(late.current()))
+		}
+		last := len(history) - 1
+		for _, i := range []int{0, last, max(0, last-mostKept), max(0, last-mostKept-1), rapid.IntRange(0, last).Draw(t, "held")} {
+			held := history[i]
+			frames, ok := m.Since(held.Version())
+			if ok != (last-i <= mostKept) {
+				t.Fatalf("%d changes behind: %v", last-i, ok)
+			}
+			if !ok {
+				frames = []json.RawMessage{m.Whole()}
+			}
+			for _, frame := range append(frames, frames...) { // twice does no harm
+				var err error
+				if held, err = branch.Take(held, frame); err != nil {
+					t.Fatalf("from %d on: %v", history[i].Version(), err)
+				}
+			}
+			if encoded(held) != want {
+				t.Fatalf("from %d on it is %s, not %s", history[i].Version(), encoded(held), want)
+			}
+		}
+	})
+}
