Core machines beyond those that hold the log; the founder picks 2f + 1 at the first start

Change: the lowest of the seeds hears of the core machines at the first start and picks 2f + 1, seeds first and zones in turn; its choice is on its disk before it tells.

--- a/cmd/measure/mesh.go
+++ b/cmd/measure/mesh.go
@@ -45,7 +45,7 @@
 	sequencer int
 }
 
-// meshUse is what was used over a while, a second; of members by their role, the mean of those that are no sequencer.
+// meshUse is what was used over a while, a second; of members by their role when the core had calmed down, the mean of those that were no sequencer.
 type meshUse struct {
 	sidecarCPU, sequencerCPU, followerCPU       float64 // of a core; of all sidecars together
 	sidecarIn, sidecarOut                       float64 // bytes, of all sidecars together
@@ -206,14 +206,14 @@
 type meshChange struct {
 	answered, afterAnswer, arrived, applied spread
 	size                                    float64
-	used                                    meshUse // a second, above what is used anyway; times seconds over the changes: of one
+	used                                    meshUse // a second, above what is used anyway
 }
 
 // changes makes changes one after the other, each once the one before is in force everywhere.
-func (r *meshRun) changes(n int, quiet meshUse, make func(i int) (sent, answered time.Time, size int, err error)) (m meshChange, err error) {
+func (r *meshRun) changes(n int, quiet meshUse, change func(i int) (sent, answered time.Time, size int, err error)) (m meshChange, err error) {
 	used, err := r.while(func() error {
 		for i := range n {
-			sent, answered, size, err := make(i)
+			sent, answered, size, err := change(i)
 			if err != nil {
 				return err
 			}
@@ -434,7 +434,7 @@
 	kind := shape.String()
 	fmt.Printf("%s, quiet: a sidecar: in %v B/s, out %v B/s, %v %% of a core, %.2f renewals/s, %.2f MiB%s\n", kind, in, out, cpu, s.quiet.renewals/n, s.memory/(1<<20), map[bool]string{true: " (charter shared, no catalogue)"}[s.shared])
 	fmt.Printf("%s, quiet: sequencer %v %% of a core, %.1f MiB, %.0f B/s; another member %v %%, %.1f MiB, %.0f B/s\n", kind, sequencer, s.quiet.sequencerMem/(1<<20), s.quiet.sequencerBytes, follower, s.quiet.followerMemory/(1<<20), s.quiet.followerBytes)
-	m, err := r.changes(meshChanges, s.quiet, func(i int) (time.Time, time.Time, int, error) { return r.core.update(i, 2+r.sidecars%3) })
+	m, err := r.changes(meshChanges, s.quiet, func(i int) (time.Time, time.Time, int, error) { return r.core.update(i, 3) })
 	if err != nil {
 		return s, err
 	}
--- a/internal/mesh/allowance/allowance_test.go
+++ b/internal/mesh/allowance/allowance_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +45,7 @@
 	asked    map[string]int // since warm
 	turned   map[string]int // refused since warm
 	slowdown time.Duration
+	calls    int // at dealers, since warm
 }
 
 func newSite(seed uint64, sidecars int) *site {
@@ -58,6 +61,18 @@
 	return s
 }
 
+// newGrownSite is a fleet of 82 sidecars with 87 tenants, whose rates are a Zipf from 100 down to 3 a second.
+func newGrownSite(seed uint64) *site {
+	s := newSite(seed, 82)
+	s.limits = map[string]Limit{}
+	for k := range 87 {
+		rate := math.Round(100 / math.Pow(float64(k+1), 0.785))
+		s.limits[fmt.Sprintf("%02d", k)] = Limit{rate, rate}
+	}
+	s.configure(0)
+	return s
+}
+
 // resize has sidecars come or go; those that stay, and the dealers, learn of it half a second later.
 func (s *site) resize(now time.Duration, sidecars int) {
 	for len(s.purses) < sidecars {
@@ -80,6 +95,7 @@
 func (s *site) restart(now time.Duration, sidecar int) {
 	p, err := NewPurse(rules)
 	So(err, ShouldBeNil)
+	p.chance = s.rng
 	So(p.Configure(now, s.limits, len(s.purses)), ShouldBeNil)
 	s.purses[sidecar] = p
 }
@@ -97,13 +113,16 @@
 	}
 	there := now + s.latency()
 	s.mail[there] = append(s.mail[there], func(now time.Duration) {
+		if now >= warm {
+			s.calls++
+		}
 		d := s.dealers[epoch]
 		if d == nil {
 			d, _ = NewDealer(rules)
 			So(d.Configure(now, s.limits, len(s.purses)), ShouldBeNil)
 			s.dealers[epoch] = d
 		}
-		grants, err := d.Deal(now, epoch, node, asks)
+		grants, closed, err := d.Deal(now, epoch, node, asks)
 		back := now + s.latency()
 		s.mail[back] = append(s.mail[back], func(now time.Duration) {
 			if i >= len(s.purses) || s.purses[i] != p || s.flying[i] <= now || s.joined(now, i) != epoch {
@@ -111,14 +130,14 @@
 			}
 			s.flying[i] = 0
 			if err == nil {
-				_ = p.Granted(now, epoch, grants)
+				_ = p.Granted(now, epoch, grants, closed)
 			}
 		})
 	})
 }
 
 func (s *site) play(from, to time.Duration) {
-	names := []string{"large", "middling", "plain", "small", "lone"}
+	names := slices.Sorted(maps.Keys(s.limits))
 	for now := from; now < to; now += ms {
 		s.each(now)
 		for _, f := range s.mail[now] {
@@ -127,7 +146,7 @@
 		delete(s.mail, now)
 		for _, name := range names {
 			// Arrivals in a millisecond are Poisson.
-			mean := tenants[name].Rate * usual * s.hot(now, name) / 1000
+			mean := s.limits[name].Rate * usual * s.hot(now, name) / 1000
 			for left := math.Exp(-mean); ; {
 				u := s.rng.Float64()
 				if u < left {
@@ -274,17 +293,91 @@
 	})
 }
 
+// grown are the scenes of the grown fleet, 30 s each. others is the part refused, at most, of all that comes for tenants
+// that aren't hot; which says whose turn it is to be hot, by rank.
+var grown = []struct {
+	name    string
+	hot     []int
+	prepare func(s *site)
+	others  float64
+}{
+	{"calm", []int{-1}, func(*site) {}, 0.003},
+	{"one is hot", []int{0, 1, 3, 8, 20, 40, 60, 86}, func(*site) {}, 0.005},
+	{"another dealer begins", []int{-1, 0, 20, 86}, func(s *site) {
+		s.joined = func(now time.Duration, _ int) uint64 {
+			switch {
+			case now < 10*second:
+				return 1
+			case now < 12*second:
+				return 0
+			}
+			return 2
+		}
+	}, 0.03},
+	{"a third of the sidecars is out of contact for twelve seconds", []int{-1, 0, 20, 86}, func(s *site) {
+		s.joined = func(now time.Duration, i int) uint64 {
+			if i%3 == 0 && now >= 8*second && now < 20*second {
+				return 0
+			}
+			return 1
+		}
+	}, 0.05},
+	{"all are out of contact for long", []int{-1}, func(s *site) {
+		s.joined = func(now time.Duration, i int) uint64 {
+			if now >= 8*second {
+				return 0
+			}
+			return 1
+		}
+	}, 0.5},
+}
+
+func TestGrown(t *testing.T) {
+	for _, scene := range grown {
+		Convey("82 sidecars keep 87 tenants' quotas: "+scene.name, t, func() {
+			for _, rank := range scene.hot {
+				for seed := uint64(1); seed <= 3; seed++ {
+					s, hot := newGrownSite(seed), fmt.Sprintf("%02d", rank)
+					scene.prepare(s)
+					s.hot = hotFrom(5*second, hot)
+					s.play(0, 30*second)
+					asked, turned := 0, 0
+					for name, l := range s.limits {
+						So(fmt.Sprint(name, " of ", l.Rate, " over by ", max(0, s.overrun(name, l))), ShouldEndWith, "over by 0")
+						if name != hot {
+							asked, turned = asked+s.asked[name], turned+s.turned[name]
+						}
+					}
+					refused := float64(turned) / float64(asked)
+					fmt.Printf("\nXX %s, hot %q: %.2f%% of others refused, %d calls a second", scene.name, hot, 100*refused, s.calls/27)
+					So(refused, ShouldBeLessThanOrEqualTo, scene.others)
+					if l, ok := s.limits[hot]; ok {
+						ran := 0
+						for _, at := range s.ran[hot] {
+							if at >= 5*second {
+								ran++
+							}
+						}
+						fmt.Printf(";   over by %.0f, of %v got %.0f%%", s.overrun(hot, l), l.Rate, 100*float64(ran)/25/l.Rate)
+						So(float64(ran), ShouldBeGreaterThan, 0.9*25*l.Rate)
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestDealer(t *testing.T) {
 	Convey("Scarce tokens are shared max-min fairly, and nothing is dealt at first, twice or for an old epoch", t, func() {
 		d, err := NewDealer(rules)
 		So(err, ShouldBeNil)
 		So(d.Configure(0, map[string]Limit{"a": {100, 0}}, 3), ShouldBeNil)
-		_, err = d.Deal(0, 4, "x", []Ask{{"a", 1}})
+		_, _, err = d.Deal(0, 4, "x", []Ask{{"a", 1, 0}})
 		So(faultlist.Of(err), ShouldEqual, faultlist.Busy)
 		got := map[string]float64{}
 		for now := TokenLife; now < 20*second; now += 100 * ms {
 			for node, want := range map[string]float64{"x": 1, "y": 50, "z": 500} {
-				grants, err := d.Deal(now, 4, node, []Ask{{"a", want}, {"none", 1}})
+				grants, _, err := d.Deal(now, 4, node, []Ask{{"a", want, 0}, {"none", 1, 0}})
 				So(err, ShouldBeNil)
 				for _, g := range grants {
 					got[node] += g.Tokens
@@ -294,19 +387,19 @@
 		So(got["x"], ShouldBeGreaterThan, 190)
 		So(got["y"], ShouldAlmostEqual, got["z"], got["z"]/20)
 		So(got["x"]+got["y"]+got["z"], ShouldBeBetween, 1750, 1950)
-		_, err = d.Deal(20*second, 3, "x", nil)
+		_, _, err = d.Deal(20*second, 3, "x", nil)
 		So(faultlist.Of(err), ShouldEqual, faultlist.Stale)
-		_, err = d.Deal(20*second, 4, "x", []Ask{{"a", math.NaN()}})
+		_, _, err = d.Deal(20*second, 4, "x", []Ask{{"a", math.NaN(), 0}})
 		So(faultlist.Of(err), ShouldEqual, faultlist.Invalid)
 		So(faultlist.Of(d.Configure(0, map[string]Limit{"a": {-1, 0}}, 3)), ShouldEqual, faultlist.Invalid)
 
 		p, _ := NewPurse(rules)
 		So(p.Configure(0, map[string]Limit{"a": {100, 0}}, 3), ShouldBeNil)
-		So(faultlist.Of(p.Granted(0, 5, nil)), ShouldEqual, faultlist.Stale)
+		So(faultlist.Of(p.Granted(0, 5, nil, nil)), ShouldEqual, faultlist.Stale)
 		p.Asks(0)
-		So(p.Granted(0, 5, []Grant{{"a", 3}}), ShouldBeNil)
+		So(p.Granted(0, 5, []Grant{{"a", 3}}, nil), ShouldBeNil)
 		p.Asks(0)
-		So(faultlist.Of(p.Granted(0, 4, []Grant{{"a", 3}})), ShouldEqual, faultlist.Stale)
+		So(faultlist.Of(p.Granted(0, 4, []Grant{{"a", 3}}, nil)), ShouldEqual, faultlist.Stale)
 		So(p.Take(0, "free"), ShouldBeTrue)
 	})
 }
--- a/internal/mesh/allowance/dealer.go
+++ b/internal/mesh/allowance/dealer.go
@@ -10,6 +10,18 @@
 	// claimLife is how long a node's last ask counts when tokens are divided. It guards against a node that asks often
 	// taking what another that asked just before it needs.
 	claimLife = 350 * time.Millisecond
+	// calmHold is how long a member counts as in contact for post-paid tenants after an answered ask: the time between
+	// two calm asks, and 0.6 s in which the answer is missed. Both sides count with it.
+	calmHold = askCalm + 600*time.Millisecond
+	// demandSpan is the time constant of the demand that shares are worked out from. It guards against a share that
+	// follows single reports.
+	demandSpan = time.Second
+	// recovery is the time in which a post-paid bucket's level is spent or its deficit made good. It guards against a
+	// window that is over the quota for long after a tenant got hot.
+	recovery = time.Second
+	// warmLevel is the part of the depth below which a tenant is named though all of it may run. It guards against
+	// learning of a hot tenant by calm asks only.
+	warmLevel = 0.25
 	// maxAsks is the most asks that one call may bring. It guards against a call that holds the dealer up.
 	maxAsks = 4096
 	// maxNodes is the most nodes that are told apart. It guards against names that use up the memory.
@@ -32,6 +44,8 @@
 	dealsFrom time.Duration
 	at        time.Duration            // of the last settling
 	flown     float64                  // seconds of full flow since the start, less the floors' part
+	calmFlown float64                  // flown, for post-paid tenants
+	calmFrom  time.Duration            // until then all members count as in contact for them
 	heard     map[string]time.Duration // when each node last asked
 }
 
@@ -40,6 +54,7 @@
 	plan
 	free, flown float64
 	claims      map[string]*claim
+	demand      average // of a post-paid tenant, as reported
 }
 
 // claim is what a node asked for last, and what is kept for its next ask.
@@ -84,15 +99,16 @@
 			delete(d.tenants, name)
 			continue
 		}
-		a.fill(d.flown)
+		a.fill(d.flow(a))
 	}
 	for name, l := range d.limits {
 		a := d.tenants[name]
 		if a == nil {
-			a = &account{flown: d.flown, claims: map[string]*claim{}}
+			a = &account{claims: map[string]*claim{}}
 			d.tenants[name] = a
 		}
 		a.plan = d.rules.plan(l, d.planned)
+		a.flown = d.flow(a)
 		a.clamp()
 	}
 }
@@ -102,26 +118,45 @@
 	if now <= d.at {
 		return
 	}
+	lately := 0
 	for node, at := range d.heard {
-		if now-at > dealerHold {
+		if now-at > calmHold {
 			delete(d.heard, node)
+		} else if now-at <= dealerHold {
+			lately++
 		}
 	}
 	members := d.members.at(now)
-	silent := max(0, members-len(d.heard))
-	d.flown += (now - d.at).Seconds() * (1 - floorShare*float64(silent)/float64(members))
+	flow := func(heard int) float64 {
+		return (now - d.at).Seconds() * (1 - floorShare*float64(max(0, members-heard))/float64(members))
+	}
+	d.flown += flow(lately)
+	if now < d.calmFrom {
+		d.calmFlown += flow(members)
+	} else {
+		d.calmFlown += flow(len(d.heard))
+	}
 	d.at = now
 	if members != d.planned {
 		d.replan(now)
 	}
 }
 
+// flow is what fills the account's bucket.
+func (d *Dealer) flow(a *account) float64 {
+	if a.postPaid {
+		return d.calmFlown
+	}
+	return d.flown
+}
+
 // begin starts a new duty: buckets are empty, and nothing is dealt until the tokens of the last duty have expired.
 func (d *Dealer) begin(now time.Duration, epoch uint64) {
 	d.epoch, d.begun, d.dealsFrom = epoch, true, now+TokenLife
+	d.calmFrom = now + calmHold
 	clear(d.heard)
 	for _, a := range d.tenants {
-		a.free, a.flown = 0, d.flown
+		a.free, a.flown, a.demand = 0, d.flow(a), average{}
 		clear(a.claims)
 	}
 }
@@ -129,43 +164,70 @@
 // Deal answers the asks of a node in the duty of the given epoch; the answer goes to the node with that epoch. The first
 // call of a later epoch starts the duty anew. An epoch before the newest is Stale; within TokenLife of the duty's start
 // all is Busy, and the node mustn't be told that it was granted anything. Tenants without a limit are passed over. The
-// answer also counts as the node's promise to hold its floor back, so a node also asks when it wants nothing.
-func (d *Dealer) Deal(now time.Duration, epoch uint64, node string, asks []Ask) ([]Grant, error) {
+// answer also counts as the node's promise to hold its floor back, so a node also asks when it wants nothing. The closed
+// tenants are all of them, whatever was asked; every other post-paid tenant is open.
+func (d *Dealer) Deal(now time.Duration, epoch uint64, node string, asks []Ask) ([]Grant, []Closed, error) {
 	if node == "" || len(node) > maxNodeName {
-		return nil, faultlist.New(faultlist.Invalid, "a node's name has 1 to %d bytes, this one %d", maxNodeName, len(node))
+		return nil, nil, faultlist.New(faultlist.Invalid, "a node's name has 1 to %d bytes, this one %d", maxNodeName, len(node))
 	}
 	if len(asks) > maxAsks {
-		return nil, faultlist.New(faultlist.TooLarge, "%d asks, at most %d are taken", len(asks), maxAsks)
+		return nil, nil, faultlist.New(faultlist.TooLarge, "%d asks, at most %d are taken", len(asks), maxAsks)
 	}
 	for _, ask := range asks {
-		if !amount(ask.Want) {
-			return nil, faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be wanted", ask.Tenant, ask.Want)
+		if !amount(ask.Want) || !amount(ask.Used) {
+			return nil, nil, faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be wanted and %v used", ask.Tenant, ask.Want, ask.Used)
 		}
 	}
 	if d.begun && epoch < d.epoch {
-		return nil, faultlist.New(faultlist.Stale, "epoch %d is over, this is %d", epoch, d.epoch)
+		return nil, nil, faultlist.New(faultlist.Stale, "epoch %d is over, this is %d", epoch, d.epoch)
 	}
 	d.settle(now)
 	if !d.begun || epoch > d.epoch {
 		d.begin(now, epoch)
 	}
 	if now < d.dealsFrom {
-		return nil, faultlist.New(faultlist.Busy, "epoch %d deals in %v", epoch, d.dealsFrom-now)
+		return nil, nil, faultlist.New(faultlist.Busy, "epoch %d deals in %v", epoch, d.dealsFrom-now)
 	}
 	if _, ok := d.heard[node]; !ok && len(d.heard) >= maxNodes {
-		return nil, faultlist.New(faultlist.Busy, "%d nodes are asking, no more are taken", maxNodes)
+		return nil, nil, faultlist.New(faultlist.Busy, "%d nodes are asking, no more are taken", maxNodes)
 	}
 	d.heard[node] = now
 	grants := make([]Grant, 0, len(asks))
 	for _, ask := range asks {
 		if a := d.tenants[ask.Tenant]; a != nil {
-			a.fill(d.flown)
-			if tokens := a.deal(now, node, ask.Want); tokens > 0 {
+			a.fill(d.flow(a))
+			a.free -= ask.Used
+			if a.postPaid {
+				a.demand.value(now, demandSpan)
+				a.demand.rate += ask.Want / demandSpan.Seconds()
+			} else if tokens := a.deal(now, node, ask.Want); tokens > 0 {
 				grants = append(grants, Grant{ask.Tenant, tokens})
 			}
 		}
 	}
-	return grants, nil
+	var closed []Closed
+	for name, a := range d.tenants {
+		if a.postPaid {
+			a.fill(d.flow(a))
+			if share := a.share(now); share < 1 || a.free < warmLevel*a.depth {
+				closed = append(closed, Closed{name, share})
+			}
+		}
+	}
+	return grants, closed, nil
+}
+
+// share is the part of a post-paid tenant's demand that may run: what flows, with the bucket's level spent or its deficit
+// made good within recovery.
+func (a *account) share(now time.Duration) float64 {
+	demand, may := a.demand.value(now, demandSpan), a.rate+a.free/recovery.Seconds()
+	switch {
+	case may >= demand:
+		return 1
+	case may <= 0:
+		return 0
+	}
+	return may / demand
 }
 
 // fill adds what has flown since the last time, up to the depth.
--- a/internal/mesh/allowance/purse.go
+++ b/internal/mesh/allowance/purse.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"caperarch/internal/mesh/faultlist"
@@ -16,6 +17,18 @@
 	// askIdle is the longest time between two asks. It is half of dealerHold, so that one late ask doesn't cost a
 	// sidecar's share.
 	askIdle = 250 * time.Millisecond
+	// askCalm is the longest time between two asks where all tenants are post-paid and calm. It guards the sequencer
+	// against many sidecars.
+	askCalm = time.Second
+	// answerGrowth is how many times what came before an answer a local bucket holds after it, up to growthBound of a
+	// second's rate. They guard a tenant that comes to few sidecars.
+	answerGrowth, growthBound = 2, 0.25
+	// answerMissed is how long an answer may be missing before the local buckets of post-paid tenants are no larger than
+	// their floors and stop filling. It guards against a sidecar out of contact that lets in as if it were heard.
+	answerMissed = 600 * time.Millisecond
+	// newDuty is how long after the first answer of a new dealer what the last one closed stays closed. It guards against
+	// a hot tenant that the new dealer hasn't heard of from all sidecars.
+	newDuty = askCalm
 	// horizon is the time ahead for which tokens are held.
 	horizon = 250 * time.Millisecond
 	// headroom is how many standard deviations above the predicted demand are held. It guards against refusals by chance.
@@ -47,10 +60,16 @@
 	at        time.Duration // up to when free is counted
 	free      float64       // seconds in which floors have filled
 	heldUntil time.Duration // floors don't fill before
+	calmUntil time.Duration // the dealer counts this member in for post-paid tenants
+	missing   time.Duration // when the first ask that has no answer yet was made, if awaiting
+	dutyFrom  time.Duration // the first answer of the epoch
+	prePaid   bool          // a tenant is dealt tokens
+	chance    *rand.Rand    // which requests of a closed tenant run
 	asked     time.Duration
 	everAsked bool
 	awaiting  bool // the last Asks has no answer yet
-	urgent    bool // a tenant runs short since the last ask
+	urgent    bool // a tenant runs short since the last ask, or has much to report
+	hot       bool // a closed tenant has something to report
 	pressed   bool // a tenant whose last ask wasn't granted in full does
 }
 
@@ -63,6 +82,16 @@
 	usual          average // the demand over a longer time
 	wanted         float64 // in the last ask
 	scarce         bool    // the last ask wasn't granted in full
+
+	// Of a post-paid tenant:
+	closed     bool
+	share      float64       // of its requests that may run
+	local      float64       // what may run here
+	localAt    time.Duration // up to when local is counted
+	cut        bool          // contact ended since the last answer
+	phase      float64       // of a token, that is left when contact ends for a closed tenant
+	came, used float64       // since the last answered ask
+	sent       Ask           // in the last ask
 }
 
 type lot struct {
@@ -91,7 +120,7 @@
 	if err := rules.check(); err != nil {
 		return nil, err
 	}
-	p := &Purse{rules: rules, tenants: map[string]*pocket{}}
+	p := &Purse{rules: rules, tenants: map[string]*pocket{}, chance: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	p.members.set(0, 1)
 	return p, nil
 }
@@ -125,14 +154,19 @@
 		}
 		t.settle(now, p.free)
 	}
+	p.prePaid = false
 	for name, l := range p.limits {
 		t := p.tenants[name]
 		if t == nil {
-			t = &pocket{free: p.free, floor: math.Inf(1)}
+			t = &pocket{free: p.free, floor: math.Inf(1), local: math.Inf(1), localAt: now, share: 1, phase: p.chance.Float64()}
 			p.tenants[name] = t
 		}
 		t.plan = p.rules.plan(l, p.planned)
 		t.floor = min(t.floor, t.floorDepth)
+		if t.local > mostAmount {
+			t.local = t.floorDepth
+		}
+		p.prePaid = p.prePaid || !t.postPaid
 	}
 }
 
@@ -201,6 +235,9 @@
 	}
 	t.settle(now, p.free)
 	t.demand.count(now, averaged)
+	if t.postPaid {
+		return p.let(now, t)
+	}
 	t.usual.count(now, averagedLong)
 	held := t.held()
 	taken := held >= whole
@@ -219,18 +256,81 @@
 	return taken
 }
 
+// let is Take for a post-paid tenant. In contact, the dealer's share of the requests runs, up to the local bucket; out of
+// contact the floor alone decides, and what it lets in isn't reported, as the dealer leaves this member its part.
+func (p *Purse) let(now time.Duration, t *pocket) bool {
+	t.fill(now, p.contact(), p.calmUntil)
+	contact := now <= p.calmUntil
+	taken := t.local >= whole && (!contact || t.share >= 1 || p.chance.Float64() < t.share)
+	if taken {
+		t.local = max(0, t.local-1)
+		t.served.count(now, averaged)
+	}
+	if contact {
+		t.came++
+		if taken {
+			t.used++
+		}
+	}
+	switch {
+	case t.closed:
+		p.hot = true
+	case t.local < whole || t.used-t.sent.Used >= t.report:
+		p.urgent = true
+	}
+	return taken
+}
+
+// contact is until when the local buckets of open tenants fill.
+func (p *Purse) contact() time.Duration {
+	if p.awaiting {
+		return min(p.calmUntil, p.missing+answerMissed)
+	}
+	return p.calmUntil
+}
+
+// fill fills the local bucket: as an open one's until the contact ends, and as a floor once the dealer leaves this member
+// its part. Depth that an answer gave stays until it is spent or the contact ends.
+// A closed tenant is then left a part of a token that differs by sidecar, so that the floors of all don't hold a token
+// each at once.
+func (t *pocket) fill(now, contact, counted time.Duration) {
+	if in := min(now, contact); in > t.localAt {
+		t.local = max(t.local, min(t.local+t.openRate*(in-t.localAt).Seconds(), t.openDepth))
+		t.localAt = in
+	}
+	if now > contact {
+		if t.closed && !t.cut {
+			t.local = min(t.local, t.phase)
+		}
+		t.cut = true
+		out := max(0, now-max(t.localAt, counted))
+		t.local = min(t.local+t.floorRate*out.Seconds(), t.floorDepth)
+		t.localAt = max(t.localAt, now)
+	}
+}
+
 // Asks returns what to ask the dealer for now; it is empty when nothing is wanted. The call is made all the same, as
 // its answer renews the lease. One call is under way at a time; the tokens that it brings live from here.
 func (p *Purse) Asks(now time.Duration) []Ask {
 	p.settle(now)
+	if !p.awaiting {
+		p.missing = now
+	}
 	p.asked, p.everAsked, p.awaiting = now, true, true
-	p.urgent, p.pressed = false, false
+	p.urgent, p.pressed, p.hot = false, false, false
 	var asks []Ask
 	for name, t := range p.tenants {
+		if t.postPaid {
+			t.sent, t.wanted = Ask{name, t.came, t.used}, 0
+			if t.came > 0 {
+				asks = append(asks, t.sent)
+			}
+			continue
+		}
 		t.settle(now, p.free)
 		t.wanted = t.target(now) - t.held()
 		if t.wanted >= leastWant {
-			asks = append(asks, Ask{name, t.wanted})
+			asks = append(asks, Ask{Tenant: name, Want: t.wanted})
 		} else {
 			t.wanted = 0
 		}
@@ -248,13 +348,15 @@
 		return p.asked + askSpacing
 	case p.pressed:
 		return p.asked + askScarce
+	case p.prePaid, p.hot, p.awaiting:
+		return p.asked + askIdle
 	}
-	return p.asked + askIdle
+	return p.asked + askCalm
 }
 
 // Granted takes the answer to the last Asks in. The floors are held back until purseHold after that ask. An answer of an
 // older epoch than one seen before is Stale and changes nothing, as is one that wasn't asked for.
-func (p *Purse) Granted(now time.Duration, epoch uint64, grants []Grant) error {
+func (p *Purse) Granted(now time.Duration, epoch uint64, grants []Grant, closed []Closed) error {
 	if !p.awaiting {
 		return faultlist.New(faultlist.Stale, "grants of epoch %d that nobody awaits", epoch)
 	}
@@ -266,11 +368,32 @@
 			return faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be granted", g.Tenant, g.Tokens)
 		}
 	}
+	for _, c := range closed {
+		if !(c.Share >= 0 && c.Share <= 1) {
+			return faultlist.New(faultlist.Invalid, "tenant %q: %v isn't a share", c.Tenant, c.Share)
+		}
+	}
 	p.settle(now)
+	if epoch > p.epoch {
+		p.dutyFrom = now
+	}
+	contact := p.contact()
 	p.epoch, p.awaiting = epoch, false
 	p.heldUntil = max(p.heldUntil, p.asked+purseHold)
 	for _, t := range p.tenants {
 		t.scarce = t.wanted > 0
+		if t.postPaid {
+			t.answered(now, contact, p.calmUntil)
+			if now-p.dutyFrom >= newDuty {
+				t.closed, t.share = false, 1
+			}
+		}
+	}
+	p.calmUntil = max(p.calmUntil, p.asked+calmHold)
+	for _, c := range closed {
+		if t := p.tenants[c.Tenant]; t != nil {
+			t.closed, t.share = true, c.Share
+		}
 	}
 	for _, g := range grants {
 		if t := p.tenants[g.Tenant]; t != nil {
@@ -282,6 +405,14 @@
 	return nil
 }
 
+// answered fills the local bucket and takes off what the dealer now knows.
+func (t *pocket) answered(now, contact, counted time.Duration) {
+	t.fill(now, contact, counted)
+	t.local = max(t.openDepth, min(answerGrowth*t.sent.Want, growthBound*t.rate))
+	t.came, t.used = t.came-t.sent.Want, t.used-t.sent.Used
+	t.sent, t.cut = Ask{}, false
+}
+
 // RetryAfter returns when a refused client of the tenant should try again: the longer, the further the demand here is
 // above what was served here lately.
 func (p *Purse) RetryAfter(now time.Duration, tenant string) time.Duration {
--- a/internal/mesh/allowance/quota.go
+++ b/internal/mesh/allowance/quota.go
@@ -70,6 +70,23 @@
 	leastTokens, leastShare = 6, 0.1
 	// leastFloor is what each floor holds, where the room allows it.
 	leastFloor = 5
+	// mostPrePaid is the most members that are dealt tokens, and leastPrePaid the smallest floor with which they are.
+	// They guard the sequencer against four asks a second of each of many, and requests against floors that chance empties.
+	mostPrePaid, leastPrePaid = 24, 1
+	// postPaidRate is the part of the rate at which a post-paid tenant's bucket fills. It guards against the overrun of
+	// the time in which a close reaches the sidecars.
+	postPaidRate = 0.97
+	// leastPostPaid tokens and postPaidDepth of a second's rate are the depth of a post-paid tenant's bucket. They guard
+	// against a close by chance: at 1/1.6 of the rate chance takes six tokens from the bucket for 0.5 % of the time.
+	leastPostPaid, postPaidDepth = 6, 0.2
+	// floorPostPaid is the part of the room that post-paid floors hold together, if that is a token each.
+	floorPostPaid = 0.85
+	// openRate is how many times its even part of the rate an open member's local bucket fills at, openDepth how many
+	// seconds of that part it holds, and leastOpen tokens at least. They bound what one member lets in unheard.
+	openRate, openDepth, leastOpen = 4, 1, 3
+	// reportDepth is how many seconds of its even part a member lets in before it reports at once, and leastReport
+	// the fewest requests. They bound what all members together have let in that the dealer doesn't know of.
+	reportDepth, leastReport = 0.5, 2
 	// memberMemory is how long a larger count of members stands. It guards against floors that grow while sidecars
 	// that have just left, or are only thought to have left, still spend theirs.
 	memberMemory = 10 * time.Second
@@ -97,10 +114,17 @@
 	Rate, Burst float64
 }
 
-// Ask is what a sidecar wants for a tenant.
+// Ask is what a sidecar wants for a tenant and, of a post-paid one, what came and ran since the last answer.
 type Ask struct {
 	Tenant string  `json:"tenant"`
-	Want   float64 `json:"want"`
+	Want   float64 `json:"want"`           // tokens; of a post-paid tenant the requests that came
+	Used   float64 `json:"used,omitempty"` // what ran without a dealt token
+}
+
+// Closed says that a post-paid tenant is near its limit: only this share of its requests may run.
+type Closed struct {
+	Tenant string  `json:"tenant"`
+	Share  float64 `json:"share"`
 }
 
 // Grant is what a sidecar gets for a tenant.
@@ -130,6 +154,28 @@
 	depth      float64 // b, the dealer's bucket
 	floorRate  float64 // of one member
 	floorDepth float64 // of one member
+
+	postPaid  bool
+	openRate  float64 // of one member's local bucket while in contact
+	openDepth float64
+	report    float64 // what may run at one member before it reports at once
+}
+
+// postPaid is the plan of a tenant whose sidecars report what ran.
+func (r Rules) postPaid(l Limit, members int) plan {
+	m := float64(members)
+	room := (l.Rate*r.Window.Seconds()+l.Burst)*(1+r.Overage) + r.Slack - l.Rate*r.Window.Seconds()
+	even := l.Rate / m
+	return plan{
+		rate:       postPaidRate * l.Rate,
+		depth:      min(leastPostPaid+postPaidDepth*l.Rate, room/2),
+		floorRate:  floorShare * postPaidRate * l.Rate / m,
+		floorDepth: max(1, math.Floor(floorPostPaid*room/m)),
+		postPaid:   true,
+		openRate:   min(openRate*even, l.Rate),
+		openDepth:  max(leastOpen, openDepth*even),
+		report:     max(leastReport, reportDepth*even),
+	}
 }
 
 func (r Rules) plan(l Limit, members int) plan {
@@ -151,6 +197,9 @@
 	if floor > 1 {
 		floor = math.Floor(floor)
 	}
+	if members > mostPrePaid || floor < leastPrePaid {
+		return r.postPaid(l, members)
+	}
 	return plan{
 		rate:       share * l.Rate,
 		depth:      room - floor*m,
--- a/internal/mesh/archive/node_test.go
+++ b/internal/mesh/archive/node_test.go
@@ -224,7 +224,7 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	Register(mux, s.node)
+	Register(mux, func() *Node { return s.node })
 	s.server = &http.Server{Handler: mux}
 	go s.server.Serve(l)
 	return s, nil
--- a/internal/mesh/archive/post.go
+++ b/internal/mesh/archive/post.go
@@ -144,9 +144,13 @@
 	return nil
 }
 
-// Register serves the node's side of the post.
-func Register(mux *http.ServeMux, node *Node) {
+// Register serves the node's side of the post. While held gives none, nothing is taken.
+func Register(mux *http.ServeMux, held func() *Node) {
 	desk.Handle(mux, Path, maxBody, func(r *http.Request, q *letter) (*letter, error) {
+		node := held()
+		if node == nil {
+			return nil, faultlist.New(faultlist.Busy, "archive: no log is held here yet")
+		}
 		if q.From == "" {
 			return nil, faultlist.New(faultlist.Invalid, "archive: a letter without a sender")
 		}
--- a/internal/mesh/archive/store.go
+++ b/internal/mesh/archive/store.go
@@ -90,6 +90,12 @@
 	return s, state, nil
 }
 
+// Kept says whether there is a store in dir, readable or not.
+func Kept(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, folder, "CURRENT"))
+	return err == nil
+}
+
 // Damaged says whether an error of Open means that the store can't be read
 // any more, in contrast to a disk that refuses for now.
 func Damaged(err error) bool {
--- a/internal/mesh/branch/quota.go
+++ b/internal/mesh/branch/quota.go
@@ -35,8 +35,9 @@
 		Passed bool            `json:"passed,omitempty"` // by one member to another: it goes no further
 	}
 	Dealt struct {
-		Epoch  uint64            `json:"epoch"`
-		Grants []allowance.Grant `json:"grants"`
+		Epoch  uint64             `json:"epoch"`
+		Grants []allowance.Grant  `json:"grants"`
+		Closed []allowance.Closed `json:"closed,omitempty"`
 	}
 )
 
@@ -181,7 +182,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if err := q.purse.Granted(q.clock.Now(), dealt.Epoch, dealt.Grants); err != nil {
+	if err := q.purse.Granted(q.clock.Now(), dealt.Epoch, dealt.Grants, dealt.Closed); err != nil {
 		q.log.Debug("tokens that can't be used", zap.Error(err))
 	}
 	return true
--- a/internal/mesh/circulation/subscriber.go
+++ b/internal/mesh/circulation/subscriber.go
@@ -37,8 +37,8 @@
 	maxRefusal = 4 << 10
 )
 
-// SubscriberConfig is what a Subscriber is made of. All fields but Zone, Seeds
-// and Services are required. The callbacks OnCharter and OnCatalogue are called
+// SubscriberConfig is what a Subscriber is made of. All fields but Zone, Seeds,
+// Services and Of are required. The callbacks OnCharter and OnCatalogue are called
 // one at a time, from Run.
 type SubscriberConfig struct {
 	Node string
@@ -62,7 +62,9 @@
 	OnCatalogue func(full bool, upserts []catalogue.Upstream, removals []string)
 	// Services names the services this sidecar calls; nil or none means all.
 	Services func() []string
-	Log      *zap.Logger
+	// Of says of an address whether it may be kept to; nil: every core machine's may. One that follows others itself must not go round in a circle.
+	Of  func(address string) bool
+	Log *zap.Logger
 }
 
 // Subscriber is the sidecar's side: it holds a lease and a watch at one core
@@ -390,6 +392,9 @@
 			peers[i].Zone = zones[p.Address]
 		}
 	}
+	if s.cfg.Of != nil {
+		peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !s.cfg.Of(p.Address) })
+	}
 	s.learned = peers
 	return !knew && a.Zone != s.cfg.Zone && slices.ContainsFunc(peers, near)
 }
--- a/internal/mesh/stacks/inspect.go
+++ b/internal/mesh/stacks/inspect.go
@@ -21,19 +21,20 @@
 )
 
 // inspect serves what operators look at. Every answer is this machine's knowledge, and says so.
-func (s *Stacks) inspect(mux *http.ServeMux, members []string) {
+func (s *Stacks) inspect(mux *http.ServeMux) {
 	desk.HandleGet(mux, librarian.ViewPath, func(*http.Request) (*librarian.View, error) { return s.viewed(), nil })
-	desk.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), members) })
+	desk.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), s.roster.all()) })
 	desk.HandleGet(mux, librarian.UpstreamsPath, func(*http.Request) (*librarian.UpstreamList, error) { return s.upstreamsKnown(), nil })
 }
 
 // viewed is this machine's word on itself.
 func (s *Stacks) viewed() *librarian.View {
-	sequencer, view := s.node.Sequencer()
-	return &librarian.View{
-		AsOf: s.set.Self.NodeName, View: view, Sequencer: sequencer, ConfigVersion: s.minutes.Current(), Applied: s.node.Applied(),
-		InContact: s.node.InContact(), Remembers: s.node.Remembers(), Sick: s.node.Sick(),
+	sequencer, view := s.sequencer()
+	v := &librarian.View{AsOf: s.set.Self.NodeName, View: view, Sequencer: sequencer, ConfigVersion: s.minutes.Current(), InContact: s.inContact()}
+	if node := s.node.Load(); node != nil {
+		v.Applied, v.Remembers, v.Sick = node.Applied(), node.Remembers(), node.Sick()
 	}
+	return v
 }
 
 // membersKnown is the core machines, each with its own word where that is to be had, and the sidecars whose leases this machine holds.
--- a/internal/mesh/stacks/minutes.go
+++ b/internal/mesh/stacks/minutes.go
@@ -164,6 +164,39 @@
 	}
 }
 
+// follow takes a frame that another core machine pushed, where no log is held here; false: the whole is needed.
+func (m *minutes) follow(frame json.RawMessage) bool {
+	held := m.current()
+	next, err := branch.Take(held, frame)
+	if err != nil {
+		m.log.Warn("a configuration that does not follow", zap.Error(err))
+		return false
+	}
+	if next == held {
+		return true
+	}
+	m.mu.Lock()
+	m.charter, m.kept = next, m.continued(held.Version(), frame)
+	m.mu.Unlock()
+	m.changed()
+	return true
+}
+
+// continued is the changes that are kept with a frame's that led on from a version; none where it was whole. The caller holds the lock.
+func (m *minutes) continued(from int64, frame json.RawMessage) []*charter.Change {
+	var f branch.Frame
+	if json.Unmarshal(frame, &f) != nil || f.Whole != nil {
+		return nil
+	}
+	kept := m.kept
+	for _, raw := range f.Changes {
+		if change, err := charter.ReadChange(raw); err == nil && change.Version() > from {
+			kept = append(kept, change)
+		}
+	}
+	return append([]*charter.Change(nil), kept[max(0, len(kept)-mostKept):]...)
+}
+
 // replace puts a snapshot in place of what is there.
 func (m *minutes) replace(data []byte) {
 	c, err := charter.Decode(data)
--- a/internal/mesh/stacks/stacks.go
+++ b/internal/mesh/stacks/stacks.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"caperarch/internal/mesh/allowance"
@@ -47,7 +48,9 @@
 	log     *zap.Logger
 	client  *http.Client
 	start   time.Time
-	node    *archive.Node
+	roster  *roster
+	node    atomic.Pointer[archive.Node]           // nil: not yet, or a reader
+	news    atomic.Pointer[circulation.Subscriber] // of a reader
 	hub     *circulation.Hub
 	minutes *minutes
 
@@ -57,7 +60,7 @@
 
 // Run is a core machine's life until ctx ends.
 func Run(ctx context.Context, set *settings.Settings, log *zap.Logger) error {
-	s := &Stacks{set: set, log: log, client: desk.NewClient(dialTimeout), start: time.Now()}
+	s := &Stacks{set: set, log: log, client: desk.NewClient(dialTimeout), start: time.Now(), roster: newRoster()}
 	window := set.Guarantees.Bounds.QuotaWindow
 	if window <= 0 {
 		window = time.Second
@@ -74,25 +77,19 @@
 	return s.run(ctx)
 }
 
-// peers are the core machines: those that the settings name, and this one.
-func peers(set *settings.Settings) []string {
-	self := set.Internal()
-	all := []string{self}
-	for _, address := range set.Network.SeedNodes {
-		if host, _, err := net.SplitHostPort(address); err == nil {
-			all = append(all, set.InternalAddress(host))
-		}
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
-// open opens the disk; one that refuses is tried again until ctx ends.
-func (s *Stacks) open(ctx context.Context) (*archive.Store, archive.State, error) {
+// open opens the disk; one that refuses is tried again until ctx ends. Without members it is one that has been founded, and what is damaged is an error.
+func (s *Stacks) open(ctx context.Context, members []string, first bool) (*archive.Store, archive.State, error) {
 	for {
-		store, state, err := archive.OpenOrForget(s.set.Self.DataDirectory, peers(s.set), s.set.Self.FirstStart, s.log)
-		if err == nil {
-			return store, state, nil
+		var store *archive.Store
+		var state archive.State
+		var err error
+		if members == nil {
+			store, state, err = archive.Open(s.set.Self.DataDirectory, nil, false)
+		} else {
+			store, state, err = archive.OpenOrForget(s.set.Self.DataDirectory, members, first, s.log)
+		}
+		if err == nil || members == nil && archive.Damaged(err) {
+			return store, state, err
 		}
 		s.log.Warn("the disk refuses", zap.Error(err))
 		select {
@@ -104,34 +101,16 @@
 }
 
 func (s *Stacks) run(ctx context.Context) error {
-	store, state, err := s.open(ctx)
-	if err != nil {
-		return err
-	}
-	members := state.Members
+	life, stop := context.WithCancel(ctx)
+	defer stop()
 	self := s.set.Internal()
-	var post *archive.Post
-	delivered := make(chan struct{})
-	post = archive.NewPost(self, s.client, func(from string, msgs []archive.Message) {
-		<-delivered
-		s.node.Deliver(from, msgs)
-	}, s.log)
-	defer post.Close()
 	s.hub = circulation.NewHub(circulation.HubConfig{
-		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: func() []string { return members },
-		InContact: func() bool { return s.node.InContact() }, Sequencer: func() string { id, _ := s.node.Sequencer(); return id }, Charters: s.minutes, Client: s.client, Log: s.log,
+		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: s.roster.all,
+		InContact: s.inContact, Sequencer: func() string { id, _ := s.sequencer(); return id }, Charters: s.minutes, Client: s.client, Log: s.log,
 	})
-	s.node, err = archive.Start(archive.NodeConfig{
-		ID: self, Disk: store, State: state, Send: post.Send, Apply: s.minutes.apply, Restore: s.minutes.restore, Snapshot: s.minutes.snapshot, Log: s.log,
-	})
-	if err != nil {
-		return err
-	}
-	close(delivered)
-	defer func() { _ = s.node.Close() }()
-
 	inside, outside := http.NewServeMux(), http.NewServeMux()
-	archive.Register(inside, s.node)
+	s.serveFounding(inside)
+	archive.Register(inside, s.node.Load)
 	s.hub.Register(inside)
 	desk.Handle(inside, branch.DealPath, dealLimit, s.deal)
 	desk.Raw(inside, proposePath+"/whole", registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
@@ -144,7 +123,7 @@
 	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
 		registrar.Upstreams(mux, s)
 		registrar.Operators(mux, s)
-		s.inspect(mux, members)
+		s.inspect(mux)
 	}
 	failed := make(chan error, 2)
 	for address, mux := range map[string]*http.ServeMux{self: inside, s.set.Network.ListenAddresses.ControlPlane: outside} {
@@ -156,10 +135,21 @@
 		defer server.Close()
 		go func() { failed <- server.Serve(l) }()
 	}
-	life, stop := context.WithCancel(ctx)
-	defer stop()
+	store, state, err := s.found(life)
+	if err != nil {
+		return err
+	}
+	if store == nil {
+		s.read(life)
+	} else {
+		end, err := s.hold(store, state)
+		if err != nil {
+			return err
+		}
+		defer end()
+	}
 	go s.hub.Run(life)
-	s.log.Info("serving", zap.String("member", self), zap.Strings("members", members), zap.Bool("remembers", state.Hard.Remembers))
+	s.log.Info("serving", zap.String("address", self), zap.Strings("members", s.roster.known().Members), zap.Bool("reader", store == nil), zap.Bool("remembers", state.Hard.Remembers))
 	select {
 	case err := <-failed:
 		return err
@@ -168,11 +158,66 @@
 	}
 }
 
+// hold has this machine hold the log, until what it returns is called.
+func (s *Stacks) hold(store *archive.Store, state archive.State) (end func(), err error) {
+	post := archive.NewPost(s.set.Internal(), s.client, func(from string, msgs []archive.Message) {
+		if node := s.node.Load(); node != nil {
+			node.Deliver(from, msgs)
+		}
+	}, s.log)
+	node, err := archive.Start(archive.NodeConfig{
+		ID: s.set.Internal(), Disk: store, State: state, Send: post.Send, Apply: s.minutes.apply, Restore: s.minutes.restore, Snapshot: s.minutes.snapshot, Log: s.log,
+	})
+	if err != nil {
+		post.Close()
+		return nil, err
+	}
+	s.node.Store(node)
+	return func() {
+		_ = node.Close()
+		post.Close()
+	}, nil
+}
+
+// read has this machine follow the configuration, as sidecars do.
+func (s *Stacks) read(ctx context.Context) {
+	news := circulation.NewSubscriber(circulation.SubscriberConfig{
+		Node: s.set.Self.NodeName, Life: uint64(s.start.UnixNano()), Zone: s.set.Self.Zone, Seeds: s.roster.known().Members, Client: s.client,
+		State:   func() catalogue.Lease { return catalogue.Lease{Zone: s.set.Self.Zone, Applied: s.minutes.Current()} },
+		Charter: s.minutes.Current, OnCharter: func(frame json.RawMessage) bool {
+			defer func() { s.news.Load().Poke() }()
+			return s.minutes.follow(frame)
+		}, OnCatalogue: func(bool, []catalogue.Upstream, []string) {},
+		Of: func(address string) bool { return slices.Contains(s.roster.known().Members, address) }, Log: s.log,
+	})
+	s.news.Store(news)
+	go news.Run(ctx)
+	go s.announce(ctx)
+}
+
+// sequencer is the member that leads, as far as is known here, and its view.
+func (s *Stacks) sequencer() (string, uint64) {
+	if node := s.node.Load(); node != nil {
+		return node.Sequencer()
+	}
+	f := s.roster.known()
+	return f.Sequencer, f.View
+}
+
+// inContact says whether what is known here is what a majority holds.
+func (s *Stacks) inContact() bool {
+	if node := s.node.Load(); node != nil {
+		return node.InContact()
+	}
+	news := s.news.Load()
+	return news != nil && news.Connected()
+}
+
 func (s *Stacks) now() time.Duration { return time.Since(s.start) }
 
 // deal deals tokens where this member is the sequencer, whose duty that is; the epoch is its view. Else the ask goes on to it.
 func (s *Stacks) deal(r *http.Request, q *branch.DealAsk) (*branch.Dealt, error) {
-	sequencer, view := s.node.Sequencer()
+	sequencer, view := s.sequencer()
 	if sequencer != s.set.Internal() {
 		if sequencer == "" || q.Passed {
 			return nil, faultlist.New(faultlist.NotSequencer, "nobody deals here")
@@ -180,7 +225,7 @@
 		q.Passed = true
 		return desk.Call[branch.DealAsk, branch.Dealt](r.Context(), s.client, "http://"+sequencer+branch.DealPath, q)
 	}
-	if !s.node.InContact() {
+	if !s.inContact() {
 		return nil, faultlist.New(faultlist.NoQuorum, "this view may be over")
 	}
 	live, largest := s.hub.Members()
@@ -190,11 +235,11 @@
 	if err := s.dealer.Configure(now, branch.Limits(s.minutes.current()), max(1, live, largest)); err != nil {
 		return nil, err
 	}
-	grants, err := s.dealer.Deal(now, view, q.Node, q.Asks)
+	grants, closed, err := s.dealer.Deal(now, view, q.Node, q.Asks)
 	if err != nil {
 		return nil, err
 	}
-	return &branch.Dealt{Epoch: view, Grants: grants}, nil
+	return &branch.Dealt{Epoch: view, Grants: grants, Closed: closed}, nil
 }
 
 // Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
@@ -204,7 +249,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTime+time.Duration(len(body))*time.Microsecond)
 	defer cancel()
-	sequencer, _ := s.node.Sequencer()
+	sequencer, _ := s.sequencer()
 	switch sequencer {
 	case "":
 		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
@@ -227,6 +272,10 @@
 
 // propose puts a change into the log and waits until it is settled, and, for a while, until sidecars have it.
 func (s *Stacks) propose(ctx context.Context, whole bool, body []byte) (*registrar.Taken, error) {
+	node := s.node.Load()
+	if node == nil {
+		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
+	}
 	change, err := read(whole, body)
 	if err != nil {
 		return nil, err
@@ -234,7 +283,7 @@
 	number := rand.Uint64()
 	told := s.minutes.expect(number)
 	defer s.minutes.forget(number)
-	if _, err := s.node.Propose(ctx, command(number, change)); err != nil {
+	if _, err := node.Propose(ctx, command(number, change)); err != nil {
 		return nil, err
 	}
 	version, err := await(ctx, told)
@@ -253,7 +302,7 @@
 func (s *Stacks) Describe(r *http.Request) (*json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(r.Context(), changeTime)
 	defer cancel()
-	sequencer, _ := s.node.Sequencer()
+	sequencer, _ := s.sequencer()
 	switch sequencer {
 	case "":
 		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
@@ -264,7 +313,11 @@
 }
 
 func (s *Stacks) confirm(ctx context.Context) (*json.RawMessage, error) {
-	if err := s.node.Read(ctx); err != nil {
+	node := s.node.Load()
+	if node == nil {
+		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
+	}
+	if err := node.Read(ctx); err != nil {
 		return nil, err
 	}
 	if err := s.minutes.idle(ctx); err != nil {
