--- a/internal/mesh/porter/porter.go
+++ b/internal/mesh/porter/porter.go
@@ -165,7 +165,7 @@
 		return
 	}
 	if len(r.home.queue) >= r.home.places {
-		p.refuse(now, r)
+		p.refuse(r)
 		return
 	}
 	p.wait(now, r, false)
@@ -354,7 +354,7 @@
 			r := c.queue[i]
 			switch {
 			case now >= r.until:
-				p.refuse(now, r) // which takes it out
+				p.refuse(r) // which takes it out
 			case p.dispatch(now, r):
 				p.unwait(r)
 			default:
@@ -443,11 +443,11 @@
 		r.mayRun = true
 	}
 	if r.mayRun && !r.order.Safe || r.arrivals >= max(1, r.order.Attempts) || now >= r.deadline {
-		p.finish(now, r)
+		p.finish(r)
 		return
 	}
 	if !free && !p.again(now, r, end) {
-		p.finish(now, r)
+		p.finish(r)
 		return
 	}
 	if p.dispatch(now, r) {
@@ -456,7 +456,7 @@
 	// All have been asked. Those whose gates turned it back may have room soon.
 	r.forgive()
 	if now >= r.until || r.mayRun {
-		p.finish(now, r)
+		p.finish(r)
 		return
 	}
 	p.release(r)
@@ -487,25 +487,25 @@
 }
 
 // finish answers a request: refused where that is true, failed where it is not.
-func (p *Porter) finish(now time.Duration, r *request) {
+func (p *Porter) finish(r *request) {
 	if r.mayRun {
 		p.count.Failed++
 		p.host.Fail(r.id)
 		p.settle(r)
 		return
 	}
-	p.refuse(now, r)
+	p.refuse(r)
 }
 
-// refuse tells a client to come back, at a time when its turn is likely.
-func (p *Porter) refuse(now time.Duration, r *request) {
+// refuse tells a client to come back.
+func (p *Porter) refuse(r *request) {
 	p.count.Refused++
-	p.host.Refuse(r.id, p.pause(now, r))
+	p.host.Refuse(r.id, p.pause(r))
 	p.settle(r)
 }
 
-// pause is when an upstream of the service is likely to have room, by how many of ours are out and how long they take.
-func (p *Porter) pause(_ time.Duration, r *request) time.Duration {
+// pause is when a client is to come back: after a part of its aim that leaves the new try within it.
+func (p *Porter) pause(r *request) time.Duration {
 	return min(pauseMost, max(pauseLeast, r.order.Aim/8))
 }
 
--- /dev/null
+++ b/internal/mesh/settings/changes_test.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestChanges(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(path, []byte("a"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(BootVariable, path)
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A file that changes with no signal is told once, as one that changes with one; other signals go through", t, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			signals := make(chan os.Signal, 1)
+			out := Changes(ctx, signals)
+			synctest.Wait()
+			So(os.Chtimes(path, time.Time{}, time.Unix(1, 0)), ShouldBeNil)
+			So(<-out, ShouldEqual, syscall.SIGHUP)
+			signals <- syscall.SIGUSR1
+			So(<-out, ShouldEqual, syscall.SIGUSR1)
+			So(os.Chtimes(path, time.Time{}, time.Unix(2, 0)), ShouldBeNil)
+			signals <- syscall.SIGHUP
+			So(<-out, ShouldEqual, syscall.SIGHUP)
+			time.Sleep(3 * lookEvery) // virtual
+			select {
+			case s := <-out:
+				So(s, ShouldBeNil) // told twice
+			default:
+			}
+			cancel()
+			synctest.Wait()
+			_, open := <-out
+			So(open, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/mesh/stacks/founding.go
+++ b/internal/mesh/stacks/founding.go
@@ -24,7 +24,7 @@
 
 const (
 	foundingPath = "/mesh/founding"
-	// foundingRest is how long the founder hears of no other machine before it chooses, where it could choose more; foundingTime is the longest that it waits for enough.
+	// foundingRest is how long the founder hears of no other machine before it chooses, where it could choose more; foundingTime is the longest that it waits for more than the seeds.
 	foundingRest = 600 * time.Millisecond
 	foundingTime = 4 * time.Second
 	// foundingPause is between two questions of who has been chosen, and announceEvery between two words of a reader.
@@ -164,8 +164,8 @@
 			here++
 		}
 	}
-	enough := len(r.heard) >= n && here == len(seeds)
-	if now < foundingTime && !(enough && (n <= len(seeds) || now-r.last >= foundingRest)) {
+	enough := now >= foundingTime || len(r.heard) >= n && (n <= len(seeds) || now-r.last >= foundingRest)
+	if here < len(seeds) || !enough { // a log that fewer hold than the seeds could not bear what it has to
 		return nil
 	}
 	return choose(n, seeds, r.heard)
