A vanished node's port is held, so that no other test's listener is sent what is meant for it

It failed now and then before; with the mesh's tests more listeners come and go at the same time. Change: rig's Vanish binds the port again, without listening, until Return or the test's end. No test is eased.

--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,9 @@
 	"time"
 )
 
+// reserveTime is how long a vanished node's port is tried to be held.
+const reserveTime = 100 * time.Millisecond
+
 // Act is what a node does with a request.
 type Act int
 
@@ -57,6 +61,7 @@
 	stop     func()
 	listener net.Listener
 	gone     bool
+	reserved int                 // descriptor of the socket that holds a vanished node's port; 0: none does
 	conns    map[string]net.Conn // by the other side's address
 	Dials    atomic.Int64
 }
@@ -72,7 +77,12 @@
 	}
 	n.Address, n.listener = listener.Addr().String(), listener
 	n.stop = n.serve(tracked{listener, n})
-	t.Cleanup(n.Vanish)
+	t.Cleanup(func() {
+		n.end()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.release()
+	})
 	return n
 }
 
@@ -90,21 +100,66 @@
 
 // Vanish ends the node's process: connections are reset and new ones refused.
 func (n *Node) Vanish() {
+	if n.end() {
+		n.reserve()
+	}
+}
+
+// end is Vanish, but for the port; false: it had ended.
+func (n *Node) end() bool {
 	n.mu.Lock()
 	stop := n.stop
 	n.stop, n.gone = nil, true
 	n.mu.Unlock()
 	if stop == nil {
-		return
+		return false
 	}
 	deafen(n.listener)
 	stop() // first: what is accepted behind BreakAll would live on
 	n.BreakAll()
+	return true
+}
+
+// reserve holds the port of a node that has vanished: bound, with nobody listening, it refuses connections, and no other program's listener comes to it meanwhile. One of another test's was
+// sent what was meant for the node, and served it.
+func (n *Node) reserve() {
+	address, err := netip.ParseAddrPort(n.Address)
+	if err != nil {
+		return
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return
+	}
+	to := &syscall.SockaddrInet4{Port: int(address.Port()), Addr: address.Addr().As4()}
+	for until := time.Now().Add(reserveTime); ; time.Sleep(time.Millisecond) { // connections that were broken off may still hold it
+		if err = syscall.Bind(fd, to); err == nil || time.Now().After(until) {
+			break
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil || n.reserved != 0 {
+		_ = syscall.Close(fd)
+		return
+	}
+	n.reserved = fd
+}
+
+// release lets the port go; the caller holds the lock.
+func (n *Node) release() {
+	if n.reserved != 0 {
+		_ = syscall.Close(n.reserved)
+		n.reserved = 0
+	}
 }
 
 // Return starts the node again at its address, as one that has just started.
 func (n *Node) Return(t TB) {
 	t.Helper()
+	n.mu.Lock()
+	n.release()
+	n.mu.Unlock()
 	var l net.Listener
 	Until(t, "the node's address to be free", func() (ok bool) {
 		var err error
--- a/internal/rig/vanish_test.go
+++ b/internal/rig/vanish_test.go
@@ -35,3 +35,27 @@
 		t.Errorf("%d of 1000 nodes were reached behind their end", taken)
 	}
 }
+
+// TestVanishedPortIsNobodyElses: another program's listener that came to the port of a node that has vanished would be sent what is meant for the node.
+func TestVanishedPortIsNobodyElses(t *testing.T) {
+	n := NewHTTPNode(t, "s-0", new(Ledger))
+	c, err := net.Dial("tcp", n.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	n.Vanish()
+	if l, err := net.Listen("tcp", n.Address); err == nil {
+		_ = l.Close()
+		t.Error("another listener came to the port")
+	}
+	if c, err := net.Dial("tcp", n.Address); err == nil {
+		_ = c.Close()
+		t.Error("somebody listens there")
+	}
+	n.Return(t)
+	if c, err = net.Dial("tcp", n.Address); err != nil {
+		t.Fatal("not back at its port: ", err)
+	}
+	_ = c.Close()
+}
