Read again: seeds stand once, a proposal is read once, probes of a dialect go

Need: branch and stacks each made internal addresses of the seeds; a change that reached the sequencer was read and checked twice (10 ms of processor time for 350 routes); Dialect.Probe and Told of transport/http1 had no caller; shelves kept a time that nothing read. Change: Settings.Seeds; propose takes what was read; the rest is gone.

--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -92,7 +92,7 @@
 	slices.Sort(zones)
 	b.shelves = newShelves(zones, set.Network.ListenAddresses.Inbound)
 	b.news = circulation.NewSubscriber(circulation.SubscriberConfig{
-		Node: set.Self.NodeName, Life: b.life, Zone: set.Self.Zone, Seeds: seeds(set), Client: b.client, State: b.lease, Charter: func() int64 { return b.charter.Load().Version() },
+		Node: set.Self.NodeName, Life: b.life, Zone: set.Self.Zone, Seeds: set.Seeds(), Client: b.client, State: b.lease, Charter: func() int64 { return b.charter.Load().Version() },
 		OnCharter: b.take, OnCatalogue: b.catalogue, Log: log,
 	})
 	var err error
@@ -102,17 +102,6 @@
 	return b.run(ctx, reload)
 }
 
-// seeds are the internal addresses of the core machines that the settings name.
-func seeds(set *settings.Settings) []string {
-	var all []string
-	for _, address := range set.Network.SeedNodes {
-		if host, _, err := net.SplitHostPort(address); err == nil {
-			all = append(all, set.InternalAddress(host))
-		}
-	}
-	return all
-}
-
 func (b *Branch) run(ctx context.Context, reload <-chan *settings.Settings) error {
 	addresses, logs := b.set.Network.ListenAddresses, daybook.Slog(b.log)
 	seed := fnv.New64a()
@@ -175,13 +164,13 @@
 	go b.news.Run(life)
 	go b.quota.run(life)
 	go b.meet(life)
-	b.log.Info("serving", zap.String("node", b.set.Self.NodeName), zap.Strings("seeds", seeds(b.set)))
+	b.log.Info("serving", zap.String("node", b.set.Self.NodeName), zap.Strings("seeds", b.set.Seeds()))
 	for {
 		select {
 		case err := <-failed:
 			return err
 		case set := <-reload:
-			b.news.SetSeeds(seeds(set))
+			b.news.SetSeeds(set.Seeds())
 		case <-ctx.Done():
 			return b.drain(outFront, inFront)
 		}
--- a/internal/mesh/branch/shelves.go
+++ b/internal/mesh/branch/shelves.go
@@ -22,8 +22,7 @@
 	slots    map[string]int // of the ready upstreams of a service
 	total    int
 	zones    map[string]int
-	inbound  string // of this sidecar
-	toldAt   time.Time
+	inbound  string    // of this sidecar
 	warmedAt time.Time // when the one beside us is warm
 }
 
@@ -113,8 +112,8 @@
 		s.end(s.own.Instance)
 	}
 	u.Inbound = s.inbound
-	s.own, s.toldAt = &u, time.Now()
-	s.warmedAt = s.toldAt.Add(time.Duration(u.WarmupRemaining * float64(time.Second)))
+	s.own = &u
+	s.warmedAt = time.Now().Add(time.Duration(u.WarmupRemaining * float64(time.Second)))
 	s.count()
 	return true
 }
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -155,5 +155,14 @@
 	return net.JoinHostPort(host, strconv.Itoa(s.Network.InternalPortRange.First))
 }
 
+// Seeds gives the internal addresses of the core machines that the settings name.
+func (s *Settings) Seeds() []string {
+	var all []string
+	for _, address := range s.Network.SeedNodes {
+		all = append(all, s.InternalAddress(address))
+	}
+	return all
+}
+
 // Internal gives the process's own address for the mesh's own protocol.
 func (s *Settings) Internal() string { return s.InternalAddress(s.Self.IPAddress) }
--- a/internal/mesh/stacks/founding.go
+++ b/internal/mesh/stacks/founding.go
@@ -12,7 +12,6 @@
 	"caperarch/internal/mesh/archive"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
-	"caperarch/internal/mesh/settings"
 
 	"go.uber.org/zap"
 )
@@ -171,18 +170,6 @@
 	return choose(n, seeds, r.heard)
 }
 
-// seedsOf are the internal addresses of the core machines that the settings name.
-func seedsOf(set *settings.Settings) []string {
-	var all []string
-	for _, address := range set.Network.SeedNodes {
-		if host, _, err := net.SplitHostPort(address); err == nil {
-			all = append(all, set.InternalAddress(host))
-		}
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 // serveFounding answers who the core machines are.
 func (s *Stacks) serveFounding(mux *http.ServeMux) {
 	desk.Handle(mux, foundingPath, foundingLimit, func(_ *http.Request, m *machine) (*founded, error) {
@@ -229,7 +216,7 @@
 
 // members is who holds the log: this machine's own choice where it is the founder, else what others say.
 func (s *Stacks) members(ctx context.Context, first bool) ([]string, error) {
-	seeds := seedsOf(s.set)
+	seeds := slices.Compact(slices.Sorted(slices.Values(s.set.Seeds())))
 	founder := first && len(seeds) > 0 && seeds[0] == s.set.Internal()
 	if err := s.roster.tell(*s.self(false)); err != nil {
 		return nil, err
--- a/internal/mesh/stacks/stacks.go
+++ b/internal/mesh/stacks/stacks.go
@@ -113,12 +113,15 @@
 	archive.Register(inside, s.node.Load)
 	s.hub.Register(inside)
 	desk.Handle(inside, branch.DealPath, dealLimit, s.deal)
-	desk.Raw(inside, proposePath+"/whole", registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
-		return s.propose(r.Context(), true, body)
-	})
-	desk.Raw(inside, proposePath+"/part", registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
-		return s.propose(r.Context(), false, body)
-	})
+	for _, whole := range []bool{true, false} {
+		desk.Raw(inside, proposeAt(whole), registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
+			change, err := read(whole, body)
+			if err != nil {
+				return nil, err
+			}
+			return s.propose(r.Context(), change)
+		})
+	}
 	desk.HandleGet(inside, describe, func(r *http.Request) (*json.RawMessage, error) { return s.confirm(r.Context()) })
 	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
 		registrar.Upstreams(mux, s)
@@ -244,7 +247,8 @@
 
 // Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
 func (s *Stacks) Change(r *http.Request, whole bool, body []byte) (*registrar.Taken, error) {
-	if _, err := read(whole, body); err != nil {
+	change, err := read(whole, body)
+	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTime+time.Duration(len(body))*time.Microsecond)
@@ -254,13 +258,17 @@
 	case "":
 		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
 	case s.set.Internal():
-		return s.propose(ctx, whole, body)
+		return s.propose(ctx, change)
 	}
-	path := proposePath + "/part"
+	return desk.Post[registrar.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
+}
+
+// proposeAt is where the sequencer takes a change of such a kind.
+func proposeAt(whole bool) string {
 	if whole {
-		path = proposePath + "/whole"
+		return proposePath + "/whole"
 	}
-	return desk.Post[registrar.Taken](ctx, s.client, "http://"+sequencer+path, body)
+	return proposePath + "/part"
 }
 
 func read(whole bool, body []byte) (*charter.Change, error) {
@@ -271,15 +279,11 @@
 }
 
 // propose puts a change into the log and waits until it is settled, and, for a while, until sidecars have it.
-func (s *Stacks) propose(ctx context.Context, whole bool, body []byte) (*registrar.Taken, error) {
+func (s *Stacks) propose(ctx context.Context, change *charter.Change) (*registrar.Taken, error) {
 	node := s.node.Load()
 	if node == nil {
 		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
 	}
-	change, err := read(whole, body)
-	if err != nil {
-		return nil, err
-	}
 	number := rand.Uint64()
 	told := s.minutes.expect(number)
 	defer s.minutes.forget(number)
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -61,9 +61,6 @@
 	Mine func(m *call.Message, res *http.Response) bool
 	// Judge says what an answer's head proves. Only what is Served may be passed on while it comes.
 	Judge func(res *http.Response) (policy.Ending, policy.Load)
-	// Probe is the path that tells whether a server is well, and Told reads its answer.
-	Probe string
-	Told  func(res *http.Response) (bool, policy.Load)
 }
 
 // Transport carries attempts and probes to the servers, over connections that it keeps. It is not
@@ -138,9 +135,6 @@
 	if len(cfg.Reports) > 0 {
 		u.probePath = "/metrics/load"
 	}
-	if u.dialect != nil {
-		u.probePath = u.dialect.Probe
-	}
 	return u
 }
 
@@ -322,10 +316,6 @@
 			told(false, policy.Load{})
 			return
 		}
-		if u.dialect != nil {
-			told(u.dialect.Told(res))
-			return
-		}
 		told(res.StatusCode == http.StatusOK, u.load(string(body)))
 	}()
 }
