Rename package archive to replication

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else. Measured: builds and vets as before.

--- a/internal/mesh/archive/log.go
+++ b/internal/mesh/replication/log.go
@@ -1,4 +1,4 @@
-package archive
+package replication
 
 // entryLog is the log in memory: a snapshot and the entries after it, without gaps.
 type entryLog struct {
--- a/internal/mesh/archive/message.go
+++ b/internal/mesh/replication/message.go
@@ -1,4 +1,4 @@
-// Package archive is the replicated log of the core machines: opaque commands
+// Package replication is the replicated log of the core machines: opaque commands
 // in one order, on the disks of a fixed set of members.
 //
 // Member is the state machine (no I/O, no goroutine, no clock), Store its
@@ -10,7 +10,7 @@
 // commands; a command is committed once a majority has synced it in the
 // sequencer's own view. A member that has lost its disk says so and counts in
 // no majority until it has recovered (see recover.go for the argument).
-package archive
+package replication
 
 import "time"
 
--- a/internal/mesh/archive/recover.go
+++ b/internal/mesh/replication/recover.go
@@ -1,4 +1,4 @@
-package archive
+package replication
 
 import (
 	"maps"
--- a/internal/mesh/stacks/founding.go
+++ b/internal/mesh/stacks/founding.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"caperarch/internal/mesh/archive"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/replication"
 
 	"go.uber.org/zap"
 )
@@ -190,22 +190,22 @@
 }
 
 // found opens the log on this machine's disk; no store: it is a reader.
-func (s *Stacks) found(ctx context.Context) (*archive.Store, archive.State, error) {
+func (s *Stacks) found(ctx context.Context) (*replication.Store, replication.State, error) {
 	first := s.set.Self.FirstStart
-	if archive.Kept(s.set.Self.DataDirectory) {
+	if replication.Kept(s.set.Self.DataDirectory) {
 		store, state, err := s.open(ctx, nil, false)
 		if err == nil {
 			s.roster.settle(state.Members)
 			return store, state, nil
 		}
-		if !archive.Damaged(err) {
-			return nil, archive.State{}, err
+		if !replication.Damaged(err) {
+			return nil, replication.State{}, err
 		}
 		first = false
 	}
 	members, err := s.members(ctx, first)
 	if err != nil || !slices.Contains(members, s.set.Internal()) {
-		return nil, archive.State{}, err
+		return nil, replication.State{}, err
 	}
 	store, state, err := s.open(ctx, members, first)
 	if err == nil {
--- a/internal/mesh/stacks/stacks.go
+++ b/internal/mesh/stacks/stacks.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"caperarch/internal/mesh/allowance"
-	"caperarch/internal/mesh/archive"
 	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/charter"
@@ -21,6 +20,7 @@
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registrar"
+	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/settings"
 
 	"go.uber.org/zap"
@@ -49,7 +49,7 @@
 	client  *http.Client
 	start   time.Time
 	roster  *roster
-	node    atomic.Pointer[archive.Node]           // nil: not yet, or a reader
+	node    atomic.Pointer[replication.Node]       // nil: not yet, or a reader
 	news    atomic.Pointer[circulation.Subscriber] // of a reader
 	hub     *circulation.Hub
 	minutes *minutes
@@ -78,24 +78,24 @@
 }
 
 // open opens the disk; one that refuses is tried again until ctx ends. Without members it is one that has been founded, and what is damaged is an error.
-func (s *Stacks) open(ctx context.Context, members []string, first bool) (*archive.Store, archive.State, error) {
+func (s *Stacks) open(ctx context.Context, members []string, first bool) (*replication.Store, replication.State, error) {
 	for {
-		var store *archive.Store
-		var state archive.State
+		var store *replication.Store
+		var state replication.State
 		var err error
 		if members == nil {
-			store, state, err = archive.Open(s.set.Self.DataDirectory, nil, false)
+			store, state, err = replication.Open(s.set.Self.DataDirectory, nil, false)
 		} else {
-			store, state, err = archive.OpenOrForget(s.set.Self.DataDirectory, members, first, s.log)
+			store, state, err = replication.OpenOrForget(s.set.Self.DataDirectory, members, first, s.log)
 		}
-		if err == nil || members == nil && archive.Damaged(err) {
+		if err == nil || members == nil && replication.Damaged(err) {
 			return store, state, err
 		}
 		s.log.Warn("the disk refuses", zap.Error(err))
 		select {
 		case <-time.After(openPause):
 		case <-ctx.Done():
-			return nil, archive.State{}, err
+			return nil, replication.State{}, err
 		}
 	}
 }
@@ -110,7 +110,7 @@
 	})
 	inside, outside := http.NewServeMux(), http.NewServeMux()
 	s.serveFounding(inside)
-	archive.Register(inside, s.node.Load)
+	replication.Register(inside, s.node.Load)
 	s.hub.Register(inside)
 	desk.Handle(inside, branch.DealPath, dealLimit, s.deal)
 	for _, whole := range []bool{true, false} {
@@ -162,13 +162,13 @@
 }
 
 // hold has this machine hold the log, until what it returns is called.
-func (s *Stacks) hold(store *archive.Store, state archive.State) (end func(), err error) {
-	post := archive.NewPost(s.set.Internal(), s.client, func(from string, msgs []archive.Message) {
+func (s *Stacks) hold(store *replication.Store, state replication.State) (end func(), err error) {
+	post := replication.NewPost(s.set.Internal(), s.client, func(from string, msgs []replication.Message) {
 		if node := s.node.Load(); node != nil {
 			node.Deliver(from, msgs)
 		}
 	}, s.log)
-	node, err := archive.Start(archive.NodeConfig{
+	node, err := replication.Start(replication.NodeConfig{
 		ID: s.set.Internal(), Disk: store, State: state, Send: post.Send, Apply: s.minutes.apply, Restore: s.minutes.restore, Snapshot: s.minutes.snapshot, Log: s.log,
 	})
 	if err != nil {
