Rename package stacks to controlplane

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else. Measured: builds and vets as before.

--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -12,10 +12,10 @@
 	"syscall"
 
 	"caperarch/internal/mesh/branch"
+	"caperarch/internal/mesh/controlplane"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/enquiry"
 	"caperarch/internal/mesh/settings"
-	"caperarch/internal/mesh/stacks"
 
 	"go.uber.org/zap/zapcore"
 )
@@ -93,7 +93,7 @@
 			for range reload {
 			}
 		}()
-		err = stacks.Run(ctx, set, log)
+		err = controlplane.Run(ctx, set, log)
 	}
 	if err != nil {
 		log.Error("ended: " + err.Error())
--- a/internal/mesh/stacks/founding_test.go
+++ b/internal/mesh/controlplane/founding_test.go
@@ -1,4 +1,4 @@
-package stacks
+package controlplane
 
 import (
 	"testing"
--- a/internal/mesh/stacks/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -1,5 +1,5 @@
-// Package stacks is a core machine of the mesh: it holds the configuration on its disk, as one of those that agree on it, and tells the sidecars that keep to it.
-package stacks
+// Package controlplane is a core machine of the mesh: it holds the configuration on its disk, as one of those that agree on it, and tells the sidecars that keep to it.
+package controlplane
 
 import (
 	"context"
--- a/internal/mesh/enquiry/enquiry_test.go
+++ b/internal/mesh/enquiry/enquiry_test.go
@@ -18,9 +18,9 @@
 
 	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/controlplane"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/settings"
-	"caperarch/internal/mesh/stacks"
 )
 
 // coreSettings are of a core machine that is alone: its address, the mesh's port and the data directory are filled in.
@@ -68,7 +68,7 @@
 		So(err, ShouldBeNil)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
-		go func() { ended <- stacks.Run(ctx, set, zap.NewNop()) }()
+		go func() { ended <- controlplane.Run(ctx, set, zap.NewNop()) }()
 		Reset(func() {
 			cancel()
 			So(<-ended, ShouldBeNil)
