Rename package charter to config

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -21,8 +21,8 @@
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/carrel"
 	"caperarch/internal/mesh/catalogue"
-	"caperarch/internal/mesh/charter"
 	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
@@ -68,7 +68,7 @@
 	clock   clock.Clock
 	log     *zap.Logger
 	client  *http.Client
-	charter atomic.Pointer[charter.Charter]
+	charter atomic.Pointer[config.Charter]
 	shelves *shelves
 	quota   *quota
 	news    *circulation.Subscriber
@@ -84,7 +84,7 @@
 // Run is a sidecar's life: it serves until ctx ends, and then ends what it has taken.
 func Run(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings, log *zap.Logger) error {
 	b := &Branch{set: set, clock: clock.New(), log: log, client: desk.NewClient(dialTimeout), life: uint64(time.Now().UnixNano())}
-	b.charter.Store(charter.Empty())
+	b.charter.Store(config.Empty())
 	zones := make([]string, 0, len(set.Network.Zones))
 	for z := range set.Network.Zones {
 		zones = append(zones, z)
@@ -364,7 +364,7 @@
 }
 
 // Take is the charter after a frame, applied on the one that holds.
-func Take(held *charter.Charter, frame json.RawMessage) (*charter.Charter, error) {
+func Take(held *config.Charter, frame json.RawMessage) (*config.Charter, error) {
 	var f Frame
 	if err := json.Unmarshal(frame, &f); err != nil {
 		return nil, faultlist.Wrap(err, faultlist.Unreadable, "frame")
@@ -374,12 +374,12 @@
 	}
 	next, err := held, error(nil)
 	if f.Whole != nil {
-		if next, err = charter.Decode(f.Whole); err != nil {
+		if next, err = config.Decode(f.Whole); err != nil {
 			return nil, err
 		}
 	}
 	for _, raw := range f.Changes {
-		change, err := charter.ReadChange(raw)
+		change, err := config.ReadChange(raw)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/mesh/branch/branch_test.go
+++ b/internal/mesh/branch/branch_test.go
@@ -17,7 +17,7 @@
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/carrel"
 	"caperarch/internal/mesh/catalogue"
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/porter"
 	"caperarch/internal/mesh/settings"
@@ -41,11 +41,11 @@
 )
 
 // newOutbound is the way out of a sidecar beside service huvo11a that holds a configuration; "" is none.
-func newOutbound(config string) (*outbound, *http1.Dialect) {
+func newOutbound(snapshot string) (*outbound, *http1.Dialect) {
 	b := &Branch{clock: clock.NewMovable(), log: zap.NewNop(), shelves: newShelves([]string{"hall-a", "hall-b"}, inboundHere)}
-	c := charter.Empty()
-	if config != "" {
-		change, err := charter.ReadReplace([]byte(config))
+	c := config.Empty()
+	if snapshot != "" {
+		change, err := config.ReadReplace([]byte(snapshot))
 		So(err, ShouldBeNil)
 		c, _, err = c.Apply(change)
 		So(err, ShouldBeNil)
@@ -166,8 +166,8 @@
 }
 
 func TestChecks(t *testing.T) {
-	checks := func(config string) (names []string) {
-		o, _ := newOutbound(config)
+	checks := func(snapshot string) (names []string) {
+		o, _ := newOutbound(snapshot)
 		c := o.b.charter.Load()
 		for _, r := range c.Routes() {
 			if o.isCheck(c, r) {
--- a/internal/mesh/branch/outbound.go
+++ b/internal/mesh/branch/outbound.go
@@ -12,7 +12,7 @@
 	"caperarch/internal/call"
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/porter"
 	"caperarch/internal/mesh/slip"
 	"caperarch/policy"
@@ -37,9 +37,9 @@
 	caller []string // the service of this machine
 
 	mu     sync.Mutex
-	of     *charter.Charter // that the next two were worked out for
+	of     *config.Charter // that the next two were worked out for
 	shares map[string]float64
-	checks map[*charter.Route]bool
+	checks map[*config.Route]bool
 }
 
 func (o *outbound) dialect() *http1.Dialect {
@@ -121,7 +121,7 @@
 }
 
 // target draws the service by the route's weights.
-func target(r *charter.Route) string {
+func target(r *config.Route) string {
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Service
 	}
@@ -139,7 +139,7 @@
 }
 
 // share is a tenant's part of all slots: by its rate against all tenants' rates, evenly where none is limited, and never more than mostShare.
-func (o *outbound) share(c *charter.Charter, tenant string) float64 {
+func (o *outbound) share(c *config.Charter, tenant string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.work(c)
@@ -148,7 +148,7 @@
 
 // isCheck says whether requests of a route are internal checks: calls that a run makes, which go before all else, as the request that waits for them holds a slot meanwhile. Nothing in a
 // request tells. A route is one if all the time that it may take fits into the aim of every route that may take longer and is none: else it could be no part of their requests.
-func (o *outbound) isCheck(c *charter.Charter, r *charter.Route) bool {
+func (o *outbound) isCheck(c *config.Charter, r *config.Route) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.work(c)
@@ -156,11 +156,11 @@
 }
 
 // work works out what a configuration means for requests, once for each.
-func (o *outbound) work(c *charter.Charter) {
+func (o *outbound) work(c *config.Charter) {
 	if o.of == c {
 		return
 	}
-	o.of, o.shares, o.checks = c, make(map[string]float64), make(map[*charter.Route]bool)
+	o.of, o.shares, o.checks = c, make(map[string]float64), make(map[*config.Route]bool)
 	sum, all := 0.0, c.Tenants()
 	for _, t := range all {
 		sum += t.RatePerS
@@ -172,7 +172,7 @@
 		}
 		o.shares[t.Name] = min(mostShare, share)
 	}
-	routes := slices.SortedFunc(slices.Values(c.Routes()), func(a, b *charter.Route) int { return cmp.Compare(b.Timeout, a.Timeout) })
+	routes := slices.SortedFunc(slices.Values(c.Routes()), func(a, b *config.Route) int { return cmp.Compare(b.Timeout, a.Timeout) })
 	least := time.Duration(0) // aim of those that may take longer and are no checks; 0: there is none
 	for i := 0; i < len(routes); {
 		next := i
--- a/internal/mesh/branch/quota.go
+++ b/internal/mesh/branch/quota.go
@@ -8,7 +8,7 @@
 
 	"caperarch/internal/clock"
 	"caperarch/internal/mesh/allowance"
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/settings"
 
@@ -75,7 +75,7 @@
 }
 
 // configure takes the limits of a configuration.
-func (q *quota) configure(c *charter.Charter) {
+func (q *quota) configure(c *config.Charter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limits, q.members = Limits(c), 0
@@ -109,7 +109,7 @@
 }
 
 // Limits are the limits of a configuration's tenants.
-func Limits(c *charter.Charter) map[string]allowance.Limit {
+func Limits(c *config.Charter) map[string]allowance.Limit {
 	limits := make(map[string]allowance.Limit)
 	for _, t := range c.Tenants() {
 		if t.RatePerS > 0 {
--- a/internal/mesh/charter/change.go
+++ b/internal/mesh/config/change.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"bytes"
--- a/internal/mesh/charter/charter.go
+++ b/internal/mesh/config/charter.go
@@ -1,7 +1,7 @@
-// Package charter holds the configuration: an immutable Charter, the changes that lead from one to
+// Package config holds the configuration: an immutable Charter, the changes that lead from one to
 // the next, and the routing table that a charter means. It is free of I/O, goroutines and clocks, so
 // every replica that applies the same changes in the same order holds the same charter.
-package charter
+package config
 
 import (
 	"bytes"
--- a/internal/mesh/charter/schema.go
+++ b/internal/mesh/config/schema.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"encoding/json"
--- a/internal/mesh/controlplane/minutes.go
+++ b/internal/mesh/controlplane/minutes.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"caperarch/internal/mesh/branch"
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
 
 	"go.uber.org/zap"
@@ -22,8 +22,8 @@
 	changed func() // another version is in force
 
 	mu      sync.Mutex
-	charter *charter.Charter
-	kept    []*charter.Change // that led to it, the newest last
+	charter *config.Charter
+	kept    []*config.Change // that led to it, the newest last
 	asked   map[uint64]chan verdict
 	queue   []settled // by the log, and not applied yet
 	working bool
@@ -44,10 +44,10 @@
 }
 
 func newMinutes(log *zap.Logger, changed func()) *minutes {
-	return &minutes{log: log, changed: changed, charter: charter.Empty(), asked: make(map[uint64]chan verdict), done: make(chan struct{})}
+	return &minutes{log: log, changed: changed, charter: config.Empty(), asked: make(map[uint64]chan verdict), done: make(chan struct{})}
 }
 
-func (m *minutes) current() *charter.Charter {
+func (m *minutes) current() *config.Charter {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.charter
@@ -69,7 +69,7 @@
 }
 
 // command is a change as the log has it.
-func command(number uint64, change *charter.Change) []byte {
+func command(number uint64, change *config.Change) []byte {
 	return append(binary.BigEndian.AppendUint64(nil, number), change.Bytes()...)
 }
 
@@ -133,20 +133,20 @@
 
 // settle applies a command of the log.
 func (m *minutes) settle(index uint64, command []byte) {
-	change, err := charter.ReadChange(command[8:])
+	change, err := config.ReadChange(command[8:])
 	m.mu.Lock()
-	outcome := charter.Refused
+	outcome := config.Refused
 	if err == nil {
-		var next *charter.Charter
-		if next, outcome, err = m.charter.Apply(change); outcome == charter.Applied {
+		var next *config.Charter
+		if next, outcome, err = m.charter.Apply(change); outcome == config.Applied {
 			m.charter = next
 			if m.kept = append(m.kept, change); len(m.kept) > mostKept {
-				m.kept = append([]*charter.Change(nil), m.kept[1:]...)
+				m.kept = append([]*config.Change(nil), m.kept[1:]...)
 			}
 		}
 	}
 	version := m.charter.Version()
-	if outcome == charter.Repeated {
+	if outcome == config.Repeated {
 		version = change.Version()
 	}
 	if told := m.asked[binary.BigEndian.Uint64(command)]; told != nil {
@@ -158,7 +158,7 @@
 		m.log.Info("a change was refused", zap.Uint64("index", index), zap.Error(err))
 		return
 	}
-	if outcome == charter.Applied {
+	if outcome == config.Applied {
 		m.log.Info("a change is in force", zap.Uint64("index", index), zap.Int64("version", version))
 		m.changed()
 	}
@@ -183,23 +183,23 @@
 }
 
 // continued is the changes that are kept with a frame's that led on from a version; none where it was whole. The caller holds the lock.
-func (m *minutes) continued(from int64, frame json.RawMessage) []*charter.Change {
+func (m *minutes) continued(from int64, frame json.RawMessage) []*config.Change {
 	var f branch.Frame
 	if json.Unmarshal(frame, &f) != nil || f.Whole != nil {
 		return nil
 	}
 	kept := m.kept
 	for _, raw := range f.Changes {
-		if change, err := charter.ReadChange(raw); err == nil && change.Version() > from {
+		if change, err := config.ReadChange(raw); err == nil && change.Version() > from {
 			kept = append(kept, change)
 		}
 	}
-	return append([]*charter.Change(nil), kept[max(0, len(kept)-mostKept):]...)
+	return append([]*config.Change(nil), kept[max(0, len(kept)-mostKept):]...)
 }
 
 // replace puts a snapshot in place of what is there.
 func (m *minutes) replace(data []byte) {
-	c, err := charter.Decode(data)
+	c, err := config.Decode(data)
 	if err != nil {
 		m.log.Error("a snapshot that can't be read", zap.Error(err))
 		return
--- a/internal/mesh/controlplane/minutes_test.go
+++ b/internal/mesh/controlplane/minutes_test.go
@@ -13,17 +13,17 @@
 	"pgregory.net/rapid"
 
 	"caperarch/internal/mesh/branch"
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
 )
 
 // put is a change to a version that builds on another, with services of these names in place of all.
-func put(version, base int64, services ...string) *charter.Change {
+func put(version, base int64, services ...string) *config.Change {
 	items := make([]string, len(services))
 	for i, name := range services {
 		items[i] = fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"specification":{"x":"<&>"}}`, name)
 	}
-	change, err := charter.ReadReplace(fmt.Appendf(nil, `{"configVersion": %d, "baseVersion": %d, "resources": [%s]}`, version, base, strings.Join(items, ",")))
+	change, err := config.ReadReplace(fmt.Appendf(nil, `{"configVersion": %d, "baseVersion": %d, "resources": [%s]}`, version, base, strings.Join(items, ",")))
 	if err != nil {
 		panic(err)
 	}
@@ -31,8 +31,8 @@
 }
 
 // drop is a change that takes a service out.
-func drop(version, base int64, service string) *charter.Change {
-	change, err := charter.ReadUpdate(fmt.Appendf(nil, `{"configVersion":%d,"baseVersion":%d,"remove":{"services":["%s"]}}`, version, base, service))
+func drop(version, base int64, service string) *config.Change {
+	change, err := config.ReadUpdate(fmt.Appendf(nil, `{"configVersion":%d,"baseVersion":%d,"remove":{"services":["%s"]}}`, version, base, service))
 	if err != nil {
 		panic(err)
 	}
@@ -40,7 +40,7 @@
 }
 
 // encoded is all that a charter holds, with the changes that it remembers.
-func encoded(c *charter.Charter) string {
+func encoded(c *config.Charter) string {
 	data, err := c.Encode()
 	if err != nil {
 		panic(err)
@@ -164,7 +164,7 @@
 func TestFrames(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m, late := newMinutes(zap.NewNop(), func() {}), newMinutes(zap.NewNop(), func() {})
-		history := []*charter.Charter{charter.Empty()} // as the changes have it, by themselves
+		history := []*config.Charter{config.Empty()} // as the changes have it, by themselves
 		restored := -1
 		for step := range rapid.IntRange(1, 130).Draw(t, "changes") {
 			now := history[len(history)-1]
@@ -175,7 +175,7 @@
 				change = drop(version, base, rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "service"))
 			}
 			next, outcome, err := now.Apply(change)
-			if outcome == charter.Applied {
+			if outcome == config.Applied {
 				history = append(history, next)
 			}
 			heard := m.expect(uint64(step))
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -15,8 +15,8 @@
 	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/catalogue"
-	"caperarch/internal/mesh/charter"
 	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registrar"
@@ -271,15 +271,15 @@
 	return proposePath + "/part"
 }
 
-func read(whole bool, body []byte) (*charter.Change, error) {
+func read(whole bool, body []byte) (*config.Change, error) {
 	if whole {
-		return charter.ReadReplace(body)
+		return config.ReadReplace(body)
 	}
-	return charter.ReadUpdate(body)
+	return config.ReadUpdate(body)
 }
 
 // propose puts a change into the log and waits until it is settled, and, for a while, until sidecars have it.
-func (s *Stacks) propose(ctx context.Context, change *charter.Change) (*registrar.Taken, error) {
+func (s *Stacks) propose(ctx context.Context, change *config.Change) (*registrar.Taken, error) {
 	node := s.node.Load()
 	if node == nil {
 		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
--- a/internal/mesh/enquiry/file.go
+++ b/internal/mesh/enquiry/file.go
@@ -13,7 +13,7 @@
 
 	"github.com/goccy/go-yaml"
 
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/settings"
 	"caperarch/librarian"
@@ -77,14 +77,14 @@
 }
 
 // charterOf reads a configuration as the mesh does.
-func charterOf(doc *librarian.Document) (*charter.Charter, error) {
+func charterOf(doc *librarian.Document) (*config.Charter, error) {
 	text, err := json.Marshal(struct {
 		Document *librarian.Document `json:"document"`
 	}{doc})
 	if err != nil {
 		return nil, err
 	}
-	return charter.Decode(text)
+	return config.Decode(text)
 }
 
 // check tells the faults of a file.
--- a/internal/mesh/enquiry/why.go
+++ b/internal/mesh/enquiry/why.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strings"
 
-	"caperarch/internal/mesh/charter"
+	"caperarch/internal/mesh/config"
 	"caperarch/librarian"
 )
 
@@ -76,7 +76,7 @@
 }
 
 // follow goes the way of the request up to its compartment, as a sidecar does.
-func (f *fate) follow(c *charter.Charter, host, path string, d *errand) *charter.Route {
+func (f *fate) follow(c *config.Charter, host, path string, d *errand) *config.Route {
 	f.say("Version %d of the configuration is in force.", f.ConfigVersion)
 	route := c.Match(host, path)
 	if route == nil {
@@ -122,7 +122,7 @@
 	return route
 }
 
-func (f *fate) quota(t *charter.Tenant) {
+func (f *fate) quota(t *config.Tenant) {
 	if t.RatePerS == 0 {
 		f.say("The key is tenant %s's, which has no quota.", t.Name)
 		return
@@ -131,7 +131,7 @@
 }
 
 // choose gives the upstreams among which a sidecar chooses.
-func (f *fate) choose(route *charter.Route, list *librarian.UpstreamList) {
+func (f *fate) choose(route *config.Route, list *librarian.UpstreamList) {
 	f.UpstreamsAs = list.AsOf
 	sum := 0.0
 	for _, t := range route.Targets {
--- a/internal/rig/hollow/hollow.go
+++ b/internal/rig/hollow/hollow.go
@@ -16,8 +16,8 @@
 	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/catalogue"
-	"caperarch/internal/mesh/charter"
 	"caperarch/internal/mesh/circulation"
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 
 	"go.uber.org/zap"
@@ -76,7 +76,7 @@
 	failed   atomic.Uint64
 
 	mu       sync.Mutex
-	shared   *charter.Charter
+	shared   *config.Charter
 	versions map[int64]Arrival
 	times    []time.Duration
 	failure  string             // of the ask that failed last
@@ -91,7 +91,7 @@
 	upstream catalogue.Upstream
 	client   *http.Client
 	news     *circulation.Subscriber
-	charter  atomic.Pointer[charter.Charter]
+	charter  atomic.Pointer[config.Charter]
 
 	mu  sync.Mutex
 	all map[string]catalogue.Upstream
@@ -99,13 +99,13 @@
 
 // New makes a fleet; Run sets it going.
 func New(cfg Config) *Fleet {
-	f := &Fleet{cfg: cfg, shared: charter.Empty(), versions: make(map[int64]Arrival)}
+	f := &Fleet{cfg: cfg, shared: config.Empty(), versions: make(map[int64]Arrival)}
 	life := uint64(time.Now().UnixNano())
 	for i := range cfg.Count {
 		zone := cfg.Zones[i%len(cfg.Zones)]
 		host := fmt.Sprintf("10.%d.%d.%d", 1+i%len(cfg.Zones), i/250, 1+i%250)
 		s := &sidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: desk.NewClient(dialTimeout), all: make(map[string]catalogue.Upstream)}
-		s.charter.Store(charter.Empty())
+		s.charter.Store(config.Empty())
 		s.upstream = catalogue.Upstream{
 			Instance: fmt.Sprintf("i-%08x%08x", i, i), Service: serviceName(i % cfg.Services), Address: host + ":8103", Node: s.node, Inbound: host + ":8109",
 			Zone: zone, Region: "kochi", Version: "1.4.2", Slots: 24, State: catalogue.Ready, Sequence: 1,
@@ -214,7 +214,7 @@
 }
 
 // apply is the charter after a frame.
-func (f *Fleet) apply(held *charter.Charter, frame json.RawMessage) (*charter.Charter, error) {
+func (f *Fleet) apply(held *config.Charter, frame json.RawMessage) (*config.Charter, error) {
 	if !f.cfg.Share {
 		return branch.Take(held, frame)
 	}
