Rename package catalogue to registry

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else. Measured: builds and vets as before.

--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -20,7 +20,6 @@
 	fronthttp1 "caperarch/internal/front/http1"
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/carrel"
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
@@ -28,6 +27,7 @@
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/porter"
 	"caperarch/internal/mesh/registrar"
+	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
 	"caperarch/internal/transport/http1"
@@ -228,16 +228,16 @@
 }
 
 // lease is what this sidecar tells the core.
-func (b *Branch) lease() catalogue.Lease {
-	l := catalogue.Lease{Zone: b.set.Self.Zone, Applied: b.charter.Load().Version(), Leaving: b.stopping.Load(), Upstream: b.shelves.beside()}
-	if l.Upstream != nil && l.Leaving && l.Upstream.State == catalogue.Ready {
-		l.Upstream.State = catalogue.Draining // no gate will be here soon
+func (b *Branch) lease() registry.Lease {
+	l := registry.Lease{Zone: b.set.Self.Zone, Applied: b.charter.Load().Version(), Leaving: b.stopping.Load(), Upstream: b.shelves.beside()}
+	if l.Upstream != nil && l.Leaving && l.Upstream.State == registry.Ready {
+		l.Upstream.State = registry.Draining // no gate will be here soon
 	}
 	return l
 }
 
 // catalogue takes news of the upstreams.
-func (b *Branch) catalogue(full bool, upserts []catalogue.Upstream, removals []string) {
+func (b *Branch) catalogue(full bool, upserts []registry.Upstream, removals []string) {
 	if b.shelves.take(full, upserts, removals) {
 		b.own() // a core machine took its word, as we were not there
 	}
@@ -287,7 +287,7 @@
 }
 
 // Beat takes a heartbeat of the upstream beside us. It is settled here, also with the core gone: nothing comes to the upstream but through our gate.
-func (b *Branch) Beat(u catalogue.Upstream) error {
+func (b *Branch) Beat(u registry.Upstream) error {
 	if u.Address != b.set.Self.AppAddress {
 		b.log.Warn("a beat of another address", zap.String("instance", u.Instance), zap.String("address", u.Address))
 		return faultlist.New(faultlist.Invalid, "address %s is not beside this sidecar", u.Address)
@@ -328,7 +328,7 @@
 }
 
 // introduced asks once.
-func (b *Branch) introduced(ctx context.Context) (catalogue.Upstream, bool) {
+func (b *Branch) introduced(ctx context.Context) (registry.Upstream, bool) {
 	path := "/health"
 	if s := b.charter.Load().Service(b.set.Self.ServiceName); s != nil && s.HealthPath != "" {
 		path = s.HealthPath
@@ -337,15 +337,15 @@
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.set.Self.AppAddress+path, nil)
 	if err != nil {
-		return catalogue.Upstream{}, false
+		return registry.Upstream{}, false
 	}
 	r.Close = true
 	answer, err := b.client.Do(r)
 	if err != nil {
-		return catalogue.Upstream{}, false
+		return registry.Upstream{}, false
 	}
 	answer.Body.Close()
-	u := catalogue.Upstream{
+	u := registry.Upstream{
 		Instance: answer.Header.Get(slip.Instance), Service: b.set.Self.ServiceName, Address: b.set.Self.AppAddress, Node: b.set.Self.NodeName, Zone: b.set.Self.Zone, Region: b.set.Self.Region,
 		Slots: slip.Slots(answer.Header.Get(slip.Load)),
 	}
--- a/internal/mesh/branch/branch_test.go
+++ b/internal/mesh/branch/branch_test.go
@@ -16,10 +16,10 @@
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/carrel"
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/porter"
+	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
 	"caperarch/policy"
@@ -192,7 +192,7 @@
 	})
 	Convey("They go before all else, with slots of their own", t, func() {
 		o, d := newOutbound(keyed)
-		o.b.shelves.tell(catalogue.Upstream{Instance: "i-1", Service: "huvo11a", Slots: 9})
+		o.b.shelves.tell(registry.Upstream{Instance: "i-1", Service: "huvo11a", Slots: 9})
 		q, _, bad := d.Read(request("GET /check/ HTTP/1.1\r\nHost: hulo84.example", id))
 		So(bad, ShouldBeNil)
 		So(q.Terms.(*porter.Order).Rank, ShouldEqual, 0)
@@ -242,8 +242,8 @@
 }
 
 // upstream is one in the first zone.
-func upstream(instance, inbound string, state catalogue.State, sequence int64) catalogue.Upstream {
-	return catalogue.Upstream{Instance: instance, Service: "s", Inbound: inbound, Zone: "hall-a", Slots: 4, State: state, Sequence: sequence}
+func upstream(instance, inbound string, state registry.State, sequence int64) registry.Upstream {
+	return registry.Upstream{Instance: instance, Service: "s", Inbound: inbound, Zone: "hall-a", Slots: 4, State: state, Sequence: sequence}
 }
 
 // listed are the states of the upstreams that requests are sent by.
@@ -261,49 +261,49 @@
 	here := func(instance string) string { return inboundHere + " " + instance }
 	Convey("Of the upstream beside us our own knowledge goes first, and of its beats the later one", t, func() {
 		s := newShelves([]string{"hall-a", "hall-b"}, inboundHere)
-		s.take(true, []catalogue.Upstream{upstream("i-0", inboundHere, catalogue.Ready, 8), upstream("j", "10.1.0.41:8109", catalogue.Ready, 1), upstream("k", "", catalogue.Ready, 1)}, nil)
+		s.take(true, []registry.Upstream{upstream("i-0", inboundHere, registry.Ready, 8), upstream("j", "10.1.0.41:8109", registry.Ready, 1), upstream("k", "", registry.Ready, 1)}, nil)
 		So(listed(s), ShouldResemble, map[string]policy.State{here("i-0"): policy.Ready, "10.1.0.41:8109 j": policy.Ready})
-		So(s.tell(upstream("i-1", "", catalogue.Ready, 4)), ShouldBeTrue)
+		So(s.tell(upstream("i-1", "", registry.Ready, 4)), ShouldBeTrue)
 		So(listed(s), ShouldResemble, map[string]policy.State{here("i-1"): policy.Ready, "10.1.0.41:8109 j": policy.Ready})
-		So(s.meet(upstream("i-9", "", catalogue.Ready, 0)), ShouldBeFalse)
-		So(s.tell(upstream("i-1", "", catalogue.Ready, 3)), ShouldBeFalse)
-		So(s.tell(upstream("i-1", "", catalogue.Draining, 3)), ShouldBeFalse)
+		So(s.meet(upstream("i-9", "", registry.Ready, 0)), ShouldBeFalse)
+		So(s.tell(upstream("i-1", "", registry.Ready, 3)), ShouldBeFalse)
+		So(s.tell(upstream("i-1", "", registry.Draining, 3)), ShouldBeFalse)
 		So(s.beside().Sequence, ShouldEqual, 4)
-		So(s.tell(upstream("i-1", "", catalogue.Draining, 5)), ShouldBeTrue)
-		So(s.tell(upstream("i-1", "", catalogue.Ready, 4)), ShouldBeFalse)
-		So(s.tell(upstream("i-1", "", catalogue.Ready, 5)), ShouldBeFalse)
-		s.take(false, []catalogue.Upstream{upstream("i-1", inboundHere, catalogue.Ready, 4)}, []string{"j"})
+		So(s.tell(upstream("i-1", "", registry.Draining, 5)), ShouldBeTrue)
+		So(s.tell(upstream("i-1", "", registry.Ready, 4)), ShouldBeFalse)
+		So(s.tell(upstream("i-1", "", registry.Ready, 5)), ShouldBeFalse)
+		s.take(false, []registry.Upstream{upstream("i-1", inboundHere, registry.Ready, 4)}, []string{"j"})
 		So(listed(s), ShouldResemble, map[string]policy.State{here("i-1"): policy.Draining})
 		s.gone("i-1")
-		So(s.tell(upstream("i-1", "", catalogue.Ready, 6)), ShouldBeFalse)
+		So(s.tell(upstream("i-1", "", registry.Ready, 6)), ShouldBeFalse)
 		So(listed(s), ShouldBeEmpty)
 		So(s.besideListing("a").Servers[0].State, ShouldEqual, policy.Gone)
-		So(s.tell(upstream("i-2", "", catalogue.Ready, 1)), ShouldBeTrue)
+		So(s.tell(upstream("i-2", "", registry.Ready, 1)), ShouldBeTrue)
 		So(listed(s), ShouldResemble, map[string]policy.State{here("i-2"): policy.Ready})
 	})
 	Convey("That the one beside us drains, told to a core machine later than to us, holds here too, and that it is ready does not", t, func() {
 		s := newShelves(nil, inboundHere)
-		s.tell(upstream("i-1", "", catalogue.Ready, 4))
-		So(s.take(false, []catalogue.Upstream{upstream("i-1", inboundHere, catalogue.Draining, 3), upstream("i-2", inboundHere, catalogue.Draining, 9)}, nil), ShouldBeFalse)
-		So(s.beside().State, ShouldEqual, catalogue.Ready)
-		So(s.take(false, []catalogue.Upstream{upstream("i-1", inboundHere, catalogue.Draining, 5)}, nil), ShouldBeTrue)
+		s.tell(upstream("i-1", "", registry.Ready, 4))
+		So(s.take(false, []registry.Upstream{upstream("i-1", inboundHere, registry.Draining, 3), upstream("i-2", inboundHere, registry.Draining, 9)}, nil), ShouldBeFalse)
+		So(s.beside().State, ShouldEqual, registry.Ready)
+		So(s.take(false, []registry.Upstream{upstream("i-1", inboundHere, registry.Draining, 5)}, nil), ShouldBeTrue)
 		So(listed(s), ShouldResemble, map[string]policy.State{here("i-1"): policy.Draining})
-		So(s.take(false, []catalogue.Upstream{upstream("i-1", inboundHere, catalogue.Ready, 6)}, nil), ShouldBeFalse)
-		So(s.tell(upstream("i-1", "", catalogue.Ready, 4)), ShouldBeFalse)
+		So(s.take(false, []registry.Upstream{upstream("i-1", inboundHere, registry.Ready, 6)}, nil), ShouldBeFalse)
+		So(s.tell(upstream("i-1", "", registry.Ready, 4)), ShouldBeFalse)
 		So(listed(s), ShouldResemble, map[string]policy.State{here("i-1"): policy.Draining})
 	})
 	Convey("An instance that is gone does not take the place of the one after it, however late its last beat comes", t, func() {
 		s := newShelves(nil, inboundHere)
-		s.tell(upstream("i-1", "", catalogue.Ready, 4))
+		s.tell(upstream("i-1", "", registry.Ready, 4))
 		s.gone("i-1")
-		s.tell(upstream("i-2", "", catalogue.Ready, 1))
-		So(s.tell(upstream("i-1", "", catalogue.Draining, 5)), ShouldBeFalse)
+		s.tell(upstream("i-2", "", registry.Ready, 1))
+		So(s.tell(upstream("i-1", "", registry.Draining, 5)), ShouldBeFalse)
 		So(s.beside().Instance, ShouldEqual, "i-2")
 	})
 	Convey("A beat of an address that is not beside us is refused", t, func() {
 		b := &Branch{set: new(settings.Settings), log: zap.NewNop(), shelves: newShelves(nil, inboundHere)}
 		b.set.Self.AppAddress = "10.1.0.40:8103"
-		So(faultlist.Of(b.Beat(catalogue.Upstream{Instance: "i-1", Address: "10.1.0.41:8103"})), ShouldEqual, faultlist.Invalid)
+		So(faultlist.Of(b.Beat(registry.Upstream{Instance: "i-1", Address: "10.1.0.41:8103"})), ShouldEqual, faultlist.Invalid)
 		So(b.shelves.beside(), ShouldBeNil)
 	})
 }
@@ -313,16 +313,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newShelves(nil, inboundHere)
 		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
-			own, state := fmt.Sprintf("i-%d", rapid.IntRange(0, 2).Draw(t, "own")), catalogue.State(rapid.IntRange(0, 2).Draw(t, "state"))
+			own, state := fmt.Sprintf("i-%d", rapid.IntRange(0, 2).Draw(t, "own")), registry.State(rapid.IntRange(0, 2).Draw(t, "state"))
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
 				s.tell(upstream(own, "", state, int64(step)))
 			case 1:
 				s.gone(own)
 			case 2:
-				s.take(rapid.Bool().Draw(t, "full"), []catalogue.Upstream{upstream(own, inboundHere, state, 1)}, nil)
+				s.take(rapid.Bool().Draw(t, "full"), []registry.Upstream{upstream(own, inboundHere, state, 1)}, nil)
 			default:
-				s.take(rapid.Bool().Draw(t, "full"), []catalogue.Upstream{upstream("j", "10.1.0.41:8109", state, 1)}, []string{own})
+				s.take(rapid.Bool().Draw(t, "full"), []registry.Upstream{upstream("j", "10.1.0.41:8109", state, 1)}, []string{own})
 			}
 			ready := slices.ContainsFunc(s.listing().Servers, func(u policy.Server) bool { return u.State == policy.Ready })
 			if s.known() != ready {
--- a/internal/mesh/branch/shelves.go
+++ b/internal/mesh/branch/shelves.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"caperarch/internal/call"
-	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/registry"
 	"caperarch/policy"
 )
 
@@ -14,9 +14,9 @@
 // the modules know them by number.
 type shelves struct {
 	mu       sync.Mutex
-	all      map[string]catalogue.Upstream // by instance
-	own      *catalogue.Upstream           // beside us; nil: it has not told yet
-	ended    []string                      // instances that were beside us, the last mostEnded
+	all      map[string]registry.Upstream // by instance
+	own      *registry.Upstream           // beside us; nil: it has not told yet
+	ended    []string                     // instances that were beside us, the last mostEnded
 	numbers  map[string]int
 	names    []string       // of services, by number
 	slots    map[string]int // of the ready upstreams of a service
@@ -30,7 +30,7 @@
 const mostEnded = 64
 
 func newShelves(zones []string, inbound string) *shelves {
-	s := &shelves{all: make(map[string]catalogue.Upstream), numbers: make(map[string]int), slots: make(map[string]int), zones: make(map[string]int), inbound: inbound}
+	s := &shelves{all: make(map[string]registry.Upstream), numbers: make(map[string]int), slots: make(map[string]int), zones: make(map[string]int), inbound: inbound}
 	for i, z := range zones {
 		s.zones[z] = i
 	}
@@ -72,7 +72,7 @@
 }
 
 // take takes what was pushed. It says whether that tells more of the one beside us than we know: that it drains, told to a core machine while we were not there.
-func (s *shelves) take(full bool, upserts []catalogue.Upstream, removals []string) (more bool) {
+func (s *shelves) take(full bool, upserts []registry.Upstream, removals []string) (more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if full {
@@ -94,7 +94,7 @@
 }
 
 // meet takes who is beside us by its own answer to a question; false: it has told by itself meanwhile.
-func (s *shelves) meet(u catalogue.Upstream) bool {
+func (s *shelves) meet(u registry.Upstream) bool {
 	s.mu.Lock()
 	known := s.own != nil
 	s.mu.Unlock()
@@ -102,7 +102,7 @@
 }
 
 // tell takes what the upstream beside us says; false: it has said something later before.
-func (s *shelves) tell(u catalogue.Upstream) bool {
+func (s *shelves) tell(u registry.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if slices.Contains(s.ended, u.Instance) || s.own != nil && s.own.Instance == u.Instance && (u.Sequence < s.own.Sequence || s.own.State > u.State) {
@@ -142,18 +142,18 @@
 	s.end(instance)
 	if s.own != nil && s.own.Instance == instance {
 		own := *s.own
-		own.State = catalogue.Gone
+		own.State = registry.Gone
 		s.own = &own
 	}
 	if u, known := s.all[instance]; known {
-		u.State = catalogue.Gone
+		u.State = registry.Gone
 		s.all[instance] = u
 	}
 	s.count()
 }
 
 // beside is the upstream beside us as a lease tells of it.
-func (s *shelves) beside() *catalogue.Upstream {
+func (s *shelves) beside() *registry.Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.own == nil {
@@ -167,8 +167,8 @@
 func (s *shelves) count() {
 	clear(s.slots)
 	s.total = 0
-	s.each(func(u catalogue.Upstream) {
-		if u.State == catalogue.Ready {
+	s.each(func(u registry.Upstream) {
+		if u.State == registry.Ready {
 			s.slots[u.Service] += u.Slots
 			s.total += u.Slots
 		}
@@ -176,7 +176,7 @@
 }
 
 // each has told called with every upstream; of those beside us only with the one that told us itself, if one has. The caller holds the lock.
-func (s *shelves) each(told func(catalogue.Upstream)) {
+func (s *shelves) each(told func(registry.Upstream)) {
 	for _, u := range s.all {
 		if s.own == nil || u.Inbound != s.inbound {
 			told(u)
@@ -192,8 +192,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := call.Listing{Whole: true, Address: make(map[policy.ServerID]string), Name: make(map[policy.ServerID]string)}
-	s.each(func(u catalogue.Upstream) {
-		if u.State == catalogue.Gone || u.Inbound == "" {
+	s.each(func(u registry.Upstream) {
+		if u.State == registry.Gone || u.Inbound == "" {
 			return
 		}
 		id := call.ServerID(u.Instance)
@@ -229,11 +229,11 @@
 	return s.total > 0
 }
 
-func stateOf(s catalogue.State) policy.State {
+func stateOf(s registry.State) policy.State {
 	switch s {
-	case catalogue.Ready:
+	case registry.Ready:
 		return policy.Ready
-	case catalogue.Draining:
+	case registry.Draining:
 		return policy.Draining
 	}
 	return policy.Gone
--- a/internal/mesh/circulation/circulation_test.go
+++ b/internal/mesh/circulation/circulation_test.go
@@ -17,9 +17,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/registry"
 )
 
 // network joins hosts by pipes within a bubble of synctest, so that time is virtual. A cut link refuses and breaks off.
@@ -154,28 +154,28 @@
 type sidecar struct {
 	*Subscriber
 	mu       sync.Mutex
-	up       catalogue.Upstream
+	up       registry.Upstream
 	services []string
 	refuse   bool
 	version  int64
 	frames   []string
-	held     map[string]catalogue.Upstream
+	held     map[string]registry.Upstream
 	fulls    int
 	stop     func()
 }
 
 func (n *network) sidecar(name, zone string, seeds ...string) *sidecar {
-	s := &sidecar{held: map[string]catalogue.Upstream{}, up: catalogue.Upstream{
+	s := &sidecar{held: map[string]registry.Upstream{}, up: registry.Upstream{
 		Instance: "i-" + name, Service: "s-" + name, Address: name + ":80", Inbound: name + ":90", Sequence: 1,
 	}}
 	client := n.client(name)
 	s.Subscriber = NewSubscriber(SubscriberConfig{
 		Node: name, Life: uint64(time.Now().UnixNano()), Zone: zone, Seeds: seeds, Client: client, Log: zap.NewNop(),
-		State: func() catalogue.Lease {
+		State: func() registry.Lease {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			up := s.up
-			return catalogue.Lease{Upstream: &up, Applied: s.version}
+			return registry.Lease{Upstream: &up, Applied: s.version}
 		},
 		Charter: func() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.version },
 		OnCharter: func(f json.RawMessage) bool {
@@ -192,7 +192,7 @@
 			s.Poke()
 			return true
 		},
-		OnCatalogue: func(full bool, upserts []catalogue.Upstream, removals []string) {
+		OnCatalogue: func(full bool, upserts []registry.Upstream, removals []string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if full {
@@ -225,7 +225,7 @@
 		if u.Stale {
 			mark = "?"
 		}
-		if u.State == catalogue.Draining {
+		if u.State == registry.Draining {
 			mark += "!"
 		}
 		list = append(list, u.Instance+mark)
@@ -312,7 +312,7 @@
 
 func TestNewsReachesAll(t *testing.T) {
 	mesh(t, "Upstreams and charters reach every sidecar at once, and each is counted", func(_ *network, m []*member, c []*sidecar) {
-		c[2].change(func() { c[2].up.State, c[2].up.Sequence = catalogue.Draining, 2 })
+		c[2].change(func() { c[2].up.State, c[2].up.Sequence = registry.Draining, 2 })
 		c[2].Poke()
 		pass(15 * ms)
 		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1 i-c2 i-c3!,i-c1 i-c2 i-c3!")
@@ -345,13 +345,13 @@
 		So(c[2].Peers()[0], ShouldEqual, "m3:1")
 
 		// A deregistration that reaches a member directly holds everywhere, against the sidecar that still renews.
-		So(m[0].Beat(catalogue.Upstream{Instance: "i-c2", State: catalogue.Gone}), ShouldBeNil)
+		So(m[0].Beat(registry.Upstream{Instance: "i-c2", State: registry.Gone}), ShouldBeNil)
 		pass(30 * ms)
 		So(c[2].sees(), ShouldEqual, "i-c1 i-c3!")
 		c[1].change(func() { c[1].up.Sequence++ })
 		pass(5 * time.Second)
 		So(c[1].sees(), ShouldEqual, "i-c1 i-c3!")
-		So(faultlist.Of(m[0].Beat(catalogue.Upstream{})), ShouldEqual, faultlist.Invalid)
+		So(faultlist.Of(m[0].Beat(registry.Upstream{})), ShouldEqual, faultlist.Invalid)
 	})
 }
 
@@ -433,7 +433,7 @@
 			n.sever("c3", name)
 		}
 		// The last renewal may be renewEvery old.
-		pass(catalogue.LeaseTime - renewEvery - ms)
+		pass(registry.LeaseTime - renewEvery - ms)
 		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
 		m[0].put(2)
 		So(m[0].WaitApplied(context.Background(), 2), ShouldEqual, 0)
@@ -443,11 +443,11 @@
 		So([]int{live, largest}, ShouldResemble, []int{1, 3})
 		So(c[2].Connected(), ShouldBeFalse)
 		// Its upstream finds a member by itself.
-		So(m[1].Beat(catalogue.Upstream{Instance: "i-c3", Service: "s-c3", Address: "c3:80", Sequence: 5}), ShouldBeNil)
+		So(m[1].Beat(registry.Upstream{Instance: "i-c3", Service: "s-c3", Address: "c3:80", Sequence: 5}), ShouldBeNil)
 		pass(30 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c1 i-c3")
 		So(c[0].inbound("i-c3"), ShouldEqual, "c3:90")
-		pass(catalogue.StaleTime + 3*time.Second)
+		pass(registry.StaleTime + 3*time.Second)
 		So(c[0].sees(), ShouldEqual, "i-c1")
 	})
 }
@@ -458,18 +458,18 @@
 		n.sever("m2:1", "m1:1")
 		pass(10 * time.Second)
 		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1 i-c2 i-c3,i-c1 i-c2 i-c3")
-		c[0].change(func() { c[0].up.State, c[0].up.Sequence = catalogue.Draining, 2 })
+		c[0].change(func() { c[0].up.State, c[0].up.Sequence = registry.Draining, 2 })
 		c[0].Poke()
 		pass(30 * ms)
 		So(c[1].sees(), ShouldEqual, "i-c1! i-c2 i-c3")
-		So(m[0].Beat(catalogue.Upstream{Instance: "i-c3", State: catalogue.Gone}), ShouldBeNil)
+		So(m[0].Beat(registry.Upstream{Instance: "i-c3", State: registry.Gone}), ShouldBeNil)
 		pass(time.Second)
 		So(c[1].sees(), ShouldEqual, "i-c1! i-c2")
 
 		// Away from all for so long that its leases are forgotten, a member is told them whole again.
 		n.sever("m3:1", "m2:1")
 		n.sever("m2:1", "m3:1")
-		pass(catalogue.LeaseTime + catalogue.BuriedTime + catalogue.StaleTime)
+		pass(registry.LeaseTime + registry.BuriedTime + registry.StaleTime)
 		So(c[0].sees()+","+c[1].sees(), ShouldEqual, "i-c1! i-c3,i-c2")
 		n.heal()
 		pass(2 * time.Second)
@@ -484,7 +484,7 @@
 		pass(15 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c2")
 		So(c[0].Peers()[0], ShouldEqual, "m1:1")
-		c[2].change(func() { c[2].up.State, c[2].up.Sequence = catalogue.Draining, 2 })
+		c[2].change(func() { c[2].up.State, c[2].up.Sequence = registry.Draining, 2 })
 		c[2].Poke()
 		pass(15 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c2")
@@ -496,7 +496,7 @@
 		So(err, ShouldBeNil)
 		pass(50 * ms)
 		So(m[0].watched(), ShouldEqual, 2)
-		c[1].change(func() { c[1].up.State, c[1].up.Sequence = catalogue.Draining, 2 })
+		c[1].change(func() { c[1].up.State, c[1].up.Sequence = registry.Draining, 2 })
 		c[1].Poke()
 		pass(15 * ms)
 		So(c[0].sees(), ShouldEqual, "i-c2!")
--- a/internal/mesh/circulation/gossip.go
+++ b/internal/mesh/circulation/gossip.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/registry"
 )
 
 const (
@@ -45,17 +45,17 @@
 }
 
 type waitingBeat struct {
-	up catalogue.Upstream
+	up registry.Upstream
 	at time.Duration
 }
 
 // lasts is how long the beat is worth telling: a deregistration as long as it is
 // remembered, any other as long as it vouches.
 func (b waitingBeat) lasts() time.Duration {
-	if b.up.State == catalogue.Gone {
-		return catalogue.BuriedTime
+	if b.up.State == registry.Gone {
+		return registry.BuriedTime
 	}
-	return catalogue.LeaseTime
+	return registry.LeaseTime
 }
 
 func newNeighbour(address string, cancel context.CancelFunc) *neighbour {
@@ -87,7 +87,7 @@
 	}
 }
 
-func (n *neighbour) tell(up catalogue.Upstream, now time.Duration) {
+func (n *neighbour) tell(up registry.Upstream, now time.Duration) {
 	if _, waits := n.beats[up.Instance]; waits || len(n.beats) < maxBeats {
 		n.beats[up.Instance] = waitingBeat{up, now}
 		n.rouse()
@@ -212,7 +212,7 @@
 		}
 	}
 	for _, b := range n.beats {
-		q.Beats = append(q.Beats, catalogue.Vouched{Upstream: b.up, Remaining: max(b.at+catalogue.LeaseTime-now, 0)})
+		q.Beats = append(q.Beats, registry.Vouched{Upstream: b.up, Remaining: max(b.at+registry.LeaseTime-now, 0)})
 	}
 	n.beats = map[string]waitingBeat{}
 	for address, other := range h.neighbours {
--- a/internal/mesh/circulation/hub.go
+++ b/internal/mesh/circulation/hub.go
@@ -9,9 +9,9 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/registry"
 )
 
 const (
@@ -72,7 +72,7 @@
 	done  chan struct{} // closed when Run ends
 
 	mu         sync.Mutex
-	table      *catalogue.Table
+	table      *registry.Table
 	watches    map[string]*watch
 	neighbours map[string]*neighbour
 	waiters    map[*waiter]struct{}
@@ -107,7 +107,7 @@
 		cfg:        cfg,
 		start:      time.Now(),
 		done:       make(chan struct{}),
-		table:      catalogue.New(cfg.Epoch),
+		table:      registry.New(cfg.Epoch),
 		watches:    map[string]*watch{},
 		neighbours: map[string]*neighbour{},
 		waiters:    map[*waiter]struct{}{},
@@ -189,7 +189,7 @@
 }
 
 // Upstreams lists all upstreams known here.
-func (h *Hub) Upstreams() []catalogue.Upstream {
+func (h *Hub) Upstreams() []registry.Upstream {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.table.Upstreams(h.now())
@@ -234,7 +234,7 @@
 
 // Beat takes a beat of an upstream that reached this member directly, and
 // tells the other members. A State of Gone is a deregistration.
-func (h *Hub) Beat(up catalogue.Upstream) error {
+func (h *Hub) Beat(up registry.Upstream) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
@@ -300,10 +300,10 @@
 	}
 }
 
-func (h *Hub) lease(_ *http.Request, l *catalogue.Lease) (*LeaseAnswer, error) {
+func (h *Hub) lease(_ *http.Request, l *registry.Lease) (*LeaseAnswer, error) {
 	inContact, version := h.cfg.InContact(), h.cfg.Charters.Current()
 	a := &LeaseAnswer{
-		TTL:    catalogue.LeaseTime.Seconds(),
+		TTL:    registry.LeaseTime.Seconds(),
 		Zone:   h.cfg.Zone,
 		Caught: inContact && l.Applied >= version,
 	}
--- a/internal/mesh/circulation/subscriber.go
+++ b/internal/mesh/circulation/subscriber.go
@@ -15,9 +15,9 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/registry"
 )
 
 const (
@@ -52,14 +52,14 @@
 	Client *http.Client
 	// State gives the Upstream, Applied and Leaving of this sidecar's lease,
 	// with the warm-up that is left now.
-	State func() catalogue.Lease
+	State func() registry.Lease
 	// Charter is the configuration version held. OnCharter applies a change or
 	// a whole configuration, passes over versions already held, and returns
 	// false to be sent the whole.
 	Charter   func() int64
 	OnCharter func(frame json.RawMessage) (ok bool)
 	// OnCatalogue takes upserts and removals; if full, the upserts replace all.
-	OnCatalogue func(full bool, upserts []catalogue.Upstream, removals []string)
+	OnCatalogue func(full bool, upserts []registry.Upstream, removals []string)
 	// Services names the services this sidecar calls; nil or none means all.
 	Services func() []string
 	// Of says of an address whether it may be kept to; nil: every core machine's may. One that follows others itself must not go round in a circle.
@@ -351,7 +351,7 @@
 }
 
 // lease makes the next lease to send. It is nil once the sidecar has left.
-func (s *Subscriber) lease(leave bool) *catalogue.Lease {
+func (s *Subscriber) lease(leave bool) *registry.Lease {
 	l := s.cfg.State()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -364,10 +364,10 @@
 	return &l
 }
 
-func (s *Subscriber) renew(ctx context.Context, address string, l *catalogue.Lease) (*LeaseAnswer, error) {
+func (s *Subscriber) renew(ctx context.Context, address string, l *registry.Lease) (*LeaseAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return desk.Call[catalogue.Lease, LeaseAnswer](ctx, s.cfg.Client, "http://"+address+leasePath, l)
+	return desk.Call[registry.Lease, LeaseAnswer](ctx, s.cfg.Client, "http://"+address+leasePath, l)
 }
 
 // learn takes what an answer says of the members. It reports whether a member
--- a/internal/mesh/circulation/wire.go
+++ b/internal/mesh/circulation/wire.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"time"
 
-	"caperarch/internal/mesh/catalogue"
+	"caperarch/internal/mesh/registry"
 )
 
 const (
@@ -88,9 +88,9 @@
 	Full   bool   `json:"full,omitempty"`
 	// Young says that the member may not have heard from everybody yet, so that
 	// what it does not list may well be there.
-	Young    bool                 `json:"young,omitempty"`
-	Upserts  []catalogue.Upstream `json:"upserts,omitempty"`
-	Removals []string             `json:"removals,omitempty"`
+	Young    bool                `json:"young,omitempty"`
+	Upserts  []registry.Upstream `json:"upserts,omitempty"`
+	Removals []string            `json:"removals,omitempty"`
 }
 
 type beatFrame struct {
@@ -103,11 +103,11 @@
 // gossip is what one member tells another. Unreached are the members the
 // sender does not reach: the receiver passes the news on to them.
 type gossip struct {
-	From      string              `json:"from"`
-	Unreached []string            `json:"unreached,omitempty"`
-	Leases    []catalogue.Remote  `json:"leases,omitempty"`
-	Renewals  []catalogue.Renewal `json:"renewals,omitempty"`
-	Beats     []catalogue.Vouched `json:"beats,omitempty"`
+	From      string             `json:"from"`
+	Unreached []string           `json:"unreached,omitempty"`
+	Leases    []registry.Remote  `json:"leases,omitempty"`
+	Renewals  []registry.Renewal `json:"renewals,omitempty"`
+	Beats     []registry.Vouched `json:"beats,omitempty"`
 }
 
 // gossipAnswer names the nodes whose lease has to be sent whole.
@@ -117,7 +117,7 @@
 }
 
 type rollAnswer struct {
-	Zone   string              `json:"zone,omitempty"`
-	Leases []catalogue.Remote  `json:"leases,omitempty"`
-	Beats  []catalogue.Vouched `json:"beats,omitempty"`
+	Zone   string             `json:"zone,omitempty"`
+	Leases []registry.Remote  `json:"leases,omitempty"`
+	Beats  []registry.Vouched `json:"beats,omitempty"`
 }
--- a/internal/mesh/controlplane/inspect.go
+++ b/internal/mesh/controlplane/inspect.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/registry"
 	"caperarch/librarian"
 )
 
@@ -58,7 +58,7 @@
 		})
 	}
 	roll, err := desk.Call[struct{}, struct {
-		Leases []catalogue.Remote `json:"leases"`
+		Leases []registry.Remote `json:"leases"`
 	}](ctx, s.client, "http://"+s.set.Internal()+rollPath, &struct{}{})
 	asked.Wait()
 	if err != nil {
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -14,12 +14,12 @@
 
 	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/branch"
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registrar"
+	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/settings"
 
@@ -186,11 +186,11 @@
 func (s *Stacks) read(ctx context.Context) {
 	news := circulation.NewSubscriber(circulation.SubscriberConfig{
 		Node: s.set.Self.NodeName, Life: uint64(s.start.UnixNano()), Zone: s.set.Self.Zone, Seeds: s.roster.known().Members, Client: s.client,
-		State:   func() catalogue.Lease { return catalogue.Lease{Zone: s.set.Self.Zone, Applied: s.minutes.Current()} },
+		State:   func() registry.Lease { return registry.Lease{Zone: s.set.Self.Zone, Applied: s.minutes.Current()} },
 		Charter: s.minutes.Current, OnCharter: func(frame json.RawMessage) bool {
 			defer func() { s.news.Load().Poke() }()
 			return s.minutes.follow(frame)
-		}, OnCatalogue: func(bool, []catalogue.Upstream, []string) {},
+		}, OnCatalogue: func(bool, []registry.Upstream, []string) {},
 		Of: func(address string) bool { return slices.Contains(s.roster.known().Members, address) }, Log: s.log,
 	})
 	s.news.Store(news)
@@ -332,7 +332,7 @@
 }
 
 // Beat takes a heartbeat that reached a core machine, as the sidecar beside its upstream did not take it.
-func (s *Stacks) Beat(u catalogue.Upstream) error {
+func (s *Stacks) Beat(u registry.Upstream) error {
 	if host, _, err := net.SplitHostPort(u.Address); err == nil {
 		for _, known := range s.hub.Upstreams() {
 			if h, _, err := net.SplitHostPort(known.Inbound); err == nil && h == host {
@@ -345,5 +345,5 @@
 
 // Deregister takes that an instance has ended.
 func (s *Stacks) Deregister(instance string) error {
-	return s.hub.Beat(catalogue.Upstream{Instance: instance, State: catalogue.Gone})
+	return s.hub.Beat(registry.Upstream{Instance: instance, State: registry.Gone})
 }
--- a/internal/mesh/enquiry/enquiry_test.go
+++ b/internal/mesh/enquiry/enquiry_test.go
@@ -16,10 +16,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/controlplane"
 	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 )
 
@@ -100,9 +100,9 @@
 		// A sidecar with its upstream, and an upstream that reached the core alone.
 		client := desk.NewClient(time.Second)
 		defer client.CloseIdleConnections()
-		_, err = desk.Call[catalogue.Lease, circulation.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &catalogue.Lease{
+		_, err = desk.Call[registry.Lease, circulation.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &registry.Lease{
 			Node: "side-1", Life: 1, Sequence: 1, Zone: "a", Applied: 5,
-			Upstream: &catalogue.Upstream{Instance: "i-1", Service: "tea", Address: "10.0.0.1:80", Inbound: "10.0.0.1:81", Zone: "a", Slots: 4, Sequence: 1},
+			Upstream: &registry.Upstream{Instance: "i-1", Service: "tea", Address: "10.0.0.1:80", Inbound: "10.0.0.1:81", Zone: "a", Slots: 4, Sequence: 1},
 		})
 		So(err, ShouldBeNil)
 		res, err := client.Post("http://"+at+"/api/instances/i-2/heartbeat", "", strings.NewReader(
--- a/internal/mesh/registrar/registrar.go
+++ b/internal/mesh/registrar/registrar.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"net/http"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/registry"
 )
 
 const (
@@ -46,16 +46,16 @@
 }
 
 // Upstream is what a beat says of an instance.
-func (b *Beat) Upstream(instance string) (catalogue.Upstream, error) {
-	u := catalogue.Upstream{
+func (b *Beat) Upstream(instance string) (registry.Upstream, error) {
+	u := registry.Upstream{
 		Instance: instance, Service: b.NodeInfo.ServiceName, Address: b.Address, Zone: b.NodeInfo.Zone, Version: b.NodeInfo.ConfigVersion, Slots: b.NodeInfo.CapacitySlots,
 		WarmupRemaining: b.Status.WarmupRemainingS, Sequence: b.Status.CallSequence,
 	}
 	switch b.Status.State {
 	case "ready":
-		u.State = catalogue.Ready
+		u.State = registry.Ready
 	case "draining":
-		u.State = catalogue.Draining
+		u.State = registry.Draining
 	default:
 		return u, faultlist.New(faultlist.Invalid, "status.state: %.32q is neither ready nor draining", b.Status.State)
 	}
@@ -68,7 +68,7 @@
 // Register takes what upstreams say.
 type Register interface {
 	// Beat takes a heartbeat. With no error it is acknowledged: what it says holds from now on.
-	Beat(u catalogue.Upstream) error
+	Beat(u registry.Upstream) error
 	// Deregister takes that an instance has ended.
 	Deregister(instance string) error
 }
--- a/internal/mesh/registrar/registrar_test.go
+++ b/internal/mesh/registrar/registrar_test.go
@@ -10,19 +10,19 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/registry"
 )
 
 // register keeps what it was told, and answers with its error.
 type register struct {
-	beats []catalogue.Upstream
+	beats []registry.Upstream
 	gone  []string
 	err   error
 }
 
-func (r *register) Beat(u catalogue.Upstream) error {
+func (r *register) Beat(u registry.Upstream) error {
 	r.beats = append(r.beats, u)
 	return r.err
 }
@@ -66,11 +66,11 @@
 		status, body := call(mux, "POST", path, beat)
 		So(status, ShouldEqual, 200)
 		So(body, ShouldEqual, "{}")
-		want := catalogue.Upstream{Instance: "i-7f3a91c2", Service: "huvo11a", Address: "10.128.0.9:8080", Zone: "hall-a", Version: "v1", Slots: 9, WarmupRemaining: 0.5, Sequence: 4}
-		So(to.beats, ShouldResemble, []catalogue.Upstream{want})
+		want := registry.Upstream{Instance: "i-7f3a91c2", Service: "huvo11a", Address: "10.128.0.9:8080", Zone: "hall-a", Version: "v1", Slots: 9, WarmupRemaining: 0.5, Sequence: 4}
+		So(to.beats, ShouldResemble, []registry.Upstream{want})
 		status, _ = call(mux, "POST", path, strings.Replace(beat, "ready", "draining", 1))
 		So(status, ShouldEqual, 200)
-		want.State = catalogue.Draining
+		want.State = registry.Draining
 		So(to.beats[1], ShouldResemble, want)
 		status, _ = call(mux, "POST", "/api/instances/i-7f3a91c2/deregister", "")
 		So(status, ShouldEqual, 200)
--- a/internal/mesh/catalogue/table.go
+++ b/internal/mesh/registry/table.go
@@ -1,4 +1,4 @@
-package catalogue
+package registry
 
 import (
 	"slices"
--- a/internal/mesh/catalogue/upstream.go
+++ b/internal/mesh/registry/upstream.go
@@ -1,7 +1,7 @@
-// Package catalogue is the list of who is there: the sidecars' leases and the
+// Package registry is the list of who is there: the sidecars' leases and the
 // upstreams beside them. It is a pure state machine: time comes in as a
 // steady-clock offset, and nothing here waits, sends or stores.
-package catalogue
+package registry
 
 import (
 	"time"
--- a/internal/rig/hollow/hollow.go
+++ b/internal/rig/hollow/hollow.go
@@ -15,10 +15,10 @@
 
 	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/branch"
-	"caperarch/internal/mesh/catalogue"
 	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/registry"
 
 	"go.uber.org/zap"
 )
@@ -88,13 +88,13 @@
 	fleet    *Fleet
 	node     string
 	zone     string
-	upstream catalogue.Upstream
+	upstream registry.Upstream
 	client   *http.Client
 	news     *circulation.Subscriber
 	charter  atomic.Pointer[config.Charter]
 
 	mu  sync.Mutex
-	all map[string]catalogue.Upstream
+	all map[string]registry.Upstream
 }
 
 // New makes a fleet; Run sets it going.
@@ -104,11 +104,11 @@
 	for i := range cfg.Count {
 		zone := cfg.Zones[i%len(cfg.Zones)]
 		host := fmt.Sprintf("10.%d.%d.%d", 1+i%len(cfg.Zones), i/250, 1+i%250)
-		s := &sidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: desk.NewClient(dialTimeout), all: make(map[string]catalogue.Upstream)}
+		s := &sidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: desk.NewClient(dialTimeout), all: make(map[string]registry.Upstream)}
 		s.charter.Store(config.Empty())
-		s.upstream = catalogue.Upstream{
+		s.upstream = registry.Upstream{
 			Instance: fmt.Sprintf("i-%08x%08x", i, i), Service: serviceName(i % cfg.Services), Address: host + ":8103", Node: s.node, Inbound: host + ":8109",
-			Zone: zone, Region: "kochi", Version: "1.4.2", Slots: 24, State: catalogue.Ready, Sequence: 1,
+			Zone: zone, Region: "kochi", Version: "1.4.2", Slots: 24, State: registry.Ready, Sequence: 1,
 		}
 		var called func() []string
 		if cfg.Called > 0 {
@@ -191,10 +191,10 @@
 	return r
 }
 
-func (s *sidecar) state() catalogue.Lease {
+func (s *sidecar) state() registry.Lease {
 	s.fleet.renewals.Add(1)
 	u := s.upstream
-	return catalogue.Lease{Zone: s.zone, Applied: s.charter.Load().Version(), Upstream: &u}
+	return registry.Lease{Zone: s.zone, Applied: s.charter.Load().Version(), Upstream: &u}
 }
 
 // take applies a configuration as a real sidecar does, and notes when it came and when it was in force.
@@ -237,7 +237,7 @@
 	f.versions[version] = a
 }
 
-func (s *sidecar) catalogue(full bool, upserts []catalogue.Upstream, removals []string) {
+func (s *sidecar) catalogue(full bool, upserts []registry.Upstream, removals []string) {
 	if s.fleet.cfg.Share {
 		return
 	}
