Rename package circulation to watch

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else. Measured: builds and vets as before.

--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/branch/branch.go
@@ -20,7 +20,6 @@
 	fronthttp1 "caperarch/internal/front/http1"
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/carrel"
-	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/desk"
@@ -30,6 +29,7 @@
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
+	"caperarch/internal/mesh/watch"
 	"caperarch/internal/transport/http1"
 	"caperarch/policy"
 
@@ -71,7 +71,7 @@
 	charter atomic.Pointer[config.Charter]
 	shelves *shelves
 	quota   *quota
-	news    *circulation.Subscriber
+	news    *watch.Subscriber
 	life    uint64
 
 	in       *inbound
@@ -91,7 +91,7 @@
 	}
 	slices.Sort(zones)
 	b.shelves = newShelves(zones, set.Network.ListenAddresses.Inbound)
-	b.news = circulation.NewSubscriber(circulation.SubscriberConfig{
+	b.news = watch.NewSubscriber(watch.SubscriberConfig{
 		Node: set.Self.NodeName, Life: b.life, Zone: set.Self.Zone, Seeds: set.Seeds(), Client: b.client, State: b.lease, Charter: func() int64 { return b.charter.Load().Version() },
 		OnCharter: b.take, OnCatalogue: b.catalogue, Log: log,
 	})
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -14,7 +14,6 @@
 
 	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/branch"
-	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
@@ -22,6 +21,7 @@
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/watch"
 
 	"go.uber.org/zap"
 )
@@ -49,9 +49,9 @@
 	client  *http.Client
 	start   time.Time
 	roster  *roster
-	node    atomic.Pointer[replication.Node]       // nil: not yet, or a reader
-	news    atomic.Pointer[circulation.Subscriber] // of a reader
-	hub     *circulation.Hub
+	node    atomic.Pointer[replication.Node] // nil: not yet, or a reader
+	news    atomic.Pointer[watch.Subscriber] // of a reader
+	hub     *watch.Hub
 	minutes *minutes
 
 	mu     sync.Mutex
@@ -104,7 +104,7 @@
 	life, stop := context.WithCancel(ctx)
 	defer stop()
 	self := s.set.Internal()
-	s.hub = circulation.NewHub(circulation.HubConfig{
+	s.hub = watch.NewHub(watch.HubConfig{
 		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: s.roster.all,
 		InContact: s.inContact, Sequencer: func() string { id, _ := s.sequencer(); return id }, Charters: s.minutes, Client: s.client, Log: s.log,
 	})
@@ -184,7 +184,7 @@
 
 // read has this machine follow the configuration, as sidecars do.
 func (s *Stacks) read(ctx context.Context) {
-	news := circulation.NewSubscriber(circulation.SubscriberConfig{
+	news := watch.NewSubscriber(watch.SubscriberConfig{
 		Node: s.set.Self.NodeName, Life: uint64(s.start.UnixNano()), Zone: s.set.Self.Zone, Seeds: s.roster.known().Members, Client: s.client,
 		State:   func() registry.Lease { return registry.Lease{Zone: s.set.Self.Zone, Applied: s.minutes.Current()} },
 		Charter: s.minutes.Current, OnCharter: func(frame json.RawMessage) bool {
--- a/internal/mesh/enquiry/enquiry_test.go
+++ b/internal/mesh/enquiry/enquiry_test.go
@@ -16,11 +16,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/controlplane"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/watch"
 )
 
 // coreSettings are of a core machine that is alone: its address, the mesh's port and the data directory are filled in.
@@ -100,7 +100,7 @@
 		// A sidecar with its upstream, and an upstream that reached the core alone.
 		client := desk.NewClient(time.Second)
 		defer client.CloseIdleConnections()
-		_, err = desk.Call[registry.Lease, circulation.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &registry.Lease{
+		_, err = desk.Call[registry.Lease, watch.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &registry.Lease{
 			Node: "side-1", Life: 1, Sequence: 1, Zone: "a", Applied: 5,
 			Upstream: &registry.Upstream{Instance: "i-1", Service: "tea", Address: "10.0.0.1:80", Inbound: "10.0.0.1:81", Zone: "a", Slots: 4, Sequence: 1},
 		})
--- a/internal/mesh/circulation/subscriber.go
+++ b/internal/mesh/watch/subscriber.go
@@ -1,4 +1,4 @@
-package circulation
+package watch
 
 import (
 	"bytes"
--- a/internal/mesh/circulation/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -1,7 +1,7 @@
-// Package circulation is how news reaches the sidecars: the Hub of a core
+// Package watch is how news reaches the sidecars: the Hub of a core
 // member, which holds the leases and pushes what changed, and the Subscriber
 // of a sidecar, which keeps to one core member at a time.
-package circulation
+package watch
 
 import (
 	"encoding/json"
--- a/internal/rig/hollow/hollow.go
+++ b/internal/rig/hollow/hollow.go
@@ -15,10 +15,10 @@
 
 	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/branch"
-	"caperarch/internal/mesh/circulation"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/watch"
 
 	"go.uber.org/zap"
 )
@@ -90,7 +90,7 @@
 	zone     string
 	upstream registry.Upstream
 	client   *http.Client
-	news     *circulation.Subscriber
+	news     *watch.Subscriber
 	charter  atomic.Pointer[config.Charter]
 
 	mu  sync.Mutex
@@ -118,7 +118,7 @@
 			}
 			called = func() []string { return names }
 		}
-		s.news = circulation.NewSubscriber(circulation.SubscriberConfig{
+		s.news = watch.NewSubscriber(watch.SubscriberConfig{
 			Node: s.node, Life: life, Zone: zone, Seeds: cfg.Seeds, Client: s.client, State: s.state, Charter: func() int64 { return s.charter.Load().Version() },
 			OnCharter: s.take, OnCatalogue: s.catalogue, Services: called, Log: zap.NewNop(),
 		})
