Rename package branch to sidecar

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -11,11 +11,11 @@
 	"runtime/debug"
 	"syscall"
 
-	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/controlplane"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/enquiry"
 	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/sidecar"
 
 	"go.uber.org/zap/zapcore"
 )
@@ -87,7 +87,7 @@
 		}
 	}()
 	if role == "branch" {
-		err = branch.Run(ctx, set, reload, log)
+		err = sidecar.Run(ctx, set, reload, log)
 	} else {
 		go func() { // the members are known from the disk
 			for range reload {
--- a/internal/mesh/controlplane/minutes.go
+++ b/internal/mesh/controlplane/minutes.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"sync"
 
-	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/sidecar"
 
 	"go.uber.org/zap"
 )
@@ -167,7 +167,7 @@
 // follow takes a frame that another core machine pushed, where no log is held here; false: the whole is needed.
 func (m *minutes) follow(frame json.RawMessage) bool {
 	held := m.current()
-	next, err := branch.Take(held, frame)
+	next, err := sidecar.Take(held, frame)
 	if err != nil {
 		m.log.Warn("a configuration that does not follow", zap.Error(err))
 		return false
@@ -184,7 +184,7 @@
 
 // continued is the changes that are kept with a frame's that led on from a version; none where it was whole. The caller holds the lock.
 func (m *minutes) continued(from int64, frame json.RawMessage) []*config.Change {
-	var f branch.Frame
+	var f sidecar.Frame
 	if json.Unmarshal(frame, &f) != nil || f.Whole != nil {
 		return nil
 	}
@@ -240,7 +240,7 @@
 		if change.Base() != version {
 			continue
 		}
-		f := branch.Frame{Version: m.charter.Version()}
+		f := sidecar.Frame{Version: m.charter.Version()}
 		for _, change := range m.kept[i:] {
 			f.Changes = append(f.Changes, change.Bytes())
 		}
@@ -249,7 +249,7 @@
 	return nil, false
 }
 
-func (m *minutes) frames(f branch.Frame) ([]json.RawMessage, bool) {
+func (m *minutes) frames(f sidecar.Frame) ([]json.RawMessage, bool) {
 	data, err := json.Marshal(f)
 	if err != nil {
 		m.log.Error("a frame that can't be written", zap.Error(err))
@@ -269,7 +269,7 @@
 		m.log.Error("a configuration that can't be written", zap.Error(err))
 		return nil
 	}
-	frames, ok := m.frames(branch.Frame{Version: c.Version(), Whole: whole})
+	frames, ok := m.frames(sidecar.Frame{Version: c.Version(), Whole: whole})
 	if !ok {
 		return nil
 	}
--- a/internal/mesh/controlplane/minutes_test.go
+++ b/internal/mesh/controlplane/minutes_test.go
@@ -12,9 +12,9 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
-	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/sidecar"
 )
 
 // put is a change to a version that builds on another, with services of these names in place of all.
@@ -138,7 +138,7 @@
 		settle(m)
 		held := m.current()
 		for _, frame := range []json.RawMessage{old, m.Whole()} {
-			next, err := branch.Take(held, frame)
+			next, err := sidecar.Take(held, frame)
 			So(err, ShouldBeNil)
 			So(next, ShouldPointTo, held)
 		}
@@ -150,7 +150,7 @@
 			`{"version":9}`,
 			`{"version":9,"changes":[` + string(put(7, 5, "c").Bytes()) + `]}`,
 		} {
-			next, err := branch.Take(held, json.RawMessage(frame))
+			next, err := sidecar.Take(held, json.RawMessage(frame))
 			if err == nil && next.Version() != 9 {
 				wrong = append(wrong, fmt.Sprintf("%s led from 5 to %d", frame, next.Version()))
 			}
@@ -209,7 +209,7 @@
 			}
 			for _, frame := range append(frames, frames...) { // twice does no harm
 				var err error
-				if held, err = branch.Take(held, frame); err != nil {
+				if held, err = sidecar.Take(held, frame); err != nil {
 					t.Fatalf("from %d on: %v", history[i].Version(), err)
 				}
 			}
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"caperarch/internal/mesh/allowance"
-	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
@@ -21,6 +20,7 @@
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/sidecar"
 	"caperarch/internal/mesh/watch"
 
 	"go.uber.org/zap"
@@ -112,7 +112,7 @@
 	s.serveFounding(inside)
 	replication.Register(inside, s.node.Load)
 	s.hub.Register(inside)
-	desk.Handle(inside, branch.DealPath, dealLimit, s.deal)
+	desk.Handle(inside, sidecar.DealPath, dealLimit, s.deal)
 	for _, whole := range []bool{true, false} {
 		desk.Raw(inside, proposeAt(whole), registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
 			change, err := read(whole, body)
@@ -219,14 +219,14 @@
 func (s *Stacks) now() time.Duration { return time.Since(s.start) }
 
 // deal deals tokens where this member is the sequencer, whose duty that is; the epoch is its view. Else the ask goes on to it.
-func (s *Stacks) deal(r *http.Request, q *branch.DealAsk) (*branch.Dealt, error) {
+func (s *Stacks) deal(r *http.Request, q *sidecar.DealAsk) (*sidecar.Dealt, error) {
 	sequencer, view := s.sequencer()
 	if sequencer != s.set.Internal() {
 		if sequencer == "" || q.Passed {
 			return nil, faultlist.New(faultlist.NotSequencer, "nobody deals here")
 		}
 		q.Passed = true
-		return desk.Call[branch.DealAsk, branch.Dealt](r.Context(), s.client, "http://"+sequencer+branch.DealPath, q)
+		return desk.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+sequencer+sidecar.DealPath, q)
 	}
 	if !s.inContact() {
 		return nil, faultlist.New(faultlist.NoQuorum, "this view may be over")
@@ -235,14 +235,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if err := s.dealer.Configure(now, branch.Limits(s.minutes.current()), max(1, live, largest)); err != nil {
+	if err := s.dealer.Configure(now, sidecar.Limits(s.minutes.current()), max(1, live, largest)); err != nil {
 		return nil, err
 	}
 	grants, closed, err := s.dealer.Deal(now, view, q.Node, q.Asks)
 	if err != nil {
 		return nil, err
 	}
-	return &branch.Dealt{Epoch: view, Grants: grants, Closed: closed}, nil
+	return &sidecar.Dealt{Epoch: view, Grants: grants, Closed: closed}, nil
 }
 
 // Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
--- a/internal/mesh/branch/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -1,6 +1,6 @@
-// Package branch is a sidecar of the mesh: the way out for requests that begin on its machine, the gate for those that are for the upstream beside it, and what it tells the core and
+// Package sidecar is a sidecar of the mesh: the way out for requests that begin on its machine, the gate for those that are for the upstream beside it, and what it tells the core and
 // hears from it. It wires; decisions are the porter's and the carrel's.
-package branch
+package sidecar
 
 import (
 	"context"
--- a/internal/mesh/branch/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -1,4 +1,4 @@
-package branch
+package sidecar
 
 import (
 	"cmp"
--- a/internal/rig/hollow/hollow.go
+++ b/internal/rig/hollow/hollow.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"caperarch/internal/mesh/allowance"
-	"caperarch/internal/mesh/branch"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/sidecar"
 	"caperarch/internal/mesh/watch"
 
 	"go.uber.org/zap"
@@ -70,7 +70,7 @@
 // Fleet is the sidecars.
 type Fleet struct {
 	cfg      Config
-	all      []*sidecar
+	all      []*hollowSidecar
 	renewals atomic.Uint64
 	asks     atomic.Uint64
 	failed   atomic.Uint64
@@ -83,8 +83,8 @@
 	stop     context.CancelFunc // of the asking; nil: nobody asks
 }
 
-// sidecar is one of them.
-type sidecar struct {
+// hollowSidecar is one of them.
+type hollowSidecar struct {
 	fleet    *Fleet
 	node     string
 	zone     string
@@ -104,7 +104,7 @@
 	for i := range cfg.Count {
 		zone := cfg.Zones[i%len(cfg.Zones)]
 		host := fmt.Sprintf("10.%d.%d.%d", 1+i%len(cfg.Zones), i/250, 1+i%250)
-		s := &sidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: desk.NewClient(dialTimeout), all: make(map[string]registry.Upstream)}
+		s := &hollowSidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: desk.NewClient(dialTimeout), all: make(map[string]registry.Upstream)}
 		s.charter.Store(config.Empty())
 		s.upstream = registry.Upstream{
 			Instance: fmt.Sprintf("i-%08x%08x", i, i), Service: serviceName(i % cfg.Services), Address: host + ":8103", Node: s.node, Inbound: host + ":8109",
@@ -191,14 +191,14 @@
 	return r
 }
 
-func (s *sidecar) state() registry.Lease {
+func (s *hollowSidecar) state() registry.Lease {
 	s.fleet.renewals.Add(1)
 	u := s.upstream
 	return registry.Lease{Zone: s.zone, Applied: s.charter.Load().Version(), Upstream: &u}
 }
 
 // take applies a configuration as a real sidecar does, and notes when it came and when it was in force.
-func (s *sidecar) take(frame json.RawMessage) bool {
+func (s *hollowSidecar) take(frame json.RawMessage) bool {
 	arrived := time.Now().UnixNano()
 	held := s.charter.Load()
 	next, err := s.fleet.apply(held, frame)
@@ -216,11 +216,11 @@
 // apply is the charter after a frame.
 func (f *Fleet) apply(held *config.Charter, frame json.RawMessage) (*config.Charter, error) {
 	if !f.cfg.Share {
-		return branch.Take(held, frame)
+		return sidecar.Take(held, frame)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next, err := branch.Take(f.shared, frame)
+	next, err := sidecar.Take(f.shared, frame)
 	if err == nil {
 		f.shared = next
 	}
@@ -237,7 +237,7 @@
 	f.versions[version] = a
 }
 
-func (s *sidecar) catalogue(full bool, upserts []registry.Upstream, removals []string) {
+func (s *hollowSidecar) catalogue(full bool, upserts []registry.Upstream, removals []string) {
 	if s.fleet.cfg.Share {
 		return
 	}
@@ -255,7 +255,7 @@
 }
 
 // ask asks for tokens until ctx ends, from a moment of its own on.
-func (s *sidecar) ask(ctx context.Context, every time.Duration) {
+func (s *hollowSidecar) ask(ctx context.Context, every time.Duration) {
 	asks := make([]allowance.Ask, 0, len(s.fleet.cfg.Tenants))
 	for _, tenant := range s.fleet.cfg.Tenants {
 		asks = append(asks, allowance.Ask{Tenant: tenant, Want: 1.5})
@@ -291,13 +291,13 @@
 	}
 }
 
-func (s *sidecar) askOnce(ctx context.Context, asks []allowance.Ask) error {
+func (s *hollowSidecar) askOnce(ctx context.Context, asks []allowance.Ask) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	peers := s.news.Peers()
 	if len(peers) == 0 {
 		return context.DeadlineExceeded
 	}
-	_, err := desk.Call[branch.DealAsk, branch.Dealt](ctx, s.client, "http://"+peers[0]+branch.DealPath, &branch.DealAsk{Node: s.node, Asks: asks})
+	_, err := desk.Call[sidecar.DealAsk, sidecar.Dealt](ctx, s.client, "http://"+peers[0]+sidecar.DealPath, &sidecar.DealAsk{Node: s.node, Asks: asks})
 	return err
 }
