Rename package porter to balancer

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else. Measured: builds and vets as before.

--- a/internal/mesh/porter/porter.go
+++ b/internal/mesh/balancer/porter.go
@@ -1,9 +1,9 @@
-// Package porter decides, at the sidecar beside a caller, when and where each request goes: it is an engine's decision module, free of I/O, with time passed in.
+// Package balancer decides, at the sidecar beside a caller, when and where each request goes: it is an engine's decision module, free of I/O, with time passed in.
 //
 // The design is the bulkhead's: each tenant, and each service for requests without one, has a compartment of its own, a semaphore of slots with a short queue; who finds both full is
 // refused at once. A slot is held for an attempt's life. The upstream is the one whose turn it is by smooth weighted round robin over those that are ready, weighted by the slots that
 // they report. What this sidecar knows of them beyond the catalogue is what their gates told with the last answers: one that is full loses its turn.
-package porter
+package balancer
 
 import (
 	"cmp"
--- a/internal/mesh/porter/porter_test.go
+++ b/internal/mesh/balancer/porter_test.go
@@ -1,4 +1,4 @@
-package porter
+package balancer
 
 import (
 	"fmt"
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -19,12 +19,12 @@
 	"caperarch/internal/engine"
 	fronthttp1 "caperarch/internal/front/http1"
 	"caperarch/internal/h1"
+	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/carrel"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
-	"caperarch/internal/mesh/porter"
 	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
@@ -120,7 +120,7 @@
 	b.outer, err = engine.New(engine.Config{
 		Policy: policy.Config{MaxAttempts: mostSends}, Seed: seed.Sum64(), Clock: b.clock, Transport: network{links}, Log: logs, Silent: true, Sleeps: true,
 		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
-			return porter.New(porter.Config{Zone: b.shelves.zones[b.set.Self.Zone], Members: b.members, Budget: b.quota}, host), nil
+			return balancer.New(balancer.Config{Zone: b.shelves.zones[b.set.Self.Zone], Members: b.members, Budget: b.quota}, host), nil
 		},
 	})
 	if err != nil {
--- a/internal/mesh/sidecar/branch_test.go
+++ b/internal/mesh/sidecar/branch_test.go
@@ -15,10 +15,10 @@
 	"caperarch/internal/clock"
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
+	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/carrel"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
-	"caperarch/internal/mesh/porter"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
@@ -83,10 +83,10 @@
 		q, left, bad := d.Read(h)
 		So(bad, ShouldBeNil)
 		So(left, ShouldEqual, 900*time.Millisecond)
-		o := *q.Terms.(*porter.Order)
+		o := *q.Terms.(*balancer.Order)
 		So(o.Wall.Share, ShouldBeBetween, 0, 0.5)
 		o.Wall.Share = 0
-		So(o, ShouldResemble, porter.Order{Wall: porter.Wall{Name: "tenant bozi300"}, Tenant: "bozi300", Rank: 1, Attempts: 2, Aim: 300 * time.Millisecond})
+		So(o, ShouldResemble, balancer.Order{Wall: balancer.Wall{Name: "tenant bozi300"}, Tenant: "bozi300", Rank: 1, Attempts: 2, Aim: 300 * time.Millisecond})
 		So(d.Ahead(&q), ShouldBeFalse)
 		fields := h.EndToEnd()
 		d.Pass(&q, fields)
@@ -195,12 +195,12 @@
 		o.b.shelves.tell(registry.Upstream{Instance: "i-1", Service: "huvo11a", Slots: 9})
 		q, _, bad := d.Read(request("GET /check/ HTTP/1.1\r\nHost: hulo84.example", id))
 		So(bad, ShouldBeNil)
-		So(q.Terms.(*porter.Order).Rank, ShouldEqual, 0)
-		So(q.Terms.(*porter.Order).Wall.Name, ShouldEqual, "checks of kafi81c")
-		So(q.Terms.(*porter.Order).Wall.Least, ShouldEqual, 27)
+		So(q.Terms.(*balancer.Order).Rank, ShouldEqual, 0)
+		So(q.Terms.(*balancer.Order).Wall.Name, ShouldEqual, "checks of kafi81c")
+		So(q.Terms.(*balancer.Order).Wall.Least, ShouldEqual, 27)
 		q, _, _ = d.Read(request("GET /open/ HTTP/1.1\r\nHost: hulo84.example", id))
-		So(q.Terms.(*porter.Order).Wall.Name, ShouldEqual, "service kafi81c")
-		So(q.Terms.(*porter.Order).Rank, ShouldBeGreaterThan, 0)
+		So(q.Terms.(*balancer.Order).Wall.Name, ShouldEqual, "service kafi81c")
+		So(q.Terms.(*balancer.Order).Rank, ShouldBeGreaterThan, 0)
 	})
 }
 
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -12,8 +12,8 @@
 	"caperarch/internal/call"
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
+	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/porter"
 	"caperarch/internal/mesh/slip"
 	"caperarch/policy"
 )
@@ -43,7 +43,7 @@
 }
 
 func (o *outbound) dialect() *http1.Dialect {
-	return &http1.Dialect{Read: o.read, Pass: o.pass, Ahead: func(q *policy.Request) bool { return q.Terms.(*porter.Order).Safe }, Own: func(h *h1.Head, _ *call.Answer) http.Header {
+	return &http1.Dialect{Read: o.read, Pass: o.pass, Ahead: func(q *policy.Request) bool { return q.Terms.(*balancer.Order).Safe }, Own: func(h *h1.Head, _ *call.Answer) http.Header {
 		if id := h.Get(slip.AttemptID); id != "" {
 			return http.Header{slip.AttemptID: {id}}
 		}
@@ -95,7 +95,7 @@
 		aim = standardAim
 	}
 	service := target(route)
-	wall := porter.Wall{Name: "service " + service, Share: o.b.shelves.share(service)}
+	wall := balancer.Wall{Name: "service " + service, Share: o.b.shelves.share(service)}
 	if c.HasTenants() && !route.Public {
 		tenant := c.Tenant(h.Get(slip.Key))
 		if tenant == nil {
@@ -105,7 +105,7 @@
 		if tenant.Priority >= 0 {
 			rank = tenant.Priority
 		}
-		wall = porter.Wall{Name: "tenant " + tenant.Name, Share: o.share(c, tenant.Name)}
+		wall = balancer.Wall{Name: "tenant " + tenant.Name, Share: o.share(c, tenant.Name)}
 		if pause, ok := o.b.quota.take(tenant.Name); !ok {
 			return policy.Request{}, 0, &http1.Rejection{Status: http.StatusTooManyRequests, Reason: "over the quota", Keep: true, Pause: pause}
 		}
@@ -115,7 +115,7 @@
 		rank = 0
 		wall.Name, wall.Least = "checks of "+service, callsOfRun*o.b.shelves.slotsBeside()
 	}
-	return policy.Request{Terms: &porter.Order{
+	return policy.Request{Terms: &balancer.Order{
 		Service: o.b.shelves.number(service), Wall: wall, Tenant: name, Rank: min(max(0, rank), lowestRank), Safe: route.Idempotent, Attempts: route.MaxAttempts, Aim: aim,
 	}}, left, nil
 }
@@ -191,7 +191,7 @@
 // pass changes what goes on: what only the system may say is its own, the key stays here.
 func (o *outbound) pass(q *policy.Request, fields http.Header) {
 	slip.Strip(fields)
-	order := q.Terms.(*porter.Order)
+	order := q.Terms.(*balancer.Order)
 	fields[slip.Caller] = o.caller
 	if order.Tenant != "" {
 		fields[slip.Tenant] = []string{order.Tenant}
