Rename package carrel to gate

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/internal/mesh/carrel/carrel.go
+++ b/internal/mesh/gate/carrel.go
@@ -1,4 +1,4 @@
-// Package carrel is the gate beside an upstream: a decision module that all requests for the one upstream on this
+// Package gate is the gate beside an upstream: a decision module that all requests for the one upstream on this
 // machine pass through, from all sidecars of the mesh. As nobody else reaches the upstream, the gate knows how many
 // of its slots are busy.
 //
@@ -8,7 +8,7 @@
 //
 // A Gate has no goroutines, no clock and no I/O. It is driven like policy.Balancer, by one goroutine; only Load and
 // Mean may be called from others.
-package carrel
+package gate
 
 import (
 	"cmp"
--- a/internal/mesh/carrel/carrel_test.go
+++ b/internal/mesh/gate/carrel_test.go
@@ -1,4 +1,4 @@
-package carrel
+package gate
 
 import (
 	"fmt"
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -20,11 +20,11 @@
 	fronthttp1 "caperarch/internal/front/http1"
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/balancer"
-	"caperarch/internal/mesh/carrel"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
@@ -129,7 +129,7 @@
 	b.inner, err = engine.New(engine.Config{
 		Policy: policy.Config{MaxAttempts: 1}, Seed: seed.Sum64(), Clock: b.clock, Transport: beside, Log: logs, Silent: true, Sleeps: true,
 		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
-			b.in.gate = carrel.New(host)
+			b.in.gate = gate.New(host)
 			return b.in.gate, nil
 		},
 	})
--- a/internal/mesh/sidecar/branch_test.go
+++ b/internal/mesh/sidecar/branch_test.go
@@ -16,9 +16,9 @@
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/balancer"
-	"caperarch/internal/mesh/carrel"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
@@ -206,7 +206,7 @@
 
 func TestInbound(t *testing.T) {
 	Convey("The gate takes what a sidecar has for the instance here, and turns all else back as never run", t, func() {
-		i := &inbound{gate: carrel.New(nil)}
+		i := &inbound{gate: gate.New(nil)}
 		d := i.dialect()
 		visit, left, target := "X-Mesh-Visit: 2,250,1\r\n", "X-Caperarch-Timeout-Remaining: 800\r\n", "X-Caperarch-Target-Instance: i-1\r\n"
 		refused := func(fields string, status int) {
@@ -230,7 +230,7 @@
 		q, time800, bad := d.Read(h)
 		So(bad, ShouldBeNil)
 		So(time800, ShouldEqual, 800*time.Millisecond)
-		So(*q.Terms.(*carrel.Visit), ShouldResemble, carrel.Visit{Rank: 2, Safe: true, Aim: 250 * time.Millisecond})
+		So(*q.Terms.(*gate.Visit), ShouldResemble, gate.Visit{Rank: 2, Safe: true, Aim: 250 * time.Millisecond})
 		fields := h.EndToEnd()
 		d.Pass(&q, fields)
 		So(fields, ShouldResemble, http.Header{slip.AttemptID: {"9c41"}, slip.Timeout: {"800"}, slip.Target: {"i-1"}, slip.Tenant: {"bozi300"}})
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -8,7 +8,7 @@
 	"caperarch/internal/call"
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
-	"caperarch/internal/mesh/carrel"
+	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/slip"
 	"caperarch/policy"
 )
@@ -16,7 +16,7 @@
 // inbound reads the requests that other sidecars, and this one, have for the upstream beside it.
 type inbound struct {
 	instance atomic.Pointer[string] // of the upstream as it told last; nil: none has
-	gate     *carrel.Gate
+	gate     *gate.Gate
 }
 
 func (i *inbound) dialect() *http1.Dialect {
@@ -41,7 +41,7 @@
 	if instance == nil || *instance != h.Get(slip.Target) {
 		return q, 0, &http1.Rejection{Status: http.StatusServiceUnavailable, Reason: "another instance is here", Keep: true}
 	}
-	return policy.Request{Terms: &carrel.Visit{Rank: visit.Rank, Safe: visit.Safe, Aim: visit.Aim}}, left, nil
+	return policy.Request{Terms: &gate.Visit{Rank: visit.Rank, Safe: visit.Safe, Aim: visit.Aim}}, left, nil
 }
 
 func (i *inbound) pass(_ *policy.Request, fields http.Header) { slip.Stripped(fields) }
