Rename package allowance to quota

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; the sidecar's own type beside it becomes quotaClient; nothing else. Measured: builds and vets as before.

--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -12,10 +12,10 @@
 	"sync/atomic"
 	"time"
 
-	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/quota"
 	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
@@ -55,7 +55,7 @@
 	minutes *minutes
 
 	mu     sync.Mutex
-	dealer *allowance.Dealer
+	dealer *quota.Dealer
 }
 
 // Run is a core machine's life until ctx ends.
@@ -66,7 +66,7 @@
 		window = time.Second
 	}
 	var err error
-	if s.dealer, err = allowance.NewDealer(allowance.Rules{Window: window, Overage: set.Guarantees.Bounds.QuotaOverage, Slack: set.Guarantees.Bounds.QuotaSlack}); err != nil {
+	if s.dealer, err = quota.NewDealer(quota.Rules{Window: window, Overage: set.Guarantees.Bounds.QuotaOverage, Slack: set.Guarantees.Bounds.QuotaSlack}); err != nil {
 		return err
 	}
 	s.minutes = newMinutes(log, func() {
--- a/internal/mesh/allowance/budget.go
+++ b/internal/mesh/quota/budget.go
@@ -1,4 +1,4 @@
-package allowance
+package quota
 
 import (
 	"time"
--- a/internal/mesh/allowance/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -1,4 +1,4 @@
-// Package allowance holds the quotas of tenants and the budgets of further tries, over all sidecars together. Its three
+// Package quota holds the quotas of tenants and the budgets of further tries, over all sidecars together. Its three
 // state machines, Dealer, Purse and Budget, have no clock, no I/O and no lock: the caller passes the monotonic time and
 // calls each of them from one goroutine at a time or under its own lock.
 //
@@ -56,7 +56,7 @@
 // before keeps less than a token. A hot tenant that starts then at many members with full floors may run up to a token at
 // each above its rate, which is over the rule for R below about 28 with m 82. With a third of the members out of contact
 // the fullest window of 29 trials was over the rule by one request in one of them.
-package allowance
+package quota
 
 import (
 	"math"
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -70,7 +70,7 @@
 	client  *http.Client
 	charter atomic.Pointer[config.Charter]
 	shelves *shelves
-	quota   *quota
+	quota   *quotaClient
 	news    *watch.Subscriber
 	life    uint64
 
--- a/internal/mesh/sidecar/quota.go
+++ b/internal/mesh/sidecar/quota.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"caperarch/internal/clock"
-	"caperarch/internal/mesh/allowance"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/quota"
 	"caperarch/internal/mesh/settings"
 
 	"go.uber.org/zap"
@@ -30,19 +30,19 @@
 // DealAsk is a sidecar's ask for tokens, and Dealt the answer.
 type (
 	DealAsk struct {
-		Node   string          `json:"node"`
-		Asks   []allowance.Ask `json:"asks"`
-		Passed bool            `json:"passed,omitempty"` // by one member to another: it goes no further
+		Node   string      `json:"node"`
+		Asks   []quota.Ask `json:"asks"`
+		Passed bool        `json:"passed,omitempty"` // by one member to another: it goes no further
 	}
 	Dealt struct {
-		Epoch  uint64             `json:"epoch"`
-		Grants []allowance.Grant  `json:"grants"`
-		Closed []allowance.Closed `json:"closed,omitempty"`
+		Epoch  uint64         `json:"epoch"`
+		Grants []quota.Grant  `json:"grants"`
+		Closed []quota.Closed `json:"closed,omitempty"`
 	}
 )
 
-// quota is what this sidecar may let in for each tenant, and may send again for each service.
-type quota struct {
+// quotaClient is what this sidecar may let in for each tenant, and may send again for each service.
+type quotaClient struct {
 	clock clock.Clock
 	node  string
 	peers func() []string
@@ -51,31 +51,31 @@
 	some  chan struct{} // has an item once there are tenants with a limit
 
 	mu      sync.Mutex
-	purse   *allowance.Purse
-	budget  *allowance.Budget
+	purse   *quota.Purse
+	budget  *quota.Budget
 	names   func(service int) string
 	count   func() int // sidecars that share the limits
-	limits  map[string]allowance.Limit
+	limits  map[string]quota.Limit
 	limited bool
 	members int
 }
 
-func newQuota(b settings.Bounds, c clock.Clock, node string, names func(int) string, count func() int, peers func() []string, to *http.Client, log *zap.Logger) (*quota, error) {
-	q := &quota{clock: c, node: node, peers: peers, to: to, log: log, names: names, count: count, some: make(chan struct{}, 1)}
+func newQuota(b settings.Bounds, c clock.Clock, node string, names func(int) string, count func() int, peers func() []string, to *http.Client, log *zap.Logger) (*quotaClient, error) {
+	q := &quotaClient{clock: c, node: node, peers: peers, to: to, log: log, names: names, count: count, some: make(chan struct{}, 1)}
 	var err error
 	window := b.QuotaWindow
 	if window <= 0 { // no quotas here: nobody asks
 		window = time.Second
 	}
-	if q.purse, err = allowance.NewPurse(allowance.Rules{Window: window, Overage: b.QuotaOverage, Slack: b.QuotaSlack}); err != nil {
+	if q.purse, err = quota.NewPurse(quota.Rules{Window: window, Overage: b.QuotaOverage, Slack: b.QuotaSlack}); err != nil {
 		return nil, err
 	}
-	q.budget, err = allowance.NewBudget(allowance.BudgetRules{Window: b.RetryWindow, Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack})
+	q.budget, err = quota.NewBudget(quota.BudgetRules{Window: b.RetryWindow, Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack})
 	return q, err
 }
 
 // configure takes the limits of a configuration.
-func (q *quota) configure(c *config.Charter) {
+func (q *quotaClient) configure(c *config.Charter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limits, q.members = Limits(c), 0
@@ -86,7 +86,7 @@
 }
 
 // share divides the limits by the sidecars that there are now. The caller holds the lock.
-func (q *quota) share(now time.Duration) {
+func (q *quotaClient) share(now time.Duration) {
 	members := max(1, q.count())
 	if members == q.members {
 		return
@@ -101,7 +101,7 @@
 }
 
 // rouse has run look at what is wanted.
-func (q *quota) rouse() {
+func (q *quotaClient) rouse() {
 	select {
 	case q.some <- struct{}{}:
 	default:
@@ -109,18 +109,18 @@
 }
 
 // Limits are the limits of a configuration's tenants.
-func Limits(c *config.Charter) map[string]allowance.Limit {
-	limits := make(map[string]allowance.Limit)
+func Limits(c *config.Charter) map[string]quota.Limit {
+	limits := make(map[string]quota.Limit)
 	for _, t := range c.Tenants() {
 		if t.RatePerS > 0 {
-			limits[t.Name] = allowance.Limit{Rate: t.RatePerS, Burst: t.Burst}
+			limits[t.Name] = quota.Limit{Rate: t.RatePerS, Burst: t.Burst}
 		}
 	}
 	return limits
 }
 
 // take takes a token; without one it tells when the client is to come back.
-func (q *quota) take(tenant string) (time.Duration, bool) {
+func (q *quotaClient) take(tenant string) (time.Duration, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
@@ -136,7 +136,7 @@
 }
 
 // run asks for tokens as long as some are wanted.
-func (q *quota) run(ctx context.Context) {
+func (q *quotaClient) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -149,7 +149,7 @@
 		q.mu.Lock()
 		now := q.clock.Now()
 		limited, due := q.limited, q.purse.NextAsk(now)
-		var asks []allowance.Ask
+		var asks []quota.Ask
 		if limited && due <= now {
 			asks = q.purse.Asks(now)
 		}
@@ -168,7 +168,7 @@
 }
 
 // ask asks the member that we keep to; false: no answer came.
-func (q *quota) ask(ctx context.Context, asks []allowance.Ask) bool {
+func (q *quotaClient) ask(ctx context.Context, asks []quota.Ask) bool {
 	peers := q.peers()
 	if len(peers) == 0 {
 		return false
@@ -189,20 +189,20 @@
 }
 
 // Request, May and Spent are the budget of further tries, by a service's number.
-func (q *quota) Request(now time.Duration, service int) {
+func (q *quotaClient) Request(now time.Duration, service int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.share(now)
 	q.budget.Request(now, q.names(service))
 }
 
-func (q *quota) May(now time.Duration, service int) bool {
+func (q *quotaClient) May(now time.Duration, service int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.budget.May(now, q.names(service))
 }
 
-func (q *quota) Spent(now time.Duration, service int) {
+func (q *quotaClient) Spent(now time.Duration, service int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.budget.Spent(now, q.names(service))
