Rename package registrar to api

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/internal/mesh/registrar/registrar.go
+++ b/internal/mesh/api/registrar.go
@@ -1,6 +1,6 @@
-// Package registrar takes what upstreams tell of themselves and what operators ask: the calls of the control plane's address, the same on every machine. Who settles a call is the
+// Package api takes what upstreams tell of themselves and what operators ask: the calls of the control plane's address, the same on every machine. Who settles a call is the
 // caller's: a Register for upstreams, an Operator for operators.
-package registrar
+package api
 
 import (
 	"encoding/json"
--- a/internal/mesh/registrar/registrar_test.go
+++ b/internal/mesh/api/registrar_test.go
@@ -1,4 +1,4 @@
-package registrar
+package api
 
 import (
 	"encoding/json"
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -12,11 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/quota"
-	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/settings"
@@ -114,7 +114,7 @@
 	s.hub.Register(inside)
 	desk.Handle(inside, sidecar.DealPath, dealLimit, s.deal)
 	for _, whole := range []bool{true, false} {
-		desk.Raw(inside, proposeAt(whole), registrar.ChangeLimit, func(r *http.Request, body []byte) (*registrar.Taken, error) {
+		desk.Raw(inside, proposeAt(whole), api.ChangeLimit, func(r *http.Request, body []byte) (*api.Taken, error) {
 			change, err := read(whole, body)
 			if err != nil {
 				return nil, err
@@ -124,8 +124,8 @@
 	}
 	desk.HandleGet(inside, describe, func(r *http.Request) (*json.RawMessage, error) { return s.confirm(r.Context()) })
 	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
-		registrar.Upstreams(mux, s)
-		registrar.Operators(mux, s)
+		api.Upstreams(mux, s)
+		api.Operators(mux, s)
 		s.inspect(mux)
 	}
 	failed := make(chan error, 2)
@@ -246,7 +246,7 @@
 }
 
 // Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
-func (s *Stacks) Change(r *http.Request, whole bool, body []byte) (*registrar.Taken, error) {
+func (s *Stacks) Change(r *http.Request, whole bool, body []byte) (*api.Taken, error) {
 	change, err := read(whole, body)
 	if err != nil {
 		return nil, err
@@ -260,7 +260,7 @@
 	case s.set.Internal():
 		return s.propose(ctx, change)
 	}
-	return desk.Post[registrar.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
+	return desk.Post[api.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
 }
 
 // proposeAt is where the sequencer takes a change of such a kind.
@@ -279,7 +279,7 @@
 }
 
 // propose puts a change into the log and waits until it is settled, and, for a while, until sidecars have it.
-func (s *Stacks) propose(ctx context.Context, change *config.Change) (*registrar.Taken, error) {
+func (s *Stacks) propose(ctx context.Context, change *config.Change) (*api.Taken, error) {
 	node := s.node.Load()
 	if node == nil {
 		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
@@ -299,7 +299,7 @@
 	if behind := s.hub.WaitApplied(within, version); behind > 0 {
 		s.log.Info("acknowledged before all have it", zap.Int64("version", version), zap.Int("behind", behind))
 	}
-	return &registrar.Taken{ConfigVersion: version}, nil
+	return &api.Taken{ConfigVersion: version}, nil
 }
 
 // Describe is the configuration, as the sequencer has it once it knows that no other is one.
--- a/internal/mesh/enquiry/file.go
+++ b/internal/mesh/enquiry/file.go
@@ -13,8 +13,8 @@
 
 	"github.com/goccy/go-yaml"
 
+	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/settings"
 	"caperarch/librarian"
 )
@@ -30,12 +30,12 @@
 		defer func() { _ = f.Close() }()
 		from = f
 	}
-	text, err := io.ReadAll(io.LimitReader(from, registrar.ChangeLimit+1))
+	text, err := io.ReadAll(io.LimitReader(from, api.ChangeLimit+1))
 	switch {
 	case err != nil:
 		return nil, wrongly("%v", err)
-	case len(text) > registrar.ChangeLimit:
-		return nil, wrongly("%s: over %d bytes", name, registrar.ChangeLimit)
+	case len(text) > api.ChangeLimit:
+		return nil, wrongly("%s: over %d bytes", name, api.ChangeLimit)
 	}
 	return text, nil
 }
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -19,13 +19,13 @@
 	"caperarch/internal/engine"
 	fronthttp1 "caperarch/internal/front/http1"
 	"caperarch/internal/h1"
+	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/gate"
-	"caperarch/internal/mesh/registrar"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
@@ -281,8 +281,8 @@
 // control is what the upstream beside us calls, and operators: their calls are passed on.
 func (b *Branch) control() http.Handler {
 	mux := http.NewServeMux()
-	registrar.Upstreams(mux, b)
-	registrar.Operators(mux, registrar.Forward{Client: b.client, To: b.news.Peers})
+	api.Upstreams(mux, b)
+	api.Operators(mux, api.Forward{Client: b.client, To: b.news.Peers})
 	return mux
 }
 
