Rename package desk to rpc

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/cmd/measure/mesh.go
+++ b/cmd/measure/mesh.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/rig/hollow"
 )
 
@@ -130,7 +130,7 @@
 func (r *meshRun) report() (*hollow.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	return desk.Get[hollow.Report](ctx, r.core.client, "http://"+r.control+"/report")
+	return rpc.Get[hollow.Report](ctx, r.core.client, "http://"+r.control+"/report")
 }
 
 // while tells what is used while f runs, a second of it.
--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
 	"caperarch/librarian"
 )
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	c.Cleanup(func() { os.RemoveAll(dir) })
-	m := &meshCore{binary: binary, dir: dir, client: desk.NewClient(time.Second)}
+	m := &meshCore{binary: binary, dir: dir, client: rpc.NewClient(time.Second)}
 	if m.control, err = meshPort(); err != nil {
 		return nil, err
 	}
@@ -147,7 +147,7 @@
 func (m *meshCore) sequencer() (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	view, err := desk.Get[librarian.View](ctx, m.client, m.url(0, librarian.ViewPath))
+	view, err := rpc.Get[librarian.View](ctx, m.client, m.url(0, librarian.ViewPath))
 	if err != nil {
 		return 0, err
 	}
@@ -181,7 +181,7 @@
 	sent = time.Now()
 	for end := sent.Add(meshUp); ; {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		_, err = desk.Post[json.RawMessage](ctx, m.client, m.url(0, path), raw)
+		_, err = rpc.Post[json.RawMessage](ctx, m.client, m.url(0, path), raw)
 		cancel()
 		if err == nil {
 			m.version++
--- a/internal/mesh/api/registrar.go
+++ b/internal/mesh/api/registrar.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"net/http"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 )
 
 const (
@@ -75,14 +75,14 @@
 
 // Upstreams serves what upstreams call.
 func Upstreams(mux *http.ServeMux, to Register) {
-	desk.Handle(mux, "POST /api/instances/{id}/heartbeat", beatLimit, func(r *http.Request, b *Beat) (*Acknowledged, error) {
+	rpc.Handle(mux, "POST /api/instances/{id}/heartbeat", beatLimit, func(r *http.Request, b *Beat) (*Acknowledged, error) {
 		u, err := b.Upstream(r.PathValue("id"))
 		if err != nil {
 			return nil, err
 		}
 		return &Acknowledged{}, to.Beat(u)
 	})
-	desk.Raw(mux, "POST /api/instances/{id}/deregister", beatLimit, func(r *http.Request, _ []byte) (*Acknowledged, error) {
+	rpc.Raw(mux, "POST /api/instances/{id}/deregister", beatLimit, func(r *http.Request, _ []byte) (*Acknowledged, error) {
 		return &Acknowledged{}, to.Deregister(r.PathValue("id"))
 	})
 }
@@ -103,9 +103,9 @@
 // Operators serves what operators call.
 func Operators(mux *http.ServeMux, to Operator) {
 	for path, whole := range map[string]bool{"POST /api/configuration/replace": true, "POST /api/configuration/update": false} {
-		desk.Raw(mux, path, ChangeLimit, func(r *http.Request, body []byte) (*Taken, error) { return to.Change(r, whole, body) })
+		rpc.Raw(mux, path, ChangeLimit, func(r *http.Request, body []byte) (*Taken, error) { return to.Change(r, whole, body) })
 	}
-	desk.HandleGet(mux, "/api/configuration/describe", to.Describe)
+	rpc.HandleGet(mux, "/api/configuration/describe", to.Describe)
 }
 
 // Forward is an Operator that passes calls on to core members, one after the other until one settles them.
@@ -121,14 +121,14 @@
 		path = "/api/configuration/replace"
 	}
 	return forward(f, func(address string) (*Taken, error) {
-		return desk.Post[Taken](r.Context(), f.Client, "http://"+address+path, body)
+		return rpc.Post[Taken](r.Context(), f.Client, "http://"+address+path, body)
 	})
 }
 
 // Describe passes a reading on.
 func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
 	return forward(f, func(address string) (*json.RawMessage, error) {
-		return desk.Get[json.RawMessage](r.Context(), f.Client, "http://"+address+"/api/configuration/describe")
+		return rpc.Get[json.RawMessage](r.Context(), f.Client, "http://"+address+"/api/configuration/describe")
 	})
 }
 
--- a/internal/mesh/api/registrar_test.go
+++ b/internal/mesh/api/registrar_test.go
@@ -10,9 +10,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 )
 
 // register keeps what it was told, and answers with its error.
@@ -110,7 +110,7 @@
 		}
 		gone := httptest.NewServer(nil)
 		gone.Close()
-		client := desk.NewClient(0)
+		client := rpc.NewClient(0)
 		defer client.CloseIdleConnections()
 		front := http.NewServeMux()
 		Operators(front, Forward{Client: client, To: func() []string {
--- a/internal/mesh/controlplane/founding.go
+++ b/internal/mesh/controlplane/founding.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/replication"
+	"caperarch/internal/mesh/rpc"
 
 	"go.uber.org/zap"
 )
@@ -172,7 +172,7 @@
 
 // serveFounding answers who the core machines are.
 func (s *Stacks) serveFounding(mux *http.ServeMux) {
-	desk.Handle(mux, foundingPath, foundingLimit, func(_ *http.Request, m *machine) (*founded, error) {
+	rpc.Handle(mux, foundingPath, foundingLimit, func(_ *http.Request, m *machine) (*founded, error) {
 		if err := s.roster.tell(*m); err != nil {
 			return nil, err
 		}
@@ -250,7 +250,7 @@
 			continue
 		}
 		within, cancel := context.WithTimeout(ctx, dialTimeout)
-		f, err := desk.Call[machine, founded](within, s.client, "http://"+address+foundingPath, s.self(reader))
+		f, err := rpc.Call[machine, founded](within, s.client, "http://"+address+foundingPath, s.self(reader))
 		cancel()
 		if err != nil {
 			s.log.Debug("no word on who the core machines are", zap.String("of", address), zap.Error(err))
--- a/internal/mesh/controlplane/inspect.go
+++ b/internal/mesh/controlplane/inspect.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/librarian"
 )
 
@@ -22,9 +22,9 @@
 
 // inspect serves what operators look at. Every answer is this machine's knowledge, and says so.
 func (s *Stacks) inspect(mux *http.ServeMux) {
-	desk.HandleGet(mux, librarian.ViewPath, func(*http.Request) (*librarian.View, error) { return s.viewed(), nil })
-	desk.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), s.roster.all()) })
-	desk.HandleGet(mux, librarian.UpstreamsPath, func(*http.Request) (*librarian.UpstreamList, error) { return s.upstreamsKnown(), nil })
+	rpc.HandleGet(mux, librarian.ViewPath, func(*http.Request) (*librarian.View, error) { return s.viewed(), nil })
+	rpc.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), s.roster.all()) })
+	rpc.HandleGet(mux, librarian.UpstreamsPath, func(*http.Request) (*librarian.UpstreamList, error) { return s.upstreamsKnown(), nil })
 }
 
 // viewed is this machine's word on itself.
@@ -52,12 +52,12 @@
 			continue
 		}
 		asked.Go(func() {
-			if said, err := desk.Get[librarian.View](ctx, s.client, "http://"+address+librarian.ViewPath); err == nil {
+			if said, err := rpc.Get[librarian.View](ctx, s.client, "http://"+address+librarian.ViewPath); err == nil {
 				m.Said = said
 			}
 		})
 	}
-	roll, err := desk.Call[struct{}, struct {
+	roll, err := rpc.Call[struct{}, struct {
 		Leases []registry.Remote `json:"leases"`
 	}](ctx, s.client, "http://"+s.set.Internal()+rollPath, &struct{}{})
 	asked.Wait()
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -14,11 +14,11 @@
 
 	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/quota"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/sidecar"
 	"caperarch/internal/mesh/watch"
@@ -60,7 +60,7 @@
 
 // Run is a core machine's life until ctx ends.
 func Run(ctx context.Context, set *settings.Settings, log *zap.Logger) error {
-	s := &Stacks{set: set, log: log, client: desk.NewClient(dialTimeout), start: time.Now(), roster: newRoster()}
+	s := &Stacks{set: set, log: log, client: rpc.NewClient(dialTimeout), start: time.Now(), roster: newRoster()}
 	window := set.Guarantees.Bounds.QuotaWindow
 	if window <= 0 {
 		window = time.Second
@@ -112,9 +112,9 @@
 	s.serveFounding(inside)
 	replication.Register(inside, s.node.Load)
 	s.hub.Register(inside)
-	desk.Handle(inside, sidecar.DealPath, dealLimit, s.deal)
+	rpc.Handle(inside, sidecar.DealPath, dealLimit, s.deal)
 	for _, whole := range []bool{true, false} {
-		desk.Raw(inside, proposeAt(whole), api.ChangeLimit, func(r *http.Request, body []byte) (*api.Taken, error) {
+		rpc.Raw(inside, proposeAt(whole), api.ChangeLimit, func(r *http.Request, body []byte) (*api.Taken, error) {
 			change, err := read(whole, body)
 			if err != nil {
 				return nil, err
@@ -122,7 +122,7 @@
 			return s.propose(r.Context(), change)
 		})
 	}
-	desk.HandleGet(inside, describe, func(r *http.Request) (*json.RawMessage, error) { return s.confirm(r.Context()) })
+	rpc.HandleGet(inside, describe, func(r *http.Request) (*json.RawMessage, error) { return s.confirm(r.Context()) })
 	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
 		api.Upstreams(mux, s)
 		api.Operators(mux, s)
@@ -226,7 +226,7 @@
 			return nil, faultlist.New(faultlist.NotSequencer, "nobody deals here")
 		}
 		q.Passed = true
-		return desk.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+sequencer+sidecar.DealPath, q)
+		return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+sequencer+sidecar.DealPath, q)
 	}
 	if !s.inContact() {
 		return nil, faultlist.New(faultlist.NoQuorum, "this view may be over")
@@ -260,7 +260,7 @@
 	case s.set.Internal():
 		return s.propose(ctx, change)
 	}
-	return desk.Post[api.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
+	return rpc.Post[api.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
 }
 
 // proposeAt is where the sequencer takes a change of such a kind.
@@ -313,7 +313,7 @@
 	case s.set.Internal():
 		return s.confirm(ctx)
 	}
-	return desk.Get[json.RawMessage](ctx, s.client, "http://"+sequencer+describe)
+	return rpc.Get[json.RawMessage](ctx, s.client, "http://"+sequencer+describe)
 }
 
 func (s *Stacks) confirm(ctx context.Context) (*json.RawMessage, error) {
--- a/internal/mesh/enquiry/enquiry_test.go
+++ b/internal/mesh/enquiry/enquiry_test.go
@@ -17,8 +17,8 @@
 	"go.uber.org/zap"
 
 	"caperarch/internal/mesh/controlplane"
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/watch"
 )
@@ -98,9 +98,9 @@
 		has(Done, "describe --output json", `"apiKeys"`, `"k-1"`)
 
 		// A sidecar with its upstream, and an upstream that reached the core alone.
-		client := desk.NewClient(time.Second)
+		client := rpc.NewClient(time.Second)
 		defer client.CloseIdleConnections()
-		_, err = desk.Call[registry.Lease, watch.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &registry.Lease{
+		_, err = rpc.Call[registry.Lease, watch.LeaseAnswer](ctx, client, "http://"+inside+"/mesh/lease", &registry.Lease{
 			Node: "side-1", Life: 1, Sequence: 1, Zone: "a", Applied: 5,
 			Upstream: &registry.Upstream{Instance: "i-1", Service: "tea", Address: "10.0.0.1:80", Inbound: "10.0.0.1:81", Zone: "a", Slots: 4, Sequence: 1},
 		})
--- a/internal/mesh/replication/node_test.go
+++ b/internal/mesh/replication/node_test.go
@@ -17,8 +17,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/rpc"
 )
 
 func TestStore(t *testing.T) {
@@ -217,7 +217,7 @@
 		return nil, err
 	}
 	s := &site{app: &application{}}
-	s.post = NewPost(id, desk.NewClient(time.Second), func(from string, msgs []Message) { s.node.Deliver(from, msgs) }, zap.NewNop())
+	s.post = NewPost(id, rpc.NewClient(time.Second), func(from string, msgs []Message) { s.node.Deliver(from, msgs) }, zap.NewNop())
 	s.node, err = Start(NodeConfig{ID: id, Disk: store, State: state, Log: zap.NewNop(),
 		Apply: s.app.apply, Restore: s.app.restore, Snapshot: s.app.snapshot, Send: s.post.Send})
 	if err != nil {
--- a/internal/mesh/replication/post.go
+++ b/internal/mesh/replication/post.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/rpc"
 )
 
 const (
@@ -134,7 +134,7 @@
 	timeout := postTimeout + postPerMiB*time.Duration(size>>10)/(1<<10)
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	answer, err := desk.Call[letter, letter](ctx, p.client, "http://"+peer+Path, &letter{From: p.self, Messages: batch})
+	answer, err := rpc.Call[letter, letter](ctx, p.client, "http://"+peer+Path, &letter{From: p.self, Messages: batch})
 	if err != nil {
 		return err
 	}
@@ -146,7 +146,7 @@
 
 // Register serves the node's side of the post. While held gives none, nothing is taken.
 func Register(mux *http.ServeMux, held func() *Node) {
-	desk.Handle(mux, Path, maxBody, func(r *http.Request, q *letter) (*letter, error) {
+	rpc.Handle(mux, Path, maxBody, func(r *http.Request, q *letter) (*letter, error) {
 		node := held()
 		if node == nil {
 			return nil, faultlist.New(faultlist.Busy, "archive: no log is held here yet")
--- a/internal/mesh/desk/desk.go
+++ b/internal/mesh/rpc/desk.go
@@ -1,6 +1,6 @@
-// Package desk is the counter at which the mesh's processes ask each other and are asked from outside: JSON over
+// Package rpc is the counter at which the mesh's processes ask each other and are asked from outside: JSON over
 // HTTP/1.1, with errors that keep their kind of the faultlist on the way.
-package desk
+package rpc
 
 import (
 	"encoding/json"
--- a/internal/mesh/desk/desk_test.go
+++ b/internal/mesh/rpc/desk_test.go
@@ -1,4 +1,4 @@
-package desk
+package rpc
 
 import (
 	"bufio"
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -23,10 +23,10 @@
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/slip"
 	"caperarch/internal/mesh/watch"
@@ -83,7 +83,7 @@
 
 // Run is a sidecar's life: it serves until ctx ends, and then ends what it has taken.
 func Run(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings, log *zap.Logger) error {
-	b := &Branch{set: set, clock: clock.New(), log: log, client: desk.NewClient(dialTimeout), life: uint64(time.Now().UnixNano())}
+	b := &Branch{set: set, clock: clock.New(), log: log, client: rpc.NewClient(dialTimeout), life: uint64(time.Now().UnixNano())}
 	b.charter.Store(config.Empty())
 	zones := make([]string, 0, len(set.Network.Zones))
 	for z := range set.Network.Zones {
--- a/internal/mesh/sidecar/quota.go
+++ b/internal/mesh/sidecar/quota.go
@@ -8,8 +8,8 @@
 
 	"caperarch/internal/clock"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/quota"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
 
 	"go.uber.org/zap"
@@ -175,7 +175,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dealTimeout)
 	defer cancel()
-	dealt, err := desk.Call[DealAsk, Dealt](ctx, q.to, "http://"+peers[0]+DealPath, &DealAsk{Node: q.node, Asks: asks})
+	dealt, err := rpc.Call[DealAsk, Dealt](ctx, q.to, "http://"+peers[0]+DealPath, &DealAsk{Node: q.node, Asks: asks})
 	if err != nil {
 		q.log.Debug("no tokens", zap.Error(err))
 		return false
--- a/internal/mesh/watch/circulation_test.go
+++ b/internal/mesh/watch/circulation_test.go
@@ -17,9 +17,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 )
 
 // network joins hosts by pipes within a bubble of synctest, so that time is virtual. A cut link refuses and breaks off.
@@ -383,7 +383,7 @@
 		pass(1200 * ms)
 		So(c[1].Peers()[0], ShouldNotEqual, was)
 		So(c[1].cfg.Charter(), ShouldEqual, 4)
-		_, err := desk.Call[watchRequest, struct{}](context.Background(), c[1].cfg.Client, "http://"+was+watchPath, &watchRequest{Node: "x"})
+		_, err := rpc.Call[watchRequest, struct{}](context.Background(), c[1].cfg.Client, "http://"+was+watchPath, &watchRequest{Node: "x"})
 		So(faultlist.Of(err), ShouldEqual, faultlist.NoQuorum)
 
 		// A member that starts anew learns all from the others, and says it is young until it has.
@@ -506,7 +506,7 @@
 		// A node's newer watch ends the older one.
 		ctx, cancel := context.WithTimeout(context.Background(), 50*ms)
 		defer cancel()
-		_, err = desk.Call[watchRequest, struct{}](ctx, c[1].cfg.Client, "http://m1:1"+watchPath, &watchRequest{Node: "c1"})
+		_, err = rpc.Call[watchRequest, struct{}](ctx, c[1].cfg.Client, "http://m1:1"+watchPath, &watchRequest{Node: "c1"})
 		So(faultlist.Of(err), ShouldEqual, faultlist.Unreachable)
 		synctest.Wait()
 		So(c[0].Peers()[0], ShouldNotEqual, "m1:1")
--- a/internal/mesh/watch/gossip.go
+++ b/internal/mesh/watch/gossip.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 )
 
 const (
@@ -135,7 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	a, err := desk.Call[gossip, gossipAnswer](ctx, h.cfg.Client, "http://"+n.address+gossipPath, q)
+	a, err := rpc.Call[gossip, gossipAnswer](ctx, h.cfg.Client, "http://"+n.address+gossipPath, q)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n.failing = err != nil
@@ -166,7 +166,7 @@
 func (h *Hub) askAll(ctx context.Context, n *neighbour) error {
 	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
 	defer cancel()
-	a, err := desk.Call[struct{}, rollAnswer](ctx, h.cfg.Client, "http://"+n.address+rollPath, &struct{}{})
+	a, err := rpc.Call[struct{}, rollAnswer](ctx, h.cfg.Client, "http://"+n.address+rollPath, &struct{}{})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n.failing = err != nil
--- a/internal/mesh/watch/hub.go
+++ b/internal/mesh/watch/hub.go
@@ -9,9 +9,9 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 )
 
 const (
@@ -118,9 +118,9 @@
 
 // Register puts the Hub's pages on the mux.
 func (h *Hub) Register(mux *http.ServeMux) {
-	desk.Handle(mux, leasePath, maxLeaseBody, h.lease)
-	desk.Handle(mux, gossipPath, maxGossipBody, h.gossip)
-	desk.Handle(mux, rollPath, maxLeaseBody, h.roll)
+	rpc.Handle(mux, leasePath, maxLeaseBody, h.lease)
+	rpc.Handle(mux, gossipPath, maxGossipBody, h.gossip)
+	rpc.Handle(mux, rollPath, maxLeaseBody, h.roll)
 	mux.HandleFunc("POST "+watchPath, h.watch)
 }
 
@@ -332,7 +332,7 @@
 func (h *Hub) watch(w http.ResponseWriter, r *http.Request) {
 	held, q, err := h.open(r)
 	if err != nil {
-		desk.Answer(w, err)
+		rpc.Answer(w, err)
 		return
 	}
 	defer h.close(q.Node, held)
@@ -340,7 +340,7 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	// A watch outlives the server's time for reading a request.
 	if err := out.control.SetReadDeadline(time.Time{}); err != nil {
-		desk.Answer(w, faultlist.Wrap(err, faultlist.Internal, "read deadline"))
+		rpc.Answer(w, faultlist.Wrap(err, faultlist.Internal, "read deadline"))
 		return
 	}
 	beats := time.NewTicker(beatEvery)
@@ -367,7 +367,7 @@
 
 // open enters a watch. One that the node still holds ends.
 func (h *Hub) open(r *http.Request) (*watch, *watchRequest, error) {
-	body, err := desk.Body(r, maxWatchBody)
+	body, err := rpc.Body(r, maxWatchBody)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/mesh/watch/subscriber.go
+++ b/internal/mesh/watch/subscriber.go
@@ -15,9 +15,9 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/faultlist"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 )
 
 const (
@@ -367,7 +367,7 @@
 func (s *Subscriber) renew(ctx context.Context, address string, l *registry.Lease) (*LeaseAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return desk.Call[registry.Lease, LeaseAnswer](ctx, s.cfg.Client, "http://"+address+leasePath, l)
+	return rpc.Call[registry.Lease, LeaseAnswer](ctx, s.cfg.Client, "http://"+address+leasePath, l)
 }
 
 // learn takes what an answer says of the members. It reports whether a member
--- a/internal/rig/hollow/hollow.go
+++ b/internal/rig/hollow/hollow.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/desk"
 	"caperarch/internal/mesh/quota"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/sidecar"
 	"caperarch/internal/mesh/watch"
 
@@ -104,7 +104,7 @@
 	for i := range cfg.Count {
 		zone := cfg.Zones[i%len(cfg.Zones)]
 		host := fmt.Sprintf("10.%d.%d.%d", 1+i%len(cfg.Zones), i/250, 1+i%250)
-		s := &hollowSidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: desk.NewClient(dialTimeout), all: make(map[string]registry.Upstream)}
+		s := &hollowSidecar{fleet: f, node: fmt.Sprintf("sidecar-%s-%d", zone, i), zone: zone, client: rpc.NewClient(dialTimeout), all: make(map[string]registry.Upstream)}
 		s.charter.Store(config.Empty())
 		s.upstream = registry.Upstream{
 			Instance: fmt.Sprintf("i-%08x%08x", i, i), Service: serviceName(i % cfg.Services), Address: host + ":8103", Node: s.node, Inbound: host + ":8109",
@@ -298,6 +298,6 @@
 	if len(peers) == 0 {
 		return context.DeadlineExceeded
 	}
-	_, err := desk.Call[sidecar.DealAsk, sidecar.Dealt](ctx, s.client, "http://"+peers[0]+sidecar.DealPath, &sidecar.DealAsk{Node: s.node, Asks: asks})
+	_, err := rpc.Call[sidecar.DealAsk, sidecar.Dealt](ctx, s.client, "http://"+peers[0]+sidecar.DealPath, &sidecar.DealAsk{Node: s.node, Asks: asks})
 	return err
 }
--- a/librarian/client.go
+++ b/librarian/client.go
@@ -16,7 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"caperarch/internal/mesh/desk"
+	"caperarch/internal/mesh/rpc"
 )
 
 const (
@@ -61,7 +61,7 @@
 func (c *Client) start() {
 	given := c.HTTP
 	if given == nil {
-		given = desk.NewClient(dialTimeout)
+		given = rpc.NewClient(dialTimeout)
 	}
 	own := *given
 	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
