--- a/internal/mesh/api/registrar.go
+++ b/internal/mesh/api/registrar.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"net/http"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
 )
@@ -57,10 +57,10 @@
 	case "draining":
 		u.State = registry.Draining
 	default:
-		return u, faultlist.New(faultlist.Invalid, "status.state: %.32q is neither ready nor draining", b.Status.State)
+		return u, errs.New(errs.Invalid, "status.state: %.32q is neither ready nor draining", b.Status.State)
 	}
 	if b.Address == "" {
-		return u, faultlist.New(faultlist.Invalid, "address: missing")
+		return u, errs.New(errs.Invalid, "address: missing")
 	}
 	return u, u.Check()
 }
@@ -134,10 +134,10 @@
 
 // forward asks one after the other. What one refuses for good is refused; what it can't settle the next may.
 func forward[A any](f Forward, ask func(address string) (*A, error)) (*A, error) {
-	err := faultlist.New(faultlist.NoQuorum, "no core member is known")
+	err := errs.New(errs.NoQuorum, "no core member is known")
 	for _, address := range f.To() {
 		var a *A
-		if a, err = ask(address); err == nil || faultlist.Of(err).Status() < http.StatusInternalServerError {
+		if a, err = ask(address); err == nil || errs.Of(err).Status() < http.StatusInternalServerError {
 			return a, err
 		}
 	}
--- a/internal/mesh/api/registrar_test.go
+++ b/internal/mesh/api/registrar_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
 )
@@ -89,7 +89,7 @@
 		status, _ = call(mux, "GET", path, "")
 		So(status, ShouldEqual, 405)
 		So(to.beats, ShouldHaveLength, 2)
-		to.err = faultlist.New(faultlist.NoQuorum, "nobody is there")
+		to.err = errs.New(errs.NoQuorum, "nobody is there")
 		for _, verb := range []string{"heartbeat", "deregister"} {
 			status, _ = call(mux, "POST", "/api/instances/i-7f3a91c2/"+verb, beat)
 			So(status, ShouldEqual, 503)
@@ -116,7 +116,7 @@
 		Operators(front, Forward{Client: client, To: func() []string {
 			return append([]string{strings.TrimPrefix(gone.URL, "http://")}, addresses...)
 		}})
-		servers[0].err = faultlist.New(faultlist.NotSequencer, "another leads")
+		servers[0].err = errs.New(errs.NotSequencer, "another leads")
 		body := `{"configVersion": 7,  "x":"<&>"}`
 		status, said := call(front, "POST", "/api/configuration/replace", body)
 		So([]any{status, said}, ShouldResemble, []any{200, `{"configVersion":7}`})
@@ -126,14 +126,14 @@
 		So([]any{status, said}, ShouldResemble, []any{200, `{"configVersion":7}`})
 		So(servers[1].came, ShouldResemble, []string{"whole " + body, "part " + body, "describe"})
 		So(servers[2].came, ShouldBeEmpty)
-		for _, kind := range []faultlist.Kind{faultlist.Stale, faultlist.Invalid} {
-			servers[1].err = faultlist.New(kind, "no")
+		for _, kind := range []errs.Kind{errs.Stale, errs.Invalid} {
+			servers[1].err = errs.New(kind, "no")
 			status, _ = call(front, "POST", "/api/configuration/replace", body)
 			So(status, ShouldEqual, kind.Status())
 		}
 		So(servers[2].came, ShouldBeEmpty)
 		for _, o := range servers {
-			o.err = faultlist.New(faultlist.NoQuorum, "no")
+			o.err = errs.New(errs.NoQuorum, "no")
 		}
 		status, _ = call(front, "POST", "/api/configuration/replace", body)
 		So(status, ShouldEqual, 503)
--- a/internal/mesh/config/change.go
+++ b/internal/mesh/config/change.go
@@ -8,7 +8,7 @@
 	"errors"
 	"unicode/utf8"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // The two forms of a change, as they stand in what Change.Bytes gives.
@@ -81,7 +81,7 @@
 	case formUpdate:
 		return ReadUpdate(e.Body)
 	}
-	return nil, faultlist.New(faultlist.Invalid, "a change of the form %q: neither %q nor %q", e.Form, formReplace, formUpdate)
+	return nil, errs.New(errs.Invalid, "a change of the form %q: neither %q nor %q", e.Form, formReplace, formUpdate)
 }
 
 // versions are the two numbers that every change names. Without a baseVersion it is 0.
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	if w.Resources == nil {
-		return nil, faultlist.New(faultlist.Invalid, "resources: the list is missing")
+		return nil, errs.New(errs.Invalid, "resources: the list is missing")
 	}
 	return c.fill(w.versions, *w.Resources)
 }
@@ -162,10 +162,10 @@
 // fill takes over the numbers and reads the items. Two items of one kind with one name are Invalid.
 func (c *Change) fill(v versions, raws []json.RawMessage) (*Change, error) {
 	if v.ConfigVersion == nil {
-		return nil, faultlist.New(faultlist.Invalid, "configVersion: the number is missing")
+		return nil, errs.New(errs.Invalid, "configVersion: the number is missing")
 	}
 	if *v.ConfigVersion < 0 || v.BaseVersion < 0 {
-		return nil, faultlist.New(faultlist.Invalid, "configVersion %d on baseVersion %d: a version is below 0", *v.ConfigVersion, v.BaseVersion)
+		return nil, errs.New(errs.Invalid, "configVersion %d on baseVersion %d: a version is below 0", *v.ConfigVersion, v.BaseVersion)
 	}
 	c.version, c.base = *v.ConfigVersion, v.BaseVersion
 	c.items = make([]*item, 0, len(raws))
@@ -176,7 +176,7 @@
 			return nil, err
 		}
 		if seen[it.id()] {
-			return nil, faultlist.New(faultlist.Invalid, "%s %q stands twice in the list", it.kind, it.name)
+			return nil, errs.New(errs.Invalid, "%s %q stands twice in the list", it.kind, it.name)
 		}
 		seen[it.id()] = true
 		c.items = append(c.items, it)
@@ -188,12 +188,12 @@
 // puts into raw messages, so that a body has one digest however often it is passed on.
 func canonical(body []byte) ([]byte, error) {
 	if !utf8.Valid(body) {
-		return nil, faultlist.New(faultlist.Unreadable, "the body is no UTF-8")
+		return nil, errs.New(errs.Unreadable, "the body is no UTF-8")
 	}
 	var tight, escaped bytes.Buffer
 	tight.Grow(len(body))
 	if err := json.Compact(&tight, body); err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Unreadable, "the body is no whole JSON value")
+		return nil, errs.Wrap(err, errs.Unreadable, "the body is no whole JSON value")
 	}
 	escaped.Grow(tight.Len())
 	json.HTMLEscape(&escaped, tight.Bytes())
@@ -208,7 +208,7 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &wrongType):
-		return faultlist.Wrap(err, faultlist.Invalid, "%s: a value of the wrong type", wrongType.Field)
+		return errs.Wrap(err, errs.Invalid, "%s: a value of the wrong type", wrongType.Field)
 	}
-	return faultlist.Wrap(err, faultlist.Unreadable, "no whole JSON value")
+	return errs.Wrap(err, errs.Unreadable, "no whole JSON value")
 }
--- a/internal/mesh/config/charter.go
+++ b/internal/mesh/config/charter.go
@@ -9,7 +9,7 @@
 	"slices"
 	"strconv"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // maxTaken is the number of changes whose digests are remembered, the newest ones. It bounds what a
@@ -60,10 +60,10 @@
 		return c, Repeated, nil
 	}
 	if change.base != c.version {
-		return c, Refused, faultlist.New(faultlist.Stale, "version %d builds on %d, but %d is in place", change.version, change.base, c.version)
+		return c, Refused, errs.New(errs.Stale, "version %d builds on %d, but %d is in place", change.version, change.base, c.version)
 	}
 	if change.version <= c.version {
-		return c, Refused, faultlist.New(faultlist.Invalid, "configVersion: %d is not above %d, which is in place", change.version, c.version)
+		return c, Refused, errs.New(errs.Invalid, "configVersion: %d is not above %d, which is in place", change.version, c.version)
 	}
 	items := c.merge(change)
 	table, err := newTable(items)
@@ -148,7 +148,7 @@
 func (c *Charter) Encode() ([]byte, error) {
 	out, err := json.Marshal(snapshot{c.Document(), c.taken})
 	if err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Internal, "encode charter %d", c.version)
+		return nil, errs.Wrap(err, errs.Internal, "encode charter %d", c.version)
 	}
 	return out, nil
 }
--- a/internal/mesh/config/schema.go
+++ b/internal/mesh/config/schema.go
@@ -10,7 +10,7 @@
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -86,25 +86,25 @@
 		Specification json.RawMessage `json:"specification"`
 	}
 	if err := unmarshal(raw, &head); err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Of(err), "resource %d (%s %q)", position, head.ResourceType, head.Metadata.Name)
+		return nil, errs.Wrap(err, errs.Of(err), "resource %d (%s %q)", position, head.ResourceType, head.Metadata.Name)
 	}
 	it := &item{kind: head.ResourceType, name: head.Metadata.Name, raw: raw}
 	spec := schema(it.kind)
 	switch {
 	case spec == nil:
-		return nil, faultlist.New(faultlist.Invalid, "resource %d (%q): there is no resourceType %q", position, it.name, it.kind)
+		return nil, errs.New(errs.Invalid, "resource %d (%q): there is no resourceType %q", position, it.name, it.kind)
 	case it.name == "" && it.kind != limits:
-		return nil, faultlist.New(faultlist.Invalid, "resource %d (%s): the name is missing", position, it.kind)
+		return nil, errs.New(errs.Invalid, "resource %d (%s): the name is missing", position, it.kind)
 	case strings.ContainsFunc(it.name, unicode.IsControl):
-		return nil, faultlist.New(faultlist.Invalid, "%s %q: the name holds a control character", it.kind, it.name)
+		return nil, errs.New(errs.Invalid, "%s %q: the name holds a control character", it.kind, it.name)
 	case len(head.Specification) == 0 || string(head.Specification) == "null":
-		return nil, faultlist.New(faultlist.Invalid, "%s %q: the specification is missing", it.kind, it.name)
+		return nil, errs.New(errs.Invalid, "%s %q: the specification is missing", it.kind, it.name)
 	}
 	if err := unmarshal(head.Specification, spec); err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Of(err), "%s %q", it.kind, it.name)
+		return nil, errs.Wrap(err, errs.Of(err), "%s %q", it.kind, it.name)
 	}
 	if err := spec.Validate(); err != nil {
-		return nil, faultlist.New(faultlist.Invalid, "%s %q: %v", it.kind, it.name, err)
+		return nil, errs.New(errs.Invalid, "%s %q: %v", it.kind, it.name, err)
 	}
 	it.meaning = spec.meaning(it.name)
 	return it, nil
--- a/internal/mesh/config/table.go
+++ b/internal/mesh/config/table.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // NoPriority is the Priority of a tenant that was given none: the route's holds for it.
@@ -122,7 +122,7 @@
 			t.tenants = append(t.tenants, m)
 			for _, key := range m.keys {
 				if holder := t.keys[key]; holder != nil && holder != m {
-					return nil, faultlist.New(faultlist.Invalid, "tenants %q: shares a key with %q", m.Name, holder.Name)
+					return nil, errs.New(errs.Invalid, "tenants %q: shares a key with %q", m.Name, holder.Name)
 				}
 				t.keys[key] = m
 			}
@@ -143,12 +143,12 @@
 func (t *table) checkServices(r *Route) error {
 	for _, target := range r.Targets {
 		if t.services[target.Service] == nil {
-			return faultlist.New(faultlist.Invalid, "routes %q: there is no service %q", r.Name, target.Service)
+			return errs.New(errs.Invalid, "routes %q: there is no service %q", r.Name, target.Service)
 		}
 	}
 	for _, name := range r.unweighted {
 		if t.services[name] == nil {
-			return faultlist.New(faultlist.Invalid, "routes %q: there is no service %q", r.Name, name)
+			return errs.New(errs.Invalid, "routes %q: there is no service %q", r.Name, name)
 		}
 	}
 	return nil
@@ -171,7 +171,7 @@
 			enclosing = part[enclosing].enclosing
 		}
 		if enclosing >= 0 && part[enclosing].route.Prefix == r.Prefix {
-			return faultlist.New(faultlist.Invalid, "routes %q: has the host and prefix of %q", r.Name, part[enclosing].route.Name)
+			return errs.New(errs.Invalid, "routes %q: has the host and prefix of %q", r.Name, part[enclosing].route.Name)
 		}
 		part[i-first] = entry{route: r, enclosing: enclosing}
 		t.hosts[r.Host] = part
--- a/internal/mesh/controlplane/founding.go
+++ b/internal/mesh/controlplane/founding.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/rpc"
 
@@ -70,7 +70,7 @@
 // tell takes a machine's word on itself.
 func (r *roster) tell(m machine) error {
 	if _, _, err := net.SplitHostPort(m.Address); err != nil || len(m.Zone) > 512 {
-		return faultlist.New(faultlist.Invalid, "address: %.64q is none", m.Address)
+		return errs.New(errs.Invalid, "address: %.64q is none", m.Address)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -223,7 +223,7 @@
 	}
 	for ; ; time.Sleep(foundingPause) {
 		if ctx.Err() != nil {
-			return nil, faultlist.New(faultlist.NoQuorum, "nobody said who holds the log")
+			return nil, errs.New(errs.NoQuorum, "nobody said who holds the log")
 		}
 		if founder {
 			if chosen := s.roster.chosen(2*s.set.Guarantees.FaultTolerance.Machines+1, seeds); chosen != nil {
--- a/internal/mesh/controlplane/minutes.go
+++ b/internal/mesh/controlplane/minutes.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/sidecar"
 
 	"go.uber.org/zap"
@@ -127,7 +127,7 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return faultlist.New(faultlist.Late, "the configuration is still being read")
+		return errs.New(errs.Late, "the configuration is still being read")
 	}
 }
 
@@ -282,6 +282,6 @@
 	case v := <-told:
 		return v.version, v.err
 	case <-ctx.Done():
-		return 0, faultlist.New(faultlist.Late, "the change has no clear answer in time")
+		return 0, errs.New(errs.Late, "the change has no clear answer in time")
 	}
 }
--- a/internal/mesh/controlplane/minutes_test.go
+++ b/internal/mesh/controlplane/minutes_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/sidecar"
 )
 
@@ -55,11 +55,11 @@
 }
 
 // told is a verdict that must be there by now.
-func told(of <-chan verdict) (int64, faultlist.Kind, bool) {
+func told(of <-chan verdict) (int64, errs.Kind, bool) {
 	select {
 	case v := <-of:
 		if v.err != nil {
-			return v.version, faultlist.Of(v.err), true
+			return v.version, errs.Of(v.err), true
 		}
 		return v.version, 0, true
 	default:
@@ -88,8 +88,8 @@
 		for i, want := range []struct {
 			of      <-chan verdict
 			version int64
-			kind    faultlist.Kind
-		}{{first, 3, 0}, {second, 3, faultlist.Stale}, {third, 5, 0}, {fourth, 3, 0}} {
+			kind    errs.Kind
+		}{{first, 3, 0}, {second, 3, errs.Stale}, {third, 5, 0}, {fourth, 3, 0}} {
 			version, kind, ok := told(want.of)
 			So([]any{i, version, kind, ok}, ShouldResemble, []any{i, want.version, want.kind, true})
 		}
@@ -101,7 +101,7 @@
 		gone, cancel := context.WithCancel(ctx)
 		cancel()
 		_, err := await(gone, m.expect(9))
-		So(faultlist.Of(err), ShouldEqual, faultlist.Late)
+		So(errs.Of(err), ShouldEqual, errs.Late)
 	})
 	Convey("A snapshot takes the place of all before, one that can't be read of nothing, and a change from before it is known as repeated", t, func() {
 		m, other := newMinutes(zap.NewNop(), func() {}), newMinutes(zap.NewNop(), func() {})
@@ -117,7 +117,7 @@
 		settle(other)
 		So(encoded(other.current()), ShouldEqual, encoded(m.current()))
 		version, kind, ok := told(repeated)
-		So([]any{version, kind, ok}, ShouldResemble, []any{int64(3), faultlist.Kind(0), true})
+		So([]any{version, kind, ok}, ShouldResemble, []any{int64(3), errs.Kind(0), true})
 		for _, version := range []int64{0, 3, 9} {
 			_, ok = other.Since(version)
 			So(ok, ShouldBeFalse)
--- a/internal/mesh/controlplane/stacks.go
+++ b/internal/mesh/controlplane/stacks.go
@@ -14,7 +14,7 @@
 
 	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/quota"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/replication"
@@ -132,7 +132,7 @@
 	for address, mux := range map[string]*http.ServeMux{self: inside, s.set.Network.ListenAddresses.ControlPlane: outside} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return faultlist.Wrap(err, faultlist.Internal, "listen at %s", address)
+			return errs.Wrap(err, errs.Internal, "listen at %s", address)
 		}
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 16 << 10}
 		defer server.Close()
@@ -223,13 +223,13 @@
 	sequencer, view := s.sequencer()
 	if sequencer != s.set.Internal() {
 		if sequencer == "" || q.Passed {
-			return nil, faultlist.New(faultlist.NotSequencer, "nobody deals here")
+			return nil, errs.New(errs.NotSequencer, "nobody deals here")
 		}
 		q.Passed = true
 		return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+sequencer+sidecar.DealPath, q)
 	}
 	if !s.inContact() {
-		return nil, faultlist.New(faultlist.NoQuorum, "this view may be over")
+		return nil, errs.New(errs.NoQuorum, "this view may be over")
 	}
 	live, largest := s.hub.Members()
 	s.mu.Lock()
@@ -256,7 +256,7 @@
 	sequencer, _ := s.sequencer()
 	switch sequencer {
 	case "":
-		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
+		return nil, errs.New(errs.NoQuorum, "no sequencer is known")
 	case s.set.Internal():
 		return s.propose(ctx, change)
 	}
@@ -282,7 +282,7 @@
 func (s *Stacks) propose(ctx context.Context, change *config.Change) (*api.Taken, error) {
 	node := s.node.Load()
 	if node == nil {
-		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
+		return nil, errs.New(errs.NotSequencer, "no log is held here")
 	}
 	number := rand.Uint64()
 	told := s.minutes.expect(number)
@@ -309,7 +309,7 @@
 	sequencer, _ := s.sequencer()
 	switch sequencer {
 	case "":
-		return nil, faultlist.New(faultlist.NoQuorum, "no sequencer is known")
+		return nil, errs.New(errs.NoQuorum, "no sequencer is known")
 	case s.set.Internal():
 		return s.confirm(ctx)
 	}
@@ -319,7 +319,7 @@
 func (s *Stacks) confirm(ctx context.Context) (*json.RawMessage, error) {
 	node := s.node.Load()
 	if node == nil {
-		return nil, faultlist.New(faultlist.NotSequencer, "no log is held here")
+		return nil, errs.New(errs.NotSequencer, "no log is held here")
 	}
 	if err := node.Read(ctx); err != nil {
 		return nil, err
--- a/internal/mesh/faultlist/faultlist.go
+++ b/internal/mesh/errs/faultlist.go
@@ -1,6 +1,6 @@
-// Package faultlist is the closed list of what can go wrong in the mesh. Every error that crosses a package or a
+// Package errs is the closed list of what can go wrong in the mesh. Every error that crosses a package or a
 // machine is of one kind of this list, and one table says which HTTP status a kind is answered with.
-package faultlist
+package errs
 
 import (
 	"errors"
--- a/internal/mesh/quota/budget.go
+++ b/internal/mesh/quota/budget.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -43,7 +43,7 @@
 // NewBudget returns a budget that has counted nothing, of one member.
 func NewBudget(rules BudgetRules) (*Budget, error) {
 	if rules.Window < budgetSlots || !amount(rules.Ratio) || !amount(rules.Slack) {
-		return nil, faultlist.New(faultlist.Invalid, "budget rules: window %v, ratio %v, slack %v", rules.Window, rules.Ratio, rules.Slack)
+		return nil, errs.New(errs.Invalid, "budget rules: window %v, ratio %v, slack %v", rules.Window, rules.Ratio, rules.Slack)
 	}
 	b := &Budget{rules: rules, services: map[string]*counts{}}
 	b.members.set(0, 1)
@@ -53,7 +53,7 @@
 // Configure sets the number of sidecars; the larger one of those seen lately holds.
 func (b *Budget) Configure(now time.Duration, members int) error {
 	if members < 1 {
-		return faultlist.New(faultlist.Invalid, "%d members: at least one is there", members)
+		return errs.New(errs.Invalid, "%d members: at least one is there", members)
 	}
 	b.members.set(now, members)
 	return nil
--- a/internal/mesh/quota/dealer.go
+++ b/internal/mesh/quota/dealer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -170,29 +170,29 @@
 // tenants are all of them, whatever was asked; every other post-paid tenant is open.
 func (d *Dealer) Deal(now time.Duration, epoch uint64, node string, asks []Ask) ([]Grant, []Closed, error) {
 	if node == "" || len(node) > maxNodeName {
-		return nil, nil, faultlist.New(faultlist.Invalid, "a node's name has 1 to %d bytes, this one %d", maxNodeName, len(node))
+		return nil, nil, errs.New(errs.Invalid, "a node's name has 1 to %d bytes, this one %d", maxNodeName, len(node))
 	}
 	if len(asks) > maxAsks {
-		return nil, nil, faultlist.New(faultlist.TooLarge, "%d asks, at most %d are taken", len(asks), maxAsks)
+		return nil, nil, errs.New(errs.TooLarge, "%d asks, at most %d are taken", len(asks), maxAsks)
 	}
 	for _, ask := range asks {
 		if !amount(ask.Want) || !amount(ask.Used) {
-			return nil, nil, faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be wanted and %v used", ask.Tenant, ask.Want, ask.Used)
+			return nil, nil, errs.New(errs.Invalid, "tenant %q: %v tokens can't be wanted and %v used", ask.Tenant, ask.Want, ask.Used)
 		}
 	}
 	if d.begun && epoch < d.epoch {
-		return nil, nil, faultlist.New(faultlist.Stale, "epoch %d is over, this is %d", epoch, d.epoch)
+		return nil, nil, errs.New(errs.Stale, "epoch %d is over, this is %d", epoch, d.epoch)
 	}
 	d.settle(now)
 	if !d.begun || epoch > d.epoch {
 		d.begin(now, epoch)
 	}
 	if now < d.dealsFrom {
-		return nil, nil, faultlist.New(faultlist.Busy, "epoch %d deals in %v", epoch, d.dealsFrom-now)
+		return nil, nil, errs.New(errs.Busy, "epoch %d deals in %v", epoch, d.dealsFrom-now)
 	}
 	_, known := d.heard[node]
 	if !known && len(d.heard) >= maxNodes {
-		return nil, nil, faultlist.New(faultlist.Busy, "%d nodes are asking, no more are taken", maxNodes)
+		return nil, nil, errs.New(errs.Busy, "%d nodes are asking, no more are taken", maxNodes)
 	}
 	d.heard[node] = now
 	// Of a node's first report in the duty, the part that ran before the duty was the last dealer's.
--- a/internal/mesh/quota/purse.go
+++ b/internal/mesh/quota/purse.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -359,19 +359,19 @@
 // older epoch than one seen before is Stale and changes nothing, as is one that wasn't asked for.
 func (p *Purse) Granted(now time.Duration, epoch uint64, grants []Grant, closed []Closed) error {
 	if !p.awaiting {
-		return faultlist.New(faultlist.Stale, "grants of epoch %d that nobody awaits", epoch)
+		return errs.New(errs.Stale, "grants of epoch %d that nobody awaits", epoch)
 	}
 	if epoch < p.epoch {
-		return faultlist.New(faultlist.Stale, "grants of epoch %d, the newest seen is %d", epoch, p.epoch)
+		return errs.New(errs.Stale, "grants of epoch %d, the newest seen is %d", epoch, p.epoch)
 	}
 	for _, g := range grants {
 		if !amount(g.Tokens) {
-			return faultlist.New(faultlist.Invalid, "tenant %q: %v tokens can't be granted", g.Tenant, g.Tokens)
+			return errs.New(errs.Invalid, "tenant %q: %v tokens can't be granted", g.Tenant, g.Tokens)
 		}
 	}
 	for _, c := range closed {
 		if !(c.Share >= 0 && c.Share <= 1) {
-			return faultlist.New(faultlist.Invalid, "tenant %q: %v isn't a share", c.Tenant, c.Share)
+			return errs.New(errs.Invalid, "tenant %q: %v isn't a share", c.Tenant, c.Share)
 		}
 	}
 	p.settle(now)
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -62,7 +62,7 @@
 	"math"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // TokenLife is how long a dealt token can be spent, from the ask that brought it. It bounds what a dealer that is gone
@@ -133,7 +133,7 @@
 
 func (r Rules) check() error {
 	if r.Window <= 0 || !amount(r.Overage) || !amount(r.Slack) {
-		return faultlist.New(faultlist.Invalid, "quota rules: window %v, overage %v, slack %v", r.Window, r.Overage, r.Slack)
+		return errs.New(errs.Invalid, "quota rules: window %v, overage %v, slack %v", r.Window, r.Overage, r.Slack)
 	}
 	return nil
 }
@@ -167,11 +167,11 @@
 
 func checkLimits(limits map[string]Limit, members int) error {
 	if members < 1 {
-		return faultlist.New(faultlist.Invalid, "%d members: at least one is there", members)
+		return errs.New(errs.Invalid, "%d members: at least one is there", members)
 	}
 	for name, l := range limits {
 		if !amount(l.Rate) || !amount(l.Burst) {
-			return faultlist.New(faultlist.Invalid, "tenant %q: rate %v and burst %v must lie between 0 and 1e12", name, l.Rate, l.Burst)
+			return errs.New(errs.Invalid, "tenant %q: rate %v and burst %v must lie between 0 and 1e12", name, l.Rate, l.Burst)
 		}
 	}
 	return nil
--- a/internal/mesh/registry/table.go
+++ b/internal/mesh/registry/table.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -118,7 +118,7 @@
 		return false, err
 	}
 	if t.leases[l.Node] == nil && len(t.leases) >= MaxLeases {
-		return false, faultlist.New(faultlist.Busy, "this member holds %d leases and takes no new node", MaxLeases)
+		return false, errs.New(errs.Busy, "this member holds %d leases and takes no new node", MaxLeases)
 	}
 	return t.take(now, l, LeaseTime), nil
 }
--- a/internal/mesh/registry/table_test.go
+++ b/internal/mesh/registry/table_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 func upstream(instance string, sequence int64) Upstream {
@@ -225,14 +225,14 @@
 			{Node: "n", Life: 1, Sequence: 1, Upstream: &Upstream{Instance: "a", Service: "s", State: 7}},
 		} {
 			_, err := table.Renew(0, l)
-			So(faultlist.Of(err), ShouldEqual, faultlist.Invalid)
+			So(errs.Of(err), ShouldEqual, errs.Invalid)
 			So(table.Merge(0, []Remote{{Lease: l}}), ShouldBeEmpty)
 		}
 		for i := range MaxLeases {
 			_, _ = table.Renew(0, Lease{Node: fmt.Sprint(i), Life: 1, Sequence: 1})
 		}
 		_, err := table.Renew(0, Lease{Node: "one more", Life: 1, Sequence: 1})
-		So(faultlist.Of(err), ShouldEqual, faultlist.Busy)
+		So(errs.Of(err), ShouldEqual, errs.Busy)
 		_, err = table.Renew(0, Lease{Node: "7", Life: 1, Sequence: 2})
 		So(err, ShouldBeNil)
 	})
--- a/internal/mesh/registry/upstream.go
+++ b/internal/mesh/registry/upstream.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // State is an upstream's own word on whether it takes requests.
@@ -33,7 +33,7 @@
 // MarshalText writes the state by name.
 func (s State) MarshalText() ([]byte, error) {
 	if int(s) >= len(stateNames) {
-		return nil, faultlist.New(faultlist.Invalid, "no upstream state has the number %d", s)
+		return nil, errs.New(errs.Invalid, "no upstream state has the number %d", s)
 	}
 	return []byte(stateNames[s]), nil
 }
@@ -46,7 +46,7 @@
 			return nil
 		}
 	}
-	return faultlist.New(faultlist.Invalid, "unknown upstream state %q", b)
+	return errs.New(errs.Invalid, "unknown upstream state %q", b)
 }
 
 // Upstream is one application server as the other sidecars need to know it.
@@ -128,24 +128,24 @@
 // Check refuses an upstream that no table should take.
 func (u *Upstream) Check() error {
 	if u.Instance == "" {
-		return faultlist.New(faultlist.Invalid, "the upstream names no instance")
+		return errs.New(errs.Invalid, "the upstream names no instance")
 	}
 	if u.State > Gone {
-		return faultlist.New(faultlist.Invalid, "upstream %.64q has no known state", u.Instance)
+		return errs.New(errs.Invalid, "upstream %.64q has no known state", u.Instance)
 	}
 	if u.State != Gone && u.Service == "" {
-		return faultlist.New(faultlist.Invalid, "upstream %.64q names no service", u.Instance)
+		return errs.New(errs.Invalid, "upstream %.64q names no service", u.Instance)
 	}
 	for _, s := range [...]string{u.Instance, u.Service, u.Address, u.Node, u.Inbound, u.Zone, u.Region, u.Version} {
 		if len(s) > maxName {
-			return faultlist.New(faultlist.Invalid, "a name of upstream %.64q is longer than %d bytes", u.Instance, maxName)
+			return errs.New(errs.Invalid, "a name of upstream %.64q is longer than %d bytes", u.Instance, maxName)
 		}
 	}
 	if u.Slots < 0 || u.Slots > maxSlots {
-		return faultlist.New(faultlist.Invalid, "upstream %.64q has %d slots, not 0 to %d", u.Instance, u.Slots, maxSlots)
+		return errs.New(errs.Invalid, "upstream %.64q has %d slots, not 0 to %d", u.Instance, u.Slots, maxSlots)
 	}
 	if !(u.WarmupRemaining >= 0 && u.WarmupRemaining <= maxWarmup) {
-		return faultlist.New(faultlist.Invalid, "upstream %.64q warms up for %g s, not 0 to %d", u.Instance, u.WarmupRemaining, maxWarmup)
+		return errs.New(errs.Invalid, "upstream %.64q warms up for %g s, not 0 to %d", u.Instance, u.WarmupRemaining, maxWarmup)
 	}
 	return nil
 }
@@ -153,10 +153,10 @@
 // Check refuses a lease that no table should take.
 func (l *Lease) Check() error {
 	if l.Node == "" || len(l.Node) > maxName || len(l.Zone) > maxName {
-		return faultlist.New(faultlist.Invalid, "a lease needs a node and a zone of at most %d bytes, and has node %.64q", maxName, l.Node)
+		return errs.New(errs.Invalid, "a lease needs a node and a zone of at most %d bytes, and has node %.64q", maxName, l.Node)
 	}
 	if l.Life == 0 || l.Sequence == 0 {
-		return faultlist.New(faultlist.Invalid, "the lease of %.64q has no life or no sequence", l.Node)
+		return errs.New(errs.Invalid, "the lease of %.64q has no life or no sequence", l.Node)
 	}
 	if l.Upstream != nil {
 		return l.Upstream.Check()
--- a/internal/mesh/replication/member.go
+++ b/internal/mesh/replication/member.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // The times and bounds of the protocol.
@@ -160,10 +160,10 @@
 func New(cfg Config, now time.Duration) (*Member, error) {
 	members := cfg.State.Members
 	if !slices.Contains(members, cfg.ID) {
-		return nil, faultlist.New(faultlist.Invalid, "archive: %q isn't among the members %q", cfg.ID, members)
+		return nil, errs.New(errs.Invalid, "archive: %q isn't among the members %q", cfg.ID, members)
 	}
 	if len(members)%2 == 0 || len(slices.Compact(slices.Sorted(slices.Values(members)))) != len(members) {
-		return nil, faultlist.New(faultlist.Invalid, "archive: the members %q aren't an odd number of different names", members)
+		return nil, errs.New(errs.Invalid, "archive: the members %q aren't an odd number of different names", members)
 	}
 	m := &Member{
 		id:     cfg.ID,
@@ -181,7 +181,7 @@
 	m.log.reset(cfg.State.Snapshot)
 	for i, e := range cfg.State.Entries {
 		if e.Index != cfg.State.Snapshot.Index+uint64(i)+1 {
-			return nil, faultlist.New(faultlist.DiskFailed, "archive: entry %d stands where %d belongs", e.Index, cfg.State.Snapshot.Index+uint64(i)+1)
+			return nil, errs.New(errs.DiskFailed, "archive: entry %d stands where %d belongs", e.Index, cfg.State.Snapshot.Index+uint64(i)+1)
 		}
 	}
 	m.log.append(cfg.State.Entries...)
--- a/internal/mesh/replication/member_test.go
+++ b/internal/mesh/replication/member_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // histories is how many random histories TestHistories plays. ARCHIVE_SEED
@@ -130,7 +130,7 @@
 			now := w.now + time.Second - lead.born
 			So(lead.m.IsSequencer(now), ShouldBeFalse)
 			_, err = lead.m.Read(now)
-			So(faultlist.Of(err), ShouldEqual, faultlist.NotSequencer)
+			So(errs.Of(err), ShouldEqual, errs.NotSequencer)
 			r, _ := lead.m.Ready(now)
 			So(r.Proposals, ShouldResemble, []Settlement{{Token: token, Index: lead.m.log.last(), Aborted: true}})
 			So(r.Messages, ShouldBeEmpty)
--- a/internal/mesh/replication/node.go
+++ b/internal/mesh/replication/node.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -100,7 +100,7 @@
 func Start(cfg NodeConfig) (*Node, error) {
 	var seeds [16]byte
 	if _, err := crand.Read(seeds[:]); err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Internal, "archive: random seeds")
+		return nil, errs.Wrap(err, errs.Internal, "archive: random seeds")
 	}
 	member, err := New(Config{
 		ID:    cfg.ID,
@@ -149,7 +149,7 @@
 // done; NoQuorum and Late that it may be committed or not.
 func (n *Node) Propose(ctx context.Context, cmd []byte) (index uint64, err error) {
 	if len(cmd) == 0 {
-		return 0, faultlist.New(faultlist.Invalid, "archive: a command is empty")
+		return 0, errs.New(errs.Invalid, "archive: a command is empty")
 	}
 	return n.call(ctx, cmd)
 }
@@ -166,7 +166,7 @@
 	n.mu.Lock()
 	if n.closed || len(n.calls) >= maxCalls {
 		n.mu.Unlock()
-		return 0, faultlist.New(faultlist.Busy, "archive: the node is closed or has too many callers")
+		return 0, errs.New(errs.Busy, "archive: the node is closed or has too many callers")
 	}
 	n.calls = append(n.calls, c)
 	n.mu.Unlock()
@@ -175,7 +175,7 @@
 	case r := <-c.done:
 		return r.index, r.err
 	case <-ctx.Done():
-		return 0, faultlist.Wrap(ctx.Err(), faultlist.Late, "archive: the caller's time ran out")
+		return 0, errs.Wrap(ctx.Err(), errs.Late, "archive: the caller's time ran out")
 	}
 }
 
@@ -373,9 +373,9 @@
 		case !s.Aborted:
 			c.done <- result{index: s.Index}
 		case c.cmd != nil:
-			c.done <- result{err: faultlist.New(faultlist.NoQuorum, "archive: the view ended before the command was committed; it may be or not")}
+			c.done <- result{err: errs.New(errs.NoQuorum, "archive: the view ended before the command was committed; it may be or not")}
 		default:
-			c.done <- result{err: faultlist.New(faultlist.NotSequencer, "archive: the view ended before the read was confirmed")}
+			c.done <- result{err: errs.New(errs.NotSequencer, "archive: the view ended before the read was confirmed")}
 		}
 	}
 }
@@ -432,9 +432,9 @@
 		}
 	}
 	for _, c := range calls {
-		c.done <- result{err: faultlist.New(faultlist.Busy, "archive: the node is closed")}
+		c.done <- result{err: errs.New(errs.Busy, "archive: the node is closed")}
 	}
 	for _, c := range n.waiting {
-		c.done <- result{err: faultlist.New(faultlist.Late, "archive: the node was closed before the end was known")}
+		c.done <- result{err: errs.New(errs.Late, "archive: the node was closed before the end was known")}
 	}
 }
--- a/internal/mesh/replication/node_test.go
+++ b/internal/mesh/replication/node_test.go
@@ -17,7 +17,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/rpc"
 )
 
@@ -67,7 +67,7 @@
 				So(os.WriteFile(m, []byte("no manifest"), 0o600), ShouldBeNil)
 			}
 			_, _, err = Open(dir, members, true)
-			So(faultlist.Of(err), ShouldEqual, faultlist.DiskFailed)
+			So(errs.Of(err), ShouldEqual, errs.DiskFailed)
 			So(Damaged(err), ShouldBeTrue)
 			s, state, err = OpenOrForget(dir, members, true, zap.NewNop())
 			So(err, ShouldBeNil)
@@ -178,14 +178,14 @@
 			So(first, ShouldBeGreaterThanOrEqualTo, 0)
 			ctx := context.Background()
 			So(nodes[first].Read(ctx), ShouldBeNil)
-			So(faultlist.Of(nodes[(first+1)%3].Read(ctx)), ShouldEqual, faultlist.NotSequencer)
+			So(errs.Of(nodes[(first+1)%3].Read(ctx)), ShouldEqual, errs.NotSequencer)
 
 			disks[first].setFull(true)
 			_, err := nodes[first].Propose(ctx, []byte("refused"))
-			So(faultlist.Of(err), ShouldEqual, faultlist.NoQuorum)
+			So(errs.Of(err), ShouldEqual, errs.NoQuorum)
 			So(nodes[first].Sick(), ShouldBeTrue)
 			_, err = nodes[first].Propose(ctx, []byte("refused"))
-			So(faultlist.Of(err), ShouldEqual, faultlist.DiskFailed)
+			So(errs.Of(err), ShouldEqual, errs.DiskFailed)
 			second := proposeAnywhere(nodes, "two")
 			So(second, ShouldNotEqual, first)
 
--- a/internal/mesh/replication/post.go
+++ b/internal/mesh/replication/post.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/rpc"
 )
 
@@ -149,10 +149,10 @@
 	rpc.Handle(mux, Path, maxBody, func(r *http.Request, q *letter) (*letter, error) {
 		node := held()
 		if node == nil {
-			return nil, faultlist.New(faultlist.Busy, "archive: no log is held here yet")
+			return nil, errs.New(errs.Busy, "archive: no log is held here yet")
 		}
 		if q.From == "" {
-			return nil, faultlist.New(faultlist.Invalid, "archive: a letter without a sender")
+			return nil, errs.New(errs.Invalid, "archive: a letter without a sender")
 		}
 		return &letter{From: node.cfg.ID, Messages: node.Exchange(r.Context(), q.From, q.Messages)}, nil
 	})
--- a/internal/mesh/replication/sequence.go
+++ b/internal/mesh/replication/sequence.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // Propose numbers a command and returns a token that a later Ready settles.
@@ -13,15 +13,15 @@
 	m.checkContact(now)
 	switch {
 	case len(cmd) == 0:
-		return 0, faultlist.New(faultlist.Invalid, "archive: a command is empty")
+		return 0, errs.New(errs.Invalid, "archive: a command is empty")
 	case len(cmd) > MaxCommand:
-		return 0, faultlist.New(faultlist.TooLarge, "archive: a command of %d bytes is over the limit of %d", len(cmd), MaxCommand)
+		return 0, errs.New(errs.TooLarge, "archive: a command of %d bytes is over the limit of %d", len(cmd), MaxCommand)
 	case m.sick:
-		return 0, faultlist.New(faultlist.DiskFailed, "archive: the disk of %s takes no writes", m.id)
+		return 0, errs.New(errs.DiskFailed, "archive: the disk of %s takes no writes", m.id)
 	case m.role != sequencer:
-		return 0, faultlist.New(faultlist.NotSequencer, "archive: %s isn't the sequencer", m.id)
+		return 0, errs.New(errs.NotSequencer, "archive: %s isn't the sequencer", m.id)
 	case len(m.proposals) >= maxPending || m.pendingBytes+len(cmd) > maxPendingBytes:
-		return 0, faultlist.New(faultlist.Busy, "archive: %d proposals wait for a quorum", len(m.proposals))
+		return 0, errs.New(errs.Busy, "archive: %d proposals wait for a quorum", len(m.proposals))
 	}
 	m.token++
 	index := m.log.last() + 1
@@ -37,10 +37,10 @@
 func (m *Member) Read(now time.Duration) (token uint64, err error) {
 	m.checkContact(now)
 	if m.role != sequencer {
-		return 0, faultlist.New(faultlist.NotSequencer, "archive: %s isn't the sequencer", m.id)
+		return 0, errs.New(errs.NotSequencer, "archive: %s isn't the sequencer", m.id)
 	}
 	if len(m.reads) >= maxReads {
-		return 0, faultlist.New(faultlist.Busy, "archive: %d reads wait for their round", len(m.reads))
+		return 0, errs.New(errs.Busy, "archive: %d reads wait for their round", len(m.reads))
 	}
 	m.token++
 	if m.roundOpen {
--- a/internal/mesh/replication/store.go
+++ b/internal/mesh/replication/store.go
@@ -14,7 +14,7 @@
 	"github.com/syndtr/goleveldb/leveldb/util"
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -76,7 +76,7 @@
 func Open(dir string, members []string, firstStart bool) (*Store, State, error) {
 	s := &Store{path: filepath.Join(dir, folder), first: 1}
 	if err := s.open(false); err != nil {
-		return nil, State{}, faultlist.Wrap(err, faultlist.DiskFailed, "archive: open %s", s.path)
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: open %s", s.path)
 	}
 	state, err := s.load()
 	if err == nil && len(state.Members) == 0 {
@@ -85,7 +85,7 @@
 	}
 	if err != nil {
 		_ = s.Close()
-		return nil, State{}, faultlist.Wrap(err, faultlist.DiskFailed, "archive: read %s", s.path)
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: read %s", s.path)
 	}
 	return s, state, nil
 }
@@ -108,7 +108,7 @@
 func OpenOrForget(dir string, members []string, firstStart bool, log *zap.Logger) (*Store, State, error) {
 	// A removal that was cut short is finished first.
 	if err := os.RemoveAll(filepath.Join(dir, damagedFolder)); err != nil {
-		return nil, State{}, faultlist.Wrap(err, faultlist.DiskFailed, "archive: remove what was damaged")
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: remove what was damaged")
 	}
 	s, state, err := Open(dir, members, firstStart)
 	if err == nil || !Damaged(err) {
@@ -117,10 +117,10 @@
 	log.Error("the archive on disk is damaged; this member starts as one that has forgotten", zap.Error(err))
 	// The folder is renamed before it is removed, because half of it might read as a whole store.
 	if err := os.Rename(filepath.Join(dir, folder), filepath.Join(dir, damagedFolder)); err != nil {
-		return nil, State{}, faultlist.Wrap(err, faultlist.DiskFailed, "archive: move the damaged store aside")
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: move the damaged store aside")
 	}
 	if err := syncDir(dir); err != nil {
-		return nil, State{}, faultlist.Wrap(err, faultlist.DiskFailed, "archive: sync %s", dir)
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: sync %s", dir)
 	}
 	if err := os.RemoveAll(filepath.Join(dir, damagedFolder)); err != nil {
 		log.Warn("a damaged archive couldn't be removed", zap.Error(err))
@@ -250,7 +250,7 @@
 func (s *Store) Save(p *Persist) error {
 	if s.db == nil {
 		if err := s.open(true); err != nil {
-			return faultlist.Wrap(err, faultlist.DiskFailed, "archive: open %s again", s.path)
+			return errs.Wrap(err, errs.DiskFailed, "archive: open %s again", s.path)
 		}
 	}
 	batch, first, last, err := s.batch(p)
@@ -259,7 +259,7 @@
 	}
 	if err := s.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
 		_ = s.Close()
-		return faultlist.Wrap(err, faultlist.DiskFailed, "archive: write to %s", s.path)
+		return errs.Wrap(err, errs.DiskFailed, "archive: write to %s", s.path)
 	}
 	s.first, s.last = first, last
 	return nil
@@ -289,7 +289,7 @@
 	for i := range p.Entries {
 		e := &p.Entries[i]
 		if e.Index != last+1 {
-			return nil, 0, 0, faultlist.New(faultlist.Internal, "archive: entry %d would follow %d on disk", e.Index, last)
+			return nil, 0, 0, errs.New(errs.Internal, "archive: entry %d would follow %d on disk", e.Index, last)
 		}
 		value := make([]byte, 8, 8+len(e.Cmd))
 		binary.BigEndian.PutUint64(value, e.View)
@@ -299,7 +299,7 @@
 	if p.Hard != nil {
 		hard, err := json.Marshal(p.Hard)
 		if err != nil {
-			return nil, 0, 0, faultlist.Wrap(err, faultlist.Internal, "archive: the hard state")
+			return nil, 0, 0, errs.Wrap(err, errs.Internal, "archive: the hard state")
 		}
 		batch.Put(keyHard, hard)
 	}
--- a/internal/mesh/rpc/client.go
+++ b/internal/mesh/rpc/client.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -80,7 +80,7 @@
 func Call[Q, A any](ctx context.Context, c *http.Client, url string, q *Q) (*A, error) {
 	body, err := json.Marshal(q)
 	if err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Internal, "encode the request to %s", url)
+		return nil, errs.Wrap(err, errs.Internal, "encode the request to %s", url)
 	}
 	return Post[A](ctx, c, url, body)
 }
@@ -98,14 +98,14 @@
 func exchange[A any](ctx context.Context, c *http.Client, method, url string, asked io.Reader) (*A, error) {
 	r, err := http.NewRequestWithContext(ctx, method, url, asked)
 	if err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Internal, "request to %s", url)
+		return nil, errs.Wrap(err, errs.Internal, "request to %s", url)
 	}
 	if asked != nil {
 		r.Header.Set("Content-Type", contentJSON)
 	}
 	answer, err := c.Do(r)
 	if err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Unreachable, "no answer")
+		return nil, errs.Wrap(err, errs.Unreachable, "no answer")
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode < 200 || answer.StatusCode > 299 {
@@ -113,11 +113,11 @@
 	}
 	body, err := readWhole(answer.Body, answer.ContentLength, answerLimit)
 	if err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Unreachable, "answer of %s", url)
+		return nil, errs.Wrap(err, errs.Unreachable, "answer of %s", url)
 	}
 	a := new(A)
 	if err := json.Unmarshal(body, a); err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Internal, "answer of %s", url)
+		return nil, errs.Wrap(err, errs.Internal, "answer of %s", url)
 	}
 	return a, nil
 }
@@ -125,11 +125,11 @@
 // failureOf turns an answer that is not 2xx into an error of the kind its header says. The message is the peer's, where
 // one can be read.
 func failureOf(url string, answer *http.Response) error {
-	kind := faultlist.Named(answer.Header.Get(faultHeader))
+	kind := errs.Named(answer.Header.Get(faultHeader))
 	body, _ := io.ReadAll(io.LimitReader(answer.Body, failureLimit))
 	var said failure
 	if json.Unmarshal(body, &said) != nil || said.ErrorMessage == "" {
-		return faultlist.New(kind, "%s answers %s", url, answer.Status)
+		return errs.New(kind, "%s answers %s", url, answer.Status)
 	}
-	return faultlist.New(kind, "%s answers %d: %s", url, answer.StatusCode, said.ErrorMessage)
+	return errs.New(kind, "%s answers %d: %s", url, answer.StatusCode, said.ErrorMessage)
 }
--- a/internal/mesh/rpc/desk.go
+++ b/internal/mesh/rpc/desk.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -70,14 +70,14 @@
 // says so beforehand; one that is cut short is Unreadable.
 func Body(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
-		return nil, faultlist.New(faultlist.TooLarge, "body: %d bytes, at most %d are taken", r.ContentLength, limit)
+		return nil, errs.New(errs.TooLarge, "body: %d bytes, at most %d are taken", r.ContentLength, limit)
 	}
 	body, err := readWhole(r.Body, r.ContentLength, limit)
 	switch {
 	case errors.Is(err, errOverLimit):
-		return nil, faultlist.New(faultlist.TooLarge, "body: at most %d bytes are taken", limit)
+		return nil, errs.New(errs.TooLarge, "body: at most %d bytes are taken", limit)
 	case err != nil:
-		return nil, faultlist.Wrap(err, faultlist.Unreadable, "body cut short after %d bytes", len(body))
+		return nil, errs.Wrap(err, errs.Unreadable, "body cut short after %d bytes", len(body))
 	}
 	return body, nil
 }
@@ -85,7 +85,7 @@
 // Answer answers with the error's status, its kind in a header, and a JSON body of message and kind. The error must
 // not be nil.
 func Answer(w http.ResponseWriter, err error) {
-	kind := faultlist.Of(err)
+	kind := errs.Of(err)
 	if wait := kind.RetryAfter(); wait != "" {
 		w.Header().Set("Retry-After", wait)
 	}
@@ -102,7 +102,7 @@
 	}
 	body, err := json.Marshal(a)
 	if err != nil {
-		Answer(w, faultlist.Wrap(err, faultlist.Internal, "encode the answer"))
+		Answer(w, errs.Wrap(err, errs.Internal, "encode the answer"))
 		return
 	}
 	send(w, http.StatusOK, body)
@@ -124,12 +124,12 @@
 		return nil
 	}
 	if syntax := (*json.SyntaxError)(nil); errors.As(err, &syntax) {
-		return faultlist.Wrap(err, faultlist.Unreadable, "JSON at byte %d of %d", syntax.Offset, len(body))
+		return errs.Wrap(err, errs.Unreadable, "JSON at byte %d of %d", syntax.Offset, len(body))
 	}
-	if kind := faultlist.Of(err); kind != faultlist.Internal {
-		return faultlist.Wrap(err, kind, "JSON")
+	if kind := errs.Of(err); kind != errs.Internal {
+		return errs.Wrap(err, kind, "JSON")
 	}
-	return faultlist.Wrap(err, faultlist.Invalid, "JSON")
+	return errs.Wrap(err, errs.Invalid, "JSON")
 }
 
 // withMethod puts the method before a pattern that names none.
--- a/internal/mesh/settings/schema.go
+++ b/internal/mesh/settings/schema.go
@@ -12,7 +12,7 @@
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/goccy/go-yaml"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 const (
@@ -333,9 +333,9 @@
 		path, err = append(path, first), fields[first]
 	}
 	if len(path) == 0 {
-		return faultlist.New(faultlist.Invalid, "settings: %s", err)
+		return errs.New(errs.Invalid, "settings: %s", err)
 	}
-	return faultlist.New(faultlist.Invalid, "%s: %s", strings.Join(path, "."), err)
+	return errs.New(errs.Invalid, "%s: %s", strings.Join(path, "."), err)
 }
 
 // unreadable turns an error of the YAML reader, which quotes the source over several lines, into one line.
@@ -343,11 +343,11 @@
 	var at yaml.Error
 	if !errors.As(err, &at) {
 		line, _, _ := strings.Cut(err.Error(), "\n")
-		return faultlist.New(faultlist.Unreadable, "settings: %s", line)
+		return errs.New(errs.Unreadable, "settings: %s", line)
 	}
 	message, _, _ := strings.Cut(at.GetMessage(), "\n")
 	if token := at.GetToken(); token != nil && token.Position != nil {
-		return faultlist.New(faultlist.Unreadable, "settings: line %d: %s", token.Position.Line, message)
+		return errs.New(errs.Unreadable, "settings: line %d: %s", token.Position.Line, message)
 	}
-	return faultlist.New(faultlist.Unreadable, "settings: %s", message)
+	return errs.New(errs.Unreadable, "settings: %s", message)
 }
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // BootVariable is the environment variable that holds the path of the settings file.
@@ -132,7 +132,7 @@
 func Boot() (*Settings, error) {
 	path := os.Getenv(BootVariable)
 	if path == "" {
-		return nil, faultlist.New(faultlist.Invalid, "%s is not set", BootVariable)
+		return nil, errs.New(errs.Invalid, "%s is not set", BootVariable)
 	}
 	return Read(path)
 }
@@ -141,7 +141,7 @@
 func Read(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Unreadable, "settings")
+		return nil, errs.Wrap(err, errs.Unreadable, "settings")
 	}
 	return Parse(data)
 }
--- a/internal/mesh/settings/settings_test.go
+++ b/internal/mesh/settings/settings_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 func TestSettings(t *testing.T) {
@@ -89,7 +89,7 @@
 			}
 			So(err, ShouldNotBeNil)
 			So(err.Error(), ShouldEqual, c.says)
-			So(faultlist.Of(err), ShouldEqual, faultlist.Invalid)
+			So(errs.Of(err), ShouldEqual, errs.Invalid)
 		}
 	})
 
@@ -108,6 +108,6 @@
 			So(text, ShouldContainSubstring, "\n  bounds:")
 		}
 		_, err = Read(filepath.Join("testdata", "none.yaml"))
-		So(faultlist.Of(err), ShouldEqual, faultlist.Unreadable)
+		So(errs.Of(err), ShouldEqual, errs.Unreadable)
 	})
 }
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -23,7 +23,7 @@
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/daybook"
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
@@ -157,7 +157,7 @@
 	} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return faultlist.Wrap(err, faultlist.Internal, "listen at %s", address)
+			return errs.Wrap(err, errs.Internal, "listen at %s", address)
 		}
 		go func() { failed <- serve(l) }()
 	}
@@ -290,7 +290,7 @@
 func (b *Branch) Beat(u registry.Upstream) error {
 	if u.Address != b.set.Self.AppAddress {
 		b.log.Warn("a beat of another address", zap.String("instance", u.Instance), zap.String("address", u.Address))
-		return faultlist.New(faultlist.Invalid, "address %s is not beside this sidecar", u.Address)
+		return errs.New(errs.Invalid, "address %s is not beside this sidecar", u.Address)
 	}
 	u.Node, u.Zone, u.Region = b.set.Self.NodeName, b.set.Self.Zone, b.set.Self.Region
 	before := b.shelves.beside()
@@ -367,7 +367,7 @@
 func Take(held *config.Charter, frame json.RawMessage) (*config.Charter, error) {
 	var f Frame
 	if err := json.Unmarshal(frame, &f); err != nil {
-		return nil, faultlist.Wrap(err, faultlist.Unreadable, "frame")
+		return nil, errs.Wrap(err, errs.Unreadable, "frame")
 	}
 	if f.Version <= held.Version() {
 		return held, nil
@@ -391,7 +391,7 @@
 		}
 	}
 	if next.Version() != f.Version {
-		return nil, faultlist.New(faultlist.Invalid, "a frame of version %d leads to %d", f.Version, next.Version())
+		return nil, errs.New(errs.Invalid, "a frame of version %d leads to %d", f.Version, next.Version())
 	}
 	return next, nil
 }
--- a/internal/mesh/sidecar/branch_test.go
+++ b/internal/mesh/sidecar/branch_test.go
@@ -17,7 +17,7 @@
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
@@ -303,7 +303,7 @@
 	Convey("A beat of an address that is not beside us is refused", t, func() {
 		b := &Branch{set: new(settings.Settings), log: zap.NewNop(), shelves: newShelves(nil, inboundHere)}
 		b.set.Self.AppAddress = "10.1.0.40:8103"
-		So(faultlist.Of(b.Beat(registry.Upstream{Instance: "i-1", Address: "10.1.0.41:8103"})), ShouldEqual, faultlist.Invalid)
+		So(errs.Of(b.Beat(registry.Upstream{Instance: "i-1", Address: "10.1.0.41:8103"})), ShouldEqual, errs.Invalid)
 		So(b.shelves.beside(), ShouldBeNil)
 	})
 }
--- a/internal/mesh/watch/hub.go
+++ b/internal/mesh/watch/hub.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
 )
@@ -340,7 +340,7 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	// A watch outlives the server's time for reading a request.
 	if err := out.control.SetReadDeadline(time.Time{}); err != nil {
-		rpc.Answer(w, faultlist.Wrap(err, faultlist.Internal, "read deadline"))
+		rpc.Answer(w, errs.Wrap(err, errs.Internal, "read deadline"))
 		return
 	}
 	beats := time.NewTicker(beatEvery)
@@ -373,13 +373,13 @@
 	}
 	q := new(watchRequest)
 	if err := json.Unmarshal(body, q); err != nil {
-		return nil, nil, faultlist.Wrap(err, faultlist.Unreadable, "watch request")
+		return nil, nil, errs.Wrap(err, errs.Unreadable, "watch request")
 	}
 	if q.Node == "" {
-		return nil, nil, faultlist.New(faultlist.Invalid, "the watch names no node")
+		return nil, nil, errs.New(errs.Invalid, "the watch names no node")
 	}
 	if !h.cfg.InContact() {
-		return nil, nil, faultlist.New(faultlist.NoQuorum, "this member is not in contact with a quorum")
+		return nil, nil, errs.New(errs.NoQuorum, "this member is not in contact with a quorum")
 	}
 	held := &watch{
 		wake: make(chan struct{}, 1), quit: make(chan struct{}),
@@ -397,7 +397,7 @@
 	if old := h.watches[q.Node]; old != nil {
 		close(old.quit)
 	} else if len(h.watches) >= maxWatches {
-		return nil, nil, faultlist.New(faultlist.Busy, "this member serves %d watches and takes no more", maxWatches)
+		return nil, nil, errs.New(errs.Busy, "this member serves %d watches and takes no more", maxWatches)
 	}
 	h.watches[q.Node] = held
 	return held, q, nil
@@ -468,7 +468,7 @@
 	}
 	line, err := json.Marshal(&f)
 	if err != nil {
-		return faultlist.Wrap(err, faultlist.Internal, "encode a frame")
+		return errs.Wrap(err, errs.Internal, "encode a frame")
 	}
 	if err := out.write(line, []byte("\n")); err != nil {
 		return err
--- a/internal/mesh/watch/subscriber.go
+++ b/internal/mesh/watch/subscriber.go
@@ -15,7 +15,7 @@
 
 	"go.uber.org/zap"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
 )
@@ -94,9 +94,9 @@
 
 // The reasons for which a Subscriber leaves a member that did not fail.
 var (
-	errAgain  = faultlist.New(faultlist.Internal, "the watch is opened anew")
-	errNearer = faultlist.New(faultlist.Internal, "a member of the own zone is there")
-	errSilent = faultlist.New(faultlist.Unreachable, "the member says nothing")
+	errAgain  = errs.New(errs.Internal, "the watch is opened anew")
+	errNearer = errs.New(errs.Internal, "a member of the own zone is there")
+	errSilent = errs.New(errs.Unreachable, "the member says nothing")
 )
 
 // NewSubscriber makes a Subscriber; Run sets it going.
@@ -165,7 +165,7 @@
 // table, and renews no more. It asks each member known until one answers.
 func (s *Subscriber) Leave(ctx context.Context) error {
 	l := s.lease(true)
-	err := faultlist.New(faultlist.Unreachable, "no core member is known")
+	err := errs.New(errs.Unreachable, "no core member is known")
 	for _, address := range s.Peers() {
 		if _, err = s.renew(ctx, address, l); err == nil {
 			return nil
@@ -179,7 +179,7 @@
 	for failures := 0; ctx.Err() == nil; {
 		address := s.next()
 		began := time.Now()
-		err := faultlist.New(faultlist.Unreachable, "no core member is known")
+		err := errs.New(errs.Unreachable, "no core member is known")
 		if address != "" {
 			err = s.attend(ctx, address)
 		}
@@ -422,28 +422,28 @@
 	}
 	body, err := json.Marshal(&q)
 	if err != nil {
-		return faultlist.Wrap(err, faultlist.Internal, "encode the watch request")
+		return errs.Wrap(err, errs.Internal, "encode the watch request")
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+watchPath, bytes.NewReader(body))
 	if err != nil {
-		return faultlist.Wrap(err, faultlist.Internal, "watch request to %s", address)
+		return errs.Wrap(err, errs.Internal, "watch request to %s", address)
 	}
 	r.Header.Set("Content-Type", "application/json")
 	answer, err := s.cfg.Client.Do(r)
 	if err != nil {
-		return faultlist.Wrap(err, faultlist.Unreachable, "no watch at %s", address)
+		return errs.Wrap(err, errs.Unreachable, "no watch at %s", address)
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		said, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusal))
-		return faultlist.New(faultlist.Unreachable, "%s refuses the watch: %s %s", address, answer.Status, said)
+		return errs.New(errs.Unreachable, "%s refuses the watch: %s %s", address, answer.Status, said)
 	}
 	in := &guarded{r: answer.Body, watchdog: watchdog, left: maxFrame}
 	frames := json.NewDecoder(in)
 	for {
 		var f frame
 		if err := frames.Decode(&f); err != nil {
-			return faultlist.Wrap(err, faultlist.Unreachable, "the watch at %s broke off", address)
+			return errs.Wrap(err, errs.Unreachable, "the watch at %s broke off", address)
 		}
 		watchdog.Stop()
 		if ctx.Err() != nil {
@@ -469,7 +469,7 @@
 	if len(f.Charter) > 0 {
 		s.whole = !s.cfg.OnCharter(f.Charter)
 		if s.whole && whole {
-			return faultlist.New(faultlist.Internal, "the whole configuration of %s does not fit", address)
+			return errs.New(errs.Internal, "the whole configuration of %s does not fit", address)
 		}
 		if s.whole {
 			return errAgain
@@ -500,7 +500,7 @@
 		s.epoch, s.number = c.Epoch, c.Number
 	case s.epoch != 0 && c.Epoch != s.epoch:
 		s.epoch = 0
-		return faultlist.New(faultlist.Internal, "%s amends a catalogue that is not held", address)
+		return errs.New(errs.Internal, "%s amends a catalogue that is not held", address)
 	case s.epoch != 0 && c.Number <= s.number:
 		return nil
 	case s.epoch != 0:
@@ -520,7 +520,7 @@
 
 func (g *guarded) Read(p []byte) (int, error) {
 	if g.left <= 0 {
-		return 0, faultlist.New(faultlist.TooLarge, "a frame is larger than %d bytes", maxFrame)
+		return 0, errs.New(errs.TooLarge, "a frame is larger than %d bytes", maxFrame)
 	}
 	n, err := g.r.Read(p[:min(len(p), g.left)])
 	g.left -= n
--- a/librarian/errors.go
+++ b/librarian/errors.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net/http"
 
-	"caperarch/internal/mesh/faultlist"
+	"caperarch/internal/mesh/errs"
 )
 
 // Kind says what became of a call that failed. Each Kind is an error itself, so that errors.Is(err, librarian.Stale)
@@ -90,14 +90,14 @@
 // kindOf turns an answer that is a refusal into its kind: by the mesh's own word where it said one, else by the status.
 func kindOf(status int, fault string) Kind {
 	if fault != "" {
-		switch faultlist.Named(fault) {
-		case faultlist.Invalid, faultlist.Unreadable:
+		switch errs.Named(fault) {
+		case errs.Invalid, errs.Unreadable:
 			return Invalid
-		case faultlist.TooLarge:
+		case errs.TooLarge:
 			return TooLarge
-		case faultlist.Stale:
+		case errs.Stale:
 			return Stale
-		case faultlist.Unknown:
+		case errs.Unknown:
 			return Unknown
 		}
 	}
