Rename package slip to headers

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/cmd/measure/mesh_child.go
+++ b/cmd/measure/mesh_child.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"caperarch/internal/mesh/slip"
+	"caperarch/internal/mesh/headers"
 	"caperarch/internal/rig/hollow"
 )
 
@@ -56,9 +56,9 @@
 	return http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		h := w.Header()
-		h[slip.Instance], h[slip.Load], h[slip.Signature] = []string{"i-measured"}, []string{"0,0,64"}, []string{"stamp"}
-		if id := r.Header[slip.AttemptID]; id != nil {
-			h[slip.AttemptID] = id
+		h[headers.Instance], h[headers.Load], h[headers.Signature] = []string{"i-measured"}, []string{"0,0,64"}, []string{"stamp"}
+		if id := r.Header[headers.AttemptID]; id != nil {
+			h[headers.AttemptID] = id
 		}
 		h["Content-Length"] = []string{"4"}
 		_, _ = io.WriteString(w, "done")
@@ -93,8 +93,8 @@
 			return err
 		}
 		r.Host = "path.example"
-		r.Header[slip.AttemptID] = []string{strconv.FormatUint(l.Seed, 36) + "-" + strconv.Itoa(n)}
-		r.Header[slip.Timeout] = []string{"2000"}
+		r.Header[headers.AttemptID] = []string{strconv.FormatUint(l.Seed, 36) + "-" + strconv.Itoa(n)}
+		r.Header[headers.Timeout] = []string{"2000"}
 		res, err := client.Do(r)
 		if err != nil {
 			return err
--- a/internal/mesh/slip/slip.go
+++ b/internal/mesh/headers/slip.go
@@ -1,9 +1,9 @@
-// Package slip is what a request carries on its way through the mesh: the fields that clients, sidecars and upstreams read and write, and what an answer's head proves. It decides
+// Package headers is what a request carries on its way through the mesh: the fields that clients, sidecars and upstreams read and write, and what an answer's head proves. It decides
 // nothing.
 //
 // Between two sidecars there are three kinds of answer: it ran, with the upstream's own bytes; it did not run and never will (Verdict: turned); and unknown, which is everything else.
 // Only the second lets a request that must not run twice be sent again.
-package slip
+package headers
 
 import (
 	"net/http"
--- a/internal/mesh/slip/slip_test.go
+++ b/internal/mesh/headers/slip_test.go
@@ -1,4 +1,4 @@
-package slip
+package headers
 
 import (
 	"net/http"
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -25,10 +25,10 @@
 	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/gate"
+	"caperarch/internal/mesh/headers"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
-	"caperarch/internal/mesh/slip"
 	"caperarch/internal/mesh/watch"
 	"caperarch/internal/transport/http1"
 	"caperarch/policy"
@@ -109,12 +109,12 @@
 	files := b.set.Self.Limits.MaxOpenFiles - reserved
 	links := http1.New(http1.Config{
 		Clock: b.clock, DialTimeout: dialTimeout, ConnIdle: peerIdle, MostConns: files / 4, Rest: -1, Silence: silence,
-		Dialect: &http1.Dialect{Timeout: slip.Timeout, Mine: slip.Mine, Judge: b.judgeGate},
+		Dialect: &http1.Dialect{Timeout: headers.Timeout, Mine: headers.Mine, Judge: b.judgeGate},
 	})
 	b.in = new(inbound)
 	beside := http1.New(http1.Config{
 		Clock: b.clock, DialTimeout: dialTimeout, ConnIdle: upstreamIdle, MostConns: files / 8,
-		Dialect: &http1.Dialect{Timeout: slip.Timeout, Mine: slip.Mine, Judge: b.in.judge},
+		Dialect: &http1.Dialect{Timeout: headers.Timeout, Mine: headers.Mine, Judge: b.in.judge},
 	})
 	var err error
 	b.outer, err = engine.New(engine.Config{
@@ -209,13 +209,13 @@
 // Server is the upstream at such an address.
 func (n network) Server(address string) call.Server {
 	at, instance, _ := strings.Cut(address, " ")
-	return n.ServerWith(at, h1.Field{Name: slip.Target, Value: instance})
+	return n.ServerWith(at, h1.Field{Name: headers.Target, Value: instance})
 }
 
 // judgeGate says what a gate's answer proves.
 func (b *Branch) judgeGate(res *http.Response) (policy.Ending, policy.Load) {
-	ending, load := slip.JudgeGate(res)
-	slip.Bare(res.Header)
+	ending, load := headers.JudgeGate(res)
+	headers.Bare(res.Header)
 	return ending, load
 }
 
@@ -346,8 +346,8 @@
 	}
 	answer.Body.Close()
 	u := registry.Upstream{
-		Instance: answer.Header.Get(slip.Instance), Service: b.set.Self.ServiceName, Address: b.set.Self.AppAddress, Node: b.set.Self.NodeName, Zone: b.set.Self.Zone, Region: b.set.Self.Region,
-		Slots: slip.Slots(answer.Header.Get(slip.Load)),
+		Instance: answer.Header.Get(headers.Instance), Service: b.set.Self.ServiceName, Address: b.set.Self.AppAddress, Node: b.set.Self.NodeName, Zone: b.set.Self.Zone, Region: b.set.Self.Region,
+		Slots: headers.Slots(answer.Header.Get(headers.Load)),
 	}
 	return u, answer.StatusCode == http.StatusOK && u.Instance != "" && u.Slots > 0
 }
--- a/internal/mesh/sidecar/branch_test.go
+++ b/internal/mesh/sidecar/branch_test.go
@@ -19,9 +19,9 @@
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/gate"
+	"caperarch/internal/mesh/headers"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
-	"caperarch/internal/mesh/slip"
 	"caperarch/policy"
 )
 
@@ -90,7 +90,7 @@
 		So(d.Ahead(&q), ShouldBeFalse)
 		fields := h.EndToEnd()
 		d.Pass(&q, fields)
-		So(fields, ShouldResemble, http.Header{slip.AttemptID: {"9c41"}, slip.Timeout: {"900"}, "X-Own": {"1"}, slip.Tenant: {"bozi300"}, slip.Caller: {"huvo11a"}, "X-Mesh-Visit": {"1,300,0"}})
+		So(fields, ShouldResemble, http.Header{headers.AttemptID: {"9c41"}, headers.Timeout: {"900"}, "X-Own": {"1"}, headers.Tenant: {"bozi300"}, headers.Caller: {"huvo11a"}, "X-Mesh-Visit": {"1,300,0"}})
 
 		h = request("GET /open/ HTTP/1.1\r\nHost: HULO84.example:80", id+forged+"X-Caperarch-Timeout-Remaining: 5000\r\n") // needs no key
 		q, left, bad = d.Read(h)
@@ -98,7 +98,7 @@
 		So(left, ShouldEqual, time.Second)
 		fields = h.EndToEnd()
 		d.Pass(&q, fields)
-		So(fields, ShouldResemble, http.Header{slip.AttemptID: {"9c41"}, slip.Timeout: {"5000"}, slip.Caller: {"huvo11a"}, "X-Mesh-Visit": {"4,250,1"}})
+		So(fields, ShouldResemble, http.Header{headers.AttemptID: {"9c41"}, headers.Timeout: {"5000"}, headers.Caller: {"huvo11a"}, "X-Mesh-Visit": {"4,250,1"}})
 	})
 	Convey("What can't be taken on is told why", t, func() {
 		for _, c := range []struct {
@@ -127,7 +127,7 @@
 			So(bad, ShouldNotBeNil)
 			So([]any{c.line, c.fields, bad.Status}, ShouldResemble, []any{c.line, c.fields, c.status})
 			So(bad.Pause, ShouldEqual, 0)
-			So(d.Own(h, nil)[slip.AttemptID], ShouldNotResemble, []string{""})
+			So(d.Own(h, nil)[headers.AttemptID], ShouldNotResemble, []string{""})
 		}
 		_, d := newOutbound("")
 		_, _, bad := d.Read(request(lepu, id+key))
@@ -214,7 +214,7 @@
 			_, _, bad := d.Read(h)
 			So(bad, ShouldNotBeNil)
 			So(bad.Status, ShouldEqual, status)
-			ending, _ := slip.JudgeGate(&http.Response{StatusCode: status, Header: d.Own(h, nil)})
+			ending, _ := headers.JudgeGate(&http.Response{StatusCode: status, Header: d.Own(h, nil)})
 			So(ending, ShouldEqual, policy.Gated)
 		}
 		refused(id+visit+left+target, 503) // nobody has told yet
@@ -233,9 +233,9 @@
 		So(*q.Terms.(*gate.Visit), ShouldResemble, gate.Visit{Rank: 2, Safe: true, Aim: 250 * time.Millisecond})
 		fields := h.EndToEnd()
 		d.Pass(&q, fields)
-		So(fields, ShouldResemble, http.Header{slip.AttemptID: {"9c41"}, slip.Timeout: {"800"}, slip.Target: {"i-1"}, slip.Tenant: {"bozi300"}})
+		So(fields, ShouldResemble, http.Header{headers.AttemptID: {"9c41"}, headers.Timeout: {"800"}, headers.Target: {"i-1"}, headers.Tenant: {"bozi300"}})
 		for answer, want := range map[*call.Answer]policy.Ending{{Kind: call.Refused}: policy.Gated, {Kind: call.Failed}: policy.Broken} {
-			ending, _ := slip.JudgeGate(&http.Response{StatusCode: 503, Header: d.Own(h, answer)})
+			ending, _ := headers.JudgeGate(&http.Response{StatusCode: 503, Header: d.Own(h, answer)})
 			So(ending, ShouldEqual, want)
 		}
 	})
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -14,7 +14,7 @@
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/slip"
+	"caperarch/internal/mesh/headers"
 	"caperarch/policy"
 )
 
@@ -44,8 +44,8 @@
 
 func (o *outbound) dialect() *http1.Dialect {
 	return &http1.Dialect{Read: o.read, Pass: o.pass, Ahead: func(q *policy.Request) bool { return q.Terms.(*balancer.Order).Safe }, Own: func(h *h1.Head, _ *call.Answer) http.Header {
-		if id := h.Get(slip.AttemptID); id != "" {
-			return http.Header{slip.AttemptID: {id}}
+		if id := h.Get(headers.AttemptID); id != "" {
+			return http.Header{headers.AttemptID: {id}}
 		}
 		return nil
 	}}
@@ -59,11 +59,11 @@
 	if h.Old {
 		return no(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed", false)
 	}
-	if name := slip.Twice(h, slip.AttemptID, slip.Timeout, slip.Key); name != "" {
+	if name := headers.Twice(h, headers.AttemptID, headers.Timeout, headers.Key); name != "" {
 		return no(http.StatusBadRequest, name+" is given twice", false)
 	}
-	if h.Get(slip.AttemptID) == "" {
-		return no(http.StatusBadRequest, slip.AttemptID+" is missing", false)
+	if h.Get(headers.AttemptID) == "" {
+		return no(http.StatusBadRequest, headers.AttemptID+" is missing", false)
 	}
 	c := o.b.charter.Load()
 	if c.Version() == 0 {
@@ -78,10 +78,10 @@
 		return no(http.StatusRequestEntityTooLarge, "the body is too long", false)
 	}
 	left = route.Timeout
-	if text := h.Get(slip.Timeout); text != "" {
-		told, ok := slip.Milliseconds(text)
+	if text := h.Get(headers.Timeout); text != "" {
+		told, ok := headers.Milliseconds(text)
 		if !ok {
-			return no(http.StatusBadRequest, slip.Timeout+" is malformed", true)
+			return no(http.StatusBadRequest, headers.Timeout+" is malformed", true)
 		}
 		if left = min(told, route.Timeout); route.Timeout == 0 {
 			left = told
@@ -97,7 +97,7 @@
 	service := target(route)
 	wall := balancer.Wall{Name: "service " + service, Share: o.b.shelves.share(service)}
 	if c.HasTenants() && !route.Public {
-		tenant := c.Tenant(h.Get(slip.Key))
+		tenant := c.Tenant(h.Get(headers.Key))
 		if tenant == nil {
 			return no(http.StatusUnauthorized, "no such key", true)
 		}
@@ -190,11 +190,11 @@
 
 // pass changes what goes on: what only the system may say is its own, the key stays here.
 func (o *outbound) pass(q *policy.Request, fields http.Header) {
-	slip.Strip(fields)
+	headers.Strip(fields)
 	order := q.Terms.(*balancer.Order)
-	fields[slip.Caller] = o.caller
+	fields[headers.Caller] = o.caller
 	if order.Tenant != "" {
-		fields[slip.Tenant] = []string{order.Tenant}
+		fields[headers.Tenant] = []string{order.Tenant}
 	}
-	slip.Visit{Rank: order.Rank, Aim: order.Aim, Safe: order.Safe}.Put(fields)
+	headers.Visit{Rank: order.Rank, Aim: order.Aim, Safe: order.Safe}.Put(fields)
 }
