Rename package daybook to logring

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else. Measured: builds and vets as before.

--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -12,8 +12,8 @@
 	"syscall"
 
 	"caperarch/internal/mesh/controlplane"
-	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/enquiry"
+	"caperarch/internal/mesh/logring"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/sidecar"
 
@@ -61,7 +61,7 @@
 		return 2
 	}
 	debug.SetGCPercent(collectAt)
-	log, ring := daybook.New(os.Stderr, daybook.DefaultBytes)
+	log, ring := logring.New(os.Stderr, logring.DefaultBytes)
 	ring.Said = said
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/mesh/daybook/daybook.go
+++ b/internal/mesh/logring/daybook.go
@@ -1,6 +1,6 @@
-// Package daybook is the log of a process: what happened last is kept in memory and written out only when something
+// Package logring is the log of a process: what happened last is kept in memory and written out only when something
 // goes wrong, because writing costs processor time.
-package daybook
+package logring
 
 import (
 	"fmt"
--- a/internal/mesh/daybook/slog.go
+++ b/internal/mesh/logring/slog.go
@@ -1,4 +1,4 @@
-package daybook
+package logring
 
 import (
 	"context"
--- a/internal/mesh/sidecar/branch.go
+++ b/internal/mesh/sidecar/branch.go
@@ -22,10 +22,10 @@
 	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/daybook"
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/headers"
+	"caperarch/internal/mesh/logring"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
@@ -103,7 +103,7 @@
 }
 
 func (b *Branch) run(ctx context.Context, reload <-chan *settings.Settings) error {
-	addresses, logs := b.set.Network.ListenAddresses, daybook.Slog(b.log)
+	addresses, logs := b.set.Network.ListenAddresses, logring.Slog(b.log)
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(b.set.Self.NodeName))
 	files := b.set.Self.Limits.MaxOpenFiles - reserved
