Rename package enquiry to cli

Cause: names of libraries and archives hide what the package is. Change: the package takes the field's name and its importers follow; nothing else.

--- a/cmd/athenaeum/main.go
+++ b/cmd/athenaeum/main.go
@@ -11,8 +11,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"caperarch/internal/mesh/cli"
 	"caperarch/internal/mesh/controlplane"
-	"caperarch/internal/mesh/enquiry"
 	"caperarch/internal/mesh/logring"
 	"caperarch/internal/mesh/settings"
 	"caperarch/internal/mesh/sidecar"
@@ -29,7 +29,7 @@
 
 The settings file of a role is named by ` + settings.BootVariable + `.
 
-` + enquiry.Usage
+` + cli.Usage
 
 // collectAt has garbage collected when the heap has grown by so many per cent: memory is dear on these machines, and the heap small.
 const collectAt = 50
@@ -39,8 +39,8 @@
 	said := zapcore.WarnLevel
 	flag.Var(&said, "say", "level from which on log entries of a role are written out at once: debug, info, warn, error")
 	flag.Parse()
-	if enquiry.Knows(flag.Arg(0)) {
-		os.Exit(enquiry.Main(context.Background(), flag.Args(), os.Stdin, os.Stdout, os.Stderr, os.Getenv))
+	if cli.Knows(flag.Arg(0)) {
+		os.Exit(cli.Main(context.Background(), flag.Args(), os.Stdin, os.Stdout, os.Stderr, os.Getenv))
 	}
 	if flag.NArg() != 1 {
 		flag.Usage()
--- a/internal/mesh/enquiry/enquiry.go
+++ b/internal/mesh/cli/enquiry.go
@@ -1,5 +1,5 @@
-// Package enquiry is the operators' words of the program: each verb asks the mesh through the client library, or reads a file, and says in words or in JSON what came of it.
-package enquiry
+// Package cli is the operators' words of the program: each verb asks the mesh through the client library, or reads a file, and says in words or in JSON what came of it.
+package cli
 
 import (
 	"context"
--- a/internal/mesh/enquiry/file.go
+++ b/internal/mesh/cli/file.go
@@ -1,4 +1,4 @@
-package enquiry
+package cli
 
 import (
 	"bytes"
