--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -152,7 +152,7 @@
 		return 0, err
 	}
 	for i, host := range m.hosts {
-		if strings.HasPrefix(view.Sequencer, host+":") && view.InContact {
+		if strings.HasPrefix(view.Leader, host+":") && view.InContact {
 			return i, nil
 		}
 	}
--- a/cmd/meshd/main.go
+++ b/cmd/meshd/main.go
@@ -95,11 +95,7 @@
 	if role == roleSidecar {
 		err = sidecar.Run(ctx, set, reload, log)
 	} else {
-		go func() { // the members are known from the disk
-			for range reload {
-			}
-		}()
-		err = controlplane.Run(ctx, set, log)
+		err = controlplane.Run(ctx, set, reload, log)
 	}
 	if err != nil {
 		log.Error("ended: " + err.Error())
--- a/internal/mesh/cli/enquiry_test.go
+++ b/internal/mesh/cli/enquiry_test.go
@@ -68,7 +68,7 @@
 		So(err, ShouldBeNil)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
-		go func() { ended <- controlplane.Run(ctx, set, zap.NewNop()) }()
+		go func() { ended <- controlplane.Run(ctx, set, nil, zap.NewNop()) }()
 		Reset(func() {
 			cancel()
 			So(<-ended, ShouldBeNil)
@@ -110,10 +110,10 @@
 		So(err, ShouldBeNil)
 		So(res.StatusCode, ShouldEqual, http.StatusOK)
 		So(res.Body.Close(), ShouldBeNil)
-		has(Done, "members", "as core-1 knows it", inside+"  core-1  5        sequencer,in contact", "side-1   a     5        i-1       here")
-		has(Done, "members --output json", `"asOf": "core-1"`, `"node": "side-1"`, `"sequencer": true`)
+		has(Done, "members", "as core-1 knows it", inside+"  core-1  5        leader,voter,in contact", "side-1   a     5        i-1       here")
+		has(Done, "members --output json", `"asOf": "core-1"`, `"node": "side-1"`, `"leader": true`)
 		has(Done, "upstreams", "i-1       tea      a     side-1  4      ready", "i-2       tea      b     -       7      ready")
-		has(Done, "view", "node core-1", "sequencer "+inside, "version 5", "in contact true", "remembers true", "sick false")
+		has(Done, "view", "node core-1", "leader "+inside, "version 5", "in contact true", "voter true", "voters "+inside, "changing false", "sick false")
 
 		has(Done, "why TEA.example:80 /cup/1?x --key k-2", "Route cups takes it", "It may run more than once. One try is sent to 2 upstreams at most and held for 2.5s at most.",
 			"tenant house's, which may have 50 requests", "Its priority is 0, the tenant's", "Service tea gets 75% of the route's requests; core-1 knows 2 upstreams of it, 1 of which",
--- a/internal/mesh/cli/look.go
+++ b/internal/mesh/cli/look.go
@@ -107,16 +107,17 @@
 		return err
 	}
 	return d.write(m, func(w io.Writer) error {
-		fmt.Fprintf(w, "as %s knows it, in view %d%s\n", m.AsOf, m.View, young(m.Young))
+		fmt.Fprintf(w, "as %s knows it, in term %d%s\n", m.AsOf, m.Term, young(m.Young))
 		err := table(w, "CORE NODE VERSION STATE", func(row func(...any)) {
 			for _, c := range m.Core {
 				if c.Said == nil {
-					row(c.Address, "", "", words(map[string]bool{"sequencer": c.Sequencer, "no answer": true}, "sequencer", "no answer"))
+					row(c.Address, "", "", words(map[string]bool{"leader": c.Leader, "no answer": true}, "leader", "no answer"))
 					continue
 				}
 				row(c.Address, c.Said.AsOf, c.Said.ConfigVersion, words(map[string]bool{
-					"sequencer": c.Sequencer, "in contact": c.Said.InContact, "out of contact": !c.Said.InContact, "lost its memory": !c.Said.Remembers, "sick": c.Said.Sick,
-				}, "sequencer", "in contact", "out of contact", "lost its memory", "sick"))
+					"leader": c.Leader, "voter": c.Said.Voter, "learner": !c.Said.Voter, "changing": c.Said.Changing,
+					"in contact": c.Said.InContact, "out of contact": !c.Said.InContact, "sick": c.Said.Sick,
+				}, "leader", "voter", "learner", "changing", "in contact", "out of contact", "sick"))
 			}
 		})
 		if err != nil {
@@ -155,12 +156,12 @@
 		return err
 	}
 	return d.write(v, func(w io.Writer) error {
-		sequencer := v.Sequencer
-		if sequencer == "" {
-			sequencer = "none is known"
+		leader := v.Leader
+		if leader == "" {
+			leader = "none is known"
 		}
-		_, err := fmt.Fprintf(w, "node %s\nview %d\nsequencer %s\nversion %d\napplied %d\nin contact %t\nremembers %t\nsick %t\n",
-			v.AsOf, v.View, sequencer, v.ConfigVersion, v.Applied, v.InContact, v.Remembers, v.Sick)
+		_, err := fmt.Fprintf(w, "node %s\nmember %s\nterm %d\nleader %s\nvoter %t\nvoters %s\nchanging %t\nversion %d\napplied %d\nin contact %t\nsick %t\n",
+			v.AsOf, v.Member, v.Term, leader, v.Voter, strings.Join(v.Voters, ","), v.Changing, v.ConfigVersion, v.Applied, v.InContact, v.Sick)
 		return err
 	})
 }
--- /dev/null
+++ b/internal/mesh/cluster/policy.go
@@ -0,0 +1,189 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+
+	"caperarch/internal/mesh/replication"
+)
+
+const (
+	// DeadAfter is how long a voter is unheard before a learner may take its place. It is above any
+	// election and any heartbeat that is merely late, and so far below catchUpS that a successor
+	// votes in time. A voter that was wrongly taken for lost costs nothing but a move: its
+	// successor holds all that it held.
+	DeadAfter = 2 * time.Second
+	// changeEvery is the least time between two changes, so that flickering machines can't keep the
+	// log busy with memberships.
+	changeEvery = 300 * time.Millisecond
+	// gatherTime is how long nobody new is heard of before the set grows, so that the voters are
+	// spread over the zones of all that are there and not of the first to come.
+	gatherTime = 500 * time.Millisecond
+)
+
+// Target is how many voters bear the loss of so many machines, zones or regions at once.
+func Target(machines, zones, regions int) int {
+	return max(3, 2*max(machines, zones, regions)+1)
+}
+
+// View is what a leader knows when it decides.
+type View struct {
+	Self   replication.MemberID
+	Status *replication.Status
+	// Live are the machines that announced themselves lately, the leader's own word among them.
+	Live []Announcement
+	// Newest is when the newest of them was first heard.
+	Newest time.Duration
+}
+
+// Planner decides on changes of the voters, one at a time.
+type Planner struct {
+	target int
+	last   time.Duration
+	began  bool
+}
+
+// NewPlanner plans for so many voters.
+func NewPlanner(target int) *Planner { return &Planner{target: target} }
+
+// Learners are the machines that follow the log without a vote.
+func Learners(v View) []replication.MemberID {
+	var learners []replication.MemberID
+	for _, m := range v.Live {
+		if !v.Status.Membership.Has(m.ID) {
+			learners = append(learners, m.ID)
+		}
+	}
+	return learners
+}
+
+// Plan returns the voters to change to; false: nothing is to be changed now.
+func (p *Planner) Plan(now time.Duration, v View) ([]replication.MemberID, bool) {
+	if !v.Status.Leads || !v.Status.Settled || p.began && now-p.last < changeEvery {
+		return nil, false
+	}
+	spare := v.spare()
+	next, ok := p.replace(v, spare)
+	if !ok {
+		next, ok = p.grow(now, v, spare)
+	}
+	if ok {
+		p.last, p.began = now, true
+	}
+	return next, ok
+}
+
+// spare is the learners that could vote: in touch, up to date and here to stay.
+func (v View) spare() []replication.MemberID {
+	var spare []replication.MemberID
+	for _, m := range v.Live {
+		known, ok := v.progress(m.ID)
+		if ok && !known.Voter && known.CaughtUp && known.Silent <= replication.ContactOut && !m.Leaving {
+			spare = append(spare, m.ID)
+		}
+	}
+	return spare
+}
+
+func (v View) progress(id replication.MemberID) (replication.Progress, bool) {
+	i := slices.IndexFunc(v.Status.Progress, func(p replication.Progress) bool { return p.ID == id })
+	if i < 0 {
+		return replication.Progress{}, false
+	}
+	return v.Status.Progress[i], true
+}
+
+// zone is where a member stands, as far as it has said.
+func (v View) zone(id replication.MemberID) string {
+	for _, m := range v.Live {
+		if m.ID.Address() == id.Address() {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
+// replace puts a spare learner in the place of a voter that is lost: first one whose disk is gone for
+// certain, then one that is leaving, then one that is unheard.
+func (p *Planner) replace(v View, spare []replication.MemberID) ([]replication.MemberID, bool) {
+	lost, ok := v.lostVoter()
+	if !ok || len(spare) == 0 {
+		return nil, false
+	}
+	staying := slices.DeleteFunc(slices.Clone(v.Status.Membership.Voters), func(id replication.MemberID) bool { return id == lost })
+	// The successor of a lost disk at the same address is as good as its zone.
+	successor := v.bestSpare(staying, spare)
+	for _, id := range spare {
+		if id.Address() == lost.Address() {
+			successor = id
+		}
+	}
+	if slices.ContainsFunc(staying, func(id replication.MemberID) bool { return id.Address() == successor.Address() }) {
+		return nil, false
+	}
+	return append(staying, successor), true
+}
+
+// lostVoter is the voter to be replaced next.
+func (v View) lostVoter() (replication.MemberID, bool) {
+	voters := v.Status.Membership.Voters
+	for _, lost := range []func(replication.MemberID) bool{v.superseded, v.leaving, v.unheard} {
+		if i := slices.IndexFunc(voters, lost); i >= 0 {
+			return voters[i], true
+		}
+	}
+	return "", false
+}
+
+// superseded says that another disk announces itself from the voter's address: its own is gone.
+func (v View) superseded(id replication.MemberID) bool {
+	return slices.ContainsFunc(v.Live, func(m Announcement) bool { return m.ID.Address() == id.Address() && m.ID != id })
+}
+
+func (v View) leaving(id replication.MemberID) bool {
+	return id != v.Self && slices.ContainsFunc(v.Live, func(m Announcement) bool { return m.ID == id && m.Leaving })
+}
+
+func (v View) unheard(id replication.MemberID) bool {
+	known, ok := v.progress(id)
+	return ok && known.Silent > DeadAfter
+}
+
+// grow promotes learners until the target is reached, to an odd number: an even one bears no more
+// than the odd one below it.
+func (p *Planner) grow(now time.Duration, v View, spare []replication.MemberID) ([]replication.MemberID, bool) {
+	voters := slices.Clone(v.Status.Membership.Voters)
+	size := min(p.target, len(voters)+len(spare))
+	if size%2 == 0 {
+		size--
+	}
+	if size <= len(voters) || now-v.Newest < gatherTime {
+		return nil, false
+	}
+	for len(voters) < size {
+		best := v.bestSpare(voters, spare)
+		voters = append(voters, best)
+		spare = slices.DeleteFunc(slices.Clone(spare), func(id replication.MemberID) bool { return id == best })
+	}
+	return voters, true
+}
+
+// bestSpare is the spare learner whose zone has the fewest of the voters.
+func (v View) bestSpare(voters, spare []replication.MemberID) replication.MemberID {
+	inZone := map[string]int{}
+	for _, id := range voters {
+		inZone[v.zone(id)]++
+	}
+	best := spare[0]
+	for _, id := range spare[1:] {
+		if inZone[v.zone(id)] < inZone[v.zone(best)] {
+			best = id
+		}
+	}
+	return best
+}
+
+// Replaceable says whether a leaving voter has somebody to wait for: a spare learner.
+func Replaceable(v View, id replication.MemberID) bool {
+	return v.Status.Membership.Has(id) && len(v.spare()) > 0
+}
--- /dev/null
+++ b/internal/mesh/cluster/policy_test.go
@@ -0,0 +1,146 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperarch/internal/mesh/replication"
+)
+
+const settledLong = time.Minute
+
+// view is a leader's view of voters and learners, all of them in touch and up to date, zone by the
+// second part of the address.
+func view(voters, learners []replication.MemberID) View {
+	v := View{Self: voters[0], Status: &replication.Status{
+		Leads: true, Settled: true, Leader: voters[0], Membership: replication.Membership{Voters: voters},
+	}}
+	for _, id := range append(append([]replication.MemberID(nil), voters...), learners...) {
+		v.Live = append(v.Live, Announcement{ID: id, Zone: string(id[:4])})
+	}
+	for _, id := range voters[1:] {
+		v.Status.Progress = append(v.Status.Progress, replication.Progress{ID: id, Voter: true, CaughtUp: true})
+	}
+	for _, id := range learners {
+		v.Status.Progress = append(v.Status.Progress, replication.Progress{ID: id, CaughtUp: true})
+	}
+	return v
+}
+
+func (v View) of(id replication.MemberID) *replication.Progress {
+	for i := range v.Status.Progress {
+		if v.Status.Progress[i].ID == id {
+			return &v.Status.Progress[i]
+		}
+	}
+	return nil
+}
+
+func TestPlanner(t *testing.T) {
+	three := []replication.MemberID{"10.1.0.1:1", "10.2.0.1:1", "10.3.0.1:1"}
+	plan := func(target int, v View) ([]replication.MemberID, bool) {
+		return NewPlanner(target).Plan(settledLong, v)
+	}
+	Convey("Nothing is changed while all voters are there, whatever stands by", t, func() {
+		_, ok := plan(3, view(three, []replication.MemberID{"10.4.0.1:1"}))
+		So(ok, ShouldBeFalse)
+	})
+	Convey("The set grows to the target in odd numbers, over the zones, once nobody new has come for a while", t, func() {
+		v := view(three, []replication.MemberID{"10.1.0.2:1", "10.1.0.3:1", "10.4.0.1:1", "10.2.0.2:1"})
+		voters, ok := plan(5, v)
+		So(ok, ShouldBeTrue)
+		So(voters, ShouldHaveLength, 5)
+		So(voters, ShouldContain, replication.MemberID("10.4.0.1:1"))
+		_, ok = plan(5, view(three, []replication.MemberID{"10.4.0.1:1"}))
+		So(ok, ShouldBeFalse) // four bear no more than three
+		v.Newest = settledLong - gatherTime/2
+		_, ok = plan(5, v)
+		So(ok, ShouldBeFalse)
+	})
+	Convey("A voter that is unheard for long is replaced, by a learner that is in touch and up to date, and only one at a time", t, func() {
+		v := view(three, []replication.MemberID{"10.3.0.2:1"})
+		v.of(three[1]).Silent = DeadAfter
+		_, ok := plan(3, v)
+		So(ok, ShouldBeFalse)
+		v.of(three[1]).Silent, v.of(three[2]).Silent = 2*DeadAfter, 2*DeadAfter
+		voters, ok := plan(3, v)
+		So(ok, ShouldBeTrue)
+		So(voters, ShouldResemble, []replication.MemberID{three[0], three[2], "10.3.0.2:1"})
+		for _, spoil := range []func(){
+			func() { v.of("10.3.0.2:1").CaughtUp = false },
+			func() { v.of("10.3.0.2:1").CaughtUp, v.of("10.3.0.2:1").Silent = true, time.Second },
+			func() { v.of("10.3.0.2:1").Silent, v.Live[3].Leaving = 0, true },
+			func() { v.Live[3].Leaving, v.Status.Settled = false, false },
+			func() { v.Status.Settled, v.Status.Leads = true, false },
+		} {
+			spoil()
+			_, ok = plan(3, v)
+			So(ok, ShouldBeFalse)
+		}
+	})
+	Convey("A disk that is gone for certain is replaced at once, by the new one at its address before others", t, func() {
+		v := view(three, []replication.MemberID{"10.1.0.9:1", "10.2.0.1:1#new"})
+		v.Live = append(v.Live[:1], v.Live[2:]...) // the old disk says nothing any more
+		voters, ok := plan(3, v)
+		So(ok, ShouldBeTrue)
+		So(voters, ShouldResemble, []replication.MemberID{three[0], three[2], "10.2.0.1:1#new"})
+	})
+	Convey("One that leaves is replaced; the leader itself isn't, it hands over first", t, func() {
+		v := view(three, []replication.MemberID{"10.4.0.1:1"})
+		v.Live[0].Leaving = true
+		_, ok := plan(3, v)
+		So(ok, ShouldBeFalse)
+		v.Live[1].Leaving = true
+		voters, ok := plan(3, v)
+		So(ok, ShouldBeTrue)
+		So(voters, ShouldResemble, []replication.MemberID{three[0], three[2], "10.4.0.1:1"})
+		So(Replaceable(v, three[1]), ShouldBeTrue)
+		v.of("10.4.0.1:1").CaughtUp = false
+		So(Replaceable(v, three[1]), ShouldBeFalse)
+	})
+	Convey("Two changes don't follow at once", t, func() {
+		v := view(three, []replication.MemberID{"10.4.0.1:1"})
+		v.Live[1].Leaving = true
+		p := NewPlanner(3)
+		_, ok := p.Plan(settledLong, v)
+		So(ok, ShouldBeTrue)
+		_, ok = p.Plan(settledLong+changeEvery/2, v)
+		So(ok, ShouldBeFalse)
+		_, ok = p.Plan(settledLong+changeEvery, v)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+func TestRoster(t *testing.T) {
+	own := Announcement{ID: "10.1.0.1:1", Zone: "a"}
+	Convey("A roster knows who announced themselves lately, asks all that were ever named, and takes no nonsense", t, func() {
+		r := NewRoster(own, []string{"10.9.0.1:1"})
+		So(r.Hear(0, Announcement{ID: "10.2.0.1:1", Zone: "b"}), ShouldBeNil)
+		So(r.Hear(0, Announcement{ID: "nowhere"}), ShouldNotBeNil)
+		So(r.Addresses(0), ShouldResemble, []string{"10.1.0.1:1", "10.2.0.1:1"})
+		So(r.Ask(0), ShouldResemble, []string{"10.2.0.1:1", "10.9.0.1:1"})
+		So(r.Addresses(liveFor+1), ShouldResemble, []string{"10.1.0.1:1"})
+		r.SetMembership(replication.Membership{Voters: []replication.MemberID{"10.3.0.1:1"}})
+		r.Learn(&Peers{Machines: []Announcement{{ID: "10.4.0.1:1#x"}, {ID: "nowhere"}}})
+		So(r.Ask(liveFor+1), ShouldResemble, []string{"10.3.0.1:1", "10.4.0.1:1", "10.9.0.1:1"})
+	})
+	Convey("A new disk at a known address counts as newly come", t, func() {
+		r := NewRoster(own, nil)
+		So(r.Hear(0, Announcement{ID: "10.2.0.1:1"}), ShouldBeNil)
+		So(r.Hear(time.Second, Announcement{ID: "10.2.0.1:1#new"}), ShouldBeNil)
+		So(r.Newest(), ShouldEqual, time.Second)
+		So(r.Live(time.Second)[1].ID, ShouldEqual, replication.MemberID("10.2.0.1:1#new"))
+	})
+	Convey("Announcements that lie can't fill the memory", t, func() {
+		r := NewRoster(own, nil)
+		var refused int
+		for i := range 2 * maxMachines {
+			if r.Hear(0, Announcement{ID: replication.NewMemberID("10.5.0.1:"+string(rune('0'+i%10))+string(rune('0'+i/10%10))+string(rune('0'+i/100)), "")}) != nil {
+				refused++
+			}
+		}
+		So(refused, ShouldEqual, 2*maxMachines-maxMachines)
+	})
+}
--- /dev/null
+++ b/internal/mesh/cluster/roster.go
@@ -0,0 +1,215 @@
+// Package cluster decides who the core machines are: which of them vote in the replicated log, which
+// follow it as learners, and when one takes another's place. It does no I/O and knows no clock; what
+// it decides is carried out by a change of membership in the log, and by nothing else.
+package cluster
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/replication"
+)
+
+const (
+	// AnnounceEvery is how often a core machine tells the others of itself.
+	AnnounceEvery = 500 * time.Millisecond
+	// liveFor is how long a machine counts as there after its last announcement: four of them may be
+	// lost.
+	liveFor = 2500 * time.Millisecond
+	// maxMachines bounds the machines that are remembered, against announcements that lie.
+	maxMachines = 256
+	// maxName bounds the names in an announcement.
+	maxName = 512
+)
+
+// Announcement is a core machine's word on itself.
+type Announcement struct {
+	ID   replication.MemberID `json:"id"`
+	Zone string               `json:"zone"`
+	// Leaving says that the machine was told to end and waits to be replaced.
+	Leaving bool `json:"leaving,omitempty"`
+	// Cluster is the cluster that its disk belongs to; 0 where it is empty.
+	Cluster replication.ClusterID `json:"cluster,omitempty"`
+}
+
+// Validate refuses an announcement that can't be one.
+func (a *Announcement) Validate() error {
+	if _, _, err := net.SplitHostPort(a.ID.Address()); err != nil {
+		return errs.New(errs.Invalid, "cluster: the member %.64q has no address", a.ID)
+	}
+	if len(a.ID) > maxName || len(a.Zone) > maxName {
+		return errs.New(errs.Invalid, "cluster: a name of over %d bytes", maxName)
+	}
+	return nil
+}
+
+// Peers is the answer to an announcement: who the core machines are.
+type Peers struct {
+	// Cluster is 0 while the machine that answers belongs to none itself.
+	Cluster    replication.ClusterID  `json:"cluster,omitempty"`
+	Membership replication.Membership `json:"membership"`
+	// Machines are those that the answering machine has heard of lately, and itself.
+	Machines []Announcement       `json:"machines,omitempty"`
+	Leader   replication.MemberID `json:"leader,omitempty"`
+	Term     replication.Term     `json:"term,omitempty"`
+	// Released says, to a machine that is leaving, that nothing waits for it any more.
+	Released bool `json:"released,omitempty"`
+}
+
+// heardMachine is an announcement and when it came.
+type heardMachine struct {
+	Announcement
+	first, last time.Duration
+}
+
+// Roster is which core machines there are, as far as announcements tell. It is soft state: it is
+// rebuilt from those that go on announcing themselves.
+type Roster struct {
+	mu       sync.Mutex
+	own      Announcement
+	machines map[string]*heardMachine // by address
+	// membership is the newest one known, and hints are addresses to ask beside all that is known.
+	membership replication.Membership
+	hints      []string
+}
+
+// NewRoster knows only of the machine itself.
+func NewRoster(own Announcement, seeds []string) *Roster {
+	return &Roster{own: own, machines: map[string]*heardMachine{}, hints: slices.Clone(seeds)}
+}
+
+// SetOwn changes the machine's word on itself.
+func (r *Roster) SetOwn(own Announcement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own = own
+}
+
+// Own is the machine's word on itself.
+func (r *Roster) Own() Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own
+}
+
+// SetHints names addresses that are asked beside all that is known: the settings' seeds.
+func (r *Roster) SetHints(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hints = slices.Clone(seeds)
+}
+
+// SetMembership notes the newest membership that is known here.
+func (r *Roster) SetMembership(m replication.Membership) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(m.Voters) > 0 {
+		r.membership = m
+	}
+}
+
+// Hear takes a machine's word on itself.
+func (r *Roster) Hear(now time.Duration, a Announcement) error {
+	if err := a.Validate(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	address := a.ID.Address()
+	if address == r.own.ID.Address() {
+		return nil
+	}
+	known := r.machines[address]
+	if known == nil {
+		r.forget(now)
+		if len(r.machines) >= maxMachines {
+			return errs.New(errs.Busy, "cluster: %d machines are known", len(r.machines))
+		}
+		known = &heardMachine{first: now}
+		r.machines[address] = known
+	}
+	if known.ID != a.ID || now-known.last > liveFor {
+		known.first = now
+	}
+	known.Announcement, known.last = a, now
+	return nil
+}
+
+// forget drops machines that have been silent for long.
+func (r *Roster) forget(now time.Duration) {
+	for address, m := range r.machines {
+		if now-m.last > liveFor {
+			delete(r.machines, address)
+		}
+	}
+}
+
+// Learn takes over what another machine has heard. A machine that is known only so is asked, but
+// counts as there only once it has announced itself.
+func (r *Roster) Learn(p *Peers) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.membership.Voters) == 0 && len(p.Membership.Voters) > 0 {
+		r.membership = p.Membership
+	}
+	for _, m := range p.Machines {
+		address := m.ID.Address()
+		if m.Validate() == nil && !slices.Contains(r.hints, address) && len(r.hints) < maxMachines {
+			r.hints = append(r.hints, address)
+		}
+	}
+}
+
+// Live is the machines that announced themselves lately, and this one, by address.
+func (r *Roster) Live(now time.Duration) []Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	live := []Announcement{r.own}
+	for _, m := range r.machines {
+		if now-m.last <= liveFor {
+			live = append(live, m.Announcement)
+		}
+	}
+	slices.SortFunc(live, func(a, b Announcement) int { return cmp.Compare(a.ID, b.ID) })
+	return live
+}
+
+// Newest is when the machine that was heard of last announced itself for the first time.
+func (r *Roster) Newest() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var newest time.Duration
+	for _, m := range r.machines {
+		newest = max(newest, m.first)
+	}
+	return newest
+}
+
+// Addresses is where core machines take calls: the voters, and those that are there beside them.
+func (r *Roster) Addresses(now time.Duration) []string {
+	live := r.Live(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	for _, id := range r.membership.Voters {
+		all = append(all, id.Address())
+	}
+	for _, m := range live {
+		all = append(all, m.ID.Address())
+	}
+	return slices.Compact(slices.Sorted(slices.Values(all)))
+}
+
+// Ask is every address at which a core machine may be found, this one's own left out.
+func (r *Roster) Ask(now time.Duration) []string {
+	all := r.Addresses(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all = append(all, r.hints...)
+	all = slices.Compact(slices.Sorted(slices.Values(all)))
+	return slices.DeleteFunc(all, func(address string) bool { return address == r.own.ID.Address() })
+}
--- a/internal/mesh/controlplane/controlplane.go
+++ b/internal/mesh/controlplane/controlplane.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"caperarch/internal/mesh/api"
+	"caperarch/internal/mesh/cluster"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/quota"
@@ -37,7 +37,7 @@
 	openPause = 300 * time.Millisecond
 	// dealLimit bounds an ask for tokens.
 	dealLimit = 256 << 10
-	// proposePath is where the sequencer takes changes that reached another member, and readPath where it confirms that what is known is the newest.
+	// proposePath is where the leader takes changes that reached another member, and readPath where it confirms that what is known is the newest.
 	proposePath = "/mesh/propose"
 	describe    = "/mesh/describe"
 )
@@ -48,9 +48,8 @@
 	log     *zap.Logger
 	client  *http.Client
 	start   time.Time
-	roster  *roster
-	node    atomic.Pointer[replication.Node] // nil: not yet, or a reader
-	news    atomic.Pointer[watch.Subscriber] // of a reader
+	roster  *cluster.Roster
+	node    atomic.Pointer[replication.Node] // nil: not yet
 	hub     *watch.Hub
 	machine *stateMachine
 
@@ -58,9 +57,10 @@
 	dealer *quota.Dealer
 }
 
-// Run is a core machine's life until ctx ends.
-func Run(ctx context.Context, set *settings.Settings, log *zap.Logger) error {
-	s := &Server{set: set, log: log, client: rpc.NewClient(dialTimeout), start: time.Now(), roster: newRoster()}
+// Run is a core machine's life until ctx ends. Settings that are written anew come by reload.
+func Run(ctx context.Context, set *settings.Settings, reload <-chan *settings.Settings, log *zap.Logger) error {
+	own := cluster.Announcement{ID: replication.NewMemberID(set.Internal(), ""), Zone: set.Self.Zone}
+	s := &Server{set: set, log: log, client: rpc.NewClient(dialTimeout), start: time.Now(), roster: cluster.NewRoster(own, set.Seeds())}
 	window := set.Guarantees.Bounds.QuotaWindow
 	if window <= 0 {
 		window = time.Second
@@ -74,42 +74,50 @@
 			s.hub.Publish()
 		}
 	})
-	return s.run(ctx)
+	return s.run(ctx, reload)
 }
 
-// open opens the disk; one that refuses is tried again until ctx ends. Without members it is one that has been founded, and what is damaged is an error.
-func (s *Server) open(ctx context.Context, members []string, first bool) (*replication.Store, replication.State, error) {
-	for {
-		var store *replication.Store
-		var state replication.State
-		var err error
-		if members == nil {
-			store, state, err = replication.Open(s.set.Self.DataDirectory, nil, false)
-		} else {
-			store, state, err = replication.OpenOrForget(s.set.Self.DataDirectory, members, first, s.log)
-		}
-		if err == nil || members == nil && replication.Damaged(err) {
-			return store, state, err
-		}
-		s.log.Warn("the disk refuses", zap.Error(err))
-		select {
-		case <-time.After(openPause):
-		case <-ctx.Done():
-			return nil, replication.State{}, err
-		}
-	}
-}
-
-func (s *Server) run(ctx context.Context) error {
-	life, stop := context.WithCancel(ctx)
+func (s *Server) run(ctx context.Context, reload <-chan *settings.Settings) error {
+	// The machine goes on serving while it hands over, so its life outlasts ctx.
+	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	self := s.set.Internal()
+	go s.follow(life, reload)
 	s.hub = watch.NewHub(watch.HubConfig{
-		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: s.roster.all,
-		InContact: s.inContact, Sequencer: func() string { id, _ := s.sequencer(); return id }, Charters: s.machine, Client: s.client, Log: s.log,
+		Self: s.set.Internal(), Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()),
+		Peers:     func() []string { return s.roster.Addresses(s.now()) },
+		InContact: s.inContact,
+		Sequencer: func() string { id, _ := s.leader(); return id },
+		Charters:  s.machine, Client: s.client, Log: s.log,
 	})
+	failed, closeListeners, err := s.serve()
+	if err != nil {
+		return err
+	}
+	defer closeListeners()
+	store, state, err := s.identify(ctx)
+	if err != nil {
+		return err
+	}
+	node, end, err := s.hold(life, store, state)
+	if err != nil {
+		return err
+	}
+	defer end()
+	go s.hub.Run(life)
+	s.log.Info("serving", zap.String("member", string(state.ID)), zap.Any("voters", node.Status().Membership.Voters))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		s.leave(node)
+		return nil
+	}
+}
+
+// serve listens at the machine's two addresses: one for the mesh itself, one for operators and upstreams.
+func (s *Server) serve() (failed <-chan error, closeAll func(), err error) {
 	inside, outside := http.NewServeMux(), http.NewServeMux()
-	s.serveFounding(inside)
+	s.serveAnnouncements(inside)
 	replication.Register(inside, s.node.Load)
 	s.hub.Register(inside)
 	rpc.Handle(inside, sidecar.DealPath, dealLimit, s.deal)
@@ -128,105 +136,81 @@
 		api.Operators(mux, s)
 		s.inspect(mux)
 	}
-	failed := make(chan error, 2)
-	for address, mux := range map[string]*http.ServeMux{self: inside, s.set.Network.ListenAddresses.ControlPlane: outside} {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return errs.Wrap(err, errs.Internal, "listen at %s", address)
+	var servers []*http.Server
+	closeAll = func() {
+		for _, server := range servers {
+			_ = server.Close()
 		}
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 16 << 10}
-		defer server.Close()
-		go func() { failed <- server.Serve(l) }()
-	}
-	store, state, err := s.found(life)
-	if err != nil {
-		return err
 	}
-	if store == nil {
-		s.read(life)
-	} else {
-		end, err := s.hold(store, state)
+	ended := make(chan error, 2)
+	for address, mux := range map[string]*http.ServeMux{s.set.Internal(): inside, s.set.Network.ListenAddresses.ControlPlane: outside} {
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return err
+			closeAll()
+			return nil, nil, errs.Wrap(err, errs.Internal, "listen at %s", address)
 		}
-		defer end()
-	}
-	go s.hub.Run(life)
-	s.log.Info("serving", zap.String("address", self), zap.Strings("members", s.roster.known().Members), zap.Bool("reader", store == nil), zap.Bool("remembers", state.Hard.Remembers))
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-		return nil
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 16 << 10}
+		servers = append(servers, server)
+		go func() { ended <- server.Serve(l) }()
 	}
+	return ended, closeAll, nil
 }
 
 // hold has this machine hold the log, until what it returns is called.
-func (s *Server) hold(store *replication.Store, state replication.State) (end func(), err error) {
-	post := replication.NewPost(s.set.Internal(), s.client, func(from string, msgs []replication.Message) {
+func (s *Server) hold(ctx context.Context, store *replication.Store, state replication.State) (*replication.Node, func(), error) {
+	own := s.roster.Own()
+	own.ID, own.Cluster = state.ID, state.Cluster
+	s.roster.SetOwn(own)
+	transport := replication.NewTransport(state.ID, s.client, func(from replication.MemberID, msgs []replication.Message) {
 		if node := s.node.Load(); node != nil {
 			node.Deliver(from, msgs)
 		}
 	}, s.log)
 	node, err := replication.Start(replication.NodeConfig{
-		ID: s.set.Internal(), Disk: store, State: state, Send: post.Send, Apply: s.machine.apply, Restore: s.machine.restore, Snapshot: s.machine.snapshot, Log: s.log,
+		Disk: store, State: state, Send: transport.Send, Apply: s.machine.apply, Restore: s.machine.restore,
+		Snapshot: s.machine.snapshot, Applied: s.machine.appliedIndex, Log: s.log,
 	})
 	if err != nil {
-		post.Close()
-		return nil, err
+		transport.Close()
+		return nil, nil, err
 	}
 	s.node.Store(node)
-	return func() {
+	s.roster.SetMembership(node.Status().Membership)
+	go s.tellOthers(ctx, node)
+	go s.manageMembers(ctx, node)
+	return node, func() {
 		_ = node.Close()
-		post.Close()
+		transport.Close()
 	}, nil
 }
 
-// read has this machine follow the configuration, as sidecars do.
-func (s *Server) read(ctx context.Context) {
-	news := watch.NewSubscriber(watch.SubscriberConfig{
-		Node: s.set.Self.NodeName, Life: uint64(s.start.UnixNano()), Zone: s.set.Self.Zone, Seeds: s.roster.known().Members, Client: s.client,
-		State:   func() registry.Lease { return registry.Lease{Zone: s.set.Self.Zone, Applied: s.machine.Current()} },
-		Charter: s.machine.Current, OnCharter: func(frame json.RawMessage) bool {
-			defer func() { s.news.Load().Poke() }()
-			return s.machine.follow(frame)
-		}, OnCatalogue: func(bool, []registry.Upstream, []string) {},
-		Of: func(address string) bool { return slices.Contains(s.roster.known().Members, address) }, Log: s.log,
-	})
-	s.news.Store(news)
-	go news.Run(ctx)
-	go s.announce(ctx)
-}
-
-// sequencer is the member that leads, as far as is known here, and its view.
-func (s *Server) sequencer() (string, uint64) {
-	if node := s.node.Load(); node != nil {
-		return node.Sequencer()
+// leader is the address of the leader, as far as is known here, and its term.
+func (s *Server) leader() (address string, term uint64) {
+	node := s.node.Load()
+	if node == nil {
+		return "", 0
 	}
-	f := s.roster.known()
-	return f.Sequencer, f.View
+	status := node.Status()
+	return status.Leader.Address(), uint64(status.Term)
 }
 
 // inContact says whether what is known here is what a majority holds.
 func (s *Server) inContact() bool {
-	if node := s.node.Load(); node != nil {
-		return node.InContact()
-	}
-	news := s.news.Load()
-	return news != nil && news.Connected()
+	node := s.node.Load()
+	return node != nil && node.InContact()
 }
 
 func (s *Server) now() time.Duration { return time.Since(s.start) }
 
-// deal deals tokens where this member is the sequencer, whose duty that is; the epoch is its view. Else the ask goes on to it.
+// deal deals tokens where this member leads, whose duty that is; the epoch is its term. Else the ask goes on to it.
 func (s *Server) deal(r *http.Request, q *sidecar.DealAsk) (*sidecar.Dealt, error) {
-	sequencer, view := s.sequencer()
-	if sequencer != s.set.Internal() {
-		if sequencer == "" || q.Passed {
+	leader, term := s.leader()
+	if leader != s.set.Internal() {
+		if leader == "" || q.Passed {
 			return nil, errs.New(errs.NotSequencer, "nobody deals here")
 		}
 		q.Passed = true
-		return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+sequencer+sidecar.DealPath, q)
+		return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+leader+sidecar.DealPath, q)
 	}
 	if !s.inContact() {
 		return nil, errs.New(errs.NoQuorum, "this view may be over")
@@ -238,11 +222,11 @@
 	if err := s.dealer.Configure(now, sidecar.Limits(s.machine.current()), max(1, live, largest)); err != nil {
 		return nil, err
 	}
-	grants, closed, err := s.dealer.Deal(now, view, q.Node, q.Asks)
+	grants, closed, err := s.dealer.Deal(now, term, q.Node, q.Asks)
 	if err != nil {
 		return nil, err
 	}
-	return &sidecar.Dealt{Epoch: view, Grants: grants, Closed: closed}, nil
+	return &sidecar.Dealt{Epoch: term, Grants: grants, Closed: closed}, nil
 }
 
 // Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
@@ -253,14 +237,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTime+time.Duration(len(body))*time.Microsecond)
 	defer cancel()
-	sequencer, _ := s.sequencer()
-	switch sequencer {
+	leader, _ := s.leader()
+	switch leader {
 	case "":
-		return nil, errs.New(errs.NoQuorum, "no sequencer is known")
+		return nil, errs.New(errs.NoQuorum, "no leader is known")
 	case s.set.Internal():
 		return s.propose(ctx, change)
 	}
-	return rpc.Post[api.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
+	return rpc.Post[api.Taken](ctx, s.client, "http://"+leader+proposeAt(whole), body)
 }
 
 // proposeAt is where the sequencer takes a change of such a kind.
@@ -302,18 +286,18 @@
 	return &api.Taken{ConfigVersion: version}, nil
 }
 
-// Describe is the configuration, as the sequencer has it once it knows that no other is one.
+// Describe is the configuration, as the leader has it once it knows that no other is one.
 func (s *Server) Describe(r *http.Request) (*json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(r.Context(), changeTime)
 	defer cancel()
-	sequencer, _ := s.sequencer()
-	switch sequencer {
+	leader, _ := s.leader()
+	switch leader {
 	case "":
-		return nil, errs.New(errs.NoQuorum, "no sequencer is known")
+		return nil, errs.New(errs.NoQuorum, "no leader is known")
 	case s.set.Internal():
 		return s.confirm(ctx)
 	}
-	return rpc.Get[json.RawMessage](ctx, s.client, "http://"+sequencer+describe)
+	return rpc.Get[json.RawMessage](ctx, s.client, "http://"+leader+describe)
 }
 
 func (s *Server) confirm(ctx context.Context) (*json.RawMessage, error) {
--- a/internal/mesh/controlplane/inspect.go
+++ b/internal/mesh/controlplane/inspect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/replication"
 	"caperarch/internal/mesh/rpc"
 	"caperarch/librarian"
 )
@@ -23,30 +24,43 @@
 // inspect serves what operators look at. Every answer is this machine's knowledge, and says so.
 func (s *Server) inspect(mux *http.ServeMux) {
 	rpc.HandleGet(mux, librarian.ViewPath, func(*http.Request) (*librarian.View, error) { return s.viewed(), nil })
-	rpc.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), s.roster.all()) })
+	rpc.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) {
+		return s.membersKnown(r.Context(), s.roster.Addresses(s.now()))
+	})
 	rpc.HandleGet(mux, librarian.UpstreamsPath, func(*http.Request) (*librarian.UpstreamList, error) { return s.upstreamsKnown(), nil })
 }
 
 // viewed is this machine's word on itself.
 func (s *Server) viewed() *librarian.View {
-	sequencer, view := s.sequencer()
-	v := &librarian.View{AsOf: s.set.Self.NodeName, View: view, Sequencer: sequencer, ConfigVersion: s.machine.Current(), InContact: s.inContact()}
+	leader, term := s.leader()
+	v := &librarian.View{AsOf: s.set.Self.NodeName, Term: term, Leader: leader, ConfigVersion: s.machine.Current(), InContact: s.inContact()}
 	if node := s.node.Load(); node != nil {
-		v.Applied, v.Remembers, v.Sick = node.Applied(), node.Remembers(), node.Sick()
+		status := node.Status()
+		v.Applied, v.Sick = uint64(status.Applied), status.Sick
+		v.Member, v.Voter, v.Voters = string(node.ID()), status.Membership.Has(node.ID()), addresses(status.Membership.Voters)
+		v.Changing = !status.Settled
 	}
 	return v
 }
 
+func addresses(ids []replication.MemberID) []string {
+	all := make([]string, 0, len(ids))
+	for _, id := range ids {
+		all = append(all, id.Address())
+	}
+	return all
+}
+
 // membersKnown is the core machines, each with its own word where that is to be had, and the sidecars whose leases this machine holds.
 func (s *Server) membersKnown(ctx context.Context, members []string) (*librarian.Members, error) {
 	own := s.viewed()
-	a := &librarian.Members{AsOf: own.AsOf, View: own.View, Sequencer: own.Sequencer, Young: s.hub.Young(), Core: make([]librarian.CoreMember, len(members)), Sidecars: []librarian.Sidecar{}}
+	a := &librarian.Members{AsOf: own.AsOf, Term: own.Term, Leader: own.Leader, Young: s.hub.Young(), Core: make([]librarian.CoreMember, len(members)), Sidecars: []librarian.Sidecar{}}
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	var asked sync.WaitGroup
 	for i, address := range members {
 		m := &a.Core[i]
-		m.Address, m.Sequencer = address, address == own.Sequencer
+		m.Address, m.Leader = address, address == own.Leader
 		if address == s.set.Internal() {
 			m.Said = own
 			continue
--- a/internal/mesh/controlplane/statemachine.go
+++ b/internal/mesh/controlplane/statemachine.go
@@ -26,6 +26,7 @@
 	kept    []*config.Change // that led to it, the newest last
 	asked   map[uint64]chan verdict
 	queue   []settled // by the log, and not applied yet
+	applied uint64    // the index up to which all that the log handed over is applied
 	working bool
 	done    chan struct{} // closed, and made anew, when the queue is empty
 }
@@ -75,13 +76,20 @@
 
 // apply takes a command of the log, to be applied behind those before.
 func (m *stateMachine) apply(index uint64, command []byte) {
-	if len(command) > 8 { // else it is a view's beginning
-		m.enter(settled{index: index, command: command})
-	}
+	m.enter(settled{index: index, command: command})
+}
+
+// appliedIndex is the index up to which everything that the log handed over is applied.
+func (m *stateMachine) appliedIndex() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
 }
 
 // restore takes a snapshot in place of all before.
-func (m *stateMachine) restore(data []byte) { m.enter(settled{command: data, snapshot: true}) }
+func (m *stateMachine) restore(index uint64, data []byte) {
+	m.enter(settled{index: index, command: data, snapshot: true})
+}
 
 func (m *stateMachine) enter(s settled) {
 	m.mu.Lock()
@@ -107,11 +115,15 @@
 		s := m.queue[0]
 		m.queue = m.queue[1:]
 		m.mu.Unlock()
-		if s.snapshot {
+		switch {
+		case s.snapshot:
 			m.replace(s.command)
-		} else {
+		case len(s.command) > 8: // else it opens a term or changes the members
 			m.settle(s.index, s.command)
 		}
+		m.mu.Lock()
+		m.applied = max(m.applied, s.index)
+		m.mu.Unlock()
 	}
 }
 
@@ -164,39 +176,6 @@
 	}
 }
 
-// follow takes a frame that another core machine pushed, where no log is held here; false: the whole is needed.
-func (m *stateMachine) follow(frame json.RawMessage) bool {
-	held := m.current()
-	next, err := sidecar.Take(held, frame)
-	if err != nil {
-		m.log.Warn("a configuration that does not follow", zap.Error(err))
-		return false
-	}
-	if next == held {
-		return true
-	}
-	m.mu.Lock()
-	m.charter, m.kept = next, m.continued(held.Version(), frame)
-	m.mu.Unlock()
-	m.changed()
-	return true
-}
-
-// continued is the changes that are kept with a frame's that led on from a version; none where it was whole. The caller holds the lock.
-func (m *stateMachine) continued(from int64, frame json.RawMessage) []*config.Change {
-	var f sidecar.Frame
-	if json.Unmarshal(frame, &f) != nil || f.Whole != nil {
-		return nil
-	}
-	kept := m.kept
-	for _, raw := range f.Changes {
-		if change, err := config.ReadChange(raw); err == nil && change.Version() > from {
-			kept = append(kept, change)
-		}
-	}
-	return append([]*config.Change(nil), kept[max(0, len(kept)-mostKept):]...)
-}
-
 // replace puts a snapshot in place of what is there.
 func (m *stateMachine) replace(data []byte) {
 	c, err := config.Decode(data)
--- a/internal/mesh/controlplane/statemachine_test.go
+++ b/internal/mesh/controlplane/statemachine_test.go
@@ -110,8 +110,8 @@
 		settle(m)
 		snapshot := m.snapshot()
 		other.apply(1, command(1, put(9, 0, "z")))
-		other.restore(snapshot)
-		other.restore(snapshot[:len(snapshot)-1])
+		other.restore(1, snapshot)
+		other.restore(1, snapshot[:len(snapshot)-1])
 		repeated := other.expect(77)
 		other.apply(3, command(77, put(3, 0, "a")))
 		settle(other)
@@ -189,7 +189,7 @@
 			}
 			if restored < 0 && rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 				restored = len(history) - 1
-				late.restore(m.snapshot())
+				late.restore(1, m.snapshot())
 			}
 		}
 		want := encoded(history[len(history)-1])
--- /dev/null
+++ b/internal/mesh/replication/leader.go
@@ -0,0 +1,362 @@
+package replication
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+)
+
+// Propose numbers a command and returns a token that a later Ready settles. An error means that
+// nothing was done.
+func (r *Replica) Propose(now time.Duration, cmd []byte) (token uint64, err error) {
+	r.checkContact(now)
+	switch {
+	case len(cmd) == 0:
+		return 0, errs.New(errs.Invalid, "replication: a command is empty")
+	case len(cmd) > MaxCommand:
+		return 0, errs.New(errs.TooLarge, "replication: a command of %d bytes is over the limit of %d", len(cmd), MaxCommand)
+	case r.sick:
+		return 0, errs.New(errs.DiskFailed, "replication: the disk of %s takes no writes", r.id)
+	case r.role != leader:
+		return 0, errs.New(errs.NotSequencer, "replication: %s isn't the leader", r.id)
+	case len(r.proposals) >= maxPending || r.pendingBytes+len(cmd) > maxPendingBytes:
+		return 0, errs.New(errs.Busy, "replication: %d proposals wait for a quorum", len(r.proposals))
+	}
+	r.token++
+	index := r.log.last() + 1
+	r.log.append(Entry{Index: index, Term: r.hard.Term, Cmd: cmd})
+	r.proposals = append(r.proposals, proposal{token: r.token, index: index, bytes: len(cmd)})
+	r.pendingBytes += len(cmd)
+	return r.token, nil
+}
+
+// Read begins a linearizable read and returns a token. It is settled once a majority has confirmed
+// the term in a round begun after this call and everything committed by then is applied here.
+func (r *Replica) Read(now time.Duration) (token uint64, err error) {
+	r.checkContact(now)
+	if r.role != leader {
+		return 0, errs.New(errs.NotSequencer, "replication: %s isn't the leader", r.id)
+	}
+	if len(r.reads) >= maxReads {
+		return 0, errs.New(errs.Busy, "replication: %d reads wait for their round", len(r.reads))
+	}
+	r.token++
+	if r.roundOpen {
+		r.round++
+		r.roundOpen = false
+	}
+	r.reads = append(r.reads, read{token: r.token, round: r.round})
+	r.confirmReads()
+	return r.token, nil
+}
+
+// SetLearners names the replicas that a leader keeps up to date beside the voters.
+func (r *Replica) SetLearners(now time.Duration, learners []MemberID) {
+	if r.role != leader || slices.Equal(r.learners, learners) {
+		return
+	}
+	r.learners = slices.Clone(learners)
+	r.track(now)
+}
+
+// track has a progress for every voter and learner but this replica, and none for others.
+func (r *Replica) track(now time.Duration) {
+	wanted := r.memberships.current().All()
+	wanted = append(wanted, r.learners...)
+	r.order = r.order[:0]
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(wanted))) {
+		if id == r.id {
+			continue
+		}
+		r.order = append(r.order, id)
+		if r.peers[id] == nil {
+			r.peers[id] = &progress{next: r.log.last() + 1, heard: now, sent: now - HeartbeatEvery}
+		}
+	}
+	for id := range r.peers {
+		if !slices.Contains(r.order, id) {
+			delete(r.peers, id)
+		}
+	}
+}
+
+// Progress is what the leader knows of the others; nothing where this replica doesn't lead.
+func (r *Replica) Progress(now time.Duration) []Progress {
+	if r.role != leader {
+		return nil
+	}
+	current := r.memberships.current()
+	known := make([]Progress, 0, len(r.order))
+	for _, id := range r.order {
+		p := r.peers[id]
+		known = append(known, Progress{
+			ID: id, Voter: current.Has(id), Match: p.match, Silent: now - p.heard,
+			CaughtUp: p.match > 0 && p.match >= r.commit,
+		})
+	}
+	return known
+}
+
+// ChangeMembership begins a change of the voters. The entry that it appends puts the joint
+// membership of old and new voters in force; once that is committed by a majority of both, the
+// leader appends the new one alone. It is refused unless all of this holds, and changes nothing then:
+//   - an entry of the leader's own term is committed, so that it knows of every change before;
+//   - no change is under way;
+//   - the leader stays a voter;
+//   - a majority of the old and of the new voters are in touch and hold all that is committed: so the
+//     change can be committed, and the new set could go on from its own disks alone.
+func (r *Replica) ChangeMembership(now time.Duration, voters []MemberID) error {
+	r.checkContact(now)
+	current := r.memberships.current()
+	next := Membership{Voters: slices.Sorted(slices.Values(voters)), Outgoing: current.Voters}
+	switch {
+	case r.role != leader || r.sick:
+		return errs.New(errs.NotSequencer, "replication: %s isn't the leader", r.id)
+	case !r.openedTerm():
+		return errs.New(errs.Busy, "replication: the term has no committed entry yet")
+	case current.Joint() || current.index > r.commit:
+		return errs.New(errs.Busy, "replication: a change of membership is under way")
+	case !slices.Contains(next.Voters, r.id):
+		return errs.New(errs.Invalid, "replication: the leader can't leave; it hands over first")
+	case slices.Equal(next.Voters, slices.Sorted(slices.Values(current.Voters))):
+		return errs.New(errs.Invalid, "replication: these are the voters already")
+	}
+	if err := next.validate(); err != nil {
+		return err
+	}
+	if !next.quorum(func(id MemberID) bool { return r.holdsAll(now, id) }) {
+		return errs.New(errs.NoQuorum, "replication: too few of the old or the new voters hold all that is committed")
+	}
+	for _, id := range next.Voters {
+		if !current.Has(id) && !r.holdsAll(now, id) {
+			return errs.New(errs.Busy, "replication: %s has not caught up", id)
+		}
+	}
+	r.appendMembership(now, next)
+	return nil
+}
+
+// holdsAll says that a member was heard lately and has synced all that is committed.
+func (r *Replica) holdsAll(now time.Duration, id MemberID) bool {
+	if id == r.id {
+		return r.stable >= r.commit
+	}
+	p := r.peers[id]
+	return p != nil && p.match > 0 && p.match >= r.commit && now-p.heard <= ContactOut
+}
+
+func (r *Replica) appendMembership(now time.Duration, m Membership) {
+	entry := Entry{Index: r.log.last() + 1, Term: r.hard.Term, Kind: EntryMembership, Cmd: m.encode()}
+	r.log.append(entry)
+	r.memberships = append(r.memberships, membershipAt{entry.Index, m})
+	r.track(now)
+}
+
+// TransferLeadership asks the voter that holds most to stand for election at once; false where
+// nobody could.
+func (r *Replica) TransferLeadership(now time.Duration) bool {
+	r.checkContact(now)
+	if r.role != leader {
+		return false
+	}
+	current := r.memberships.current()
+	var best MemberID
+	for _, id := range r.order {
+		if !slices.Contains(current.Voters, id) || !r.holdsAll(now, id) {
+			continue
+		}
+		if best == "" || r.peers[id].match > r.peers[best].match {
+			best = id
+		}
+	}
+	if best == "" {
+		return false
+	}
+	r.send(best, Message{TimeoutNow: &TimeoutNow{}})
+	return true
+}
+
+// feed queues what each member is due: entries or a snapshot it lacks, or a heartbeat when it was
+// told nothing for HeartbeatEvery, a read waits or more is committed.
+func (r *Replica) feed(now time.Duration) {
+	for _, id := range r.order {
+		p := r.peers[id]
+		if p.resend > 0 && now >= p.resend {
+			p.resend = 0
+		}
+		// What isn't heard gets heartbeats only; more would cost the link for nothing.
+		if p.resend == 0 && now-p.heard <= ContactOut && (p.snapshot != nil || p.next <= r.log.last()) {
+			r.sendLog(now, id, p)
+			continue
+		}
+		known := min(r.commit, p.match)
+		if now-p.sent >= HeartbeatEvery || p.roundSent < r.round || p.commitSent < known {
+			r.sendAppend(now, id, p, max(p.next-1, r.log.snapshot.Index), nil)
+		}
+	}
+	r.roundOpen = true
+}
+
+// sendLog sends what a member lacks. One such message at a time is on its way to each.
+func (r *Replica) sendLog(now time.Duration, id MemberID, p *progress) {
+	if p.snapshot != nil || p.next <= r.log.snapshot.Index {
+		r.sendSnapshot(now, id, p)
+		return
+	}
+	entries := r.log.from(p.next, maxMessage)
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Cmd)
+	}
+	r.sendAppend(now, id, p, p.next-1, entries)
+	p.resend = now + resendAfter + resendPerMiB*time.Duration(bytes>>10)/(1<<10)
+}
+
+func (r *Replica) sendAppend(now time.Duration, id MemberID, p *progress, prev Index, entries []Entry) {
+	term, _ := r.log.term(prev)
+	r.send(id, Message{Append: &AppendEntries{Heartbeat: r.heartbeat(now, p), PrevIndex: prev, PrevTerm: term, Entries: entries}})
+	p.sent, p.roundSent, p.commitSent = now, r.round, min(r.commit, p.match)
+}
+
+// heartbeat is what the leader says of itself. Until an entry of its own term is committed it names
+// no confirmation, as it can't say how far what was committed reaches.
+func (r *Replica) heartbeat(now time.Duration, p *progress) Heartbeat {
+	age := forever
+	if r.openedTerm() {
+		age = max(0, now-r.heardByMajority())
+	}
+	return Heartbeat{Commit: r.commit, Sent: now, Round: r.round, Age: age, Echo: p.clock}
+}
+
+func (r *Replica) stepAppendAnswer(from MemberID, term Term, answer *AppendAnswer) {
+	p := r.answered(from, term, answer.Sent, answer.Round, answer.Clock)
+	if p == nil {
+		return
+	}
+	switch {
+	case answer.Refused:
+		if answer.PrevIndex == max(p.next-1, r.log.snapshot.Index) {
+			p.next = max(p.match, min(answer.Match, r.log.last())) + 1
+			p.resend = 0
+		}
+	case answer.Match > p.match && answer.Match <= r.log.last():
+		p.match = answer.Match
+		p.next = max(p.next, p.match+1)
+		p.resend = 0
+		if p.snapshot != nil && p.match >= p.snapshot.Index {
+			p.snapshot = nil
+			p.next = p.match + 1
+		}
+	}
+	r.advanceCommit()
+	r.confirmReads()
+}
+
+// answered notes that a member has answered this leader; nil where the answer isn't for it.
+func (r *Replica) answered(from MemberID, term Term, sent time.Duration, round uint64, clock Clock) *progress {
+	if term > r.hard.Term {
+		r.follow(term, "")
+		return nil
+	}
+	p := r.peers[from]
+	if r.role != leader || term < r.hard.Term || p == nil {
+		return nil
+	}
+	p.heard = max(p.heard, sent)
+	p.round = max(p.round, round)
+	p.clock = clock
+	return p
+}
+
+// advanceCommit commits what a majority of the voters has synced, provided that its last entry is
+// of this term: an entry of an earlier term may be held by a majority and yet be dropped, if it
+// isn't followed by one of this.
+func (r *Replica) advanceCommit() {
+	if r.role != leader {
+		return
+	}
+	index := reached(r.memberships.current().Membership, func(id MemberID) Index {
+		if id == r.id {
+			return r.stable
+		}
+		return r.peers[id].match
+	})
+	if index <= r.commit || !r.log.holds(index, r.hard.Term) {
+		return
+	}
+	r.commit = index
+	r.confirmReads()
+	r.leaveJoint()
+}
+
+// leaveJoint ends a change whose joint membership is committed. A leader that was chosen in the
+// middle of a change ends it so, too.
+func (r *Replica) leaveJoint() {
+	current := r.memberships.current()
+	if current.Joint() && current.index <= r.commit {
+		r.appendMembership(r.elected, Membership{Voters: current.Voters})
+	}
+}
+
+// confirmReads gives its index to each read whose round a majority has answered, once the leader
+// knows all that earlier terms committed.
+func (r *Replica) confirmReads() {
+	if r.role != leader || !r.openedTerm() {
+		return
+	}
+	confirmed := reached(r.memberships.current().Membership, func(id MemberID) uint64 {
+		if id == r.id {
+			return r.round
+		}
+		return r.peers[id].round
+	})
+	for i := range r.reads {
+		if q := &r.reads[i]; q.index == 0 && q.round <= confirmed {
+			q.index = r.commit
+		}
+	}
+}
+
+// WantsSnapshot says that the log is long enough for a snapshot to take its place. A leader keeps
+// more of it for members that are behind, since what is trimmed would have to go to them whole.
+func (r *Replica) WantsSnapshot() bool {
+	n := int(r.applied - r.log.snapshot.Index)
+	if r.sick || n == 0 || r.restore != nil {
+		return false
+	}
+	limit := trimBytes + len(r.log.snapshot.Data)
+	if n <= trimEntries && r.log.bytes <= limit {
+		return false
+	}
+	return n >= behindEntries || r.log.bytes >= behindBytes+2*limit || !r.someBehind()
+}
+
+// someBehind says that a member which is in touch lacks what is applied.
+func (r *Replica) someBehind() bool {
+	if r.role != leader {
+		return false
+	}
+	newest := time.Duration(math.MinInt64)
+	for _, p := range r.peers {
+		newest = max(newest, p.heard)
+	}
+	for _, p := range r.peers {
+		if p.match < r.applied && newest-p.heard <= ContactOut {
+			return true
+		}
+	}
+	return false
+}
+
+// Compact puts the application's state, after applying Applied, in place of the log up to there.
+func (r *Replica) Compact(data []byte) {
+	term, ok := r.log.term(r.applied)
+	if !ok || r.applied == r.log.snapshot.Index {
+		return
+	}
+	r.log.trim(Snapshot{Index: r.applied, Term: term, Membership: r.memberships.at(r.applied), Data: data})
+	r.memberships.trim(r.applied)
+	r.snapshotDirty = true
+}
--- a/internal/mesh/replication/log.go
+++ b/internal/mesh/replication/log.go
@@ -7,32 +7,32 @@
 	bytes    int
 }
 
-func (l *entryLog) last() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
+func (l *entryLog) last() Index { return l.snapshot.Index + Index(len(l.entries)) }
 
-// view returns the view of the entry at index; ok is false when the log doesn't hold it.
-func (l *entryLog) view(index uint64) (view uint64, ok bool) {
+// term returns the term of the entry at index; ok is false when the log doesn't hold it.
+func (l *entryLog) term(index Index) (term Term, ok bool) {
 	switch {
 	case index == l.snapshot.Index:
-		return l.snapshot.View, true
+		return l.snapshot.Term, true
 	case index < l.snapshot.Index || index > l.last():
 		return 0, false
 	}
-	return l.entries[index-l.snapshot.Index-1].View, true
+	return l.entries[index-l.snapshot.Index-1].Term, true
 }
 
-func (l *entryLog) lastView() uint64 {
-	view, _ := l.view(l.last())
-	return view
+func (l *entryLog) lastTerm() Term {
+	term, _ := l.term(l.last())
+	return term
 }
 
-// holds says whether the entry at index is the one numbered in view.
-func (l *entryLog) holds(index, view uint64) bool {
-	v, ok := l.view(index)
-	return ok && v == view
+// holds says whether the entry at index is the one numbered in term.
+func (l *entryLog) holds(index Index, term Term) bool {
+	found, ok := l.term(index)
+	return ok && found == term
 }
 
 // from returns the entries from index on, as many as fit into limit bytes and at least one if there is one.
-func (l *entryLog) from(index uint64, limit int) []Entry {
+func (l *entryLog) from(index Index, limit int) []Entry {
 	if index <= l.snapshot.Index || index > l.last() {
 		return nil
 	}
@@ -46,7 +46,7 @@
 }
 
 // between returns the entries after index up to end.
-func (l *entryLog) between(after, end uint64) []Entry {
+func (l *entryLog) between(after, end Index) []Entry {
 	if end <= after || after < l.snapshot.Index {
 		return nil
 	}
@@ -62,7 +62,7 @@
 
 // truncate drops the entries from index on. The rest is copied, since entries
 // handed out before may still be on their way.
-func (l *entryLog) truncate(index uint64) {
+func (l *entryLog) truncate(index Index) {
 	keep := l.entries[:index-l.snapshot.Index-1]
 	l.entries = append(make([]Entry, 0, len(keep)), keep...)
 	l.count()
--- /dev/null
+++ b/internal/mesh/replication/membership.go
@@ -0,0 +1,177 @@
+package replication
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"caperarch/internal/mesh/errs"
+)
+
+// maxVoters bounds a membership, so that a message that lies can't make a replica keep thousands.
+const maxVoters = 15
+
+// Membership is who votes. While it is joint, Outgoing are the voters before the change, and every
+// decision takes a majority of both sets.
+type Membership struct {
+	Voters   []MemberID `json:"v"`
+	Outgoing []MemberID `json:"o,omitempty"`
+}
+
+// Joint says that a change is under way.
+func (m Membership) Joint() bool { return len(m.Outgoing) > 0 }
+
+// Has says whether a member votes, in either set.
+func (m Membership) Has(id MemberID) bool {
+	return slices.Contains(m.Voters, id) || slices.Contains(m.Outgoing, id)
+}
+
+// All is every member of both sets, in order, each once.
+func (m Membership) All() []MemberID {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(m.Voters, m.Outgoing))))
+}
+
+// quorum says whether those for whom has is true are a majority of each set.
+func (m Membership) quorum(has func(MemberID) bool) bool {
+	return majority(m.Voters, has) && (!m.Joint() || majority(m.Outgoing, has))
+}
+
+func majority(voters []MemberID, has func(MemberID) bool) bool {
+	n := 0
+	for _, id := range voters {
+		if has(id) {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
+// reached is the largest value that a majority of each set has reached.
+func reached[T ~int64 | ~uint64](m Membership, of func(MemberID) T) T {
+	value := reachedBy(m.Voters, of)
+	if m.Joint() {
+		value = min(value, reachedBy(m.Outgoing, of))
+	}
+	return value
+}
+
+func reachedBy[T ~int64 | ~uint64](voters []MemberID, of func(MemberID) T) T {
+	if len(voters) == 0 {
+		return 0
+	}
+	values := make([]T, 0, len(voters))
+	for _, id := range voters {
+		values = append(values, of(id))
+	}
+	slices.Sort(values)
+	return values[(len(voters)-1)/2]
+}
+
+// validate refuses a membership that names nobody, somebody twice, or no address.
+func (m Membership) validate() error {
+	if len(m.Voters) == 0 {
+		return errs.New(errs.Invalid, "replication: a membership without voters")
+	}
+	for _, set := range [][]MemberID{m.Voters, m.Outgoing} {
+		if err := validateVoters(set); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateVoters(set []MemberID) error {
+	if len(set) > maxVoters {
+		return errs.New(errs.Invalid, "replication: %d voters, at most %d may be", len(set), maxVoters)
+	}
+	seen := make(map[string]bool, len(set))
+	for _, id := range set {
+		if _, _, err := net.SplitHostPort(id.Address()); err != nil {
+			return errs.New(errs.Invalid, "replication: the voter %.64q has no address", id)
+		}
+		if seen[id.Address()] {
+			return errs.New(errs.Invalid, "replication: two voters at %s", id.Address())
+		}
+		seen[id.Address()] = true
+	}
+	return nil
+}
+
+func (m Membership) encode() []byte {
+	data, err := json.Marshal(m)
+	if err != nil { // strings in slices can always be written
+		panic(err)
+	}
+	return data
+}
+
+func decodeMembership(data []byte) (Membership, error) {
+	var m Membership
+	if err := json.Unmarshal(data, &m); err != nil {
+		return Membership{}, errs.Wrap(err, errs.Invalid, "replication: a membership that can't be read")
+	}
+	return m, m.validate()
+}
+
+// Bootstrap is the membership of the very first start and the cluster's id: both follow from the
+// seeds alone, so that all first voters start with the same without a word between them.
+func Bootstrap(seeds []string) (ClusterID, Membership) {
+	seeds = slices.Compact(slices.Sorted(slices.Values(seeds)))
+	var m Membership
+	for _, address := range seeds {
+		m.Voters = append(m.Voters, NewMemberID(address, ""))
+	}
+	return ClusterID(xxhash.Sum64String(strings.Join(seeds, "\n"))), m
+}
+
+// membershipAt is a membership and the entry that brought it.
+type membershipAt struct {
+	index Index
+	Membership
+}
+
+// memberships is every membership that the log holds, the oldest first: the snapshot's, then one
+// for each entry. The newest is in force, committed or not.
+type memberships []membershipAt
+
+func (h memberships) current() membershipAt { return h[len(h)-1] }
+
+// take notes the memberships among entries that were appended.
+func (h *memberships) take(entries []Entry) {
+	for i := range entries {
+		if entries[i].Kind != EntryMembership {
+			continue
+		}
+		if m, err := decodeMembership(entries[i].Cmd); err == nil {
+			*h = append(*h, membershipAt{entries[i].Index, m})
+		}
+	}
+}
+
+// truncate drops what entries from index on brought.
+func (h *memberships) truncate(index Index) {
+	for len(*h) > 1 && h.current().index >= index {
+		*h = (*h)[:len(*h)-1]
+	}
+}
+
+// at is the membership in force at index.
+func (h memberships) at(index Index) Membership {
+	found := h[0].Membership
+	for _, m := range h {
+		if m.index <= index {
+			found = m.Membership
+		}
+	}
+	return found
+}
+
+// trim drops what was in force before the one at index.
+func (h *memberships) trim(index Index) {
+	for len(*h) > 1 && (*h)[1].index <= index {
+		*h = (*h)[1:]
+	}
+}
--- a/internal/mesh/replication/message.go
+++ b/internal/mesh/replication/message.go
@@ -1,155 +1,142 @@
-// Package replication is the replicated log of the core machines: opaque commands
-// in one order, on the disks of a fixed set of members.
+// Package replication is the replicated log of the core machines: opaque commands in one order, on
+// the disks of a set of voters that the log itself changes.
 //
-// Member is the state machine (no I/O, no goroutine, no clock), Store its
-// disk, Node the loop that runs the one over the other, and Post carries
-// messages by HTTP.
+// Replica is the state machine (no I/O, no goroutine, no clock), Store its disk, Node the loop that
+// runs the one over the other, and Transport carries messages by HTTP.
 //
-// The protocol is of the family of Viewstamped Replication and Raft. A view
-// has one sequencer, chosen by a round of ballots. The sequencer numbers the
-// commands; a command is committed once a majority has synced it in the
-// sequencer's own view. A member that has lost its disk says so and counts in
-// no majority until it has recovered (see recover.go for the argument).
+// The protocol is Raft with pre-votes, leases against disruptive votes, read rounds, learners, and
+// changes of membership by joint consensus. docs/design/control.md has the arguments.
 package replication
 
 import "time"
 
-// Kind says what a message is.
-type Kind uint8
-
-// The kinds of message.
-const (
-	// KindPreBallot asks whether a ballot for View would be granted; it changes nothing.
-	KindPreBallot Kind = iota + 1
-	// KindPreBallotAnswer answers a KindPreBallot.
-	KindPreBallotAnswer
-	// KindBallot asks for the vote in View.
-	KindBallot
-	// KindBallotAnswer answers a KindBallot.
-	KindBallotAnswer
-	// KindAppend carries entries after Index, or none: then it is a beat.
-	KindAppend
-	// KindAppendAnswer answers KindAppend and KindSnapshot.
-	KindAppendAnswer
-	// KindSnapshot carries the state up to Index in place of entries.
-	KindSnapshot
-	// KindRecover is asked by a member that has forgotten.
-	KindRecover
-	// KindRecoverAnswer answers a KindRecover.
-	KindRecoverAnswer
-)
+// Message is what replicas say to each other: exactly one of its pointers is set.
+type Message struct {
+	Cluster ClusterID `json:"u"`
+	Term    Term      `json:"t"`
 
-// Entry is one numbered place of the log. An entry without a command is the
-// one with which a sequencer opens its view.
-type Entry struct {
-	Index uint64 `json:"i"`
-	View  uint64 `json:"v"`
-	Cmd   []byte `json:"c,omitempty"`
+	VoteRequest    *VoteRequest    `json:"vr,omitempty"`
+	VoteAnswer     *VoteAnswer     `json:"va,omitempty"`
+	Append         *AppendEntries  `json:"ae,omitempty"`
+	AppendAnswer   *AppendAnswer   `json:"aa,omitempty"`
+	Snapshot       *SnapshotPiece  `json:"sp,omitempty"`
+	SnapshotAnswer *SnapshotAnswer `json:"sa,omitempty"`
+	TimeoutNow     *TimeoutNow     `json:"tn,omitempty"`
 }
 
-// Snapshot is the application's state after applying every entry up to Index.
-type Snapshot struct {
-	Index uint64 `json:"i"`
-	View  uint64 `json:"v"`
-	Data  []byte `json:"d,omitempty"`
+// VoteRequest asks for the vote in the message's term. A pre-vote asks whether it would be granted
+// and changes nothing.
+type VoteRequest struct {
+	Pre       bool  `json:"p,omitempty"`
+	LastIndex Index `json:"i"`
+	LastTerm  Term  `json:"w"`
+	// Transfer says that the leader itself asked for this election, so its lease is no objection.
+	Transfer bool `json:"x,omitempty"`
 }
 
-// Memory names one stretch of a member's memory. The epoch grows by each loss
-// of its disk; the nonce tells apart two lives that tried for the same epoch.
-type Memory struct {
-	Epoch uint64 `json:"e"`
-	Nonce uint64 `json:"n"`
+// VoteAnswer answers a VoteRequest.
+type VoteAnswer struct {
+	Pre     bool `json:"p,omitempty"`
+	Refused bool `json:"x,omitempty"`
 }
 
-// Message is all that members say to each other.
-type Message struct {
-	Kind Kind   `json:"k"`
-	View uint64 `json:"v"`
-	// Epoch is the sender's epoch of memory, and Epochs what it knows of those of others.
-	Epoch  uint64            `json:"e,omitempty"`
-	Epochs map[string]Memory `json:"m,omitempty"`
-	// Forgotten says that the sender counts in no majority.
-	Forgotten bool `json:"f,omitempty"`
-	Refused   bool `json:"x,omitempty"`
-	// Index and EntryView name the entry before Entries, the last entry of a
-	// candidate, the place of a snapshot, or how far an answer reaches.
-	Index     uint64  `json:"i,omitempty"`
-	EntryView uint64  `json:"w,omitempty"`
-	Entries   []Entry `json:"l,omitempty"`
-	Commit    uint64  `json:"c,omitempty"`
-	Data      []byte  `json:"d,omitempty"`
-	// Prev in a refusal repeats the Index that was refused.
-	Prev uint64 `json:"p,omitempty"`
-	// Sent is the sender's clock; answers repeat it, so that contact is
-	// counted from when the question was put and not from when the answer was read.
+// Heartbeat is what every message of a leader carries beside its entries.
+type Heartbeat struct {
+	// Commit is the last entry that the leader knows to be committed.
+	Commit Index `json:"c,omitempty"`
+	// Sent is the leader's clock; answers repeat it, so that contact is counted from when the
+	// question was put and not from when the answer was read.
 	Sent time.Duration `json:"s,omitempty"`
-	// Round numbers reads; answers repeat it. A KindRecoverAnswer repeats the epoch asked for.
-	Round     uint64 `json:"r,omitempty"`
-	Nonce     uint64 `json:"n,omitempty"`
-	Sequencer bool   `json:"q,omitempty"`
+	// Round numbers reads; answers repeat it.
+	Round uint64 `json:"r,omitempty"`
+	// Age is how long ago, when the message was made, a majority had last confirmed the leader.
+	Age time.Duration `json:"g,omitempty"`
+	// Echo is the receiver's clock in its newest answer: the message was made after that time,
+	// however long it has been on its way.
+	Echo Clock `json:"e,omitzero"`
 }
 
-// size is about what the message costs in memory and on the link.
-func (msg *Message) size() int {
-	n := len(msg.Data)
-	for i := range msg.Entries {
-		n += len(msg.Entries[i].Cmd)
-	}
-	return n
+// Clock is a replica's clock at one moment of one of its lives.
+type Clock struct {
+	Life uint64        `json:"l,omitempty"`
+	At   time.Duration `json:"a,omitempty"`
 }
 
-// HardState is what a member must have synced before it says anything that
-// rests on it.
-type HardState struct {
-	// View is the promise: nothing of a lower view is accepted any more.
-	View uint64 `json:"view"`
-	// Vote is whom the member voted for in View.
-	Vote string `json:"vote"`
-	// Remembers is false on a member whose disk was lost and that has not recovered.
-	Remembers bool `json:"remembers"`
-	// Known holds the newest memory of each member that ever lost its disk, the member itself included.
-	Known map[string]Memory `json:"known,omitempty"`
+// AppendEntries carries the entries after PrevIndex, or none: then it is a plain heartbeat.
+type AppendEntries struct {
+	Heartbeat
+	PrevIndex Index   `json:"i"`
+	PrevTerm  Term    `json:"w"`
+	Entries   []Entry `json:"l,omitempty"`
 }
 
-// State is all that a member keeps on disk.
-type State struct {
-	Members  []string
-	Hard     HardState
-	Snapshot Snapshot
-	Entries  []Entry
+// AppendAnswer answers AppendEntries, and the last SnapshotPiece.
+type AppendAnswer struct {
+	// Match is how far the log is synced and equal to the leader's; in a refusal, how far it may be.
+	Match   Index `json:"i"`
+	Refused bool  `json:"x,omitempty"`
+	// PrevIndex repeats, in a refusal, the index that was refused.
+	PrevIndex Index         `json:"p,omitempty"`
+	Sent      time.Duration `json:"s,omitempty"`
+	Round     uint64        `json:"r,omitempty"`
+	Clock     Clock         `json:"k,omitzero"`
 }
 
-// Persist is what must be synced, in one piece, before the messages of the
-// same Ready may go. Everything from TruncateFrom on (when it isn't 0) is
-// dropped first, everything up to Snapshot.Index too, then Entries are written.
-type Persist struct {
-	Hard         *HardState
-	Snapshot     *Snapshot
-	TruncateFrom uint64
-	Entries      []Entry
+// SnapshotHeader names a snapshot: pieces of two snapshots with the same header fit together,
+// whoever sends them.
+type SnapshotHeader struct {
+	Index      Index      `json:"i"`
+	Term       Term       `json:"w"`
+	Membership Membership `json:"m"`
+	Size       int        `json:"z"`
+	// Sum is the xxhash of the whole.
+	Sum uint64 `json:"h"`
 }
 
-// Settlement says how a proposal or a read ended. Aborted means unclear for a
-// proposal (it may be committed later or never) and not done for a read.
-type Settlement struct {
-	Token   uint64
-	Index   uint64
-	Aborted bool
+// SnapshotPiece carries a part of a snapshot.
+type SnapshotPiece struct {
+	Heartbeat
+	Header SnapshotHeader `json:"n"`
+	Offset int            `json:"o"`
+	Data   []byte         `json:"d,omitempty"`
 }
 
-// Envelope is a message and its receiver.
-type Envelope struct {
-	To      string
-	Message Message
+// SnapshotAnswer says from where on a snapshot is wanted.
+type SnapshotAnswer struct {
+	Index  Index         `json:"i"`
+	Offset int           `json:"o"`
+	Sent   time.Duration `json:"s,omitempty"`
+	Round  uint64        `json:"r,omitempty"`
+	Clock  Clock         `json:"k,omitzero"`
 }
 
-// Ready is what a member wants done, in this order: sync Persist, send
-// Messages, restore Restore, apply Committed, tell Proposals and Reads.
-type Ready struct {
-	Persist   *Persist
-	Messages  []Envelope
-	Restore   *Snapshot
-	Committed []Entry
-	Proposals []Settlement
-	Reads     []Settlement
+// TimeoutNow has a voter stand for election at once, as the leader wants to hand over.
+type TimeoutNow struct{}
+
+// size is about what the message costs in memory and on the link.
+func (msg *Message) size() int {
+	n := 0
+	if msg.Snapshot != nil {
+		n += len(msg.Snapshot.Data)
+	}
+	if msg.Append != nil {
+		for i := range msg.Append.Entries {
+			n += len(msg.Append.Entries[i].Cmd)
+		}
+	}
+	return n
+}
+
+// kinds counts which parts a message has; a proper one has one.
+func (msg *Message) kinds() int {
+	n := 0
+	for _, set := range []bool{
+		msg.VoteRequest != nil, msg.VoteAnswer != nil, msg.Append != nil, msg.AppendAnswer != nil,
+		msg.Snapshot != nil, msg.SnapshotAnswer != nil, msg.TimeoutNow != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/mesh/replication/node.go
+++ b/internal/mesh/replication/node.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,10 +15,10 @@
 )
 
 const (
-	// contactWithin is how lately a sequencer must have been heard for a member to be in contact.
+	// contactWithin is how old a majority's confirmation may be for a replica to be in contact.
 	contactWithin = time.Second
-	// staleAfter is the age at which a message that waited for the loop is
-	// dropped: others may have chosen a new sequencer since, so it is old news.
+	// staleAfter is the age at which a message that waited for the loop is dropped: others may have
+	// chosen a new leader since, so it is old news.
 	staleAfter = ElectionMin
 	// maxInbox bounds the messages that wait while the disk stalls; the oldest give way.
 	maxInbox = 256
@@ -27,28 +28,31 @@
 	longestWait = time.Minute
 )
 
-// NodeConfig is what a node is made of. Apply, Restore and Snapshot are called
-// from the node's loop only. Send must not block.
+// NodeConfig is what a node is made of. Apply, Restore and Snapshot are called from the node's loop
+// only. Send must not block.
 type NodeConfig struct {
-	ID    string
 	Disk  Disk
 	State State
 	// Send carries messages to a member; it may lose them.
-	Send func(to string, msgs []Message)
-	// Apply gets every committed command in order, once per life, after what Restore brought.
+	Send func(to MemberID, msgs []Message)
+	// Apply gets every committed entry in order, once per life, after what Restore brought; one that
+	// is no command of the application comes without a command.
 	Apply func(index uint64, cmd []byte)
-	// Restore puts the state of an earlier Snapshot in place of the application's.
-	Restore func(data []byte)
+	// Restore puts the state of an earlier Snapshot, with everything up to index, in place of the application's.
+	Restore func(index uint64, data []byte)
 	// Snapshot returns the application's state; nil: not now, it is asked again.
 	Snapshot func() []byte
-	Log      *zap.Logger
+	// Applied is the index up to which the application has applied all that it was handed.
+	Applied func() uint64
+	Log     *zap.Logger
 }
 
-// call is a proposal or, without a command, a read.
+// call is a proposal, a read (without a command), or an operation on the replica itself.
 type call struct {
-	ctx  context.Context
-	cmd  []byte
-	done chan result
+	ctx       context.Context
+	cmd       []byte
+	operation func(now time.Duration, r *Replica) error
+	done      chan result
 }
 
 type result struct {
@@ -57,21 +61,37 @@
 }
 
 type delivery struct {
-	from string
+	from MemberID
 	msgs []Message
 	at   time.Duration
 	// answer, when not nil, takes what is to be said to the sender.
 	answer chan []Message
 }
 
-// Node runs a Member over its Disk in one loop.
+// Status is what a replica last was.
+type Status struct {
+	Leader     MemberID
+	Term       Term
+	Leads      bool
+	Sick       bool
+	Applied    Index
+	Membership Membership
+	// Settled says that the membership is committed and no change is under way.
+	Settled bool
+	// Progress is what a leader knows of the others.
+	Progress []Progress
+	// Refused counts messages that were dropped as no proper ones.
+	Refused uint64
+}
+
+// Node runs a Replica over its Disk in one loop.
 type Node struct {
-	cfg    NodeConfig
-	member *Member
-	start  time.Time
-	wake   chan struct{}
-	stop   chan struct{}
-	ended  chan struct{}
+	cfg     NodeConfig
+	replica *Replica
+	start   time.Time
+	wake    chan struct{}
+	stop    chan struct{}
+	ended   chan struct{}
 
 	mu     sync.Mutex
 	closed bool
@@ -80,50 +100,36 @@
 
 	// Of the loop alone.
 	waiting map[uint64]call
-	answers map[string]chan []Message
+	answers map[MemberID]chan []Message
 	sick    bool
 
-	status atomic.Pointer[status]
-}
-
-type status struct {
-	seq     string
-	view    uint64
-	heard   time.Duration
-	leads   bool
-	sick    bool
-	memory  bool
-	applied uint64
+	status  atomic.Pointer[Status]
+	contact contact
 }
 
 // Start restores the application from the state and starts the loop.
 func Start(cfg NodeConfig) (*Node, error) {
-	var seeds [16]byte
-	if _, err := crand.Read(seeds[:]); err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "archive: random seeds")
+	var seed [8]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "replication: a random seed")
 	}
-	member, err := New(Config{
-		ID:    cfg.ID,
-		State: cfg.State,
-		Seed:  binary.BigEndian.Uint64(seeds[:]),
-		Nonce: binary.BigEndian.Uint64(seeds[8:]),
-	}, 0)
+	replica, err := New(Config{State: cfg.State, Seed: binary.BigEndian.Uint64(seed[:])}, 0)
 	if err != nil {
 		return nil, err
 	}
 	if cfg.State.Snapshot.Index > 0 {
-		cfg.Restore(cfg.State.Snapshot.Data)
+		cfg.Restore(uint64(cfg.State.Snapshot.Index), cfg.State.Snapshot.Data)
 	}
 	cfg.State = State{}
 	n := &Node{
 		cfg:     cfg,
-		member:  member,
+		replica: replica,
 		start:   time.Now(),
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		ended:   make(chan struct{}),
 		waiting: map[uint64]call{},
-		answers: map[string]chan []Message{},
+		answers: map[MemberID]chan []Message{},
 	}
 	n.publish(0)
 	go n.run()
@@ -149,12 +155,12 @@
 // done; NoQuorum and Late that it may be committed or not.
 func (n *Node) Propose(ctx context.Context, cmd []byte) (index uint64, err error) {
 	if len(cmd) == 0 {
-		return 0, errs.New(errs.Invalid, "archive: a command is empty")
+		return 0, errs.New(errs.Invalid, "replication: a command is empty")
 	}
 	return n.call(ctx, cmd)
 }
 
-// Read returns once this member, being the sequencer, has confirmed that it
+// Read returns once this replica, being the leader, has confirmed that it
 // still is and has applied everything that was committed before the call.
 func (n *Node) Read(ctx context.Context) error {
 	_, err := n.call(ctx, nil)
@@ -162,11 +168,15 @@
 }
 
 func (n *Node) call(ctx context.Context, cmd []byte) (uint64, error) {
-	c := call{ctx: ctx, cmd: cmd, done: make(chan result, 1)}
+	return n.enter(call{ctx: ctx, cmd: cmd, done: make(chan result, 1)})
+}
+
+// enter hands a call to the loop and waits for its end.
+func (n *Node) enter(c call) (uint64, error) {
 	n.mu.Lock()
 	if n.closed || len(n.calls) >= maxCalls {
 		n.mu.Unlock()
-		return 0, errs.New(errs.Busy, "archive: the node is closed or has too many callers")
+		return 0, errs.New(errs.Busy, "replication: the node is closed or has too many callers")
 	}
 	n.calls = append(n.calls, c)
 	n.mu.Unlock()
@@ -174,45 +184,68 @@
 	select {
 	case r := <-c.done:
 		return r.index, r.err
-	case <-ctx.Done():
-		return 0, errs.Wrap(ctx.Err(), errs.Late, "archive: the caller's time ran out")
+	case <-c.ctx.Done():
+		return 0, errs.Wrap(c.ctx.Err(), errs.Late, "replication: the caller's time ran out")
 	}
 }
 
-// Sequencer names the sequencer this member knows ("" for none) and its view.
-func (n *Node) Sequencer() (id string, view uint64) {
-	s := n.status.Load()
-	return s.seq, s.view
+// Do runs an operation on the replica in the node's loop and returns its error.
+func (n *Node) Do(ctx context.Context, operation func(now time.Duration, r *Replica) error) error {
+	_, err := n.enter(call{ctx: ctx, operation: operation, done: make(chan result, 1)})
+	return err
 }
 
-// InContact says whether the member has heard a sequencer within the last
-// second or, being the sequencer, a majority.
-func (n *Node) InContact() bool {
-	s := n.status.Load()
-	within := contactWithin
-	if s.leads {
-		within = ContactOut
-	}
-	return s.seq != "" && (s.heard == forever || n.now()-s.heard <= within)
+// ChangeMembership begins a change of the voters; see Replica.ChangeMembership.
+func (n *Node) ChangeMembership(ctx context.Context, voters []MemberID) error {
+	return n.Do(ctx, func(now time.Duration, r *Replica) error { return r.ChangeMembership(now, voters) })
+}
+
+// SetLearners names the replicas that this node keeps up to date beside the voters while it leads.
+func (n *Node) SetLearners(ctx context.Context, learners []MemberID) error {
+	learners = slices.Sorted(slices.Values(learners))
+	return n.Do(ctx, func(now time.Duration, r *Replica) error {
+		r.SetLearners(now, learners)
+		return nil
+	})
+}
+
+// TransferLeadership asks another voter to take over; an error says that nobody could.
+func (n *Node) TransferLeadership(ctx context.Context) error {
+	return n.Do(ctx, func(now time.Duration, r *Replica) error {
+		if !r.TransferLeadership(now) {
+			return errs.New(errs.NoQuorum, "replication: nobody can take over")
+		}
+		return nil
+	})
 }
 
-// Sick says that the disk takes no writes.
-func (n *Node) Sick() bool { return n.status.Load().sick }
+// ID is the replica's own id.
+func (n *Node) ID() MemberID { return n.replica.ID() }
 
-// Remembers is false from the loss of the disk until the member has recovered.
-func (n *Node) Remembers() bool { return n.status.Load().memory }
+// Status is what the replica was at the end of the loop's last round.
+func (n *Node) Status() *Status { return n.status.Load() }
+
+// Contact says how long ago a majority of the voters is known to have confirmed the leader that this
+// node follows. It is counted only once the application has applied all that was committed then, so
+// what it serves is at most that old. ok is false while there is no such confirmation.
+func (n *Node) Contact() (age time.Duration, ok bool) {
+	return n.contact.age(n.now(), n.cfg.Applied())
+}
 
-// Applied is the last index applied here.
-func (n *Node) Applied() uint64 { return n.status.Load().applied }
+// InContact says whether what this node serves is lately confirmed by a majority.
+func (n *Node) InContact() bool {
+	age, ok := n.Contact()
+	return ok && age <= contactWithin
+}
 
 // Deliver takes in messages of a member. It never blocks; when too many wait, the oldest are dropped.
-func (n *Node) Deliver(from string, msgs []Message) {
+func (n *Node) Deliver(from MemberID, msgs []Message) {
 	n.deliver(delivery{from: from, msgs: msgs})
 }
 
 // Exchange is Deliver, and returns what the member has to say to the sender
 // right away, so that an answer needs no connection of its own.
-func (n *Node) Exchange(ctx context.Context, from string, msgs []Message) []Message {
+func (n *Node) Exchange(ctx context.Context, from MemberID, msgs []Message) []Message {
 	d := delivery{from: from, msgs: msgs, answer: make(chan []Message, 1)}
 	n.deliver(d)
 	select {
@@ -244,197 +277,3 @@
 	default:
 	}
 }
-
-func (n *Node) run() {
-	defer close(n.ended)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-n.stop:
-			n.abandon()
-			return
-		case <-n.wake:
-		case <-timer.C:
-		}
-		n.round()
-		timer.Reset(min(longestWait, max(0, n.member.NextWake()-n.now())))
-	}
-}
-
-// round takes in all that waits and does all that is due.
-func (n *Node) round() {
-	n.mu.Lock()
-	inbox, calls := n.inbox, n.calls
-	n.inbox, n.calls = nil, nil
-	n.mu.Unlock()
-	// The time is taken once before anything is acted on, so that after a
-	// freeze the member sees how late it is before it does a thing.
-	now := n.now()
-	n.member.Tick(now)
-	for _, d := range inbox {
-		if d.answer != nil {
-			n.supersede(d.from, d.answer)
-		}
-		if now-d.at > staleAfter {
-			continue
-		}
-		for i := range d.msgs {
-			n.member.Step(now, d.from, d.msgs[i])
-		}
-	}
-	for _, c := range calls {
-		n.begin(now, c)
-	}
-	for {
-		r, some := n.member.Ready(n.now())
-		if !some {
-			break
-		}
-		n.do(&r)
-	}
-	for from, answer := range n.answers {
-		close(answer)
-		delete(n.answers, from)
-	}
-	n.publish(n.now())
-}
-
-// supersede keeps the newest exchange of a sender; an older one gets no answer.
-func (n *Node) supersede(from string, answer chan []Message) {
-	if old := n.answers[from]; old != nil {
-		close(old)
-	}
-	n.answers[from] = answer
-}
-
-func (n *Node) begin(now time.Duration, c call) {
-	if c.ctx.Err() != nil {
-		// The caller has gone while the loop was held up.
-		return
-	}
-	var token uint64
-	var err error
-	if c.cmd != nil {
-		token, err = n.member.Propose(now, c.cmd)
-	} else {
-		token, err = n.member.Read(now)
-	}
-	if err != nil {
-		c.done <- result{err: err}
-		return
-	}
-	n.waiting[token] = c
-}
-
-// do does what a Ready asks for, in its order.
-func (n *Node) do(r *Ready) {
-	if r.Persist != nil {
-		if err := n.cfg.Disk.Save(r.Persist); err != nil {
-			if !n.sick {
-				n.cfg.Log.Error("the archive's disk refuses to write; this member is silent until it does", zap.Error(err))
-			}
-			n.sick = true
-			n.member.Failed(n.now(), r)
-			return
-		}
-		if n.sick {
-			n.cfg.Log.Info("the archive's disk writes again")
-			n.sick = false
-		}
-	}
-	n.sendAll(r.Messages)
-	if r.Restore != nil {
-		n.cfg.Restore(r.Restore.Data)
-	}
-	for i := range r.Committed {
-		if e := &r.Committed[i]; len(e.Cmd) > 0 {
-			n.cfg.Apply(e.Index, e.Cmd)
-		}
-	}
-	n.member.Advance(n.now(), r)
-	n.tell(r.Proposals)
-	n.tell(r.Reads)
-	if n.member.WantsSnapshot() {
-		if data := n.cfg.Snapshot(); data != nil {
-			n.member.Compact(data)
-		}
-	}
-}
-
-func (n *Node) tell(settled []Settlement) {
-	for _, s := range settled {
-		c, ok := n.waiting[s.Token]
-		if !ok {
-			continue
-		}
-		delete(n.waiting, s.Token)
-		switch {
-		case !s.Aborted:
-			c.done <- result{index: s.Index}
-		case c.cmd != nil:
-			c.done <- result{err: errs.New(errs.NoQuorum, "archive: the view ended before the command was committed; it may be or not")}
-		default:
-			c.done <- result{err: errs.New(errs.NotSequencer, "archive: the view ended before the read was confirmed")}
-		}
-	}
-}
-
-// sendAll hands over messages by receiver, in their order; what is for a
-// member whose exchange waits goes back on it.
-func (n *Node) sendAll(out []Envelope) {
-	for i := 0; i < len(out); i++ {
-		to := out[i].To
-		if to == "" {
-			continue
-		}
-		var msgs []Message
-		for j := i; j < len(out); j++ {
-			if out[j].To == to {
-				msgs = append(msgs, out[j].Message)
-				out[j].To = ""
-			}
-		}
-		if answer := n.answers[to]; answer != nil {
-			answer <- msgs
-			delete(n.answers, to)
-			continue
-		}
-		n.cfg.Send(to, msgs)
-	}
-}
-
-func (n *Node) publish(now time.Duration) {
-	seq, view := n.member.Sequencer()
-	if before := n.status.Load(); before != nil && (before.seq != seq || before.view != view) {
-		n.cfg.Log.Info("view", zap.Uint64("number", view), zap.String("sequencer", seq))
-	}
-	n.status.Store(&status{
-		seq:     seq,
-		view:    view,
-		leads:   n.member.IsSequencer(now),
-		heard:   n.member.Heard(),
-		sick:    n.member.Sick(),
-		memory:  n.member.Remembers(),
-		applied: n.member.Applied(),
-	})
-}
-
-// abandon ends the exchanges and callers that still wait.
-func (n *Node) abandon() {
-	n.mu.Lock()
-	inbox, calls := n.inbox, n.calls
-	n.inbox, n.calls = nil, nil
-	n.mu.Unlock()
-	for _, d := range inbox {
-		if d.answer != nil {
-			close(d.answer)
-		}
-	}
-	for _, c := range calls {
-		c.done <- result{err: errs.New(errs.Busy, "archive: the node is closed")}
-	}
-	for _, c := range n.waiting {
-		c.done <- result{err: errs.New(errs.Late, "archive: the node was closed before the end was known")}
-	}
-}
--- /dev/null
+++ b/internal/mesh/replication/replica.go
@@ -0,0 +1,495 @@
+package replication
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+)
+
+// The times and bounds of the protocol.
+const (
+	// HeartbeatEvery is how often a leader is heard at least. Four heartbeats fit into the shortest
+	// election time, so that lost ones cause no election.
+	HeartbeatEvery = 120 * time.Millisecond
+	// ElectionMin and ElectionMax bound the random silence after which a voter asks for votes: above
+	// four heartbeats, and low enough that a dead leader is replaced within about a second. The
+	// spread keeps voters from asking all at once.
+	ElectionMin = 500 * time.Millisecond
+	ElectionMax = 900 * time.Millisecond
+	// retryMin and retryMax bound the random wait after an election that came to nothing. A pre-vote
+	// disturbs nobody, so it may come again soon; the spread is wider than a round trip, so that
+	// split votes don't repeat.
+	retryMin = 150 * time.Millisecond
+	retryMax = 450 * time.Millisecond
+	// ContactOut is how long a leader stays one without hearing from a majority. It ends its waiting
+	// callers' uncertainty soon after others may have chosen anew.
+	ContactOut = 700 * time.Millisecond
+	// resendAfter and resendPerMiB are how long entries or a piece of a snapshot may be on their way
+	// before they are sent again: a round trip and a sync on a slow machine, and more for large ones
+	// so that they aren't sent twice over a narrow link.
+	resendAfter  = 500 * time.Millisecond
+	resendPerMiB = time.Second
+	// retryDisk is how often a refused write is tried again.
+	retryDisk = 300 * time.Millisecond
+
+	// MaxCommand is the largest command, which bounds what one message can cost in memory.
+	MaxCommand = 8 << 20
+	// maxMessage bounds the entries of a message (one entry may be larger), so that a member far
+	// behind doesn't cost its leader the memory of the whole log.
+	maxMessage = 1 << 20
+	// maxPending and maxPendingBytes bound what waits for a quorum, so that proposals can't pile up
+	// in memory while there is none.
+	maxPending      = 256
+	maxPendingBytes = 32 << 20
+	// maxReads bounds the reads that wait for their round.
+	maxReads = 4096
+	// trimEntries and trimBytes are how much log is kept before a snapshot takes its place; they
+	// bound memory, disk and the time to start.
+	trimEntries = 8
+	trimBytes   = 1 << 20
+	// behindEntries and behindBytes are how much log a leader keeps at most for a member that is
+	// behind: as long as it is there, what the member lacks need not go as another snapshot.
+	behindEntries = 1024
+	behindBytes   = 4 << 20
+)
+
+// forever is later than any time.
+const forever = time.Duration(math.MaxInt64)
+
+type role uint8
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	// match is the last entry known to be synced there; next is the first to send.
+	match, next Index
+	// resend is when what is on its way is sent again; 0 when nothing is.
+	resend time.Duration
+	// heard is the time at which the newest answered message was sent.
+	heard time.Duration
+	// clock is the member's own, in its newest answer.
+	clock Clock
+	// sent is when anything was sent last.
+	sent             time.Duration
+	round, roundSent uint64
+	commitSent       Index
+	// snapshot is what is being sent in pieces, and offset where the next one begins.
+	snapshot *Snapshot
+	sum      uint64
+	offset   int
+}
+
+type proposal struct {
+	token uint64
+	index Index
+	bytes int
+}
+
+type read struct {
+	token, round uint64
+	// index is what must be applied first; 0 until the round is confirmed.
+	index Index
+}
+
+// Config is what a replica starts from.
+type Config struct {
+	// State is what its disk holds.
+	State State
+	// Seed makes the election times differ between replicas.
+	Seed uint64
+}
+
+// Replica is one member of the cluster, as a state machine. It isn't safe for concurrent use.
+// Between Ready and the Advance or Failed that follows it, no other method may be called.
+type Replica struct {
+	id      MemberID
+	cluster ClusterID
+	random  *rand.Rand
+	role    role
+	// leader is whom the replica follows, "" when it knows none.
+	leader MemberID
+	// heard is when the leader's last message came, and confirmed the time at which a majority had
+	// confirmed that leader, by its own word.
+	heard, confirmed time.Duration
+	// life tells this replica's life from earlier ones of the same id, whose clocks were others.
+	life    uint64
+	elected time.Duration
+	// deadline is when the next pre-vote begins, unless a leader is heard.
+	deadline time.Duration
+	votes    map[MemberID]bool
+	peers    map[MemberID]*progress
+	learners []MemberID
+	// order is every replica that a leader sends to, in a fixed order.
+	order []MemberID
+
+	hard        HardState
+	log         entryLog
+	memberships memberships
+	// stable is the last entry that is synced here.
+	stable          Index
+	commit, applied Index
+	// leaderCommit is what the leader last said is committed.
+	leaderCommit Index
+	// verified is how far the log is known to equal that of the leader of this term.
+	verified Index
+
+	hardDirty, snapshotDirty bool
+	truncateFrom             Index
+	restore                  *Snapshot
+	incoming                 *incomingSnapshot
+
+	out          []Envelope
+	proposals    []proposal
+	pendingBytes int
+	reads        []read
+	// round numbers the newest read round; roundOpen says that it has gone out, so that the next
+	// read needs a new one.
+	round         uint64
+	roundOpen     bool
+	token         uint64
+	aborted       []Settlement
+	abortedReads  []Settlement
+	sick          bool
+	retryAt       time.Duration
+	lastCommitted Index
+	// refused counts messages that were no proper ones.
+	refused uint64
+}
+
+// New starts a replica at the time now.
+func New(cfg Config, now time.Duration) (*Replica, error) {
+	state := cfg.State
+	if state.ID == "" {
+		return nil, errs.New(errs.Invalid, "replication: a replica without an id")
+	}
+	if len(state.Snapshot.Membership.Voters) > 0 {
+		if err := state.Snapshot.Membership.validate(); err != nil {
+			return nil, err
+		}
+	}
+	r := &Replica{
+		id:          state.ID,
+		cluster:     state.Cluster,
+		random:      rand.New(rand.NewPCG(cfg.Seed, uint64(len(state.ID)))),
+		hard:        state.Hard,
+		memberships: memberships{{state.Snapshot.Index, state.Snapshot.Membership}},
+	}
+	r.log.reset(state.Snapshot)
+	for i, e := range state.Entries {
+		if e.Index != state.Snapshot.Index+Index(i)+1 {
+			return nil, errs.New(errs.DiskFailed, "replication: entry %d stands where %d belongs", e.Index, state.Snapshot.Index+Index(i)+1)
+		}
+	}
+	r.log.append(state.Entries...)
+	r.memberships.take(state.Entries)
+	r.stable = r.log.last()
+	r.commit = r.log.snapshot.Index
+	r.applied = r.commit
+	r.deadline = now + r.between(retryMin, retryMax)
+	r.heard, r.confirmed = now-time.Hour, now-time.Hour
+	r.roundOpen = true
+	r.life = r.random.Uint64()
+	return r, nil
+}
+
+func (r *Replica) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(r.random.Int64N(int64(high-low)))
+}
+
+// ID is the replica's own id.
+func (r *Replica) ID() MemberID { return r.id }
+
+// Leader names the leader that this replica follows ("" when it knows none) and its term.
+func (r *Replica) Leader() (MemberID, Term) { return r.leader, r.hard.Term }
+
+// Leads says whether the replica leads its term at the time now.
+func (r *Replica) Leads(now time.Duration) bool {
+	r.checkContact(now)
+	return r.role == leader
+}
+
+// Membership is the membership in force, and whether it is committed.
+func (r *Replica) Membership() (Membership, bool) {
+	current := r.memberships.current()
+	return current.Membership, current.index <= r.commit
+}
+
+// Votes says whether the replica is a voter in the membership in force.
+func (r *Replica) Votes() bool { return r.memberships.current().Has(r.id) }
+
+// Sick says that the disk refused the last write; the replica is silent till it takes one.
+func (r *Replica) Sick() bool { return r.sick }
+
+// Applied is the last entry handed out as committed, and confirmed by Advance.
+func (r *Replica) Applied() Index { return r.applied }
+
+// Refused counts the messages that were dropped as no proper ones.
+func (r *Replica) Refused() uint64 { return r.refused }
+
+// Confirmed is the time at which, as far as is known here, a majority of the voters last confirmed
+// the leader. It proves that all that was committed before it is held by this replica once its
+// application has applied the index that comes with it. ok is false while there is no such index:
+// no leader is known, or it has committed nothing of its own term yet.
+func (r *Replica) Confirmed() (at time.Duration, index Index, ok bool) {
+	if r.role == leader {
+		return r.heardByMajority(), r.commit, r.openedTerm()
+	}
+	return r.confirmed, r.leaderCommit, r.leader != ""
+}
+
+// openedTerm says that an entry of this leader's own term is committed: then so is all that earlier
+// leaders committed, and only then does it know how far that reaches.
+func (r *Replica) openedTerm() bool {
+	term, ok := r.log.term(r.commit)
+	return ok && term == r.hard.Term
+}
+
+// heardByMajority is the time up to which a majority has answered this leader.
+func (r *Replica) heardByMajority() time.Duration {
+	return reached(r.memberships.current().Membership, func(id MemberID) time.Duration {
+		if id == r.id {
+			return forever
+		}
+		return r.peers[id].heard
+	})
+}
+
+// checkContact makes a leader that a majority hasn't answered for ContactOut step down. It runs
+// before anything a leader does, so that one that was frozen acts on nothing it believed before.
+func (r *Replica) checkContact(now time.Duration) {
+	if r.role != leader {
+		return
+	}
+	if now-r.heardByMajority() > ContactOut {
+		r.follow(r.hard.Term, "")
+		r.deadline = now + r.between(ElectionMin, ElectionMax)
+	}
+}
+
+// follow ends whatever the replica was and makes it a follower in term.
+func (r *Replica) follow(term Term, leads MemberID) {
+	if term > r.hard.Term {
+		r.hard.Term, r.hard.Vote = term, ""
+		r.hardDirty = true
+		r.verified = 0
+	}
+	if r.role == leader {
+		r.abandon()
+	}
+	r.role, r.leader, r.votes = follower, leads, nil
+}
+
+// abandon tells the callers of a leader that is none any more that they don't know.
+func (r *Replica) abandon() {
+	for _, p := range r.proposals {
+		r.aborted = append(r.aborted, Settlement{Token: p.token, Index: p.index, Aborted: true})
+	}
+	for _, q := range r.reads {
+		r.abortedReads = append(r.abortedReads, Settlement{Token: q.token, Aborted: true})
+	}
+	r.proposals, r.reads, r.pendingBytes = nil, nil, 0
+	r.peers, r.order, r.learners = nil, nil, nil
+}
+
+// leased says that the replica has heard a live leader within the shortest election time (or is
+// one): then it refuses votes, so that a member that was cut off, frozen or retired disturbs
+// nothing when it returns.
+func (r *Replica) leased(now time.Duration) bool {
+	return r.role == leader || r.leader != "" && now-r.heard < ElectionMin
+}
+
+// Step takes in a message. Messages of another cluster and ones that make no sense are counted and dropped.
+func (r *Replica) Step(now time.Duration, from MemberID, msg Message) {
+	if from == r.id || !r.proper(&msg) {
+		r.refused++
+		return
+	}
+	r.checkContact(now)
+	switch {
+	case msg.Append != nil:
+		r.stepAppend(now, from, msg.Term, msg.Append)
+	case msg.Snapshot != nil:
+		r.stepSnapshot(now, from, msg.Term, msg.Snapshot)
+	case msg.AppendAnswer != nil:
+		r.stepAppendAnswer(from, msg.Term, msg.AppendAnswer)
+	case msg.SnapshotAnswer != nil:
+		r.stepSnapshotAnswer(now, from, msg.Term, msg.SnapshotAnswer)
+	case msg.VoteRequest != nil:
+		r.stepVoteRequest(now, from, msg.Term, msg.VoteRequest)
+	case msg.VoteAnswer != nil:
+		r.stepVoteAnswer(now, from, msg.Term, msg.VoteAnswer)
+	case msg.TimeoutNow != nil:
+		r.stepTimeoutNow(now, from, msg.Term)
+	}
+}
+
+// proper says whether a message can be taken in at all.
+func (r *Replica) proper(msg *Message) bool {
+	if msg.Cluster != r.cluster || msg.kinds() != 1 {
+		return false
+	}
+	if msg.Append != nil {
+		for i := range msg.Append.Entries {
+			e := &msg.Append.Entries[i]
+			if e.Index != msg.Append.PrevIndex+Index(i)+1 || e.Term > msg.Term {
+				return false
+			}
+			if e.Kind == EntryMembership {
+				if _, err := decodeMembership(e.Cmd); err != nil {
+					return false
+				}
+			}
+		}
+	}
+	return msg.Snapshot == nil || msg.Snapshot.Header.proper(msg.Snapshot)
+}
+
+// Tick does what is due at the time now.
+func (r *Replica) Tick(now time.Duration) {
+	r.checkContact(now)
+	if r.role != leader && !r.sick && r.Votes() && now >= r.deadline {
+		r.startPreVote(now)
+	}
+}
+
+// NextWake is when Tick is due next.
+func (r *Replica) NextWake() time.Duration {
+	switch {
+	case r.sick:
+		return r.retryAt
+	case r.role == leader:
+		wake := forever
+		for _, id := range r.order {
+			p := r.peers[id]
+			wake = min(wake, p.sent+HeartbeatEvery)
+			if p.resend > 0 {
+				wake = min(wake, p.resend)
+			}
+		}
+		return wake
+	case !r.Votes():
+		return forever
+	}
+	return r.deadline
+}
+
+// send queues a message; it goes with the next Ready. A sick replica says nothing.
+func (r *Replica) send(to MemberID, msg Message) {
+	if r.sick {
+		return
+	}
+	msg.Cluster = r.cluster
+	if msg.Term == 0 {
+		msg.Term = r.hard.Term
+	}
+	r.out = append(r.out, Envelope{To: to, Message: msg})
+}
+
+// Ready returns what is to be done at the time now, or false when there is nothing. It must be
+// followed by Advance, or by Failed if Persist couldn't be synced.
+func (r *Replica) Ready(now time.Duration) (Ready, bool) {
+	r.checkContact(now)
+	if r.role == leader {
+		r.feed(now)
+	}
+	var ready Ready
+	durable := r.stable
+	if r.dirty() && (!r.sick || now >= r.retryAt) {
+		ready.Persist = r.persist()
+		durable = r.log.last()
+	}
+	ready.Messages, r.out = r.out, nil
+	if !r.snapshotDirty || ready.Persist != nil {
+		ready.Restore = r.restore
+		r.lastCommitted = max(r.applied, min(r.commit, durable))
+		from := r.applied
+		if ready.Restore != nil {
+			from = ready.Restore.Index
+		}
+		ready.Committed = r.log.between(from, r.lastCommitted)
+	} else {
+		r.lastCommitted = r.applied
+	}
+	ready.Proposals, r.aborted = r.aborted, nil
+	ready.Reads, r.abortedReads = r.abortedReads, nil
+	r.settle(&ready)
+	return ready, ready.any()
+}
+
+func (ready *Ready) any() bool {
+	return ready.Persist != nil || len(ready.Messages) > 0 || ready.Restore != nil || len(ready.Committed) > 0 ||
+		len(ready.Proposals) > 0 || len(ready.Reads) > 0
+}
+
+// persist is all that isn't synced yet.
+func (r *Replica) persist() *Persist {
+	p := &Persist{TruncateFrom: r.truncateFrom, Entries: r.log.between(max(r.stable, r.log.snapshot.Index), r.log.last())}
+	if r.hardDirty {
+		hard := r.hard
+		p.Hard = &hard
+	}
+	if r.snapshotDirty {
+		s := r.log.snapshot
+		p.Snapshot = &s
+	}
+	return p
+}
+
+// settle adds the proposals and reads that are done once this Ready is.
+func (r *Replica) settle(ready *Ready) {
+	for len(r.proposals) > 0 && r.proposals[0].index <= r.lastCommitted {
+		p := r.proposals[0]
+		ready.Proposals = append(ready.Proposals, Settlement{Token: p.token, Index: p.index})
+		r.proposals = r.proposals[1:]
+		r.pendingBytes -= p.bytes
+	}
+	for len(r.reads) > 0 && r.reads[0].index > 0 && r.reads[0].index <= r.lastCommitted {
+		ready.Reads = append(ready.Reads, Settlement{Token: r.reads[0].token, Index: r.reads[0].index})
+		r.reads = r.reads[1:]
+	}
+}
+
+func (r *Replica) dirty() bool {
+	return r.hardDirty || r.snapshotDirty || r.truncateFrom > 0 || r.stable < r.log.last()
+}
+
+// Advance confirms that all of the last Ready has been done.
+func (r *Replica) Advance(now time.Duration, ready *Ready) {
+	if ready.Persist != nil {
+		r.hardDirty, r.snapshotDirty, r.truncateFrom = false, false, 0
+		r.stable = r.log.last()
+		r.sick = false
+	}
+	if ready.Restore != nil {
+		r.restore = nil
+	}
+	r.applied = r.lastCommitted
+	r.checkContact(now)
+	r.countVotes(now)
+	r.advanceCommit()
+}
+
+// Failed says that the disk refused the last Ready's Persist. None of that Ready has been done: its
+// messages are lost, which the protocol bears, and its callers are told that they don't know. The
+// replica is sick until a write is taken: it neither votes nor leads nor says anything.
+func (r *Replica) Failed(now time.Duration, ready *Ready) {
+	r.follow(r.hard.Term, "")
+	for _, s := range ready.Proposals {
+		r.aborted = append(r.aborted, Settlement{Token: s.Token, Index: s.Index, Aborted: true})
+	}
+	for _, s := range ready.Reads {
+		r.abortedReads = append(r.abortedReads, Settlement{Token: s.Token, Aborted: true})
+	}
+	r.out = nil
+	r.sick, r.hardDirty = true, true
+	r.retryAt = now + retryDisk
+	r.deadline = now + r.between(ElectionMin, ElectionMax)
+}
--- /dev/null
+++ b/internal/mesh/replication/snapshot.go
@@ -0,0 +1,115 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// pieceBytes is how much of a snapshot one message carries: small enough that heartbeats on the
+	// same link are not held up for long, also on links of a few megabits a second.
+	pieceBytes = 128 << 10
+	// maxSnapshot bounds the memory that a snapshot in the making may take.
+	maxSnapshot = 64 << 20
+)
+
+// incomingSnapshot is a snapshot of which a part has come.
+type incomingSnapshot struct {
+	header SnapshotHeader
+	data   []byte
+}
+
+// proper says that a header, and a piece under it, can be those of a snapshot.
+func (h *SnapshotHeader) proper(piece *SnapshotPiece) bool {
+	return h.Index > 0 && h.Size >= 0 && h.Size <= maxSnapshot && h.Membership.validate() == nil &&
+		piece.Offset >= 0 && piece.Offset <= h.Size && len(piece.Data) <= h.Size-piece.Offset
+}
+
+// same says that pieces under both headers fit together.
+func (h *SnapshotHeader) same(other *SnapshotHeader) bool {
+	return h.Index == other.Index && h.Term == other.Term && h.Size == other.Size && h.Sum == other.Sum
+}
+
+// sendSnapshot sends the next piece of a snapshot. The one that was begun is gone on with, also
+// where the leader's own has been replaced by a later one since: else a member on a narrow link
+// would begin anew with each.
+func (r *Replica) sendSnapshot(now time.Duration, id MemberID, p *progress) {
+	if p.snapshot == nil {
+		s := r.log.snapshot
+		p.snapshot, p.sum, p.offset = &s, xxhash.Sum64(s.Data), 0
+	}
+	s := p.snapshot
+	end := min(p.offset+pieceBytes, len(s.Data))
+	piece := s.Data[p.offset:end]
+	r.send(id, Message{Snapshot: &SnapshotPiece{
+		Heartbeat: r.heartbeat(now, p),
+		Header:    SnapshotHeader{Index: s.Index, Term: s.Term, Membership: s.Membership, Size: len(s.Data), Sum: p.sum},
+		Offset:    p.offset,
+		Data:      piece,
+	}})
+	p.sent, p.roundSent = now, r.round
+	p.resend = now + resendAfter + resendPerMiB*time.Duration(len(piece)>>10)/(1<<10)
+}
+
+// stepSnapshotAnswer goes on at the offset that the member names.
+func (r *Replica) stepSnapshotAnswer(now time.Duration, from MemberID, term Term, answer *SnapshotAnswer) {
+	p := r.answered(from, term, answer.Sent, answer.Round, answer.Clock)
+	if p == nil {
+		return
+	}
+	if p.snapshot != nil && p.snapshot.Index == answer.Index && answer.Offset >= 0 && answer.Offset <= len(p.snapshot.Data) && answer.Offset != p.offset {
+		p.offset, p.resend = answer.Offset, 0
+	}
+	r.confirmReads()
+}
+
+// stepSnapshot takes in a piece. Once all are there the snapshot takes the log's place.
+func (r *Replica) stepSnapshot(now time.Duration, from MemberID, term Term, piece *SnapshotPiece) {
+	if !r.hearLeader(now, from, term, &piece.Heartbeat) {
+		return
+	}
+	h := &piece.Header
+	if h.Index <= r.commit || r.log.holds(h.Index, h.Term) {
+		r.incoming = nil
+		r.commit = max(r.commit, h.Index)
+		r.verified = max(r.verified, r.commit)
+		r.answerSnapshotDone(now, from, piece)
+		return
+	}
+	if r.incoming == nil || !r.incoming.header.same(h) {
+		r.incoming = &incomingSnapshot{header: *h}
+	}
+	in := r.incoming
+	if piece.Offset == len(in.data) {
+		in.data = append(in.data, piece.Data...)
+	}
+	if len(in.data) < h.Size {
+		r.send(from, Message{SnapshotAnswer: &SnapshotAnswer{Index: h.Index, Offset: len(in.data), Sent: piece.Sent, Round: piece.Round, Clock: r.clock(now)}})
+		return
+	}
+	r.incoming = nil
+	if xxhash.Sum64(in.data) != h.Sum {
+		r.refused++
+		r.send(from, Message{SnapshotAnswer: &SnapshotAnswer{Index: h.Index, Sent: piece.Sent, Round: piece.Round, Clock: r.clock(now)}})
+		return
+	}
+	r.install(Snapshot{Index: h.Index, Term: h.Term, Membership: h.Membership, Data: in.data})
+	r.answerSnapshotDone(now, from, piece)
+}
+
+func (r *Replica) answerSnapshotDone(now time.Duration, from MemberID, piece *SnapshotPiece) {
+	r.send(from, Message{AppendAnswer: &AppendAnswer{Match: r.verified, Sent: piece.Sent, Round: piece.Round, Clock: r.clock(now)}})
+}
+
+// install puts a snapshot in place of a log that ends before it or differs at it.
+func (r *Replica) install(s Snapshot) {
+	r.cut(r.log.snapshot.Index + 1)
+	r.log.reset(s)
+	r.memberships = memberships{{s.Index, s.Membership}}
+	r.stable = s.Index
+	r.restore = &s
+	r.snapshotDirty = true
+	r.commit = max(r.commit, s.Index)
+	r.verified = max(r.verified, r.commit)
+}
--- a/internal/mesh/replication/store.go
+++ b/internal/mesh/replication/store.go
@@ -23,16 +23,24 @@
 	// openTables bounds the descriptors held for tables.
 	openTables = 16
 	// folder holds the database inside the data directory, and damagedFolder
-	// a damaged one while it is removed.
+	// a damaged one while it is removed. Disks that exist have these names.
 	folder        = "archive"
 	damagedFolder = "archive.damaged"
+	// entryHeader and snapshotHeader are the bytes before an entry's command and a snapshot's data.
+	entryHeader    = 8
+	snapshotHeader = 16
+	// membershipBit marks, in the stored term, an entry that holds a membership.
+	membershipBit = 1 << 63
 )
 
 // The keys of the store.
 var (
-	keyMembers  = []byte("members")
-	keyHard     = []byte("hard")
-	keySnapshot = []byte("snapshot")
+	// keyMembers is what an earlier program wrote: the addresses of a fixed set of members.
+	keyMembers    = []byte("members")
+	keyIdentity   = []byte("identity")
+	keyMembership = []byte("membership")
+	keyHard       = []byte("hard")
+	keySnapshot   = []byte("snapshot")
 	// entryPrefix is followed by the index, big-endian, so that entries lie in order.
 	entryPrefix = byte('e')
 )
@@ -53,7 +61,13 @@
 	path string
 	db   *leveldb.DB
 	// first and last bound the entries that may be stored; none are when last < first.
-	first, last uint64
+	first, last Index
+}
+
+// identity is who a disk is, for ever.
+type identity struct {
+	ID      MemberID  `json:"id"`
+	Cluster ClusterID `json:"cluster"`
 }
 
 func options(mustExist bool) *opt.Options {
@@ -68,64 +82,51 @@
 	}
 }
 
-// Open opens the store in dir. At the very first start of the system it notes
-// the members and that it remembers, synced, before it returns. Otherwise the
-// state comes from the disk; if nothing is there, the member has forgotten,
-// and the members are those given. Every error is DiskFailed; if the store is
-// damaged rather than out of reach, Damaged says so.
-func Open(dir string, members []string, firstStart bool) (*Store, State, error) {
+// Open opens the store in dir and reads its state; the state of an empty store has no id, and Found
+// gives it one. Every error is DiskFailed; if the store is damaged rather than out of reach, Damaged
+// says so. The address is the machine's own, which is the id of a disk that an earlier program founded.
+func Open(dir, address string) (*Store, State, error) {
 	s := &Store{path: filepath.Join(dir, folder), first: 1}
 	if err := s.open(false); err != nil {
-		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: open %s", s.path)
-	}
-	state, err := s.load()
-	if err == nil && len(state.Members) == 0 {
-		state = State{Members: slices.Clone(members), Hard: HardState{Remembers: firstStart}}
-		err = s.found(state)
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "replication: open %s", s.path)
 	}
+	state, err := s.load(address)
 	if err != nil {
 		_ = s.Close()
-		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: read %s", s.path)
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "replication: read %s", s.path)
 	}
 	return s, state, nil
 }
 
-// Kept says whether there is a store in dir, readable or not.
-func Kept(dir string) bool {
-	_, err := os.Stat(filepath.Join(dir, folder, "CURRENT"))
-	return err == nil
-}
-
 // Damaged says whether an error of Open means that the store can't be read
 // any more, in contrast to a disk that refuses for now.
 func Damaged(err error) bool {
 	return eris.Is(err, errDamaged) || errors.IsCorrupted(eris.Cause(err))
 }
 
-// OpenOrForget is Open, and where the store is damaged it is removed and the
-// member starts as one that has forgotten. A disk that merely refuses remains
-// an error: the caller tries again later.
-func OpenOrForget(dir string, members []string, firstStart bool, log *zap.Logger) (*Store, State, error) {
+// OpenOrDiscard is Open, and where the store is damaged it is removed and an empty one opened in its
+// place, as if the disk were new. A disk that merely refuses remains an error: the caller tries again later.
+func OpenOrDiscard(dir, address string, log *zap.Logger) (*Store, State, error) {
 	// A removal that was cut short is finished first.
 	if err := os.RemoveAll(filepath.Join(dir, damagedFolder)); err != nil {
-		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: remove what was damaged")
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "replication: remove what was damaged")
 	}
-	s, state, err := Open(dir, members, firstStart)
+	s, state, err := Open(dir, address)
 	if err == nil || !Damaged(err) {
 		return s, state, err
 	}
-	log.Error("the archive on disk is damaged; this member starts as one that has forgotten", zap.Error(err))
+	log.Error("the log on disk is damaged; this machine joins as a new member", zap.Error(err))
 	// The folder is renamed before it is removed, because half of it might read as a whole store.
 	if err := os.Rename(filepath.Join(dir, folder), filepath.Join(dir, damagedFolder)); err != nil {
-		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: move the damaged store aside")
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "replication: move the damaged store aside")
 	}
 	if err := syncDir(dir); err != nil {
-		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "archive: sync %s", dir)
+		return nil, State{}, errs.Wrap(err, errs.DiskFailed, "replication: sync %s", dir)
 	}
 	if err := os.RemoveAll(filepath.Join(dir, damagedFolder)); err != nil {
-		log.Warn("a damaged archive couldn't be removed", zap.Error(err))
+		log.Warn("a damaged log couldn't be removed", zap.Error(err))
 	}
-	return Open(dir, members, false)
+	return Open(dir, address)
 }
 
 func syncDir(dir string) error {
@@ -151,73 +152,171 @@
 	return nil
 }
 
-// found writes the marks of a store that was empty.
-func (s *Store) found(state State) error {
-	members, err := json.Marshal(state.Members)
-	if err != nil {
+// Found gives an empty store its identity, synced before it returns: the id, the cluster and the
+// membership that the replica starts from.
+func (s *Store) Found(state State) error {
+	batch := new(leveldb.Batch)
+	if err := putIdentity(batch, state); err != nil {
 		return err
 	}
-	hard, err := json.Marshal(state.Hard)
-	if err != nil {
+	if err := putJSON(batch, keyHard, state.Hard); err != nil {
 		return err
 	}
-	batch := new(leveldb.Batch)
-	batch.Put(keyMembers, members)
-	batch.Put(keyHard, hard)
-	return s.db.Write(batch, &opt.WriteOptions{Sync: true})
+	if err := s.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
+		return errs.Wrap(err, errs.DiskFailed, "replication: found %s", s.path)
+	}
+	return nil
 }
 
-// load reads the state; one without members is that of an empty store.
-func (s *Store) load() (State, error) {
+func putIdentity(batch *leveldb.Batch, state State) error {
+	if err := putJSON(batch, keyIdentity, identity{ID: state.ID, Cluster: state.Cluster}); err != nil {
+		return err
+	}
+	return putJSON(batch, keyMembership, state.Snapshot.Membership)
+}
+
+func putJSON(batch *leveldb.Batch, key []byte, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "replication: write %s", key)
+	}
+	batch.Put(key, data)
+	return nil
+}
+
+// load reads the state; one without an id is that of an empty store.
+func (s *Store) load(address string) (State, error) {
 	var state State
-	members, err := s.db.Get(keyMembers, nil)
-	if err == leveldb.ErrNotFound {
-		return state, s.checkEmpty()
+	found, err := s.loadIdentity(&state)
+	if err == nil && !found {
+		found, err = s.loadEarlier(&state, address)
 	}
 	if err != nil {
 		return state, err
 	}
-	if err := json.Unmarshal(members, &state.Members); err != nil || len(state.Members) == 0 {
-		return state, eris.Wrapf(errDamaged, "the members %q", members)
+	if !found {
+		return state, s.checkEmpty()
 	}
-	hard, err := s.get(keyHard)
-	if err != nil {
+	if err := s.getJSON(keyHard, &state.Hard); err != nil {
+		return state, err
+	}
+	if err := s.loadSnapshot(&state); err != nil {
 		return state, err
 	}
-	if err := json.Unmarshal(hard, &state.Hard); err != nil {
-		return state, eris.Wrapf(errDamaged, "the hard state %q", hard)
+	return state, s.loadEntries(&state)
+}
+
+// loadIdentity reads who the disk is, and the membership at its snapshot.
+func (s *Store) loadIdentity(state *State) (bool, error) {
+	data, err := s.db.Get(keyIdentity, nil)
+	if err == leveldb.ErrNotFound {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var who identity
+	if err := json.Unmarshal(data, &who); err != nil || who.ID == "" {
+		return false, eris.Wrapf(errDamaged, "the identity %q", data)
+	}
+	state.ID, state.Cluster = who.ID, who.Cluster
+	return true, s.getJSON(keyMembership, &state.Snapshot.Membership)
+}
+
+// loadEarlier takes over a disk of the program that had a fixed set of members: they are the voters,
+// and the disk has the id of the first start. One that had forgotten stays damaged: it voted and
+// acknowledged things that it no longer knows of, so it begins anew under another id.
+func (s *Store) loadEarlier(state *State, address string) (bool, error) {
+	data, err := s.db.Get(keyMembers, nil)
+	if err == leveldb.ErrNotFound {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var members []string
+	if err := json.Unmarshal(data, &members); err != nil || len(members) == 0 {
+		return false, eris.Wrapf(errDamaged, "the members %q", data)
+	}
+	var earlier struct {
+		Remembers bool                       `json:"remembers"`
+		Known     map[string]json.RawMessage `json:"known"`
+	}
+	if err := s.getJSON(keyHard, &earlier); err != nil {
+		return false, err
+	}
+	if !earlier.Remembers {
+		return false, eris.Wrap(errDamaged, "a member that had forgotten")
+	}
+	state.ID = NewMemberID(address, "")
+	state.Cluster, state.Snapshot.Membership = Bootstrap(members)
+	batch := new(leveldb.Batch)
+	if err := putIdentity(batch, *state); err != nil {
+		return false, err
 	}
+	return true, s.db.Write(batch, &opt.WriteOptions{Sync: true})
+}
+
+func (s *Store) loadSnapshot(state *State) error {
 	snapshot, err := s.db.Get(keySnapshot, nil)
 	switch {
 	case err == leveldb.ErrNotFound:
+		return nil
 	case err != nil:
-		return state, err
-	case len(snapshot) < 16:
-		return state, eris.Wrapf(errDamaged, "a snapshot of %d bytes", len(snapshot))
-	default:
-		state.Snapshot = Snapshot{
-			Index: binary.BigEndian.Uint64(snapshot),
-			View:  binary.BigEndian.Uint64(snapshot[8:]),
-			Data:  snapshot[16:],
-		}
+		return err
+	case len(snapshot) < snapshotHeader:
+		return eris.Wrapf(errDamaged, "a snapshot of %d bytes", len(snapshot))
 	}
+	state.Snapshot.Index = Index(binary.BigEndian.Uint64(snapshot))
+	state.Snapshot.Term = Term(binary.BigEndian.Uint64(snapshot[8:]))
+	state.Snapshot.Data = snapshot[snapshotHeader:]
+	return nil
+}
+
+func (s *Store) loadEntries(state *State) error {
 	s.first = state.Snapshot.Index + 1
 	s.last = state.Snapshot.Index
 	entries := s.db.NewIterator(util.BytesPrefix([]byte{entryPrefix}), nil)
 	defer entries.Release()
 	for entries.Next() {
 		key, value := entries.Key(), entries.Value()
-		if len(key) != 9 || len(value) < 8 || binary.BigEndian.Uint64(key[1:]) != s.last+1 {
-			return state, eris.Wrapf(errDamaged, "the entry %x after %d", key, s.last)
+		if len(key) != 9 || len(value) < entryHeader || Index(binary.BigEndian.Uint64(key[1:])) != s.last+1 {
+			return eris.Wrapf(errDamaged, "the entry %x after %d", key, s.last)
 		}
 		s.last++
-		e := Entry{Index: s.last, View: binary.BigEndian.Uint64(value)}
-		if len(value) > 8 {
-			e.Cmd = slices.Clone(value[8:])
+		e, err := decodeEntry(s.last, value)
+		if err != nil {
+			return err
 		}
 		state.Entries = append(state.Entries, e)
 	}
-	return state, entries.Error()
+	return entries.Error()
+}
+
+func decodeEntry(index Index, value []byte) (Entry, error) {
+	head := binary.BigEndian.Uint64(value)
+	e := Entry{Index: index, Term: Term(head &^ membershipBit)}
+	if len(value) > entryHeader {
+		e.Cmd = slices.Clone(value[entryHeader:])
+	}
+	if head&membershipBit == 0 {
+		return e, nil
+	}
+	e.Kind = EntryMembership
+	if _, err := decodeMembership(e.Cmd); err != nil {
+		return e, eris.Wrapf(errDamaged, "the membership at %d", index)
+	}
+	return e, nil
+}
+
+func encodeEntry(e *Entry) []byte {
+	head := uint64(e.Term)
+	if e.Kind == EntryMembership {
+		head |= membershipBit
+	}
+	value := make([]byte, entryHeader, entryHeader+len(e.Cmd))
+	binary.BigEndian.PutUint64(value, head)
+	return append(value, e.Cmd...)
 }
 
 // checkEmpty makes sure that a store without the founding mark holds nothing.
@@ -230,18 +329,25 @@
 	return all.Error()
 }
 
-func (s *Store) get(key []byte) ([]byte, error) {
-	value, err := s.db.Get(key, nil)
+// getJSON reads a value that has to be there.
+func (s *Store) getJSON(key []byte, into any) error {
+	data, err := s.db.Get(key, nil)
 	if err == leveldb.ErrNotFound {
-		return nil, eris.Wrapf(errDamaged, "%s is missing", key)
+		return eris.Wrapf(errDamaged, "%s is missing", key)
+	}
+	if err != nil {
+		return err
 	}
-	return value, err
+	if err := json.Unmarshal(data, into); err != nil {
+		return eris.Wrapf(errDamaged, "%s is %.64q", key, data)
+	}
+	return nil
 }
 
-func entryKey(index uint64) []byte {
+func entryKey(index Index) []byte {
 	key := make([]byte, 9)
 	key[0] = entryPrefix
-	binary.BigEndian.PutUint64(key[1:], index)
+	binary.BigEndian.PutUint64(key[1:], uint64(index))
 	return key
 }
 
@@ -250,7 +356,7 @@
 func (s *Store) Save(p *Persist) error {
 	if s.db == nil {
 		if err := s.open(true); err != nil {
-			return errs.Wrap(err, errs.DiskFailed, "archive: open %s again", s.path)
+			return errs.Wrap(err, errs.DiskFailed, "replication: open %s again", s.path)
 		}
 	}
 	batch, first, last, err := s.batch(p)
@@ -259,14 +365,14 @@
 	}
 	if err := s.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
 		_ = s.Close()
-		return errs.Wrap(err, errs.DiskFailed, "archive: write to %s", s.path)
+		return errs.Wrap(err, errs.DiskFailed, "replication: write to %s", s.path)
 	}
 	s.first, s.last = first, last
 	return nil
 }
 
 // batch puts p in one batch and returns the bounds of the entries after it.
-func (s *Store) batch(p *Persist) (batch *leveldb.Batch, first, last uint64, err error) {
+func (s *Store) batch(p *Persist) (batch *leveldb.Batch, first, last Index, err error) {
 	batch = new(leveldb.Batch)
 	first, last = s.first, s.last
 	if p.TruncateFrom > 0 {
@@ -281,27 +387,26 @@
 		}
 		first = p.Snapshot.Index + 1
 		last = max(last, p.Snapshot.Index)
-		value := make([]byte, 16, 16+len(p.Snapshot.Data))
-		binary.BigEndian.PutUint64(value, p.Snapshot.Index)
-		binary.BigEndian.PutUint64(value[8:], p.Snapshot.View)
+		value := make([]byte, snapshotHeader, snapshotHeader+len(p.Snapshot.Data))
+		binary.BigEndian.PutUint64(value, uint64(p.Snapshot.Index))
+		binary.BigEndian.PutUint64(value[8:], uint64(p.Snapshot.Term))
 		batch.Put(keySnapshot, append(value, p.Snapshot.Data...))
+		if err := putJSON(batch, keyMembership, p.Snapshot.Membership); err != nil {
+			return nil, 0, 0, err
+		}
 	}
 	for i := range p.Entries {
 		e := &p.Entries[i]
 		if e.Index != last+1 {
-			return nil, 0, 0, errs.New(errs.Internal, "archive: entry %d would follow %d on disk", e.Index, last)
+			return nil, 0, 0, errs.New(errs.Internal, "replication: entry %d would follow %d on disk", e.Index, last)
 		}
-		value := make([]byte, 8, 8+len(e.Cmd))
-		binary.BigEndian.PutUint64(value, e.View)
-		batch.Put(entryKey(e.Index), append(value, e.Cmd...))
+		batch.Put(entryKey(e.Index), encodeEntry(e))
 		last = e.Index
 	}
 	if p.Hard != nil {
-		hard, err := json.Marshal(p.Hard)
-		if err != nil {
-			return nil, 0, 0, errs.Wrap(err, errs.Internal, "archive: the hard state")
+		if err := putJSON(batch, keyHard, p.Hard); err != nil {
+			return nil, 0, 0, err
 		}
-		batch.Put(keyHard, hard)
 	}
 	return batch, first, last, nil
 }
--- a/internal/mesh/replication/post.go
+++ b/internal/mesh/replication/transport.go
@@ -31,17 +31,17 @@
 
 // letter is what one post carries, both ways.
 type letter struct {
-	From     string    `json:"f"`
+	From     MemberID  `json:"f"`
 	Messages []Message `json:"m"`
 }
 
-// Post carries messages to the other members by HTTP. Each peer has two
+// Transport carries messages to the other members by HTTP. Each peer has two
 // lanes, for small messages and large ones, each with a goroutine of its own
 // that lives while there is something to send.
-type Post struct {
-	self    string
+type Transport struct {
+	self    MemberID
 	client  *http.Client
-	deliver func(from string, msgs []Message)
+	deliver func(from MemberID, msgs []Message)
 	log     *zap.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -52,7 +52,7 @@
 }
 
 type laneKey struct {
-	peer  string
+	peer  MemberID
 	large bool
 }
 
@@ -62,33 +62,33 @@
 	failed  bool
 }
 
-// NewPost returns a Post for the member self. What peers answer goes to deliver.
-func NewPost(self string, client *http.Client, deliver func(from string, msgs []Message), log *zap.Logger) *Post {
+// NewTransport returns a Transport for the member self. What peers answer goes to deliver.
+func NewTransport(self MemberID, client *http.Client, deliver func(from MemberID, msgs []Message), log *zap.Logger) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Post{self: self, client: client, deliver: deliver, log: log, ctx: ctx, cancel: cancel, lanes: map[laneKey]*lane{}}
+	return &Transport{self: self, client: client, deliver: deliver, log: log, ctx: ctx, cancel: cancel, lanes: map[laneKey]*lane{}}
 }
 
 // Close drops what waits and returns once nothing is on its way.
-func (p *Post) Close() {
-	p.mu.Lock()
-	p.cancel()
-	p.mu.Unlock()
-	p.busy.Wait()
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.cancel()
+	t.mu.Unlock()
+	t.busy.Wait()
 }
 
 // Send queues messages for a peer and returns at once.
-func (p *Post) Send(to string, msgs []Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.ctx.Err() != nil {
+func (t *Transport) Send(to MemberID, msgs []Message) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() != nil {
 		return
 	}
 	for i := range msgs {
 		key := laneKey{peer: to, large: msgs[i].size() >= large}
-		l := p.lanes[key]
+		l := t.lanes[key]
 		if l == nil {
 			l = &lane{}
-			p.lanes[key] = l
+			t.lanes[key] = l
 		}
 		if key.large {
 			// One large message is on its way at a time; a newer one replaces one that waits.
@@ -99,47 +99,48 @@
 		l.queue = append(l.queue, msgs[i])
 		if !l.running {
 			l.running = true
-			p.busy.Add(1)
-			go p.run(key, l)
+			t.busy.Add(1)
+			go t.run(key, l)
 		}
 	}
 }
 
 // run posts what waits on a lane until nothing does.
-func (p *Post) run(key laneKey, l *lane) {
-	defer p.busy.Done()
+func (t *Transport) run(key laneKey, l *lane) {
+	defer t.busy.Done()
 	for {
-		p.mu.Lock()
+		t.mu.Lock()
 		batch := l.queue
 		l.queue = nil
-		if len(batch) == 0 || p.ctx.Err() != nil {
+		if len(batch) == 0 || t.ctx.Err() != nil {
 			l.running = false
-			p.mu.Unlock()
+			t.mu.Unlock()
 			return
 		}
-		p.mu.Unlock()
-		err := p.post(key.peer, batch)
+		t.mu.Unlock()
+		err := t.post(key.peer, batch)
 		if (err != nil) != l.failed {
 			l.failed = err != nil
-			p.log.Info("the archive's post to a member", zap.String("peer", key.peer), zap.Bool("arrives", err == nil), zap.Error(err))
+			t.log.Info("messages to a member", zap.String("peer", string(key.peer)), zap.Bool("arrives", err == nil), zap.Error(err))
 		}
 	}
 }
 
-func (p *Post) post(peer string, batch []Message) error {
+func (t *Transport) post(peer MemberID, batch []Message) error {
 	size := 0
 	for i := range batch {
 		size += batch[i].size()
 	}
 	timeout := postTimeout + postPerMiB*time.Duration(size>>10)/(1<<10)
-	ctx, cancel := context.WithTimeout(p.ctx, timeout)
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
-	answer, err := rpc.Call[letter, letter](ctx, p.client, "http://"+peer+Path, &letter{From: p.self, Messages: batch})
+	answer, err := rpc.Call[letter, letter](ctx, t.client, "http://"+peer.Address()+Path, &letter{From: t.self, Messages: batch})
 	if err != nil {
 		return err
 	}
-	if answer.From == peer && len(answer.Messages) > 0 {
-		p.deliver(peer, answer.Messages)
+	// Another replica than was meant may be there now, and answers in its own name.
+	if answer.From != "" && len(answer.Messages) > 0 {
+		t.deliver(answer.From, answer.Messages)
 	}
 	return nil
 }
@@ -149,11 +150,11 @@
 	rpc.Handle(mux, Path, maxBody, func(r *http.Request, q *letter) (*letter, error) {
 		node := held()
 		if node == nil {
-			return nil, errs.New(errs.Busy, "archive: no log is held here yet")
+			return nil, errs.New(errs.Busy, "replication: no log is held here yet")
 		}
 		if q.From == "" {
-			return nil, errs.New(errs.Invalid, "archive: a letter without a sender")
+			return nil, errs.New(errs.Invalid, "replication: a letter without a sender")
 		}
-		return &letter{From: node.cfg.ID, Messages: node.Exchange(r.Context(), q.From, q.Messages)}, nil
+		return &letter{From: node.ID(), Messages: node.Exchange(r.Context(), q.From, q.Messages)}, nil
 	})
 }
--- a/internal/mesh/replication/world_test.go
+++ b/internal/mesh/replication/world_test.go
@@ -2,55 +2,43 @@
 
 import (
 	"container/heap"
-	"encoding/json"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// world is a virtual network of members with virtual disks, and the checker that watches them from outside.
+const (
+	// catchUp is how long a machine that is back counts as lost, and how long a replacement may take.
+	catchUp = 4 * time.Second
+	// liveWithin is how long a proposal may take while no more than the tolerated machines are lost.
+	liveWithin = 3 * time.Second
+)
+
+// world is a virtual network of machines with virtual disks, and the checker that watches them from
+// outside. It plays one history; the seed determines all of it.
 type world struct {
 	rng    *rand.Rand
 	now    time.Duration
 	events events
 	serial int
-	ids    []string
-	nodes  map[string]*machine
-	cut    map[[2]string]bool
-	loss   float64
-	delay  time.Duration
-	// spite makes faults strike where the protocol is at its most delicate:
-	// right after a vote, an answer to one that forgot, or an acknowledgement.
+	// faultTolerance is how many machines may be lost at once; target is the size of the membership.
+	faultTolerance, target int
+	cluster                ClusterID
+	machines               []*machine
+	at                     map[string]*machine // address -> its machine
+	network
+	// wild faults come in any number at once, but for lost disks.
+	wild bool
+	// spite makes faults strike where the protocol is at its most delicate: right after a vote, an
+	// acknowledgement or a piece of a snapshot.
 	spite bool
-
-	issued  int
-	acked   map[uint64]string // index -> command, as told to a proposer
-	applied map[uint64]string // index -> command, as first applied anywhere
-	places  map[string]uint64 // command -> index
-	leaders map[uint64]string // view -> sequencer and its life
-	reads   int
-	quiet   bool     // no more commands come
-	faults  []string // what the checker found
-}
-
-// machine is one member, its disk and its application (the list of what it applied).
-type machine struct {
-	id       string
-	life     int
-	m        *Member
-	born     time.Duration
-	frozen   bool
-	busy     bool
-	saving   *Persist
-	full     bool
-	slow     time.Duration
-	disk     State
-	inbox    []delivery
-	list     []Entry
-	proposed map[uint64]string
-	reading  map[uint64][]uint64
-	wakes    int
+	// padding is how large snapshots are beside what they hold, and commandPadding commands.
+	padding, commandPadding int
+	quiet                   bool // no more commands come
+	counts                  map[string]int
+	checker
 }
 
 type event struct {
@@ -73,21 +61,101 @@
 	return x
 }
 
-func newWorld(seed uint64, n int) *world {
+// machine is one core machine, its disk and its application.
+type machine struct {
+	address string
+	id      MemberID
+	// founder says that the machine is one of the first voters and has its first disk.
+	founder bool
+	life    int
+	replica *Replica
+	born    time.Duration
+	frozen  bool
+	busy    bool
+	saving  *Persist
+	full    bool
+	slow    time.Duration
+	disk    State
+	inbox   []delivery
+	wakes   int
+	// gone says that the machine never comes back; leaving that it wants to be replaced.
+	gone, leaving bool
+	// lostUntil is until when the machine counts as lost.
+	lostUntil time.Duration
+	manage    bool
+	announced map[MemberID]announcement
+	appState
+	contact       contact
+	contactLeader MemberID
+	contactTerm   Term
+	proposed      map[uint64]*operation
+	reading       map[uint64]*operation
+}
+
+// applied is a command and its place.
+type applied struct {
+	index Index
+	id    int
+}
+
+// appState is what a machine has applied: a list of commands on a register that each of
+// them compares and sets. done follows it late, as a queue would.
+type appState struct {
+	list     []applied
+	register int
+	last     Index
+	done     Index
+	lag      time.Duration
+}
+
+func newWorld(seed uint64, faultTolerance int) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*machine{}, cut: map[[2]string]bool{}, delay: 5 * time.Millisecond,
-		acked: map[uint64]string{}, applied: map[uint64]string{}, places: map[string]uint64{}, leaders: map[uint64]string{},
-	}
-	for i := range n {
-		w.ids = append(w.ids, fmt.Sprintf("10.1.0.%d:7620", i))
-	}
-	for _, id := range w.ids {
-		w.nodes[id] = &machine{id: id, disk: State{Members: w.ids, Hard: HardState{Remembers: true}}}
-		w.powerOn(id)
+		rng:            rand.New(rand.NewPCG(seed, 1)),
+		faultTolerance: faultTolerance,
+		target:         2*faultTolerance + 1,
+		at:             map[string]*machine{},
+		network:        newNetwork(),
+		counts:         map[string]int{},
+		checker:        newChecker(),
+	}
+	for range w.target {
+		w.addMachine()
+	}
+	var seeds []string
+	for _, n := range w.machines[:min(3, w.target)] {
+		seeds = append(seeds, n.address)
+	}
+	cluster, membership := Bootstrap(seeds)
+	w.cluster = cluster
+	w.memberships[0] = membership
+	for i, n := range w.machines {
+		if i < len(seeds) {
+			n.id, n.founder = NewMemberID(n.address, ""), true
+			n.disk = State{ID: n.id, Cluster: cluster, Snapshot: Snapshot{Membership: membership}}
+		} else {
+			w.emptyDisk(n)
+		}
+		w.after(w.upTo(300*time.Millisecond), func() { w.powerOn(n) })
 	}
+	w.after(0, w.manageAll)
+	w.after(0, w.watch)
 	return w
 }
 
+// addMachine adds a machine at an address of its own.
+func (w *world) addMachine() *machine {
+	n := &machine{address: fmt.Sprintf("10.1.0.%d:7620", len(w.machines))}
+	w.machines = append(w.machines, n)
+	w.at[n.address] = n
+	return n
+}
+
+// emptyDisk gives a machine a disk that holds nothing but a fresh identity.
+func (w *world) emptyDisk(n *machine) {
+	n.id = NewMemberID(n.address, fmt.Sprintf("%x", w.rng.Uint32()))
+	n.disk = State{ID: n.id, Cluster: w.cluster}
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.serial++
 	heap.Push(&w.events, event{at: w.now + d, serial: w.serial, do: do})
@@ -106,48 +174,80 @@
 	w.now = max(w.now, end)
 }
 
-func (w *world) fault(format string, args ...any) {
-	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
-}
+func (w *world) count(what string) { w.counts[what]++ }
 
 func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d) + 1)) }
 
-func (w *world) pick() *machine { return w.nodes[w.ids[w.rng.IntN(len(w.ids))]] }
+// present are the machines that aren't gone for good.
+func (w *world) present() []*machine {
+	return slices.DeleteFunc(slices.Clone(w.machines), func(n *machine) bool { return n.gone })
+}
+
+func (w *world) pick() *machine {
+	present := w.present()
+	return present[w.rng.IntN(len(present))]
+}
+
+func (w *world) clock(n *machine) time.Duration { return w.now - n.born }
+
+// leader is the machine that leads in the highest term, nil when none does.
+func (w *world) leader() *machine {
+	var found *machine
+	for _, n := range w.machines {
+		if n.replica != nil && n.replica.role == leader && (found == nil || n.replica.hard.Term > found.replica.hard.Term) {
+			found = n
+		}
+	}
+	return found
+}
 
 // powerOff loses all that isn't synced; a write on its way is there whole or not at all.
 func (w *world) powerOff(n *machine) {
-	if n.saving != nil && w.rng.IntN(2) == 0 {
-		n.disk.put(n.saving)
+	if n.saving != nil {
+		if w.rng.IntN(2) == 0 {
+			n.disk.put(n.saving)
+			w.count("write on its way kept")
+		} else {
+			w.count("write on its way dropped")
+		}
 	}
+	w.abandon(n)
 	n.life++
-	n.m, n.busy, n.saving, n.frozen, n.inbox = nil, false, nil, false, nil
+	n.replica, n.busy, n.saving, n.frozen, n.inbox = nil, false, nil, false, nil
 }
 
-func (w *world) powerOn(id string) {
-	n := w.nodes[id]
-	if n.m != nil {
+func (w *world) powerOn(n *machine) {
+	if n.replica != nil || n.gone {
 		return
 	}
 	n.born = w.now
 	n.life++
-	n.list, n.proposed, n.reading = nil, map[uint64]string{}, map[uint64][]uint64{}
+	n.appState = appState{lag: n.lag}
+	n.proposed, n.reading = map[uint64]*operation{}, map[uint64]*operation{}
+	n.announced = map[MemberID]announcement{}
+	n.contact = contact{}
+	n.contactLeader, n.contactTerm = "", 0
 	state := n.disk
 	state.Entries = slices.Clone(state.Entries)
-	m, err := New(Config{ID: id, State: state, Seed: w.rng.Uint64(), Nonce: w.rng.Uint64()}, 0)
+	replica, err := New(Config{State: state, Seed: w.rng.Uint64()}, 0)
 	if err != nil {
-		w.fault("%s doesn't start: %v", id, err)
+		w.fault("%s doesn't start: %v", n.id, err)
 		return
 	}
-	n.m = m
+	n.replica = replica
 	if state.Snapshot.Index > 0 {
-		n.restore(w, state.Snapshot.Data)
+		w.restore(n, &state.Snapshot)
+		n.done = state.Snapshot.Index
 	}
 	w.pump(n)
 }
 
+// wipe takes a machine's disk away; what comes back is another member.
 func (w *world) wipe(n *machine) {
 	w.powerOff(n)
-	n.disk = State{Members: w.ids}
+	n.founder = false
+	w.diskLost[n.id] = true
+	w.emptyDisk(n)
 }
 
 // put is what a disk holds after p.
@@ -162,40 +262,38 @@
 		s.Snapshot = *p.Snapshot
 		s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e Entry) bool { return e.Index <= p.Snapshot.Index })
 	}
-	for _, e := range p.Entries {
-		s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(old Entry) bool { return old.Index == e.Index })
-		s.Entries = append(s.Entries, e)
-	}
-}
-
-func (n *machine) restore(w *world, data []byte) {
-	n.list = nil
-	if err := json.Unmarshal(data, &n.list); err != nil {
-		w.fault("%s: a snapshot that isn't one: %v", n.id, err)
+	if len(p.Entries) > 0 {
+		first, last := p.Entries[0].Index, p.Entries[len(p.Entries)-1].Index
+		s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e Entry) bool { return e.Index >= first && e.Index <= last })
+		s.Entries = append(s.Entries, p.Entries...)
 	}
 }
 
 // pump runs a machine as far as it goes: a frozen one or one that waits for its disk doesn't.
 func (w *world) pump(n *machine) {
-	if n.m == nil || n.frozen || n.busy {
+	if n.replica == nil || n.frozen || n.busy {
 		return
 	}
-	now := w.now - n.born
-	n.m.Tick(now)
+	now := w.clock(n)
+	n.replica.Tick(now)
 	inbox := n.inbox
 	n.inbox = nil
 	for _, d := range inbox {
-		if w.now-d.at <= staleAfter {
-			n.m.Step(now, d.from, d.msgs[0])
+		if now-d.at <= staleAfter {
+			n.replica.Step(now, d.from, d.msgs[0])
 		}
 	}
+	if n.manage {
+		n.manage = false
+		w.manageMembers(n)
+	}
 	w.drain(n)
 }
 
 func (w *world) drain(n *machine) {
 	for {
-		now := w.now - n.born
-		r, some := n.m.Ready(now)
+		now := w.clock(n)
+		r, some := n.replica.Ready(now)
 		if !some {
 			break
 		}
@@ -207,9 +305,14 @@
 		}
 		w.finish(n, &r)
 	}
+	w.checkReplica(n)
 	n.wakes++
 	wakes, life := n.wakes, n.life
-	w.after(max(0, n.m.NextWake()+n.born-w.now), func() {
+	wake := n.replica.NextWake()
+	if wake == forever {
+		return
+	}
+	w.after(max(0, wake+n.born-w.now), func() {
 		if n.wakes == wakes && n.life == life {
 			w.pump(n)
 		}
@@ -226,11 +329,12 @@
 	}
 	n.busy, n.saving = false, nil
 	if n.full {
+		w.count("write refused")
 		if w.rng.IntN(2) == 0 {
 			// A refused write may have got there all the same.
 			n.disk.put(r.Persist)
 		}
-		n.m.Failed(w.now-n.born, &r)
+		n.replica.Failed(w.clock(n), &r)
 	} else {
 		n.disk.put(r.Persist)
 		w.finish(n, &r)
@@ -239,274 +343,148 @@
 	w.pump(n)
 }
 
-// finish does the rest of a Ready and checks what can be seen from outside.
+// finish does the rest of a Ready and has it checked.
 func (w *world) finish(n *machine, r *Ready) {
 	for _, e := range r.Messages {
-		w.send(n.id, e.To, e.Message)
+		w.send(n, e.To, e.Message)
 	}
 	if r.Restore != nil {
-		n.restore(w, r.Restore.Data)
+		w.restore(n, r.Restore)
+		w.count("snapshot installed")
 	}
 	for _, e := range r.Committed {
-		if len(e.Cmd) == 0 {
-			continue
-		}
-		cmd := string(e.Cmd)
-		if len(n.list) > 0 && n.list[len(n.list)-1].Index >= e.Index {
-			w.fault("%s applies %d after %d", n.id, e.Index, n.list[len(n.list)-1].Index)
-		}
-		if was, ok := w.applied[e.Index]; ok && was != cmd {
-			w.fault("%s applies %q at %d, where %q was", n.id, cmd, e.Index, was)
-		}
-		if was, ok := w.places[cmd]; ok && was != e.Index {
-			w.fault("%s applies %q at %d and at %d", n.id, cmd, was, e.Index)
-		}
-		w.applied[e.Index], w.places[cmd] = cmd, e.Index
-		n.list = append(n.list, e)
-	}
-	n.m.Advance(w.now-n.born, r)
-	for _, s := range r.Proposals {
-		if !s.Aborted {
-			w.acked[s.Index] = n.proposed[s.Token]
-			if w.applied[s.Index] != n.proposed[s.Token] {
-				w.fault("%s acknowledges %q at %d, where %q was applied", n.id, n.proposed[s.Token], s.Index, w.applied[s.Index])
-			}
-		}
-		delete(n.proposed, s.Token)
-	}
-	for _, s := range r.Reads {
-		if !s.Aborted {
-			w.reads++
-			for _, index := range n.reading[s.Token] {
-				if !slices.ContainsFunc(n.list, func(e Entry) bool { return e.Index == index }) {
-					w.fault("a read at %s lacks %d, acknowledged before it began", n.id, index)
-				}
-			}
-		}
-		delete(n.reading, s.Token)
-	}
-	if n.m.WantsSnapshot() {
-		data, err := json.Marshal(n.list)
-		if err != nil {
-			w.fault("%v", err)
-		}
-		n.m.Compact(data)
+		w.apply(n, e)
 	}
-	if n.m.role == sequencer {
-		me := fmt.Sprintf("%s life %d", n.id, n.life)
-		if was, ok := w.leaders[n.m.hard.View]; ok && was != me {
-			w.fault("view %d has two sequencers: %s and %s", n.m.hard.View, was, me)
-		}
-		w.leaders[n.m.hard.View] = me
+	n.replica.Advance(w.clock(n), r)
+	w.follow(n)
+	w.settleCalls(n, r)
+	if n.replica.WantsSnapshot() {
+		n.replica.Compact(w.snapshot(n))
+		w.count("snapshot taken")
 	}
+	w.checkReplica(n)
 }
 
-// send carries a message as JSON would: late, twice, or not at all.
-func (w *world) send(from, to string, msg Message) {
-	copies := 1
-	if w.loss > 0 && w.rng.Float64() < w.loss {
-		copies = w.rng.IntN(2) * 2
+// follow brings done to what was applied, after the machine's lag.
+func (w *world) follow(n *machine) {
+	index, life := n.replica.Applied(), n.life
+	if n.lag == 0 {
+		n.done = index
+		return
 	}
-	late := time.Duration(0)
-	if w.spite {
-		if w.rng.IntN(30) == 0 {
-			late = w.upTo(1500 * time.Millisecond)
+	w.after(n.lag, func() {
+		if n.life == life {
+			n.done = max(n.done, index)
 		}
-		odds := map[Kind]int{KindBallot: 4, KindBallotAnswer: 3, KindRecoverAnswer: 6, KindAppendAnswer: 400}[msg.Kind]
-		if odds > 0 && w.rng.IntN(odds) == 0 {
-			w.after(w.upTo(10*time.Millisecond), func() { w.strike(w.nodes[from]) })
-		}
-	}
-	for range copies {
-		w.after(time.Millisecond+late+w.upTo(w.delay), func() {
-			n := w.nodes[to]
-			if w.cut[[2]string{from, to}] || n.m == nil {
-				return
-			}
-			n.inbox = append(n.inbox, delivery{from: from, msgs: []Message{msg}, at: w.now})
-			w.pump(n)
-		})
-	}
+	})
 }
 
-// propose puts a command to every member that takes one, and reads there as often as not.
-func (w *world) propose() {
-	for _, id := range w.ids {
-		n := w.nodes[id]
-		if n.m == nil || n.frozen || n.busy {
-			continue
-		}
-		cmd := fmt.Sprintf("command %d", w.issued)
-		if token, err := n.m.Propose(w.now-n.born, []byte(cmd)); err == nil {
-			w.issued++
-			n.proposed[token] = cmd
-		}
-		if w.rng.IntN(2) == 0 {
-			if token, err := n.m.Read(w.now - n.born); err == nil {
-				known := make([]uint64, 0, len(w.acked))
-				for index := range w.acked {
-					known = append(known, index)
-				}
-				n.reading[token] = known
-			}
-		}
-		w.pump(n)
+// apply applies an entry as the application would.
+func (w *world) apply(n *machine, e Entry) {
+	if n.last >= e.Index {
+		w.fault("%s applies %d after %d", n.id, e.Index, n.last)
+	}
+	n.last = e.Index
+	if e.Kind == EntryMembership {
+		w.noteMembership(n, &e)
+		return
 	}
-}
-
-// clients proposes every so often for as long as the world runs.
-func (w *world) clients(every time.Duration) {
-	if w.quiet {
+	if len(e.Cmd) == 0 {
 		return
 	}
-	w.propose()
-	w.after(every/2+w.upTo(every), func() { w.clients(every) })
+	a := applied{index: e.Index, id: int(binary.BigEndian.Uint64(e.Cmd))}
+	w.checkPlace(n, a)
+	n.list = append(n.list, a)
+	n.register = w.commands[a.id].apply(n.register)
 }
 
-// forgetful counts the members other than one whose disk doesn't remember.
-func (w *world) forgetful(but *machine) int {
-	k := 0
-	for _, n := range w.nodes {
-		if n != but && !n.disk.Hard.Remembers {
-			k++
-		}
-	}
-	return k
-}
+const appliedBytes = 16
 
-// split parts the members into two sides that don't hear each other, chosen by lot.
-func (w *world) split() {
-	side := map[string]bool{}
-	for _, id := range w.ids {
-		side[id] = w.rng.IntN(2) == 0
-	}
-	w.cut = map[[2]string]bool{}
-	for _, from := range w.ids {
-		for _, to := range w.ids {
-			w.cut[[2]string{from, to}] = side[from] != side[to]
-		}
-	}
+// snapshot is the application's state: the list, and padding that belongs to its index alone.
+func (w *world) snapshot(n *machine) []byte {
+	data := make([]byte, 8, 8+len(n.list)*appliedBytes+w.padding)
+	binary.BigEndian.PutUint64(data, uint64(len(n.list)))
+	for _, a := range n.list {
+		data = binary.BigEndian.AppendUint64(data, uint64(a.index))
+		data = binary.BigEndian.AppendUint64(data, uint64(a.id))
+	}
+	for len(data)+8 <= cap(data) {
+		data = binary.BigEndian.AppendUint64(data, uint64(n.replica.Applied()))
+	}
+	return data
 }
 
-// strike power-cycles a member, with its disk or without, or parts the network anew.
-func (w *world) strike(n *machine) {
-	if !w.spite {
+func (w *world) restore(n *machine, s *Snapshot) {
+	lag, done := n.lag, n.done
+	n.appState = appState{lag: lag, done: done, last: s.Index}
+	data := s.Data
+	if len(data) < 8 || (len(data)-8)/appliedBytes < int(binary.BigEndian.Uint64(data)) {
+		w.fault("%s: a snapshot of %d bytes that is none", n.id, len(data))
 		return
 	}
-	switch w.rng.IntN(5) {
-	case 0:
-		w.powerOff(n)
-	case 1, 2:
-		if w.forgetful(n)+1 > len(w.ids)/2 {
+	entries := int(binary.BigEndian.Uint64(data))
+	data = data[8:]
+	for range entries {
+		a := applied{index: Index(binary.BigEndian.Uint64(data)), id: int(binary.BigEndian.Uint64(data[8:]))}
+		w.checkPlace(n, a)
+		n.list = append(n.list, a)
+		n.register = w.commands[a.id].apply(n.register)
+		data = data[appliedBytes:]
+	}
+	for ; len(data) >= 8; data = data[8:] {
+		if got := Index(binary.BigEndian.Uint64(data)); got != s.Index {
+			w.fault("%s: a snapshot at %d holds a part of the one at %d", n.id, s.Index, got)
 			return
 		}
-		w.wipe(n)
-	case 3:
-		w.split()
-		return
-	case 4:
-		w.cut = map[[2]string]bool{}
-		return
 	}
-	w.after(w.upTo(150*time.Millisecond), func() { w.powerOn(n.id) })
 }
 
-// hurt does one random fault.
-func (w *world) hurt() {
-	n := w.pick()
-	if w.rng.IntN(2) == 0 {
-		for _, id := range w.ids {
-			if m := w.nodes[id].m; m != nil && m.role == sequencer {
-				n = w.nodes[id]
-			}
-		}
-	}
-	switch w.rng.IntN(14) {
-	case 0, 1:
-		w.powerOff(n)
-		w.after(w.upTo(1500*time.Millisecond), func() { w.powerOn(n.id) })
-	case 2:
-		for _, id := range w.ids {
-			w.powerOff(w.nodes[id])
-			w.after(w.upTo(600*time.Millisecond), func() { w.powerOn(id) })
-		}
-	case 3, 4, 5:
-		if w.forgetful(n)+1 > len(w.ids)/2 {
-			return
-		}
-		w.wipe(n)
-		w.after(w.upTo(300*time.Millisecond), func() { w.powerOn(n.id) })
-		if w.rng.IntN(3) == 0 {
-			for _, id := range w.ids {
-				if id != n.id {
-					w.powerOff(w.nodes[id])
-					w.after(w.upTo(600*time.Millisecond), func() { w.powerOn(id) })
-				}
-			}
+// propose puts a command to every machine that takes one, and reads there as often as not.
+func (w *world) propose() {
+	for _, n := range w.machines {
+		if n.replica == nil || n.frozen || n.busy {
+			continue
 		}
-	case 6:
-		n.frozen = true
-		w.after(w.upTo(1500*time.Millisecond), func() { n.frozen = false; w.pump(n) })
-	case 7:
-		w.cut[[2]string{n.id, w.pick().id}] = true
-	case 8:
-		for _, id := range w.ids {
-			w.cut[[2]string{n.id, id}], w.cut[[2]string{id, n.id}] = true, true
+		w.proposeTo(n)
+		if w.rng.IntN(2) == 0 {
+			w.readFrom(n)
 		}
-	case 9:
-		n.full = true
-		w.after(w.upTo(1500*time.Millisecond), func() { n.full = false })
-	case 10:
-		n.slow = w.upTo(1500 * time.Millisecond)
-		w.after(w.upTo(2*time.Second), func() { n.slow = 0 })
-	case 11, 12:
-		w.split()
-	case 13:
-		w.loss, w.delay = w.rng.Float64()/2, w.upTo(200*time.Millisecond)
+		w.pump(n)
 	}
 }
 
-// heal ends all trouble.
-func (w *world) heal() {
-	w.cut, w.loss, w.delay, w.spite = map[[2]string]bool{}, 0, 5*time.Millisecond, false
-	for _, id := range w.ids {
-		n := w.nodes[id]
-		n.full, n.slow, n.frozen = false, 0, false
-		w.powerOn(id)
-		w.pump(n)
+func (w *world) proposeTo(n *machine) (token uint64, err error) {
+	c := command{expect: n.register, set: len(w.commands) + 1}
+	if w.rng.IntN(4) == 0 {
+		c.expect = max(0, c.expect-w.rng.IntN(5))
+	}
+	data := make([]byte, 8+w.commandPadding)
+	binary.BigEndian.PutUint64(data, uint64(len(w.commands)))
+	token, err = n.replica.Propose(w.clock(n), data)
+	if err != nil {
+		return token, err
 	}
+	op := w.begin(input{kind: compareAndSet, command: c, id: len(w.commands)})
+	w.commands = append(w.commands, c)
+	n.proposed[token] = op
+	return token, nil
 }
 
-// settle checks that the members are live within 2 s and agree on all that was acknowledged.
-func (w *world) settle() {
-	acked, since := len(w.acked), w.now
-	w.clients(20 * time.Millisecond)
-	w.run(since+2*time.Second, func() bool { return len(w.acked) > acked })
-	if len(w.acked) == acked {
-		w.fault("nothing was committed within 2 s of the last fault")
-	}
-	w.quiet = true
-	w.run(w.now+3*time.Second, nil)
-	if len(w.faults) > 0 {
+func (w *world) readFrom(n *machine) {
+	token, err := n.replica.Read(w.clock(n))
+	if err != nil {
 		return
 	}
-	for _, id := range w.ids {
-		n := w.nodes[id]
-		if !n.m.Remembers() {
-			w.fault("%s hasn't recovered", id)
-		}
-		if len(n.list) != len(w.applied) {
-			w.fault("%s has applied %d of %d commands", id, len(n.list), len(w.applied))
-		}
-		for _, e := range n.list {
-			if w.applied[e.Index] != string(e.Cmd) {
-				w.fault("%s holds %q at %d, where %q was applied", id, e.Cmd, e.Index, w.applied[e.Index])
-			}
-		}
-	}
-	for index, cmd := range w.acked {
-		if w.applied[index] != cmd {
-			w.fault("%q was acknowledged at %d, where %q is", cmd, index, w.applied[index])
-		}
+	op := w.begin(input{kind: readRegister})
+	op.needs = w.acknowledgedBefore(w.now + 1)
+	n.reading[token] = op
+}
+
+// clients proposes every so often for as long as the world runs.
+func (w *world) clients(every time.Duration) {
+	if w.quiet {
+		return
 	}
+	w.propose()
+	w.after(every/2+w.upTo(every), func() { w.clients(every) })
 }
--- a/librarian/inspection.go
+++ b/librarian/inspection.go
@@ -16,27 +16,33 @@
 type View struct {
 	// AsOf names the machine that says so.
 	AsOf string `json:"asOf"`
-	// View numbers the term of the sequencer, the machine that orders changes; the Sequencer is its internal address,
-	// empty while none is known.
-	View      uint64 `json:"view"`
-	Sequencer string `json:"sequencer"`
+	// Term numbers the reign of the leader, the machine that orders changes; Leader is its internal address, empty while
+	// none is known.
+	Term   uint64 `json:"term"`
+	Leader string `json:"leader"`
 	// ConfigVersion is the version in force on this machine, Applied the last place of the log that it has applied.
 	ConfigVersion int64  `json:"configVersion"`
 	Applied       uint64 `json:"applied"`
-	// InContact says that the machine has heard of a majority of late; Remembers is false after it lost its disk, until it
-	// has recovered; Sick says that its disk takes no writes.
+	// InContact says that what the machine serves was lately confirmed by a majority of the voters; Sick says that its disk
+	// takes no writes.
 	InContact bool `json:"inContact"`
-	Remembers bool `json:"remembers"`
 	Sick      bool `json:"sick"`
+	// Member is the id of the machine's disk, empty while it belongs to no cluster. Voter says that it votes in the log;
+	// else it follows as a learner.
+	Member string `json:"member"`
+	Voter  bool   `json:"voter"`
+	// Voters are the internal addresses of all that vote; Changing says that a change of them is under way.
+	Voters   []string `json:"voters,omitempty"`
+	Changing bool     `json:"changing,omitempty"`
 }
 
 // Members is who takes part, as one core machine knows it.
 type Members struct {
 	// AsOf names the machine that says so.
 	AsOf string `json:"asOf"`
-	// View and Sequencer are as in View, as this machine knows them.
-	View      uint64 `json:"view"`
-	Sequencer string `json:"sequencer"`
+	// Term and Leader are as in View, as this machine knows them.
+	Term   uint64 `json:"term"`
+	Leader string `json:"leader"`
 	// Young says that the machine may not have heard from every sidecar yet.
 	Young bool `json:"young"`
 	// Core is the core machines, Sidecars those whose lease has not run out.
@@ -48,8 +54,8 @@
 type CoreMember struct {
 	// Address is its internal address.
 	Address string `json:"address"`
-	// Sequencer says that the answering machine takes it for the sequencer.
-	Sequencer bool `json:"sequencer"`
+	// Leader says that the answering machine takes it for the leader.
+	Leader bool `json:"leader"`
 	// Said is its own word on itself; nil: the answering machine got none just now.
 	Said *View `json:"said,omitempty"`
 }
