--- a/internal/mesh/config/change.go
+++ b/internal/mesh/config/change.go
@@ -1,9 +1,6 @@
 package config
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"unicode/utf8"
@@ -17,24 +14,11 @@
 	formUpdate  = "update"
 )
 
-// digest tells one change's content from another's.
-type digest [sha256.Size]byte
+// maxVersion is the largest version, the largest whole number that every reader of JSON holds
+// exactly. It guards against a mistyped version after which no higher one could be written.
+const maxVersion = 1<<53 - 1
 
-// MarshalText gives the digest as hexadecimal text.
-func (d digest) MarshalText() ([]byte, error) {
-	return hex.AppendEncode(nil, d[:]), nil
-}
-
-// UnmarshalText reads what MarshalText gave.
-func (d *digest) UnmarshalText(text []byte) error {
-	if hex.DecodedLen(len(text)) != len(d) {
-		return errors.New("a digest of another length")
-	}
-	_, err := hex.Decode(d[:], text)
-	return err
-}
-
-// Change is one operator's order, read and checked as far as it can be without knowing the charter
+// Change is one operator's order, read and checked as far as it can be without knowing the snapshot
 // that it builds on. It is immutable.
 type Change struct {
 	form    string
@@ -81,7 +65,8 @@
 	case formUpdate:
 		return ReadUpdate(e.Body)
 	}
-	return nil, errs.New(errs.Invalid, "a change of the form %q: neither %q nor %q", e.Form, formReplace, formUpdate)
+	return nil, errs.New(errs.Invalid, "a change of the form %q: neither %q nor %q",
+		e.Form, formReplace, formUpdate)
 }
 
 // versions are the two numbers that every change names. Without a baseVersion it is 0.
@@ -90,6 +75,22 @@
 	BaseVersion   int64  `json:"baseVersion"`
 }
 
+// ReadVersion reads only the version that an order's body names. A body that is no JSON value is
+// Unreadable and one without a version is Invalid; no other fault is looked for.
+func ReadVersion(body []byte) (int64, error) {
+	if !utf8.Valid(body) {
+		return 0, errs.New(errs.Unreadable, "the body is no UTF-8")
+	}
+	var v versions
+	if err := unmarshal(body, &v); err != nil {
+		return 0, err
+	}
+	if v.ConfigVersion == nil {
+		return 0, errs.New(errs.Invalid, "configVersion: the number is missing")
+	}
+	return *v.ConfigVersion, nil
+}
+
 // whole is the body of a replace, and the layout of the document.
 type whole struct {
 	versions
@@ -131,17 +132,19 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, list := range []struct {
-		kind  kind
-		names []string
-	}{{routes, p.Remove.Routes}, {services, p.Remove.Services}, {tenants, p.Remove.Tenants}, {limits, p.Remove.Limits}} {
-		for _, name := range list.names {
-			c.removed = append(c.removed, id{list.kind, name})
-		}
-	}
+	c.remove(routes, p.Remove.Routes)
+	c.remove(services, p.Remove.Services)
+	c.remove(tenants, p.Remove.Tenants)
+	c.remove(limits, p.Remove.Limits)
 	return c.fill(p.versions, p.Upsert.Resources)
 }
 
+func (c *Change) remove(k kind, names []string) {
+	for _, name := range names {
+		c.removed = append(c.removed, id{k, name})
+	}
+}
+
 // readBody reads a body into a value and begins its change with the canonical body and its digest.
 func readBody(form string, body []byte, into any) (*Change, error) {
 	canonical, err := canonical(body)
@@ -151,12 +154,11 @@
 	if err := unmarshal(canonical, into); err != nil {
 		return nil, err
 	}
-	hash := sha256.New()
-	hash.Write([]byte(form))
-	hash.Write(canonical)
-	c := &Change{form: form, body: canonical}
-	hash.Sum(c.digest[:0])
-	return c, nil
+	digest, err := digestOf(form, canonical)
+	if err != nil {
+		return nil, err
+	}
+	return &Change{form: form, body: canonical, digest: digest}, nil
 }
 
 // fill takes over the numbers and reads the items. Two items of one kind with one name are Invalid.
@@ -164,8 +166,9 @@
 	if v.ConfigVersion == nil {
 		return nil, errs.New(errs.Invalid, "configVersion: the number is missing")
 	}
-	if *v.ConfigVersion < 0 || v.BaseVersion < 0 {
-		return nil, errs.New(errs.Invalid, "configVersion %d on baseVersion %d: a version is below 0", *v.ConfigVersion, v.BaseVersion)
+	if *v.ConfigVersion < 0 || v.BaseVersion < 0 || *v.ConfigVersion > maxVersion {
+		return nil, errs.New(errs.Invalid, "configVersion %d on baseVersion %d: not within 0 and %d",
+			*v.ConfigVersion, v.BaseVersion, int64(maxVersion))
 	}
 	c.version, c.base = *v.ConfigVersion, v.BaseVersion
 	c.items = make([]*item, 0, len(raws))
@@ -184,22 +187,6 @@
 	return c, nil
 }
 
-// canonical gives a body without spaces between its tokens and with the escapes that encoding/json
-// puts into raw messages, so that a body has one digest however often it is passed on.
-func canonical(body []byte) ([]byte, error) {
-	if !utf8.Valid(body) {
-		return nil, errs.New(errs.Unreadable, "the body is no UTF-8")
-	}
-	var tight, escaped bytes.Buffer
-	tight.Grow(len(body))
-	if err := json.Compact(&tight, body); err != nil {
-		return nil, errs.Wrap(err, errs.Unreadable, "the body is no whole JSON value")
-	}
-	escaped.Grow(tight.Len())
-	json.HTMLEscape(&escaped, tight.Bytes())
-	return escaped.Bytes(), nil
-}
-
 // unmarshal reads JSON: a value of the wrong type is Invalid, what is no JSON is Unreadable.
 func unmarshal(text []byte, into any) error {
 	err := json.Unmarshal(text, into)
--- a/internal/mesh/config/schema.go
+++ b/internal/mesh/config/schema.go
@@ -32,7 +32,7 @@
 	limits   kind = "limits"
 )
 
-// id names an item: no charter holds two items with one id.
+// id names an item: no snapshot holds two items with one id.
 type id struct {
 	kind kind
 	name string
@@ -46,7 +46,7 @@
 	meaning any // *Route, *Service, *Tenant or *Limits, by the kind
 }
 
-// id gives the item's id. A charter has one set of limits, whatever name it bears.
+// id gives the item's id. A snapshot has one set of limits, whatever name it bears.
 func (it *item) id() id {
 	if it.kind == limits {
 		return id{kind: limits}
--- a/internal/mesh/config/snapshot.go
+++ b/internal/mesh/config/snapshot.go
@@ -1,6 +1,6 @@
 // Package config holds the configuration: an immutable Snapshot, the changes that lead from one to
-// the next, and the routing table that a charter means. It is free of I/O, goroutines and clocks, so
-// every replica that applies the same changes in the same order holds the same charter.
+// the next, and the routing table that a snapshot means. It is free of I/O, goroutines and clocks, so
+// every replica that applies the same changes in the same order holds the same snapshot.
 package config
 
 import (
@@ -12,85 +12,100 @@
 	"caperarch/internal/mesh/errs"
 )
 
-// maxTaken is the number of changes whose digests are remembered, the newest ones. It bounds what a
-// charter and its snapshot hold; an operator's resend older than that is answered as stale.
-const maxTaken = 256
-
-// taken is a change that led to the charter.
-type taken struct {
-	Version int64  `json:"version"`
-	Digest  digest `json:"digest"`
-}
-
 // Snapshot is one version of the configuration. It is immutable and safe for concurrent use.
 type Snapshot struct {
 	version int64
 	base    int64
 	items   []*item // in the document's order; their ids differ
-	taken   []taken // in the order they were taken, maxTaken at most
+	orders  orderRecord
 	table   *table
 }
 
 var empty = &Snapshot{table: &table{limits: defaultLimits}}
 
-// Empty gives the charter of version 0, which holds nothing.
+// Empty gives the snapshot of version 0, which holds nothing.
 func Empty() *Snapshot { return empty }
 
 // Version is the configVersion in force, 0 before the first.
-func (c *Snapshot) Version() int64 { return c.version }
+func (s *Snapshot) Version() int64 { return s.version }
 
 // Outcome is what became of a change.
 type Outcome uint8
 
 const (
-	// Refused changes left the charter as it was, and an error says why.
+	// Refused changes have not been applied and never will be: an error says why.
 	Refused Outcome = iota
-	// Applied changes led to the charter that was returned.
+	// Applied changes led to the snapshot that was returned.
 	Applied
-	// Repeated changes had been taken before with the very same content: the charter stays as it
-	// is and the operator is to hear of success.
+	// Repeated changes had been applied before with the very same content: the configuration stays as
+	// it is and the operator is to hear of success.
 	Repeated
+	// Unsettled changes are not applied now, and the record doesn't tell what became of them or
+	// would become of them later: the operator must not hear of a refusal.
+	Unsettled
 )
 
-// Apply gives the charter after a change. A change that builds on another version than this one is
-// Stale, one that is invalid on top of it is Invalid; in both cases, and for a repeated change, the
-// charter that is returned is this one.
-func (c *Snapshot) Apply(change *Change) (*Snapshot, Outcome, error) {
-	if slices.Contains(c.taken, taken{change.version, change.digest}) {
-		return c, Repeated, nil
-	}
-	if change.base != c.version {
-		return c, Refused, errs.New(errs.Stale, "version %d builds on %d, but %d is in place", change.version, change.base, c.version)
+// Apply gives the snapshot after a change, in the order of the log. Whether the very same change was
+// applied before is looked at first, so that no other check refuses it. Then one that builds on
+// another version is Stale and one that is invalid on top of this one is Invalid. An error of kind
+// Undecided goes with Unsettled. With every outcome the caller goes on with the snapshot that is
+// returned: a refused change may stand in its record of orders.
+func (s *Snapshot) Apply(change *Change) (*Snapshot, Outcome, error) {
+	switch {
+	case s.orders.hasApplied(change):
+		return s, Repeated, nil
+	case s.orders.mayHaveApplied(change):
+		return s, Unsettled, errs.New(errs.Undecided, "orders up to version %d are no longer remembered", s.orders.forgotten)
+	case change.base > s.version:
+		return s.refuseAhead(change)
+	case change.base < s.version:
+		return s, Refused, s.stale(change)
+	case s.orders.hasRefused(change):
+		return s, Refused, errs.New(errs.Stale, "version %d was refused before version %d came", change.version, change.base)
+	case change.version <= s.version:
+		return s, Refused, errs.New(errs.Invalid, "configVersion: %d is not above %d, which is in place", change.version, s.version)
 	}
-	if change.version <= c.version {
-		return c, Refused, errs.New(errs.Invalid, "configVersion: %d is not above %d, which is in place", change.version, c.version)
-	}
-	items := c.merge(change)
+	items := s.merge(change)
 	table, err := newTable(items)
 	if err != nil {
-		return c, Refused, err
+		return s, Refused, err
 	}
-	from := max(0, len(c.taken)+1-maxTaken)
 	return &Snapshot{
 		version: change.version,
 		base:    change.base,
 		items:   items,
-		taken:   append(slices.Clone(c.taken[from:]), taken{change.version, change.digest}),
+		orders:  s.orders.withApplied(change),
 		table:   table,
 	}, Applied, nil
 }
 
+// refuseAhead refuses a change whose base may still come, and remembers it, so that a copy of the
+// order that arrives after its base is refused too. Where it can't be remembered it is Unsettled.
+func (s *Snapshot) refuseAhead(change *Change) (*Snapshot, Outcome, error) {
+	orders, ok := s.orders.withRefused(change)
+	if !ok {
+		return s, Unsettled, errs.New(errs.Undecided, "version %d builds on %d, which has not come", change.version, change.base)
+	}
+	next := *s
+	next.orders = orders
+	return &next, Refused, s.stale(change)
+}
+
+func (s *Snapshot) stale(change *Change) error {
+	return errs.New(errs.Stale, "version %d builds on %d, but %d is in place", change.version, change.base, s.version)
+}
+
 // merge gives the items after a change. Items that are sent as they stand stay the same ones. An
 // update's upserts take the place of the items they replace or go to the end; its removals come
 // after its upserts, and removing what isn't there changes nothing.
-func (c *Snapshot) merge(change *Change) []*item {
-	at := make(map[id]int, len(c.items))
-	for i, it := range c.items {
+func (s *Snapshot) merge(change *Change) []*item {
+	at := make(map[id]int, len(s.items))
+	for i, it := range s.items {
 		at[it.id()] = i
 	}
 	keep := func(sent *item) *item {
-		if i, ok := at[sent.id()]; ok && bytes.Equal(c.items[i].raw, sent.raw) {
-			return c.items[i]
+		if i, ok := at[sent.id()]; ok && bytes.Equal(s.items[i].raw, sent.raw) {
+			return s.items[i]
 		}
 		return sent
 	}
@@ -101,7 +116,7 @@
 		}
 		return items
 	}
-	items = slices.Clone(c.items)
+	items = slices.Clone(s.items)
 	for _, sent := range change.items {
 		if i, ok := at[sent.id()]; ok {
 			items[i] = keep(sent)
@@ -119,17 +134,17 @@
 // Document gives the whole configuration, laid out as a replace puts it: every item as it was sent,
 // fields that are unknown here included. An item keeps its place when it is replaced by an update;
 // new ones stand at the end.
-func (c *Snapshot) Document() json.RawMessage {
+func (s *Snapshot) Document() json.RawMessage {
 	size := len(`{"configVersion":,"baseVersion":,"resources":[]}`) + 2*len("9223372036854775807")
-	for _, it := range c.items {
+	for _, it := range s.items {
 		size += len(it.raw) + 1
 	}
 	out := append(make([]byte, 0, size), `{"configVersion":`...)
-	out = strconv.AppendInt(out, c.version, 10)
+	out = strconv.AppendInt(out, s.version, 10)
 	out = append(out, `,"baseVersion":`...)
-	out = strconv.AppendInt(out, c.base, 10)
+	out = strconv.AppendInt(out, s.base, 10)
 	out = append(out, `,"resources":[`...)
-	for i, it := range c.items {
+	for i, it := range s.items {
 		if i > 0 {
 			out = append(out, ',')
 		}
@@ -138,28 +153,29 @@
 	return append(out, `]}`...)
 }
 
-// snapshot is an encoded charter.
-type snapshot struct {
+// encodedSnapshot is a snapshot as JSON.
+type encodedSnapshot struct {
 	Document json.RawMessage `json:"document"`
-	Taken    []taken         `json:"taken"`
+	Orders   *encodedOrders  `json:"orders,omitempty"`
 }
 
-// Encode gives the charter with the changes it remembers as one JSON value, which Decode reads.
-func (c *Snapshot) Encode() ([]byte, error) {
-	out, err := json.Marshal(snapshot{c.Document(), c.taken})
+// Encode gives the snapshot with the orders it remembers as one JSON value, which Decode reads.
+func (s *Snapshot) Encode() ([]byte, error) {
+	out, err := json.Marshal(encodedSnapshot{s.Document(), s.orders.encode()})
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "encode charter %d", c.version)
+		return nil, errs.Wrap(err, errs.Internal, "encode snapshot %d", s.version)
 	}
 	return out, nil
 }
 
-// Decode reads what Encode gave. An error says that it isn't a whole and valid charter.
+// Decode reads what Encode gave. An error says that it isn't a whole and valid snapshot. A document
+// without a record of orders is read as one whose orders are all forgotten.
 func Decode(text []byte) (*Snapshot, error) {
-	var s snapshot
-	if err := unmarshal(text, &s); err != nil {
+	var e encodedSnapshot
+	if err := unmarshal(text, &e); err != nil {
 		return nil, err
 	}
-	document, err := ReadReplace(s.Document)
+	document, err := ReadReplace(e.Document)
 	if err != nil {
 		return nil, err
 	}
@@ -167,11 +183,15 @@
 	if err != nil {
 		return nil, err
 	}
+	orders, err := decodeOrders(e.Orders, document.version)
+	if err != nil {
+		return nil, err
+	}
 	return &Snapshot{
 		version: document.version,
 		base:    document.base,
 		items:   document.items,
-		taken:   s.Taken[max(0, len(s.Taken)-maxTaken):],
+		orders:  orders,
 		table:   table,
 	}, nil
 }
--- a/internal/mesh/config/table.go
+++ b/internal/mesh/config/table.go
@@ -13,7 +13,7 @@
 const NoPriority = -1
 
 // Route is a route of the configuration. It is immutable, and its pointer stays the same from one
-// charter to the next for as long as the item is sent unchanged.
+// snapshot to the next for as long as the item is sent unchanged.
 type Route struct {
 	// Name is the item's name.
 	Name string
@@ -89,7 +89,7 @@
 	enclosing int32
 }
 
-// table is what the items of a charter mean, laid out for look-ups. It is immutable.
+// table is what the items of a snapshot mean, laid out for look-ups. It is immutable.
 type table struct {
 	hosts    map[string][]entry
 	services map[string]*Service
@@ -186,9 +186,9 @@
 // Match gives the route for a Host header and a path, or nil if there is none: among the routes of
 // the host, the one with the longest prefix that begins the path. A port, the case of the host's
 // letters and a query make no difference. It doesn't allocate.
-func (c *Snapshot) Match(host, path string) *Route {
+func (s *Snapshot) Match(host, path string) *Route {
 	var room [maxPlainHost]byte
-	part := c.table.hosts[string(appendHost(room[:0], host))]
+	part := s.table.hosts[string(appendHost(room[:0], host))]
 	if end := strings.IndexByte(path, '?'); end >= 0 {
 		path = path[:end]
 	}
@@ -224,12 +224,12 @@
 }
 
 // Tenant gives the tenant that holds a key, or nil.
-func (c *Snapshot) Tenant(key string) *Tenant { return c.table.keys[key] }
+func (s *Snapshot) Tenant(key string) *Tenant { return s.table.keys[key] }
 
 // Routes are all routes, in no particular order.
-func (c *Snapshot) Routes() []*Route {
+func (s *Snapshot) Routes() []*Route {
 	var all []*Route
-	for _, entries := range c.table.hosts {
+	for _, entries := range s.table.hosts {
 		for _, e := range entries {
 			all = append(all, e.route)
 		}
@@ -238,16 +238,16 @@
 }
 
 // HasTenants says whether requests need the key of a tenant.
-func (c *Snapshot) HasTenants() bool { return len(c.table.tenants) > 0 }
+func (s *Snapshot) HasTenants() bool { return len(s.table.tenants) > 0 }
 
 // Tenants gives the tenants ordered by name. The slice is shared and must not be changed.
-func (c *Snapshot) Tenants() []*Tenant { return c.table.tenants }
+func (s *Snapshot) Tenants() []*Tenant { return s.table.tenants }
 
 // Service gives the service of a name, or nil.
-func (c *Snapshot) Service(name string) *Service { return c.table.services[name] }
+func (s *Snapshot) Service(name string) *Service { return s.table.services[name] }
 
 // Services gives the services ordered by name. The slice is shared and must not be changed.
-func (c *Snapshot) Services() []*Service { return c.table.byName }
+func (s *Snapshot) Services() []*Service { return s.table.byName }
 
 // Limits gives the limits in force.
-func (c *Snapshot) Limits() Limits { return c.table.limits }
+func (s *Snapshot) Limits() Limits { return s.table.limits }
--- a/internal/mesh/errs/faultlist.go
+++ b/internal/mesh/errs/faultlist.go
@@ -32,6 +32,9 @@
 	NotSequencer
 	// Late means that the time ran out. Whether a change was made is unclear.
 	Late
+	// Undecided means that it can no longer be told whether the change was made: the record of applied
+	// orders does not reach back that far.
+	Undecided
 	// DiskFailed means that the disk refused or lost a write.
 	DiskFailed
 	// Unreachable means that a peer gave no answer. Whether it did what was asked is unclear.
@@ -60,6 +63,7 @@
 	NoQuorum:     {"NoQuorum", http.StatusServiceUnavailable, "0.3"},
 	NotSequencer: {"NotSequencer", http.StatusServiceUnavailable, ""},
 	Late:         {"Late", http.StatusServiceUnavailable, ""},
+	Undecided:    {"Undecided", http.StatusServiceUnavailable, ""},
 	DiskFailed:   {"DiskFailed", http.StatusServiceUnavailable, ""},
 	Unreachable:  {"Unreachable", http.StatusBadGateway, ""},
 	Internal:     {"Internal", http.StatusInternalServerError, ""},
