--- a/internal/mesh/controlplane/controlplane.go
+++ b/internal/mesh/controlplane/controlplane.go
@@ -169,7 +169,7 @@
 		}
 	}, s.log)
 	node, err := replication.Start(replication.NodeConfig{
-		ID: s.set.Internal(), Disk: store, State: state, Send: post.Send, Apply: s.machine.apply, Restore: s.machine.restore, Snapshot: s.machine.snapshot, Log: s.log,
+		ID: s.set.Internal(), Disk: store, State: state, Send: post.Send, Apply: s.machine.apply, Restore: func(data []byte) { s.machine.restore(0, data) }, Snapshot: s.machine.snapshot, Log: s.log,
 	})
 	if err != nil {
 		post.Close()
--- a/internal/mesh/controlplane/statemachine.go
+++ b/internal/mesh/controlplane/statemachine.go
@@ -3,37 +3,51 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"sync"
 
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/errs"
-	"caperarch/internal/mesh/sidecar"
 
 	"go.uber.org/zap"
 )
 
-// mostKept is how many changes are kept for those who hold an older version: who is further behind gets the whole.
-const mostKept = 64
+const (
+	// mostKept is how many changes are kept for those who hold an older version: who is further
+	// behind gets the whole configuration.
+	mostKept = 64
+	// proposalNumberSize is the size of the proposal's number, with which each command begins.
+	proposalNumberSize = 8
+)
 
-// stateMachine is the configuration as the log has settled it: each command is a change with the number of the proposal that brought it, and is applied in the log's order on every member.
+// stateMachine is the replicated state machine of the log: the configuration after the commands so
+// far. Each command is an operator's change behind the number of the proposal that brought it, and is
+// applied in the log's order on every replica. Reading one may take long (10,000 routes: a third of a
+// second and more), so the log hands commands in and goes on, and they are applied from a queue.
 type stateMachine struct {
 	log     *zap.Logger
 	changed func() // another version is in force
 
-	mu      sync.Mutex
-	charter *config.Snapshot
-	kept    []*config.Change // that led to it, the newest last
-	asked   map[uint64]chan verdict
-	queue   []settled // by the log, and not applied yet
-	working bool
-	done    chan struct{} // closed, and made anew, when the queue is empty
+	mu            sync.Mutex
+	configuration *config.Snapshot
+	kept          []*config.Change // that led to it, the newest last
+	proposals     map[uint64]chan verdict
+	queue         []logItem
+	working       bool
+	handedIn      uint64        // items that came so far
+	finished      uint64        // of these, items that are done with
+	progress      chan struct{} // closed, and made anew, whenever finished grows
+	applied       uint64        // log index
+	// followed says that the configuration came by frames and not by the log.
+	followed bool
+	// damaged is set from a snapshot that can't be read to the next one that can: what lies between
+	// would be applied to the wrong state.
+	damaged bool
 }
 
-// settled is a command of the log, or a snapshot in place of those before. Reading one may take long (10,000 routes: most of a second), and the log must not stand still meanwhile.
-type settled struct {
+// logItem is an entry of the log, or a snapshot in place of all entries up to its index.
+type logItem struct {
 	index    uint64
-	command  []byte
+	data     []byte
 	snapshot bool
 }
 
@@ -44,49 +58,83 @@
 }
 
 func newStateMachine(log *zap.Logger, changed func()) *stateMachine {
-	return &stateMachine{log: log, changed: changed, charter: config.Empty(), asked: make(map[uint64]chan verdict), done: make(chan struct{})}
+	return &stateMachine{
+		log:           log,
+		changed:       changed,
+		configuration: config.Empty(),
+		proposals:     make(map[uint64]chan verdict),
+		progress:      make(chan struct{}),
+	}
 }
 
 func (m *stateMachine) current() *config.Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.charter
+	return m.configuration
 }
 
-// expect has the verdict on a proposal told; forget ends that.
+// Current is the version in force.
+func (m *stateMachine) Current() int64 { return m.current().Version() }
+
+// appliedIndex is the index up to which everything that the log handed in has been applied. After a
+// snapshot that could not be read it stands still until one comes that can.
+func (m *stateMachine) appliedIndex() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
+}
+
+// expect has the verdict on a proposal told once its command has been applied here; forget ends that.
 func (m *stateMachine) expect(number uint64) <-chan verdict {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	told := make(chan verdict, 1)
-	m.asked[number] = told
+	m.proposals[number] = told
 	return told
 }
 
 func (m *stateMachine) forget(number uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.asked, number)
+	delete(m.proposals, number)
+}
+
+// await waits for the verdict on a proposal that the log has committed.
+func await(ctx context.Context, told <-chan verdict) (int64, error) {
+	select {
+	case v := <-told:
+		return v.version, v.err
+	case <-ctx.Done():
+		return 0, errs.New(errs.Late, "the change has no clear answer in time")
+	}
 }
 
-// command is a change as the log has it.
+// command is a change as it stands in the log.
 func command(number uint64, change *config.Change) []byte {
 	return append(binary.BigEndian.AppendUint64(nil, number), change.Bytes()...)
 }
 
-// apply takes a command of the log, to be applied behind those before.
+// apply takes the command of an entry, to be applied behind those before. An entry that bears no
+// change, as a new leader's first one, only advances the applied index.
 func (m *stateMachine) apply(index uint64, command []byte) {
-	if len(command) > 8 { // else it is a view's beginning
-		m.enter(settled{index: index, command: command})
-	}
+	m.enter(logItem{index: index, data: command})
 }
 
-// restore takes a snapshot in place of all before.
-func (m *stateMachine) restore(data []byte) { m.enter(settled{command: data, snapshot: true}) }
+// restore takes a snapshot in place of all entries up to its index.
+func (m *stateMachine) restore(index uint64, data []byte) {
+	m.enter(logItem{index: index, data: data, snapshot: true})
+}
 
-func (m *stateMachine) enter(s settled) {
+// enter puts an item into the queue. A configuration that came by frames gives way to the log's own
+// state, which begins with nothing: entries are never applied on top of it.
+func (m *stateMachine) enter(item logItem) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.queue = append(m.queue, s)
+	if m.followed {
+		m.configuration, m.kept, m.followed = config.Empty(), nil, false
+	}
+	m.queue = append(m.queue, item)
+	m.handedIn++
 	if !m.working {
 		m.working = true
 		go m.work()
@@ -96,192 +144,159 @@
 // work applies what is in the queue, in order, and ends with it.
 func (m *stateMachine) work() {
 	for {
-		m.mu.Lock()
-		if len(m.queue) == 0 {
-			m.working = false
-			close(m.done)
-			m.done = make(chan struct{})
-			m.mu.Unlock()
+		item, some := m.first()
+		if !some {
 			return
 		}
-		s := m.queue[0]
-		m.queue = m.queue[1:]
-		m.mu.Unlock()
-		if s.snapshot {
-			m.replace(s.command)
+		whole := true
+		if item.snapshot {
+			whole = m.replace(item.data)
 		} else {
-			m.settle(s.index, s.command)
+			m.settle(item.index, item.data)
 		}
+		m.finish(item, whole)
 	}
 }
 
-// idle waits until all is applied that the log has settled so far.
-func (m *stateMachine) idle(ctx context.Context) error {
+// first takes the first item off the queue.
+func (m *stateMachine) first() (item logItem, some bool) {
 	m.mu.Lock()
-	working, done := m.working, m.done
-	m.mu.Unlock()
-	if !working {
-		return nil
+	defer m.mu.Unlock()
+	if len(m.queue) == 0 {
+		m.queue, m.working = nil, false
+		return logItem{}, false
 	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errs.New(errs.Late, "the configuration is still being read")
+	item = m.queue[0]
+	m.queue = m.queue[1:]
+	return item, true
+}
+
+// finish notes that an item is done with, and has those look again who wait for that.
+func (m *stateMachine) finish(item logItem, whole bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.finished++
+	m.damaged = item.snapshot && !whole || m.damaged && !item.snapshot
+	if !m.damaged {
+		m.applied = max(m.applied, item.index)
 	}
+	close(m.progress)
+	m.progress = make(chan struct{})
 }
 
-// settle applies a command of the log.
-func (m *stateMachine) settle(index uint64, command []byte) {
-	change, err := config.ReadChange(command[8:])
+// idle waits until all is applied that the log has handed in so far.
+func (m *stateMachine) idle(ctx context.Context) error {
 	m.mu.Lock()
-	outcome := config.Refused
-	if err == nil {
-		var next *config.Snapshot
-		if next, outcome, err = m.charter.Apply(change); outcome == config.Applied {
-			m.charter = next
-			if m.kept = append(m.kept, change); len(m.kept) > mostKept {
-				m.kept = append([]*config.Change(nil), m.kept[1:]...)
-			}
+	due := m.handedIn
+	m.mu.Unlock()
+	for {
+		m.mu.Lock()
+		done, damaged, progress := m.finished >= due, m.damaged, m.progress
+		m.mu.Unlock()
+		switch {
+		case done && damaged:
+			return errs.New(errs.Internal, "the configuration could not be read from its snapshot")
+		case done:
+			return nil
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return errs.New(errs.Late, "the configuration is still being read")
 		}
 	}
-	version := m.charter.Version()
-	if outcome == config.Repeated {
-		version = change.Version()
-	}
-	if told := m.asked[binary.BigEndian.Uint64(command)]; told != nil {
-		told <- verdict{version, err}
-		delete(m.asked, binary.BigEndian.Uint64(command))
+}
+
+// settle applies a command of the log and tells its verdict to whoever proposed it here.
+func (m *stateMachine) settle(index uint64, command []byte) {
+	if len(command) <= proposalNumberSize {
+		return
 	}
-	m.mu.Unlock()
+	number := binary.BigEndian.Uint64(command)
+	change, err := config.ReadChange(command[proposalNumberSize:])
 	if err != nil {
-		m.log.Info("a change was refused", zap.Uint64("index", index), zap.Error(err))
+		// The operator's body was read before it was proposed, so this says nothing against it.
+		m.tell(number, verdict{err: errs.Wrap(err, errs.Internal, "a command of the log can't be read")})
+		m.log.Error("a command of the log can't be read", zap.Uint64("index", index), zap.Error(err))
 		return
 	}
-	if outcome == config.Applied {
+	version, outcome, err := m.take(change)
+	m.tell(number, verdict{version, err})
+	switch {
+	case err != nil:
+		m.log.Info("a change was refused", zap.Uint64("index", index), zap.Error(err))
+	case outcome == config.Applied:
 		m.log.Info("a change is in force", zap.Uint64("index", index), zap.Int64("version", version))
 		m.changed()
 	}
 }
 
-// follow takes a frame that another core machine pushed, where no log is held here; false: the whole is needed.
-func (m *stateMachine) follow(frame json.RawMessage) bool {
-	held := m.current()
-	next, err := sidecar.Take(held, frame)
-	if err != nil {
-		m.log.Warn("a configuration that does not follow", zap.Error(err))
-		return false
+// take puts the configuration after a change in place, and gives the version that the change brought
+// or had brought before, else the one in force.
+func (m *stateMachine) take(change *config.Change) (int64, config.Outcome, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.damaged {
+		return 0, config.Unsettled, errs.New(errs.Internal, "no configuration is held to judge the change by")
 	}
-	if next == held {
-		return true
+	next, outcome, err := m.configuration.Apply(change)
+	m.configuration = next
+	switch outcome {
+	case config.Applied:
+		m.keep(change)
+	case config.Repeated:
+		return change.Version(), outcome, nil
 	}
-	m.mu.Lock()
-	m.charter, m.kept = next, m.continued(held.Version(), frame)
-	m.mu.Unlock()
-	m.changed()
-	return true
+	return next.Version(), outcome, err
 }
 
-// continued is the changes that are kept with a frame's that led on from a version; none where it was whole. The caller holds the lock.
-func (m *stateMachine) continued(from int64, frame json.RawMessage) []*config.Change {
-	var f sidecar.Frame
-	if json.Unmarshal(frame, &f) != nil || f.Whole != nil {
-		return nil
-	}
-	kept := m.kept
-	for _, raw := range f.Changes {
-		if change, err := config.ReadChange(raw); err == nil && change.Version() > from {
-			kept = append(kept, change)
-		}
+// tell gives the verdict on a proposal to whoever waits for it here.
+func (m *stateMachine) tell(number uint64, v verdict) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if told := m.proposals[number]; told != nil {
+		told <- v
+		delete(m.proposals, number)
 	}
-	return append([]*config.Change(nil), kept[max(0, len(kept)-mostKept):]...)
 }
 
-// replace puts a snapshot in place of what is there.
-func (m *stateMachine) replace(data []byte) {
-	c, err := config.Decode(data)
+// replace puts a snapshot in place of what is there, or says that it can't be read.
+func (m *stateMachine) replace(data []byte) bool {
+	next, err := config.Decode(data)
+	m.mu.Lock()
+	m.release()
 	if err != nil {
+		m.mu.Unlock()
 		m.log.Error("a snapshot that can't be read", zap.Error(err))
-		return
+		return false
 	}
-	m.mu.Lock()
-	m.charter, m.kept = c, nil
+	m.configuration, m.kept = next, nil
 	m.mu.Unlock()
 	m.changed()
+	return true
 }
 
-// snapshot is the state where all that the log has settled is applied; nil: not now.
+// release tells all who wait for a verdict that they get none: their commands may lie among those
+// that a snapshot stands for, which are never applied one by one. The caller holds the lock.
+func (m *stateMachine) release() {
+	for number, told := range m.proposals {
+		told <- verdict{err: errs.New(errs.Late, "a snapshot stands in place of the verdict")}
+		delete(m.proposals, number)
+	}
+}
+
+// snapshot is the state where all that the log has handed in is applied; nil: not now.
 func (m *stateMachine) snapshot() []byte {
 	m.mu.Lock()
-	c, working := m.charter, m.working
+	configuration, ready := m.configuration, m.finished == m.handedIn && !m.damaged
 	m.mu.Unlock()
-	if working {
+	if !ready {
 		return nil
 	}
-	data, err := c.Encode()
+	data, err := configuration.Encode()
 	if err != nil {
 		m.log.Error("no snapshot", zap.Error(err))
 		return nil
 	}
 	return data
 }
-
-// Current is the version in force.
-func (m *stateMachine) Current() int64 { return m.current().Version() }
-
-// Since is the changes that lead on from a version, or false where it is none of those that are kept.
-func (m *stateMachine) Since(version int64) ([]json.RawMessage, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if version == m.charter.Version() {
-		return nil, true
-	}
-	for i, change := range m.kept {
-		if change.Base() != version {
-			continue
-		}
-		f := sidecar.Frame{Version: m.charter.Version()}
-		for _, change := range m.kept[i:] {
-			f.Changes = append(f.Changes, change.Bytes())
-		}
-		return m.frames(f)
-	}
-	return nil, false
-}
-
-func (m *stateMachine) frames(f sidecar.Frame) ([]json.RawMessage, bool) {
-	data, err := json.Marshal(f)
-	if err != nil {
-		m.log.Error("a frame that can't be written", zap.Error(err))
-		return nil, false
-	}
-	return []json.RawMessage{data}, true
-}
-
-// Whole is the whole configuration; nil: there is none.
-func (m *stateMachine) Whole() json.RawMessage {
-	c := m.current()
-	if c.Version() == 0 {
-		return nil
-	}
-	whole, err := c.Encode()
-	if err != nil {
-		m.log.Error("a configuration that can't be written", zap.Error(err))
-		return nil
-	}
-	frames, ok := m.frames(sidecar.Frame{Version: c.Version(), Whole: whole})
-	if !ok {
-		return nil
-	}
-	return frames[0]
-}
-
-// await waits for the verdict on a proposal that the log has taken.
-func await(ctx context.Context, told <-chan verdict) (int64, error) {
-	select {
-	case v := <-told:
-		return v.version, v.err
-	case <-ctx.Done():
-		return 0, errs.New(errs.Late, "the change has no clear answer in time")
-	}
-}
