Operators' orders in files of their own; only a verdict is relayed as a refusal

A core machine and a sidecar passed on any 4xx of the next machine, also one that came because the body was cut on its way, and took any 2xx for an acknowledgement, also of a process that has the address now. An answer counts as taken only if it names the order's version, and as a refusal only if it is a verdict.

--- /dev/null
+++ b/internal/mesh/api/operators.go
@@ -0,0 +1,112 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"caperarch/internal/mesh/config"
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/rpc"
+)
+
+// ChangeLimit bounds a configuration's body: what the log takes as one command, with some room for
+// what is written round it. 10,000 routes are some 3 MiB.
+const ChangeLimit = 7 << 20
+
+const (
+	replacePath  = "/api/configuration/replace"
+	updatePath   = "/api/configuration/update"
+	describePath = "/api/configuration/describe"
+)
+
+// Operator settles what operators ask.
+type Operator interface {
+	// Change takes a whole configuration, or a change of named items, as it came; it returns the
+	// version that is in force with it.
+	Change(r *http.Request, whole bool, body []byte) (*Taken, error)
+	// Describe is the configuration in force, no older than any that was acknowledged before.
+	Describe(r *http.Request) (*json.RawMessage, error)
+}
+
+// Taken is the answer to a change.
+type Taken struct {
+	ConfigVersion int64 `json:"configVersion"`
+}
+
+// Operators serves what operators call.
+func Operators(mux *http.ServeMux, to Operator) {
+	for path, whole := range map[string]bool{replacePath: true, updatePath: false} {
+		rpc.Raw(mux, "POST "+path, ChangeLimit, func(r *http.Request, body []byte) (*Taken, error) {
+			return to.Change(r, whole, body)
+		})
+	}
+	rpc.HandleGet(mux, describePath, to.Describe)
+}
+
+// Relayed gives what an operator is told of the answer that another machine gave to an order whose
+// body was read whole here. Only an answer that names the order's version says that it was taken, and
+// only a verdict on the order refuses it: an address may have passed to a process that knows nothing
+// of orders, and a body may be cut short on its way. All else is no clear answer.
+func Relayed(version int64, taken *Taken, err error) (*Taken, error) {
+	switch {
+	case err == nil && taken.ConfigVersion == version:
+		return taken, nil
+	case err == nil:
+		return nil, errs.New(errs.Unreachable, "an answer of version %d to an order of version %d", taken.ConfigVersion, version)
+	case refusal(err) || errs.Of(err).Status() >= http.StatusInternalServerError:
+		return nil, err
+	}
+	return nil, errs.Wrap(err, errs.Unreachable, "the order was not judged")
+}
+
+// refusal says whether an error is the verdict on an order: that it breaks a rule by itself, or that
+// the log has refused it.
+func refusal(err error) bool {
+	switch errs.Of(err) {
+	case errs.Invalid, errs.TooLarge, errs.Stale:
+		return true
+	}
+	return false
+}
+
+// Forward is an Operator that passes calls on to core machines, one after the other until one settles
+// them.
+type Forward struct {
+	Client *http.Client
+	To     func() []string // internal addresses, in the order in which they are tried
+}
+
+// Change passes a change on. A body that can't be read is refused here.
+func (f Forward) Change(r *http.Request, whole bool, body []byte) (*Taken, error) {
+	version, err := config.ReadVersion(body)
+	if err != nil {
+		return nil, err
+	}
+	path := updatePath
+	if whole {
+		path = replacePath
+	}
+	return forward(f, func(address string) (*Taken, error) {
+		taken, err := rpc.Post[Taken](r.Context(), f.Client, "http://"+address+path, body)
+		return Relayed(version, taken, err)
+	})
+}
+
+// Describe passes a reading on.
+func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
+	return forward(f, func(address string) (*json.RawMessage, error) {
+		return rpc.Get[json.RawMessage](r.Context(), f.Client, "http://"+address+describePath)
+	})
+}
+
+// forward asks one after the other. What one refuses is refused; what it can't settle the next may.
+func forward[A any](f Forward, ask func(address string) (*A, error)) (*A, error) {
+	err := errs.New(errs.NoQuorum, "no core machine is known")
+	for _, address := range f.To() {
+		var a *A
+		if a, err = ask(address); err == nil || refusal(err) {
+			return a, err
+		}
+	}
+	return nil, err
+}
--- a/internal/mesh/controlplane/controlplane.go
+++ b/internal/mesh/controlplane/controlplane.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -13,7 +12,6 @@
 	"time"
 
 	"caperarch/internal/mesh/api"
-	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/quota"
 	"caperarch/internal/mesh/registry"
@@ -29,17 +27,10 @@
 const (
 	// dialTimeout is how long a connection to another machine may take to come up.
 	dialTimeout = 300 * time.Millisecond
-	// changeTime bounds a change: operators go on to another machine after a second of silence, longer for large bodies.
-	changeTime = 900 * time.Millisecond
-	// appliedTime is how long an operator's answer waits for sidecars that have not applied the change: it is settled without them, and they are told to within the bound.
-	appliedTime = 350 * time.Millisecond
 	// openPause is between tries to open a disk that refuses.
 	openPause = 300 * time.Millisecond
 	// dealLimit bounds an ask for tokens.
 	dealLimit = 256 << 10
-	// proposePath is where the sequencer takes changes that reached another member, and readPath where it confirms that what is known is the newest.
-	proposePath = "/mesh/propose"
-	describe    = "/mesh/describe"
 )
 
 // Server is a running core machine.
@@ -113,16 +104,7 @@
 	replication.Register(inside, s.node.Load)
 	s.hub.Register(inside)
 	rpc.Handle(inside, sidecar.DealPath, dealLimit, s.deal)
-	for _, whole := range []bool{true, false} {
-		rpc.Raw(inside, proposeAt(whole), api.ChangeLimit, func(r *http.Request, body []byte) (*api.Taken, error) {
-			change, err := read(whole, body)
-			if err != nil {
-				return nil, err
-			}
-			return s.propose(r.Context(), change)
-		})
-	}
-	rpc.HandleGet(inside, describe, func(r *http.Request) (*json.RawMessage, error) { return s.confirm(r.Context()) })
+	s.serveOrders(inside)
 	for _, mux := range []*http.ServeMux{inside, outside} { // sidecars pass operators' calls on inside
 		api.Upstreams(mux, s)
 		api.Operators(mux, s)
@@ -245,92 +227,6 @@
 	return &sidecar.Dealt{Epoch: view, Grants: grants, Closed: closed}, nil
 }
 
-// Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
-func (s *Server) Change(r *http.Request, whole bool, body []byte) (*api.Taken, error) {
-	change, err := read(whole, body)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), changeTime+time.Duration(len(body))*time.Microsecond)
-	defer cancel()
-	sequencer, _ := s.sequencer()
-	switch sequencer {
-	case "":
-		return nil, errs.New(errs.NoQuorum, "no sequencer is known")
-	case s.set.Internal():
-		return s.propose(ctx, change)
-	}
-	return rpc.Post[api.Taken](ctx, s.client, "http://"+sequencer+proposeAt(whole), body)
-}
-
-// proposeAt is where the sequencer takes a change of such a kind.
-func proposeAt(whole bool) string {
-	if whole {
-		return proposePath + "/whole"
-	}
-	return proposePath + "/part"
-}
-
-func read(whole bool, body []byte) (*config.Change, error) {
-	if whole {
-		return config.ReadReplace(body)
-	}
-	return config.ReadUpdate(body)
-}
-
-// propose puts a change into the log and waits until it is settled, and, for a while, until sidecars have it.
-func (s *Server) propose(ctx context.Context, change *config.Change) (*api.Taken, error) {
-	node := s.node.Load()
-	if node == nil {
-		return nil, errs.New(errs.NotSequencer, "no log is held here")
-	}
-	number := rand.Uint64()
-	told := s.machine.expect(number)
-	defer s.machine.forget(number)
-	if _, err := node.Propose(ctx, command(number, change)); err != nil {
-		return nil, err
-	}
-	version, err := await(ctx, told)
-	if err != nil {
-		return nil, err
-	}
-	within, cancel := context.WithTimeout(ctx, appliedTime)
-	defer cancel()
-	if behind := s.hub.WaitApplied(within, version); behind > 0 {
-		s.log.Info("acknowledged before all have it", zap.Int64("version", version), zap.Int("behind", behind))
-	}
-	return &api.Taken{ConfigVersion: version}, nil
-}
-
-// Describe is the configuration, as the sequencer has it once it knows that no other is one.
-func (s *Server) Describe(r *http.Request) (*json.RawMessage, error) {
-	ctx, cancel := context.WithTimeout(r.Context(), changeTime)
-	defer cancel()
-	sequencer, _ := s.sequencer()
-	switch sequencer {
-	case "":
-		return nil, errs.New(errs.NoQuorum, "no sequencer is known")
-	case s.set.Internal():
-		return s.confirm(ctx)
-	}
-	return rpc.Get[json.RawMessage](ctx, s.client, "http://"+sequencer+describe)
-}
-
-func (s *Server) confirm(ctx context.Context) (*json.RawMessage, error) {
-	node := s.node.Load()
-	if node == nil {
-		return nil, errs.New(errs.NotSequencer, "no log is held here")
-	}
-	if err := node.Read(ctx); err != nil {
-		return nil, err
-	}
-	if err := s.machine.idle(ctx); err != nil {
-		return nil, err
-	}
-	document := s.machine.current().Document()
-	return &document, nil
-}
-
 // Beat takes a heartbeat that reached a core machine, as the sidecar beside its upstream did not take it.
 func (s *Server) Beat(u registry.Upstream) error {
 	if host, _, err := net.SplitHostPort(u.Address); err == nil {
--- /dev/null
+++ b/internal/mesh/controlplane/orders.go
@@ -0,0 +1,137 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"caperarch/internal/mesh/api"
+	"caperarch/internal/mesh/config"
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/rpc"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// changeTime bounds a change: operators go on to another machine after a second of silence,
+	// longer for large bodies.
+	changeTime = 900 * time.Millisecond
+	// appliedTime is how long an operator's answer waits for sidecars that have not applied the
+	// change: it is settled without them, and they are told to within the bound.
+	appliedTime = 350 * time.Millisecond
+	// proposePath is where the leader takes changes that reached another core machine, and
+	// describePath where it confirms that what it holds is the newest.
+	proposePath  = "/mesh/propose"
+	describePath = "/mesh/describe"
+)
+
+// serveOrders serves what other core machines pass on to the leader.
+func (s *Server) serveOrders(mux *http.ServeMux) {
+	for _, whole := range []bool{true, false} {
+		rpc.Raw(mux, proposeAt(whole), api.ChangeLimit, func(r *http.Request, body []byte) (*api.Taken, error) {
+			change, err := read(whole, body)
+			if err != nil {
+				return nil, err
+			}
+			return s.propose(r.Context(), change)
+		})
+	}
+	rpc.HandleGet(mux, describePath, func(r *http.Request) (*json.RawMessage, error) {
+		return s.confirm(r.Context())
+	})
+}
+
+// Change takes an operator's change. Only what the body alone shows to be wrong is refused here, which
+// no order was that has been taken. All else is judged by the state machine, in the log's order.
+func (s *Server) Change(r *http.Request, whole bool, body []byte) (*api.Taken, error) {
+	change, err := read(whole, body)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTime+time.Duration(len(body))*time.Microsecond)
+	defer cancel()
+	leader, _ := s.sequencer()
+	switch leader {
+	case "":
+		return nil, errs.New(errs.NoQuorum, "no leader is known")
+	case s.set.Internal():
+		return s.propose(ctx, change)
+	}
+	taken, err := rpc.Post[api.Taken](ctx, s.client, "http://"+leader+proposeAt(whole), body)
+	return api.Relayed(change.Version(), taken, err)
+}
+
+// proposeAt is where the leader takes a change of such a kind.
+func proposeAt(whole bool) string {
+	if whole {
+		return proposePath + "/whole"
+	}
+	return proposePath + "/part"
+}
+
+func read(whole bool, body []byte) (*config.Change, error) {
+	if whole {
+		return config.ReadReplace(body)
+	}
+	return config.ReadUpdate(body)
+}
+
+// propose puts a change into the log and waits until the state machine here has judged it, and, for a
+// while, until sidecars have it. It answers with a verdict only once the command is committed, so no
+// verdict, 200 and 412 alike, rests on an entry that may be lost.
+func (s *Server) propose(ctx context.Context, change *config.Change) (*api.Taken, error) {
+	node := s.node.Load()
+	if node == nil {
+		return nil, errs.New(errs.NotSequencer, "no log is held here")
+	}
+	number := rand.Uint64()
+	told := s.machine.expect(number)
+	defer s.machine.forget(number)
+	if _, err := node.Propose(ctx, command(number, change)); err != nil {
+		return nil, err
+	}
+	version, err := await(ctx, told)
+	if err != nil {
+		return nil, err
+	}
+	within, cancel := context.WithTimeout(ctx, appliedTime)
+	defer cancel()
+	if behind := s.hub.WaitApplied(within, version); behind > 0 {
+		s.log.Info("acknowledged before all have it", zap.Int64("version", version), zap.Int("behind", behind))
+	}
+	return &api.Taken{ConfigVersion: version}, nil
+}
+
+// Describe is the configuration, as the leader has it once it knows that no other member leads.
+func (s *Server) Describe(r *http.Request) (*json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTime)
+	defer cancel()
+	leader, _ := s.sequencer()
+	switch leader {
+	case "":
+		return nil, errs.New(errs.NoQuorum, "no leader is known")
+	case s.set.Internal():
+		return s.confirm(ctx)
+	}
+	return rpc.Get[json.RawMessage](ctx, s.client, "http://"+leader+describePath)
+}
+
+// confirm gives the configuration once a majority has confirmed that this member leads, and once all
+// that was committed by then is applied.
+func (s *Server) confirm(ctx context.Context) (*json.RawMessage, error) {
+	node := s.node.Load()
+	if node == nil {
+		return nil, errs.New(errs.NotSequencer, "no log is held here")
+	}
+	if err := node.Read(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.machine.idle(ctx); err != nil {
+		return nil, err
+	}
+	document := s.machine.current().Document()
+	return &document, nil
+}
