--- /dev/null
+++ b/internal/mesh/config/fuzz_test.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"testing"
+
+	"caperarch/internal/mesh/errs"
+)
+
+// checkOrder checks what holds for any bytes: an error is of a kind that says that the body is at
+// fault, and a change that was read keeps its digest and meaning on its way and in a snapshot.
+func checkOrder(t *testing.T, change *Change, err error) {
+	if err != nil {
+		if kind := errs.Of(err); kind != errs.Invalid && kind != errs.Unreadable {
+			t.Fatalf("an error of kind %v: %v", kind, err)
+		}
+		return
+	}
+	passedOn, err := ReadChange(change.Bytes())
+	if err != nil || passedOn.digest != change.digest || passedOn.Version() != change.Version() || passedOn.Base() != change.Base() {
+		t.Fatalf("%q is another change on its way: %v", change.Bytes(), err)
+	}
+	next, outcome, _ := (&Snapshot{version: change.base, table: Empty().table, orders: orderRecord{forgotten: change.base}}).Apply(change)
+	if outcome != Applied {
+		return
+	}
+	text, err := next.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := Decode(text)
+	if err != nil {
+		t.Fatalf("a snapshot that can't be read back: %v", err)
+	}
+	if _, outcome, _ := decoded.Apply(passedOn); outcome != Repeated {
+		t.Fatalf("an applied change is not known again: %d", outcome)
+	}
+}
+
+func seeds(f *testing.F) {
+	for _, body := range []string{
+		example, `{}`, `null`, `[]`, `"`, `{"configVersion":1}`, `{"configVersion":1,"configVersion":1}`, `{"configVersion":1,"CONFIGVERSION":2,"resources":[]}`,
+		`{"configVersion":9,"baseVersion":7,"upsert":{"resources":[]},"remove":{"routes":["r-old"],"limits":["x"]}}`,
+		`{"configVersion":1,"resources":[{"resourceType":"limits","metadata":{"name":"\ud800\u0000"},"specification":{"maxHeaderBytes":1e3}}]}`,
+		`{"form":"replace","body":{"configVersion":1,"resources":[]}}`, `{"form":"update","body":{"configVersion":1}}`, `{"form":"other","body":{}}`, `{"form":"update"}`,
+	} {
+		f.Add([]byte(body))
+		f.Add([]byte(body)[:len(body)/2])
+	}
+}
+
+func FuzzReadReplace(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		change, err := ReadReplace(body)
+		checkOrder(t, change, err)
+	})
+}
+
+func FuzzReadUpdate(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		change, err := ReadUpdate(body)
+		checkOrder(t, change, err)
+		if version, versionErr := ReadVersion(body); err == nil && (versionErr != nil || version != change.Version()) {
+			t.Fatalf("version %d, %v instead of %d", version, versionErr, change.Version())
+		}
+	})
+}
+
+func FuzzReadChange(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		change, err := ReadChange(text)
+		checkOrder(t, change, err)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	snapshot, _, _ := put(Empty(), example)
+	text, err := snapshot.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte(`{"document":{"configVersion":3,"resources":[]},"orders":{"applied":[3],"digests":"AAAAAAAAAAAAAAAA","refusedBases":[3],"refused":"AAAAAAAAAAAAAAAA"}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		decoded, err := Decode(text)
+		if err != nil {
+			if kind := errs.Of(err); kind != errs.Invalid && kind != errs.Unreadable {
+				t.Fatalf("an error of kind %v: %v", kind, err)
+			}
+			return
+		}
+		again, err := decoded.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("a snapshot that can't be read back: %v", err)
+		}
+	})
+}
