--- a/internal/mesh/api/api_test.go
+++ b/internal/mesh/api/api_test.go
@@ -145,6 +145,51 @@
 		status, _ = call(none, "GET", "/api/configuration/describe", "")
 		So(status, ShouldEqual, 503)
 	})
+	Convey("What is no verdict on the order is neither a refusal nor an acknowledgement, and the next is asked", t, func() {
+		var status int
+		var said string
+		next := new(operator)
+		mux := http.NewServeMux()
+		Operators(mux, next)
+		last := httptest.NewServer(mux)
+		defer last.Close()
+		first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if kind := errs.Named(said); kind != errs.Internal {
+				rpc.Answer(w, errs.New(kind, "no"))
+				return
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, said)
+		}))
+		defer first.Close()
+		client := rpc.NewClient(0)
+		defer client.CloseIdleConnections()
+		front := http.NewServeMux()
+		Operators(front, Forward{Client: client, To: func() []string {
+			return []string{strings.TrimPrefix(first.URL, "http://"), strings.TrimPrefix(last.URL, "http://")}
+		}})
+		for _, row := range []struct {
+			status int
+			said   string
+		}{
+			{200, "{}"}, {200, `{"configVersion":6}`}, {200, "null"}, {200, "[]"}, {204, ""}, {307, ""}, {400, ""}, {404, ""}, {409, ""}, {412, "no"}, {421, ""}, {500, ""},
+			{0, "Unreadable"}, {0, "Unknown"}, {0, "Undecided"}, {0, "Late"}, {0, "Busy"},
+		} {
+			status, said = row.status, row.said
+			next.err = nil
+			got, _ := call(front, "POST", "/api/configuration/replace", `{"configVersion":7}`)
+			So([]any{row, got}, ShouldResemble, []any{row, 200}) // by the next
+			next.err = errs.New(errs.Unreadable, "cut short on its way")
+			got, _ = call(front, "POST", "/api/configuration/replace", `{"configVersion":7}`)
+			So([]any{row, got}, ShouldResemble, []any{row, 502})
+		}
+		asked := len(next.came)
+		for _, body := range []string{"", "{", "\xff", "[]", "{}", `{"configVersion":"7"}`} {
+			got, _ := call(front, "POST", "/api/configuration/replace", body)
+			So([]any{body, got}, ShouldResemble, []any{body, 400})
+		}
+		So(next.came, ShouldHaveLength, asked)
+	})
 	Convey("The body is read whole before it goes on", t, func() {
 		front := http.NewServeMux()
 		o := new(operator)
--- a/internal/mesh/api/operators.go
+++ b/internal/mesh/api/operators.go
@@ -49,7 +49,7 @@
 // of orders, and a body may be cut short on its way. All else is no clear answer.
 func Relayed(version int64, taken *Taken, err error) (*Taken, error) {
 	switch {
-	case err == nil && taken.ConfigVersion == version:
+	case err == nil && version > 0 && taken.ConfigVersion == version:
 		return taken, nil
 	case err == nil:
 		return nil, errs.New(errs.Unreachable, "an answer of version %d to an order of version %d", taken.ConfigVersion, version)
