--- a/internal/mesh/api/api_test.go
+++ b/internal/mesh/api/api_test.go
@@ -183,6 +183,12 @@
 			got, _ = call(front, "POST", "/api/configuration/replace", `{"configVersion":7}`)
 			So([]any{row, got}, ShouldResemble, []any{row, 502})
 		}
+		next.err = nil
+		for _, none := range []string{"", "{}", "[]", `{"status":"ok"}`} {
+			status, said = 200, none
+			got, document := call(front, "GET", "/api/configuration/describe", "")
+			So([]any{none, got, document}, ShouldResemble, []any{none, 200, `{"configVersion":7}`})
+		}
 		asked := len(next.came)
 		for _, body := range []string{"", "{", "\xff", "[]", "{}", `{"configVersion":"7"}`} {
 			got, _ := call(front, "POST", "/api/configuration/replace", body)
--- a/internal/mesh/api/operators.go
+++ b/internal/mesh/api/operators.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
@@ -95,10 +96,23 @@
 // Describe passes a reading on.
 func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
 	return forward(f, func(address string) (*json.RawMessage, error) {
-		return rpc.Get[json.RawMessage](r.Context(), f.Client, "http://"+address+describePath)
+		return Document(r.Context(), f.Client, "http://"+address+describePath)
 	})
 }
 
+// Document reads the configuration from another machine. An answer that is none, as of a process that
+// has the address now, is no answer.
+func Document(ctx context.Context, client *http.Client, url string) (*json.RawMessage, error) {
+	document, err := rpc.Get[json.RawMessage](ctx, client, url)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := config.ReadVersion(*document); err != nil {
+		return nil, errs.Wrap(err, errs.Unreachable, "%s gives no configuration", url)
+	}
+	return document, nil
+}
+
 // forward asks one after the other. What one refuses is refused; what it can't settle the next may.
 func forward[A any](f Forward, ask func(address string) (*A, error)) (*A, error) {
 	err := errs.New(errs.NoQuorum, "no core machine is known")
--- a/internal/mesh/controlplane/orders.go
+++ b/internal/mesh/controlplane/orders.go
@@ -116,7 +116,7 @@
 	case s.set.Internal():
 		return s.confirm(ctx)
 	}
-	return rpc.Get[json.RawMessage](ctx, s.client, "http://"+leader+describePath)
+	return api.Document(ctx, s.client, "http://"+leader+describePath)
 }
 
 // confirm gives the configuration once a majority has confirmed that this member leads, and once all
