--- a/internal/mesh/controlplane/orders_history_test.go
+++ b/internal/mesh/controlplane/orders_history_test.go
@@ -136,6 +136,9 @@
 		base = max(0, base+int64(w.rng.IntN(5)-2))
 	}
 	o := order{version: base + 1 + int64(w.rng.IntN(3)), base: base, service: string(rune('a' + w.rng.IntN(3))), broken: w.rng.IntN(8) == 0}
+	if w.rng.IntN(10) == 0 {
+		o.version = base
+	}
 	for i, known := range w.orders {
 		if known == o {
 			return i
--- a/internal/mesh/controlplane/statemachine_test.go
+++ b/internal/mesh/controlplane/statemachine_test.go
@@ -155,17 +155,39 @@
 		settle(m)
 		So([]any{m.Current(), m.appliedIndex()}, ShouldResemble, []any{int64(5), uint64(7)})
 	})
+	Convey("While a command is being applied it doesn't count as applied, there is no snapshot, and who asks waits", t, func() {
+		started, goOn := make(chan struct{}), make(chan struct{})
+		m := newStateMachine(zap.NewNop(), func() {
+			started <- struct{}{}
+			<-goOn
+		})
+		m.apply(1, command(1, put(3, 0, "a")))
+		<-started
+		gone, cancel := context.WithCancel(ctx)
+		cancel()
+		So(errs.Of(m.idle(gone)), ShouldEqual, errs.Late)
+		So(m.snapshot(), ShouldBeNil)
+		So(m.appliedIndex(), ShouldEqual, 0)
+		goOn <- struct{}{}
+		settle(m)
+		So(m.snapshot(), ShouldNotBeNil)
+		So(m.appliedIndex(), ShouldEqual, 1)
+	})
 	Convey("A configuration that came by frames gives way to the log's", t, func() {
 		m, reader := newStateMachine(zap.NewNop(), func() {}), newStateMachine(zap.NewNop(), func() {})
-		m.apply(1, command(1, put(3, 0, "a")))
+		m.apply(1, command(1, put(2, 0, "z")))
+		m.apply(2, command(2, put(3, 2, "a")))
 		settle(m)
 		So(reader.follow(m.Whole()), ShouldBeTrue)
 		So(reader.Current(), ShouldEqual, 3)
 		first := reader.expect(1)
-		reader.apply(1, command(1, put(3, 0, "a")))
+		reader.apply(1, command(1, put(2, 0, "z")))
 		settle(reader)
 		_, kind, ok := told(first)
 		So([]any{kind, ok}, ShouldResemble, []any{errs.Kind(0), true})
+		So(reader.Current(), ShouldEqual, 2)
+		reader.apply(2, command(2, put(3, 2, "a")))
+		settle(reader)
 		So(encoded(reader.current()), ShouldEqual, encoded(m.current()))
 	})
 }
