--- a/internal/mesh/controlplane/statemachine_test.go
+++ b/internal/mesh/controlplane/statemachine_test.go
@@ -74,7 +74,7 @@
 		m := newStateMachine(zap.NewNop(), func() { changes++ })
 		So(m.Whole(), ShouldBeNil)
 		first, second, third, fourth := m.expect(1), m.expect(2), m.expect(3), m.expect(4)
-		forgotten := m.expect(6)
+		forgotten, cut := m.expect(6), m.expect(7)
 		m.forget(6)
 		m.apply(1, []byte("a view"))
 		m.apply(2, command(1, put(3, 0, "a", "b")))
@@ -95,6 +95,8 @@
 		}
 		_, _, ok := told(forgotten)
 		So(ok, ShouldBeFalse)
+		_, kind, ok := told(cut)
+		So([]any{kind, ok}, ShouldResemble, []any{errs.Internal, true}) // no refusal: it was read before
 		So(m.Current(), ShouldEqual, 7)
 		So(string(m.current().Document()), ShouldEqual, `{"configVersion":7,"baseVersion":6,"resources":[]}`)
 		So(changes, ShouldEqual, 4)
