--- /dev/null
+++ b/internal/mesh/controlplane/frames.go
@@ -0,0 +1,63 @@
+package controlplane
+
+import (
+	"encoding/json"
+
+	"caperarch/internal/mesh/config"
+	"caperarch/internal/mesh/sidecar"
+
+	"go.uber.org/zap"
+)
+
+// keep keeps a change for those who hold an older version. The caller holds the lock.
+func (m *stateMachine) keep(change *config.Change) {
+	kept := append(m.kept, change)
+	m.kept = append([]*config.Change(nil), kept[max(0, len(kept)-mostKept):]...)
+}
+
+// Since is the changes that lead on from a version, or false where it is none of those that are kept.
+func (m *stateMachine) Since(version int64) ([]json.RawMessage, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version == m.configuration.Version() {
+		return nil, true
+	}
+	for i, change := range m.kept {
+		if change.Base() != version {
+			continue
+		}
+		f := sidecar.Frame{Version: m.configuration.Version()}
+		for _, change := range m.kept[i:] {
+			f.Changes = append(f.Changes, change.Bytes())
+		}
+		return m.frames(f)
+	}
+	return nil, false
+}
+
+// Whole is the whole configuration; nil: there is none.
+func (m *stateMachine) Whole() json.RawMessage {
+	configuration := m.current()
+	if configuration.Version() == 0 {
+		return nil
+	}
+	whole, err := configuration.Encode()
+	if err != nil {
+		m.log.Error("a configuration that can't be written", zap.Error(err))
+		return nil
+	}
+	frames, ok := m.frames(sidecar.Frame{Version: configuration.Version(), Whole: whole})
+	if !ok {
+		return nil
+	}
+	return frames[0]
+}
+
+func (m *stateMachine) frames(f sidecar.Frame) ([]json.RawMessage, bool) {
+	data, err := json.Marshal(f)
+	if err != nil {
+		m.log.Error("a frame that can't be written", zap.Error(err))
+		return nil, false
+	}
+	return []json.RawMessage{data}, true
+}
