Apply maxHeaderBytes, headerTimeoutS and idleTimeoutS at the outbound front

Only maxBodyBytes was heeded, by a head's Content-Length. The front's own bounds held in place of the others: 2.2 s for a head where headerTimeoutS says 3, 16 KiB and 100 fields whatever maxHeaderBytes says, and connections at rest closed after 0.1 to 1 s beyond some 118 to 190 of them, where clients take them up after four fifths of idleTimeoutS. A head near 16 KiB was refused at the gate, by the fields that its sidecar had added.

http1.Config.Limits is asked for each request. A shorter idle time holds from a connection's next rest on, a longer one at once; what rests goes sooner only where a newcomer needs the place. A body has the time that its client waits, as no limit is on it; one in chunks is counted against maxBodyBytes. Without Limits the front keeps its own bounds: the older program is as before.

--- a/internal/front/http1/accept.go
+++ b/internal/front/http1/accept.go
@@ -33,9 +33,9 @@
 	once  sync.Once
 }
 
-func newAcceptor(c clock.Clock, bounds Bounds) *acceptor {
+func newAcceptor(c clock.Clock, bounds Bounds, limits func() Limits) *acceptor {
 	return &acceptor{
-		clock: c, books: books{bounds: bounds, speaks: func(e *entry) bool { return e.conn.speaks() }}, freed: make(chan struct{}, 1), done: make(chan struct{}),
+		clock: c, books: books{bounds: bounds, limits: limits, speaks: func(e *entry) bool { return e.conn.speaks() }}, freed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
 
--- a/internal/front/http1/ahead.go
+++ b/internal/front/http1/ahead.go
@@ -127,7 +127,7 @@
 		clear(s.head.Fields)
 		*s = slot{head: h1.Head{Fields: s.head.Fields[:0]}}
 	}
-	*l = line{slots: l.slots}
+	*l = line{slots: l.slots} // the next connection sets its own limit
 	lines.Put(l)
 }
 
@@ -195,6 +195,7 @@
 		c.pipelines()
 		if c.line == nil {
 			c.line = lines.Get().(*line)
+			c.line.parser.Limit(c.front.limits().headBytes())
 		}
 		l := c.line
 		s := &l.slots[(l.first+l.n)%aheadMost]
@@ -209,7 +210,7 @@
 		case !c.ahead(s):
 			l.blocked = true
 		default:
-			l.parser.Reset()
+			l.parser.Limit(c.front.limits().headBytes())
 			c.start += size
 			l.n++
 			took = true
@@ -223,7 +224,11 @@
 	if !c.unread {
 		return false
 	}
-	c.makeRoom()
+	most := 0
+	if c.line != nil {
+		most = c.line.parser.Most()
+	}
+	c.makeRoom(most)
 	p := c.s.in[c.end:]
 	n := 0
 	_ = c.raw.Control(func(fd uintptr) {
--- a/internal/front/http1/ahead_test.go
+++ b/internal/front/http1/ahead_test.go
@@ -79,7 +79,7 @@
 }
 
 // newDesk serves on loopback. At the end of the test the front drains, and every place must have been given back.
-func newDesk(t *testing.T, most int, dialect bool) *desk {
+func newDesk(t *testing.T, most int, dialect bool, change ...func(*Config)) *desk {
 	t.Helper()
 	d := &desk{asks: make(chan asked, 64), gone: make(chan policy.RequestID, 64), served: make(chan error, 1)}
 	d.target = &Target{Engine: d, MostOpen: most, BodyBytes: 1 << 20, Classes: map[string]int{"look": 0}, ClassOf: []policy.Class{{Effect: policy.Safe, Deadline: time.Minute}}}
@@ -87,6 +87,9 @@
 	if dialect {
 		cfg.Dialect = d.dialect()
 	}
+	for _, c := range change {
+		c(&cfg)
+	}
 	d.front = New(cfg, clock.New())
 	d.drain = sync.OnceValue(d.front.Drain)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -28,6 +28,7 @@
 	c       *conn
 	left    int64      // of a body of known length
 	chunks  *h1.Chunks // or how far its chunks are; nil: the length is known
+	room    int64      // bytes that chunks may bring yet; below 0: no bound
 	stopped atomic.Bool
 
 	mu   sync.Mutex // over reading
@@ -37,13 +38,19 @@
 	err  error      // why it ends before that
 }
 
-var errStopped = errors.New("the request has its answer")
+var (
+	errStopped  = errors.New("the request has its answer")
+	errLongBody = &h1.Error{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too long"}
+)
 
 // newBodyReader reads on from what came with the head.
 func (c *conn) newBodyReader(h *h1.Head) *bodyReader {
-	b := &bodyReader{c: c, left: h.Length}
+	b := &bodyReader{c: c, left: h.Length, room: -1}
 	if h.Chunks {
 		b.chunks = new(h1.Chunks)
+		if most := c.front.limits().BodyBytes; most > 0 {
+			b.room = most
+		}
 	}
 	if n := c.end - c.start; n > 0 {
 		b.buf = make([]byte, max(n, scratchSize))
@@ -137,6 +144,11 @@
 		if err != nil {
 			return n, err
 		}
+		if b.room >= 0 {
+			if b.room -= int64(len(data)); b.room < 0 {
+				return 0, errLongBody
+			}
+		}
 	}
 	return n, nil
 }
--- a/internal/front/http1/books.go
+++ b/internal/front/http1/books.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"container/list"
 	"time"
 )
@@ -53,6 +54,12 @@
 	return Bounds{Most: most, own: application, Rest: [kinds]int{over: part(4), silent: part(8), reading: part(3), visitor: part(16), once: part(8), kept: 2 * part(10)}}
 }
 
+// BoundsAtRest are the bounds for so many connections in all, whose clients are free to let them rest as long as Limits say: what rests goes sooner only where a newcomer needs the place. What is
+// being read, or read over, has bounds of its own all the same: a body that comes a byte at a time must not hold them all.
+func BoundsAtRest(most int) Bounds {
+	return Bounds{Most: most, Rest: [kinds]int{over: max(2, most/8), silent: most, reading: max(2, most/3), visitor: most, once: most, kept: most}}
+}
+
 // part are the bounds of one of so many processes. The application is one, whatever it is that it connects to: all that it may open must find room in each, and what rests is bounded as
 // ever. Half of all is less: what an application in need opens to the newcomer beyond that stands unaccepted till the old process has let go of its last answers.
 func (b Bounds) part(of int) Bounds {
@@ -86,6 +93,27 @@
 	// speaks says whether something has come on a connection at rest that the books don't know of yet: unread in the
 	// kernel's buffer, or read and on its way to busy. It does not rest then, we are late. nil: nothing ever has.
 	speaks func(*entry) bool
+	// limits are those on clients' connections that hold now. nil: leftFor holds.
+	limits func() Limits
+}
+
+// idle is how long a connection may rest by the limits that hold now; 0: they say nothing.
+func (b *books) idle() time.Duration {
+	if b.limits == nil {
+		return 0
+	}
+	return b.limits().IdleTime
+}
+
+// left is how long a connection of a kind is left at rest where there is room.
+func (b *books) left(e *entry, k kind) time.Duration {
+	switch {
+	case b.limits == nil || k == over:
+		return leftFor[k]
+	case k == reading:
+		return max(leftFor[k], b.limits().HeadTime)
+	}
+	return cmp.Or(max(e.idle, b.idle()), leftFor[k])
 }
 
 // reserveOf is the share of all connections that owners' parts leave for those that have asked for nothing yet.
@@ -135,6 +163,7 @@
 	in    kind          // the list that it is in
 	place *list.Element // there; nil: a whole request is open, or it is closed
 	since time.Duration // in it
+	idle  time.Duration // that it might rest when it began to; 0: nothing was said
 	gone  bool
 }
 
@@ -143,11 +172,11 @@
 func (b *books) sweep(now time.Duration) (leave []*entry, again time.Duration) {
 	for k := range kinds {
 		for b.rests[k].Len() > 0 {
-			least := leftFor[k]
+			short := time.Duration(0)
 			if b.rests[k].Len() > b.bounds.Rest[k] {
-				least = restsFor[k]
+				short = restsFor[k]
 			}
-			e, wait := b.longest(now, k, least)
+			e, wait := b.longest(now, k, short)
 			if e == nil {
 				if wait > 0 && (again == 0 || wait < again) {
 					again = wait
@@ -199,18 +228,22 @@
 	return leave
 }
 
-// longest takes the one of a kind off that has been at rest for longest, if that is time at least, or says how long
-// that is still to wait for. Where owners have parts, one that is within its own is left alone: what rests longest would
+// longest takes the one of a kind off that has been at rest for longest, if that is short at least, or, with a short of 0, all the time that
+// it is left, or says how long that is still to wait for. Where owners have parts, one that is within its own is left alone: what rests longest would
 // be the spare connections of a quiet pool, closed for those that a flooded one comes back on all the time.
-func (b *books) longest(now time.Duration, k kind, least time.Duration) (e *entry, wait time.Duration) {
+func (b *books) longest(now time.Duration, k kind, short time.Duration) (e *entry, wait time.Duration) {
 	for place := b.rests[k].Front(); place != nil; {
 		e = place.Value.(*entry)
 		next := place.Next()
-		need := least
+		left := b.left(e, k)
+		need := left
+		if short > 0 {
+			need = min(short, left)
+		}
 		if b.divided && e.owner != nil {
 			if e.owner.count <= e.owner.part {
-				need = leftFor[k]
-			} else if least < leftFor[k] {
+				need = left
+			} else if short > 0 {
 				need = min(need, overPart)
 			}
 		}
@@ -228,7 +261,7 @@
 			e.since = now // it counts as new at rest until that is taken
 			b.rests[k].MoveToBack(place)
 			if place = next; next == nil {
-				return nil, least
+				return nil, need
 			}
 			continue
 		}
@@ -270,7 +303,7 @@
 	if e.gone || e.place != nil {
 		return
 	}
-	e.since, e.in = now, k
+	e.since, e.in, e.idle = now, k, b.idle()
 	e.place = b.rests[k].PushBack(e)
 }
 
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -269,8 +269,8 @@
 
 // head reads a head; what it can't be read as is answered.
 func (c *conn) head() (size int, ok bool) {
-	s, timed := c.s, false
-	s.parser.Reset()
+	s, timed, limits := c.s, false, c.front.limits()
+	s.parser.Limit(limits.headBytes())
 	s.head = h1.Head{Fields: s.head.Fields[:0]} // what can't be read is not answered by the last one's
 	for {
 		n, err := s.parser.Parse(s.in[c.start:c.end], &s.head)
@@ -286,10 +286,10 @@
 		}
 		if !timed { // what doesn't come whole at once must not hold its place for ever
 			timed = true
-			_ = c.net.SetReadDeadline(time.Now().Add(headerTime))
+			_ = c.net.SetReadDeadline(time.Now().Add(cmp.Or(limits.HeadTime, headerTime)))
 			c.a.unread(c)
 		}
-		c.makeRoom()
+		c.makeRoom(s.parser.Most())
 		read, err := c.read(s.in[c.end:])
 		c.end += read
 		if read == 0 {
@@ -301,15 +301,16 @@
 	}
 }
 
-// makeRoom has room in the buffer behind what is unread there, which is less than a longest head.
-func (c *conn) makeRoom() {
+// makeRoom has room in the buffer behind what is unread there, which is less than a longest head of so many bytes.
+func (c *conn) makeRoom(most int) {
 	s := c.s
 	switch {
 	case c.start > 0: // pipelined bytes move to the front
 		c.end = copy(s.in, s.in[c.start:c.end])
 		c.start = 0
 	case c.end == len(s.in):
-		s.in = append(s.in, make([]byte, h1.HeadLimit-len(s.in))...)
+		size := min(max(h1.HeadLimit, 2*len(s.in)), max(h1.HeadLimit, most))
+		s.in = append(s.in, make([]byte, max(0, size-len(s.in)))...)
 	}
 }
 
@@ -382,8 +383,8 @@
 	var body *bodyReader // of one that is passed on as it comes
 	var ok bool
 	if !h.Chunks && h.Length <= call.BodyLimit {
-		m.Body, ok = c.body(h, int(length))
-	} else if body, ok = c.begin(h, m); ok {
+		m.Body, ok = c.body(h, int(length), v.left)
+	} else if body, ok = c.begin(h, m, v.left); ok {
 		o.size = int64(len(m.Body))
 		if body != nil {
 			o.size += stream.WindowSize
@@ -437,8 +438,16 @@
 	}
 }
 
+// bodyTime is how long a body, or what is held of it, may take once its head is here. Where the front has limits, none is on that: a request has the time that its client waits for it.
+func (c *conn) bodyTime(left time.Duration) time.Duration {
+	if c.front.cfg.Limits == nil {
+		return bodyTime
+	}
+	return max(bodyTime, left)
+}
+
 // body reads a body of the length that was told, within bodyTime; false: it did not come, which is answered.
-func (c *conn) body(h *h1.Head, length int) ([]byte, bool) {
+func (c *conn) body(h *h1.Head, length int, left time.Duration) ([]byte, bool) {
 	have := min(c.end-c.start, length)
 	if length == 0 {
 		return nil, true
@@ -452,7 +461,7 @@
 	if h.Expect && have == 0 && c.write([]byte(h1.Continue), nil) != nil {
 		return nil, false
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
+	_ = c.net.SetReadDeadline(time.Now().Add(c.bodyTime(left)))
 	c.a.unread(c)
 	moved := len(body)
 	for len(body) < length {
@@ -477,13 +486,13 @@
 }
 
 // begin reads what is held of a body that comes in chunks or is longer. The reader is nil where that was all of it; else the message's rest comes from it.
-func (c *conn) begin(h *h1.Head, m *call.Message) (*bodyReader, bool) {
+func (c *conn) begin(h *h1.Head, m *call.Message, left time.Duration) (*bodyReader, bool) {
 	none := c.start == c.end
 	b := c.newBodyReader(h)
 	if h.Expect && none && c.write([]byte(h1.Continue), nil) != nil {
 		return nil, false
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(bodyTime))
+	_ = c.net.SetReadDeadline(time.Now().Add(c.bodyTime(left)))
 	c.a.unread(c)
 	body, whole, err := b.prefix()
 	if err != nil {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -101,6 +101,7 @@
 	Linger  time.Duration // new connections go on coming for so long after a stop is asked for; 0: lingerTime
 	Conns   Bounds        // on clients' connections
 	Longest time.Duration // the longest deadline of any class: what a drain waits for
+	Limits  func() Limits // on what clients send, asked for each request and each look at what rests; nil: none but the front's own
 	Log     *slog.Logger
 }
 
@@ -124,7 +125,7 @@
 
 // New makes a front.
 func New(cfg Config, c clock.Clock) *Front {
-	return &Front{cfg: cfg, clock: c, conns: newAcceptor(c, cfg.Conns)}
+	return &Front{cfg: cfg, clock: c, conns: newAcceptor(c, cfg.Conns, cfg.Limits)}
 }
 
 // Serve takes requests on a listener until Drain is called, and returns why it ended: net.ErrClosed after a drain.
--- /dev/null
+++ b/internal/front/http1/limits.go
@@ -0,0 +1,36 @@
+package http1
+
+import "time"
+
+const (
+	// maxHeadBytes bounds HeadBytes, whatever is asked for: heads are held whole, one for each connection that is being read.
+	maxHeadBytes = 1 << 20
+	// leastHeadBytes is the least HeadBytes that is gone by: less fits no request.
+	leastHeadBytes = 256
+)
+
+// Limits bound what clients may send, and how long they may take. A field of 0 is the front's own bound.
+type Limits struct {
+	HeadBytes int64         // of a head's fields; its request line may have as many
+	BodyBytes int64         // of a body in chunks; one of a known length is for the Dialect to refuse by its head
+	HeadTime  time.Duration // from the first byte of a head to its last
+	// IdleTime is how long a connection may rest between two requests, or before the first one. A shorter one holds from a connection's next rest on, a longer one at once: its client may
+	// know either.
+	IdleTime time.Duration
+}
+
+// headBytes is the limit that heads are parsed with.
+func (l Limits) headBytes() int {
+	if l.HeadBytes <= 0 {
+		return 0
+	}
+	return int(min(max(l.HeadBytes, leastHeadBytes), maxHeadBytes))
+}
+
+// limits are those that hold now.
+func (f *Front) limits() Limits {
+	if f.cfg.Limits == nil {
+		return Limits{}
+	}
+	return f.cfg.Limits()
+}
--- /dev/null
+++ b/internal/front/http1/limits_test.go
@@ -0,0 +1,254 @@
+package http1
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperarch/internal/clock"
+	"caperarch/internal/h1"
+	"caperarch/policy"
+)
+
+// pipes is a listener of connections within a bubble of synctest.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) { return <-p, nil }
+func (p pipes) Close() error              { return nil }
+func (p pipes) Addr() net.Addr            { return nil }
+
+// limited is a front under limits whose requests are answered at once, in virtual time.
+type limited struct {
+	t      *testing.T
+	front  *Front
+	comes  pipes
+	limits atomic.Pointer[Limits]
+}
+
+func newLimited(t *testing.T, of Limits) *limited {
+	l := &limited{t: t, comes: make(pipes, 1)}
+	l.limits.Store(&of)
+	d := &desk{asks: make(chan asked), gone: make(chan policy.RequestID, 1)}
+	target := &Target{Engine: d, MostOpen: 64, BodyBytes: 1 << 20}
+	l.front = New(Config{
+		Route: To(target), Dialect: d.dialect(), Conns: BoundsAtRest(256), Limits: func() Limits { return *l.limits.Load() }, Log: slog.New(slog.DiscardHandler),
+	}, clock.New())
+	l.front.conns.listener = l.comes
+	l.front.watch = new(watcher)
+	ended := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case a := <-d.asks:
+				a.serve()
+			case <-ended:
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { close(ended) })
+	return l
+}
+
+// dial is a client's side of a new connection.
+func (l *limited) dial() *pipeClient {
+	here, there := net.Pipe()
+	l.comes <- there
+	c, err := l.front.conns.accept()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	go l.front.serve(c)
+	l.t.Cleanup(func() { here.Close() })
+	return &pipeClient{Conn: here, r: bufio.NewReader(here)}
+}
+
+type pipeClient struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// asks sends bytes and gives the status of the answer; 0: the connection ended.
+func (c *pipeClient) asks(bytes string) int {
+	if _, err := io.WriteString(c, bytes); err != nil {
+		return 0
+	}
+	return c.status()
+}
+
+func (c *pipeClient) status() int {
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+// A head has the time of the limits from its first byte on, longer than the front's own bound or shorter, and a body the time that its client waits for it.
+func TestTimeForHead(t *testing.T) {
+	for _, limit := range []time.Duration{3 * time.Second, 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLimited(t, Limits{HeadTime: limit, IdleTime: 15 * time.Second})
+			begun, rest := "GET /one HTT", "P/1.1\r\nHost: a\r\n\r\n"
+			c := l.dial()
+			time.Sleep(5 * time.Second) // the time does not run before the first byte
+			for range 2 {
+				_, _ = io.WriteString(c, begun)
+				time.Sleep(limit - time.Millisecond)
+				if status := c.asks(rest); status != 200 {
+					t.Errorf("a head within %v: %d", limit, status)
+				}
+			}
+			_, _ = io.WriteString(c, begun)
+			before := time.Now()
+			if status := c.status(); status != 408 || time.Since(before) != limit {
+				t.Errorf("a head that does not end has %d after %v, want 408 after %v", status, time.Since(before), limit)
+			}
+			c = l.dial()
+			_, _ = io.WriteString(c, "POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+			for range 9 {
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(c, ".")
+			}
+			if status := c.asks("."); status != 200 {
+				t.Errorf("a body within the minute that its client waits: %d", status)
+			}
+		})
+	}
+}
+
+// Connections rest as long as the limits say, however many there are: to the moment, not a fraction of it. What changes meanwhile never shortens a rest that has begun.
+func TestTimeAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const idle, late = 15 * time.Second, sweepMost + time.Millisecond
+		l := newLimited(t, Limits{IdleTime: idle})
+		var all []*pipeClient
+		for i := range 120 {
+			all = append(all, l.dial())
+			for range i % 3 { // some have said nothing, others come back
+				if status := all[i].asks(get("/one")); status != 200 {
+					t.Fatalf("%d", status)
+				}
+			}
+		}
+		open := func() int { synctest.Wait(); return l.front.Counters().Open }
+		for range 2 {
+			time.Sleep(idle - time.Millisecond)
+			for i, c := range all {
+				if status := c.asks(get("/one")); status != 200 {
+					t.Fatalf("connection %d was closed within its time: %d", i, status)
+				}
+			}
+		}
+		l.limits.Store(&Limits{IdleTime: idle / 5})
+		time.Sleep(idle - time.Millisecond)
+		if n := open(); n != len(all) {
+			t.Errorf("%d of %d are left that began to rest under the longer limit", n, len(all))
+		}
+		for _, c := range all[:60] {
+			c.asks(get("/one"))
+		}
+		time.Sleep(late)
+		if n := open(); n != 60 {
+			t.Errorf("%d are left behind their time, want the 60 that were used", n)
+		}
+		l.limits.Store(&Limits{IdleTime: 2 * idle})
+		time.Sleep(2*idle - late - time.Millisecond)
+		if n := open(); n != 60 {
+			t.Errorf("%d of 60 are left under a longer limit", n)
+		}
+		time.Sleep(late)
+		if n := open(); n != 0 {
+			t.Errorf("%d are left behind the longer limit", n)
+		}
+	})
+}
+
+// A head may be as long as the limits say, whether it comes alone, in parts or behind another request, and a body in chunks too.
+func TestBytesOfRequest(t *testing.T) {
+	for _, limit := range []int{1000, 16 << 10, 40000} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLimited(t, Limits{HeadBytes: int64(limit), BodyBytes: 1000})
+			head := func(size int) string { // 150 fields, and so many bytes of them
+				fields := "Host: a\r\n"
+				if size > 4000 {
+					fields += strings.Repeat("F: 1\r\n", 150)
+				}
+				return "GET /safe/one HTTP/1.1\r\n" + fields + "X: " + strings.Repeat("x", size-len(fields)-len("X: \r\n\r\n")) + "\r\n\r\n"
+			}
+			c := l.dial()
+			for _, parts := range []int{1, 3} {
+				for bytes := head(limit); len(bytes) > 0; {
+					n := min(len(bytes), limit/parts)
+					_, _ = io.WriteString(c, bytes[:n])
+					bytes = bytes[n:]
+				}
+				if status := c.status(); status != 200 {
+					t.Errorf("a head of the limit of %d in %d parts: %d", limit, parts, status)
+				}
+			}
+			go func() { _, _ = io.WriteString(c, head(limit)+head(limit)) }()
+			for range 2 {
+				if status := c.status(); status != 200 {
+					t.Errorf("a pipelined head of the limit of %d: %d", limit, status)
+				}
+			}
+			go func() { _, _ = io.WriteString(c, head(limit+1)) }()
+			if status := c.status(); status != 431 {
+				t.Errorf("a head over the limit of %d: %d", limit, status)
+			}
+			for size, status := range map[int]int{1000: 200, 1001: 413} {
+				c = l.dial()
+				go func() {
+					fmt.Fprintf(c, "POST /one HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size))
+				}()
+				if got := c.status(); got != status {
+					t.Errorf("%d bytes in chunks: %d, want %d", size, got, status)
+				}
+			}
+		})
+	}
+}
+
+// Read ahead from a socket, heads have the same limit.
+func TestBytesOfHeadAhead(t *testing.T) {
+	d := newDesk(t, 10, true, func(cfg *Config) { cfg.Limits = func() Limits { return Limits{HeadBytes: 40000} } })
+	c := d.dial(t)
+	c.send(get("/safe/1"))
+	first := d.has(t, "/safe/1")[0]
+	c.send("GET /safe/2 HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 39000) + "\r\n\r\n")
+	second := d.has(t, "/safe/2")[0]
+	second.serve()
+	first.serve()
+	c.takes(200, "done /safe/1")
+	c.takes(200, "done /safe/2")
+	c.send("GET /safe/3 HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 40000) + "\r\n\r\n")
+	c.takes(http.StatusRequestHeaderFieldsTooLarge, "the head is too long\n")
+	c.ends()
+}
+
+// The older program's front is asked for nothing and keeps its own bounds.
+func TestNoLimits(t *testing.T) {
+	f := New(Config{Conns: BoundsOf(64, 64)}, clock.New())
+	if of := f.limits(); of != (Limits{}) || of.headBytes() != 0 {
+		t.Errorf("%+v", of)
+	}
+	var p h1.Parser
+	if p.Limit(f.limits().headBytes()); p.Most() != h1.HeadLimit {
+		t.Errorf("heads have %d bytes", p.Most())
+	}
+	for k := range kinds {
+		if left := f.conns.books.left(new(entry), k); left != leftFor[k] {
+			t.Errorf("kind %d is left %v at rest, want %v", k, left, leftFor[k])
+		}
+	}
+}
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -15,6 +15,9 @@
 	HeadLimit = 16 << 10
 	// FieldLimit bounds the count of a head's fields: looking one up walks over them.
 	FieldLimit = 100
+	// FieldLimitBySize is the same for a parser with a limit of its own, which bounds bytes and tells no count: an
+	// ordinary head of any size has fewer, and one made of empty fields is still stopped.
+	FieldLimitBySize = 1000
 	// lengthDigits bounds a Content-Length's digits; more are no length that anybody sends.
 	lengthDigits = 18
 )
@@ -32,6 +35,7 @@
 	errLineEnd   = &Error{http.StatusBadRequest, "a line ends in a bare LF or holds a bare CR"}
 	errControl   = &Error{http.StatusBadRequest, "the head holds a control byte"}
 	errLong      = &Error{http.StatusRequestHeaderFieldsTooLarge, "the head is too long"}
+	errLongLine  = &Error{http.StatusRequestURITooLong, "the request line is too long"}
 	errMany      = &Error{http.StatusRequestHeaderFieldsTooLarge, "the head has too many fields"}
 	errLine      = &Error{http.StatusBadRequest, "the request line is malformed"}
 	errMethod    = &Error{http.StatusBadRequest, "the method is no token"}
@@ -102,15 +106,46 @@
 	return to
 }
 
-// Parser reads one head that comes in parts. The zero value is ready; Reset makes it so again.
+// Parser reads one head that comes in parts. The zero value is ready and goes by HeadLimit and FieldLimit; Reset and
+// Limit begin a new head.
 type Parser struct {
-	seen  int // bytes looked at for line ends
-	line  int // where the line under way begins
-	lines int // that are whole
+	limit  int // bytes of the fields, and of the request line; 0: HeadLimit for both together
+	seen   int // bytes looked at for line ends
+	line   int // where the line under way begins
+	fields int // where the fields begin
+	lines  int // that are whole
 }
 
-// Reset begins a new head.
-func (p *Parser) Reset() { *p = Parser{} }
+// Reset begins a new head under the limit that holds.
+func (p *Parser) Reset() { *p = Parser{limit: p.limit} }
+
+// Limit begins a new head whose fields, the empty line behind them included, may have so many bytes, and its request
+// line as many again; 0: both together have HeadLimit.
+func (p *Parser) Limit(bytes int) { *p = Parser{limit: bytes} }
+
+// Most is how many bytes a head may have: a buffer of that size is never full without a head or an error.
+func (p *Parser) Most() int {
+	if p.limit == 0 {
+		return HeadLimit
+	}
+	return 2 * p.limit
+}
+
+// tooLong says whether a head of so many bytes is over the limit.
+func (p *Parser) tooLong(size int) bool {
+	if p.limit == 0 {
+		return size > HeadLimit
+	}
+	return size-p.fields > p.limit
+}
+
+// maxFields is how many fields a head may have.
+func (p *Parser) maxFields() int {
+	if p.limit == 0 {
+		return FieldLimit
+	}
+	return FieldLimitBySize
+}
 
 // Parse looks at all that has come of a head so far, which must begin with what it was given before. It returns how many
 // bytes the head has, 0 where more have to come. An error is an *Error.
@@ -134,17 +169,25 @@
 			if p.lines == 0 {
 				return 0, errLine
 			}
-			if p.seen > HeadLimit {
+			if p.tooLong(p.seen) {
 				return 0, errLong
 			}
 			return p.seen, h.parse(b[:p.seen])
 		}
-		if p.lines++; p.lines > FieldLimit+1 {
+		if p.lines++; p.lines > p.maxFields()+1 {
 			return 0, errMany
 		}
-		p.line = p.seen
+		if p.line = p.seen; p.lines == 1 {
+			p.fields = p.seen
+			if p.limit > 0 && p.fields > p.limit {
+				return 0, errLongLine
+			}
+		}
 	}
-	if len(b) >= HeadLimit {
+	switch { // a whole head of the longest size would have ended
+	case p.limit > 0 && p.lines == 0 && len(b) >= p.limit:
+		return 0, errLongLine
+	case p.tooLong(len(b) + 1):
 		return 0, errLong
 	}
 	return 0, nil
--- a/internal/h1/head_test.go
+++ b/internal/h1/head_test.go
@@ -222,3 +222,32 @@
 	}
 	b.ReportAllocs()
 }
+
+// Under a limit of its own a parser takes fields and request line up to that, in parts of any size, and never waits for more than Most bytes.
+func TestLimit(t *testing.T) {
+	const limit = 700
+	head := func(line, fields int) string {
+		return "GET /" + strings.Repeat("p", line-len("GET / HTTP/1.1\r\n")) + " HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", fields-len("Host: a\r\nX: \r\n\r\n")) + "\r\n\r\n"
+	}
+	for _, c := range []struct{ line, fields, status int }{{limit, limit, 0}, {limit, limit + 1, 431}, {limit + 1, 100, 414}, {100, 4 * limit, 431}, {4 * limit, 100, 414}} {
+		for _, part := range []int{1, 7, limit, 10 * limit} {
+			var p Parser
+			p.Limit(limit)
+			b, n, at := []byte(head(c.line, c.fields)), 0, 0
+			var err error
+			for n == 0 && err == nil {
+				if at == len(b) || at >= p.Most() && at > part {
+					t.Fatalf("%+v in parts of %d: %d bytes and nothing said", c, part, at)
+				}
+				at = min(at+part, len(b))
+				n, err = p.Parse(b[:at], new(Head))
+			}
+			if bad := (*Error)(nil); c.status == 0 && (err != nil || n != len(b)) || c.status != 0 && (!errors.As(err, &bad) || bad.Status != c.status) {
+				t.Errorf("%+v in parts of %d: %d bytes, %v", c, part, n, err)
+			}
+			if p.Reset(); p.Most() != 2*limit {
+				t.Error("the limit is gone with the head")
+			}
+		}
+	}
+}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -57,6 +57,8 @@
 	mostHeld = 400
 	// bodyBytes bounds the bodies held at once, on each of the two ways.
 	bodyBytes = 16 << 20
+	// gateHeadBytes bounds a head at the gate, well over what configurations allow clients: an endless one must not hold memory.
+	gateHeadBytes = 1 << 20
 	// lingerShare and drainShare of the grace period: new clients still come for so long, and what is held has so long to end after that.
 	lingerShare = 0.37
 	drainShare  = 0.38
@@ -139,11 +141,11 @@
 	grace := b.set.Guarantees.Bounds.GracePeriod
 	out := &outbound{b: b, caller: []string{b.set.Self.ServiceName}}
 	outFront := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.outer, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: out.dialect(), Conns: fronthttp1.BoundsOf(files*3/8, files/4),
+		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.outer, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: out.dialect(), Conns: fronthttp1.BoundsAtRest(files * 3 / 8), Limits: b.limits,
 		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
 	}, b.clock)
 	inFront := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.inner, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: b.in.dialect(), Conns: fronthttp1.BoundsOf(files/4, files/4),
+		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.inner, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: b.in.dialect(), Conns: fronthttp1.BoundsOf(files/4, files/4), Limits: gateLimits,
 		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
 	}, b.clock)
 
@@ -203,6 +205,15 @@
 	return s.Serve
 }
 
+// limits bound clients, by the configuration in force.
+func (b *Sidecar) limits() fronthttp1.Limits {
+	l := b.charter.Load().Limits()
+	return fronthttp1.Limits{HeadBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeadTime: l.HeaderTimeout, IdleTime: l.IdleTimeout}
+}
+
+// gateLimits bound other sidecars, which bound their clients: a head that one of them took, under a newer configuration than ours maybe, is longer by the fields that it has set.
+func gateLimits() fronthttp1.Limits { return fronthttp1.Limits{HeadBytes: gateHeadBytes} }
+
 // network reaches gates: an address is that of a sidecar's inbound side, with the instance beside it that a request is for.
 type network struct{ *http1.Transport }
 
