Acknowledge a draining upstream only once its gate has heard of it

Engine.Flush waited for events but not for lists, which have a way of their own into the engine: whichever the engine took first decided whether an upstream's draining was acknowledged before its gate went by it. A beat that was sent once more was acknowledged without waiting at all. The last word of an unheard earlier life took the place of the one that is here.

Flush hears the list; every beat that says it leaves waits for the gate; telling is one at a time.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -232,10 +232,13 @@
 // Ended is closed when Run has returned: what is handed over from then on is thrown away.
 func (e *Engine) Ended() <-chan struct{} { return e.ended }
 
-// Flush waits until all that was handed over before it has been taken.
+// Flush waits until all that was handed over before it has been taken, lists of servers included.
 func (e *Engine) Flush() {
 	taken := make(chan struct{})
-	e.post(func(time.Duration) { close(taken) })
+	e.post(func(time.Duration) {
+		e.catchUp() // news has a way of its own, which may come behind this one
+		close(taken)
+	})
 	select {
 	case <-taken:
 	case <-e.ended:
--- a/internal/engine/quiet_test.go
+++ b/internal/engine/quiet_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"caperarch/internal/call"
 	"caperarch/internal/rig"
@@ -75,3 +77,28 @@
 		t.Errorf("not quiet behind the answer's end: %v", e.out)
 	}
 }
+
+// Once Flush has returned the module goes by the list that was told before: a server that said it drains may be told that it is heard.
+func TestFlushHearsTheList(t *testing.T) {
+	paused(t, func(e *Engine, _ *recorder) {
+		for round := range 64 { // both wait while the engine is busy; without a rule either goes first
+			busy, after, taken, heard := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1), make(chan bool)
+			e.post(func(time.Duration) { <-busy })
+			synctest.Wait()
+			e.Relist(list(policy.Draining), func() { taken <- struct{}{} })
+			go func() {
+				e.Flush()
+				heard <- len(taken) > 0
+			}()
+			synctest.Wait()
+			go e.post(func(time.Duration) { <-after }) // what is taken now was taken by Flush
+			synctest.Wait()
+			close(busy)
+			ok := <-heard
+			if close(after); !ok {
+				t.Errorf("round %d: the list is not taken yet", round)
+				return
+			}
+		}
+	})
+}
--- a/internal/mesh/sidecar/endpoints.go
+++ b/internal/mesh/sidecar/endpoints.go
@@ -109,6 +109,10 @@
 		return false
 	}
 	if s.own != nil && s.own.Instance != u.Instance {
+		if s.own.State == registry.Ready && u.State != registry.Ready {
+			s.end(u.Instance) // the last word of a life before this one, of which nothing else was heard
+			return false
+		}
 		s.end(s.own.Instance)
 	}
 	u.Inbound = s.inbound
@@ -130,6 +134,9 @@
 
 // end remembers that an instance beside us has ended: a late word of it brings it back to nobody. The caller holds the lock.
 func (s *endpoints) end(instance string) {
+	if slices.Contains(s.ended, instance) {
+		return
+	}
 	if s.ended = append(s.ended, instance); len(s.ended) > mostEnded {
 		s.ended = slices.Delete(s.ended, 0, 1)
 	}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -81,6 +81,7 @@
 	outer    *engine.Engine // the porter's
 	stopping atomic.Bool
 	mu       sync.Mutex // over taking configurations
+	telling  sync.Mutex // over own
 }
 
 // Run is a sidecar's life: it serves until ctx ends, and then ends what it has taken.
@@ -305,12 +306,13 @@
 	}
 	u.Node, u.Zone, u.Region = b.set.Self.NodeName, b.set.Self.Zone, b.set.Self.Region
 	before := b.endpoints.beside()
-	if !b.endpoints.tell(u) {
-		return nil // it has said something later before
-	}
-	if before == nil || before.Instance != u.Instance || before.State != u.State || before.Slots != u.Slots {
+	taken := b.endpoints.tell(u) // else it has said something later before
+	if taken && (before == nil || before.Instance != u.Instance || before.State != u.State || before.Slots != u.Slots) {
 		b.own()
 	}
+	if u.State != registry.Ready {
+		b.inner.Flush() // sent once more, it may come while the gate has yet to hear of the first
+	}
 	return nil
 }
 
@@ -363,8 +365,10 @@
 	return u, answer.StatusCode == http.StatusOK && u.Instance != "" && u.Slots > 0
 }
 
-// own has the gate, our own way out and the core know of the upstream beside us as it is now.
+// own has the gate, our own way out and the core know of the upstream beside us as it is now. One call after the other: what an earlier one read must not be told behind a later one's.
 func (b *Sidecar) own() {
+	b.telling.Lock()
+	defer b.telling.Unlock()
 	if u := b.endpoints.beside(); u != nil {
 		b.in.instance.Store(&u.Instance)
 	}
