Answer an operator's call within the second, whatever core machines do with it

A sidecar passed a call on to one core machine after the other, each without a bound: one frozen core machine held the call until its caller gave up, and a sidecar that was cut off from six said so after 1.8 s.

A member that says nothing for 0.45 s has the next one asked beside it; without an answer after 0.9 s the caller gets a 503. Both are longer by a microsecond for each byte that goes on. An answer that has begun has two more seconds.

--- /dev/null
+++ b/internal/mesh/api/forward.go
@@ -0,0 +1,108 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/rpc"
+)
+
+const (
+	// forwardTime bounds a call that is passed on: its caller goes on to another machine after a second of silence,
+	// and is told before that to do so.
+	forwardTime = 900 * time.Millisecond
+	// bodyTime is added for each byte that goes on, as callers wait longer behind large bodies.
+	bodyTime = time.Microsecond
+	// silentAfter is how long one core member may say nothing before the next one is asked beside it: a machine that is
+	// frozen or lost takes the whole call otherwise. It is more than a change takes that all sidecars apply at once.
+	silentAfter = 450 * time.Millisecond
+	// answerTime is what an answer has to come whole once it has begun: a large configuration takes several round trips.
+	answerTime = 2 * time.Second
+)
+
+// Forward is an Operator that passes calls on to core members until one settles them. A member that fails or says
+// nothing may have taken the call: it is sent on all the same, as a change that was taken before is acknowledged again,
+// and what is refused in the log's order is refused there wherever it is asked.
+type Forward struct {
+	Client *http.Client
+	To     func() []string // internal addresses, in the order in which they are tried
+}
+
+// Change passes a change on.
+func (f Forward) Change(r *http.Request, whole bool, body []byte) (*Taken, error) {
+	path := "/api/configuration/update"
+	if whole {
+		path = "/api/configuration/replace"
+	}
+	return forward(r.Context(), f.To(), time.Duration(len(body))*bodyTime, func(ctx context.Context, address string) (*Taken, error) {
+		return rpc.Post[Taken](ctx, f.Client, "http://"+address+path, body)
+	})
+}
+
+// Describe passes a reading on.
+func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
+	return forward(r.Context(), f.To(), 0, func(ctx context.Context, address string) (*json.RawMessage, error) {
+		return rpc.Get[json.RawMessage](ctx, f.Client, "http://"+address+"/api/configuration/describe")
+	})
+}
+
+// answer is what one member answered.
+type answer[A any] struct {
+	taken *A
+	err   error
+}
+
+// settles says whether no other member is to be asked: the call is done, or refused for good.
+func (a answer[A]) settles() bool {
+	return a.err == nil || errs.Of(a.err).Status() < http.StatusInternalServerError
+}
+
+// forward asks members in order: the next one as soon as one can't settle the call, or says nothing for a while. The
+// first answer that settles it is given; with none in time it is unclear what became of it. longer is what the times are
+// stretched by.
+func forward[A any](ctx context.Context, addresses []string, longer time.Duration, ask func(ctx context.Context, address string) (*A, error)) (*A, error) {
+	var begun atomic.Bool // an answer has
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers, asked, open := make(chan answer[A], len(addresses)), 0, 0
+	end, silent := time.NewTimer(forwardTime+longer), time.NewTimer(0)
+	defer end.Stop()
+	defer silent.Stop()
+	askNext := func() {
+		if asked == len(addresses) {
+			return
+		}
+		address := addresses[asked]
+		asked, open = asked+1, open+1
+		silent.Reset(silentAfter + longer)
+		go func() {
+			taken, err := ask(ctx, address)
+			answers <- answer[A]{taken, err}
+		}()
+	}
+	err := errs.New(errs.NoQuorum, "no core member is known")
+	for askNext(); open > 0; {
+		select {
+		case a := <-answers:
+			if open--; a.settles() {
+				return a.taken, a.err
+			}
+			err = a.err
+			askNext()
+		case <-silent.C:
+			askNext()
+		case <-end.C:
+			if !begun.Swap(false) {
+				return nil, errs.New(errs.Late, "no core member answers")
+			}
+			end.Reset(answerTime)
+		}
+	}
+	return nil, err
+}
--- a/internal/mesh/api/registrar.go
+++ b/internal/mesh/api/registrar.go
@@ -107,39 +107,3 @@
 	}
 	rpc.HandleGet(mux, "/api/configuration/describe", to.Describe)
 }
-
-// Forward is an Operator that passes calls on to core members, one after the other until one settles them.
-type Forward struct {
-	Client *http.Client
-	To     func() []string // internal addresses, in the order in which they are tried
-}
-
-// Change passes a change on.
-func (f Forward) Change(r *http.Request, whole bool, body []byte) (*Taken, error) {
-	path := "/api/configuration/update"
-	if whole {
-		path = "/api/configuration/replace"
-	}
-	return forward(f, func(address string) (*Taken, error) {
-		return rpc.Post[Taken](r.Context(), f.Client, "http://"+address+path, body)
-	})
-}
-
-// Describe passes a reading on.
-func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
-	return forward(f, func(address string) (*json.RawMessage, error) {
-		return rpc.Get[json.RawMessage](r.Context(), f.Client, "http://"+address+"/api/configuration/describe")
-	})
-}
-
-// forward asks one after the other. What one refuses for good is refused; what it can't settle the next may.
-func forward[A any](f Forward, ask func(address string) (*A, error)) (*A, error) {
-	err := errs.New(errs.NoQuorum, "no core member is known")
-	for _, address := range f.To() {
-		var a *A
-		if a, err = ask(address); err == nil || errs.Of(err).Status() < http.StatusInternalServerError {
-			return a, err
-		}
-	}
-	return nil, err
-}
