Wait for the next piece of an answer as long as its request may take

An answer that is passed on was ended after 15 s of its upstream's silence, whatever the route's time-out (ten minutes at most): a silence is no reason to end an answer sooner. Without a dialect it is as before. TestSilenceWithinAnAnswer fails without the change.

--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -114,7 +114,7 @@
 			}
 			return nil, nil, errTooLong // known before any of it is read
 		case res.ContentLength > call.BodyLimit:
-			return c.pass(res, nil), nil, nil
+			return c.pass(u, res, nil, until), nil, nil
 		case res.ContentLength >= 0:
 			body := make([]byte, res.ContentLength)
 			_, err := io.ReadFull(res.Body, body)
@@ -165,7 +165,7 @@
 		}
 	}
 	frames.waits = true
-	return c.pass(res, body), nil, nil
+	return c.pass(u, res, body, until), nil, nil
 }
 
 // chunks reads a body in chunks. Unlike net/http's reader it returns what is here, and never waits to fill a buffer: what it held back meanwhile would be held back
@@ -216,10 +216,14 @@
 	return err == nil
 }
 
-// pass makes an answer one that is passed on, with what was read of it already.
-func (c *conn) pass(res *http.Response, begun []byte) *http.Response {
+// pass makes an answer one that is passed on, with what was read of it already. In a dialect, its request's time is all that ends it: a server's silence within that is no reason to.
+func (c *conn) pass(u *Transport, res *http.Response, begun []byte, until time.Duration) *http.Response {
 	c.limit.N = math.MaxInt64
-	res.Body = streamed{&passed{c: c, res: res, body: res.Body, begun: begun, ended: make(chan policy.Ending, 1)}}
+	p := &passed{c: c, res: res, body: res.Body, begun: begun, ended: make(chan policy.Ending, 1)}
+	if u.dialect != nil {
+		p.until = u.clock.At(until)
+	}
+	res.Body = streamed{p}
 	return res
 }
 
@@ -244,7 +248,8 @@
 	c     *conn
 	res   *http.Response
 	body  io.Reader
-	begun []byte // was read before
+	begun []byte    // was read before
+	until time.Time // that its request may take
 	once  sync.Once
 	ended chan policy.Ending
 }
@@ -252,14 +257,23 @@
 // Length is the body's in bytes; -1: unknown.
 func (s *passed) Length() int64 { return s.res.ContentLength }
 
-// Read reads on, and waits for stream.StandTime at most.
+// patience is when the next piece has to be here: within stream.StandTime, or as long as its request may take.
+func (s *passed) patience() time.Time {
+	soon := time.Now().Add(stream.StandTime)
+	if s.until.After(soon) {
+		return s.until
+	}
+	return soon
+}
+
+// Read reads on, as long as there is patience for the next piece.
 func (s *passed) Read(p []byte) (int, error) {
 	if len(s.begun) > 0 {
 		n := copy(p, s.begun)
 		s.begun = s.begun[n:]
 		return n, nil
 	}
-	if err := s.c.SetReadDeadline(time.Now().Add(stream.StandTime)); err != nil {
+	if err := s.c.SetReadDeadline(s.patience()); err != nil {
 		s.end(policy.Broken)
 		return 0, err
 	}
--- /dev/null
+++ b/internal/transport/http1/patience_test.go
@@ -0,0 +1,52 @@
+package http1
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperarch/internal/clock"
+	"caperarch/internal/stream"
+	"caperarch/policy"
+)
+
+// In a dialect a server may be silent in the middle of an answer for as long as its request has; without one for StandTime.
+func TestSilenceWithinAnAnswer(t *testing.T) {
+	for _, c := range []struct {
+		dialect       *Dialect
+		has, patience time.Duration
+	}{{new(Dialect), time.Minute, time.Minute}, {new(Dialect), time.Second, stream.StandTime}, {nil, time.Minute, stream.StandTime}} {
+		synctest.Test(t, func(t *testing.T) {
+			u := &Transport{clock: clock.New(), dialect: c.dialect}
+			here, there := net.Pipe()
+			defer there.Close()
+			k := &conn{Conn: here}
+			k.limit.R = here
+			s := streamOf(k.pass(u, &http.Response{Body: overConn{here}}, nil, u.clock.Now()+c.has))
+			go func() {
+				time.Sleep(c.patience - time.Millisecond)
+				_, _ = there.Write([]byte("x"))
+			}()
+			b := make([]byte, 8)
+			if n, err := s.Read(b); n != 1 || err != nil {
+				t.Errorf("%+v: %d bytes, %v", c, n, err)
+			}
+			s.until = time.Now().Add(c.has)
+			if c.dialect == nil {
+				s.until = time.Time{}
+			}
+			before := time.Now()
+			if _, err := s.Read(b); err == nil || time.Since(before) != c.patience {
+				t.Errorf("%+v: given up after %v, %v", c, time.Since(before), err)
+			}
+			if how := <-s.ended; how != policy.Broken {
+				t.Errorf("%+v: ended as %v", c, how)
+			}
+		})
+	}
+}
+
+// overConn is a body over a connection.
+type overConn struct{ net.Conn }
