--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -15,7 +15,7 @@
 
 	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // meshZones are the zones of the measured mesh; meshPrefix is the loopback network in which each of its machines has an address of its own, as ports are alike on all.
@@ -147,7 +147,7 @@
 func (m *meshCore) sequencer() (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	view, err := rpc.Get[librarian.View](ctx, m.client, m.url(0, librarian.ViewPath))
+	view, err := rpc.Get[meshclient.View](ctx, m.client, m.url(0, meshclient.ViewPath))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/mesh/cli/change.go
+++ b/internal/mesh/cli/change.go
@@ -9,7 +9,7 @@
 	"reflect"
 	"slices"
 
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // difference is one item that two configurations have not alike.
@@ -22,16 +22,16 @@
 var signs = map[string]string{"added": "+", "removed": "-", "changed": "~"}
 
 // id names an item. Of the limits there is one set.
-func id(r librarian.Resource) [2]string {
-	if r.ResourceType == librarian.Limits {
+func id(r meshclient.Resource) [2]string {
+	if r.ResourceType == meshclient.Limits {
 		return [2]string{r.ResourceType}
 	}
 	return [2]string{r.ResourceType, r.Metadata.Name}
 }
 
 // differences gives what leads from one configuration to another, by kind and name. Spaces and the order of fields make none.
-func differences(from, to *librarian.Document) []difference {
-	had := make(map[[2]string]librarian.Resource, len(from.Resources))
+func differences(from, to *meshclient.Document) []difference {
+	had := make(map[[2]string]meshclient.Resource, len(from.Resources))
 	for _, r := range from.Resources {
 		had[id(r)] = r
 	}
--- a/internal/mesh/cli/enquiry.go
+++ b/internal/mesh/cli/enquiry.go
@@ -15,7 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // The exit codes.
@@ -58,7 +58,7 @@
 
 // errand is what a verb is given.
 type errand struct {
-	client *librarian.Client
+	client *meshclient.Client
 	in     io.Reader
 	out    io.Writer
 	json   bool
@@ -120,9 +120,9 @@
 	switch {
 	case err == nil:
 		return Done
-	case errors.As(err, &wrong), errors.Is(err, librarian.Misused):
+	case errors.As(err, &wrong), errors.Is(err, meshclient.Misused):
 		return Misused
-	case errors.Is(err, librarian.Unclear), errors.Is(err, librarian.Unreached):
+	case errors.Is(err, meshclient.Unclear), errors.Is(err, meshclient.Unreached):
 		return Unclear
 	}
 	return Failed
@@ -181,7 +181,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		d.client = &librarian.Client{Addresses: addresses}
+		d.client = &meshclient.Client{Addresses: addresses}
 	}
 	ctx, cancel := context.WithTimeout(ctx, *timeout)
 	return ctx, cancel, nil
--- a/internal/mesh/cli/file.go
+++ b/internal/mesh/cli/file.go
@@ -16,7 +16,7 @@
 	"caperarch/internal/mesh/api"
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/settings"
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // load reads the file that is named, of at most the bytes that the mesh takes. The limit guards against files that are no configuration.
@@ -59,14 +59,14 @@
 }
 
 // document reads a configuration. A field that no configuration has is refused outside of specifications, so that a slip of the pen is not passed over.
-func document(text []byte) (*librarian.Document, error) {
+func document(text []byte) (*meshclient.Document, error) {
 	whole, err := tree(text)
 	if err != nil {
 		return nil, err
 	}
 	read := json.NewDecoder(bytes.NewReader(whole))
 	read.DisallowUnknownFields()
-	doc := new(librarian.Document)
+	doc := new(meshclient.Document)
 	if err := read.Decode(doc); err != nil {
 		return nil, wrongly("not a configuration: %v", err)
 	}
@@ -77,9 +77,9 @@
 }
 
 // charterOf reads a configuration as the mesh does.
-func charterOf(doc *librarian.Document) (*config.Snapshot, error) {
+func charterOf(doc *meshclient.Document) (*config.Snapshot, error) {
 	text, err := json.Marshal(struct {
-		Document *librarian.Document `json:"document"`
+		Document *meshclient.Document `json:"document"`
 	}{doc})
 	if err != nil {
 		return nil, err
@@ -135,14 +135,14 @@
 }
 
 // faultsOf gives the faults of a configuration: of each item its first one; and where the items have none, the first that lies between them.
-func faultsOf(doc *librarian.Document) ([]string, error) {
+func faultsOf(doc *meshclient.Document) ([]string, error) {
 	if doc.Resources == nil {
 		return []string{"resources: the list is missing"}, nil
 	}
-	services := make(map[string]librarian.Resource)
+	services := make(map[string]meshclient.Resource)
 	for _, r := range doc.Resources {
-		if r.ResourceType == librarian.Services {
-			stub, err := librarian.NewResource(librarian.Services, r.Metadata.Name, struct{}{})
+		if r.ResourceType == meshclient.Services {
+			stub, err := meshclient.NewResource(meshclient.Services, r.Metadata.Name, struct{}{})
 			if err != nil {
 				return nil, err
 			}
@@ -155,7 +155,7 @@
 	}
 	for _, r := range doc.Resources {
 		// An item is read with those services only that it names and the file has.
-		alone := librarian.Document{ConfigVersion: 1, Resources: []librarian.Resource{r}}
+		alone := meshclient.Document{ConfigVersion: 1, Resources: []meshclient.Resource{r}}
 		for _, name := range named(r) {
 			if stub, ok := services[name]; ok {
 				alone.Resources = append(alone.Resources, stub)
@@ -175,12 +175,12 @@
 }
 
 // named gives the services that a route names, each once.
-func named(r librarian.Resource) []string {
+func named(r meshclient.Resource) []string {
 	var route struct {
 		ServiceName     string
 		WeightedTargets []struct{ ServiceName string }
 	}
-	if r.ResourceType != librarian.Routes || json.Unmarshal(r.Specification, &route) != nil {
+	if r.ResourceType != meshclient.Routes || json.Unmarshal(r.Specification, &route) != nil {
 		return nil // what is wrong with it is found when it is read for what it is
 	}
 	names := []string{route.ServiceName}
@@ -192,7 +192,7 @@
 }
 
 // cutName cuts off what names the item where the message begins with it, as its line does already: its name, or its place in the list, which is not that of the file.
-func cutName(message string, r librarian.Resource) string {
+func cutName(message string, r meshclient.Resource) string {
 	if strings.HasPrefix(message, "resource 0 (") {
 		if _, rest, ok := strings.Cut(message, "): "); ok {
 			return rest
--- a/internal/mesh/cli/look.go
+++ b/internal/mesh/cli/look.go
@@ -8,7 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // table writes rows in columns.
@@ -57,7 +57,7 @@
 }
 
 // summary says what an item is in a few words. It shows no key.
-func summary(r librarian.Resource) string {
+func summary(r meshclient.Resource) string {
 	var s struct {
 		Hostname, PathPrefix, RouteType, ServiceName string
 		WeightedTargets                              []struct {
@@ -75,7 +75,7 @@
 		return "of another form than is known here"
 	}
 	switch r.ResourceType {
-	case librarian.Routes:
+	case meshclient.Routes:
 		to := s.ServiceName
 		if len(s.WeightedTargets) > 0 {
 			var parts []string
@@ -85,9 +85,9 @@
 			to = strings.Join(parts, ",")
 		}
 		return fmt.Sprintf("%s%s %s to %s", s.Hostname, s.PathPrefix, s.RouteType, to)
-	case librarian.Services:
+	case meshclient.Services:
 		return fmt.Sprintf("health %s, %d connections", s.HealthCheckPath, s.MaxConnections)
-	case librarian.Tenants:
+	case meshclient.Tenants:
 		return fmt.Sprintf("%d keys, %g a second", len(s.APIKeys), s.RatePerS)
 	}
 	return fmt.Sprintf("%d bytes of header, %d of body", s.MaxHeaderBytes, s.MaxBodyBytes)
@@ -145,7 +145,7 @@
 	})
 }
 
-func state(u librarian.Upstream) string {
+func state(u meshclient.Upstream) string {
 	return words(map[string]bool{u.State: true, "stale": u.Stale}, u.State, "stale")
 }
 
--- a/internal/mesh/cli/why.go
+++ b/internal/mesh/cli/why.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"caperarch/internal/mesh/config"
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // fate is what becomes of a request, by the configuration in force and the upstreams that a core machine knows.
@@ -29,7 +29,7 @@
 type candidate struct {
 	Service   string               `json:"service"`
 	Share     float64              `json:"share"` // of the route's requests
-	Upstreams []librarian.Upstream `json:"upstreams"`
+	Upstreams []meshclient.Upstream `json:"upstreams"`
 }
 
 // why tells what becomes of a request.
@@ -131,14 +131,14 @@
 }
 
 // choose gives the upstreams among which a sidecar chooses.
-func (f *fate) choose(route *config.Route, list *librarian.UpstreamList) {
+func (f *fate) choose(route *config.Route, list *meshclient.UpstreamList) {
 	f.UpstreamsAs = list.AsOf
 	sum := 0.0
 	for _, t := range route.Targets {
 		sum += t.Weight
 	}
 	for _, t := range route.Targets {
-		s := candidate{Service: t.Service, Share: t.Weight / sum, Upstreams: []librarian.Upstream{}}
+		s := candidate{Service: t.Service, Share: t.Weight / sum, Upstreams: []meshclient.Upstream{}}
 		ready := 0
 		for _, u := range list.Upstreams {
 			if u.Service != t.Service {
@@ -162,7 +162,7 @@
 }
 
 // takes says why an upstream is sent nothing; empty: it is.
-func takes(u librarian.Upstream) string {
+func takes(u meshclient.Upstream) string {
 	switch {
 	case u.State != "ready":
 		return u.State + ", nothing new is sent to it"
@@ -172,7 +172,7 @@
 	return ""
 }
 
-func standing(u librarian.Upstream) string {
+func standing(u meshclient.Upstream) string {
 	if no := takes(u); no != "" {
 		return no
 	}
--- a/internal/mesh/controlplane/inspect.go
+++ b/internal/mesh/controlplane/inspect.go
@@ -10,7 +10,7 @@
 
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 const (
@@ -22,15 +22,15 @@
 
 // inspect serves what operators look at. Every answer is this machine's knowledge, and says so.
 func (s *Server) inspect(mux *http.ServeMux) {
-	rpc.HandleGet(mux, librarian.ViewPath, func(*http.Request) (*librarian.View, error) { return s.viewed(), nil })
-	rpc.HandleGet(mux, librarian.MembersPath, func(r *http.Request) (*librarian.Members, error) { return s.membersKnown(r.Context(), s.roster.all()) })
-	rpc.HandleGet(mux, librarian.UpstreamsPath, func(*http.Request) (*librarian.UpstreamList, error) { return s.upstreamsKnown(), nil })
+	rpc.HandleGet(mux, meshclient.ViewPath, func(*http.Request) (*meshclient.View, error) { return s.viewed(), nil })
+	rpc.HandleGet(mux, meshclient.MembersPath, func(r *http.Request) (*meshclient.Members, error) { return s.membersKnown(r.Context(), s.roster.all()) })
+	rpc.HandleGet(mux, meshclient.UpstreamsPath, func(*http.Request) (*meshclient.UpstreamList, error) { return s.upstreamsKnown(), nil })
 }
 
 // viewed is this machine's word on itself.
-func (s *Server) viewed() *librarian.View {
+func (s *Server) viewed() *meshclient.View {
 	sequencer, view := s.sequencer()
-	v := &librarian.View{AsOf: s.set.Self.NodeName, View: view, Sequencer: sequencer, ConfigVersion: s.machine.Current(), InContact: s.inContact()}
+	v := &meshclient.View{AsOf: s.set.Self.NodeName, View: view, Sequencer: sequencer, ConfigVersion: s.machine.Current(), InContact: s.inContact()}
 	if node := s.node.Load(); node != nil {
 		v.Applied, v.Remembers, v.Sick = node.Applied(), node.Remembers(), node.Sick()
 	}
@@ -38,9 +38,9 @@
 }
 
 // membersKnown is the core machines, each with its own word where that is to be had, and the sidecars whose leases this machine holds.
-func (s *Server) membersKnown(ctx context.Context, members []string) (*librarian.Members, error) {
+func (s *Server) membersKnown(ctx context.Context, members []string) (*meshclient.Members, error) {
 	own := s.viewed()
-	a := &librarian.Members{AsOf: own.AsOf, View: own.View, Sequencer: own.Sequencer, Young: s.hub.Young(), Core: make([]librarian.CoreMember, len(members)), Sidecars: []librarian.Sidecar{}}
+	a := &meshclient.Members{AsOf: own.AsOf, View: own.View, Sequencer: own.Sequencer, Young: s.hub.Young(), Core: make([]meshclient.CoreMember, len(members)), Sidecars: []meshclient.Sidecar{}}
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	var asked sync.WaitGroup
@@ -52,7 +52,7 @@
 			continue
 		}
 		asked.Go(func() {
-			if said, err := rpc.Get[librarian.View](ctx, s.client, "http://"+address+librarian.ViewPath); err == nil {
+			if said, err := rpc.Get[meshclient.View](ctx, s.client, "http://"+address+meshclient.ViewPath); err == nil {
 				m.Said = said
 			}
 		})
@@ -69,21 +69,21 @@
 		if l.Left {
 			continue
 		}
-		sidecar := librarian.Sidecar{Node: l.Node, Zone: l.Zone, Applied: l.Applied, Leaving: l.Leaving, RemainingS: held.Remaining.Seconds()}
+		sidecar := meshclient.Sidecar{Node: l.Node, Zone: l.Zone, Applied: l.Applied, Leaving: l.Leaving, RemainingS: held.Remaining.Seconds()}
 		if l.Upstream != nil {
 			sidecar.Instance = l.Upstream.Instance
 		}
 		a.Sidecars = append(a.Sidecars, sidecar)
 	}
-	slices.SortFunc(a.Sidecars, func(x, y librarian.Sidecar) int { return strings.Compare(x.Node, y.Node) })
+	slices.SortFunc(a.Sidecars, func(x, y meshclient.Sidecar) int { return strings.Compare(x.Node, y.Node) })
 	return a, nil
 }
 
 // upstreamsKnown is the upstreams that are known here.
-func (s *Server) upstreamsKnown() *librarian.UpstreamList {
-	a := &librarian.UpstreamList{AsOf: s.set.Self.NodeName, Young: s.hub.Young(), Upstreams: []librarian.Upstream{}}
+func (s *Server) upstreamsKnown() *meshclient.UpstreamList {
+	a := &meshclient.UpstreamList{AsOf: s.set.Self.NodeName, Young: s.hub.Young(), Upstreams: []meshclient.Upstream{}}
 	for _, u := range s.hub.Upstreams() {
-		a.Upstreams = append(a.Upstreams, librarian.Upstream{
+		a.Upstreams = append(a.Upstreams, meshclient.Upstream{
 			Instance: u.Instance, Service: u.Service, Address: u.Address, Node: u.Node, Zone: u.Zone, State: u.State.String(), Slots: u.Slots, Stale: u.Stale,
 		})
 	}
--- a/librarian/configuration.go
+++ b/meshclient/configuration.go
@@ -1,4 +1,4 @@
-package librarian
+package meshclient
 
 import (
 	"context"
--- a/librarian/errors.go
+++ b/meshclient/errors.go
@@ -1,4 +1,4 @@
-package librarian
+package meshclient
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"caperarch/internal/mesh/errs"
 )
 
-// Kind says what became of a call that failed. Each Kind is an error itself, so that errors.Is(err, librarian.Stale)
+// Kind says what became of a call that failed. Each Kind is an error itself, so that errors.Is(err, meshclient.Stale)
 // asks for it; errors.As with an *Error gives the rest.
 type Kind uint8
 
--- a/librarian/example_test.go
+++ b/meshclient/example_test.go
@@ -1,4 +1,4 @@
-package librarian_test
+package meshclient_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"caperarch/librarian"
+	"caperarch/meshclient"
 )
 
 // standIn stands in for a core machine that holds version 5; a real program has the addresses of the control plane.
@@ -41,21 +41,21 @@
 func ExampleClient_Change() {
 	core := standIn()
 	defer core.Close()
-	client := &librarian.Client{Addresses: []string{core.Listener.Addr().String()}}
+	client := &meshclient.Client{Addresses: []string{core.Listener.Addr().String()}}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 
-	version, err := client.Change(ctx, func(doc librarian.Document) (librarian.Change, error) {
-		if _, ok := doc.Find(librarian.Services, "tea"); !ok {
-			return librarian.Change{}, errors.New("there is no such service")
+	version, err := client.Change(ctx, func(doc meshclient.Document) (meshclient.Change, error) {
+		if _, ok := doc.Find(meshclient.Services, "tea"); !ok {
+			return meshclient.Change{}, errors.New("there is no such service")
 		}
-		route, err := librarian.NewResource(librarian.Routes, "afternoon", map[string]any{
+		route, err := meshclient.NewResource(meshclient.Routes, "afternoon", map[string]any{
 			"hostname": "tea.example", "pathPrefix": "/cup/", "routeType": "idempotent", "timeoutS": 1, "serviceName": "tea",
 		})
 		if err != nil {
-			return librarian.Change{}, err
+			return meshclient.Change{}, err
 		}
-		return librarian.Change{Upsert: librarian.Upsert{Resources: []librarian.Resource{route}}}, nil
+		return meshclient.Change{Upsert: meshclient.Upsert{Resources: []meshclient.Resource{route}}}, nil
 	})
 	if err != nil {
 		fmt.Println(err)
@@ -69,14 +69,14 @@
 func ExampleClient_Replace() {
 	core := standIn()
 	defer core.Close()
-	client := &librarian.Client{Addresses: []string{core.Listener.Addr().String()}}
+	client := &meshclient.Client{Addresses: []string{core.Listener.Addr().String()}}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 
-	_, err := client.Replace(ctx, librarian.Document{ConfigVersion: 4, BaseVersion: 3})
-	var failed *librarian.Error
+	_, err := client.Replace(ctx, meshclient.Document{ConfigVersion: 4, BaseVersion: 3})
+	var failed *meshclient.Error
 	switch {
-	case errors.Is(err, librarian.Unclear):
+	case errors.Is(err, meshclient.Unclear):
 		fmt.Println("it may be in force: send it again unchanged")
 	case errors.As(err, &failed):
 		fmt.Println(failed.Kind, failed.Status, failed.Message)
@@ -88,9 +88,9 @@
 func ExampleBeats() {
 	core := standIn()
 	defer core.Close()
-	beats := &librarian.Beats{
-		Client:       &librarian.Client{Addresses: []string{core.Listener.Addr().String()}},
-		Instance:     librarian.Instance{ID: "i-7f3a", Service: "tea", Address: "10.0.0.9:8080", Zone: "hall-a", Slots: 8},
+	beats := &meshclient.Beats{
+		Client:       &meshclient.Client{Addresses: []string{core.Listener.Addr().String()}},
+		Instance:     meshclient.Instance{ID: "i-7f3a", Service: "tea", Address: "10.0.0.9:8080", Zone: "hall-a", Slots: 8},
 		Interval:     time.Second,
 		DrainTimeout: 10 * time.Millisecond, // seconds, in earnest
 	}
