Answer 503 to a request with no time left, not 400

X-Caperarch-Timeout-Remaining: 0, as of a call made at its request's deadline, was malformed to the way out: a 4xx for a proper request. TestOutbound fails without the change. The limits of the configuration in force are tested there too.

--- a/internal/mesh/cli/why.go
+++ b/internal/mesh/cli/why.go
@@ -27,8 +27,8 @@
 
 // candidate is a service that the request may go to, with its upstreams.
 type candidate struct {
-	Service   string               `json:"service"`
-	Share     float64              `json:"share"` // of the route's requests
+	Service   string                `json:"service"`
+	Share     float64               `json:"share"` // of the route's requests
 	Upstreams []meshclient.Upstream `json:"upstreams"`
 }
 
--- a/internal/mesh/headers/slip.go
+++ b/internal/mesh/headers/slip.go
@@ -57,6 +57,12 @@
 	return left, left > 0
 }
 
+// NoneLeft says whether a time-out is sound and over: its request's client waits no more.
+func NoneLeft(text string) bool {
+	ms, err := strconv.ParseFloat(text, 64)
+	return err == nil && ms == 0
+}
+
 // Twice is the name of a field that steers a request and is given twice, or "": two readers may heed different ones.
 func Twice(h *h1.Head, names ...string) string {
 	for _, name := range names {
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -80,6 +80,9 @@
 	left = route.Timeout
 	if text := h.Get(headers.Timeout); text != "" {
 		told, ok := headers.Milliseconds(text)
+		if headers.NoneLeft(text) { // a call that an upstream makes at its request's deadline: nothing is wrong with it
+			return no(http.StatusServiceUnavailable, "no time is left", true)
+		}
 		if !ok {
 			return no(http.StatusBadRequest, headers.Timeout+" is malformed", true)
 		}
--- a/internal/mesh/sidecar/sidecar_test.go
+++ b/internal/mesh/sidecar/sidecar_test.go
@@ -112,6 +112,8 @@
 			{lepu, id + key + "X-Caperarch-Timeout-Remaining: 1\r\nx-caperarch-timeout-remaining: 1\r\n", 400},
 			{lepu, id + key + "X-Caperarch-Timeout-Remaining: soon\r\n", 400},
 			{lepu, id + key + "X-Caperarch-Timeout-Remaining: -1\r\n", 400},
+			{lepu, id + key + "X-Caperarch-Timeout-Remaining: 0\r\n", 503},
+			{lepu, id + key + "X-Caperarch-Timeout-Remaining: 0.0\r\n", 503},
 			{lepu, id, 401},
 			{lepu, id + "X-Api-Key: 89anu6wS\r\n", 401},
 			{lepu, id + "X-Api-Key:\r\n", 401},
@@ -153,6 +155,18 @@
 		o.b.clock.Jump(time.Hour)
 		So(read(lepu, "X-Api-Key: kcuyj8pj\r\n"), ShouldBeNil)
 	})
+	Convey("The limits on clients are those of the configuration in force, and a gate takes what any sidecar has let in", t, func() {
+		o, _ := newOutbound("")
+		So(o.b.limits(), ShouldResemble, http1.Limits{HeadBytes: 16 << 10, BodyBytes: 64 << 20, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second})
+		change, err := config.ReadReplace([]byte(`{"configVersion":9,"resources":[{"resourceType":"limits","metadata":{},"specification":{"maxHeaderBytes":32768,"maxBodyBytes":9,"headerTimeoutS":4.5,"idleTimeoutS":0.5}}]}`))
+		So(err, ShouldBeNil)
+		next, _, err := o.b.charter.Load().Apply(change)
+		So(err, ShouldBeNil)
+		o.b.charter.Store(next)
+		So(o.b.limits(), ShouldResemble, http1.Limits{HeadBytes: 32 << 10, BodyBytes: 9, HeadTime: 4500 * time.Millisecond, IdleTime: 500 * time.Millisecond})
+		So(gateLimits(), ShouldResemble, http1.Limits{HeadBytes: gateHeadBytes})
+		So(gateLimits().HeadBytes, ShouldBeGreaterThan, o.b.limits().HeadBytes)
+	})
 	Convey("Services are drawn by weight", t, func() {
 		o, _ := newOutbound(keyed)
 		seldom := 0
