--- a/internal/mesh/sidecar/beats_test.go
+++ b/internal/mesh/sidecar/beats_test.go
@@ -159,3 +159,16 @@
 		t.Errorf("%+v is here", s.beside())
 	}
 }
+
+// A process that is asked to end does so within its grace period, and uses most of a usual one.
+func TestDrainTimes(t *testing.T) {
+	for _, grace := range []time.Duration{1600 * time.Millisecond, 2 * time.Second, 3 * time.Second, 6 * time.Second, time.Minute} {
+		linger, longest := drainTimes(grace)
+		if sum := linger + longest + endTime; sum > grace || linger < grace/3 {
+			t.Errorf("of %v new clients come for %v, what is held has %v, and the end %v", grace, linger, longest, endTime)
+		}
+	}
+	if linger, longest := drainTimes(6 * time.Second); linger+longest != 4500*time.Millisecond {
+		t.Errorf("%v and %v", linger, longest)
+	}
+}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -62,8 +62,16 @@
 	// lingerShare and drainShare of the grace period: new clients still come for so long, and what is held has so long to end after that.
 	lingerShare = 0.37
 	drainShare  = 0.38
+	// endTime is what is left of it for what a front waits beyond that, and for the word that this sidecar has left.
+	endTime = time.Second
 )
 
+// drainTimes are how long new clients still come after a SIGTERM, and how long what is held has to end after that: the process ends by itself within the grace period.
+func drainTimes(grace time.Duration) (linger, longest time.Duration) {
+	linger = time.Duration(lingerShare * float64(grace))
+	return linger, max(0, min(time.Duration(drainShare*float64(grace)), grace-linger-endTime))
+}
+
 // Sidecar is a running sidecar.
 type Sidecar struct {
 	set       *settings.Settings
@@ -139,15 +147,15 @@
 	if err != nil {
 		return err
 	}
-	grace := b.set.Guarantees.Bounds.GracePeriod
+	linger, longest := drainTimes(b.set.Guarantees.Bounds.GracePeriod)
 	out := &outbound{b: b, caller: []string{b.set.Self.ServiceName}}
 	outFront := fronthttp1.New(fronthttp1.Config{
 		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.outer, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: out.dialect(), Conns: fronthttp1.BoundsAtRest(files * 3 / 8), Limits: b.limits,
-		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
+		Longest: longest, Linger: linger, Log: logs,
 	}, b.clock)
 	inFront := fronthttp1.New(fronthttp1.Config{
 		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.inner, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: b.in.dialect(), Conns: fronthttp1.BoundsOf(files/4, files/4), Limits: gateLimits,
-		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
+		Longest: longest, Linger: linger, Log: logs,
 	}, b.clock)
 
 	life, stop := context.WithCancel(context.Background())
