--- a/internal/mesh/api/operators.go
+++ b/internal/mesh/api/operators.go
@@ -70,36 +70,6 @@
 	return false
 }
 
-// Forward is an Operator that passes calls on to core machines, one after the other until one settles
-// them.
-type Forward struct {
-	Client *http.Client
-	To     func() []string // internal addresses, in the order in which they are tried
-}
-
-// Change passes a change on. A body that can't be read is refused here.
-func (f Forward) Change(r *http.Request, whole bool, body []byte) (*Taken, error) {
-	version, err := config.ReadVersion(body)
-	if err != nil {
-		return nil, err
-	}
-	path := updatePath
-	if whole {
-		path = replacePath
-	}
-	return forward(f, func(address string) (*Taken, error) {
-		taken, err := rpc.Post[Taken](r.Context(), f.Client, "http://"+address+path, body)
-		return Relayed(version, taken, err)
-	})
-}
-
-// Describe passes a reading on.
-func (f Forward) Describe(r *http.Request) (*json.RawMessage, error) {
-	return forward(f, func(address string) (*json.RawMessage, error) {
-		return Document(r.Context(), f.Client, "http://"+address+describePath)
-	})
-}
-
 // Document reads the configuration from another machine. An answer that is none, as of a process that
 // has the address now, is no answer.
 func Document(ctx context.Context, client *http.Client, url string) (*json.RawMessage, error) {
@@ -112,15 +82,3 @@
 	}
 	return document, nil
 }
-
-// forward asks one after the other. What one refuses is refused; what it can't settle the next may.
-func forward[A any](f Forward, ask func(address string) (*A, error)) (*A, error) {
-	err := errs.New(errs.NoQuorum, "no core machine is known")
-	for _, address := range f.To() {
-		var a *A
-		if a, err = ask(address); err == nil || refusal(err) {
-			return a, err
-		}
-	}
-	return nil, err
-}
--- a/internal/mesh/cluster/policy.go
+++ b/internal/mesh/cluster/policy.go
@@ -107,23 +107,27 @@
 // certain, then one that is leaving, then one that is unheard.
 func (p *Planner) replace(v View, spare []replication.MemberID) ([]replication.MemberID, bool) {
 	lost, ok := v.lostVoter()
-	if !ok || len(spare) == 0 {
+	if !ok {
 		return nil, false
 	}
 	staying := slices.DeleteFunc(slices.Clone(v.Status.Membership.Voters), func(id replication.MemberID) bool { return id == lost })
-	// The successor of a lost disk at the same address is as good as its zone.
-	successor := v.bestSpare(staying, spare)
-	for _, id := range spare {
-		if id.Address() == lost.Address() {
-			successor = id
-		}
-	}
-	if slices.ContainsFunc(staying, func(id replication.MemberID) bool { return id.Address() == successor.Address() }) {
+	spare = slices.DeleteFunc(slices.Clone(spare), func(id replication.MemberID) bool { return at(staying, id.Address()) })
+	if len(spare) == 0 {
 		return nil, false
 	}
+	successor := v.bestSpare(staying, spare)
+	// The new disk at the lost one's address is in its zone and can take no other's place.
+	if i := slices.IndexFunc(spare, func(id replication.MemberID) bool { return id.Address() == lost.Address() }); i >= 0 {
+		successor = spare[i]
+	}
 	return append(staying, successor), true
 }
 
+// at says whether one of the members is at an address.
+func at(members []replication.MemberID, address string) bool {
+	return slices.ContainsFunc(members, func(id replication.MemberID) bool { return id.Address() == address })
+}
+
 // lostVoter is the voter to be replaced next.
 func (v View) lostVoter() (replication.MemberID, bool) {
 	voters := v.Status.Membership.Voters
@@ -153,6 +157,7 @@
 // than the odd one below it.
 func (p *Planner) grow(now time.Duration, v View, spare []replication.MemberID) ([]replication.MemberID, bool) {
 	voters := slices.Clone(v.Status.Membership.Voters)
+	spare = slices.DeleteFunc(slices.Clone(spare), func(id replication.MemberID) bool { return at(voters, id.Address()) })
 	size := min(p.target, len(voters)+len(spare))
 	if size%2 == 0 {
 		size--
--- a/internal/mesh/cluster/policy_test.go
+++ b/internal/mesh/cluster/policy_test.go
@@ -87,6 +87,18 @@
 		So(ok, ShouldBeTrue)
 		So(voters, ShouldResemble, []replication.MemberID{three[0], three[2], "10.2.0.1:1#new"})
 	})
+	Convey("A new disk takes no other voter's place while its own old one still votes", t, func() {
+		v := view(three, []replication.MemberID{"10.2.0.1:1#new"})
+		v.of("10.2.0.1:1#new").CaughtUp = false
+		v.of(three[2]).Silent = 2 * DeadAfter
+		_, ok := plan(3, v)
+		So(ok, ShouldBeFalse)
+		v.of("10.2.0.1:1#new").CaughtUp = true
+		v.Live = append(v.Live[:1], v.Live[2:]...)
+		voters, ok := plan(3, v)
+		So(ok, ShouldBeTrue)
+		So(voters, ShouldResemble, []replication.MemberID{three[0], three[2], "10.2.0.1:1#new"})
+	})
 	Convey("One that leaves is replaced; the leader itself isn't, it hands over first", t, func() {
 		v := view(three, []replication.MemberID{"10.4.0.1:1"})
 		v.Live[0].Leaving = true
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -57,11 +57,21 @@
 	mostHeld = 400
 	// bodyBytes bounds the bodies held at once, on each of the two ways.
 	bodyBytes = 16 << 20
+	// gateHeadBytes bounds a head at the gate, well over what configurations allow clients: an endless one must not hold memory.
+	gateHeadBytes = 1 << 20
 	// lingerShare and drainShare of the grace period: new clients still come for so long, and what is held has so long to end after that.
 	lingerShare = 0.37
 	drainShare  = 0.38
+	// endTime is what is left of it for what a front waits beyond that, and for the word that this sidecar has left.
+	endTime = time.Second
 )
 
+// drainTimes are how long new clients still come after a SIGTERM, and how long what is held has to end after that: the process ends by itself within the grace period.
+func drainTimes(grace time.Duration) (linger, longest time.Duration) {
+	linger = time.Duration(lingerShare * float64(grace))
+	return linger, max(0, min(time.Duration(drainShare*float64(grace)), grace-linger-endTime))
+}
+
 // Sidecar is a running sidecar.
 type Sidecar struct {
 	set       *settings.Settings
@@ -79,6 +89,7 @@
 	outer    *engine.Engine // the porter's
 	stopping atomic.Bool
 	mu       sync.Mutex // over taking configurations
+	telling  sync.Mutex // over own
 }
 
 // Run is a sidecar's life: it serves until ctx ends, and then ends what it has taken.
@@ -136,15 +147,15 @@
 	if err != nil {
 		return err
 	}
-	grace := b.set.Guarantees.Bounds.GracePeriod
+	linger, longest := drainTimes(b.set.Guarantees.Bounds.GracePeriod)
 	out := &outbound{b: b, caller: []string{b.set.Self.ServiceName}}
 	outFront := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.outer, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: out.dialect(), Conns: fronthttp1.BoundsOf(files*3/8, files/4),
-		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
+		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.outer, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: out.dialect(), Conns: fronthttp1.BoundsAtRest(files * 3 / 8), Limits: b.limits,
+		Longest: longest, Linger: linger, Log: logs,
 	}, b.clock)
 	inFront := fronthttp1.New(fronthttp1.Config{
-		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.inner, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: b.in.dialect(), Conns: fronthttp1.BoundsOf(files/4, files/4),
-		Longest: time.Duration(drainShare * float64(grace)), Linger: time.Duration(lingerShare * float64(grace)), Log: logs,
+		Route: fronthttp1.To(&fronthttp1.Target{Engine: b.inner, MostOpen: mostHeld, BodyBytes: bodyBytes}), Dialect: b.in.dialect(), Conns: fronthttp1.BoundsOf(files/4, files/4), Limits: gateLimits,
+		Longest: longest, Linger: linger, Log: logs,
 	}, b.clock)
 
 	life, stop := context.WithCancel(context.Background())
@@ -203,6 +214,15 @@
 	return s.Serve
 }
 
+// limits bound clients, by the configuration in force.
+func (b *Sidecar) limits() fronthttp1.Limits {
+	l := b.charter.Load().Limits()
+	return fronthttp1.Limits{HeadBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeadTime: l.HeaderTimeout, IdleTime: l.IdleTimeout}
+}
+
+// gateLimits bound other sidecars, which bound their clients: a head that one of them took, under a newer configuration than ours maybe, is longer by the fields that it has set.
+func gateLimits() fronthttp1.Limits { return fronthttp1.Limits{HeadBytes: gateHeadBytes} }
+
 // network reaches gates: an address is that of a sidecar's inbound side, with the instance beside it that a request is for.
 type network struct{ *http1.Transport }
 
@@ -294,12 +314,13 @@
 	}
 	u.Node, u.Zone, u.Region = b.set.Self.NodeName, b.set.Self.Zone, b.set.Self.Region
 	before := b.endpoints.beside()
-	if !b.endpoints.tell(u) {
-		return nil // it has said something later before
-	}
-	if before == nil || before.Instance != u.Instance || before.State != u.State || before.Slots != u.Slots {
+	taken := b.endpoints.tell(u) // else it has said something later before
+	if taken && (before == nil || before.Instance != u.Instance || before.State != u.State || before.Slots != u.Slots) {
 		b.own()
 	}
+	if u.State != registry.Ready {
+		b.inner.Flush() // sent once more, it may come while the gate has yet to hear of the first
+	}
 	return nil
 }
 
@@ -352,8 +373,10 @@
 	return u, answer.StatusCode == http.StatusOK && u.Instance != "" && u.Slots > 0
 }
 
-// own has the gate, our own way out and the core know of the upstream beside us as it is now.
+// own has the gate, our own way out and the core know of the upstream beside us as it is now. One call after the other: what an earlier one read must not be told behind a later one's.
 func (b *Sidecar) own() {
+	b.telling.Lock()
+	defer b.telling.Unlock()
 	if u := b.endpoints.beside(); u != nil {
 		b.in.instance.Store(&u.Instance)
 	}
