--- a/internal/mesh/controlplane/membership.go
+++ b/internal/mesh/controlplane/membership.go
@@ -226,13 +226,12 @@
 	own.Leaving = true
 	s.roster.SetOwn(own)
 	for {
-		if node.Status().Leads {
-			if err := node.TransferLeadership(ctx); err != nil {
-				s.log.Info("nobody to hand the lead to", zap.Error(err))
+		if !node.Status().Leads {
+			if s.released(ctx, node) {
 				return
 			}
-		} else if s.released(ctx, node) {
-			return
+		} else if err := node.TransferLeadership(ctx, s.leaving()...); err != nil && len(node.Status().Progress) == 0 {
+			return // it is alone
 		}
 		if !pause(ctx, leavePause) {
 			return
@@ -240,6 +239,18 @@
 	}
 }
 
+// leaving is the machines that are about to end: the lead goes to none of them, else two would hand it
+// to each other.
+func (s *Server) leaving() []replication.MemberID {
+	var leaving []replication.MemberID
+	for _, m := range s.roster.Live(s.now()) {
+		if m.Leaving {
+			leaving = append(leaving, m.ID)
+		}
+	}
+	return leaving
+}
+
 // released says that nothing waits for this machine any more.
 func (s *Server) released(ctx context.Context, node *replication.Node) bool {
 	status := node.Status()
--- a/internal/mesh/replication/leader.go
+++ b/internal/mesh/replication/leader.go
@@ -154,9 +154,9 @@
 	r.track(now)
 }
 
-// TransferLeadership asks the voter that holds most to stand for election at once; false where
-// nobody could.
-func (r *Replica) TransferLeadership(now time.Duration) bool {
+// TransferLeadership asks the voter that holds most to stand for election at once, leaving out those
+// that are going themselves; false where nobody could.
+func (r *Replica) TransferLeadership(now time.Duration, leaving ...MemberID) bool {
 	r.checkContact(now)
 	if r.role != leader {
 		return false
@@ -164,7 +164,7 @@
 	current := r.memberships.current()
 	var best MemberID
 	for _, id := range r.order {
-		if !slices.Contains(current.Voters, id) || !r.holdsAll(now, id) {
+		if !slices.Contains(current.Voters, id) || slices.Contains(leaving, id) || !r.holdsAll(now, id) {
 			continue
 		}
 		if best == "" || r.peers[id].match > r.peers[best].match {
--- a/internal/mesh/replication/node.go
+++ b/internal/mesh/replication/node.go
@@ -209,10 +209,11 @@
 	})
 }
 
-// TransferLeadership asks another voter to take over; an error says that nobody could.
-func (n *Node) TransferLeadership(ctx context.Context) error {
+// TransferLeadership asks another voter, none of those that are leaving, to take over; an error says
+// that nobody could.
+func (n *Node) TransferLeadership(ctx context.Context, leaving ...MemberID) error {
 	return n.Do(ctx, func(now time.Duration, r *Replica) error {
-		if !r.TransferLeadership(now) {
+		if !r.TransferLeadership(now, leaving...) {
 			return errs.New(errs.NoQuorum, "replication: nobody can take over")
 		}
 		return nil
