--- a/internal/mesh/controlplane/controlplane.go
+++ b/internal/mesh/controlplane/controlplane.go
@@ -50,8 +50,8 @@
 	start   time.Time
 	roster  *roster
 	node    atomic.Pointer[replication.Node] // nil: not yet, or a reader
-	news    atomic.Pointer[watch.Subscriber] // of a reader
-	hub     *watch.Hub
+	news    atomic.Pointer[watch.Client]     // of a reader
+	hub     *watch.Server
 	machine *stateMachine
 
 	mu     sync.Mutex
@@ -104,9 +104,9 @@
 	life, stop := context.WithCancel(ctx)
 	defer stop()
 	self := s.set.Internal()
-	s.hub = watch.NewHub(watch.HubConfig{
+	s.hub = watch.NewServer(watch.ServerConfig{
 		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: s.roster.all,
-		InContact: s.inContact, Sequencer: func() string { id, _ := s.sequencer(); return id }, Charters: s.machine, Client: s.client, Log: s.log,
+		InContact: s.inContact, Leader: func() string { id, _ := s.sequencer(); return id }, ConfigSource: s.machine, HTTP: s.client, Log: s.log,
 	})
 	inside, outside := http.NewServeMux(), http.NewServeMux()
 	s.serveFounding(inside)
@@ -184,13 +184,13 @@
 
 // read has this machine follow the configuration, as sidecars do.
 func (s *Server) read(ctx context.Context) {
-	news := watch.NewSubscriber(watch.SubscriberConfig{
-		Node: s.set.Self.NodeName, Life: uint64(s.start.UnixNano()), Zone: s.set.Self.Zone, Seeds: s.roster.known().Members, Client: s.client,
-		State:   func() registry.Lease { return registry.Lease{Zone: s.set.Self.Zone, Applied: s.machine.Current()} },
-		Charter: s.machine.Current, OnCharter: func(frame json.RawMessage) bool {
+	news := watch.NewClient(watch.ClientConfig{
+		Node: s.set.Self.NodeName, Life: uint64(s.start.UnixNano()), Zone: s.set.Self.Zone, Seeds: s.roster.known().Members, HTTP: s.client,
+		State:         func() registry.Lease { return registry.Lease{Zone: s.set.Self.Zone, Applied: s.machine.Current()} },
+		ConfigVersion: s.machine.Current, OnConfig: func(frame json.RawMessage) bool {
 			defer func() { s.news.Load().Poke() }()
 			return s.machine.follow(frame)
-		}, OnCatalogue: func(bool, []registry.Upstream, []string) {},
+		}, OnRegistry: func(bool, []registry.Upstream, []string) {},
 		Of: func(address string) bool { return slices.Contains(s.roster.known().Members, address) }, Log: s.log,
 	})
 	s.news.Store(news)
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -71,7 +71,7 @@
 	charter   atomic.Pointer[config.Snapshot]
 	endpoints *endpoints
 	quota     *quotaClient
-	news      *watch.Subscriber
+	news      *watch.Client
 	life      uint64
 
 	in       *inbound
@@ -91,9 +91,9 @@
 	}
 	slices.Sort(zones)
 	b.endpoints = newEndpoints(zones, set.Network.ListenAddresses.Inbound)
-	b.news = watch.NewSubscriber(watch.SubscriberConfig{
-		Node: set.Self.NodeName, Life: b.life, Zone: set.Self.Zone, Seeds: set.Seeds(), Client: b.client, State: b.lease, Charter: func() int64 { return b.charter.Load().Version() },
-		OnCharter: b.take, OnCatalogue: b.catalogue, Log: log,
+	b.news = watch.NewClient(watch.ClientConfig{
+		Node: set.Self.NodeName, Life: b.life, Zone: set.Self.Zone, Seeds: set.Seeds(), HTTP: b.client, State: b.lease, ConfigVersion: func() int64 { return b.charter.Load().Version() },
+		OnConfig: b.take, OnRegistry: b.catalogue, Log: log,
 	})
 	var err error
 	if b.quota, err = newQuota(set.Guarantees.Bounds, b.clock, set.Self.NodeName, b.endpoints.name, b.members, b.news.Peers, b.client, log); err != nil {
--- a/internal/mesh/watch/subscriber.go
+++ b/internal/mesh/watch/client.go
@@ -37,10 +37,10 @@
 	maxRefusal = 4 << 10
 )
 
-// SubscriberConfig is what a Subscriber is made of. All fields but Zone, Seeds,
-// Services and Of are required. The callbacks OnCharter and OnCatalogue are called
+// ClientConfig is what a Client is made of. All fields but Zone, Seeds,
+// Services and Of are required. The callbacks OnConfig and OnRegistry are called
 // one at a time, from Run.
-type SubscriberConfig struct {
+type ClientConfig struct {
 	Node string
 	// Life grows from process life to process life, for example its start in
 	// nanoseconds.
@@ -49,17 +49,17 @@
 	// Seeds are internal addresses of core members to begin with.
 	Seeds []string
 	// Client must have no Timeout of its own, since watches last.
-	Client *http.Client
+	HTTP *http.Client
 	// State gives the Upstream, Applied and Leaving of this sidecar's lease,
 	// with the warm-up that is left now.
 	State func() registry.Lease
-	// Charter is the configuration version held. OnCharter applies a change or
+	// ConfigVersion is the configuration version held. OnConfig applies a change or
 	// a whole configuration, passes over versions already held, and returns
 	// false to be sent the whole.
-	Charter   func() int64
-	OnCharter func(frame json.RawMessage) (ok bool)
-	// OnCatalogue takes upserts and removals; if full, the upserts replace all.
-	OnCatalogue func(full bool, upserts []registry.Upstream, removals []string)
+	ConfigVersion func() int64
+	OnConfig      func(frame json.RawMessage) (ok bool)
+	// OnRegistry takes upserts and removals; if full, the upserts replace all.
+	OnRegistry func(full bool, upserts []registry.Upstream, removals []string)
 	// Services names the services this sidecar calls; nil or none means all.
 	Services func() []string
 	// Of says of an address whether it may be kept to; nil: every core machine's may. One that follows others itself must not go round in a circle.
@@ -67,10 +67,10 @@
 	Log *zap.Logger
 }
 
-// Subscriber is the sidecar's side: it holds a lease and a watch at one core
+// Client is the sidecar's side: it holds a lease and a watch at one core
 // member and goes to another when that one fails.
-type Subscriber struct {
-	cfg   SubscriberConfig
+type Client struct {
+	cfg   ClientConfig
 	poke  chan struct{}
 	again chan struct{}
 
@@ -92,82 +92,82 @@
 	whole    bool
 }
 
-// The reasons for which a Subscriber leaves a member that did not fail.
+// The reasons for which a Client leaves a member that did not fail.
 var (
 	errAgain  = errs.New(errs.Internal, "the watch is opened anew")
 	errNearer = errs.New(errs.Internal, "a member of the own zone is there")
 	errSilent = errs.New(errs.Unreachable, "the member says nothing")
 )
 
-// NewSubscriber makes a Subscriber; Run sets it going.
-func NewSubscriber(cfg SubscriberConfig) *Subscriber {
-	return &Subscriber{
+// NewClient makes a Client; Run sets it going.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{
 		cfg: cfg, poke: make(chan struct{}, 1), again: make(chan struct{}, 1),
 		seeds: slices.Clone(cfg.Seeds), tried: map[string]bool{},
 	}
 }
 
 // Connected says whether news comes in: a member serves the watch now.
-func (s *Subscriber) Connected() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.connected
+func (c *Client) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connected
 }
 
 // Members is the number of sidecars with a live lease, as heard last. A member
 // that may not have heard from everybody only raises it.
-func (s *Subscriber) Members() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.members
+func (c *Client) Members() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members
 }
 
 // Largest is the largest number of sidecars lately, as heard last.
-func (s *Subscriber) Largest() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.largest
+func (c *Client) Largest() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.largest
 }
 
 // Peers gives the internal addresses of the core members known, the one kept to
 // first, then in the order in which they would be tried.
-func (s *Subscriber) Peers() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	order := s.order()
-	if i := slices.Index(order, s.current); i > 0 {
-		order = slices.Insert(slices.Delete(order, i, i+1), 0, s.current)
+func (c *Client) Peers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	order := c.order()
+	if i := slices.Index(order, c.current); i > 0 {
+		order = slices.Insert(slices.Delete(order, i, i+1), 0, c.current)
 	}
 	return order
 }
 
 // SetSeeds replaces the seeds. Members learned since are kept.
-func (s *Subscriber) SetSeeds(seeds []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seeds = slices.Clone(seeds)
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(seeds)
 }
 
 // Poke renews the lease at once, since what State gives has changed.
-func (s *Subscriber) Poke() { signal(s.poke) }
+func (c *Client) Poke() { signal(c.poke) }
 
 // Resubscribe opens the watch anew, since what Services gives has changed.
-func (s *Subscriber) Resubscribe() { signal(s.again) }
+func (c *Client) Resubscribe() { signal(c.again) }
 
-func signal(c chan struct{}) {
+func signal(channel chan struct{}) {
 	select {
-	case c <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
 // Leave says that this sidecar has left, so that its upstream is gone from the
 // table, and renews no more. It asks each member known until one answers.
-func (s *Subscriber) Leave(ctx context.Context) error {
-	l := s.lease(true)
+func (c *Client) Leave(ctx context.Context) error {
+	l := c.lease(true)
 	err := errs.New(errs.Unreachable, "no core member is known")
-	for _, address := range s.Peers() {
-		if _, err = s.renew(ctx, address, l); err == nil {
+	for _, address := range c.Peers() {
+		if _, err = c.renew(ctx, address, l); err == nil {
 			return nil
 		}
 	}
@@ -175,37 +175,37 @@
 }
 
 // Run keeps to a core member until ctx ends. It is called once.
-func (s *Subscriber) Run(ctx context.Context) {
+func (c *Client) Run(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
-		address := s.next()
+		address := c.next()
 		began := time.Now()
 		err := errs.New(errs.Unreachable, "no core member is known")
 		if address != "" {
-			err = s.attend(ctx, address)
+			err = c.attend(ctx, address)
 		}
 		if errors.Is(err, errAgain) || errors.Is(err, errNearer) {
-			s.keep(address, errors.Is(err, errAgain))
+			c.keep(address, errors.Is(err, errAgain))
 			continue
 		}
-		s.leave()
+		c.leave()
 		if time.Since(began) >= steadyAfter+silence {
 			failures = 0
-			s.tried = map[string]bool{address: true}
+			c.tried = map[string]bool{address: true}
 		}
 		failures++
-		s.cfg.Log.Debug("A core member is left.", zap.String("member", address), zap.Error(err))
-		sleep(ctx, s.backOff(failures))
+		c.cfg.Log.Debug("A core member is left.", zap.String("member", address), zap.Error(err))
+		sleep(ctx, c.backOff(failures))
 	}
-	s.leave()
+	c.leave()
 }
 
 // backOff is the jittered pause before the next member is tried: none after the
 // first failure, short ones within a round of the members, and one between
 // rounds that grows, so that a single member that is there is found soon.
-func (s *Subscriber) backOff(failures int) time.Duration {
-	s.mu.Lock()
-	members := max(len(s.order()), 1)
-	s.mu.Unlock()
+func (c *Client) backOff(failures int) time.Duration {
+	c.mu.Lock()
+	members := max(len(c.order()), 1)
+	c.mu.Unlock()
 	pause := firstPause
 	switch {
 	case failures == 1:
@@ -227,52 +227,52 @@
 
 // keep notes whether the next watch goes to the same member. Until it is known
 // to fail, the sidecar counts as connected.
-func (s *Subscriber) keep(address string, same bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.current = ""
+func (c *Client) keep(address string, same bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = ""
 	if same {
-		s.current = address
+		c.current = address
 	}
 }
 
 // leave notes that the member failed.
-func (s *Subscriber) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.current, s.connected = "", false
+func (c *Client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current, c.connected = "", false
 }
 
 // next is the member to try: the one kept to, or else the first in order that
 // was not tried in this round.
-func (s *Subscriber) next() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current != "" {
-		return s.current
+func (c *Client) next() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != "" {
+		return c.current
 	}
-	order := s.order()
+	order := c.order()
 	if len(order) == 0 {
 		return ""
 	}
 	for _, address := range order {
-		if !s.tried[address] {
-			s.tried[address] = true
+		if !c.tried[address] {
+			c.tried[address] = true
 			return address
 		}
 	}
-	s.tried = map[string]bool{order[0]: true}
+	c.tried = map[string]bool{order[0]: true}
 	return order[0]
 }
 
 // order lists the members known: the own zone's first, and within a zone by a
 // hash with the node's name, which spreads the sidecars. The lock is held.
-func (s *Subscriber) order() []string {
+func (c *Client) order() []string {
 	zones := map[string]string{}
-	for _, address := range s.seeds {
+	for _, address := range c.seeds {
 		zones[address] = ""
 	}
-	for _, p := range s.learned {
+	for _, p := range c.learned {
 		zones[p.Address] = p.Zone
 	}
 	type rank struct {
@@ -283,8 +283,8 @@
 	order := make([]string, 0, len(zones))
 	for address, zone := range zones {
 		sum := fnv.New64a()
-		_, _ = io.WriteString(sum, address+"|"+s.cfg.Node)
-		ranks[address] = rank{zone != "" && zone == s.cfg.Zone, sum.Sum64()}
+		_, _ = io.WriteString(sum, address+"|"+c.cfg.Node)
+		ranks[address] = rank{zone != "" && zone == c.cfg.Zone, sum.Sum64()}
 		order = append(order, address)
 	}
 	slices.SortFunc(order, func(a, b string) int {
@@ -304,11 +304,11 @@
 }
 
 // attend keeps the lease and the watch at one member until either fails.
-func (s *Subscriber) attend(ctx context.Context, address string) error {
+func (c *Client) attend(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var renewing sync.WaitGroup
-	renewing.Go(func() { s.keepLease(ctx, cancel, address) })
-	err := s.follow(ctx, cancel, address)
+	renewing.Go(func() { c.keepLease(ctx, cancel, address) })
+	err := c.follow(ctx, cancel, address)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
@@ -319,30 +319,30 @@
 
 // keepLease renews until ctx ends, and ends it when the member fails, when a
 // member of the own zone shows up, or when the watch is to be opened anew.
-func (s *Subscriber) keepLease(ctx context.Context, cancel context.CancelCauseFunc, address string) {
+func (c *Client) keepLease(ctx context.Context, cancel context.CancelCauseFunc, address string) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.again:
+		case <-c.again:
 			cancel(errAgain)
 			return
-		case <-s.poke:
+		case <-c.poke:
 		case <-timer.C:
 		}
-		l := s.lease(false)
+		l := c.lease(false)
 		if l == nil {
 			timer.Reset(renewEvery)
 			continue
 		}
-		a, err := s.renew(ctx, address, l)
+		a, err := c.renew(ctx, address, l)
 		if err != nil {
 			cancel(err)
 			return
 		}
-		if s.learn(a) {
+		if c.learn(a) {
 			cancel(errNearer)
 			return
 		}
@@ -351,39 +351,39 @@
 }
 
 // lease makes the next lease to send. It is nil once the sidecar has left.
-func (s *Subscriber) lease(leave bool) *registry.Lease {
-	l := s.cfg.State()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.left && !leave {
+func (c *Client) lease(leave bool) *registry.Lease {
+	l := c.cfg.State()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left && !leave {
 		return nil
 	}
-	s.left = leave
-	s.sequence++
-	l.Node, l.Life, l.Zone, l.Sequence, l.Left = s.cfg.Node, s.cfg.Life, s.cfg.Zone, s.sequence, leave
+	c.left = leave
+	c.sequence++
+	l.Node, l.Life, l.Zone, l.Sequence, l.Left = c.cfg.Node, c.cfg.Life, c.cfg.Zone, c.sequence, leave
 	return &l
 }
 
-func (s *Subscriber) renew(ctx context.Context, address string, l *registry.Lease) (*LeaseAnswer, error) {
+func (c *Client) renew(ctx context.Context, address string, l *registry.Lease) (*LeaseAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return rpc.Call[registry.Lease, LeaseAnswer](ctx, s.cfg.Client, "http://"+address+leasePath, l)
+	return rpc.Call[registry.Lease, LeaseAnswer](ctx, c.cfg.HTTP, "http://"+address+leasePath, l)
 }
 
 // learn takes what an answer says of the members. It reports whether a member
 // of the own zone should be gone to: the answer is from another zone, and the
 // own zone's member was not known as such before.
-func (s *Subscriber) learn(a *LeaseAnswer) (nearer bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.count(a.Members, a.Largest, a.Young)
+func (c *Client) learn(a *LeaseAnswer) (nearer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(a.Members, a.Largest, a.Young)
 	if len(a.Peers) == 0 {
 		return false
 	}
-	near := func(p Peer) bool { return p.Zone != "" && p.Zone == s.cfg.Zone }
-	knew := slices.ContainsFunc(s.learned, near)
+	near := func(p Peer) bool { return p.Zone != "" && p.Zone == c.cfg.Zone }
+	knew := slices.ContainsFunc(c.learned, near)
 	zones := map[string]string{}
-	for _, p := range s.learned {
+	for _, p := range c.learned {
 		zones[p.Address] = p.Zone
 	}
 	peers := slices.Clone(a.Peers[:min(len(a.Peers), maxKnown)])
@@ -392,33 +392,33 @@
 			peers[i].Zone = zones[p.Address]
 		}
 	}
-	if s.cfg.Of != nil {
-		peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !s.cfg.Of(p.Address) })
+	if c.cfg.Of != nil {
+		peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !c.cfg.Of(p.Address) })
 	}
-	s.learned = peers
-	return !knew && a.Zone != s.cfg.Zone && slices.ContainsFunc(peers, near)
+	c.learned = peers
+	return !knew && a.Zone != c.cfg.Zone && slices.ContainsFunc(peers, near)
 }
 
 // count takes a count of the sidecars. The lock is held.
-func (s *Subscriber) count(members, largest int, young bool) {
+func (c *Client) count(members, largest int, young bool) {
 	if young {
-		members, largest = max(members, s.members), max(largest, s.largest)
+		members, largest = max(members, c.members), max(largest, c.largest)
 	}
-	s.members, s.largest = members, largest
+	c.members, c.largest = members, largest
 }
 
 // follow opens a watch and takes its frames until it fails.
-func (s *Subscriber) follow(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
+func (c *Client) follow(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	q := watchRequest{
-		Node: s.cfg.Node, Life: s.cfg.Life, Charter: s.cfg.Charter(), Whole: s.whole, Epoch: s.epoch, Number: s.number,
+		Node: c.cfg.Node, Life: c.cfg.Life, ConfigVersion: c.cfg.ConfigVersion(), Whole: c.whole, Epoch: c.epoch, Number: c.number,
 	}
-	if s.cfg.Services != nil {
-		q.Services = s.cfg.Services()
+	if c.cfg.Services != nil {
+		q.Services = c.cfg.Services()
 	}
-	if !slices.Equal(q.Services, s.services) {
-		s.services, s.epoch, q.Epoch = slices.Clone(q.Services), 0, 0
+	if !slices.Equal(q.Services, c.services) {
+		c.services, c.epoch, q.Epoch = slices.Clone(q.Services), 0, 0
 	}
 	body, err := json.Marshal(&q)
 	if err != nil {
@@ -429,7 +429,7 @@
 		return errs.Wrap(err, errs.Internal, "watch request to %s", address)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	answer, err := s.cfg.Client.Do(r)
+	answer, err := c.cfg.HTTP.Do(r)
 	if err != nil {
 		return errs.Wrap(err, errs.Unreachable, "no watch at %s", address)
 	}
@@ -449,13 +449,13 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err := s.take(&f, address, q.Whole); err != nil {
+		if err := c.take(&f, address, q.Whole); err != nil {
 			return err
 		}
-		if len(f.Charter) > 0 {
+		if len(f.Config) > 0 {
 			q.Whole = false
 		}
-		if len(f.Charter) > largeFrame {
+		if len(f.Config) > largeFrame {
 			frames = json.NewDecoder(io.MultiReader(frames.Buffered(), in))
 		}
 		in.left = maxFrame
@@ -465,48 +465,48 @@
 
 // take hands a frame on. A frame that was asked for whole and is refused still
 // counts as the member's failure.
-func (s *Subscriber) take(f *frame, address string, whole bool) error {
-	if len(f.Charter) > 0 {
-		s.whole = !s.cfg.OnCharter(f.Charter)
-		if s.whole && whole {
+func (c *Client) take(f *frame, address string, whole bool) error {
+	if len(f.Config) > 0 {
+		c.whole = !c.cfg.OnConfig(f.Config)
+		if c.whole && whole {
 			return errs.New(errs.Internal, "the whole configuration of %s does not fit", address)
 		}
-		if s.whole {
+		if c.whole {
 			return errAgain
 		}
 	}
-	if c := f.Catalogue; c != nil {
-		if err := s.takeCatalogue(c, address); err != nil {
+	if news := f.Registry; news != nil {
+		if err := c.takeRegistry(news, address); err != nil {
 			return err
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if b := f.Beat; b != nil {
-		s.count(b.Members, b.Largest, b.Young)
+		c.count(b.Members, b.Largest, b.Young)
 	}
-	s.current, s.connected = address, true
+	c.current, c.connected = address, true
 	return nil
 }
 
-// takeCatalogue replaces what is held by a full frame, and amends it by a
+// takeRegistry replaces what is held by a full frame, and amends it by a
 // change. A full frame of a young member only amends: what it does not list may
 // well be there. It will send another, so what it sent is not held as all.
-func (s *Subscriber) takeCatalogue(c *catalogueFrame, address string) error {
+func (c *Client) takeRegistry(news *registryFrame, address string) error {
 	switch {
-	case c.Full && c.Young:
-		s.epoch = 0
-	case c.Full:
-		s.epoch, s.number = c.Epoch, c.Number
-	case s.epoch != 0 && c.Epoch != s.epoch:
-		s.epoch = 0
-		return errs.New(errs.Internal, "%s amends a catalogue that is not held", address)
-	case s.epoch != 0 && c.Number <= s.number:
+	case news.Full && news.Young:
+		c.epoch = 0
+	case news.Full:
+		c.epoch, c.number = news.Epoch, news.Number
+	case c.epoch != 0 && news.Epoch != c.epoch:
+		c.epoch = 0
+		return errs.New(errs.Internal, "%s amends a registry that is not held", address)
+	case c.epoch != 0 && news.Number <= c.number:
 		return nil
-	case s.epoch != 0:
-		s.number = c.Number
+	case c.epoch != 0:
+		c.number = news.Number
 	}
-	s.cfg.OnCatalogue(c.Full && !c.Young, c.Upserts, c.Removals)
+	c.cfg.OnRegistry(news.Full && !news.Young, news.Upserts, news.Removals)
 	return nil
 }
 
--- a/internal/mesh/watch/gossip.go
+++ b/internal/mesh/watch/gossip.go
@@ -31,7 +31,7 @@
 
 // neighbour is another member and what it has not been told yet. Of each node
 // only its name waits, so that the queue is bounded by the leases held. The
-// Hub's lock guards it.
+// Server's lock guards it.
 type neighbour struct {
 	address string
 	cancel  context.CancelFunc
@@ -95,7 +95,7 @@
 }
 
 // converse tells one member what it has not been told, until ctx ends.
-func (h *Hub) converse(ctx context.Context, n *neighbour) {
+func (s *Server) converse(ctx context.Context, n *neighbour) {
 	pause := time.NewTimer(gossipEvery)
 	defer pause.Stop()
 	for {
@@ -106,8 +106,8 @@
 		case <-pause.C:
 		}
 		gap := gossipGap
-		if err := h.exchange(ctx, n); err != nil {
-			h.cfg.Log.Debug("A member is not reached.", zap.String("member", n.address), zap.Error(err))
+		if err := s.exchange(ctx, n); err != nil {
+			s.cfg.Log.Debug("A member is not reached.", zap.String("member", n.address), zap.Error(err))
 			gap = gossipEvery
 		}
 		pause.Reset(gap)
@@ -120,29 +120,29 @@
 	}
 }
 
-func (h *Hub) exchange(ctx context.Context, n *neighbour) error {
-	h.mu.Lock()
+func (s *Server) exchange(ctx context.Context, n *neighbour) error {
+	s.mu.Lock()
 	asking := n.asking
-	h.mu.Unlock()
+	s.mu.Unlock()
 	if asking {
-		if err := h.askAll(ctx, n); err != nil {
+		if err := s.askAll(ctx, n); err != nil {
 			return err
 		}
 	}
-	q, sent := h.batch(n)
+	q, sent := s.batch(n)
 	if len(q.Leases)+len(q.Renewals)+len(q.Beats) == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	a, err := rpc.Call[gossip, gossipAnswer](ctx, h.cfg.Client, "http://"+n.address+gossipPath, q)
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	a, err := rpc.Call[gossip, gossipAnswer](ctx, s.cfg.HTTP, "http://"+n.address+gossipPath, q)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n.failing = err != nil
 	if err != nil {
-		now := h.now()
+		now := s.now()
 		for node, whole := range sent.dirty {
-			if _, held := h.table.Remote(now, node); held {
+			if _, held := s.table.Remote(now, node); held {
 				n.dirty[node] = n.dirty[node] || whole
 			}
 		}
@@ -155,7 +155,7 @@
 	}
 	n.zone = a.Zone
 	for _, node := range a.Unknown {
-		if _, held := h.table.Renewal(h.now(), node); held {
+		if _, held := s.table.Renewal(s.now(), node); held {
 			n.mark(node, true)
 		}
 	}
@@ -163,24 +163,24 @@
 }
 
 // askAll asks a member for all it holds.
-func (h *Hub) askAll(ctx context.Context, n *neighbour) error {
+func (s *Server) askAll(ctx context.Context, n *neighbour) error {
 	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
 	defer cancel()
-	a, err := rpc.Call[struct{}, rollAnswer](ctx, h.cfg.Client, "http://"+n.address+rollPath, &struct{}{})
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	a, err := rpc.Call[struct{}, rollAnswer](ctx, s.cfg.HTTP, "http://"+n.address+rollPath, &struct{}{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n.failing = err != nil
 	if err != nil {
 		return err
 	}
 	n.zone, n.asking = a.Zone, false
-	now := h.now()
-	h.table.Merge(now, a.Leases)
+	now := s.now()
+	s.table.Merge(now, a.Leases)
 	for _, b := range a.Beats {
-		h.table.BeatFor(now, b.Upstream, b.Remaining)
+		s.table.BeatFor(now, b.Upstream, b.Remaining)
 	}
-	h.table.Expire(now)
-	h.spread()
+	s.table.Expire(now)
+	s.spread()
 	return nil
 }
 
@@ -190,24 +190,24 @@
 	beats map[string]waitingBeat
 }
 
-func (h *Hub) batch(n *neighbour) (*gossip, sent) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	q := &gossip{From: h.cfg.Self}
-	s := sent{map[string]bool{}, n.beats}
+func (s *Server) batch(n *neighbour) (*gossip, sent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	q := &gossip{From: s.cfg.Self}
+	taken := sent{map[string]bool{}, n.beats}
 	for node, whole := range n.dirty {
-		if len(s.dirty) == maxBatch {
+		if len(taken.dirty) == maxBatch {
 			n.rouse()
 			break
 		}
 		delete(n.dirty, node)
-		s.dirty[node] = whole
+		taken.dirty[node] = whole
 		if whole {
-			if r, ok := h.table.Remote(now, node); ok {
+			if r, ok := s.table.Remote(now, node); ok {
 				q.Leases = append(q.Leases, r)
 			}
-		} else if r, ok := h.table.Renewal(now, node); ok {
+		} else if r, ok := s.table.Renewal(now, node); ok {
 			q.Renewals = append(q.Renewals, r)
 		}
 	}
@@ -215,31 +215,31 @@
 		q.Beats = append(q.Beats, registry.Vouched{Upstream: b.up, Remaining: max(b.at+registry.LeaseTime-now, 0)})
 	}
 	n.beats = map[string]waitingBeat{}
-	for address, other := range h.neighbours {
+	for address, other := range s.neighbours {
 		if other.failing && address != n.address {
 			q.Unreached = append(q.Unreached, address)
 		}
 	}
-	return q, s
+	return q, taken
 }
 
 // gossip takes another member's news. It passes on what is new here to the
 // members that the sender does not reach, so that a cut between two members
 // hides nothing as long as a third reaches both.
-func (h *Hub) gossip(_ *http.Request, q *gossip) (*gossipAnswer, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	whole := h.table.Merge(now, q.Leases)
-	renewed, unknown := h.table.Extend(now, q.Renewals)
+func (s *Server) gossip(_ *http.Request, q *gossip) (*gossipAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	whole := s.table.Merge(now, q.Leases)
+	renewed, unknown := s.table.Extend(now, q.Renewals)
 	for _, b := range q.Beats {
-		if h.table.BeatFor(now, b.Upstream, b.Remaining) {
-			for _, n := range h.cutOff(q) {
+		if s.table.BeatFor(now, b.Upstream, b.Remaining) {
+			for _, n := range s.cutOff(q) {
 				n.tell(b.Upstream, now)
 			}
 		}
 	}
-	for _, n := range h.cutOff(q) {
+	for _, n := range s.cutOff(q) {
 		for _, node := range whole {
 			n.mark(node, true)
 		}
@@ -247,14 +247,14 @@
 			n.mark(node, false)
 		}
 	}
-	h.spread()
-	return &gossipAnswer{Zone: h.cfg.Zone, Unknown: unknown}, nil
+	s.spread()
+	return &gossipAnswer{Zone: s.cfg.Zone, Unknown: unknown}, nil
 }
 
 // cutOff gives the neighbours that the sender of q does not reach.
-func (h *Hub) cutOff(q *gossip) []*neighbour {
+func (s *Server) cutOff(q *gossip) []*neighbour {
 	var cut []*neighbour
-	for address, n := range h.neighbours {
+	for address, n := range s.neighbours {
 		if address != q.From && slices.Contains(q.Unreached, address) {
 			cut = append(cut, n)
 		}
@@ -262,9 +262,9 @@
 	return cut
 }
 
-func (h *Hub) roll(*http.Request, *struct{}) (*rollAnswer, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	return &rollAnswer{Zone: h.cfg.Zone, Leases: h.table.Roll(now), Beats: h.table.Unleased(now)}, nil
+func (s *Server) roll(*http.Request, *struct{}) (*rollAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	return &rollAnswer{Zone: s.cfg.Zone, Leases: s.table.Roll(now), Beats: s.table.Unleased(now)}, nil
 }
--- a/internal/mesh/watch/hub.go
+++ b/internal/mesh/watch/server.go
@@ -32,10 +32,10 @@
 	maxWatches = 3000
 )
 
-// Charters is the configuration as the Hub hands it on. Its methods are called
+// ConfigSource is the configuration as the Server hands it on. Its methods are called
 // from many goroutines. A change may reach a sidecar twice, so whoever applies
 // frames passes over the versions already held.
-type Charters interface {
+type ConfigSource interface {
 	// Current is the newest version here.
 	Current() (version int64)
 	// Since gives the changes after a version, or false if it is too old.
@@ -44,9 +44,9 @@
 	Whole() json.RawMessage
 }
 
-// HubConfig is what a Hub is made of. All fields but Sequencer and Zone are
+// ServerConfig is what a Server is made of. All fields but Leader and Zone are
 // required.
-type HubConfig struct {
+type ServerConfig struct {
 	// Self is this member's internal address, Zone its zone.
 	Self string
 	Zone string
@@ -57,17 +57,17 @@
 	Peers func() []string
 	// InContact says whether this member is in contact with a quorum.
 	InContact func() bool
-	// Sequencer gives a hint where the sequencer is.
-	Sequencer func() string
-	Charters  Charters
-	Client    *http.Client
-	Log       *zap.Logger
+	// Leader gives a hint where the leader is.
+	Leader       func() string
+	ConfigSource ConfigSource
+	HTTP         *http.Client
+	Log          *zap.Logger
 }
 
-// Hub is the core member's side: it holds the catalogue, pushes news to the
+// Server is the core member's side: it holds the registry, pushes news to the
 // sidecars that watch, and tells the other members.
-type Hub struct {
-	cfg   HubConfig
+type Server struct {
+	cfg   ServerConfig
 	start time.Time
 	done  chan struct{} // closed when Run ends
 
@@ -89,7 +89,7 @@
 
 	// The rest belongs to the goroutine that serves the watch.
 	keep    func(service string) bool
-	charter int64
+	version int64
 	whole   bool
 	epoch   uint64
 	number  uint64
@@ -101,9 +101,9 @@
 	done    chan struct{}
 }
 
-// NewHub makes a Hub. It answers once registered and gossips while it runs.
-func NewHub(cfg HubConfig) *Hub {
-	return &Hub{
+// NewServer makes a Server. It answers once registered and gossips while it runs.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{
 		cfg:        cfg,
 		start:      time.Now(),
 		done:       make(chan struct{}),
@@ -116,24 +116,24 @@
 	}
 }
 
-// Register puts the Hub's pages on the mux.
-func (h *Hub) Register(mux *http.ServeMux) {
-	rpc.Handle(mux, leasePath, maxLeaseBody, h.lease)
-	rpc.Handle(mux, gossipPath, maxGossipBody, h.gossip)
-	rpc.Handle(mux, rollPath, maxLeaseBody, h.roll)
-	mux.HandleFunc("POST "+watchPath, h.watch)
+// Register puts the Server's pages on the mux.
+func (s *Server) Register(mux *http.ServeMux) {
+	rpc.Handle(mux, leasePath, maxLeaseBody, s.lease)
+	rpc.Handle(mux, gossipPath, maxGossipBody, s.gossip)
+	rpc.Handle(mux, rollPath, maxLeaseBody, s.roll)
+	mux.HandleFunc("POST "+watchPath, s.watch)
 }
 
 // Run lets leases lapse and talks with the other members until ctx ends; then
 // it ends the watches. It is called once.
-func (h *Hub) Run(ctx context.Context) {
+func (s *Server) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	defer close(h.done)
+	defer close(s.done)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
-		h.tick(ctx, &running)
+		s.tick(ctx, &running)
 		select {
 		case <-ctx.Done():
 			return
@@ -142,157 +142,157 @@
 	}
 }
 
-func (h *Hub) tick(ctx context.Context, running *sync.WaitGroup) {
-	inContact, peers := h.cfg.InContact(), h.cfg.Peers()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	if inContact && !h.inContact {
-		h.youngUntil = now + youngTime
-		for _, n := range h.neighbours {
+func (s *Server) tick(ctx context.Context, running *sync.WaitGroup) {
+	inContact, peers := s.cfg.InContact(), s.cfg.Peers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if inContact && !s.inContact {
+		s.youngUntil = now + youngTime
+		for _, n := range s.neighbours {
 			n.ask()
 		}
 	}
-	h.inContact = inContact
-	h.table.Expire(now)
-	h.spread()
+	s.inContact = inContact
+	s.table.Expire(now)
+	s.spread()
 
 	listed := make(map[string]bool, len(peers))
 	for _, address := range peers {
-		if address == h.cfg.Self {
+		if address == s.cfg.Self {
 			continue
 		}
 		listed[address] = true
-		if h.neighbours[address] == nil {
+		if s.neighbours[address] == nil {
 			peerCtx, cancel := context.WithCancel(ctx)
 			n := newNeighbour(address, cancel)
-			h.neighbours[address] = n
-			running.Go(func() { h.converse(peerCtx, n) })
+			s.neighbours[address] = n
+			running.Go(func() { s.converse(peerCtx, n) })
 		}
 	}
-	for address, n := range h.neighbours {
+	for address, n := range s.neighbours {
 		if !listed[address] {
 			n.cancel()
-			delete(h.neighbours, address)
+			delete(s.neighbours, address)
 		}
 	}
 }
 
-// now is the Hub's steady clock.
-func (h *Hub) now() time.Duration { return time.Since(h.start) }
+// now is the Server's steady clock.
+func (s *Server) now() time.Duration { return time.Since(s.start) }
 
 // Young says whether this member may not have heard from everybody yet.
-func (h *Hub) Young() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.now() < h.youngUntil
+func (s *Server) Young() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() < s.youngUntil
 }
 
 // Upstreams lists all upstreams known here.
-func (h *Hub) Upstreams() []registry.Upstream {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.table.Upstreams(h.now())
+func (s *Server) Upstreams() []registry.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Upstreams(s.now())
 }
 
 // Members counts the live leases, and gives the largest count lately.
-func (h *Hub) Members() (live, largest int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.table.Members(), h.table.Largest(h.now())
+func (s *Server) Members() (live, largest int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Members(), s.table.Largest(s.now())
 }
 
 // Behind counts the live leases whose sidecar has not applied the version.
-func (h *Hub) Behind(version int64) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.table.Behind(version)
+func (s *Server) Behind(version int64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Behind(version)
 }
 
 // WaitApplied returns 0 as soon as every live lease known here has applied the
 // version, or how many have not when ctx ends. A sidecar whose lease lapses is
 // no longer waited for. While Young, leases may not be known here yet.
-func (h *Hub) WaitApplied(ctx context.Context, version int64) (behind int) {
+func (s *Server) WaitApplied(ctx context.Context, version int64) (behind int) {
 	w := &waiter{version, make(chan struct{})}
-	h.mu.Lock()
-	if h.table.Behind(version) == 0 {
-		h.mu.Unlock()
+	s.mu.Lock()
+	if s.table.Behind(version) == 0 {
+		s.mu.Unlock()
 		return 0
 	}
-	h.waiters[w] = struct{}{}
-	h.mu.Unlock()
+	s.waiters[w] = struct{}{}
+	s.mu.Unlock()
 	select {
 	case <-w.done:
 		return 0
 	case <-ctx.Done():
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.waiters, w)
-	return h.table.Behind(version)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, w)
+	return s.table.Behind(version)
 }
 
 // Beat takes a beat of an upstream that reached this member directly, and
 // tells the other members. A State of Gone is a deregistration.
-func (h *Hub) Beat(up registry.Upstream) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	taken, err := h.table.Beat(now, up)
+func (s *Server) Beat(up registry.Upstream) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	taken, err := s.table.Beat(now, up)
 	if err != nil || !taken {
 		return err
 	}
-	for _, n := range h.neighbours {
+	for _, n := range s.neighbours {
 		n.tell(up, now)
 	}
-	h.spread()
+	s.spread()
 	return nil
 }
 
-// Publish pushes the charter to the sidecars. The caller calls it when
-// Charters has something new.
-func (h *Hub) Publish() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.push()
+// Publish pushes the configuration to the sidecars. The caller calls it when
+// ConfigSource has something new.
+func (s *Server) Publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.push()
 }
 
 // spread wakes whom a change of the table concerns. It is called under the
 // lock after each change.
-func (h *Hub) spread() {
-	if h.table.Number() != h.told {
-		h.push()
+func (s *Server) spread() {
+	if s.table.Number() != s.told {
+		s.push()
 	}
-	for w := range h.waiters {
-		if h.table.Behind(w.version) == 0 {
-			delete(h.waiters, w)
+	for w := range s.waiters {
+		if s.table.Behind(w.version) == 0 {
+			delete(s.waiters, w)
 			close(w.done)
 		}
 	}
 }
 
 // push wakes the watches now, or when pushGap is over. The lock is held.
-func (h *Hub) push() {
-	h.told = h.table.Number()
-	if h.pushing {
+func (s *Server) push() {
+	s.told = s.table.Number()
+	if s.pushing {
 		return
 	}
-	if wait := h.pushedAt + pushGap - h.now(); wait > 0 {
-		h.pushing = true
+	if wait := s.pushedAt + pushGap - s.now(); wait > 0 {
+		s.pushing = true
 		time.AfterFunc(wait, func() {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			h.pushing = false
-			h.wakeAll()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.pushing = false
+			s.wakeAll()
 		})
 		return
 	}
-	h.wakeAll()
+	s.wakeAll()
 }
 
-func (h *Hub) wakeAll() {
-	h.pushedAt = h.now()
-	for _, w := range h.watches {
+func (s *Server) wakeAll() {
+	s.pushedAt = s.now()
+	for _, w := range s.watches {
 		select {
 		case w.wake <- struct{}{}:
 		default:
@@ -300,42 +300,42 @@
 	}
 }
 
-func (h *Hub) lease(_ *http.Request, l *registry.Lease) (*LeaseAnswer, error) {
-	inContact, version := h.cfg.InContact(), h.cfg.Charters.Current()
+func (s *Server) lease(_ *http.Request, l *registry.Lease) (*LeaseAnswer, error) {
+	inContact, version := s.cfg.InContact(), s.cfg.ConfigSource.Current()
 	a := &LeaseAnswer{
 		TTL:    registry.LeaseTime.Seconds(),
-		Zone:   h.cfg.Zone,
+		Zone:   s.cfg.Zone,
 		Caught: inContact && l.Applied >= version,
 	}
-	if h.cfg.Sequencer != nil {
-		a.Sequencer = h.cfg.Sequencer()
+	if s.cfg.Leader != nil {
+		a.Leader = s.cfg.Leader()
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	changed, err := h.table.Renew(now, *l)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	changed, err := s.table.Renew(now, *l)
 	if err != nil {
 		return nil, err
 	}
-	for _, n := range h.neighbours {
+	for _, n := range s.neighbours {
 		n.mark(l.Node, changed)
 	}
-	h.spread()
-	a.Members, a.Largest, a.Young = h.table.Members(), h.table.Largest(now), now < h.youngUntil
-	a.Peers = append(a.Peers, Peer{h.cfg.Self, h.cfg.Zone})
-	for _, n := range h.neighbours {
+	s.spread()
+	a.Members, a.Largest, a.Young = s.table.Members(), s.table.Largest(now), now < s.youngUntil
+	a.Peers = append(a.Peers, Peer{s.cfg.Self, s.cfg.Zone})
+	for _, n := range s.neighbours {
 		a.Peers = append(a.Peers, Peer{n.address, n.zone})
 	}
 	return a, nil
 }
 
-func (h *Hub) watch(w http.ResponseWriter, r *http.Request) {
-	held, q, err := h.open(r)
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	held, q, err := s.open(r)
 	if err != nil {
 		rpc.Answer(w, err)
 		return
 	}
-	defer h.close(q.Node, held)
+	defer s.close(q.Node, held)
 	out := &deadlined{w, http.NewResponseController(w)}
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	// A watch outlives the server's time for reading a request.
@@ -346,8 +346,8 @@
 	beats := time.NewTicker(beatEvery)
 	defer beats.Stop()
 	for beat := true; ; {
-		if err := h.send(out, held, beat); err != nil {
-			h.cfg.Log.Debug("A watch ends.", zap.String("node", q.Node), zap.Error(err))
+		if err := s.send(out, held, beat); err != nil {
+			s.cfg.Log.Debug("A watch ends.", zap.String("node", q.Node), zap.Error(err))
 			return
 		}
 		beat = false
@@ -359,14 +359,14 @@
 			return
 		case <-r.Context().Done():
 			return
-		case <-h.done:
+		case <-s.done:
 			return
 		}
 	}
 }
 
 // open enters a watch. One that the node still holds ends.
-func (h *Hub) open(r *http.Request) (*watch, *watchRequest, error) {
+func (s *Server) open(r *http.Request) (*watch, *watchRequest, error) {
 	body, err := rpc.Body(r, maxWatchBody)
 	if err != nil {
 		return nil, nil, err
@@ -378,53 +378,53 @@
 	if q.Node == "" {
 		return nil, nil, errs.New(errs.Invalid, "the watch names no node")
 	}
-	if !h.cfg.InContact() {
+	if !s.cfg.InContact() {
 		return nil, nil, errs.New(errs.NoQuorum, "this member is not in contact with a quorum")
 	}
 	held := &watch{
 		wake: make(chan struct{}, 1), quit: make(chan struct{}),
-		charter: q.Charter, whole: q.Whole, epoch: q.Epoch, number: q.Number,
+		version: q.ConfigVersion, whole: q.Whole, epoch: q.Epoch, number: q.Number,
 	}
 	if len(q.Services) > 0 {
 		wanted := make(map[string]bool, len(q.Services))
-		for _, s := range q.Services {
-			wanted[s] = true
+		for _, service := range q.Services {
+			wanted[service] = true
 		}
 		held.keep = func(service string) bool { return wanted[service] }
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if old := h.watches[q.Node]; old != nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.watches[q.Node]; old != nil {
 		close(old.quit)
-	} else if len(h.watches) >= maxWatches {
+	} else if len(s.watches) >= maxWatches {
 		return nil, nil, errs.New(errs.Busy, "this member serves %d watches and takes no more", maxWatches)
 	}
-	h.watches[q.Node] = held
+	s.watches[q.Node] = held
 	return held, q, nil
 }
 
-func (h *Hub) close(node string, held *watch) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.watches[node] == held {
-		delete(h.watches, node)
+func (s *Server) close(node string, held *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watches[node] == held {
+		delete(s.watches, node)
 	}
 }
 
 // send writes what the watch has not had yet. A member out of contact says
 // nothing, so that its sidecars go elsewhere.
-func (h *Hub) send(out *deadlined, held *watch, beat bool) error {
-	if !h.cfg.InContact() {
+func (s *Server) send(out *deadlined, held *watch, beat bool) error {
+	if !s.cfg.InContact() {
 		return nil
 	}
-	version := h.cfg.Charters.Current()
-	if held.whole || version > held.charter {
+	version := s.cfg.ConfigSource.Current()
+	if held.whole || version > held.version {
 		frames, ok := []json.RawMessage(nil), false
 		if !held.whole {
-			frames, ok = h.cfg.Charters.Since(held.charter)
+			frames, ok = s.cfg.ConfigSource.Since(held.version)
 		}
 		if !ok {
-			frames = []json.RawMessage{h.cfg.Charters.Whole()}
+			frames = []json.RawMessage{s.cfg.ConfigSource.Whole()}
 		}
 		for _, f := range frames {
 			if len(f) == 0 {
@@ -434,26 +434,26 @@
 				return err
 			}
 		}
-		held.charter, held.whole = max(version, held.charter), false
+		held.version, held.whole = max(version, held.version), false
 	}
 
-	h.mu.Lock()
-	now := h.now()
-	young := now < h.youngUntil
+	s.mu.Lock()
+	now := s.now()
+	young := now < s.youngUntil
 	if held.young && !young {
 		held.epoch = 0
 	}
-	news := h.table.Since(now, held.epoch, held.number, held.keep)
-	b := beatFrame{version, h.table.Members(), h.table.Largest(now), young}
-	h.mu.Unlock()
+	news := s.table.Since(now, held.epoch, held.number, held.keep)
+	b := beatFrame{version, s.table.Members(), s.table.Largest(now), young}
+	s.mu.Unlock()
 
 	f := frame{}
 	if news.Full || len(news.Upserts)+len(news.Removals) > 0 {
-		f.Catalogue = &catalogueFrame{
+		f.Registry = &registryFrame{
 			Epoch: news.Epoch, Number: news.Number, Full: news.Full, Young: young && news.Full, Upserts: news.Upserts,
 		}
 		for _, r := range news.Removals {
-			f.Catalogue.Removals = append(f.Catalogue.Removals, r.Instance)
+			f.Registry.Removals = append(f.Registry.Removals, r.Instance)
 		}
 	}
 	if news.Full {
@@ -463,7 +463,7 @@
 	if beat {
 		f.Beat = &b
 	}
-	if f.Catalogue == nil && f.Beat == nil {
+	if f.Registry == nil && f.Beat == nil {
 		return out.flush()
 	}
 	line, err := json.Marshal(&f)
--- a/internal/mesh/watch/circulation_test.go
+++ b/internal/mesh/watch/watch_test.go
@@ -77,38 +77,38 @@
 	clear(n.cut)
 }
 
-// charters is a log of numbered changes: version v has the frame `v`, and the whole is `[v]`.
-type charters struct {
+// configs is a log of numbered changes: version v has the frame `v`, and the whole is `[v]`.
+type configs struct {
 	mu      sync.Mutex
 	version int64
 }
 
-func (c *charters) Current() int64 {
+func (c *configs) Current() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.version
 }
 
-func (c *charters) Since(version int64) (frames []json.RawMessage, ok bool) {
+func (c *configs) Since(version int64) (frames []json.RawMessage, ok bool) {
 	for v := version + 1; v <= c.Current(); v++ {
 		frames = append(frames, json.RawMessage(fmt.Sprint(v)))
 	}
 	return frames, version > 0 && version <= c.Current()
 }
-func (c *charters) Whole() json.RawMessage { return json.RawMessage(fmt.Sprintf("[%d]", c.Current())) }
+func (c *configs) Whole() json.RawMessage { return json.RawMessage(fmt.Sprintf("[%d]", c.Current())) }
 
 type member struct {
-	*Hub
-	charters *charters
-	mu       sync.Mutex
-	outside  bool
-	stop     func()
+	*Server
+	configs *configs
+	mu      sync.Mutex
+	outside bool
+	stop    func()
 }
 
 func (m *member) put(version int64) {
-	m.charters.mu.Lock()
-	m.charters.version = version
-	m.charters.mu.Unlock()
+	m.configs.mu.Lock()
+	m.configs.version = version
+	m.configs.mu.Unlock()
 	m.Publish()
 }
 
@@ -121,12 +121,12 @@
 var all = []string{"m1:1", "m2:1", "m3:1"}
 
 func (n *network) member(name string, epoch uint64) *member {
-	m := &member{charters: &charters{}}
+	m := &member{configs: &configs{}}
 	client := n.client(name)
-	m.Hub = NewHub(HubConfig{
-		Self: name, Zone: "zone-" + name, Epoch: epoch, Peers: func() []string { return all }, Charters: m.charters,
+	m.Server = NewServer(ServerConfig{
+		Self: name, Zone: "zone-" + name, Epoch: epoch, Peers: func() []string { return all }, ConfigSource: m.configs,
 		InContact: func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.outside },
-		Client:    client, Log: zap.NewNop(),
+		HTTP:      client, Log: zap.NewNop(),
 	})
 	mux := http.NewServeMux()
 	m.Register(mux)
@@ -152,7 +152,7 @@
 }
 
 type sidecar struct {
-	*Subscriber
+	*Client
 	mu       sync.Mutex
 	up       registry.Upstream
 	services []string
@@ -169,16 +169,16 @@
 		Instance: "i-" + name, Service: "s-" + name, Address: name + ":80", Inbound: name + ":90", Sequence: 1,
 	}}
 	client := n.client(name)
-	s.Subscriber = NewSubscriber(SubscriberConfig{
-		Node: name, Life: uint64(time.Now().UnixNano()), Zone: zone, Seeds: seeds, Client: client, Log: zap.NewNop(),
+	s.Client = NewClient(ClientConfig{
+		Node: name, Life: uint64(time.Now().UnixNano()), Zone: zone, Seeds: seeds, HTTP: client, Log: zap.NewNop(),
 		State: func() registry.Lease {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			up := s.up
 			return registry.Lease{Upstream: &up, Applied: s.version}
 		},
-		Charter: func() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.version },
-		OnCharter: func(f json.RawMessage) bool {
+		ConfigVersion: func() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.version },
+		OnConfig: func(f json.RawMessage) bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.frames = append(s.frames, string(f))
@@ -192,7 +192,7 @@
 			s.Poke()
 			return true
 		},
-		OnCatalogue: func(full bool, upserts []registry.Upstream, removals []string) {
+		OnRegistry: func(full bool, upserts []registry.Upstream, removals []string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if full {
@@ -253,14 +253,14 @@
 }
 
 func (s *sidecar) leases() uint64 {
-	s.Subscriber.mu.Lock()
-	defer s.Subscriber.mu.Unlock()
+	s.Client.mu.Lock()
+	defer s.Client.mu.Unlock()
 	return s.sequence
 }
 
 func (m *member) watched() int {
-	m.Hub.mu.Lock()
-	defer m.Hub.mu.Unlock()
+	m.Server.mu.Lock()
+	defer m.Server.mu.Unlock()
 	return len(m.watches)
 }
 
@@ -311,7 +311,7 @@
 }
 
 func TestNewsReachesAll(t *testing.T) {
-	mesh(t, "Upstreams and charters reach every sidecar at once, and each is counted", func(_ *network, m []*member, c []*sidecar) {
+	mesh(t, "Upstreams and configs reach every sidecar at once, and each is counted", func(_ *network, m []*member, c []*sidecar) {
 		c[2].change(func() { c[2].up.State, c[2].up.Sequence = registry.Draining, 2 })
 		c[2].Poke()
 		pass(15 * ms)
@@ -367,12 +367,12 @@
 		m[1].put(4)
 		m[2].put(4)
 		pass(3 * time.Second)
-		So(c[0].cfg.Charter(), ShouldEqual, 5)
+		So(c[0].cfg.ConfigVersion(), ShouldEqual, 5)
 		So(c[0].heard(), ShouldResemble, []string{"[5]"})
 		So(c[0].replaced(), ShouldEqual, fulls+1)
 		So(m[1].Behind(5)*10+m[2].Behind(4), ShouldEqual, 20)
 
-		// Cut off from the others, a member holds no sidecar and tells no charter.
+		// Cut off from the others, a member holds no sidecar and tells no configuration.
 		was := c[1].Peers()[0]
 		for i, one := range m {
 			one.contact(all[i] != was)
@@ -382,8 +382,8 @@
 		}
 		pass(1200 * ms)
 		So(c[1].Peers()[0], ShouldNotEqual, was)
-		So(c[1].cfg.Charter(), ShouldEqual, 4)
-		_, err := rpc.Call[watchRequest, struct{}](context.Background(), c[1].cfg.Client, "http://"+was+watchPath, &watchRequest{Node: "x"})
+		So(c[1].cfg.ConfigVersion(), ShouldEqual, 4)
+		_, err := rpc.Call[watchRequest, struct{}](context.Background(), c[1].cfg.HTTP, "http://"+was+watchPath, &watchRequest{Node: "x"})
 		So(errs.Of(err), ShouldEqual, errs.NoQuorum)
 
 		// A member that starts anew learns all from the others, and says it is young until it has.
@@ -506,7 +506,7 @@
 		// A node's newer watch ends the older one.
 		ctx, cancel := context.WithTimeout(context.Background(), 50*ms)
 		defer cancel()
-		_, err = rpc.Call[watchRequest, struct{}](ctx, c[1].cfg.Client, "http://m1:1"+watchPath, &watchRequest{Node: "c1"})
+		_, err = rpc.Call[watchRequest, struct{}](ctx, c[1].cfg.HTTP, "http://m1:1"+watchPath, &watchRequest{Node: "c1"})
 		So(errs.Of(err), ShouldEqual, errs.Unreachable)
 		synctest.Wait()
 		So(c[0].Peers()[0], ShouldNotEqual, "m1:1")
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -1,5 +1,5 @@
-// Package watch is how news reaches the sidecars: the Hub of a core
-// member, which holds the leases and pushes what changed, and the Subscriber
+// Package watch is how news reaches the sidecars: the Server of a core
+// member, which holds the leases and pushes what changed, and the Client
 // of a sidecar, which keeps to one core member at a time.
 package watch
 
@@ -54,8 +54,8 @@
 	Members int  `json:"members"`
 	Largest int  `json:"largest"`
 	Young   bool `json:"young,omitempty"`
-	// Sequencer is a hint where the sequencer is.
-	Sequencer string `json:"sequencer,omitempty"`
+	// Leader is a hint where the leader is.
+	Leader string `json:"sequencer,omitempty"`
 	// Zone is the answering member's, and Peers are all core members.
 	Zone  string `json:"zone,omitempty"`
 	Peers []Peer `json:"peers"`
@@ -66,10 +66,10 @@
 
 // watchRequest opens a watch from what the sidecar holds.
 type watchRequest struct {
-	Node    string `json:"node"`
-	Life    uint64 `json:"life"`
-	Charter int64  `json:"charter"`
-	// Whole asks for the whole charter whatever is held.
+	Node          string `json:"node"`
+	Life          uint64 `json:"life"`
+	ConfigVersion int64  `json:"charter"`
+	// Whole asks for the whole configuration whatever is held.
 	Whole    bool     `json:"whole,omitempty"`
 	Epoch    uint64   `json:"epoch"`
 	Number   uint64   `json:"number"`
@@ -77,12 +77,12 @@
 }
 
 type frame struct {
-	Charter   json.RawMessage `json:"charter,omitempty"`
-	Catalogue *catalogueFrame `json:"catalogue,omitempty"`
-	Beat      *beatFrame      `json:"beat,omitempty"`
+	Config   json.RawMessage `json:"charter,omitempty"`
+	Registry *registryFrame  `json:"catalogue,omitempty"`
+	Beat     *beatFrame      `json:"beat,omitempty"`
 }
 
-type catalogueFrame struct {
+type registryFrame struct {
 	Epoch  uint64 `json:"epoch"`
 	Number uint64 `json:"number"`
 	Full   bool   `json:"full,omitempty"`
