Split package watch's server and client and the registry's table by concern

Moves alone: server.go into watches, pushes, leases and writing; client.go into the choice of a member, lease and watch; table.go into leases, instances, counts and numbered changes. The hollow fleet takes the new names.

--- /dev/null
+++ b/internal/mesh/registry/instance.go
@@ -0,0 +1,227 @@
+package registry
+
+import (
+	"slices"
+	"time"
+)
+
+// entry is an upstream as held. It is vouched for until the given time.
+type entry struct {
+	Upstream
+	warmupEnd time.Duration
+	until     time.Duration
+}
+
+// grave remembers a gone instance. A final one is never taken back; one that
+// was only replaced is, should a later beat of it be heard.
+type grave struct {
+	sequence int64
+	final    bool
+	until    time.Duration
+}
+
+// Beat takes an upstream's beat that reached a core member directly. It
+// reports whether the beat was taken; an older or a repeated one is not.
+func (t *Table) Beat(now time.Duration, up Upstream) (taken bool, err error) {
+	if err := up.Check(); err != nil {
+		return false, err
+	}
+	return t.BeatFor(now, up, LeaseTime), nil
+}
+
+// BeatFor is Beat for a beat that another member received, with the time it
+// still counts. A beat that Check refuses is not taken, and one whose time is
+// over replaces no other instance.
+func (t *Table) BeatFor(now time.Duration, up Upstream, lasts time.Duration) (taken bool) {
+	if up.Check() != nil {
+		return false
+	}
+	if e := t.entries[up.Instance]; e != nil && up.State != Gone {
+		if up.Sequence <= e.Sequence {
+			return false
+		}
+		up.Node, up.Inbound = orElse(up.Node, e.Node), orElse(up.Inbound, e.Inbound)
+		up.Zone, up.Region = orElse(up.Zone, e.Zone), orElse(up.Region, e.Region)
+	} else if e := t.entries[t.byAddress[up.Address]]; e != nil && up.Address != "" && up.State != Gone {
+		// A new instance at a known address stands beside the same sidecar. An
+		// instance that was replaced there comes back only if the place is not
+		// vouched for.
+		if _, buried := t.graves[up.Instance]; buried && !e.Stale {
+			return false
+		}
+		up.Node, up.Inbound = orElse(up.Node, e.Node), orElse(up.Inbound, e.Inbound)
+		up.Zone, up.Region = orElse(up.Zone, e.Zone), orElse(up.Region, e.Region)
+	}
+	if lasts <= 0 && up.State != Gone {
+		for _, other := range [...]string{t.byNode[up.Node], t.byAddress[up.Address]} {
+			if other != "" && other != up.Instance {
+				return false
+			}
+		}
+	}
+	up.Stale = false
+	return t.put(now, up, now+min(max(lasts, 0), LeaseTime), true)
+}
+
+// put lists an upstream that is vouched for until the given time, and numbers
+// the change if there is one to see.
+func (t *Table) put(now time.Duration, up Upstream, until time.Duration, direct bool) (taken bool) {
+	if up.State == Gone {
+		g, known := t.graves[up.Instance]
+		if known && g.final {
+			return false
+		}
+		t.bury(now, up.Instance, true)
+		return true
+	}
+	if g, buried := t.graves[up.Instance]; buried && (g.final || up.Sequence <= g.sequence) {
+		return false
+	}
+	held := t.entries[up.Instance]
+	if held == nil && len(t.entries) >= MaxLeases {
+		return false
+	}
+	end := now + seconds(up.WarmupRemaining)
+	if held != nil {
+		if up.Sequence < held.Sequence || (up.Sequence == held.Sequence && up.Node != held.Node && !held.Stale) {
+			if up.Node == held.Node && !direct {
+				t.vouch(held, until)
+			}
+			return false
+		}
+		if up.Sequence == held.Sequence {
+			end = held.warmupEnd
+		}
+	}
+	for _, other := range [...]string{t.byNode[up.Node], t.byAddress[up.Address]} {
+		if other != "" && other != up.Instance {
+			t.bury(now, other, false)
+		}
+	}
+	delete(t.graves, up.Instance)
+	fresh := &entry{Upstream: up, warmupEnd: end, until: until}
+	if held != nil {
+		fresh.until = max(until, held.until)
+		t.unindex(held)
+	}
+	t.entries[up.Instance] = fresh
+	if up.Node != "" {
+		t.byNode[up.Node] = up.Instance
+	}
+	if up.Address != "" {
+		t.byAddress[up.Address] = up.Instance
+	}
+	if held != nil && held.Service != up.Service {
+		t.changed(up.Instance, held.Service)
+	}
+	if held == nil || !alike(&held.Upstream, &up) || moved(now, held.warmupEnd, end) {
+		t.changed(up.Instance, up.Service)
+	}
+	return true
+}
+
+// vouch keeps an entry from going stale, or takes it back from there.
+func (t *Table) vouch(e *entry, until time.Duration) {
+	e.until = max(e.until, until)
+	if e.Stale {
+		e.Stale = false
+		t.changed(e.Instance, e.Service)
+	}
+}
+
+// bury removes an instance and remembers it as gone.
+func (t *Table) bury(now time.Duration, instance string, final bool) {
+	g, known := t.graves[instance]
+	g.final, g.until = g.final || final, now+BuriedTime
+	if e := t.entries[instance]; e != nil {
+		g.sequence = e.Sequence
+		t.remove(e)
+	}
+	if !known && len(t.graves) >= maxBuried {
+		first := ""
+		for id, o := range t.graves {
+			if first == "" || o.until < t.graves[first].until {
+				first = id
+			}
+		}
+		delete(t.graves, first)
+	}
+	t.graves[instance] = g
+}
+
+func (t *Table) remove(e *entry) {
+	t.unindex(e)
+	delete(t.entries, e.Instance)
+	t.changed(e.Instance, e.Service)
+}
+
+func (t *Table) unindex(e *entry) {
+	if t.byNode[e.Node] == e.Instance {
+		delete(t.byNode, e.Node)
+	}
+	if t.byAddress[e.Address] == e.Instance {
+		delete(t.byAddress, e.Address)
+	}
+}
+
+// Upstreams lists all upstreams as of now, in the order of their instances.
+func (t *Table) Upstreams(now time.Duration) []Upstream {
+	ups := make([]Upstream, 0, len(t.entries))
+	for _, e := range t.entries {
+		ups = append(ups, e.at(now))
+	}
+	slices.SortFunc(ups, func(a, b Upstream) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	return ups
+}
+
+// Unleased lists what Roll does not tell: the upstreams that no live lease
+// vouches for, and the instances that are gone for good.
+func (t *Table) Unleased(now time.Duration) []Vouched {
+	var all []Vouched
+	for instance, e := range t.entries {
+		if l := t.leases[e.Node]; l == nil || !l.live || l.Upstream == nil || l.Upstream.Instance != instance {
+			all = append(all, Vouched{e.at(now), max(e.until-now, 0)})
+		}
+	}
+	for instance, g := range t.graves {
+		if g.final {
+			all = append(all, Vouched{Upstream: Upstream{Instance: instance, State: Gone}})
+		}
+	}
+	return all
+}
+
+func (e *entry) at(now time.Duration) Upstream {
+	up := e.Upstream
+	up.WarmupRemaining = remaining(e.warmupEnd, now)
+	return up
+}
+
+// alike says whether two upstreams look the same to others, warm-up aside.
+func alike(a, b *Upstream) bool {
+	x, y := *a, *b
+	x.Sequence, x.WarmupRemaining = y.Sequence, y.WarmupRemaining
+	return x == y
+}
+
+// moved says whether the end of a warm-up moved by more than delays explain.
+func moved(now, before, after time.Duration) bool {
+	before, after = max(before, now), max(after, now)
+	return max(before-after, after-before) > warmupShift
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func remaining(end, now time.Duration) float64 { return max(end-now, 0).Seconds() }
+
+func orElse(s, other string) string {
+	if s != "" {
+		return s
+	}
+	return other
+}
--- /dev/null
+++ b/internal/mesh/registry/lease.go
@@ -0,0 +1,161 @@
+package registry
+
+import (
+	"time"
+
+	"caperarch/internal/mesh/errs"
+)
+
+// lease is a lease as held: live until it lapses or the sidecar leaves, then
+// only its order is remembered.
+type lease struct {
+	Lease
+	warmupEnd time.Duration
+	body      uint64
+	until     time.Duration
+	live      bool
+}
+
+// Renew takes a lease received here from its sidecar. It reports whether more
+// than the time changed, that is, whether other members need to see it now.
+// A lease that is not newer than the one held is passed over.
+func (t *Table) Renew(now time.Duration, l Lease) (changed bool, err error) {
+	if err := l.Check(); err != nil {
+		return false, err
+	}
+	if t.leases[l.Node] == nil && len(t.leases) >= MaxLeases {
+		return false, errs.New(errs.Busy, "this member holds %d leases and takes no new node", MaxLeases)
+	}
+	return t.take(now, l, LeaseTime), nil
+}
+
+// Merge takes leases that other members hold, each with its remaining time
+// there. It gives the nodes whose lease was newer than the one held here.
+// Leases that Check refuses, or for which there is no room, are passed over.
+func (t *Table) Merge(now time.Duration, leases []Remote) (newer []string) {
+	for _, r := range leases {
+		if r.Lease.Check() != nil || (t.leases[r.Lease.Node] == nil && len(t.leases) >= MaxLeases) {
+			continue
+		}
+		if !t.isNewer(r.Lease) {
+			continue
+		}
+		t.take(now, r.Lease, min(max(r.Remaining, 0), LeaseTime))
+		newer = append(newer, r.Lease.Node)
+	}
+	return newer
+}
+
+// Extend takes renewals of leases that another member holds. It gives the
+// nodes that were newer than held here, and those whose lease must be sent
+// whole, since what is held here is older than what was renewed.
+func (t *Table) Extend(now time.Duration, renewals []Renewal) (newer, unknown []string) {
+	for _, r := range renewals {
+		held := t.leases[r.Node]
+		switch {
+		case held == nil || held.Life < r.Life || (held.Life == r.Life && held.Sequence < r.Body):
+			unknown = append(unknown, r.Node)
+		case held.Life == r.Life && held.Sequence < r.Sequence && !held.Left:
+			l := held.Lease
+			l.Sequence = r.Sequence
+			if l.Upstream != nil {
+				up := *l.Upstream
+				up.WarmupRemaining = remaining(held.warmupEnd, now)
+				l.Upstream = &up
+			}
+			t.take(now, l, min(max(r.Remaining, 0), LeaseTime))
+			newer = append(newer, r.Node)
+		}
+	}
+	return newer, unknown
+}
+
+func (t *Table) isNewer(l Lease) bool {
+	held := t.leases[l.Node]
+	if held == nil || l.Life != held.Life {
+		return held == nil || l.Life > held.Life
+	}
+	return l.Sequence > held.Sequence && !held.Left
+}
+
+func (t *Table) take(now time.Duration, l Lease, lasts time.Duration) (changed bool) {
+	if !t.isNewer(l) {
+		return false
+	}
+	held := t.leases[l.Node]
+	if held == nil {
+		held = &lease{}
+		t.leases[l.Node] = held
+		changed = true
+	} else {
+		changed = !held.live || held.Life != l.Life || held.Zone != l.Zone || held.Applied != l.Applied ||
+			held.Leaving != l.Leaving || held.Left != l.Left
+		t.count(now, held, false)
+	}
+	end := time.Duration(0)
+	if l.Upstream != nil {
+		up := *l.Upstream
+		up.Node = l.Node
+		up.Stale = false
+		l.Upstream = &up
+		end = now + seconds(up.WarmupRemaining)
+		if held.Upstream != nil && held.Upstream.Instance == up.Instance && held.Upstream.Sequence == up.Sequence {
+			end = held.warmupEnd
+		}
+		changed = changed || held.Upstream == nil || !alike(held.Upstream, &up) || moved(now, held.warmupEnd, end)
+	} else {
+		changed = changed || held.Upstream != nil
+	}
+	if changed {
+		held.body = l.Sequence
+	}
+	held.Lease, held.warmupEnd, held.until = l, end, now+lasts
+	if l.Left {
+		held.until = now + BuriedTime
+		if inst, ok := t.byNode[l.Node]; ok {
+			t.bury(now, inst, false)
+		}
+		return changed
+	}
+	t.count(now, held, true)
+	if l.Upstream != nil {
+		t.put(now, *l.Upstream, held.until, false)
+	}
+	return changed
+}
+
+// Remote gives a node's lease for another member, or false if none is held.
+// A sidecar that left is among them, so that others hear of it.
+func (t *Table) Remote(now time.Duration, node string) (Remote, bool) {
+	l := t.leases[node]
+	if l == nil || (!l.live && !l.Left) {
+		return Remote{}, false
+	}
+	r := Remote{Lease: l.Lease, Remaining: max(l.until-now, 0)}
+	if l.Upstream != nil {
+		up := *l.Upstream
+		up.WarmupRemaining = remaining(l.warmupEnd, now)
+		r.Lease.Upstream = &up
+	}
+	return r, true
+}
+
+// Renewal gives a node's lease as a renewal, or false if none is live.
+func (t *Table) Renewal(now time.Duration, node string) (Renewal, bool) {
+	l := t.leases[node]
+	if l == nil || !l.live {
+		return Renewal{}, false
+	}
+	return Renewal{Node: node, Life: l.Life, Sequence: l.Sequence, Body: l.body, Remaining: max(l.until-now, 0)}, true
+}
+
+// Roll lists all leases for a member that starts.
+func (t *Table) Roll(now time.Duration) []Remote {
+	all := make([]Remote, 0, len(t.leases))
+	for node := range t.leases {
+		if r, ok := t.Remote(now, node); ok {
+			all = append(all, r)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/mesh/watch/client_lease.go
@@ -0,0 +1,114 @@
+package watch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
+)
+
+// Leave says that this sidecar has left, so that its upstream is gone from the
+// table, and renews no more. It asks each member known until one answers.
+func (c *Client) Leave(ctx context.Context) error {
+	l := c.lease(true)
+	err := errs.New(errs.Unreachable, "no core member is known")
+	for _, address := range c.Peers() {
+		if _, err = c.renew(ctx, address, l); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// keepLease renews until ctx ends, and ends it when the member fails, when a
+// member of the own zone shows up, or when the watch is to be opened anew.
+func (c *Client) keepLease(ctx context.Context, cancel context.CancelCauseFunc, address string) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.again:
+			cancel(errAgain)
+			return
+		case <-c.poke:
+		case <-timer.C:
+		}
+		l := c.lease(false)
+		if l == nil {
+			timer.Reset(renewEvery)
+			continue
+		}
+		a, err := c.renew(ctx, address, l)
+		if err != nil {
+			cancel(err)
+			return
+		}
+		if c.learn(a) {
+			cancel(errNearer)
+			return
+		}
+		timer.Reset(renewEvery)
+	}
+}
+
+// lease makes the next lease to send. It is nil once the sidecar has left.
+func (c *Client) lease(leave bool) *registry.Lease {
+	l := c.cfg.State()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left && !leave {
+		return nil
+	}
+	c.left = leave
+	c.sequence++
+	l.Node, l.Life, l.Zone, l.Sequence, l.Left = c.cfg.Node, c.cfg.Life, c.cfg.Zone, c.sequence, leave
+	return &l
+}
+
+func (c *Client) renew(ctx context.Context, address string, l *registry.Lease) (*LeaseAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return rpc.Call[registry.Lease, LeaseAnswer](ctx, c.cfg.HTTP, "http://"+address+leasePath, l)
+}
+
+// learn takes what an answer says of the members. It reports whether a member
+// of the own zone should be gone to: the answer is from another zone, and the
+// own zone's member was not known as such before.
+func (c *Client) learn(a *LeaseAnswer) (nearer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(a.Members, a.Largest, a.Young)
+	if len(a.Peers) == 0 {
+		return false
+	}
+	near := func(p Peer) bool { return p.Zone != "" && p.Zone == c.cfg.Zone }
+	knew := slices.ContainsFunc(c.learned, near)
+	zones := map[string]string{}
+	for _, p := range c.learned {
+		zones[p.Address] = p.Zone
+	}
+	peers := slices.Clone(a.Peers[:min(len(a.Peers), maxKnown)])
+	for i, p := range peers {
+		if p.Zone == "" {
+			peers[i].Zone = zones[p.Address]
+		}
+	}
+	if c.cfg.Of != nil {
+		peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !c.cfg.Of(p.Address) })
+	}
+	c.learned = peers
+	return !knew && a.Zone != c.cfg.Zone && slices.ContainsFunc(peers, near)
+}
+
+// count takes a count of the sidecars. The lock is held.
+func (c *Client) count(members, largest int, young bool) {
+	if young {
+		members, largest = max(members, c.members), max(largest, c.largest)
+	}
+	c.members, c.largest = members, largest
+}
--- /dev/null
+++ b/internal/mesh/watch/client_watch.go
@@ -0,0 +1,136 @@
+package watch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+)
+
+// follow opens a watch and takes its frames until it fails.
+func (c *Client) follow(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
+	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	q := watchRequest{
+		Node: c.cfg.Node, Life: c.cfg.Life, ConfigVersion: c.cfg.ConfigVersion(), Whole: c.whole, Epoch: c.epoch, Number: c.number,
+	}
+	if c.cfg.Services != nil {
+		q.Services = c.cfg.Services()
+	}
+	if !slices.Equal(q.Services, c.services) {
+		c.services, c.epoch, q.Epoch = slices.Clone(q.Services), 0, 0
+	}
+	body, err := json.Marshal(&q)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "encode the watch request")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+watchPath, bytes.NewReader(body))
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "watch request to %s", address)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := c.cfg.HTTP.Do(r)
+	if err != nil {
+		return errs.Wrap(err, errs.Unreachable, "no watch at %s", address)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		said, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusal))
+		return errs.New(errs.Unreachable, "%s refuses the watch: %s %s", address, answer.Status, said)
+	}
+	in := &guarded{r: answer.Body, watchdog: watchdog, left: maxFrame}
+	frames := json.NewDecoder(in)
+	for {
+		var f frame
+		if err := frames.Decode(&f); err != nil {
+			return errs.Wrap(err, errs.Unreachable, "the watch at %s broke off", address)
+		}
+		watchdog.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := c.take(&f, address, q.Whole); err != nil {
+			return err
+		}
+		if len(f.Config) > 0 {
+			q.Whole = false
+		}
+		if len(f.Config) > largeFrame {
+			frames = json.NewDecoder(io.MultiReader(frames.Buffered(), in))
+		}
+		in.left = maxFrame
+		watchdog.Reset(silence)
+	}
+}
+
+// take hands a frame on. A frame that was asked for whole and is refused still
+// counts as the member's failure.
+func (c *Client) take(f *frame, address string, whole bool) error {
+	if len(f.Config) > 0 {
+		c.whole = !c.cfg.OnConfig(f.Config)
+		if c.whole && whole {
+			return errs.New(errs.Internal, "the whole configuration of %s does not fit", address)
+		}
+		if c.whole {
+			return errAgain
+		}
+	}
+	if news := f.Registry; news != nil {
+		if err := c.takeRegistry(news, address); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b := f.Beat; b != nil {
+		c.count(b.Members, b.Largest, b.Young)
+	}
+	c.current, c.connected = address, true
+	return nil
+}
+
+// takeRegistry replaces what is held by a full frame, and amends it by a
+// change. A full frame of a young member only amends: what it does not list may
+// well be there. It will send another, so what it sent is not held as all.
+func (c *Client) takeRegistry(news *registryFrame, address string) error {
+	switch {
+	case news.Full && news.Young:
+		c.epoch = 0
+	case news.Full:
+		c.epoch, c.number = news.Epoch, news.Number
+	case c.epoch != 0 && news.Epoch != c.epoch:
+		c.epoch = 0
+		return errs.New(errs.Internal, "%s amends a registry that is not held", address)
+	case c.epoch != 0 && news.Number <= c.number:
+		return nil
+	case c.epoch != 0:
+		c.number = news.Number
+	}
+	c.cfg.OnRegistry(news.Full && !news.Young, news.Upserts, news.Removals)
+	return nil
+}
+
+// guarded reads a watch: every byte keeps the watchdog quiet, and no frame
+// takes more memory than allowed.
+type guarded struct {
+	r        io.Reader
+	watchdog *time.Timer
+	left     int
+}
+
+func (g *guarded) Read(p []byte) (int, error) {
+	if g.left <= 0 {
+		return 0, errs.New(errs.TooLarge, "a frame is larger than %d bytes", maxFrame)
+	}
+	n, err := g.r.Read(p[:min(len(p), g.left)])
+	g.left -= n
+	if n > 0 {
+		g.watchdog.Reset(silence)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/mesh/watch/server_lease.go
@@ -0,0 +1,74 @@
+package watch
+
+import (
+	"net/http"
+
+	"caperarch/internal/mesh/registry"
+)
+
+// Young says whether this member may not have heard from everybody yet.
+func (s *Server) Young() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() < s.youngUntil
+}
+
+// Upstreams lists all upstreams known here.
+func (s *Server) Upstreams() []registry.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Upstreams(s.now())
+}
+
+// Members counts the live leases, and gives the largest count lately.
+func (s *Server) Members() (live, largest int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Members(), s.table.Largest(s.now())
+}
+
+// Beat takes a beat of an upstream that reached this member directly, and
+// tells the other members. A State of Gone is a deregistration.
+func (s *Server) Beat(up registry.Upstream) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	taken, err := s.table.Beat(now, up)
+	if err != nil || !taken {
+		return err
+	}
+	for _, n := range s.neighbours {
+		n.tell(up, now)
+	}
+	s.spread()
+	return nil
+}
+
+func (s *Server) lease(_ *http.Request, l *registry.Lease) (*LeaseAnswer, error) {
+	inContact, version := s.cfg.InContact(), s.cfg.ConfigSource.Current()
+	a := &LeaseAnswer{
+		TTL:    registry.LeaseTime.Seconds(),
+		Zone:   s.cfg.Zone,
+		Caught: inContact && l.Applied >= version,
+	}
+	if s.cfg.Leader != nil {
+		a.Leader = s.cfg.Leader()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	changed, err := s.table.Renew(now, *l)
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range s.neighbours {
+		n.mark(l.Node, changed)
+	}
+	s.spread()
+	a.Members, a.Largest, a.Young = s.table.Members(), s.table.Largest(now), now < s.youngUntil
+	a.Peers = append(a.Peers, Peer{s.cfg.Self, s.cfg.Zone})
+	for _, n := range s.neighbours {
+		a.Peers = append(a.Peers, Peer{n.address, n.zone})
+	}
+	return a, nil
+}
--- a/internal/rig/hollow/hollow.go
+++ b/internal/rig/hollow/hollow.go
@@ -90,7 +90,7 @@
 	zone     string
 	upstream registry.Upstream
 	client   *http.Client
-	news     *watch.Subscriber
+	news     *watch.Client
 	charter  atomic.Pointer[config.Snapshot]
 
 	mu  sync.Mutex
@@ -118,9 +118,9 @@
 			}
 			called = func() []string { return names }
 		}
-		s.news = watch.NewSubscriber(watch.SubscriberConfig{
-			Node: s.node, Life: life, Zone: zone, Seeds: cfg.Seeds, Client: s.client, State: s.state, Charter: func() int64 { return s.charter.Load().Version() },
-			OnCharter: s.take, OnCatalogue: s.catalogue, Services: called, Log: zap.NewNop(),
+		s.news = watch.NewClient(watch.ClientConfig{
+			Node: s.node, Life: life, Zone: zone, Seeds: cfg.Seeds, HTTP: s.client, State: s.state, ConfigVersion: func() int64 { return s.charter.Load().Version() },
+			OnConfig: s.take, OnRegistry: s.catalogue, Services: called, Log: zap.NewNop(),
 		})
 		f.all = append(f.all, s)
 	}
