Registry: an old member's word brings back nothing that is gone

A core member that was frozen or cut off told leases that had lapsed as if they were live, stale upstreams anew for another 20 s at each member, and a heartbeat that came late could bring back, as ready, an instance that had drained and was forgotten. What has lapsed is looked at when it is told and when it is taken; a stale upstream is told with the time since nobody vouches for it; the order of a lapsed instance is remembered as long as that of a gone one.

--- a/internal/mesh/registry/instance.go
+++ b/internal/mesh/registry/instance.go
@@ -17,9 +17,20 @@
 type grave struct {
 	sequence int64
 	final    bool
+	lapsed   bool // nobody vouched for it any longer
 	until    time.Duration
 }
 
+// refuses says whether a word of the instance is too old to bring it back. A
+// sidecar's lease may repeat the last one of an instance that only lapsed; a
+// heartbeat that comes twice may not.
+func (g grave) refuses(sequence int64, heartbeat bool) bool {
+	if g.final || sequence < g.sequence {
+		return true
+	}
+	return sequence == g.sequence && (heartbeat || !g.lapsed)
+}
+
 // Beat takes an upstream's beat that reached a core member directly. It
 // reports whether the beat was taken; an older or a repeated one is not.
 func (t *Table) Beat(now time.Duration, up Upstream) (taken bool, err error) {
@@ -30,8 +41,10 @@
 }
 
 // BeatFor is Beat for a beat that another member received, with the time it
-// still counts. A beat that Check refuses is not taken, and one whose time is
-// over replaces no other instance.
+// still counts; below zero it says for how long nobody has vouched for the
+// upstream. A beat that Check refuses is not taken, nor one whose upstream would
+// have been dropped by now, and one whose time is over replaces no other
+// instance.
 func (t *Table) BeatFor(now time.Duration, up Upstream, lasts time.Duration) (taken bool) {
 	if up.Check() != nil {
 		return false
@@ -59,8 +72,10 @@
 			}
 		}
 	}
-	up.Stale = false
-	return t.put(now, up, now+min(max(lasts, 0), LeaseTime), true)
+	if lasts <= -StaleTime && up.State != Gone {
+		return false
+	}
+	return t.put(now, up, now+min(lasts, LeaseTime), true)
 }
 
 // put lists an upstream that is vouched for until the given time, and numbers
@@ -74,7 +89,7 @@
 		t.bury(now, up.Instance, true)
 		return true
 	}
-	if g, buried := t.graves[up.Instance]; buried && (g.final || up.Sequence <= g.sequence) {
+	if g, buried := t.graves[up.Instance]; buried && g.refuses(up.Sequence, direct) {
 		return false
 	}
 	held := t.entries[up.Instance]
@@ -99,11 +114,12 @@
 		}
 	}
 	delete(t.graves, up.Instance)
-	fresh := &entry{Upstream: up, warmupEnd: end, until: until}
 	if held != nil {
-		fresh.until = max(until, held.until)
+		until = max(until, held.until)
 		t.unindex(held)
 	}
+	up.Stale = until <= now
+	fresh := &entry{Upstream: up, warmupEnd: end, until: until}
 	t.entries[up.Instance] = fresh
 	if up.Node != "" {
 		t.byNode[up.Node] = up.Instance
@@ -132,7 +148,7 @@
 // bury removes an instance and remembers it as gone.
 func (t *Table) bury(now time.Duration, instance string, final bool) {
 	g, known := t.graves[instance]
-	g.final, g.until = g.final || final, now+BuriedTime
+	g.final, g.lapsed, g.until = g.final || final, false, now+BuriedTime
 	if e := t.entries[instance]; e != nil {
 		g.sequence = e.Sequence
 		t.remove(e)
@@ -149,6 +165,14 @@
 	t.graves[instance] = g
 }
 
+// lapse removes an instance that nobody vouches for, and remembers its order.
+func (t *Table) lapse(now time.Duration, instance string) {
+	t.bury(now, instance, false)
+	g := t.graves[instance]
+	g.lapsed = true
+	t.graves[instance] = g
+}
+
 func (t *Table) remove(e *entry) {
 	t.unindex(e)
 	delete(t.entries, e.Instance)
@@ -184,8 +208,11 @@
 func (t *Table) Unleased(now time.Duration) []Vouched {
 	var all []Vouched
 	for instance, e := range t.entries {
-		if l := t.leases[e.Node]; l == nil || !l.live || l.Upstream == nil || l.Upstream.Instance != instance {
-			all = append(all, Vouched{e.at(now), max(e.until-now, 0)})
+		if e.until+StaleTime <= now {
+			continue
+		}
+		if l := t.leases[e.Node]; l == nil || !l.lives(now) || l.Upstream == nil || l.Upstream.Instance != instance {
+			all = append(all, Vouched{e.at(now), e.until - now})
 		}
 	}
 	for instance, g := range t.graves {
--- a/internal/mesh/registry/lease.go
+++ b/internal/mesh/registry/lease.go
@@ -16,6 +16,10 @@
 	live      bool
 }
 
+// lives says whether the lease is live at this moment, whenever Expire was
+// called last.
+func (l *lease) lives(now time.Duration) bool { return l.live && now < l.until }
+
 // Renew takes a lease received here from its sidecar. It reports whether more
 // than the time changed, that is, whether other members need to see it now.
 // A lease that is not newer than the one held is passed over.
@@ -31,13 +35,14 @@
 
 // Merge takes leases that other members hold, each with its remaining time
 // there. It gives the nodes whose lease was newer than the one held here.
-// Leases that Check refuses, or for which there is no room, are passed over.
+// Leases that Check refuses, that have lapsed on their way, or for which there
+// is no room are passed over.
 func (t *Table) Merge(now time.Duration, leases []Remote) (newer []string) {
 	for _, r := range leases {
 		if r.Lease.Check() != nil || (t.leases[r.Lease.Node] == nil && len(t.leases) >= MaxLeases) {
 			continue
 		}
-		if !t.isNewer(r.Lease) {
+		if !t.isNewer(r.Lease) || r.Remaining <= 0 && !r.Lease.Left {
 			continue
 		}
 		t.take(now, r.Lease, min(max(r.Remaining, 0), LeaseTime))
@@ -53,6 +58,7 @@
 	for _, r := range renewals {
 		held := t.leases[r.Node]
 		switch {
+		case r.Remaining <= 0: // it has lapsed on its way
 		case held == nil || held.Life < r.Life || (held.Life == r.Life && held.Sequence < r.Body):
 			unknown = append(unknown, r.Node)
 		case held.Life == r.Life && held.Sequence < r.Sequence && !held.Left:
@@ -128,7 +134,7 @@
 // A sidecar that left is among them, so that others hear of it.
 func (t *Table) Remote(now time.Duration, node string) (Remote, bool) {
 	l := t.leases[node]
-	if l == nil || (!l.live && !l.Left) {
+	if l == nil || !l.Left && !l.lives(now) {
 		return Remote{}, false
 	}
 	r := Remote{Lease: l.Lease, Remaining: max(l.until-now, 0)}
@@ -143,7 +149,7 @@
 // Renewal gives a node's lease as a renewal, or false if none is live.
 func (t *Table) Renewal(now time.Duration, node string) (Renewal, bool) {
 	l := t.leases[node]
-	if l == nil || !l.live {
+	if l == nil || !l.lives(now) {
 		return Renewal{}, false
 	}
 	return Renewal{Node: node, Life: l.Life, Sequence: l.Sequence, Body: l.body, Remaining: max(l.until-now, 0)}, true
--- a/internal/mesh/registry/table.go
+++ b/internal/mesh/registry/table.go
@@ -70,7 +70,7 @@
 	}
 	for _, e := range t.entries {
 		if e.until+StaleTime <= now {
-			t.remove(e)
+			t.lapse(now, e.Instance)
 		} else if !e.Stale && e.until <= now {
 			e.Stale = true
 			t.changed(e.Instance, e.Service)
--- a/internal/mesh/registry/upstream.go
+++ b/internal/mesh/registry/upstream.go
@@ -110,7 +110,7 @@
 }
 
 // Vouched is an upstream that no lease tells of, with the time for which it is
-// vouched for.
+// still vouched for; below zero it is the time since nobody does.
 type Vouched struct {
 	Upstream  Upstream      `json:"upstream"`
 	Remaining time.Duration `json:"remaining"`
