Watch: contact with a majority is an age, looked at where it is acted on

A member told configuration as long as it heard a leader, and one without contact fell silent, so its sidecars stayed for 1.1 s more. Contact is now how long ago a majority confirmed the leader; ages add up from member to sidecar and are counted from the question. Without one under 1.2 s a member hands out nothing, also in the middle of a frame, and says so; its sidecars ask all others at once and go to one whose contact is fresh, or stay. After a return or a freeze the registry waits for the other members' answers, and a message between members vouches for as long as it can be shown to be young. Quotas are dealt by a leader whose contact is under 0.4 s, in its term.

--- a/internal/mesh/controlplane/controlplane.go
+++ b/internal/mesh/controlplane/controlplane.go
@@ -35,8 +35,6 @@
 	appliedTime = 350 * time.Millisecond
 	// openPause is between tries to open a disk that refuses.
 	openPause = 300 * time.Millisecond
-	// dealLimit bounds an ask for tokens.
-	dealLimit = 256 << 10
 	// proposePath is where the sequencer takes changes that reached another member, and readPath where it confirms that what is known is the newest.
 	proposePath = "/mesh/propose"
 	describe    = "/mesh/describe"
@@ -106,7 +104,7 @@
 	self := s.set.Internal()
 	s.hub = watch.NewServer(watch.ServerConfig{
 		Self: self, Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()), Peers: s.roster.all,
-		InContact: s.inContact, Leader: func() string { id, _ := s.sequencer(); return id }, ConfigSource: s.machine, HTTP: s.client, Log: s.log,
+		Contact: s.contact, Leader: func() string { id, _ := s.sequencer(); return id }, ConfigSource: s.machine, HTTP: s.client, Log: s.log,
 	})
 	inside, outside := http.NewServeMux(), http.NewServeMux()
 	s.serveFounding(inside)
@@ -191,7 +189,7 @@
 			defer func() { s.news.Load().Poke() }()
 			return s.machine.follow(frame)
 		}, OnRegistry: func(bool, []registry.Upstream, []string) {},
-		Of: func(address string) bool { return slices.Contains(s.roster.known().Members, address) }, Log: s.log,
+		Of: func(address string) bool { return slices.Contains(s.roster.known().Members, address) }, RenewEvery: readerRenewEvery, Log: s.log,
 	})
 	s.news.Store(news)
 	go news.Run(ctx)
@@ -218,33 +216,6 @@
 
 func (s *Server) now() time.Duration { return time.Since(s.start) }
 
-// deal deals tokens where this member is the sequencer, whose duty that is; the epoch is its view. Else the ask goes on to it.
-func (s *Server) deal(r *http.Request, q *sidecar.DealAsk) (*sidecar.Dealt, error) {
-	sequencer, view := s.sequencer()
-	if sequencer != s.set.Internal() {
-		if sequencer == "" || q.Passed {
-			return nil, errs.New(errs.NotSequencer, "nobody deals here")
-		}
-		q.Passed = true
-		return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+sequencer+sidecar.DealPath, q)
-	}
-	if !s.inContact() {
-		return nil, errs.New(errs.NoQuorum, "this view may be over")
-	}
-	live, largest := s.hub.Members()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if err := s.dealer.Configure(now, sidecar.Limits(s.machine.current()), max(1, live, largest)); err != nil {
-		return nil, err
-	}
-	grants, closed, err := s.dealer.Deal(now, view, q.Node, q.Asks)
-	if err != nil {
-		return nil, err
-	}
-	return &sidecar.Dealt{Epoch: view, Grants: grants, Closed: closed}, nil
-}
-
 // Change takes an operator's change. What can be seen to be wrong by itself is refused here; all else is settled in the log's order.
 func (s *Server) Change(r *http.Request, whole bool, body []byte) (*api.Taken, error) {
 	change, err := read(whole, body)
--- /dev/null
+++ b/internal/mesh/controlplane/deal.go
@@ -0,0 +1,72 @@
+package controlplane
+
+import (
+	"net/http"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/rpc"
+	"caperarch/internal/mesh/sidecar"
+)
+
+const (
+	// dealLimit bounds the body of a request for tokens.
+	dealLimit = 256 << 10
+	// maxDealContactAge is how old the leader's contact with a majority may be for it to deal tokens. It guards
+	// against two dealers at once: it is shorter than the least election time-out (0.5 s), and nobody who confirmed
+	// the leader votes for another one within that time, so no other leader exists while this one still deals.
+	maxDealContactAge = 400 * time.Millisecond
+)
+
+// deal answers a sidecar's request for tokens. Only the leader deals; any other member passes the request on to the
+// leader that it knows.
+func (s *Server) deal(r *http.Request, request *sidecar.DealAsk) (*sidecar.Dealt, error) {
+	leader, term := s.sequencer()
+	if leader != s.set.Internal() {
+		return s.passToDealer(r, leader, request)
+	}
+	live, largest := s.hub.Members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if err := s.dealer.Configure(now, sidecar.Limits(s.machine.current()), max(1, live, largest)); err != nil {
+		return nil, err
+	}
+	if err := s.mayDeal(term); err != nil {
+		return nil, err
+	}
+	grants, closed, err := s.dealer.Deal(now, term, request.Node, request.Asks)
+	if err != nil {
+		return nil, err
+	}
+	return &sidecar.Dealt{Epoch: term, Grants: grants, Closed: closed}, nil
+}
+
+// passToDealer passes a request on to the leader, once: a member that is no leader refuses one that was passed.
+func (s *Server) passToDealer(r *http.Request, leader string, request *sidecar.DealAsk) (*sidecar.Dealt, error) {
+	if leader == "" || request.Passed {
+		return nil, errs.New(errs.NotSequencer, "nobody deals here")
+	}
+	request.Passed = true
+	url := "http://" + leader + sidecar.DealPath
+	return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, url, request)
+}
+
+// mayDeal says whether this member may deal in the term, at this moment. The contact is asked for first and the term
+// after it, so that a contact of a later term vouches for no earlier one.
+func (s *Server) mayDeal(term uint64) error {
+	age, ok := s.contact()
+	leader, now := s.sequencer()
+	return checkDealer(age, ok, leader == s.set.Internal() && now == term)
+}
+
+// checkDealer refuses to deal without a contact young enough, or when the term is over.
+func checkDealer(age time.Duration, contact, leads bool) error {
+	if !leads {
+		return errs.New(errs.NotSequencer, "the term is over")
+	}
+	if !contact || age > maxDealContactAge {
+		return errs.New(errs.NoQuorum, "the term may be over: the contact with a majority is %v old", age)
+	}
+	return nil
+}
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -55,7 +55,11 @@
 	OnRegistry func(full bool, upserts []registry.Upstream, removals []string)
 	// Services names the services this sidecar calls; nil or none means all.
 	Services func() []string
-	// Of says of an address whether it may be kept to; nil: every core machine's may. One that follows others itself must not go round in a circle.
+	// RenewEvery is the time between renewals, if not renewEvery. Who hands on
+	// what it hears renews more often, as its ContactAge grows in between.
+	RenewEvery time.Duration
+	// Of says of an address whether it may be kept to; nil: every core machine's
+	// may. One that follows others itself must not go round in a circle.
 	Of  func(address string) bool
 	Log *zap.Logger
 }
@@ -66,6 +70,7 @@
 	cfg   ClientConfig
 	poke  chan struct{}
 	again chan struct{}
+	lost  chan struct{} // the member kept to says that it has no contact
 
 	mu        sync.Mutex
 	sequence  uint64
@@ -76,6 +81,10 @@
 	seeds     []string
 	learned   []Peer
 	current   string
+	chosen    string // the member found to go to, in place of one without contact
+	// confirmedAt is the latest time at which what is applied is known to have
+	// been the newest.
+	confirmedAt time.Time
 
 	// The rest belongs to Run.
 	tried    map[string]bool
@@ -95,7 +104,7 @@
 // NewClient makes a Client; Run sets it going.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, poke: make(chan struct{}, 1), again: make(chan struct{}, 1),
+		cfg: cfg, poke: make(chan struct{}, 1), again: make(chan struct{}, 1), lost: make(chan struct{}, 1),
 		seeds: slices.Clone(cfg.Seeds), tried: map[string]bool{},
 	}
 }
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -28,7 +28,12 @@
 func (c *Client) keepLease(ctx context.Context, cancel context.CancelCauseFunc, address string) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	every := renewEvery
+	if c.cfg.RenewEvery > 0 {
+		every = c.cfg.RenewEvery
+	}
 	for {
+		lost := false
 		select {
 		case <-ctx.Done():
 			return
@@ -36,13 +41,19 @@
 			cancel(errAgain)
 			return
 		case <-c.poke:
+		case <-c.lost:
+			lost = true
 		case <-timer.C:
 		}
 		l := c.lease(false)
 		if l == nil {
-			timer.Reset(renewEvery)
+			timer.Reset(every)
 			continue
 		}
+		if lost && c.seek(ctx, address, l) {
+			cancel(errMoved)
+			return
+		}
 		a, err := c.renew(ctx, address, l)
 		if err != nil {
 			cancel(err)
@@ -52,7 +63,15 @@
 			cancel(errNearer)
 			return
 		}
-		timer.Reset(renewEvery)
+		if a.Contact.OK {
+			timer.Reset(every)
+			continue
+		}
+		if !lost && c.seek(ctx, address, l) {
+			cancel(errMoved)
+			return
+		}
+		timer.Reset(lostPause())
 	}
 }
 
@@ -70,10 +89,19 @@
 	return &l
 }
 
+// renew sends a lease to a member, and takes what its answer proves.
 func (c *Client) renew(ctx context.Context, address string, l *registry.Lease) (*LeaseAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return rpc.Call[registry.Lease, LeaseAnswer](ctx, c.cfg.HTTP, "http://"+address+leasePath, l)
+	asked := time.Now()
+	answer, err := rpc.Call[registry.Lease, LeaseAnswer](ctx, c.cfg.HTTP, "http://"+address+leasePath, l)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirm(asked, answer)
+	return answer, nil
 }
 
 // learn takes what an answer says of the members. It reports whether a member
@@ -82,7 +110,11 @@
 func (c *Client) learn(a *LeaseAnswer) (nearer bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.count(a.Members, a.Largest, a.Young)
+	c.count(a.Members, a.Largest, a.Young || !a.Contact.OK)
+	if !a.Contact.OK {
+		c.learnMore(a.Peers)
+		return false
+	}
 	if len(a.Peers) == 0 {
 		return false
 	}
@@ -105,6 +137,17 @@
 	return !knew && a.Zone != c.cfg.Zone && slices.ContainsFunc(peers, near)
 }
 
+// learnMore adds the members that one without contact knows of: its list may be
+// old, so it takes nobody away. The lock is held.
+func (c *Client) learnMore(peers []Peer) {
+	for _, p := range peers {
+		known := slices.ContainsFunc(c.learned, func(l Peer) bool { return l.Address == p.Address })
+		if !known && len(c.learned) < maxKnown && (c.cfg.Of == nil || c.cfg.Of(p.Address)) {
+			c.learned = append(c.learned, p)
+		}
+	}
+}
+
 // count takes a count of the sidecars. The lock is held.
 func (c *Client) count(members, largest int, young bool) {
 	if young {
--- a/internal/mesh/watch/client_select.go
+++ b/internal/mesh/watch/client_select.go
@@ -24,7 +24,7 @@
 		if address != "" {
 			err = c.attend(ctx, address)
 		}
-		if errors.Is(err, errAgain) || errors.Is(err, errNearer) {
+		if errors.Is(err, errAgain) || errors.Is(err, errNearer) || errors.Is(err, errMoved) {
 			c.keep(address, errors.Is(err, errAgain))
 			continue
 		}
@@ -36,6 +36,7 @@
 		failures++
 		c.cfg.Log.Debug("A core member is left.", zap.String("member", address), zap.Error(err))
 		sleep(ctx, c.backOff(failures))
+		c.seekAfter(ctx, address)
 	}
 	c.leave()
 }
@@ -71,17 +72,18 @@
 func (c *Client) keep(address string, same bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current = ""
+	c.current = c.chosen
 	if same {
 		c.current = address
 	}
+	c.chosen = ""
 }
 
 // leave notes that the member failed.
 func (c *Client) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current, c.connected = "", false
+	c.current, c.chosen, c.connected = "", "", false
 }
 
 // next is the member to try: the one kept to, or else the first in order that
--- a/internal/mesh/watch/client_watch.go
+++ b/internal/mesh/watch/client_watch.go
@@ -34,6 +34,7 @@
 		return errs.Wrap(err, errs.Internal, "watch request to %s", address)
 	}
 	r.Header.Set("Content-Type", "application/json")
+	asked := time.Now()
 	answer, err := c.cfg.HTTP.Do(r)
 	if err != nil {
 		return errs.Wrap(err, errs.Unreachable, "no watch at %s", address)
@@ -54,6 +55,11 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if len(f.Config) > 0 {
+			if err := c.confirmFirst(ctx, address, asked); err != nil {
+				return err
+			}
+		}
 		if err := c.take(&f, address, q.Whole); err != nil {
 			return err
 		}
@@ -87,7 +93,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if b := f.Beat; b != nil {
+	if b := f.Beat; b != nil && !b.Contact.OK {
+		signal(c.lost)
+	} else if b != nil {
 		c.count(b.Members, b.Largest, b.Young)
 	}
 	c.current, c.connected = address, true
--- /dev/null
+++ b/internal/mesh/watch/contact_test.go
@@ -0,0 +1,469 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/rpc"
+)
+
+// majority plays the log beside the members of a mesh: a leader that asks all for their confirmation, states how old it
+// is with each heartbeat, and commits versions. Its links are cut one way each.
+type majority struct {
+	mu        sync.Mutex
+	members   []*member
+	leader    int
+	committed int64
+	confirmed []time.Time // of a leader, by member
+	known     []time.Time // what each member knows to have been confirmed
+	deaf      map[[2]int]bool
+	behind    map[int]bool // it has heard, and not applied
+	done      chan struct{}
+}
+
+const heartbeatEvery = 120 * ms
+
+func newMajority(m []*member) *majority {
+	q := &majority{
+		members: m, committed: 1, confirmed: make([]time.Time, len(m)), known: make([]time.Time, len(m)),
+		deaf: map[[2]int]bool{}, behind: map[int]bool{}, done: make(chan struct{}),
+	}
+	q.round()
+	for i, one := range m {
+		one.mu.Lock()
+		one.contactOf = func() (time.Duration, bool) { return q.contact(i) }
+		one.mu.Unlock()
+	}
+	go func() {
+		tick := time.NewTicker(heartbeatEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				q.round()
+			case <-q.done:
+				return
+			}
+		}
+	}()
+	return q
+}
+
+func (q *majority) contact(i int) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return time.Since(q.known[i]), !q.known[i].IsZero() && !q.behind[i]
+}
+
+// round is a leader's heartbeat to all and their answers.
+func (q *majority) round() {
+	q.mu.Lock()
+	heard := 0
+	for i := range q.members {
+		if i == q.leader || !q.deaf[[2]int{q.leader, i}] && !q.deaf[[2]int{i, q.leader}] {
+			heard++
+		}
+	}
+	if heard > len(q.members)/2 {
+		q.confirmed[q.leader] = time.Now()
+	}
+	var applied []*member
+	for i, one := range q.members {
+		if i != q.leader && q.deaf[[2]int{q.leader, i}] {
+			continue
+		}
+		q.known[i] = q.confirmed[q.leader]
+		if !q.behind[i] {
+			applied = append(applied, one)
+		}
+	}
+	committed := q.committed
+	q.mu.Unlock()
+	for _, one := range applied {
+		if one.configs.Current() < committed {
+			one.put(committed)
+		}
+	}
+}
+
+func (q *majority) change(f func()) {
+	q.mu.Lock()
+	f()
+	q.mu.Unlock()
+}
+
+// cut ends what goes from one member to another in the log.
+func (q *majority) cut(from, to int) { q.change(func() { q.deaf[[2]int{from, to}] = true }) }
+
+func (q *majority) heal() { q.change(func() { clear(q.deaf) }) }
+
+// lead makes another member the leader, and commits a version there every half second while f passes in steps.
+func (q *majority) pass(d time.Duration, commits bool, look func(at time.Duration)) {
+	for at := time.Duration(0); at < d; at += 10 * ms {
+		if commits && at%(500*ms) == 0 {
+			q.change(func() { q.committed++ })
+			q.round()
+		}
+		pass(10 * ms)
+		if look != nil {
+			look(at + 10*ms)
+		}
+	}
+}
+
+func (s *sidecar) holds() (version int64, back bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.back
+}
+
+// moves counts how often a sidecar goes to another member, and notes when it last did.
+type moves struct {
+	at    string
+	count int
+	last  time.Duration
+}
+
+func (m *moves) look(s *sidecar, now time.Duration) {
+	if at := s.Peers()[0]; at != m.at {
+		m.at, m.count, m.last = at, m.count+1, now
+	}
+}
+
+// moveBound is how long after a member's last contact its sidecars are elsewhere: its contact runs out, it looks at it,
+// the sidecar asks the others, and opens a watch.
+const moveBound = maxContactAge + tickEvery + probeTimeout + 50*ms
+
+// isolate cuts the first member from the two others, in the log and between the members.
+func isolate(n *network, q *majority) {
+	for _, i := range []int{1, 2} {
+		q.cut(0, i)
+		q.cut(i, 0)
+		n.sever(all[0], all[i])
+		n.sever(all[i], all[0])
+	}
+}
+
+func TestMemberCutFromTheMajority(t *testing.T) {
+	mesh(t, "A member that is cut off for 20 s hands out nothing old, and its sidecars are elsewhere in time", func(n *network, m []*member, c []*sidecar) {
+		q := newMajority(m)
+		defer close(q.done)
+		pass(time.Second)
+		isolate(n, q)
+		for _, to := range all[1:] {
+			n.sever("new", to)
+		}
+		q.change(func() { q.leader = 1 })
+		// Of the first member's own sidecar others hear no more; of the second's it does not hear itself.
+		c[1].change(func() { c[1].up.State, c[1].up.Sequence = registry.Draining, 2 })
+		c[1].Poke()
+		So(m[1].Beat(registry.Upstream{Instance: "i-c3", State: registry.Gone}), ShouldBeNil)
+		newcomer := n.sidecar("new", "zone-m1:1", all[0])
+		defer newcomer.stop()
+		newcomer.change(func() { newcomer.up.Instance = "" }) // it vouches for nothing here
+		moved := moves{at: all[0]}
+		raw := rpc.NewClient(time.Second)
+		defer raw.CloseIdleConnections()
+		old, _ := c[0].holds()
+		q.pass(20*time.Second, true, func(now time.Duration) {
+			moved.look(c[0], now)
+			if now > moveBound {
+				held, _ := c[0].holds()
+				if held < q.committed {
+					t.Fatalf("after %v the sidecar holds version %d, not %d", now, held, q.committed)
+				}
+			}
+			if now < maxContactAge {
+				return // it may not know yet
+			}
+			if held, _ := newcomer.holds(); held > old {
+				t.Fatalf("after %v the newcomer got version %d of a member that is cut off", now, held)
+			}
+		})
+		So(moved.count, ShouldEqual, 1)
+		So(moved.last, ShouldBeBetween, time.Duration(0), moveBound)
+		_, err := rpc.Call[watchRequest, struct{}](context.Background(), c[0].cfg.HTTP, "http://"+all[0]+watchPath, &watchRequest{Node: "x"})
+		So(errs.Of(err), ShouldEqual, errs.NoQuorum)
+		answer, err := rpc.Call[registry.Lease, LeaseAnswer](context.Background(), c[0].cfg.HTTP, "http://"+all[0]+leasePath, &registry.Lease{Node: "x", Life: 1, Sequence: 1})
+		So(err, ShouldBeNil)
+		So(answer.Contact.OK || answer.Caught, ShouldBeFalse)
+
+		// Back in contact it tells of nothing that is gone, and of nobody as ready who drains.
+		n.heal()
+		n.sever("new", all[1])
+		n.sever("new", all[2])
+		q.heal()
+		for _, to := range all[1:] {
+			n.sever("later", to)
+		}
+		later := n.sidecar("later", "zone-m1:1", all[0])
+		defer later.stop()
+		q.pass(5*time.Second, true, func(now time.Duration) {
+			for _, s := range []*sidecar{later, newcomer} {
+				sees := s.sees()
+				if s == newcomer && now < registryHold {
+					continue // it came before the member knew that it was cut off
+				}
+				if strings.Contains(sees, "i-c3") || strings.Contains(sees+" ", "i-c2 ") {
+					t.Fatalf("%v after its return the member tells of %s", now, sees)
+				}
+			}
+			moved.look(c[0], now)
+		})
+		So(newcomer.sees(), ShouldContainSubstring, "i-c2!")
+		So(later.sees(), ShouldContainSubstring, "i-c2!")
+		held, _ := newcomer.holds()
+		So(held, ShouldEqual, q.committed)
+		So(moved.count, ShouldEqual, 1)
+		for _, s := range append(c, newcomer) {
+			_, back := s.holds()
+			So(back, ShouldBeFalse)
+		}
+	})
+}
+
+func TestOneWayCuts(t *testing.T) {
+	mesh(t, "A leader that is not heard back ages everywhere at once, and no sidecar runs to and fro", func(n *network, m []*member, c []*sidecar) {
+		q := newMajority(m)
+		defer close(q.done)
+		pass(time.Second)
+		// The leader is heard, and hears nobody. Whatever it commits then nobody may be told.
+		q.cut(1, 0)
+		q.cut(2, 0)
+		q.pass(maxContactAge+tickEvery, false, nil)
+		for _, one := range m {
+			one.put(99)
+		}
+		where := []moves{{at: all[0]}, {at: all[1]}, {at: all[2]}}
+		q.pass(10*time.Second, false, func(now time.Duration) {
+			for i, s := range c {
+				where[i].look(s, now)
+				if held, _ := s.holds(); held == 99 {
+					t.Fatalf("after %v a version was told without contact", now)
+				}
+			}
+		})
+		q.heal()
+		q.pass(time.Second, false, nil)
+		for i, s := range c {
+			So(where[i].count, ShouldEqual, 0)
+			So(s.Connected(), ShouldBeTrue)
+			held, _ := s.holds()
+			So(held, ShouldEqual, 99)
+		}
+		// A member that the leader does not hear is in contact: others confirm the leader, and it hears of that.
+		q.change(func() { q.committed = 100 })
+		q.cut(2, 0)
+		q.pass(5*time.Second, true, nil)
+		held, _ := c[2].holds()
+		So(held, ShouldEqual, q.committed)
+		So(c[2].Peers()[0], ShouldEqual, all[2])
+	})
+}
+
+func TestMemberThatHasNotApplied(t *testing.T) {
+	mesh(t, "A member that hears the leader and has not applied what it says serves nobody", func(n *network, m []*member, c []*sidecar) {
+		q := newMajority(m)
+		defer close(q.done)
+		q.change(func() { q.behind[2] = true })
+		q.pass(5*time.Second, true, nil)
+		So(c[2].Peers()[0], ShouldNotEqual, all[2])
+		held, back := c[2].holds()
+		So(held, ShouldEqual, q.committed)
+		So(back, ShouldBeFalse)
+		n.sever("new", all[0])
+		n.sever("new", all[1])
+		newcomer := n.sidecar("new", "zone-m3:1", all[2])
+		defer newcomer.stop()
+		q.pass(5*time.Second, true, nil)
+		So(newcomer.heard(), ShouldBeEmpty)
+		q.change(func() { q.behind[2] = false })
+		q.pass(2*time.Second, true, nil)
+		held, _ = newcomer.holds()
+		So(held, ShouldEqual, q.committed)
+	})
+}
+
+func TestFrozenMember(t *testing.T) {
+	mesh(t, "A member that is frozen within a frame never ends it, and one that wakes has to hear from the others first", func(n *network, m []*member, c []*sidecar) {
+		q := newMajority(m)
+		defer close(q.done)
+		pass(time.Second)
+		// It has looked at its contact, reads the configuration, and stands still until after the next two changes.
+		m[0].configs.mu.Lock()
+		m[0].configs.stall = time.Second
+		m[0].configs.mu.Unlock()
+		for _, to := range all[1:] {
+			n.sever("new", to)
+		}
+		newcomer := n.sidecar("new", "zone-m1:1", all[0])
+		defer newcomer.stop()
+		synctest.Wait()
+		q.change(func() { q.known[0] = q.known[0].Add(-maxContactAge) })
+		q.cut(1, 0)
+		q.change(func() { q.leader = 1 })
+		q.pass(3*time.Second, true, nil)
+		So(newcomer.heard(), ShouldBeEmpty)
+
+		still := NewServer(ServerConfig{
+			Self: "x", Epoch: 1, ConfigSource: &configs{}, Log: zap.NewNop(), Peers: func() []string { return nil },
+			Contact: func() (time.Duration, bool) { return 0, true },
+		})
+		So(still.contact().OK, ShouldBeTrue)
+		for range 20 {
+			pass(youngTime / 10)
+			still.contact()
+		}
+		So(still.Young(), ShouldBeFalse)
+		pass(10 * time.Second) // and was renewed before it looked
+		So(still.contact().OK, ShouldBeTrue)
+		So(still.Young(), ShouldBeTrue)
+	})
+}
+
+// scripted is a member that a test plays by hand.
+func (n *network) scripted(address string, lease, watch http.HandlerFunc) (stop func()) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+leasePath, lease)
+	mux.HandleFunc("POST "+watchPath, watch)
+	server := &http.Server{Handler: mux}
+	p := &port{address, make(chan net.Conn, 64), make(chan struct{})}
+	n.mu.Lock()
+	n.ports[address] = p
+	n.mu.Unlock()
+	go func() { _ = server.Serve(p) }()
+	return func() {
+		_ = server.Close()
+		time.Sleep(2 * callTimeout) // its handlers end
+	}
+}
+
+func TestAgesAddUp(t *testing.T) {
+	mesh(t, "Who follows a follower never takes its knowledge for younger than it is", func(n *network, m []*member, c []*sidecar) {
+		q := newMajority(m)
+		defer close(q.done)
+		reader := n.member("r:1", 7)
+		defer reader.stop()
+		follower := n.sidecar("reader", "zone-m1:1", all[0])
+		defer follower.stop()
+		reader.mu.Lock()
+		reader.contactOf = follower.ContactAge
+		reader.mu.Unlock()
+		last := n.sidecar("last", "zone-r:1", "r:1")
+		defer last.stop()
+		for _, to := range all {
+			n.sever("last", to) // it has the reader alone
+		}
+		q.pass(3*time.Second, true, func(time.Duration) {
+			if held, _ := follower.holds(); held > reader.configs.Current() {
+				reader.put(held)
+			}
+		})
+		held, _ := last.holds()
+		So(held, ShouldEqual, q.committed)
+
+		for _, i := range []int{1, 2} {
+			q.cut(i, 0) // the leader is heard and hears nobody
+		}
+		q.change(func() { q.committed++ })
+		end := time.Now()
+		before, _ := last.holds()
+		q.pass(10*time.Second, false, func(now time.Duration) {
+			age, ok := follower.ContactAge()
+			if !ok || age < time.Since(end) {
+				t.Fatalf("%v after the last round the reader says %v", now, age)
+			}
+			if now > maxContactAge {
+				reader.put(1000)
+			}
+			if held, _ := last.holds(); held > before+1 {
+				t.Fatalf("%v after the last round a reader told of version %d", now, held)
+			}
+			if now > maxContactAge && reader.Server.contact().OK {
+				t.Fatalf("%v after the last round the reader takes itself for in contact", now)
+			}
+		})
+	})
+	mesh(t, "An answer that was long on its way proves no more than when it was asked for", func(n *network, m []*member, c []*sidecar) {
+		stop := n.scripted("slow:1", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(callTimeout - 100*ms)
+			_ = json.NewEncoder(w).Encode(LeaseAnswer{Contact: Contact{OK: true, Age: 50 * ms}, Caught: true})
+		}, func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				fmt.Fprintln(w, `{"beat":{"contact":{"ok":true}}}`)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(beatEvery)
+			}
+		})
+		defer stop()
+		s := n.sidecar("new", "", "slow:1")
+		defer s.stop()
+		pass(callTimeout - 90*ms)
+		age, ok := s.ContactAge()
+		So(ok, ShouldBeTrue)
+		So(age, ShouldBeBetween, callTimeout-51*ms, callTimeout)
+	})
+	mesh(t, "A first configuration that was long on its way is asked about before it is taken", func(n *network, m []*member, c []*sidecar) {
+		var mu sync.Mutex
+		contact := Contact{OK: false}
+		stop := n.scripted("woken:1", func(w http.ResponseWriter, _ *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			_ = json.NewEncoder(w).Encode(LeaseAnswer{Contact: contact})
+		}, func(w http.ResponseWriter, r *http.Request) {
+			for range 4 {
+				fmt.Fprintln(w, `{"beat":{"contact":{"ok":true}}}`)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(beatEvery)
+			}
+			fmt.Fprintln(w, `{"charter":[5]}`)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})
+		defer stop()
+		s := n.sidecar("new", "", "woken:1")
+		defer s.stop()
+		pass(5 * time.Second)
+		So(s.heard(), ShouldBeEmpty)
+		mu.Lock()
+		contact.OK = true
+		mu.Unlock()
+		pass(5 * time.Second)
+		So(s.heard(), ShouldContain, "[5]")
+	})
+}
+
+func TestGossipThatComesLate(t *testing.T) {
+	mesh(t, "A message between members that was held for long vouches for nobody", func(n *network, m []*member, c []*sidecar) {
+		now := m[0].now()
+		up := registry.Upstream{Instance: "late", Service: "s", Address: "late:80", Inbound: "late:90", Sequence: 1}
+		message := func(echo clockReading, node string) *gossip {
+			return &gossip{From: all[1], Echo: echo, Leases: []registry.Remote{{
+				Lease: registry.Lease{Node: node, Life: 1, Sequence: 1, Upstream: &up}, Remaining: registry.LeaseTime,
+			}}}
+		}
+		late := message(m[0].clock(now), "late")
+		pass(registry.LeaseTime)
+		for _, q := range []*gossip{late, message(clockReading{99, m[0].now()}, "foreign")} {
+			_, err := m[0].gossip(nil, q)
+			So(err, ShouldBeNil)
+			So(len(m[0].Upstreams()), ShouldEqual, 3)
+		}
+		_, err := m[0].gossip(nil, message(m[0].clock(m[0].now()), "prompt"))
+		So(err, ShouldBeNil)
+		So(len(m[0].Upstreams()), ShouldEqual, 4)
+	})
+}
--- a/internal/mesh/watch/gossip.go
+++ b/internal/mesh/watch/gossip.go
@@ -29,71 +29,6 @@
 	rollTimeout = 2 * time.Second
 )
 
-// neighbour is another member and what it has not been told yet. Of each node
-// only its name waits, so that the queue is bounded by the leases held. The
-// Server's lock guards it.
-type neighbour struct {
-	address string
-	cancel  context.CancelFunc
-	wake    chan struct{}
-
-	zone    string
-	dirty   map[string]bool // true: the whole lease, false: only its renewal
-	beats   map[string]waitingBeat
-	failing bool // the last call failed
-	asking  bool // it is to be asked for all it holds
-}
-
-type waitingBeat struct {
-	up registry.Upstream
-	at time.Duration
-}
-
-// lasts is how long the beat is worth telling: a deregistration as long as it is
-// remembered, any other as long as it vouches.
-func (b waitingBeat) lasts() time.Duration {
-	if b.up.State == registry.Gone {
-		return registry.BuriedTime
-	}
-	return registry.LeaseTime
-}
-
-func newNeighbour(address string, cancel context.CancelFunc) *neighbour {
-	n := &neighbour{
-		address: address, cancel: cancel, wake: make(chan struct{}, 1),
-		dirty: map[string]bool{}, beats: map[string]waitingBeat{},
-	}
-	n.ask()
-	return n
-}
-
-func (n *neighbour) rouse() {
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (n *neighbour) ask() {
-	n.asking = true
-	n.rouse()
-}
-
-// mark queues a node's lease: whole and at once, or as a renewal.
-func (n *neighbour) mark(node string, whole bool) {
-	n.dirty[node] = n.dirty[node] || whole
-	if whole {
-		n.rouse()
-	}
-}
-
-func (n *neighbour) tell(up registry.Upstream, now time.Duration) {
-	if _, waits := n.beats[up.Instance]; waits || len(n.beats) < maxBeats {
-		n.beats[up.Instance] = waitingBeat{up, now}
-		n.rouse()
-	}
-}
-
 // converse tells one member what it has not been told, until ctx ends.
 func (s *Server) converse(ctx context.Context, n *neighbour) {
 	pause := time.NewTimer(gossipEvery)
@@ -153,7 +88,7 @@
 		}
 		return err
 	}
-	n.zone = a.Zone
+	n.heard(a.Zone, a.Clock, s.now())
 	for _, node := range a.Unknown {
 		if _, held := s.table.Renewal(s.now(), node); held {
 			n.mark(node, true)
@@ -166,18 +101,25 @@
 func (s *Server) askAll(ctx context.Context, n *neighbour) error {
 	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
 	defer cancel()
+	asked := s.now()
 	a, err := rpc.Call[struct{}, rollAnswer](ctx, s.cfg.HTTP, "http://"+n.address+rollPath, &struct{}{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n.failing = err != nil
+	held := s.holdsRegistry(s.now())
+	n.failing, n.pending = err != nil, false
+	if held && !s.holdsRegistry(s.now()) {
+		defer s.push()
+	}
 	if err != nil {
 		return err
 	}
-	n.zone, n.asking = a.Zone, false
+	n.asking = false
 	now := s.now()
-	s.table.Merge(now, a.Leases)
+	n.heard(a.Zone, a.Clock, now)
+	age := now - asked // the answer is no older than the question
+	s.table.Merge(now, aged(a.Leases, age))
 	for _, b := range a.Beats {
-		s.table.BeatFor(now, b.Upstream, b.Remaining)
+		s.table.BeatFor(now, b.Upstream, b.Remaining-age)
 	}
 	s.table.Expire(now)
 	s.spread()
@@ -194,7 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	q := &gossip{From: s.cfg.Self}
+	q := &gossip{From: s.cfg.Self, Echo: n.clock, Since: now - n.heardAt}
 	taken := sent{map[string]bool{}, n.beats}
 	for node, whole := range n.dirty {
 		if len(taken.dirty) == maxBatch {
@@ -230,10 +172,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	whole := s.table.Merge(now, q.Leases)
+	age := s.messageAge(now, q)
+	whole := s.table.Merge(now, aged(q.Leases, age))
+	for i := range q.Renewals {
+		q.Renewals[i].Remaining -= age
+	}
 	renewed, unknown := s.table.Extend(now, q.Renewals)
 	for _, b := range q.Beats {
-		if s.table.BeatFor(now, b.Upstream, b.Remaining) {
+		if s.table.BeatFor(now, b.Upstream, b.Remaining-age) {
 			for _, n := range s.cutOff(q) {
 				n.tell(b.Upstream, now)
 			}
@@ -248,7 +194,27 @@
 		}
 	}
 	s.spread()
-	return &gossipAnswer{Zone: s.cfg.Zone, Unknown: unknown}, nil
+	return &gossipAnswer{Clock: s.clock(now), Zone: s.cfg.Zone, Unknown: unknown}, nil
+}
+
+// clock is this member's steady clock for the others to echo.
+func (s *Server) clock(now time.Duration) clockReading { return clockReading{s.cfg.Epoch, now} }
+
+// messageAge is how old the message may be. One whose sender has no reading of
+// this life's clock may be of any age, and vouches for nothing.
+func (s *Server) messageAge(now time.Duration, q *gossip) time.Duration {
+	if q.Echo.Epoch != s.cfg.Epoch {
+		return registry.LeaseTime
+	}
+	return max(now-q.Echo.At-max(q.Since, 0), 0)
+}
+
+// aged takes a message's age off the time that its leases have left.
+func aged(leases []registry.Remote, age time.Duration) []registry.Remote {
+	for i := range leases {
+		leases[i].Remaining -= age
+	}
+	return leases
 }
 
 // cutOff gives the neighbours that the sender of q does not reach.
@@ -266,5 +232,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	return &rollAnswer{Zone: s.cfg.Zone, Leases: s.table.Roll(now), Beats: s.table.Unleased(now)}, nil
+	return &rollAnswer{Clock: s.clock(now), Zone: s.cfg.Zone, Leases: s.table.Roll(now), Beats: s.table.Unleased(now)}, nil
 }
--- a/internal/mesh/watch/server.go
+++ b/internal/mesh/watch/server.go
@@ -54,8 +54,11 @@
 	// Peers gives the internal addresses of the core members; Self may be among
 	// them.
 	Peers func() []string
-	// InContact says whether this member is in contact with a quorum.
-	InContact func() bool
+	// Contact says how long ago a majority is known to have confirmed the leader
+	// that this member follows, counted only once all that was committed then is
+	// in ConfigSource; ok is false while that is unknown. It is called often, and
+	// from many goroutines.
+	Contact func() (age time.Duration, ok bool)
 	// Leader gives a hint where the leader is.
 	Leader       func() string
 	ConfigSource ConfigSource
@@ -76,6 +79,8 @@
 	neighbours map[string]*neighbour
 	waiters    map[*waiter]struct{}
 	inContact  bool
+	observedAt time.Duration // when the contact was looked at last
+	holdUntil  time.Duration // registry news may wait until then
 	youngUntil time.Duration
 	told       uint64 // the table's number at the last push
 	pushing    bool
@@ -124,18 +129,11 @@
 }
 
 func (s *Server) tick(ctx context.Context, running *sync.WaitGroup) {
-	inContact, peers := s.cfg.InContact(), s.cfg.Peers()
+	s.contact()
+	peers := s.cfg.Peers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	if inContact && !s.inContact {
-		s.youngUntil = now + youngTime
-		for _, n := range s.neighbours {
-			n.ask()
-		}
-	}
-	s.inContact = inContact
-	s.table.Expire(now)
+	s.table.Expire(s.now())
 	s.spread()
 
 	listed := make(map[string]bool, len(peers))
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -45,11 +45,13 @@
 }
 
 func (s *Server) lease(_ *http.Request, l *registry.Lease) (*LeaseAnswer, error) {
-	inContact, version := s.cfg.InContact(), s.cfg.ConfigSource.Current()
+	contact := s.contact()
+	version := s.cfg.ConfigSource.Current() // read after the contact, which vouches for it
 	a := &LeaseAnswer{
-		TTL:    registry.LeaseTime.Seconds(),
-		Zone:   s.cfg.Zone,
-		Caught: inContact && l.Applied >= version,
+		TTL:     registry.LeaseTime.Seconds(),
+		Zone:    s.cfg.Zone,
+		Contact: contact,
+		Caught:  contact.OK && l.Applied >= version,
 	}
 	if s.cfg.Leader != nil {
 		a.Leader = s.cfg.Leader()
--- a/internal/mesh/watch/server_watch.go
+++ b/internal/mesh/watch/server_watch.go
@@ -11,6 +11,7 @@
 	"caperarch/internal/mesh/rpc"
 )
 
+// watch is a sidecar's open watch: what it has had, and how to wake it.
 type watch struct {
 	wake chan struct{}
 	quit chan struct{} // closed when a newer watch of the node takes over
@@ -22,6 +23,7 @@
 	epoch   uint64
 	number  uint64
 	young   bool // what was sent as everything was sent while young
+	lost    bool // it has been told that there is no contact
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
@@ -73,7 +75,7 @@
 	if q.Node == "" {
 		return nil, nil, errs.New(errs.Invalid, "the watch names no node")
 	}
-	if !s.cfg.InContact() {
+	if !s.contact().OK {
 		return nil, nil, errs.New(errs.NoQuorum, "this member is not in contact with a quorum")
 	}
 	held := &watch{
@@ -106,67 +108,103 @@
 	}
 }
 
-// send writes what the watch has not had yet. A member out of contact says
-// nothing, so that its sidecars go elsewhere.
+// send writes what the watch has not had yet. A member without contact hands
+// out nothing and says so, so that its sidecars go elsewhere.
 func (s *Server) send(out *deadlined, held *watch, beat bool) error {
-	if !s.cfg.InContact() {
+	contact := s.contact()
+	if !contact.OK {
+		return s.sendLost(out, held, contact, beat)
+	}
+	held.lost = false
+	version, err := s.sendConfig(out, held)
+	if err != nil {
+		return err
+	}
+	f := s.news(held, contact, version, beat)
+	if f.Registry == nil && f.Beat == nil {
+		return out.flush()
+	}
+	return out.frame(f)
+}
+
+// sendLost says once, and then with each beat, that there is no contact.
+func (s *Server) sendLost(out *deadlined, held *watch, contact Contact, beat bool) error {
+	if held.lost && !beat {
 		return nil
 	}
-	version := s.cfg.ConfigSource.Current()
-	if held.whole || version > held.version {
-		frames, ok := []json.RawMessage(nil), false
-		if !held.whole {
-			frames, ok = s.cfg.ConfigSource.Since(held.version)
-		}
-		if !ok {
-			frames = []json.RawMessage{s.cfg.ConfigSource.Whole()}
+	held.lost = true
+	return out.frame(&frame{Beat: &beatFrame{Contact: contact}})
+}
+
+// sendConfig writes the configuration that the watch has not had yet, and gives
+// the newest version. The contact was looked at right before.
+func (s *Server) sendConfig(out *deadlined, held *watch) (version int64, err error) {
+	version = s.cfg.ConfigSource.Current()
+	if !held.whole && version <= held.version {
+		return version, nil
+	}
+	frames, ok := []json.RawMessage(nil), false
+	if !held.whole {
+		frames, ok = s.cfg.ConfigSource.Since(held.version)
+	}
+	if !ok {
+		frames = []json.RawMessage{s.cfg.ConfigSource.Whole()}
+	}
+	for _, config := range frames {
+		if len(config) == 0 {
+			continue
 		}
-		for _, f := range frames {
-			if len(f) == 0 {
-				continue
-			}
-			if err := out.write([]byte(`{"charter":`), f, []byte("}\n")); err != nil {
-				return err
-			}
+		if err := s.sendOneConfig(out, config); err != nil {
+			return version, err
 		}
-		held.version, held.whole = max(version, held.version), false
 	}
+	held.version, held.whole = max(version, held.version), false
+	return version, nil
+}
+
+// sendOneConfig writes one frame of configuration. Reading it and writing it may
+// have taken long, so its end, without which nobody can read it, is only written
+// if there is still contact.
+func (s *Server) sendOneConfig(out *deadlined, config json.RawMessage) error {
+	if err := out.write([]byte(`{"charter":`), config); err != nil {
+		return err
+	}
+	if !s.contact().OK {
+		return errs.New(errs.NoQuorum, "contact was lost within a frame")
+	}
+	return out.write([]byte("}\n"))
+}
 
+// news gives what changed in the registry for the watch, and the beat if one is
+// due.
+func (s *Server) news(held *watch, contact Contact, version int64, beat bool) *frame {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.now()
+	f := &frame{}
 	young := now < s.youngUntil
+	if beat {
+		f.Beat = &beatFrame{contact, version, s.table.Members(), s.table.Largest(now), young}
+	}
+	if s.holdsRegistry(now) {
+		return f
+	}
 	if held.young && !young {
 		held.epoch = 0
 	}
-	news := s.table.Since(now, held.epoch, held.number, held.keep)
-	b := beatFrame{version, s.table.Members(), s.table.Largest(now), young}
-	s.mu.Unlock()
-
-	f := frame{}
-	if news.Full || len(news.Upserts)+len(news.Removals) > 0 {
+	changes := s.table.Since(now, held.epoch, held.number, held.keep)
+	if changes.Full || len(changes.Upserts)+len(changes.Removals) > 0 {
 		f.Registry = &registryFrame{
-			Epoch: news.Epoch, Number: news.Number, Full: news.Full, Young: young && news.Full, Upserts: news.Upserts,
+			Epoch: changes.Epoch, Number: changes.Number, Full: changes.Full, Young: young && changes.Full,
+			Upserts: changes.Upserts,
 		}
-		for _, r := range news.Removals {
-			f.Registry.Removals = append(f.Registry.Removals, r.Instance)
+		for _, removal := range changes.Removals {
+			f.Registry.Removals = append(f.Registry.Removals, removal.Instance)
 		}
 	}
-	if news.Full {
+	if changes.Full {
 		held.young = young
 	}
-	held.epoch, held.number = news.Epoch, news.Number
-	if beat {
-		f.Beat = &b
-	}
-	if f.Registry == nil && f.Beat == nil {
-		return out.flush()
-	}
-	line, err := json.Marshal(&f)
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "encode a frame")
-	}
-	if err := out.write(line, []byte("\n")); err != nil {
-		return err
-	}
-	return out.flush()
+	held.epoch, held.number = changes.Epoch, changes.Number
+	return f
 }
--- a/internal/mesh/watch/server_write.go
+++ b/internal/mesh/watch/server_write.go
@@ -1,8 +1,11 @@
 package watch
 
 import (
+	"encoding/json"
 	"net/http"
 	"time"
+
+	"caperarch/internal/mesh/errs"
 )
 
 // deadlined writes an answer with a deadline for each piece.
@@ -33,3 +36,15 @@
 	}
 	return d.control.Flush()
 }
+
+// frame writes a frame and sends what was written so far.
+func (d *deadlined) frame(f *frame) error {
+	line, err := json.Marshal(f)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "encode a frame")
+	}
+	if err := d.write(line, []byte("\n")); err != nil {
+		return err
+	}
+	return d.flush()
+}
--- a/internal/mesh/watch/watch_test.go
+++ b/internal/mesh/watch/watch_test.go
@@ -81,6 +81,7 @@
 type configs struct {
 	mu      sync.Mutex
 	version int64
+	stall   time.Duration // how long the next reading takes
 }
 
 func (c *configs) Current() int64 {
@@ -95,14 +96,23 @@
 	}
 	return frames, version > 0 && version <= c.Current()
 }
-func (c *configs) Whole() json.RawMessage { return json.RawMessage(fmt.Sprintf("[%d]", c.Current())) }
+func (c *configs) Whole() json.RawMessage {
+	whole := fmt.Sprintf("[%d]", c.Current())
+	c.mu.Lock()
+	stall := c.stall
+	c.stall = 0
+	c.mu.Unlock()
+	time.Sleep(stall)
+	return json.RawMessage(whole)
+}
 
 type member struct {
 	*Server
-	configs *configs
-	mu      sync.Mutex
-	outside bool
-	stop    func()
+	configs   *configs
+	mu        sync.Mutex
+	outside   bool
+	contactOf func() (time.Duration, bool) // nil: by outside
+	stop      func()
 }
 
 func (m *member) put(version int64) {
@@ -112,6 +122,16 @@
 	m.Publish()
 }
 
+func (m *member) contactAge() (time.Duration, bool) {
+	m.mu.Lock()
+	contactOf, outside := m.contactOf, m.outside
+	m.mu.Unlock()
+	if contactOf != nil {
+		return contactOf()
+	}
+	return 0, !outside
+}
+
 func (m *member) contact(in bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -125,8 +145,8 @@
 	client := n.client(name)
 	m.Server = NewServer(ServerConfig{
 		Self: name, Zone: "zone-" + name, Epoch: epoch, Peers: func() []string { return all }, ConfigSource: m.configs,
-		InContact: func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.outside },
-		HTTP:      client, Log: zap.NewNop(),
+		Contact: m.contactAge,
+		HTTP:    client, Log: zap.NewNop(),
 	})
 	mux := http.NewServeMux()
 	m.Register(mux)
@@ -158,6 +178,7 @@
 	services []string
 	refuse   bool
 	version  int64
+	back     bool // a version older than the one held came
 	frames   []string
 	held     map[string]registry.Upstream
 	fulls    int
@@ -175,6 +196,9 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			up := s.up
+			if up.Instance == "" {
+				return registry.Lease{Applied: s.version}
+			}
 			return registry.Lease{Upstream: &up, Applied: s.version}
 		},
 		ConfigVersion: func() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.version },
@@ -188,6 +212,7 @@
 			}
 			var v int64
 			_, _ = fmt.Sscanf(strings.Trim(string(f), "[]"), "%d", &v)
+			s.back = s.back || v < s.version
 			s.version = max(s.version, v)
 			s.Poke()
 			return true
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -59,6 +59,9 @@
 	// Zone is the answering member's, and Peers are all core members.
 	Zone  string `json:"zone,omitempty"`
 	Peers []Peer `json:"peers"`
+	// Contact is the answering member's. Without it the sidecar should go
+	// elsewhere, and the counts and Peers may be old.
+	Contact Contact `json:"contact"`
 	// Caught says that this member is in contact with a quorum and the sidecar
 	// has applied the newest configuration known here.
 	Caught bool `json:"caught"`
@@ -93,11 +96,14 @@
 	Removals []string            `json:"removals,omitempty"`
 }
 
+// beatFrame is the member's sign of life. Without contact it carries nothing
+// else, and tells the sidecar to go elsewhere.
 type beatFrame struct {
-	Version int64 `json:"version"`
-	Members int   `json:"members"`
-	Largest int   `json:"largest"`
-	Young   bool  `json:"young,omitempty"`
+	Contact Contact `json:"contact"`
+	Version int64   `json:"version"`
+	Members int     `json:"members"`
+	Largest int     `json:"largest"`
+	Young   bool    `json:"young,omitempty"`
 }
 
 // gossip is what one member tells another. Unreached are the members the
@@ -108,15 +114,30 @@
 	Leases    []registry.Remote  `json:"leases,omitempty"`
 	Renewals  []registry.Renewal `json:"renewals,omitempty"`
 	Beats     []registry.Vouched `json:"beats,omitempty"`
+	// Echo is the receiver's clock as it answered last, and Since the time from
+	// that answer's arrival to the making of this message. So the receiver
+	// knows how old the message may be.
+	Echo  clockReading  `json:"echo"`
+	Since time.Duration `json:"since"`
+}
+
+// clockReading is a member's steady clock, which means something only to that
+// member in that process life.
+type clockReading struct {
+	Epoch uint64        `json:"epoch"`
+	At    time.Duration `json:"at"`
 }
 
 // gossipAnswer names the nodes whose lease has to be sent whole.
 type gossipAnswer struct {
-	Zone    string   `json:"zone,omitempty"`
-	Unknown []string `json:"unknown,omitempty"`
+	Clock   clockReading `json:"clock"`
+	Zone    string       `json:"zone,omitempty"`
+	Unknown []string     `json:"unknown,omitempty"`
 }
 
+// rollAnswer is all that a member knows of the sidecars and upstreams.
 type rollAnswer struct {
+	Clock  clockReading       `json:"clock"`
 	Zone   string             `json:"zone,omitempty"`
 	Leases []registry.Remote  `json:"leases,omitempty"`
 	Beats  []registry.Vouched `json:"beats,omitempty"`
