--- a/internal/mesh/watch/contact_test.go
+++ b/internal/mesh/watch/contact_test.go
@@ -30,7 +30,8 @@
 	confirmed []time.Time // of a leader, by member
 	known     []time.Time // what each member knows to have been confirmed
 	deaf      map[[2]int]bool
-	behind    map[int]bool // it has heard, and not applied
+	behind    map[int]bool    // it has heard, and not applied
+	lag       []time.Duration // how much older than the leader's a member's knowledge is
 	done      chan struct{}
 }
 
@@ -39,7 +40,7 @@
 func newMajority(m []*member) *majority {
 	q := &majority{
 		members: m, committed: 1, confirmed: make([]time.Time, len(m)), known: make([]time.Time, len(m)),
-		deaf: map[[2]int]bool{}, behind: map[int]bool{}, done: make(chan struct{}),
+		lag: make([]time.Duration, len(m)), deaf: map[[2]int]bool{}, behind: map[int]bool{}, done: make(chan struct{}),
 	}
 	q.round()
 	for i, one := range m {
@@ -85,7 +86,7 @@
 		if i != q.leader && q.deaf[[2]int{q.leader, i}] {
 			continue
 		}
-		q.known[i] = q.confirmed[q.leader]
+		q.known[i] = q.confirmed[q.leader].Add(-q.lag[i])
 		if !q.behind[i] {
 			applied = append(applied, one)
 		}
@@ -235,22 +236,48 @@
 	})
 }
 
+func TestSidecarsLeaveInTime(t *testing.T) {
+	for offset := time.Duration(0); offset < renewEvery; offset += 100 * ms {
+		mesh(t, "Wherever in the time between two renewals a cut falls, the sidecar is elsewhere in time", func(n *network, m []*member, c []*sidecar) {
+			q := newMajority(m)
+			defer close(q.done)
+			pass(time.Second + offset)
+			isolate(n, q)
+			q.change(func() { q.leader = 1 })
+			q.pass(moveBound, true, nil)
+			So(c[0].Peers()[0], ShouldNotEqual, all[0])
+			So(c[0].Connected(), ShouldBeTrue)
+			held, _ := c[0].holds()
+			So(held, ShouldEqual, q.committed)
+		})
+	}
+}
+
 func TestOneWayCuts(t *testing.T) {
 	mesh(t, "A leader that is not heard back ages everywhere at once, and no sidecar runs to and fro", func(n *network, m []*member, c []*sidecar) {
 		q := newMajority(m)
 		defer close(q.done)
 		pass(time.Second)
+		q.change(func() { q.lag = []time.Duration{0, 200 * ms, 400 * ms} })
+		pass(time.Second)
 		// The leader is heard, and hears nobody. Whatever it commits then nobody may be told.
 		q.cut(1, 0)
 		q.cut(2, 0)
-		q.pass(maxContactAge+tickEvery, false, nil)
+		where := []moves{{at: all[0]}, {at: all[1]}, {at: all[2]}}
+		q.pass(maxContactAge+tickEvery, false, func(now time.Duration) {
+			for i, s := range c {
+				where[i].look(s, now)
+			}
+		})
 		for _, one := range m {
 			one.put(99)
 		}
-		where := []moves{{at: all[0]}, {at: all[1]}, {at: all[2]}}
 		q.pass(10*time.Second, false, func(now time.Duration) {
 			for i, s := range c {
 				where[i].look(s, now)
+				if !s.Connected() {
+					t.Fatalf("after %v a sidecar has left, and had nowhere to go", now)
+				}
 				if held, _ := s.holds(); held == 99 {
 					t.Fatalf("after %v a version was told without contact", now)
 				}
@@ -446,6 +473,26 @@
 	})
 }
 
+func TestWhatAnswersProve(t *testing.T) {
+	Convey("An answer without contact proves nothing, lowers no count and takes no member away", t, func() {
+		c := NewClient(ClientConfig{Zone: "z"})
+		now := time.Now()
+		for _, answer := range []LeaseAnswer{
+			{Contact: Contact{OK: false}, Caught: true}, {Contact: Contact{OK: true}, Caught: false},
+			{Contact: Contact{OK: true, Age: -time.Hour}, Caught: true},
+		} {
+			c.confirm(now, &answer)
+			_, ok := c.ContactAge()
+			So(ok, ShouldBeFalse)
+		}
+		peers := []Peer{{Address: "a:1"}, {Address: "b:1"}}
+		c.learn(&LeaseAnswer{Contact: Contact{OK: true}, Members: 9, Largest: 9, Peers: peers})
+		c.learn(&LeaseAnswer{Members: 2, Largest: 3, Peers: []Peer{{Address: "a:1"}, {Address: "c:1"}}})
+		So([]int{c.Members(), c.Largest()}, ShouldResemble, []int{9, 9})
+		So(c.Peers(), ShouldHaveLength, 3)
+	})
+}
+
 func TestGossipThatComesLate(t *testing.T) {
 	mesh(t, "A message between members that was held for long vouches for nobody", func(n *network, m []*member, c []*sidecar) {
 		now := m[0].now()
