--- a/internal/mesh/watch/contact.go
+++ b/internal/mesh/watch/contact.go
@@ -67,16 +67,18 @@
 }
 
 // holdsRegistry says whether registry news waits for what the other members
-// answer, since what is held here may be from before the contact was lost. The
-// lock is held.
+// answer, since what is held here may be from before the contact was lost: until
+// each has answered or was not reached, and one has answered. The lock is held.
 func (s *Server) holdsRegistry(now time.Duration) bool {
-	if now >= s.holdUntil {
+	if now >= s.holdUntil || len(s.neighbours) == 0 {
 		return false
 	}
+	answered := false
 	for _, n := range s.neighbours {
 		if n.pending {
 			return true
 		}
+		answered = answered || !n.asking
 	}
-	return false
+	return !answered
 }
--- a/internal/mesh/watch/contact_test.go
+++ b/internal/mesh/watch/contact_test.go
@@ -203,11 +203,11 @@
 		So(answer.Contact.OK || answer.Caught, ShouldBeFalse)
 
 		// Back in contact it tells of nothing that is gone, and of nobody as ready who drains.
-		n.heal()
-		n.sever("new", all[1])
-		n.sever("new", all[2])
 		q.heal()
+		pass(2 * heartbeatEvery)
+		n.heal()
 		for _, to := range all[1:] {
+			n.sever("new", to)
 			n.sever("later", to)
 		}
 		later := n.sidecar("later", "zone-m1:1", all[0])
@@ -473,6 +473,22 @@
 	})
 }
 
+func TestRegistryHold(t *testing.T) {
+	Convey("Registry news waits until each member has answered or was not reached, and one has answered, or for its bound", t, func() {
+		one, two := newNeighbour("a:1", nil), newNeighbour("b:1", nil)
+		s := &Server{holdUntil: registryHold, neighbours: map[string]*neighbour{"a:1": one, "b:1": two}}
+		So(s.holdsRegistry(0), ShouldBeTrue)
+		one.pending, one.asking = false, false
+		So(s.holdsRegistry(0), ShouldBeTrue)
+		two.pending = false
+		So(s.holdsRegistry(0), ShouldBeFalse)
+		one.asking = true
+		So(s.holdsRegistry(0), ShouldBeTrue)
+		So(s.holdsRegistry(registryHold), ShouldBeFalse)
+		So((&Server{holdUntil: registryHold}).holdsRegistry(0), ShouldBeFalse)
+	})
+}
+
 func TestWhatAnswersProve(t *testing.T) {
 	Convey("An answer without contact proves nothing, lowers no count and takes no member away", t, func() {
 		c := NewClient(ClientConfig{Zone: "z"})
