Watch: a leaving sidecar tells a member in contact; no member's word counts against another

A sidecar that left told the first member that answered, also one that was cut off and could tell nobody. A notice of lost contact that came while the sidecar moved made it leave the next member as well.

--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -11,16 +11,28 @@
 )
 
 // Leave says that this sidecar has left, so that its upstream is gone from the
-// table, and renews no more. It asks each member known until one answers.
+// table, and renews no more. It tells each member known until one answers that
+// is in contact, as one without may tell nobody; the answer of any other counts
+// if there is none.
 func (c *Client) Leave(ctx context.Context) error {
 	l := c.lease(true)
-	err := errs.New(errs.Unreachable, "no core member is known")
+	failure := errs.New(errs.Unreachable, "no core member is known")
+	told := false
 	for _, address := range c.Peers() {
-		if _, err = c.renew(ctx, address, l); err == nil {
+		answer, err := c.renew(ctx, address, l)
+		if err != nil {
+			failure = err
+			continue
+		}
+		if answer.Contact.OK {
 			return nil
 		}
+		told = true
+	}
+	if told {
+		return nil
 	}
-	return err
+	return failure
 }
 
 // keepLease renews until ctx ends, and ends it when the member fails, when a
--- a/internal/mesh/watch/client_select.go
+++ b/internal/mesh/watch/client_select.go
@@ -148,6 +148,10 @@
 
 // attend keeps the lease and the watch at one member until either fails.
 func (c *Client) attend(ctx context.Context, address string) error {
+	select {
+	case <-c.lost: // it was another member's word
+	default:
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	var renewing sync.WaitGroup
 	renewing.Go(func() { c.keepLease(ctx, cancel, address) })
--- a/internal/mesh/watch/contact_test.go
+++ b/internal/mesh/watch/contact_test.go
@@ -20,111 +20,6 @@
 	"caperarch/internal/mesh/rpc"
 )
 
-// majority plays the log beside the members of a mesh: a leader that asks all for their confirmation, states how old it
-// is with each heartbeat, and commits versions. Its links are cut one way each.
-type majority struct {
-	mu        sync.Mutex
-	members   []*member
-	leader    int
-	committed int64
-	confirmed []time.Time // of a leader, by member
-	known     []time.Time // what each member knows to have been confirmed
-	deaf      map[[2]int]bool
-	behind    map[int]bool    // it has heard, and not applied
-	lag       []time.Duration // how much older than the leader's a member's knowledge is
-	done      chan struct{}
-}
-
-const heartbeatEvery = 120 * ms
-
-func newMajority(m []*member) *majority {
-	q := &majority{
-		members: m, committed: 1, confirmed: make([]time.Time, len(m)), known: make([]time.Time, len(m)),
-		lag: make([]time.Duration, len(m)), deaf: map[[2]int]bool{}, behind: map[int]bool{}, done: make(chan struct{}),
-	}
-	q.round()
-	for i, one := range m {
-		one.mu.Lock()
-		one.contactOf = func() (time.Duration, bool) { return q.contact(i) }
-		one.mu.Unlock()
-	}
-	go func() {
-		tick := time.NewTicker(heartbeatEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-				q.round()
-			case <-q.done:
-				return
-			}
-		}
-	}()
-	return q
-}
-
-func (q *majority) contact(i int) (time.Duration, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return time.Since(q.known[i]), !q.known[i].IsZero() && !q.behind[i]
-}
-
-// round is a leader's heartbeat to all and their answers.
-func (q *majority) round() {
-	q.mu.Lock()
-	heard := 0
-	for i := range q.members {
-		if i == q.leader || !q.deaf[[2]int{q.leader, i}] && !q.deaf[[2]int{i, q.leader}] {
-			heard++
-		}
-	}
-	if heard > len(q.members)/2 {
-		q.confirmed[q.leader] = time.Now()
-	}
-	var applied []*member
-	for i, one := range q.members {
-		if i != q.leader && q.deaf[[2]int{q.leader, i}] {
-			continue
-		}
-		q.known[i] = q.confirmed[q.leader].Add(-q.lag[i])
-		if !q.behind[i] {
-			applied = append(applied, one)
-		}
-	}
-	committed := q.committed
-	q.mu.Unlock()
-	for _, one := range applied {
-		if one.configs.Current() < committed {
-			one.put(committed)
-		}
-	}
-}
-
-func (q *majority) change(f func()) {
-	q.mu.Lock()
-	f()
-	q.mu.Unlock()
-}
-
-// cut ends what goes from one member to another in the log.
-func (q *majority) cut(from, to int) { q.change(func() { q.deaf[[2]int{from, to}] = true }) }
-
-func (q *majority) heal() { q.change(func() { clear(q.deaf) }) }
-
-// lead makes another member the leader, and commits a version there every half second while f passes in steps.
-func (q *majority) pass(d time.Duration, commits bool, look func(at time.Duration)) {
-	for at := time.Duration(0); at < d; at += 10 * ms {
-		if commits && at%(500*ms) == 0 {
-			q.change(func() { q.committed++ })
-			q.round()
-		}
-		pass(10 * ms)
-		if look != nil {
-			look(at + 10*ms)
-		}
-	}
-}
-
 func (s *sidecar) holds() (version int64, back bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -473,6 +368,47 @@
 	})
 }
 
+func TestLeavingWithoutContact(t *testing.T) {
+	mesh(t, "A sidecar that leaves tells one that can tell others", func(n *network, m []*member, c []*sidecar) {
+		m[0].contact(false)
+		for _, i := range []int{1, 2} {
+			n.sever(all[0], all[i])
+			n.sever(all[i], all[0])
+		}
+		So(c[0].Leave(context.Background()), ShouldBeNil)
+		pass(30 * ms)
+		So(c[1].sees(), ShouldEqual, "i-c2 i-c3")
+		for _, to := range all[1:] {
+			n.sever("c1", to)
+		}
+		So(c[0].Leave(context.Background()), ShouldBeNil)
+		n.sever("c1", all[0])
+		So(errs.Of(c[0].Leave(context.Background())), ShouldEqual, errs.Unreachable)
+	})
+	mesh(t, "What one member said of its contact counts against no other", func(n *network, m []*member, c []*sidecar) {
+		stop := n.scripted("out:1", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(100 * ms)
+			peers := []Peer{{Address: all[0]}, {Address: all[1]}, {Address: all[2]}}
+			_ = json.NewEncoder(w).Encode(LeaseAnswer{Peers: peers})
+		}, func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				fmt.Fprintln(w, `{"beat":{}}`)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(time.Millisecond)
+			}
+		})
+		defer stop()
+		s := n.sidecar("new", "", "out:1")
+		defer s.stop()
+		moved := moves{at: "out:1"}
+		for now := time.Duration(0); now < 3*time.Second; now += 5 * ms {
+			pass(5 * ms)
+			moved.look(s, now)
+		}
+		So(moved.count, ShouldEqual, 1)
+	})
+}
+
 func TestRegistryHold(t *testing.T) {
 	Convey("Registry news waits until each member has answered or was not reached, and one has answered, or for its bound", t, func() {
 		one, two := newNeighbour("a:1", nil), newNeighbour("b:1", nil)
