--- a/internal/mesh/controlplane/contact.go
+++ b/internal/mesh/controlplane/contact.go
@@ -7,8 +7,9 @@
 // own sidecars go by.
 const readerRenewEvery = 300 * time.Millisecond
 
-// contact is how long ago a majority of the voters is known to have confirmed the leader that this machine follows,
-// with all applied here that was committed then. Ok is false while that is unknown.
+// contact is how long ago a majority of the voters is known to have confirmed the leader that this
+// machine follows, with all applied here that was committed then. Ok is false while that is
+// unknown.
 func (s *Server) contact() (age time.Duration, ok bool) {
 	if node := s.node.Load(); node != nil {
 		return 0, node.InContact()
--- a/internal/mesh/controlplane/deal.go
+++ b/internal/mesh/controlplane/deal.go
@@ -12,14 +12,15 @@
 const (
 	// dealLimit bounds the body of a request for tokens.
 	dealLimit = 256 << 10
-	// maxDealContactAge is how old the leader's contact with a majority may be for it to deal tokens. It guards
-	// against two dealers at once: it is shorter than the least election time-out (0.5 s), and nobody who confirmed
-	// the leader votes for another one within that time, so no other leader exists while this one still deals.
+	// maxDealContactAge is how old the leader's contact with a majority may be for it to deal
+	// tokens. It guards against two dealers at once: it is shorter than the least election
+	// time-out (0.5 s), and nobody who confirmed the leader votes for another one within that
+	// time, so no other leader exists while this one still deals.
 	maxDealContactAge = 400 * time.Millisecond
 )
 
-// deal answers a sidecar's request for tokens. Only the leader deals; any other member passes the request on to the
-// leader that it knows.
+// deal answers a sidecar's request for tokens. Only the leader deals; any other member passes the
+// request on to the leader that it knows.
 func (s *Server) deal(r *http.Request, request *sidecar.DealAsk) (*sidecar.Dealt, error) {
 	leader, term := s.sequencer()
 	if leader != s.set.Internal() {
@@ -42,7 +43,8 @@
 	return &sidecar.Dealt{Epoch: term, Grants: grants, Closed: closed}, nil
 }
 
-// passToDealer passes a request on to the leader, once: a member that is no leader refuses one that was passed.
+// passToDealer passes a request on to the leader, once: a member that is no leader refuses one that
+// was passed.
 func (s *Server) passToDealer(r *http.Request, leader string, request *sidecar.DealAsk) (*sidecar.Dealt, error) {
 	if leader == "" || request.Passed {
 		return nil, errs.New(errs.NotSequencer, "nobody deals here")
@@ -52,8 +54,8 @@
 	return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, url, request)
 }
 
-// mayDeal says whether this member may deal in the term, at this moment. The contact is asked for first and the term
-// after it, so that a contact of a later term vouches for no earlier one.
+// mayDeal says whether this member may deal in the term, at this moment. The contact is asked for
+// first and the term after it, so that a contact of a later term vouches for no earlier one.
 func (s *Server) mayDeal(term uint64) error {
 	age, ok := s.contact()
 	leader, now := s.sequencer()
--- a/internal/mesh/watch/client_watch.go
+++ b/internal/mesh/watch/client_watch.go
@@ -16,35 +16,14 @@
 func (c *Client) follow(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	q := watchRequest{
-		Node: c.cfg.Node, Life: c.cfg.Life, ConfigVersion: c.cfg.ConfigVersion(), Whole: c.whole, Epoch: c.epoch, Number: c.number,
-	}
-	if c.cfg.Services != nil {
-		q.Services = c.cfg.Services()
-	}
-	if !slices.Equal(q.Services, c.services) {
-		c.services, c.epoch, q.Epoch = slices.Clone(q.Services), 0, 0
-	}
-	body, err := json.Marshal(&q)
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "encode the watch request")
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+watchPath, bytes.NewReader(body))
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "watch request to %s", address)
-	}
-	r.Header.Set("Content-Type", "application/json")
+	request := c.watchRequest()
 	asked := time.Now()
-	answer, err := c.cfg.HTTP.Do(r)
+	stream, err := c.openWatch(ctx, address, &request)
 	if err != nil {
-		return errs.Wrap(err, errs.Unreachable, "no watch at %s", address)
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		said, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusal))
-		return errs.New(errs.Unreachable, "%s refuses the watch: %s %s", address, answer.Status, said)
+		return err
 	}
-	in := &guarded{r: answer.Body, watchdog: watchdog, left: maxFrame}
+	defer stream.Close()
+	in := &guarded{r: stream, watchdog: watchdog, left: maxFrame}
 	frames := json.NewDecoder(in)
 	for {
 		var f frame
@@ -60,11 +39,11 @@
 				return err
 			}
 		}
-		if err := c.take(&f, address, q.Whole); err != nil {
+		if err := c.take(&f, address, request.Whole); err != nil {
 			return err
 		}
 		if len(f.Config) > 0 {
-			q.Whole = false
+			request.Whole = false
 		}
 		if len(f.Config) > largeFrame {
 			frames = json.NewDecoder(io.MultiReader(frames.Buffered(), in))
@@ -74,6 +53,49 @@
 	}
 }
 
+// watchRequest says what is held here and what is wanted.
+func (c *Client) watchRequest() watchRequest {
+	var services []string
+	if c.cfg.Services != nil {
+		services = c.cfg.Services()
+	}
+	if !slices.Equal(services, c.services) {
+		c.services, c.epoch = slices.Clone(services), 0
+	}
+	return watchRequest{
+		Node:          c.cfg.Node,
+		Life:          c.cfg.Life,
+		ConfigVersion: c.cfg.ConfigVersion(),
+		Whole:         c.whole,
+		Epoch:         c.epoch,
+		Number:        c.number,
+		Services:      services,
+	}
+}
+
+// openWatch asks a member for a watch and gives its stream of frames.
+func (c *Client) openWatch(ctx context.Context, address string, request *watchRequest) (io.ReadCloser, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "encode the watch request")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+watchPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "watch request to %s", address)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := c.cfg.HTTP.Do(r)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Unreachable, "no watch at %s", address)
+	}
+	if answer.StatusCode != http.StatusOK {
+		said, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusal))
+		answer.Body.Close()
+		return nil, errs.New(errs.Unreachable, "%s refuses the watch: %s %s", address, answer.Status, said)
+	}
+	return answer.Body, nil
+}
+
 // take hands a frame on. A frame that was asked for whole and is refused still
 // counts as the member's failure.
 func (c *Client) take(f *frame, address string, whole bool) error {
