--- a/internal/mesh/watch/client_contact.go
+++ b/internal/mesh/watch/client_contact.go
@@ -17,6 +17,9 @@
 	// probeTimeout bounds a question to another member meanwhile, against
 	// members that are gone; it spans the way between zones and back.
 	probeTimeout = 400 * time.Millisecond
+	// probeGrace is how long better members, by zone, are waited for once one
+	// has answered well, against members that are gone holding up a move.
+	probeGrace = 50 * time.Millisecond
 )
 
 // errMoved is why a Client leaves a member that has lost its contact for one
@@ -70,7 +73,13 @@
 	}
 	answers := map[string]bool{}
 	for range others {
-		answers[<-good] = true
+		address := <-good
+		if address != "" && len(answers) == 0 {
+			time.AfterFunc(probeGrace, cancel)
+		}
+		if address != "" {
+			answers[address] = true
+		}
 	}
 	for _, address := range others {
 		if answers[address] {
--- a/internal/mesh/watch/contact.go
+++ b/internal/mesh/watch/contact.go
@@ -59,7 +59,11 @@
 		return
 	}
 	s.inContact = true
-	s.youngUntil, s.holdUntil = now+youngTime, now+registryHold
+	s.youngUntil = now + youngTime
+	if s.hadContact { // else nothing here is from before
+		s.holdUntil = now + registryHold
+	}
+	s.hadContact = true
 	s.table.Expire(now)
 	for _, n := range s.neighbours {
 		n.ask()
--- a/internal/mesh/watch/contact_test.go
+++ b/internal/mesh/watch/contact_test.go
@@ -245,6 +245,7 @@
 			Contact: func() (time.Duration, bool) { return 0, true },
 		})
 		So(still.contact().OK, ShouldBeTrue)
+		So(still.holdUntil, ShouldEqual, 0) // at the first contact nothing is from before
 		for range 20 {
 			pass(youngTime / 10)
 			still.contact()
@@ -253,6 +254,7 @@
 		pass(10 * time.Second) // and was renewed before it looked
 		So(still.contact().OK, ShouldBeTrue)
 		So(still.Young(), ShouldBeTrue)
+		So(still.holdUntil, ShouldBeGreaterThan, still.now())
 	})
 }
 
--- a/internal/mesh/watch/server.go
+++ b/internal/mesh/watch/server.go
@@ -79,6 +79,7 @@
 	neighbours map[string]*neighbour
 	waiters    map[*waiter]struct{}
 	inContact  bool
+	hadContact bool
 	observedAt time.Duration // when the contact was looked at last
 	holdUntil  time.Duration // registry news may wait until then
 	youngUntil time.Duration
