--- a/internal/mesh/controlplane/controlplane.go
+++ b/internal/mesh/controlplane/controlplane.go
@@ -28,8 +28,6 @@
 	dialTimeout = 300 * time.Millisecond
 	// openPause is between tries to open a disk that refuses.
 	openPause = 300 * time.Millisecond
-	// dealLimit bounds an ask for tokens.
-	dealLimit = 256 << 10
 )
 
 // Server is a running core machine.
@@ -40,7 +38,7 @@
 	start   time.Time
 	roster  *cluster.Roster
 	node    atomic.Pointer[replication.Node] // nil: not yet
-	hub     *watch.Hub
+	hub     *watch.Server
 	machine *stateMachine
 
 	mu     sync.Mutex
@@ -72,12 +70,12 @@
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.follow(life, reload)
-	s.hub = watch.NewHub(watch.HubConfig{
+	s.hub = watch.NewServer(watch.ServerConfig{
 		Self: s.set.Internal(), Zone: s.set.Self.Zone, Epoch: uint64(s.start.UnixNano()),
-		Peers:     func() []string { return s.roster.Addresses(s.now()) },
-		InContact: s.inContact,
-		Sequencer: func() string { id, _ := s.leader(); return id },
-		Charters:  s.machine, Client: s.client, Log: s.log,
+		Peers:   func() []string { return s.roster.Addresses(s.now()) },
+		Contact: s.contact,
+		Leader:  func() string { address, _ := s.leader(); return address },
+		HTTP:    s.client, ConfigSource: s.machine, Log: s.log,
 	})
 	failed, closeListeners, err := s.serve()
 	if err != nil {
@@ -175,41 +173,8 @@
 	return status.Leader.Address(), uint64(status.Term)
 }
 
-// inContact says whether what is known here is what a majority holds.
-func (s *Server) inContact() bool {
-	node := s.node.Load()
-	return node != nil && node.InContact()
-}
-
 func (s *Server) now() time.Duration { return time.Since(s.start) }
 
-// deal deals tokens where this member leads, whose duty that is; the epoch is its term. Else the ask goes on to it.
-func (s *Server) deal(r *http.Request, q *sidecar.DealAsk) (*sidecar.Dealt, error) {
-	leader, term := s.leader()
-	if leader != s.set.Internal() {
-		if leader == "" || q.Passed {
-			return nil, errs.New(errs.NotSequencer, "nobody deals here")
-		}
-		q.Passed = true
-		return rpc.Call[sidecar.DealAsk, sidecar.Dealt](r.Context(), s.client, "http://"+leader+sidecar.DealPath, q)
-	}
-	if !s.inContact() {
-		return nil, errs.New(errs.NoQuorum, "this view may be over")
-	}
-	live, largest := s.hub.Members()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if err := s.dealer.Configure(now, sidecar.Limits(s.machine.current()), max(1, live, largest)); err != nil {
-		return nil, err
-	}
-	grants, closed, err := s.dealer.Deal(now, term, q.Node, q.Asks)
-	if err != nil {
-		return nil, err
-	}
-	return &sidecar.Dealt{Epoch: term, Grants: grants, Closed: closed}, nil
-}
-
 // Beat takes a heartbeat that reached a core machine, as the sidecar beside its upstream did not take it.
 func (s *Server) Beat(u registry.Upstream) error {
 	if host, _, err := net.SplitHostPort(u.Address); err == nil {
--- a/internal/mesh/replication/leader.go
+++ b/internal/mesh/replication/leader.go
@@ -175,6 +175,9 @@
 		return false
 	}
 	r.send(best, Message{TimeoutNow: &TimeoutNow{}})
+	if !r.handingOver {
+		r.handingOver, r.handedOverAt = true, now
+	}
 	return true
 }
 
@@ -225,7 +228,7 @@
 func (r *Replica) heartbeat(now time.Duration, p *progress) Heartbeat {
 	age := forever
 	if r.openedTerm() {
-		age = max(0, now-r.heardByMajority())
+		age = max(0, now-r.confirmedByMajority())
 	}
 	return Heartbeat{Commit: r.commit, Sent: now, Round: r.round, Age: age, Echo: p.clock}
 }
--- a/internal/mesh/replication/replica.go
+++ b/internal/mesh/replication/replica.go
@@ -26,6 +26,8 @@
 	// ContactOut is how long a leader stays one without hearing from a majority. It ends its waiting
 	// callers' uncertainty soon after others may have chosen anew.
 	ContactOut = 700 * time.Millisecond
+	// handOverTime is how long a leader that has asked another to take over waits for it: two elections.
+	handOverTime = 2 * ElectionMax
 	// resendAfter and resendPerMiB are how long entries or a piece of a snapshot may be on their way
 	// before they are sent again: a round trip and a sync on a slow machine, and more for large ones
 	// so that they aren't sent twice over a narrow link.
@@ -122,6 +124,10 @@
 	// life tells this replica's life from earlier ones of the same id, whose clocks were others.
 	life    uint64
 	elected time.Duration
+	// handingOver says that this leader has asked another replica to take over in its stead, first at
+	// handedOverAt. It holds to the end of the term, as the request may still be on its way.
+	handingOver  bool
+	handedOverAt time.Duration
 	// handOverAt is when a leader that a change leaves out asks again to be relieved.
 	handOverAt time.Duration
 	// deadline is when the next pre-vote begins, unless a leader is heard.
@@ -242,7 +248,7 @@
 // no leader is known, or it has committed nothing of its own term yet.
 func (r *Replica) Confirmed() (at time.Duration, index Index, ok bool) {
 	if r.role == leader {
-		return r.heardByMajority(), r.commit, r.openedTerm()
+		return r.confirmedByMajority(), r.commit, r.openedTerm()
 	}
 	return r.confirmed, r.leaderCommit, r.leader != ""
 }
@@ -264,13 +270,24 @@
 	})
 }
 
-// checkContact makes a leader that a majority hasn't answered for ContactOut step down. It runs
+// confirmedByMajority is up to when a majority has confirmed that nobody else leads. Once this leader
+// has asked another to take over, its voters' word is none against that one: no later confirmation counts.
+func (r *Replica) confirmedByMajority() time.Duration {
+	at := r.heardByMajority()
+	if r.handingOver {
+		return min(at, r.handedOverAt)
+	}
+	return at
+}
+
+// checkContact makes a leader that a majority hasn't answered for ContactOut, or that asked in vain to
+// be relieved, step down. It runs
 // before anything a leader does, so that one that was frozen acts on nothing it believed before.
 func (r *Replica) checkContact(now time.Duration) {
 	if r.role != leader {
 		return
 	}
-	if now-r.heardByMajority() > ContactOut {
+	if now-r.heardByMajority() > ContactOut || r.handingOver && now-r.handedOverAt > handOverTime {
 		r.follow(r.hard.Term, "")
 		r.deadline = now + r.between(ElectionMin, ElectionMax)
 	}
--- a/internal/mesh/sidecar/beats_test.go
+++ b/internal/mesh/sidecar/beats_test.go
@@ -37,7 +37,7 @@
 	b := &Sidecar{set: new(settings.Settings), clock: clock.New(), log: zap.NewNop(), endpoints: newEndpoints([]string{"hall-a"}, inboundHere), in: new(inbound)}
 	b.set.Self.AppAddress, b.set.Self.NodeName, b.set.Self.Zone = appHere, "n", "hall-a"
 	b.charter.Store(config.Empty())
-	b.news = watch.NewSubscriber(watch.SubscriberConfig{Node: "n", Log: b.log})
+	b.news = watch.NewClient(watch.ClientConfig{Node: "n", Log: b.log})
 	var err error
 	module := func(m engine.Module) func(policy.Config, uint64, policy.Host) (engine.Module, error) {
 		return func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
--- /dev/null
+++ b/internal/mesh/watch/client.go
@@ -0,0 +1,158 @@
+package watch
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/registry"
+)
+
+const (
+	// firstPause and lastPause bound the pauses between members that fail one
+	// after the other, against a crowd that knocks without a break.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+	// steadyAfter is how long a member must have served for its failure to
+	// count as a first one, against a fast round between members that all fail.
+	steadyAfter = time.Second
+	// maxKnown bounds the members remembered, against a member gone wrong.
+	maxKnown = 64
+	// largeFrame is the size from which a frame's buffer is let go, so that one
+	// large configuration does not hold its memory for good.
+	largeFrame = 256 << 10
+	// maxRefusal bounds what is read of a refused watch.
+	maxRefusal = 4 << 10
+)
+
+// ClientConfig is what a Client is made of. All fields but Zone, Seeds,
+// Services and Of are required. The callbacks OnConfig and OnRegistry are called
+// one at a time, from Run.
+type ClientConfig struct {
+	Node string
+	// Life grows from process life to process life, for example its start in
+	// nanoseconds.
+	Life uint64
+	Zone string
+	// Seeds are internal addresses of core members to begin with.
+	Seeds []string
+	// Client must have no Timeout of its own, since watches last.
+	HTTP *http.Client
+	// State gives the Upstream, Applied and Leaving of this sidecar's lease,
+	// with the warm-up that is left now.
+	State func() registry.Lease
+	// ConfigVersion is the configuration version held. OnConfig applies a change or
+	// a whole configuration, passes over versions already held, and returns
+	// false to be sent the whole.
+	ConfigVersion func() int64
+	OnConfig      func(frame json.RawMessage) (ok bool)
+	// OnRegistry takes upserts and removals; if full, the upserts replace all.
+	OnRegistry func(full bool, upserts []registry.Upstream, removals []string)
+	// Services names the services this sidecar calls; nil or none means all.
+	Services func() []string
+	Log      *zap.Logger
+}
+
+// Client is the sidecar's side: it holds a lease and a watch at one core
+// member and goes to another when that one fails.
+type Client struct {
+	cfg   ClientConfig
+	poke  chan struct{}
+	again chan struct{}
+	lost  chan struct{} // the member kept to says that it has no contact
+
+	mu        sync.Mutex
+	sequence  uint64
+	left      bool
+	connected bool
+	members   int
+	largest   int
+	seeds     []string
+	learned   []Peer
+	current   string
+	chosen    string // the member found to go to, in place of one without contact
+	// confirmedAt is the latest time at which what is applied is known to have
+	// been the newest.
+	confirmedAt time.Time
+
+	// The rest belongs to Run.
+	tried    map[string]bool
+	epoch    uint64 // what is held is everything of this epoch and number,
+	number   uint64 // or nothing is if the epoch is 0
+	services []string
+	whole    bool
+}
+
+// The reasons for which a Client leaves a member that did not fail.
+var (
+	errAgain  = errs.New(errs.Internal, "the watch is opened anew")
+	errNearer = errs.New(errs.Internal, "a member of the own zone is there")
+	errSilent = errs.New(errs.Unreachable, "the member says nothing")
+)
+
+// NewClient makes a Client; Run sets it going.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{
+		cfg: cfg, poke: make(chan struct{}, 1), again: make(chan struct{}, 1), lost: make(chan struct{}, 1),
+		seeds: slices.Clone(cfg.Seeds), tried: map[string]bool{},
+	}
+}
+
+// Connected says whether news comes in: a member serves the watch now.
+func (c *Client) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connected
+}
+
+// Members is the number of sidecars with a live lease, as heard last. A member
+// that may not have heard from everybody only raises it.
+func (c *Client) Members() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members
+}
+
+// Largest is the largest number of sidecars lately, as heard last.
+func (c *Client) Largest() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.largest
+}
+
+// Peers gives the internal addresses of the core members known, the one kept to
+// first, then in the order in which they would be tried.
+func (c *Client) Peers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	order := c.order()
+	if i := slices.Index(order, c.current); i > 0 {
+		order = slices.Insert(slices.Delete(order, i, i+1), 0, c.current)
+	}
+	return order
+}
+
+// SetSeeds replaces the seeds. Members learned since are kept.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(seeds)
+}
+
+// Poke renews the lease at once, since what State gives has changed.
+func (c *Client) Poke() { signal(c.poke) }
+
+// Resubscribe opens the watch anew, since what Services gives has changed.
+func (c *Client) Resubscribe() { signal(c.again) }
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -1,5 +1,5 @@
-// Package watch is how news reaches the sidecars: the Hub of a core
-// member, which holds the leases and pushes what changed, and the Subscriber
+// Package watch is how news reaches the sidecars: the Server of a core
+// member, which holds the leases and pushes what changed, and the Client
 // of a sidecar, which keeps to one core member at a time.
 package watch
 
@@ -54,11 +54,14 @@
 	Members int  `json:"members"`
 	Largest int  `json:"largest"`
 	Young   bool `json:"young,omitempty"`
-	// Sequencer is a hint where the sequencer is.
-	Sequencer string `json:"sequencer,omitempty"`
+	// Leader is a hint where the leader is.
+	Leader string `json:"sequencer,omitempty"`
 	// Zone is the answering member's, and Peers are all core members.
 	Zone  string `json:"zone,omitempty"`
 	Peers []Peer `json:"peers"`
+	// Contact is the answering member's. Without it the sidecar should go
+	// elsewhere, and the counts and Peers may be old.
+	Contact Contact `json:"contact"`
 	// Caught says that this member is in contact with a quorum and the sidecar
 	// has applied the newest configuration known here.
 	Caught bool `json:"caught"`
@@ -66,10 +69,10 @@
 
 // watchRequest opens a watch from what the sidecar holds.
 type watchRequest struct {
-	Node    string `json:"node"`
-	Life    uint64 `json:"life"`
-	Charter int64  `json:"charter"`
-	// Whole asks for the whole charter whatever is held.
+	Node          string `json:"node"`
+	Life          uint64 `json:"life"`
+	ConfigVersion int64  `json:"charter"`
+	// Whole asks for the whole configuration whatever is held.
 	Whole    bool     `json:"whole,omitempty"`
 	Epoch    uint64   `json:"epoch"`
 	Number   uint64   `json:"number"`
@@ -77,12 +80,12 @@
 }
 
 type frame struct {
-	Charter   json.RawMessage `json:"charter,omitempty"`
-	Catalogue *catalogueFrame `json:"catalogue,omitempty"`
-	Beat      *beatFrame      `json:"beat,omitempty"`
+	Config   json.RawMessage `json:"charter,omitempty"`
+	Registry *registryFrame  `json:"catalogue,omitempty"`
+	Beat     *beatFrame      `json:"beat,omitempty"`
 }
 
-type catalogueFrame struct {
+type registryFrame struct {
 	Epoch  uint64 `json:"epoch"`
 	Number uint64 `json:"number"`
 	Full   bool   `json:"full,omitempty"`
@@ -93,11 +96,14 @@
 	Removals []string            `json:"removals,omitempty"`
 }
 
+// beatFrame is the member's sign of life. Without contact it carries nothing
+// else, and tells the sidecar to go elsewhere.
 type beatFrame struct {
-	Version int64 `json:"version"`
-	Members int   `json:"members"`
-	Largest int   `json:"largest"`
-	Young   bool  `json:"young,omitempty"`
+	Contact Contact `json:"contact"`
+	Version int64   `json:"version"`
+	Members int     `json:"members"`
+	Largest int     `json:"largest"`
+	Young   bool    `json:"young,omitempty"`
 }
 
 // gossip is what one member tells another. Unreached are the members the
@@ -108,15 +114,30 @@
 	Leases    []registry.Remote  `json:"leases,omitempty"`
 	Renewals  []registry.Renewal `json:"renewals,omitempty"`
 	Beats     []registry.Vouched `json:"beats,omitempty"`
+	// Echo is the receiver's clock as it answered last, and Since the time from
+	// that answer's arrival to the making of this message. So the receiver
+	// knows how old the message may be.
+	Echo  clockReading  `json:"echo"`
+	Since time.Duration `json:"since"`
+}
+
+// clockReading is a member's steady clock, which means something only to that
+// member in that process life.
+type clockReading struct {
+	Epoch uint64        `json:"epoch"`
+	At    time.Duration `json:"at"`
 }
 
 // gossipAnswer names the nodes whose lease has to be sent whole.
 type gossipAnswer struct {
-	Zone    string   `json:"zone,omitempty"`
-	Unknown []string `json:"unknown,omitempty"`
+	Clock   clockReading `json:"clock"`
+	Zone    string       `json:"zone,omitempty"`
+	Unknown []string     `json:"unknown,omitempty"`
 }
 
+// rollAnswer is all that a member knows of the sidecars and upstreams.
 type rollAnswer struct {
+	Clock  clockReading       `json:"clock"`
 	Zone   string             `json:"zone,omitempty"`
 	Leases []registry.Remote  `json:"leases,omitempty"`
 	Beats  []registry.Vouched `json:"beats,omitempty"`
