Fleet state in one sealed file; a damaged one is put aside

Cause: the state was a bbolt database, which has sums over its meta pages only and maps its file: a damaged page number led past the end of the mapping (SIGBUS, caught by no recover), and some damage passed for a whole file. Old databases are read once by plain reads that trust no number, and replaced. Bans and the handover record are read with a bound; the names of replaced files are synced.

--- a/internal/bans/bans_test.go
+++ b/internal/bans/bans_test.go
@@ -5,13 +5,16 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"caperarch/internal/call"
+	"caperarch/internal/durable"
 	"caperarch/internal/rig"
+	"caperarch/internal/rig/damage"
 	"caperarch/policy"
 )
 
@@ -143,6 +146,34 @@
 	}
 }
 
+// No damage passes for another list; the file is put aside or its list is the one that was written.
+func TestDamageIsSeen(t *testing.T) {
+	f := file{t.TempDir()}
+	if err := f.write([]string{"s-1", "s-22", "s-333"}); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(f.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := damage.NewSource(t, 16)
+	for range damage.Rounds(2_000) {
+		raw, how := source.Of(whole)
+		if err := os.WriteFile(f.path(), raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := f.read(); err == nil && !slices.Equal(got, []string{"s-1", "s-22", "s-333"}) {
+			t.Errorf("%s: %q", how, got)
+		}
+	}
+	if err := os.WriteFile(f.path(), make([]byte, fileMost+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.read(); !errors.Is(err, durable.ErrDamaged) {
+		t.Errorf("too long: %v", err)
+	}
+}
+
 // An engine that does not take a ban up gets its caller a no in time, not a yes that is not true.
 func TestNoWhereNotTakenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/bans/file.go
+++ b/internal/bans/file.go
@@ -32,8 +32,6 @@
 	Sum  uint64          `json:"sum"` // of Bans' bytes: half a file, or one that was edited, is none
 }
 
-var errDamaged = errors.New("damaged")
-
 // stamp tells one writing of the file from another. They are renamed into place, so each has an inode of its own.
 type stamp struct {
 	inode uint64
@@ -55,36 +53,32 @@
 // read returns the bans; none where there is no file. One that is damaged is put aside, so that it can be looked at and is not read again.
 func (f file) read() ([]string, error) {
 	bans, err := f.parse()
-	if errors.Is(err, errDamaged) {
-		return nil, errors.Join(err, os.Rename(f.path(), f.path()+".damaged"))
+	if errors.Is(err, durable.ErrDamaged) {
+		return nil, errors.Join(err, durable.PutAside(f.path()))
 	}
 	return bans, err
 }
 
 func (f file) parse() ([]string, error) {
-	info, err := os.Stat(f.path())
+	raw, err := durable.ReadBounded(f.path(), fileMost)
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
 		return nil, nil
+	case errors.Is(err, durable.ErrTooLong):
+		return nil, fmt.Errorf("%w: %w", durable.ErrDamaged, err)
 	case err != nil:
 		return nil, err
-	case info.Size() > fileMost:
-		return nil, fmt.Errorf("%w: %d bytes", errDamaged, info.Size())
-	}
-	raw, err := os.ReadFile(f.path())
-	if err != nil {
-		return nil, err
 	}
 	var k kept
 	if err := json.Unmarshal(raw, &k); err != nil {
-		return nil, fmt.Errorf("%w: %w", errDamaged, err)
+		return nil, fmt.Errorf("%w: %w", durable.ErrDamaged, err)
 	}
 	if k.Form != form || k.Sum != xxhash.Sum64(k.Bans) {
-		return nil, fmt.Errorf("%w: form %d or its sum is not right", errDamaged, k.Form)
+		return nil, fmt.Errorf("%w: form %d or its sum is not right", durable.ErrDamaged, k.Form)
 	}
 	var bans []string
 	if err := json.Unmarshal(k.Bans, &bans); err != nil {
-		return nil, fmt.Errorf("%w: %w", errDamaged, err)
+		return nil, fmt.Errorf("%w: %w", durable.ErrDamaged, err)
 	}
 	return bans, nil
 }
--- a/internal/durable/file.go
+++ b/internal/durable/file.go
@@ -1,15 +1,27 @@
-// Package durable writes files that are there whole or not at all, whatever ends the process meanwhile.
+// Package durable writes files that are there whole or not at all, whatever ends the process meanwhile, and
+// reads them so that damage is seen.
 package durable
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 )
 
-// Replace puts a file in another's place. With sync it is on the disk, where there is one, before it takes that place.
+const (
+	temporarySuffix = ".tmp"
+	damagedSuffix   = ".damaged"
+)
+
+// ErrTooLong is that a file holds more than its reader allows.
+var ErrTooLong = errors.New("the file is too long")
+
+// Replace puts a file in another's place. With sync, file and name are on the disk when it returns; until
+// then either the old content or the new one is found there.
 func Replace(path string, raw []byte, sync bool) error {
-	t, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	t, err := os.CreateTemp(filepath.Dir(path), temporaryPattern(path))
 	if err != nil {
 		return err
 	}
@@ -20,5 +32,63 @@
 	if err = errors.Join(err, t.Close()); err != nil {
 		return err
 	}
-	return os.Rename(t.Name(), path)
+	if err := os.Rename(t.Name(), path); err != nil || !sync {
+		return err
+	}
+	return syncFolder(path)
+}
+
+// RemoveTemporary removes what calls of Replace for this path have left behind whose process was ended. No
+// such call may be under way.
+func RemoveTemporary(path string) error {
+	left, err := filepath.Glob(filepath.Join(filepath.Dir(path), temporaryPattern(path)))
+	for _, name := range left {
+		err = errors.Join(err, os.Remove(name))
+	}
+	return err
+}
+
+func temporaryPattern(path string) string { return filepath.Base(path) + ".*" + temporarySuffix }
+
+// ReadBounded reads a file of at most so many bytes; of a longer one it holds no more than that in memory.
+func ReadBounded(path string, most int64) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, most+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(raw)) > most {
+		return nil, fmt.Errorf("%s: %w: more than %d bytes", path, ErrTooLong, most)
+	}
+	return raw, nil
+}
+
+// PutAside renames a damaged file, so that it can be looked at and is not read again. One that was put aside
+// earlier is replaced.
+func PutAside(path string) error {
+	if err := os.Rename(path, path+damagedSuffix); err != nil {
+		return err
+	}
+	return syncFolder(path)
+}
+
+// Remove removes a file for good: its name is gone from the disk when it returns.
+func Remove(path string) error {
+	if err := os.Remove(path); err != nil {
+		return err
+	}
+	return syncFolder(path)
+}
+
+// syncFolder makes the names in a file's folder last.
+func syncFolder(path string) error {
+	folder, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
 }
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -166,6 +166,9 @@
 		if p.store, err = openState(dir, p.f.file.Name, cfg.Self); err != nil {
 			return err
 		}
+		if damage := p.store.Damage(); damage != nil {
+			p.f.log.Error("policy: the state was damaged and is put aside, this sidecar votes with a new seat", "error", damage)
+		}
 		if saved, texts, err = p.store.Saved(); err != nil {
 			return err
 		}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,17 +1,22 @@
 package handover
 
 import (
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
 	"caperarch/internal/call"
 	"caperarch/internal/rig"
+	"caperarch/internal/rig/damage"
 	"caperarch/policy"
 )
 
+const damages = 10_000 // of a record, in memory
+
 func TestMachine(t *testing.T) {
 	m := &Machine{}
 	step := func(s Seen, want Do) {
@@ -100,6 +105,13 @@
 			t.Fatalf("cut at %d it was taken", n)
 		}
 	}
+	source := damage.NewSource(t, 64)
+	for range damage.Rounds(damages) {
+		bad, how := source.Of(raw)
+		if got, err := decode(bad, "m"); err == nil && !reflect.DeepEqual(got, r) {
+			t.Errorf("%s: taken", how)
+		}
+	}
 	dir := t.TempDir()
 	open(t, dir)
 	young := open(t, dir)
@@ -118,6 +130,12 @@
 	if _, err := young.Await(rig.Generous); err == nil || err == ErrNoRecord {
 		t.Errorf("cut: %v", err)
 	}
+	if err := os.WriteFile(filepath.Join(dir, recordName), make([]byte, recordMost+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := young.Await(rig.Generous); !errors.Is(err, errDamaged) {
+		t.Errorf("too long: %v", err)
+	}
 }
 
 // With steering all new connections go to the one that came last, and after its predecessor's end still; without it both get some.
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -89,9 +89,6 @@
 }
 
 func decode(raw []byte, mark string) (*Record, error) {
-	if len(raw) > recordMost {
-		return nil, fmt.Errorf("%w: %d bytes", errDamaged, len(raw))
-	}
 	var e envelope
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return nil, fmt.Errorf("%w: %w", errDamaged, err)
--- a/internal/handover/seat.go
+++ b/internal/handover/seat.go
@@ -100,8 +100,8 @@
 }
 
 func (s *Seat) arrival() string {
-	raw, err := os.ReadFile(filepath.Join(s.dir, arrivalName))
-	if err != nil || len(raw) > markMost {
+	raw, err := durable.ReadBounded(filepath.Join(s.dir, arrivalName), markMost)
+	if err != nil {
 		return ""
 	}
 	return string(raw)
@@ -121,23 +121,28 @@
 
 // Await waits for the record that the older process writes under this one's mark, for so long at most. Where that process is gone there is nothing to wait for.
 func (s *Seat) Await(within time.Duration) (*Record, error) {
-	last := ErrNoRecord
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(awaitEvery) {
-		raw, err := os.ReadFile(filepath.Join(s.dir, recordName))
-		if err != nil {
-			continue
-		}
-		r, err := decode(raw, s.mark)
+		r, err := s.record()
 		if err == nil {
 			return r, nil
 		}
-		if last = err; errors.Is(err, errOther) {
-			last = ErrNoRecord // of an earlier replacement
-		} else {
-			break // renamed into place, it gets no better
+		if !errors.Is(err, ErrNoRecord) && !errors.Is(err, errOther) { // other: of an earlier replacement
+			return nil, err // renamed into place, it gets no better
 		}
 	}
-	return nil, last
+	return nil, ErrNoRecord
+}
+
+// record reads what is there now.
+func (s *Seat) record() (*Record, error) {
+	raw, err := durable.ReadBounded(filepath.Join(s.dir, recordName), recordMost)
+	switch {
+	case errors.Is(err, durable.ErrTooLong):
+		return nil, fmt.Errorf("%w: %w", errDamaged, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrNoRecord, err)
+	}
+	return decode(raw, s.mark)
 }
 
 const awaitEvery = 5 * time.Millisecond
--- /dev/null
+++ b/internal/state/damage_test.go
@@ -0,0 +1,339 @@
+package state
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"caperarch/internal/durable"
+	"caperarch/internal/rig/damage"
+)
+
+const (
+	pageBytes    = 4096
+	usualOpens   = 300    // each syncs some files
+	usualDecodes = 10_000 // in memory
+)
+
+// full is the file of a sidecar that has kept something of everything.
+func full(t *testing.T) []byte {
+	t.Helper()
+	dir := t.TempDir()
+	s := open(t, dir)
+	var all []*raftpb.Entry
+	for i := range uint64(200) {
+		all = append(all, entry(i+1, 1))
+	}
+	if err := errors.Join(s.Begin(5), s.Save(vote(1, 200), all), s.Text([32]byte{1}, bytes.Repeat([]byte("open = 3\n"), 1000))); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	raw, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// putAside opens a folder with a damaged file: it is moved, byte for byte, and the sidecar begins anew.
+func putAside(t *testing.T, name string, raw []byte, how string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Open(filepath.Dir(path), "hives", 3, 1)
+	if err != nil {
+		t.Fatalf("%s: %v", how, err)
+	}
+	defer s.Close()
+	saved, texts, err := s.Saved()
+	if err != nil || s.Seat() != 1 || saved.Epoch != 0 || saved.Vote != nil || len(saved.Entries)+len(texts) != 0 {
+		t.Errorf("%s: taken: seat %d, %+v, %d texts, %v", how, s.Seat(), saved, len(texts), err)
+	}
+	if s.Damage() == nil || !strings.Contains(s.Damage().Error(), path) {
+		t.Errorf("%s: %v does not name the file", how, s.Damage())
+	}
+	if aside, err := os.ReadFile(path + ".damaged"); err != nil || !bytes.Equal(aside, raw) {
+		t.Errorf("%s: put aside: %d bytes, %v", how, len(aside), err)
+	}
+}
+
+func TestDamagedIsPutAside(t *testing.T) {
+	whole := full(t)
+	for how, raw := range map[string][]byte{
+		"noise": []byte(strings.Repeat("noise", 4000)), "empty": {}, "half": whole[:len(whole)/2], "one page": whole[:pageBytes],
+		"zeroes in it":         append(append(bytes.Clone(whole[:pageBytes]), make([]byte, pageBytes)...), whole[2*pageBytes:]...),
+		"too long":             append(bytes.Clone(whole), make([]byte, fileMost)...),
+		"no seat":              durable.Seal(kind, []byte(`{"format":2,"fleet":"hives","number":3}`)),
+		"entries, no vote":     durable.Seal(kind, []byte(`{"format":2,"fleet":"hives","number":3,"seat":7,"entries":["IAE="]}`)),
+		"no protobuf":          durable.Seal(kind, []byte(`{"format":2,"fleet":"hives","number":3,"seat":7,"vote":"/w=="}`)),
+		"no JSON":              durable.Seal(kind, []byte(`{`)),
+		"another kind of file": durable.Seal("caperarch-other", []byte(`{}`)),
+	} {
+		putAside(t, fileName, raw, how)
+	}
+	source := damage.NewSource(t, pageBytes)
+	for range damage.Rounds(usualOpens) {
+		raw, how := source.Of(whole)
+		putAside(t, fileName, raw, how)
+	}
+}
+
+// No damage at all passes for a whole file: drawn ones, every single bit, every cut.
+func TestDamageIsSeen(t *testing.T) {
+	whole := full(t)
+	refused := func(raw []byte, how string) {
+		if _, err := decode(raw); !errors.Is(err, durable.ErrDamaged) {
+			t.Errorf("%s: %v", how, err)
+		}
+	}
+	if _, err := decode(whole); err != nil {
+		t.Fatal(err)
+	}
+	source := damage.NewSource(t, pageBytes)
+	for range damage.Rounds(usualDecodes) {
+		raw, how := source.Of(whole)
+		refused(raw, how)
+	}
+	small := durable.Seal(kind, []byte(`{"format":2,"fleet":"hives","number":3,"seat":7}`))
+	for i := range small {
+		refused(small[:i], fmt.Sprintf("cut at %d", i))
+		for bit := range 8 {
+			raw := bytes.Clone(small)
+			raw[i] ^= 1 << bit
+			refused(raw, fmt.Sprintf("bit %d of byte %d", bit, i))
+		}
+	}
+}
+
+// writeOld makes a file as the first format's program did, with versions of it that were overwritten.
+func writeOld(t *testing.T, path string, entries uint64, text int) {
+	t.Helper()
+	db, err := bbolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	update := func(do func(tx *bbolt.Tx) error) { err = errors.Join(err, db.Update(do)) }
+	marshal := func(m proto.Message) []byte {
+		raw, failed := proto.Marshal(m)
+		err = errors.Join(err, failed)
+		return raw
+	}
+	update(func(tx *bbolt.Tx) error {
+		about, _ := tx.CreateBucket([]byte("about"))
+		tx.CreateBucket([]byte("entries"))
+		tx.CreateBucket([]byte("texts"))
+		return about.Put([]byte("owner"), []byte(`{"form":1,"fleet":"hives","number":3,"seat":99,"epoch":5}`))
+	})
+	for last := range entries {
+		update(func(tx *bbolt.Tx) error {
+			return errors.Join(
+				tx.Bucket([]byte("about")).Put([]byte("vote"), marshal(vote(1, last+1))),
+				tx.Bucket([]byte("entries")).Put(key(last+1), marshal(entry(last+1, 1))))
+		})
+	}
+	for i := range uint64(3) {
+		update(func(tx *bbolt.Tx) error {
+			return tx.Bucket([]byte("texts")).Put(key(i+1), bytes.Repeat([]byte{'a' + byte(i)}, text))
+		})
+	}
+	if err := errors.Join(err, db.Close()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func key(index uint64) []byte { return []byte{0, 0, 0, 0, 0, 0, byte(index >> 8), byte(index)} }
+
+// An old file is taken up whole, whether its buckets lie in pages of their own or not, and is read once.
+func TestOldFileIsTakenUp(t *testing.T) {
+	for _, entries := range []uint64{0, 1, 40, 600} {
+		for _, text := range []int{0, 9, 3 * pageBytes} {
+			dir := t.TempDir()
+			old := filepath.Join(dir, oldFileName)
+			writeOld(t, old, entries, text)
+			for range 2 {
+				s, err := Open(dir, "hives", 3, 1)
+				if err != nil {
+					t.Fatalf("%d entries, texts of %d: %v", entries, text, err)
+				}
+				saved, texts, err := s.Saved()
+				if err != nil || s.Damage() != nil || s.Seat() != 99 || saved.Epoch != 5 || uint64(len(saved.Entries)) != entries || saved.Vote.GetCommit() != entries {
+					t.Errorf("%d entries: seat %d, %v, %v, %d, %v", entries, s.Seat(), s.Damage(), saved.Vote, len(saved.Entries), err)
+				}
+				if len(texts) != 3 || len(texts[0]) != text || text > 0 && texts[2][text-1] != 'c' {
+					t.Errorf("texts of %d: %d", text, len(texts))
+				}
+				if _, err := os.Stat(old); !errors.Is(err, os.ErrNotExist) {
+					t.Errorf("the old file is still there: %v", err)
+				}
+				s.Close()
+			}
+		}
+	}
+}
+
+// An old file that another process has open, is another sidecar's or none of this program's stays; one without
+// anything in it is no state; one whose conversion was cut short is not read again.
+func TestOldFileStays(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, oldFileName)
+	writeOld(t, path, 3, 9)
+	db, err := bbolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, "hives", 3, 1); !errors.Is(err, ErrInUse) {
+		t.Errorf("in use: %v", err)
+	}
+	db.Close()
+	if _, err := Open(dir, "bees", 3, 1); err == nil || !strings.Contains(err.Error(), path) {
+		t.Errorf("another fleet's: %v", err)
+	}
+	kept, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	open(t, dir).Close()
+	if err := os.WriteFile(path, kept, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := open(t, dir)
+	if err := s.Save(vote(7, 3), nil); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	if err := os.WriteFile(path, kept, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if saved, _, err := open(t, dir).Saved(); err != nil || saved.Vote.GetTerm() != 7 {
+		t.Errorf("%+v, %v", saved, err)
+	}
+	if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the old file: %v", err)
+	}
+}
+
+func TestOldFileWithoutState(t *testing.T) {
+	for _, foreign := range []bool{false, true} {
+		dir := t.TempDir()
+		path := filepath.Join(dir, oldFileName)
+		db, err := bbolt.Open(path, 0o600, nil)
+		if err == nil && foreign {
+			err = db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucket([]byte("other")); return err })
+		}
+		if err := errors.Join(err, db.Close()); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(dir, "hives", 3, 1)
+		if foreign {
+			if err == nil || !strings.Contains(err.Error(), path) {
+				t.Errorf("none of ours: %v", err)
+			}
+			continue
+		}
+		if err != nil || s.Seat() != 1 || s.Damage() != nil {
+			t.Fatalf("empty: %v", err)
+		}
+		s.Close()
+	}
+}
+
+// numbersIn are where a page has its numbers: its header, and the first elements behind it.
+const numbersIn = boltPageHeader + 5*boltElement
+
+// Numbers in an old file's pages, those under a right sum included, lead nowhere outside: each byte of each header
+// and of the first elements is set, and what is taken is a file in which nothing but values changed.
+func TestOldFilesNumbers(t *testing.T) {
+	path := filepath.Join(t.TempDir(), oldFileName)
+	writeOld(t, path, 200, 9)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := decodeOld(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range len(whole) {
+		if at%pageBytes >= numbersIn {
+			continue
+		}
+		for _, to := range []byte{0, 1, 0x7F, 0xFF, whole[at] + 1, whole[at] - 1, whole[at] ^ 0x80} {
+			raw := bytes.Clone(whole)
+			raw[at] = to
+			for page := range boltMetaPages {
+				resum(raw[page*pageBytes:])
+			}
+			if got, err := decodeOld(raw); err == nil && (got.Seat != want.Seat || len(got.Entries) != len(want.Entries)) {
+				t.Errorf("byte %d set to %d: seat %d, %d entries", at, to, got.Seat, len(got.Entries))
+			}
+		}
+	}
+}
+
+// resum makes a meta page's sum right.
+func resum(page []byte) {
+	sum := fnv.New64a()
+	sum.Write(page[boltPageHeader : boltPageHeader+boltMetaSize-8])
+	binary.LittleEndian.PutUint64(page[boltPageHeader+boltMetaSize-8:], sum.Sum64())
+}
+
+// Damage to an old file never ends the process, and what pages show is refused: of each page that is zeroed, each
+// two that are swapped and each cut, none passes for another state. A byte inside a value may; how many do is
+// logged.
+func TestDamagedOldFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), oldFileName)
+	writeOld(t, path, 200, 9)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := decodeOld(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unlike := func(raw []byte) bool {
+		got, err := decodeOld(raw)
+		return err == nil && !reflect.DeepEqual(got, want)
+	}
+	pages := len(whole) / pageBytes
+	for one := range pages {
+		raw := bytes.Clone(whole)
+		clear(damage.Page(raw, pageBytes, one))
+		if unlike(raw) {
+			t.Errorf("page %d zeroed: taken", one)
+		}
+		if unlike(whole[:one*pageBytes]) {
+			t.Errorf("cut at page %d: taken", one)
+		}
+		for other := range one {
+			raw := bytes.Clone(whole)
+			damage.SwapPages(raw, pageBytes, one, other)
+			if unlike(raw) {
+				t.Errorf("pages %d and %d swapped: taken", one, other)
+			}
+		}
+	}
+	source, taken := damage.NewSource(t, pageBytes), 0
+	rounds := damage.Rounds(usualDecodes)
+	for range rounds {
+		if raw, _ := source.Of(whole); unlike(raw) {
+			taken++
+		}
+	}
+	t.Logf("%d of %d damages changed a value unseen", taken, rounds)
+	putAside(t, oldFileName, whole[:len(whole)/2], "half of an old file")
+	putAside(t, oldFileName, []byte("noise"), "noise for an old file")
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,52 +1,42 @@
-// Package state keeps what a sidecar must not forget of the log that its fleet agrees on, in a folder that outlives the process: its seat, its vote, entries, policies' texts. Each is on the
-// disk before it is answered for. A file that is damaged, another sidecar's or of another form is refused, and never half used.
+// Package state keeps what a sidecar must not forget of the log that its fleet agrees on, in a folder that
+// outlives the process: its seat, its vote, entries, policies' texts. Each is on the disk before it is answered
+// for.
+//
+// All of it is one small file with a length and a sum, replaced whole at each change. So a crash leaves the
+// state before the change or the one after it, and damage of any kind is seen before anything is believed: the
+// file is then put aside, and the sidecar begins with a new seat, as one without a folder does at each start.
+// A database that writes in place has no sum over what it keeps, and one that is mapped into memory ends the
+// process at some damage; what is kept here is written only when operators decide something or a voter is
+// elected, and is some kilobytes as a rule.
+//
+// Files of the first format, a bbolt database, are read once and replaced.
 package state
 
 import (
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
-	"time"
 
-	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3/raftpb"
-	"google.golang.org/protobuf/proto"
 
 	"caperarch/internal/agree"
+	"caperarch/internal/durable"
 )
 
 const (
-	form      = 1
-	fileName  = "caperarch-fleet.db"
-	lockFor   = 200 * time.Millisecond // another process that has it open ends soon, or does not
-	textsMost = 32
+	fileName    = "caperarch-fleet.state"
+	lockName    = "caperarch-fleet.lock"
+	oldFileName = "caperarch-fleet.db" // of the first format
 )
 
-// ErrInUse is that another process has the file open.
-var ErrInUse = errors.New("another process has it open")
-
-var (
-	about   = []byte("about")
-	entries = []byte("entries")
-	texts   = []byte("texts")
-)
-
-// owner is whose file it is.
-type owner struct {
-	Form   int    `json:"form"`
-	Fleet  string `json:"fleet"`
-	Number int    `json:"number"`
-	Seat   uint64 `json:"seat"`
-	Epoch  uint64 `json:"epoch"`
-}
-
-// Store is one sidecar's file. It is used from one goroutine at a time.
+// Store is one sidecar's state. It is used from one goroutine at a time.
 type Store struct {
-	db    *bbolt.DB
-	owner owner
+	path     string
+	lock     *os.File
+	contents contents
+	damage   error
 }
 
 // Usable says whether a folder can be used, before anything is opened in it.
@@ -58,191 +48,147 @@
 	return errors.Join(f.Close(), os.Remove(f.Name()))
 }
 
-// Open opens the file of a fleet's sidecar in a folder, or makes one, whose seat is then life.
-func Open(dir, fleet string, number int, life uint64) (s *Store, err error) {
-	path := filepath.Join(dir, fileName)
-	defer func() {
-		if trouble := recover(); trouble != nil { // bbolt does so at some damage
-			s, err = nil, fmt.Errorf("%s: damaged: %v", path, trouble)
-		}
-	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockFor})
-	switch {
-	case errors.Is(err, bbolt.ErrTimeout):
-		return nil, fmt.Errorf("%s: %w", path, ErrInUse)
-	case err != nil:
-		return nil, fmt.Errorf("%s: %w", path, err)
+// Open opens the state of a fleet's sidecar in a folder, or begins one, whose seat is then life. One that is
+// damaged is put aside, see Damage; one of another sidecar or of an unknown format is an error, and stays.
+func Open(dir, fleet string, number int, life uint64) (*Store, error) {
+	lock, err := lockFile(filepath.Join(dir, lockName), os.O_CREATE)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, lockName), err)
 	}
-	s = &Store{db: db}
-	if err := db.Update(func(tx *bbolt.Tx) error { return s.begin(tx, fleet, number, life) }); err != nil {
-		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
+	s := &Store{path: filepath.Join(dir, fileName), lock: lock}
+	if err := s.load(fleet, number, life); err != nil {
+		return nil, errors.Join(err, lock.Close())
 	}
 	return s, nil
 }
 
-// begin reads whose file it is, and checks all of it once.
-func (s *Store) begin(tx *bbolt.Tx, fleet string, number int, life uint64) error {
-	b := tx.Bucket(about)
-	if b == nil {
-		if name, _ := tx.Cursor().First(); name != nil {
-			return errors.New("it is none of this program's")
-		}
-		var err error
-		if b, err = tx.CreateBucket(about); err != nil {
-			return err
-		}
-		s.owner = owner{form, fleet, number, life, 0}
-		if err := s.write(tx); err != nil {
-			return err
-		}
-		return s.clear(tx)
-	}
-	if err := json.Unmarshal(b.Get([]byte("owner")), &s.owner); err != nil {
-		return fmt.Errorf("damaged: %w", err)
-	}
-	switch o := s.owner; {
-	case o.Form != form:
-		return fmt.Errorf("it has form %d, this program knows form %d", o.Form, form)
-	case o.Fleet != fleet || o.Number != number:
-		return fmt.Errorf("it is sidecar %d's of fleet %q, this is %d of %q", o.Number, o.Fleet, number, fleet)
-	case o.Seat == 0:
-		return errors.New("damaged: it has no seat")
-	}
-	for trouble := range tx.Check() {
-		return fmt.Errorf("damaged: %w", trouble)
-	}
-	_, _, err := s.read(tx)
-	return err
-}
-
-func (s *Store) write(tx *bbolt.Tx) error {
-	raw, err := json.Marshal(s.owner)
+// load takes up what the folder holds, or begins anew.
+func (s *Store) load(fleet string, number int, life uint64) error {
+	if err := durable.RemoveTemporary(s.path); err != nil {
+		return err
+	}
+	kept, err := s.read()
+	if err == nil && kept == nil {
+		kept, err = s.convert(fleet, number)
+	}
 	if err != nil {
 		return err
 	}
-	return tx.Bucket(about).Put([]byte("owner"), raw)
+	if kept == nil {
+		return s.write(contents{Format: formatVersion, Fleet: fleet, Number: number, Seat: life})
+	}
+	if err := kept.belongsTo(fleet, number); err != nil {
+		return fmt.Errorf("%s: %w", s.path, err)
+	}
+	s.contents = *kept
+	return nil
 }
 
-// clear leaves no vote, entry or text.
-func (s *Store) clear(tx *bbolt.Tx) error {
-	for _, name := range [][]byte{entries, texts} {
-		if tx.Bucket(name) != nil {
-			if err := tx.DeleteBucket(name); err != nil {
-				return err
-			}
-		}
-		if _, err := tx.CreateBucket(name); err != nil {
-			return err
-		}
-	}
-	return tx.Bucket(about).Delete([]byte("vote"))
+// read reads the file; nil is that there is none, or none any more.
+func (s *Store) read() (*contents, error) {
+	raw, err := durable.ReadBounded(s.path, fileMost)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	// A conversion that was ended before its last step left the old file, which is never to be read again.
+	old := filepath.Join(filepath.Dir(s.path), oldFileName)
+	if err := durable.Remove(old); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	var kept *contents
+	if err == nil {
+		kept, err = decode(raw)
+	}
+	return kept, s.judge(s.path, err)
 }
 
-// Close closes the file.
-func (s *Store) Close() error { return s.db.Close() }
-
-// Seat is the life by which this sidecar votes.
-func (s *Store) Seat() uint64 { return s.owner.Seat }
+// convert takes up a file of the first format and replaces it; nil is that there is none, or none any more.
+func (s *Store) convert(fleet string, number int) (*contents, error) {
+	path := filepath.Join(filepath.Dir(s.path), oldFileName)
+	lock, err := lockFile(path, 0) // a process of the earlier program may have it open
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	defer lock.Close()
+	raw, err := durable.ReadBounded(path, oldFileMost)
+	var kept *contents
+	if err == nil {
+		kept, err = decodeOld(raw)
+	}
+	if err != nil || kept == nil {
+		return nil, s.judge(path, err)
+	}
+	if err := kept.belongsTo(fleet, number); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := s.write(*kept); err != nil {
+		return nil, err
+	}
+	return kept, durable.Remove(path)
+}
 
-// Saved is what is kept.
-func (s *Store) Saved() (saved *agree.Saved, all [][]byte, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
-		saved, all, err = s.read(tx)
+// judge puts a damaged file aside; any other error is handed on with the file's name.
+func (s *Store) judge(path string, err error) error {
+	if err == nil {
+		return nil
+	}
+	err = fmt.Errorf("%s: %w", path, err)
+	if !errors.Is(err, durable.ErrDamaged) && !errors.Is(err, durable.ErrTooLong) {
 		return err
-	})
-	return saved, all, err
+	}
+	s.damage = err
+	return durable.PutAside(path)
 }
 
-func (s *Store) read(tx *bbolt.Tx) (saved *agree.Saved, all [][]byte, err error) {
-	saved = &agree.Saved{Epoch: s.owner.Epoch}
-	if raw := tx.Bucket(about).Get([]byte("vote")); raw != nil {
-		saved.Vote = new(raftpb.HardState)
-		if err := proto.Unmarshal(raw, saved.Vote); err != nil {
-			return nil, nil, fmt.Errorf("damaged: its vote: %w", err)
-		}
-	}
-	log, kept := tx.Bucket(entries), tx.Bucket(texts)
-	if log == nil || kept == nil {
-		return nil, nil, errors.New("damaged: a part is missing")
-	}
-	err = log.ForEach(func(k, v []byte) error {
-		e := new(raftpb.Entry)
-		if err := proto.Unmarshal(v, e); err != nil || len(k) != 8 || e.GetIndex() != binary.BigEndian.Uint64(k) || e.GetIndex() != uint64(len(saved.Entries))+1 {
-			return fmt.Errorf("damaged: entry %d", len(saved.Entries)+1)
-		}
-		saved.Entries = append(saved.Entries, e)
-		return nil
-	})
+// write replaces the file. What is kept is changed only if that succeeds.
+func (s *Store) write(c contents) error {
+	raw, err := c.encode()
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
-	if saved.Vote != nil && saved.Vote.GetCommit() > uint64(len(saved.Entries)) || saved.Vote == nil && len(saved.Entries) > 0 {
-		return nil, nil, errors.New("damaged: its vote and its entries don't fit")
+	if err := durable.Replace(s.path, raw, true); err != nil {
+		return err
 	}
-	err = kept.ForEach(func(_, v []byte) error {
-		all = append(all, append([]byte(nil), v...))
-		return nil
-	})
-	return saved, all, err
+	s.contents = c
+	return nil
+}
+
+// Close lets another process open the state.
+func (s *Store) Close() error { return s.lock.Close() }
+
+// Damage is why an earlier file was put aside as Open was called; nil: none was.
+func (s *Store) Damage() error { return s.damage }
+
+// Seat is the life by which this sidecar votes.
+func (s *Store) Seat() uint64 { return s.contents.Seat }
+
+// Saved is what is kept: the part of the log, and texts.
+func (s *Store) Saved() (*agree.Saved, [][]byte, error) {
+	saved, err := s.contents.saved()
+	return saved, s.contents.Texts, err
 }
 
 // Begin forgets all of an earlier log.
 func (s *Store) Begin(epoch uint64) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
-		s.owner.Epoch = epoch
-		return errors.Join(s.write(tx), s.clear(tx))
-	})
+	c := s.contents
+	c.Epoch, c.Vote, c.Entries, c.Texts = epoch, nil, nil, nil
+	return s.write(c)
 }
 
 // Save keeps a vote and entries; what stood at their indices and behind them goes.
-func (s *Store) Save(vote *raftpb.HardState, all []*raftpb.Entry) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
-		if vote != nil {
-			raw, err := proto.Marshal(vote)
-			if err == nil {
-				err = tx.Bucket(about).Put([]byte("vote"), raw)
-			}
-			if err != nil {
-				return err
-			}
-		}
-		log := tx.Bucket(entries)
-		if len(all) > 0 {
-			c := log.Cursor()
-			for k, _ := c.Seek(key(all[0].GetIndex())); k != nil; k, _ = c.Next() {
-				if err := c.Delete(); err != nil {
-					return err
-				}
-			}
-		}
-		for _, e := range all {
-			raw, err := proto.Marshal(e)
-			if err == nil {
-				err = log.Put(key(e.GetIndex()), raw)
-			}
-			if err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+func (s *Store) Save(vote *raftpb.HardState, entries []*raftpb.Entry) error {
+	c, err := s.contents.withVote(vote)
+	if err == nil {
+		c, err = c.withEntries(entries)
+	}
+	if err != nil {
+		return err
+	}
+	return s.write(c)
 }
 
-func key(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
-
 // Text keeps the text of a version; of too many the oldest goes.
-func (s *Store) Text(hash [32]byte, text []byte) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
-		b := tx.Bucket(texts)
-		n, err := b.NextSequence()
-		if err != nil {
-			return err
-		}
-		if n > textsMost {
-			if err := b.Delete(key(n - textsMost)); err != nil {
-				return err
-			}
-		}
-		return b.Put(key(n), text)
-	})
-}
+func (s *Store) Text(_ [32]byte, text []byte) error { return s.write(s.contents.withText(text)) }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"path/filepath"
@@ -9,6 +10,8 @@
 
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"caperarch/internal/durable"
 )
 
 func entry(index, term uint64) *raftpb.Entry {
@@ -75,42 +78,55 @@
 	}
 }
 
-// A file that is cut short, overwritten in places or none of ours is refused with its name, and so is a folder that can't be written; none brings a panic.
-func TestDamaged(t *testing.T) {
-	dir := t.TempDir()
-	s := open(t, dir)
-	var all []*raftpb.Entry
-	for i := range uint64(200) {
-		all = append(all, entry(i+1, 1))
+// A Save that fails changes nothing of what is kept; entries that leave a gap are refused.
+func TestFailedSave(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
 	}
-	if err := errors.Join(s.Begin(5), s.Save(vote(1, 200), all)); err != nil {
+	s := open(t, dir)
+	if err := s.Save(vote(1, 1), []*raftpb.Entry{entry(1, 1)}); err != nil {
 		t.Fatal(err)
 	}
-	s.Close()
-	path := filepath.Join(dir, fileName)
-	whole, err := os.ReadFile(path)
-	if err != nil {
+	if err := s.Save(nil, []*raftpb.Entry{entry(3, 1)}); !errors.Is(err, errGap) {
+		t.Errorf("a gap: %v", err)
+	}
+	if err := os.RemoveAll(dir); err != nil {
 		t.Fatal(err)
 	}
-	refused := 0
-	for name, raw := range map[string][]byte{
-		"noise": []byte(strings.Repeat("noise", 4000)), "half": whole[:len(whole)/2], "one page": whole[:4096],
-		"zeroes in it": append(append(append([]byte(nil), whole[:8192]...), make([]byte, 8192)...), whole[16384:]...),
-	} {
-		if err := os.WriteFile(path, raw, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if s, err := Open(dir, "hives", 3, 1); err == nil {
-			t.Errorf("%s: taken", name)
-			s.Close()
-		} else if refused++; !strings.Contains(err.Error(), fileName) {
-			t.Errorf("%s: %v does not name the file", name, err)
-		}
+	if s.Save(vote(2, 1), []*raftpb.Entry{entry(1, 2)}) == nil || s.Begin(9) == nil || s.Text([32]byte{}, nil) == nil {
+		t.Error("kept in a folder that is gone")
+	}
+	if saved, _, err := s.Saved(); err != nil || saved.Epoch != 0 || saved.Vote.GetTerm() != 1 || len(saved.Entries) != 1 || saved.Entries[0].GetTerm() != 1 {
+		t.Errorf("%+v, %v", saved, err)
 	}
-	if Usable(filepath.Join(dir, "none")) == nil {
+	if Usable(dir) == nil {
 		t.Error("a folder that is not there can be used")
 	}
-	if err := Usable(dir); err != nil {
+	if err := Usable(t.TempDir()); err != nil {
 		t.Error(err)
 	}
 }
+
+// A file of another format or of nobody's is refused with its name, and stays as it is.
+func TestOthersFileStays(t *testing.T) {
+	sealed := func(text string) []byte { return durable.Seal(kind, []byte(text)) }
+	for name, file := range map[string]struct {
+		path string
+		raw  []byte
+	}{
+		"a later format": {fileName, sealed(`{"format":3,"fleet":"hives","number":3,"seat":7}`)},
+		"another fleet":  {fileName, sealed(`{"format":2,"fleet":"bees","number":3,"seat":7}`)},
+	} {
+		path := filepath.Join(t.TempDir(), file.path)
+		if err := os.WriteFile(path, file.raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(filepath.Dir(path), "hives", 3, 1); err == nil || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if raw, err := os.ReadFile(path); err != nil || !bytes.Equal(raw, file.raw) {
+			t.Errorf("%s: %q, %v", name, raw, err)
+		}
+	}
+}
