--- a/cmd/measure/mesh.go
+++ b/cmd/measure/mesh.go
@@ -136,10 +136,9 @@
 // while tells what is used while f runs, a second of it.
 func (r *meshRun) while(f func() error) (u meshUse, err error) {
 	type count struct {
-		cpu      time.Duration
-		rss      int64
-		in, out  float64
-		renewals float64
+		cpu     time.Duration
+		rss     int64
+		in, out float64
 	}
 	all := append([]*process{r.fleet}, r.core.members...)
 	read := func() (counts []count, report *hollow.Report, err error) {
