Split balancer, gate and headers by concern, and name them by the field's terms

Cause: porter.go, carrel.go and slip.go held several concerns each, and their words hid what they are. Change: Balancer with compartments, endpoints and attempts in files of their own; the gate's queue and its upstream; headers' terms of an attempt, loads and verdicts. Wire names stay, nothing else changes.

--- a/internal/mesh/balancer/porter_test.go
+++ b/internal/mesh/balancer/balancer_test.go
@@ -13,14 +13,14 @@
 	"caperarch/policy"
 )
 
-var _ engine.Module = (*Porter)(nil)
+var _ engine.Module = (*Balancer)(nil)
 
 const ms = time.Millisecond
 
-// scene plays a trace against a porter in zone 0, and is the host and the budget that record what it decides.
+// scene plays a trace against a balancer in zone 0, and is the host and the budget that record what it decides.
 type scene struct {
-	policy.Host // what the porter has no use for
-	p           *Porter
+	policy.Host // what the balancer has no use for
+	p           *Balancer
 	now         time.Duration
 	said        []string
 	wakes       []time.Duration
--- a/internal/mesh/gate/carrel.go
+++ b/internal/mesh/gate/gate.go
@@ -11,10 +11,7 @@
 package gate
 
 import (
-	"cmp"
-	"fmt"
 	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +19,7 @@
 )
 
 const (
-	// usualRank is the rank of a request that brings no Visit.
+	// usualRank is the rank of a request that brings no Attempt.
 	usualRank = 2
 	// lowestRank bounds the number of queues; what ranks lower queues with it.
 	lowestRank = 15
@@ -66,9 +63,9 @@
 	mostRetired = 64
 )
 
-// Visit is what a request's Terms say of it. The gate goes by Rank and Aim; the rest is for those who answer the
+// Attempt is what a request's Terms say of it. The gate goes by Rank and Aim; the rest is for those who answer the
 // request's caller.
-type Visit struct {
+type Attempt struct {
 	Rank     int           // 0 is the highest: internal checks
 	Safe     bool          // it may run twice
 	Attempts int           // of its caller
@@ -138,7 +135,7 @@
 	g.advance(now)
 	defer g.settle(now)
 	rank, aim := usualRank, time.Duration(0)
-	if v, ok := q.Terms.(*Visit); ok && v != nil {
+	if v, ok := q.Terms.(*Attempt); ok && v != nil {
 		rank, aim = min(max(v.Rank, 0), lowestRank), v.Aim
 	}
 	left := min(q.Left, longestLeft)
@@ -201,31 +198,6 @@
 	g.settle(now)
 }
 
-// List takes what is said of the upstream. One that drains or is gone is sent nothing more, whatever is said of it
-// later; another one in its place is.
-func (g *Gate) List(now time.Duration, kind policy.ListKind, entries []policy.Server) {
-	if kind == policy.ListFailed {
-		return
-	}
-	known := func(e policy.Server) bool { return e.ID == g.upstream }
-	if kind != policy.ListDelta && g.state == policy.Ready && !slices.ContainsFunc(entries, known) {
-		g.retire(policy.Gone)
-	}
-	for _, e := range entries {
-		switch {
-		case e.State != policy.Ready && known(e) && g.state == policy.Ready:
-			g.retire(e.State)
-		case slices.Contains(g.retired, e.ID):
-		case e.State != policy.Ready:
-			g.remember(e.ID)
-		default:
-			g.take(e)
-		}
-	}
-	g.advance(now)
-	g.settle(now)
-}
-
 // Probed takes the report of a probe, which the gate asks for none of.
 func (g *Gate) Probed(time.Duration, policy.ServerID, bool, policy.Load) {}
 
@@ -248,134 +220,6 @@
 // Counters tell what the gate did since it was made.
 func (g *Gate) Counters() policy.Counters { return g.count }
 
-// take has the upstream be the one of the entry, with its slots. The one before is sent nothing more.
-func (g *Gate) take(e policy.Server) {
-	if g.state == policy.Ready && e.ID != g.upstream {
-		g.retire(policy.Gone)
-	}
-	if g.state != policy.Ready {
-		g.upstream, g.state = e.ID, policy.Ready
-		g.slots, g.mean, g.shed = 1, 0, nil
-		g.means = [lowestRank + 1]time.Duration{}
-		g.missed, g.deadFor, g.deadUntil = 0, 0, 0
-		g.running = 0 // what is out at the one before is no load of this one
-		for _, r := range g.requests {
-			if r.sent && r.to == e.ID {
-				g.running++
-			}
-		}
-	}
-	if !(e.Weight >= 1) || math.IsInf(e.Weight, 0) {
-		g.host.Log(fmt.Sprintf("the upstream has no usable number of slots (%v): it stays at %d", e.Weight, g.slots))
-		return
-	}
-	g.slots = int(min(e.Weight, mostSlots))
-}
-
-// retire has nothing sent to the upstream any more.
-func (g *Gate) retire(state policy.State) {
-	g.state = state
-	g.remember(g.upstream)
-}
-
-// remember has no later word revive an upstream.
-func (g *Gate) remember(id policy.ServerID) {
-	if g.retired = append(g.retired, id); len(g.retired) > mostRetired {
-		g.retired = slices.Delete(g.retired, 0, 1)
-	}
-}
-
-// learn takes what the end of an attempt says of the upstream.
-func (g *Gate) learn(now time.Duration, r *request, o policy.Outcome) {
-	switch o.Ending {
-	case policy.Served, policy.Errored, policy.Rejected, policy.TurnedAway: // it answered, so it lives
-		g.missed, g.deadFor, g.deadUntil = 0, 0, 0
-	}
-	switch o.Ending {
-	case policy.NotSent, policy.Gated:
-	case policy.TurnedAway:
-		if g.shed = append(g.shed, now+shedTime); len(g.shed) > g.slots {
-			g.shed = slices.Delete(g.shed, 0, 1)
-		}
-	case policy.NoConnection:
-		g.miss(now, r)
-	default: // it held a slot that long
-		for _, mean := range []*time.Duration{&g.mean, &g.means[r.rank]} {
-			if took := now - r.sentAt; *mean == 0 {
-				*mean = took
-			} else {
-				*mean += (took - *mean) / meanShare
-			}
-		}
-	}
-}
-
-// miss takes that a connection failed. After some in a row the upstream is taken for dead for a while. Requests then
-// pass again, and the first of them that fails alike has it taken for dead for longer.
-func (g *Gate) miss(now time.Duration, r *request) {
-	if r.sentAt < g.deadUntil {
-		return // sent before it was taken for dead: nothing new
-	}
-	if g.missed++; g.missed >= missesToDead {
-		g.deadFor = min(max(2*g.deadFor, firstDead), longestDead)
-		g.deadUntil = now + g.deadFor
-	}
-}
-
-// open says whether the upstream may be sent anything.
-func (g *Gate) open(now time.Duration) bool { return g.state == policy.Ready && now >= g.deadUntil }
-
-// capacity is how many attempts may be out now. One at least, so that the upstream has its chance.
-func (g *Gate) capacity(now time.Duration) int {
-	g.shed = slices.DeleteFunc(g.shed, func(until time.Duration) bool { return now >= until })
-	return max(1, g.slots-len(g.shed))
-}
-
-// room is how many requests may wait below the highest rank.
-func (g *Gate) room() int { return max(fewestWaiting, g.slots) }
-
-// full says whether no more of a rank may wait. Those of the highest have places of their own: they are short, and bounded by their time, and none below would ever wait beside them.
-func (g *Gate) full(rank int) bool {
-	if rank == 0 {
-		return len(g.queues[0]) >= urgentPlaces*g.room()
-	}
-	return g.waiting-len(g.queues[0]) >= g.room()
-}
-
-// wait is how long one more request of a rank is expected to wait for a slot.
-func (g *Gate) wait(now time.Duration, rank int) time.Duration {
-	position := 1
-	for _, line := range g.queues[:rank+1] {
-		position += len(line)
-	}
-	return time.Duration(float64(g.mean) * float64(position) / float64(g.capacity(now)))
-}
-
-// latest is when a request has to have started: within its share of the aim, and early enough to end in time.
-func (g *Gate) latest(r *request) time.Duration { return min(r.startBy, r.deadline-g.expected(r.rank)) }
-
-// advance turns back what has no chance any more, hands out what slots are free, and keeps the queue to its length.
-func (g *Gate) advance(now time.Duration) {
-	open := g.open(now)
-	for rank := range g.queues {
-		for i := 0; i < len(g.queues[rank]); {
-			if r := g.queues[rank][i]; open && now < g.latest(r) {
-				i++
-			} else {
-				g.turnBack(now, r)
-			}
-		}
-	}
-	for g.waiting > 0 && g.running < g.capacity(now) {
-		r := g.next()
-		g.unqueue(r)
-		g.send(now, r)
-	}
-	for g.waiting-len(g.queues[0]) > g.room() {
-		g.turnBack(now, g.last())
-	}
-}
-
 // settle asks for the next call of Wake, only if something waits, and shows the load.
 func (g *Gate) settle(now time.Duration) {
 	if g.waiting > 0 {
@@ -403,75 +247,6 @@
 	g.load.mean.Store(int64(g.mean))
 }
 
-// next is the request whose turn it is: the first of the highest rank or, once in turnEvery, the one of a lower rank
-// that has waited longest. Something waits.
-func (g *Gate) next() *request {
-	var first, lower *request
-	for _, line := range g.queues {
-		switch {
-		case len(line) == 0:
-		case first == nil:
-			first = line[0]
-		case lower == nil || line[0].came < lower.came:
-			lower = line[0]
-		}
-	}
-	switch {
-	case lower == nil:
-		g.owed = 0
-	case g.owed >= (turnEvery-1)*g.expected(lower.rank):
-		g.owed -= (turnEvery - 1) * g.expected(lower.rank)
-		return lower
-	default:
-		g.owed += g.expected(first.rank)
-	}
-	return first
-}
-
-// expected is how long a request of a rank holds a slot. Where nothing is known all are alike.
-func (g *Gate) expected(rank int) time.Duration {
-	return cmp.Or(g.means[rank], g.mean, time.Millisecond)
-}
-
-// last is the one that came last of the lowest rank that waits. Something waits.
-func (g *Gate) last() *request {
-	for rank := lowestRank; ; rank-- {
-		if line := g.queues[rank]; len(line) > 0 {
-			return line[len(line)-1]
-		}
-	}
-}
-
-// displace makes room for a rank: the last one of the lowest rank is turned back, if that is a lower one.
-func (g *Gate) displace(now time.Duration, rank int) bool {
-	r := g.last()
-	if r.rank <= rank {
-		return false
-	}
-	g.turnBack(now, r)
-	return true
-}
-
-// turnBack ends a request that waits.
-func (g *Gate) turnBack(now time.Duration, r *request) {
-	g.leave(r)
-	g.refuse(now, r)
-}
-
-// leave takes a request that waits out of the gate.
-func (g *Gate) leave(r *request) {
-	g.unqueue(r)
-	delete(g.requests, r.id)
-}
-
-// unqueue takes a request out of the queue.
-func (g *Gate) unqueue(r *request) {
-	line := g.queues[r.rank]
-	i := slices.Index(line, r)
-	g.queues[r.rank] = slices.Delete(line, i, i+1)
-	g.waiting--
-}
-
 // send starts a request's one attempt, which may last until its caller's deadline: an upstream's silence is no
 // reason to end it sooner.
 func (g *Gate) send(now time.Duration, r *request) {
--- a/internal/mesh/gate/carrel_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -60,7 +60,7 @@
 }
 
 func (s *scene) ask(id policy.RequestID, rank int, left, aim time.Duration) []string {
-	s.g.Request(s.now, policy.Request{ID: id, Left: left, Terms: &Visit{Rank: rank, Aim: aim}})
+	s.g.Request(s.now, policy.Request{ID: id, Left: left, Terms: &Attempt{Rank: rank, Aim: aim}})
 	return s.heard()
 }
 
--- a/internal/mesh/headers/slip_test.go
+++ b/internal/mesh/headers/headers_test.go
@@ -104,7 +104,7 @@
 func TestFields(t *testing.T) {
 	Convey("What only sidecars may say is taken off however a client spells it, and the rest stays", t, func() {
 		text := "POST /x HTTP/1.1\r\nHost: a\r\nX-Other: 1\r\n"
-		for _, name := range []string{visit, gateLoad, verdict, Target, Tenant, Caller, Key} {
+		for _, name := range []string{attemptTerms, gateLoad, verdict, Target, Tenant, Caller, Key} {
 			text += strings.ToLower(name) + ": a\r\n" + strings.ToUpper(name) + ": b\r\n" + name + ":\r\n"
 		}
 		var h h1.Head
@@ -117,13 +117,13 @@
 		Strip(fields)
 		So(fields, ShouldResemble, http.Header{"X-Other": {"1"}})
 	})
-	Convey("Whatever stands in a visit, a load or a time-out, what is read of it is in bounds", t, func() {
+	Convey("Whatever stands in the terms of an attempt, a load or a time-out, what is read of it is in bounds", t, func() {
 		for _, text := range []string{"", "1", "1,2", "a,2,1", "1,a,1", "-1,2,1", "1,-2,1", "1.5,2,1", "1,99999999999999999999,1", "99999999999999999999,1,1"} {
-			_, ok := ReadVisit(head(visit, text))
+			_, ok := ReadAttempt(head(attemptTerms, text))
 			So(ok, ShouldBeFalse)
 			So(ReadLoad(strings.Replace(text, "1.5", "1,x", 1)).InFlight, ShouldBeGreaterThanOrEqualTo, 0)
 		}
-		_, ok := ReadVisit(head())
+		_, ok := ReadAttempt(head())
 		So(ok, ShouldBeFalse)
 		for text, want := range map[string]time.Duration{"1000": time.Second, "2.5": 2500 * time.Microsecond, "1e9": longest, "600000": longest} {
 			got, ok := Milliseconds(text)
@@ -139,7 +139,7 @@
 	})
 	Convey("No aim is negative or beyond the longest, however long its number", t, func() {
 		for _, aim := range []string{"600001", "9223372036854", "9223372036855", "10000000000000", "9223372036854775807"} {
-			v, _ := ReadVisit(head(visit, "1,"+aim+",1"))
+			v, _ := ReadAttempt(head(attemptTerms, "1,"+aim+",1"))
 			So(v.Aim, ShouldBeBetweenOrEqual, 0, longest)
 		}
 	})
@@ -152,14 +152,14 @@
 	})
 }
 
-// TestVisit: a visit is read as it was put, to the millisecond, whatever stood there.
-func TestVisit(t *testing.T) {
+// TestAttempt: the terms of an attempt are read as they were put, to the millisecond, whatever stood there.
+func TestAttempt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		v := Visit{Rank: rapid.IntRange(0, 9).Draw(t, "rank"), Aim: time.Duration(rapid.IntRange(0, 600_000).Draw(t, "aim")) * time.Millisecond, Safe: rapid.Bool().Draw(t, "safe")}
-		fields := http.Header{visit: {"9,9,1", "9,9,1"}}
+		v := Attempt{Rank: rapid.IntRange(0, 9).Draw(t, "rank"), Aim: time.Duration(rapid.IntRange(0, 600_000).Draw(t, "aim")) * time.Millisecond, Safe: rapid.Bool().Draw(t, "safe")}
+		fields := http.Header{attemptTerms: {"9,9,1", "9,9,1"}}
 		v.Put(fields)
-		if got, ok := ReadVisit(head(visit, fields[visit][0])); len(fields[visit]) != 1 || !ok || got != v {
-			t.Fatalf("%+v was put as %q and read as %+v", v, fields[visit], got)
+		if got, ok := ReadAttempt(head(attemptTerms, fields[attemptTerms][0])); len(fields[attemptTerms]) != 1 || !ok || got != v {
+			t.Fatalf("%+v was put as %q and read as %+v", v, fields[attemptTerms], got)
 		}
 		if Stripped(fields); len(fields) > 0 {
 			t.Fatalf("left: %v", fields)
--- /dev/null
+++ b/internal/mesh/headers/verdict.go
@@ -0,0 +1,67 @@
+package headers
+
+import (
+	"net/http"
+
+	"caperarch/internal/call"
+	"caperarch/policy"
+)
+
+// Own are the fields of a gate's own answer: a is nil for one that was never taken on.
+func Own(id string, a *call.Answer, load string) http.Header {
+	said := turned
+	if a != nil && a.Kind != call.Refused {
+		said = unknown
+	}
+	fields := http.Header{AttemptID: {id}, verdict: {said}, gateLoad: {load}}
+	if said == turned {
+		fields[NotExecuted] = []string{"1"}
+	}
+	return fields
+}
+
+// Mine says whether an answer belongs to a request: upstreams and gates bring its id back.
+func Mine(m *call.Message, res *http.Response) bool {
+	ids := res.Header[AttemptID]
+	return len(ids) == 1 && len(m.Header[AttemptID]) == 1 && ids[0] == m.Header[AttemptID][0]
+}
+
+// JudgeUpstream says what the head of an upstream's answer proves. A success without a stamp, or in an encoding that nobody asked for, is none.
+func JudgeUpstream(res *http.Response) (policy.Ending, policy.Load) {
+	load := ReadLoad(res.Header.Get(Load))
+	switch {
+	case res.Header[NotExecuted] != nil, res.StatusCode == http.StatusMisdirectedRequest:
+		return policy.TurnedAway, load
+	case res.StatusCode/100 == 2 && (res.Header[Signature] == nil || res.Header["Content-Encoding"] != nil):
+		return policy.Broken, load
+	case res.StatusCode == http.StatusServiceUnavailable, res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusRequestTimeout:
+		return policy.Broken, load // our client would take it for a promise that nobody gave
+	case res.StatusCode/100 == 5:
+		return policy.Errored, load
+	}
+	return policy.Served, load
+}
+
+// JudgeGate says what the head of an answer from a gate proves, and takes off what is between sidecars.
+func JudgeGate(res *http.Response) (policy.Ending, policy.Load) {
+	load := ReadLoad(res.Header.Get(gateLoad))
+	said := res.Header.Get(verdict)
+	switch said {
+	case turned:
+		return policy.Gated, load
+	case "":
+	default:
+		return policy.Broken, load
+	}
+	ending, _ := JudgeUpstream(res)
+	return ending, load
+}
+
+// Bare takes off an answer's fields what is between sidecars.
+func Bare(fields http.Header) { delete(fields, gateLoad) }
+
+// Stamp has an upstream's answer tell the gate's load to the caller's sidecar.
+func Stamp(fields http.Header, load string) {
+	delete(fields, verdict) // only a gate may say
+	fields[gateLoad] = []string{load}
+}
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -32,7 +32,7 @@
 
 // read takes a request of a sidecar. One for another instance than the one here is turned back: it has not run, and the instance that it was for is gone.
 func (i *inbound) read(h *h1.Head) (q policy.Request, left time.Duration, bad *http1.Rejection) {
-	visit, ok := headers.ReadVisit(h)
+	terms, ok := headers.ReadAttempt(h)
 	left, timed := headers.Milliseconds(h.Get(headers.Timeout))
 	if !ok || !timed || h.Get(headers.AttemptID) == "" {
 		return q, 0, &http1.Rejection{Status: http.StatusBadRequest, Reason: "no request of a sidecar"}
@@ -41,7 +41,7 @@
 	if instance == nil || *instance != h.Get(headers.Target) {
 		return q, 0, &http1.Rejection{Status: http.StatusServiceUnavailable, Reason: "another instance is here", Keep: true}
 	}
-	return policy.Request{Terms: &gate.Visit{Rank: visit.Rank, Safe: visit.Safe, Aim: visit.Aim}}, left, nil
+	return policy.Request{Terms: &gate.Attempt{Rank: terms.Rank, Safe: terms.Safe, Aim: terms.Aim}}, left, nil
 }
 
 func (i *inbound) pass(_ *policy.Request, fields http.Header) { headers.Stripped(fields) }
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -196,5 +196,5 @@
 	if order.Tenant != "" {
 		fields[headers.Tenant] = []string{order.Tenant}
 	}
-	headers.Visit{Rank: order.Rank, Aim: order.Aim, Safe: order.Safe}.Put(fields)
+	headers.Attempt{Rank: order.Rank, Aim: order.Aim, Safe: order.Safe}.Put(fields)
 }
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -1,5 +1,5 @@
 // Package sidecar is a sidecar of the mesh: the way out for requests that begin on its machine, the gate for those that are for the upstream beside it, and what it tells the core and
-// hears from it. It wires; decisions are the porter's and the carrel's.
+// hears from it. It wires; decisions are the balancer's and the gate's.
 package sidecar
 
 import (
@@ -76,7 +76,7 @@
 
 	in       *inbound
 	inner    *engine.Engine // the gate's
-	outer    *engine.Engine // the porter's
+	outer    *engine.Engine // the balancer's
 	stopping atomic.Bool
 	mu       sync.Mutex // over taking configurations
 }
--- a/internal/mesh/sidecar/sidecar_test.go
+++ b/internal/mesh/sidecar/sidecar_test.go
@@ -208,7 +208,7 @@
 	Convey("The gate takes what a sidecar has for the instance here, and turns all else back as never run", t, func() {
 		i := &inbound{gate: gate.New(nil)}
 		d := i.dialect()
-		visit, left, target := "X-Mesh-Visit: 2,250,1\r\n", "X-Caperarch-Timeout-Remaining: 800\r\n", "X-Caperarch-Target-Instance: i-1\r\n"
+		terms, left, target := "X-Mesh-Visit: 2,250,1\r\n", "X-Caperarch-Timeout-Remaining: 800\r\n", "X-Caperarch-Target-Instance: i-1\r\n"
 		refused := func(fields string, status int) {
 			h := request(lepu, fields)
 			_, _, bad := d.Read(h)
@@ -217,20 +217,20 @@
 			ending, _ := headers.JudgeGate(&http.Response{StatusCode: status, Header: d.Own(h, nil)})
 			So(ending, ShouldEqual, policy.Gated)
 		}
-		refused(id+visit+left+target, 503) // nobody has told yet
-		refused(id+visit+left, 503)
+		refused(id+terms+left+target, 503) // nobody has told yet
+		refused(id+terms+left, 503)
 		here := "i-1"
 		i.instance.Store(&here)
 		refused(id+left+target, 400)
-		refused(id+visit+target, 400)
-		refused(visit+left+target, 400)
-		refused(id+visit+left, 503)
-		refused(id+visit+left+"X-Caperarch-Target-Instance: i-2\r\n", 503)
-		h := request(lepu, id+visit+left+target+"X-Caperarch-Tenant-Id: bozi300\r\n")
+		refused(id+terms+target, 400)
+		refused(terms+left+target, 400)
+		refused(id+terms+left, 503)
+		refused(id+terms+left+"X-Caperarch-Target-Instance: i-2\r\n", 503)
+		h := request(lepu, id+terms+left+target+"X-Caperarch-Tenant-Id: bozi300\r\n")
 		q, time800, bad := d.Read(h)
 		So(bad, ShouldBeNil)
 		So(time800, ShouldEqual, 800*time.Millisecond)
-		So(*q.Terms.(*gate.Visit), ShouldResemble, gate.Visit{Rank: 2, Safe: true, Aim: 250 * time.Millisecond})
+		So(*q.Terms.(*gate.Attempt), ShouldResemble, gate.Attempt{Rank: 2, Safe: true, Aim: 250 * time.Millisecond})
 		fields := h.EndToEnd()
 		d.Pass(&q, fields)
 		So(fields, ShouldResemble, http.Header{headers.AttemptID: {"9c41"}, headers.Timeout: {"800"}, headers.Target: {"i-1"}, headers.Tenant: {"bozi300"}})
