Fence at the gate; an answer's end and its request's send are told apart

Cause: a gate remembered no attempt ids: a late copy of a request that may not be repeated would have run again, also after the gate had promised that it never would. A 2xx other than 200 with a body over 64 KiB was passed on empty; a body without length or chunks was passed on as whole where its connection was cut. Change: each send has a number (X-Mesh-Send); gate.Fence remembers unsafe requests that wait, were begun or were turned away, bounded in time and number; what the front refuses by itself is remembered too. In the mesh any served status is passed on as it comes, and an answer without framing is none. Transports and fronts can be run in memory.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -44,6 +44,7 @@
 type Answer struct {
 	Kind     Kind
 	Pause    time.Duration // refused: when to come back; 0: no advice
+	Unasked  bool          // refused by the front alone: no engine had it
 	TimedOut bool          // failed: an attempt had no answer in time
 	Status   int           // served: the protocol's own figure (HTTP 200; a gRPC status code)
 	Header   http.Header   // served: the server's answer, as are the next three
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -524,13 +524,13 @@
 
 // refuseBody refuses a request whose body may still be coming.
 func (c *conn) refuseBody(body *bodyReader) bool {
-	return c.behind(&call.Answer{Kind: call.Refused, Pause: time.Second}, body)
+	return c.behind(&call.Answer{Kind: call.Refused, Pause: time.Second, Unasked: true}, body)
 }
 
 // refuseHead refuses a request by its head, at once. A body that is still to come is read over, so that the
 // connection goes on; it is one of those that are being read as long as that takes. One that would take long ends the connection.
 func (c *conn) refuseHead(h *h1.Head) bool {
-	a := call.Answer{Kind: call.Refused, Pause: time.Second}
+	a := call.Answer{Kind: call.Refused, Pause: time.Second, Unasked: true}
 	return c.turnAway(h, &h1.Answer{Status: http.StatusServiceUnavailable, Pause: a.Pause, Header: c.own(&a)})
 }
 
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -102,6 +102,10 @@
 	Conns   Bounds        // on clients' connections
 	Longest time.Duration // the longest deadline of any class: what a drain waits for
 	Log     *slog.Logger
+
+	// InMemory says that the listener's connections are no sockets: the system tells nothing of them, so that a client
+	// that leaves is noticed by the next write, and nothing is read ahead.
+	InMemory bool
 }
 
 // To routes all requests to one target.
@@ -129,11 +133,15 @@
 
 // Serve takes requests on a listener until Drain is called, and returns why it ended: net.ErrClosed after a drain.
 func (f *Front) Serve(l net.Listener) error {
-	var err error
-	if f.watch, err = newWatcher(); err != nil {
-		return err
+	if f.cfg.InMemory {
+		f.watch = new(watcher)
+	} else {
+		var err error
+		if f.watch, err = newWatcher(); err != nil {
+			return err
+		}
+		defer f.watch.close()
 	}
-	defer f.watch.close()
 	defer f.turns.close()
 	if !f.conns.open(l) {
 		return net.ErrClosed
--- /dev/null
+++ b/internal/mesh/gate/fence.go
@@ -0,0 +1,170 @@
+package gate
+
+import (
+	"crypto/sha256"
+	"sync"
+	"time"
+)
+
+const (
+	// fenceMost bounds the requests that are remembered, some 100 bytes each. It holds those of 64 s at 1,000 a second.
+	// Beyond it no request that must not run twice is begun: it is answered as unknown, which promises nothing.
+	fenceMost = 1 << 16
+	// fenceMargin is how much longer than its own time a request is remembered: longer than bytes stay under way
+	// between two machines that the system still counts as connected.
+	fenceMargin = time.Minute
+	// fenceGap is the longest time between two events that counts as passed. A process that stood still finds bytes in
+	// its sockets that are as old as they were when it stopped, so its memory must not age meanwhile.
+	fenceGap = time.Second
+	// fenceSweep is the time between two looks for what has expired. It bounds what forgetting costs.
+	fenceSweep = 5 * time.Second
+)
+
+// Key stands for a request's attempt id: 16 bytes of its hash, so that no length of id costs memory.
+type Key [16]byte
+
+// KeyOf is the key of an attempt id.
+func KeyOf(attemptID string) Key {
+	sum := sha256.Sum256([]byte(attemptID))
+	return Key(sum[:len(Key{})])
+}
+
+// Send names one send of a request by its caller's sidecar. A later send of the same request has a higher number; a late
+// copy of a send has the same one.
+type Send struct {
+	Sender uint64 // drawn anew at each start of a sidecar
+	Number uint64
+}
+
+// after says whether a send is a later one of the same sidecar's.
+func (s Send) after(before Send) bool { return s.Sender == before.Sender && s.Number > before.Number }
+
+// admission is what the fence says of a request that arrives.
+type admission int
+
+const (
+	admitted admission = iota
+	// neverRan: it was turned away here before and was promised never to run.
+	neverRan
+	// mayHaveRun: it is here already, or has been sent to the upstream; or there is no room to remember it.
+	mayHaveRun
+)
+
+// phase is how far a remembered request came.
+type phase int8
+
+const (
+	queued     phase = iota // it waits for a slot
+	begun                   // it was sent to the upstream, a byte of it at least
+	turnedAway              // it never reached the upstream; a later send may
+	refused                 // the upstream refused it. It is not sent there again: a second copy of that refusal could
+	// be read as the answer to the second send.
+)
+
+// Fence remembers requests that must not run twice, so that none of them is sent to the upstream by two arrivals, and none
+// that was promised never to run runs after all. It keeps three promises until a request has expired:
+//
+//   - a request that was begun is begun by no other arrival, which is told that it may have run;
+//   - a request that waits is begun by no other arrival either;
+//   - a send that was turned away is not begun by a late copy of it, which is turned away too. Only a later send of
+//     the same sidecar may be.
+//
+// Its methods may be called from any goroutine. The zero value is ready for use.
+type Fence struct {
+	mu      sync.Mutex
+	records map[Key]record
+	last    time.Duration // when time was looked at last
+	age     time.Duration // that passed while this process ran
+	sweepAt time.Duration // by age
+}
+
+type record struct {
+	send  Send
+	until time.Duration // by age
+	phase phase
+}
+
+// admit takes a request that has arrived whole, with so much time left, and says whether it may go on.
+func (f *Fence) admit(now time.Duration, key Key, send Send, left time.Duration) admission {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pass(now)
+	before, known := f.records[key]
+	switch {
+	case !known && !f.room():
+		return mayHaveRun
+	case !known, before.phase == turnedAway && send.after(before.send):
+		f.put(key, record{send: send, until: f.age + left + fenceMargin, phase: queued})
+		return admitted
+	case before.phase == turnedAway, before.phase == refused:
+		return neverRan
+	}
+	return mayHaveRun
+}
+
+// Promise takes that a send is to be turned away before it came to the gate, and says whether that may be said: not where
+// the request is here by another arrival, nor where there is no room to remember the promise.
+func (f *Fence) Promise(now time.Duration, key Key, send Send, left time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pass(now)
+	before, known := f.records[key]
+	switch {
+	case !known && !f.room(), known && (before.phase == queued || before.phase == begun):
+		return false
+	case !known, before.phase == turnedAway && send.after(before.send):
+		f.put(key, record{send: send, until: f.age + left + fenceMargin, phase: turnedAway})
+	}
+	return true
+}
+
+// move takes that a request that was admitted came to another phase.
+func (f *Fence) move(key Key, to phase) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, known := f.records[key]; known {
+		r.phase = to
+		f.records[key] = r
+	}
+}
+
+// Size is how many requests are remembered.
+func (f *Fence) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.records)
+}
+
+func (f *Fence) put(key Key, r record) {
+	if f.records == nil {
+		f.records = make(map[Key]record)
+	}
+	f.records[key] = r
+}
+
+// pass takes that time has passed, and forgets what has expired.
+func (f *Fence) pass(now time.Duration) {
+	f.age += min(max(0, now-f.last), fenceGap)
+	f.last = now
+	if f.age >= f.sweepAt {
+		f.sweepAt = f.age + fenceSweep
+		f.forget()
+	}
+}
+
+// room says whether one more can be remembered.
+func (f *Fence) room() bool {
+	if len(f.records) >= fenceMost {
+		f.forget()
+	}
+	return len(f.records) < fenceMost
+}
+
+// forget forgets what has expired. What waits stays: its end is the gate's to say.
+func (f *Fence) forget() {
+	for key, r := range f.records {
+		if f.age >= r.until && r.phase != queued {
+			delete(f.records, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/gate/fence_test.go
@@ -0,0 +1,179 @@
+package gate
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"caperarch/policy"
+)
+
+// terms are those of a request that must not run twice.
+func terms(id string, sender, number uint64) *Attempt {
+	return &Attempt{Rank: 2, Key: KeyOf(id), Send: Send{Sender: sender, Number: number}}
+}
+
+func TestFence(t *testing.T) {
+	const left = 10 * time.Second
+	Convey("A request that was begun is begun by no other arrival, which is told that it may have run, also when it is over", t, func() {
+		for _, ending := range []policy.Ending{policy.Served, policy.Errored, policy.Broken, policy.TimedOut, policy.Cancelled} {
+			s := newScene(4)
+			So(s.arrive(1, terms("a", 7, 1), left), ShouldResemble, []string{"send 1 to 1 for 0s"})
+			So(s.arrive(2, terms("a", 7, 1), left), ShouldResemble, []string{"fail 2"})
+			So(s.arrive(3, terms("a", 7, 2), left), ShouldResemble, []string{"fail 3"})
+			s.end(ms, 1, ending)
+			So(s.arrive(4, terms("a", 7, 1), left), ShouldResemble, []string{"fail 4"})
+			So(s.arrive(5, terms("a", 7, 3), left), ShouldResemble, []string{"fail 5"})
+			So(s.arrive(6, terms("b", 7, 4), left), ShouldResemble, []string{"send 6 to 1 for 0s"})
+		}
+	})
+	Convey("One that waits is neither begun by another arrival nor refused as never run", t, func() {
+		s := newScene(1)
+		s.arrive(1, terms("a", 7, 1), left)
+		So(s.arrive(2, terms("b", 7, 2), left), ShouldBeEmpty)
+		So(s.arrive(3, terms("b", 7, 2), left), ShouldResemble, []string{"fail 3"})
+		So(s.arrive(4, terms("b", 7, 3), left), ShouldResemble, []string{"fail 4"})
+		So(s.end(ms, 1, policy.Served), ShouldResemble, []string{"send 2 to 1 for 0s"})
+	})
+	Convey("A late copy of a send that was turned away is turned away too; a later send of the same sidecar may run", t, func() {
+		s := newScene(4)
+		s.list(policy.ListDelta, 1, policy.Draining, 4)
+		So(s.arrive(1, terms("a", 7, 5), left), ShouldResemble, []string{"refuse 1 200ms"})
+		s.list(policy.ListFull, 2, policy.Ready, 4)
+		So(s.arrive(2, terms("a", 7, 5), left), ShouldResemble, []string{"refuse 2 10ms"})
+		So(s.arrive(3, terms("a", 8, 9), left), ShouldResemble, []string{"refuse 3 10ms"}) // of another sidecar, or another life
+		So(s.arrive(4, terms("a", 7, 6), left), ShouldResemble, []string{"send 4 to 2 for 0s"})
+		So(s.end(ms, 4, policy.NoConnection), ShouldResemble, []string{"refuse 4 10ms"})
+		So(s.arrive(5, terms("a", 7, 5), left), ShouldResemble, []string{"refuse 5 10ms"})
+		So(s.arrive(6, terms("a", 7, 7), left), ShouldResemble, []string{"send 6 to 2 for 0s"})
+		So(s.arrive(7, terms("a", 7, 6), left), ShouldResemble, []string{"fail 7"})
+	})
+	Convey("One whose caller left while it waited does not run later, and may be sent again", t, func() {
+		s := newScene(1)
+		s.arrive(1, terms("a", 7, 1), left)
+		s.arrive(2, terms("b", 7, 2), left)
+		s.g.ClientGone(s.now, 2)
+		So(s.arrive(3, terms("b", 7, 2), left)[0], ShouldStartWith, "refuse 3")
+		So(s.arrive(4, terms("b", 7, 3), left), ShouldBeEmpty)
+		So(s.end(ms, 1, policy.Served), ShouldResemble, []string{"send 4 to 1 for 0s"})
+	})
+	Convey("What the upstream refused is not sent to it a second time", t, func() {
+		s := newScene(4)
+		s.arrive(1, terms("a", 7, 1), left)
+		So(s.end(ms, 1, policy.TurnedAway)[0], ShouldStartWith, "refuse 1")
+		So(s.arrive(2, terms("a", 7, 2), left)[0], ShouldStartWith, "refuse 2")
+	})
+	Convey("What may run twice is not remembered", t, func() {
+		s := newScene(4)
+		safe := &Attempt{Rank: 2, Safe: true}
+		So(s.arrive(1, safe, left), ShouldResemble, []string{"send 1 to 1 for 0s"})
+		So(s.arrive(2, safe, left), ShouldResemble, []string{"send 2 to 1 for 0s"})
+		So(s.g.Fence().Size(), ShouldEqual, 0)
+	})
+	Convey("What the front turns away is remembered, and not promised where the request is here by another arrival", t, func() {
+		s := newScene(4)
+		f := s.g.Fence()
+		So(f.Promise(s.now, KeyOf("a"), Send{7, 1}, left), ShouldBeTrue)
+		So(s.arrive(1, terms("a", 7, 1), left), ShouldResemble, []string{"refuse 1 10ms"})
+		So(s.arrive(2, terms("a", 7, 2), left), ShouldResemble, []string{"send 2 to 1 for 0s"})
+		So(f.Promise(s.now, KeyOf("a"), Send{7, 3}, left), ShouldBeFalse)
+		So(f.Promise(s.now, KeyOf("a"), Send{7, 1}, left), ShouldBeFalse)
+	})
+}
+
+func TestFenceBounds(t *testing.T) {
+	key := func(n int) (k Key) {
+		binary.BigEndian.PutUint32(k[:], uint32(n))
+		return k
+	}
+	Convey("A request is remembered for its own time and a margin while the process runs, however long it stands still", t, func() {
+		var f Fence
+		So(f.admit(0, key(1), Send{7, 1}, 10*time.Minute), ShouldEqual, admitted)
+		f.move(key(1), begun)
+		now := 24 * time.Hour // it stood still
+		So(f.admit(now, key(1), Send{7, 1}, time.Second), ShouldEqual, mayHaveRun)
+		for range 658 {
+			now += time.Second
+			f.admit(now, key(2), Send{7, 2}, time.Second)
+		}
+		So(f.admit(now, key(1), Send{7, 1}, time.Second), ShouldEqual, mayHaveRun)
+		for range 10 {
+			now += time.Second
+			f.admit(now, key(2), Send{7, 2}, time.Second)
+		}
+		So(f.Size(), ShouldEqual, 1) // what waits is never forgotten
+		So(f.admit(now, key(2), Send{7, 2}, time.Second), ShouldEqual, mayHaveRun)
+	})
+	Convey("With no room left nothing is begun and nothing promised, and nothing is forgotten before its time", t, func() {
+		var f Fence
+		for n := range fenceMost {
+			f.admit(0, key(n), Send{7, uint64(n)}, time.Second)
+			f.move(key(n), begun)
+		}
+		So(f.admit(0, key(fenceMost), Send{8, 1}, time.Second), ShouldEqual, mayHaveRun)
+		So(f.Promise(0, key(fenceMost), Send{8, 1}, time.Second), ShouldBeFalse)
+		So(f.admit(0, key(0), Send{7, 0}, time.Second), ShouldEqual, mayHaveRun)
+		So(f.Size(), ShouldEqual, fenceMost)
+	})
+}
+
+// TestFenceRandom plays arrivals, copies and ends in any order: no id is sent to an upstream twice but for one whose attempt
+// provably did not reach it, none runs that was refused under the same send, and none that ran is refused afterwards.
+func TestFenceRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newScene(2)
+		type arrival struct {
+			id   string
+			send uint64
+		}
+		arrivals := map[policy.RequestID]arrival{}
+		ran := map[string]bool{}
+		promised := map[arrival]bool{}
+		var out []policy.RequestID
+		s.send = func(id policy.RequestID) {
+			a := arrivals[id]
+			if ran[a.id] {
+				t.Fatalf("%s runs twice", a.id)
+			}
+			if promised[a] {
+				t.Fatalf("%s runs after its send %d was turned away", a.id, a.send)
+			}
+			ran[a.id] = true
+			out = append(out, id)
+		}
+		var next policy.RequestID
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			s.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * ms
+			s.heard()
+			if len(out) > 0 && rapid.Bool().Draw(t, "end") {
+				at := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+				id := out[at]
+				out = append(out[:at:at], out[at+1:]...)
+				ending := rapid.SampledFrom([]policy.Ending{policy.Served, policy.Broken, policy.NoConnection, policy.TurnedAway}).Draw(t, "ending")
+				if ending == policy.NoConnection || ending == policy.TurnedAway {
+					ran[arrivals[id].id] = false
+				}
+				s.g.Outcome(s.now, policy.Outcome{ID: id, Ending: ending})
+			} else {
+				next++
+				a := arrival{fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "id")), rapid.Uint64Range(1, 6).Draw(t, "send")}
+				arrivals[next] = a
+				s.g.Request(s.now, policy.Request{ID: next, Left: time.Second, Terms: terms(a.id, 7, a.send)})
+			}
+			for _, said := range s.heard() {
+				var id policy.RequestID
+				var pause string
+				if _, err := fmt.Sscanf(said, "refuse %d %s", &id, &pause); err == nil {
+					if ran[arrivals[id].id] {
+						t.Fatalf("%s is refused and has run", arrivals[id].id)
+					}
+					promised[arrivals[id]] = true
+				}
+			}
+		}
+	})
+}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -63,18 +63,21 @@
 	mostRetired = 64
 )
 
-// Attempt is what a request's Terms say of it. The gate goes by Rank and Aim; the rest is for those who answer the
-// request's caller.
+// Attempt is what a request's Terms say of it. The gate goes by Rank and Aim, and by Key and Send where it is not Safe;
+// the rest is for those who answer the request's caller.
 type Attempt struct {
 	Rank     int           // 0 is the highest: internal checks
 	Safe     bool          // it may run twice
 	Attempts int           // of its caller
 	Aim      time.Duration // the time that its caller would like it answered in; 0: none
+	Key      Key
+	Send     Send
 }
 
 // Gate is the decision module.
 type Gate struct {
 	host     policy.Host
+	fence    Fence
 	requests map[policy.RequestID]*request // those that wait, and those whose attempt is out
 	queues   [lowestRank + 1][]*request    // by rank, in the order of arrival
 	waiting  int
@@ -108,8 +111,12 @@
 	sent     bool
 	sentAt   time.Duration
 	to       policy.ServerID
+	terms    *Attempt // nil: it brought none
 }
 
+// fenced says whether a request must not run twice.
+func (r *request) fenced() bool { return r.terms != nil && !r.terms.Safe }
+
 // New makes a gate that decides nothing until a list names its upstream: requests are turned back until then.
 func New(host policy.Host) *Gate {
 	return &Gate{host: host, requests: make(map[policy.RequestID]*request)}
@@ -124,6 +131,9 @@
 // Mean is the mean time of an attempt of late; 0: none has ended yet. It may be called from any goroutine.
 func (g *Gate) Mean() time.Duration { return time.Duration(g.load.mean.Load()) }
 
+// Fence is what the gate remembers of requests that must not run twice.
+func (g *Gate) Fence() *Fence { return &g.fence }
+
 // Start begins the gate's life.
 func (g *Gate) Start(time.Duration) {}
 
@@ -143,19 +153,23 @@
 		aim = left
 	}
 	r := &request{id: q.ID, rank: rank, came: now, startBy: now + aim/waitShare, deadline: now + left}
+	r.terms, _ = q.Terms.(*Attempt)
+	if r.fenced() && !g.admit(now, r, left) {
+		return
+	}
 	if rank == 0 { // an internal check has no other try, and takes the request that made it along
 		r.startBy = now + left/urgentShare
 	}
 	switch {
 	case left <= 0 || !g.open(now):
-		g.refuse(now, r)
+		g.turnAway(now, r)
 	case g.running < g.capacity(now): // so nothing waits
 		g.requests[r.id] = r
 		g.send(now, r)
 	case now+g.wait(now, rank) >= g.latest(r):
-		g.refuse(now, r)
+		g.turnAway(now, r)
 	case g.full(rank) && (rank == 0 || !g.displace(now, rank)):
-		g.refuse(now, r)
+		g.turnAway(now, r)
 	default:
 		g.requests[r.id] = r
 		g.queues[rank] = append(g.queues[rank], r)
@@ -178,8 +192,11 @@
 	if !o.Settled {
 		switch o.Ending {
 		case policy.Served:
-		case policy.TurnedAway, policy.NoConnection, policy.NotSent, policy.Gated:
+		case policy.TurnedAway, policy.Gated:
+			g.mark(r, refused)
 			g.refuse(now, r)
+		case policy.NoConnection, policy.NotSent:
+			g.turnAway(now, r)
 		default:
 			g.count.Failed++
 			g.host.Fail(r.id)
@@ -205,6 +222,7 @@
 // upstream is still at it.
 func (g *Gate) ClientGone(now time.Duration, id policy.RequestID) {
 	if r := g.requests[id]; r != nil && !r.sent {
+		g.mark(r, turnedAway)
 		g.leave(r)
 	}
 	g.advance(now)
@@ -251,6 +269,7 @@
 // reason to end it sooner.
 func (g *Gate) send(now time.Duration, r *request) {
 	r.sent, r.sentAt, r.to = true, now, g.upstream
+	g.mark(r, begun)
 	g.running++
 	g.count.Ordinary++
 	g.host.Send(r.id, g.upstream, 0)
@@ -268,3 +287,30 @@
 	g.count.Refused++
 	g.host.Refuse(r.id, min(max(pause, shortestPause), longestPause))
 }
+
+// admit asks the fence for a request that must not run twice, and answers one that may not go on.
+func (g *Gate) admit(now time.Duration, r *request, left time.Duration) bool {
+	switch g.fence.admit(now, r.terms.Key, r.terms.Send, max(0, left)) {
+	case neverRan:
+		g.refuse(now, r)
+		return false
+	case mayHaveRun:
+		g.count.Failed++
+		g.host.Fail(r.id)
+		return false
+	}
+	return true
+}
+
+// turnAway refuses a request that the upstream never had. A later send of it may come.
+func (g *Gate) turnAway(now time.Duration, r *request) {
+	g.mark(r, turnedAway)
+	g.refuse(now, r)
+}
+
+// mark has the fence know how far a request came.
+func (g *Gate) mark(r *request, to phase) {
+	if r.fenced() {
+		g.fence.move(r.terms.Key, to)
+	}
+}
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -23,6 +23,7 @@
 	policy.Host // what the gate has no use for
 	g           *Gate
 	now         time.Duration
+	sends       uint64
 	said        []string
 	wakes       []time.Duration
 	send        func(policy.RequestID)
@@ -60,7 +61,13 @@
 }
 
 func (s *scene) ask(id policy.RequestID, rank int, left, aim time.Duration) []string {
-	s.g.Request(s.now, policy.Request{ID: id, Left: left, Terms: &Attempt{Rank: rank, Aim: aim}})
+	s.sends++
+	return s.arrive(id, &Attempt{Rank: rank, Aim: aim, Key: KeyOf(fmt.Sprint(id)), Send: Send{Number: s.sends}}, left)
+}
+
+// arrive has an arrival come with the terms given.
+func (s *scene) arrive(id policy.RequestID, terms *Attempt, left time.Duration) []string {
+	s.g.Request(s.now, policy.Request{ID: id, Left: left, Terms: terms})
 	return s.heard()
 }
 
--- a/internal/mesh/gate/queue.go
+++ b/internal/mesh/gate/queue.go
@@ -103,7 +103,7 @@
 // turnBack ends a request that waits.
 func (g *Gate) turnBack(now time.Duration, r *request) {
 	g.leave(r)
-	g.refuse(now, r)
+	g.turnAway(now, r)
 }
 
 // leave takes a request that waits out of the gate.
--- a/internal/mesh/headers/attempt.go
+++ b/internal/mesh/headers/attempt.go
@@ -1,9 +1,11 @@
 package headers
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"caperarch/internal/h1"
@@ -43,4 +45,43 @@
 }
 
 // Stripped takes off what is the gate's alone, before a request goes to the upstream.
-func Stripped(fields http.Header) { delete(fields, attemptTerms) }
+func Stripped(fields http.Header) {
+	delete(fields, attemptTerms)
+	delete(fields, sendName)
+}
+
+// SendField is the field that names a send.
+const SendField = sendName
+
+// Send names one send of a request: no two of them are alike, and later ones of a sender have higher numbers.
+type Send struct {
+	Sender uint64 // drawn anew at each start of a sidecar
+	Number uint64
+}
+
+// String is a send as it travels.
+func (s Send) String() string {
+	b := strconv.AppendUint(nil, s.Sender, 16)
+	b = append(b, '.')
+	return string(strconv.AppendUint(b, s.Number, 10))
+}
+
+// ReadSend reads it; false: it is missing or malformed, and its sender no sidecar.
+func ReadSend(h *h1.Head) (Send, bool) {
+	sender, number, _ := strings.Cut(h.Get(sendName), ".")
+	from, bad := strconv.ParseUint(sender, 16, 64)
+	n, bad2 := strconv.ParseUint(number, 10, 64)
+	return Send{Sender: from, Number: n}, bad == nil && bad2 == nil
+}
+
+// Sends numbers the sends of a process. Its methods may be called from any goroutine.
+type Sends struct {
+	sender uint64
+	last   atomic.Uint64
+}
+
+// NewSends starts at the first one, under a sender's number that no other process draws.
+func NewSends() *Sends { return &Sends{sender: rand.Uint64()} }
+
+// Next is the next one as it travels.
+func (s *Sends) Next() string { return Send{Sender: s.sender, Number: s.last.Add(1)}.String() }
--- a/internal/mesh/headers/headers.go
+++ b/internal/mesh/headers/headers.go
@@ -27,9 +27,10 @@
 	Key         = "X-Api-Key"
 
 	// Between sidecars only: neither clients nor upstreams see them.
-	attemptTerms    = "X-Mesh-Visit"   // rank, milliseconds of the aim, whether it may run more than once
-	gateLoad = "X-Mesh-Load"    // running, waiting, slots at the gate
-	verdict  = "X-Mesh-Verdict" // of an answer that is no upstream's
+	attemptTerms = "X-Mesh-Visit"   // rank, milliseconds of the aim, whether it may run more than once
+	sendName     = "X-Mesh-Send"    // which send of its caller's sidecar this is
+	gateLoad     = "X-Mesh-Load"    // running, waiting, slots at the gate
+	verdict      = "X-Mesh-Verdict" // of an answer that is no upstream's
 )
 
 // The verdicts.
@@ -70,9 +71,14 @@
 	return ""
 }
 
+// TwiceSteered says whether a request between sidecars gives a field twice that steers it.
+func TwiceSteered(h *h1.Head) bool {
+	return Twice(h, AttemptID, Timeout, Target, attemptTerms, sendName) != ""
+}
+
 // Strip takes off what only sidecars may say.
 func Strip(fields http.Header) {
-	for _, name := range []string{attemptTerms, gateLoad, verdict, Target, Tenant, Caller, Key} {
+	for _, name := range []string{attemptTerms, sendName, gateLoad, verdict, Target, Tenant, Caller, Key} {
 		delete(fields, name)
 	}
 }
--- a/internal/mesh/headers/headers_test.go
+++ b/internal/mesh/headers/headers_test.go
@@ -71,9 +71,9 @@
 			Bare(c.res.Header)
 			So(c.res.Header[gateLoad], ShouldBeNil)
 		}
-		for kind, want := range map[*call.Answer]policy.Ending{nil: policy.Gated, {Kind: call.Refused}: policy.Gated, {Kind: call.Failed}: policy.Broken} {
+		for neverRan, want := range map[bool]policy.Ending{true: policy.Gated, false: policy.Broken} {
 			for _, status := range []int{200, 400, 421, 503, 504} {
-				res := &http.Response{StatusCode: status, Header: Own("9c41", kind, LoadText(1, 0, 1))}
+				res := &http.Response{StatusCode: status, Header: Own("9c41", neverRan, LoadText(1, 0, 1))}
 				ending, load := JudgeGate(res)
 				So(ending, ShouldEqual, want)
 				So(load.InFlight, ShouldEqual, 1)
@@ -104,7 +104,7 @@
 func TestFields(t *testing.T) {
 	Convey("What only sidecars may say is taken off however a client spells it, and the rest stays", t, func() {
 		text := "POST /x HTTP/1.1\r\nHost: a\r\nX-Other: 1\r\n"
-		for _, name := range []string{attemptTerms, gateLoad, verdict, Target, Tenant, Caller, Key} {
+		for _, name := range []string{attemptTerms, sendName, gateLoad, verdict, Target, Tenant, Caller, Key} {
 			text += strings.ToLower(name) + ": a\r\n" + strings.ToUpper(name) + ": b\r\n" + name + ":\r\n"
 		}
 		var h h1.Head
--- a/internal/mesh/headers/verdict.go
+++ b/internal/mesh/headers/verdict.go
@@ -7,14 +7,15 @@
 	"caperarch/policy"
 )
 
-// Own are the fields of a gate's own answer: a is nil for one that was never taken on.
-func Own(id string, a *call.Answer, load string) http.Header {
-	said := turned
-	if a != nil && a.Kind != call.Refused {
-		said = unknown
+// Own are the fields of a gate's own answer: whether it says that the request never ran and never will, or that nobody
+// can say.
+func Own(id string, neverRan bool, load string) http.Header {
+	said := unknown
+	if neverRan {
+		said = turned
 	}
 	fields := http.Header{AttemptID: {id}, verdict: {said}, gateLoad: {load}}
-	if said == turned {
+	if neverRan {
 		fields[NotExecuted] = []string{"1"}
 	}
 	return fields
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"caperarch/internal/call"
+	"caperarch/internal/clock"
 	"caperarch/internal/front/http1"
 	"caperarch/internal/h1"
 	"caperarch/internal/mesh/gate"
@@ -17,12 +18,11 @@
 type inbound struct {
 	instance atomic.Pointer[string] // of the upstream as it told last; nil: none has
 	gate     *gate.Gate
+	clock    clock.Clock
 }
 
 func (i *inbound) dialect() *http1.Dialect {
-	return &http1.Dialect{Read: i.read, Pass: i.pass, Own: func(h *h1.Head, a *call.Answer) http.Header {
-		return headers.Own(h.Get(headers.AttemptID), a, i.load())
-	}}
+	return &http1.Dialect{Read: i.read, Pass: i.pass, Own: i.own}
 }
 
 func (i *inbound) load() string {
@@ -30,22 +30,57 @@
 	return headers.LoadText(running, waiting, slots)
 }
 
-// read takes a request of a sidecar. One for another instance than the one here is turned back: it has not run, and the instance that it was for is gone.
+// read takes a request of a sidecar. One for another instance than the one here is turned back: it has not run, and the
+// instance that it was for is gone.
 func (i *inbound) read(h *h1.Head) (q policy.Request, left time.Duration, bad *http1.Rejection) {
-	terms, ok := headers.ReadAttempt(h)
-	left, timed := headers.Milliseconds(h.Get(headers.Timeout))
-	if !ok || !timed || h.Get(headers.AttemptID) == "" {
+	terms, left, ok := attemptOf(h)
+	if !ok {
 		return q, 0, &http1.Rejection{Status: http.StatusBadRequest, Reason: "no request of a sidecar"}
 	}
 	instance := i.instance.Load()
 	if instance == nil || *instance != h.Get(headers.Target) {
 		return q, 0, &http1.Rejection{Status: http.StatusServiceUnavailable, Reason: "another instance is here", Keep: true}
 	}
-	return policy.Request{Terms: &gate.Attempt{Rank: terms.Rank, Safe: terms.Safe, Aim: terms.Aim}}, left, nil
+	return policy.Request{Terms: terms}, left, nil
+}
+
+// attemptOf reads what a request says of itself; false: it comes from no sidecar, or says something twice that two
+// readers could heed differently.
+func attemptOf(h *h1.Head) (terms *gate.Attempt, left time.Duration, ok bool) {
+	said, sound := headers.ReadAttempt(h)
+	send, sent := headers.ReadSend(h)
+	left, timed := headers.Milliseconds(h.Get(headers.Timeout))
+	id := h.Get(headers.AttemptID)
+	if !sound || !sent || !timed || id == "" || headers.TwiceSteered(h) {
+		return nil, 0, false
+	}
+	terms = &gate.Attempt{Rank: said.Rank, Safe: said.Safe, Aim: said.Aim}
+	if !said.Safe {
+		terms.Key, terms.Send = gate.KeyOf(id), gate.Send(send)
+	}
+	return terms, left, true
 }
 
 func (i *inbound) pass(_ *policy.Request, fields http.Header) { headers.Stripped(fields) }
 
+// own are the fields of an answer of this gate's own.
+func (i *inbound) own(h *h1.Head, a *call.Answer) http.Header {
+	return headers.Own(h.Get(headers.AttemptID), i.neverRan(h, a), i.load())
+}
+
+// neverRan says whether an answer of our own may say that its request never ran and never will. What the engine refuses
+// the gate has seen to. What the front refuses by itself has to be remembered, so that no late copy of it runs.
+func (i *inbound) neverRan(h *h1.Head, a *call.Answer) bool {
+	if a != nil && a.Kind != call.Refused {
+		return false
+	}
+	terms, left, ok := attemptOf(h)
+	if !ok || terms.Safe || a != nil && !a.Unasked {
+		return true // one that can't be read is never run by anyone
+	}
+	return i.gate.Fence().Promise(i.clock.Now(), terms.Key, terms.Send, left)
+}
+
 // judge says what an upstream's answer proves, and has it tell the gate's load to the caller's sidecar.
 func (i *inbound) judge(res *http.Response) (policy.Ending, policy.Load) {
 	running, waiting, slots := i.gate.Load()
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -109,12 +109,12 @@
 	files := b.set.Self.Limits.MaxOpenFiles - reserved
 	links := http1.New(http1.Config{
 		Clock: b.clock, DialTimeout: dialTimeout, ConnIdle: peerIdle, MostConns: files / 4, Rest: -1, Silence: silence,
-		Dialect: &http1.Dialect{Timeout: headers.Timeout, Mine: headers.Mine, Judge: b.judgeGate},
+		Dialect: toGates(),
 	})
-	b.in = new(inbound)
+	b.in = &inbound{clock: b.clock}
 	beside := http1.New(http1.Config{
 		Clock: b.clock, DialTimeout: dialTimeout, ConnIdle: upstreamIdle, MostConns: files / 8,
-		Dialect: &http1.Dialect{Timeout: headers.Timeout, Mine: headers.Mine, Judge: b.in.judge},
+		Dialect: b.in.toUpstream(),
 	})
 	var err error
 	b.outer, err = engine.New(engine.Config{
@@ -212,8 +212,20 @@
 	return n.ServerWith(at, h1.Field{Name: headers.Target, Value: instance})
 }
 
+// toGates is how attempts go to gates.
+func toGates() *http1.Dialect {
+	return &http1.Dialect{
+		Timeout: headers.Timeout, Mine: headers.Mine, Judge: judgeGate, SignField: headers.SendField, Sign: headers.NewSends().Next,
+	}
+}
+
+// toUpstream is how attempts go to the upstream beside the gate.
+func (i *inbound) toUpstream() *http1.Dialect {
+	return &http1.Dialect{Timeout: headers.Timeout, Mine: headers.Mine, Judge: i.judge}
+}
+
 // judgeGate says what a gate's answer proves.
-func (b *Sidecar) judgeGate(res *http.Response) (policy.Ending, policy.Load) {
+func judgeGate(res *http.Response) (policy.Ending, policy.Load) {
 	ending, load := headers.JudgeGate(res)
 	headers.Bare(res.Header)
 	return ending, load
--- a/internal/mesh/sidecar/sidecar_test.go
+++ b/internal/mesh/sidecar/sidecar_test.go
@@ -206,9 +206,9 @@
 
 func TestInbound(t *testing.T) {
 	Convey("The gate takes what a sidecar has for the instance here, and turns all else back as never run", t, func() {
-		i := &inbound{gate: gate.New(nil)}
+		i := &inbound{gate: gate.New(nil), clock: clock.NewMovable()}
 		d := i.dialect()
-		terms, left, target := "X-Mesh-Visit: 2,250,1\r\n", "X-Caperarch-Timeout-Remaining: 800\r\n", "X-Caperarch-Target-Instance: i-1\r\n"
+		terms, left, target := "X-Mesh-Visit: 2,250,1\r\nX-Mesh-Send: a1.7\r\n", "X-Caperarch-Timeout-Remaining: 800\r\n", "X-Caperarch-Target-Instance: i-1\r\n"
 		refused := func(fields string, status int) {
 			h := request(lepu, fields)
 			_, _, bad := d.Read(h)
@@ -224,6 +224,8 @@
 		refused(id+left+target, 400)
 		refused(id+terms+target, 400)
 		refused(terms+left+target, 400)
+		refused(id+"X-Mesh-Visit: 2,250,1\r\n"+left+target, 400)
+		refused(id+terms+"X-Mesh-Send: a1.8\r\n"+left+target, 400)
 		refused(id+terms+left, 503)
 		refused(id+terms+left+"X-Caperarch-Target-Instance: i-2\r\n", 503)
 		h := request(lepu, id+terms+left+target+"X-Caperarch-Tenant-Id: bozi300\r\n")
--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -77,6 +77,9 @@
 
 // spoken says whether bytes are here that were not read yet.
 func (c *conn) spoken() bool {
+	if c.raw == nil {
+		return false
+	}
 	n := 0
 	err := c.raw.Control(func(fd uintptr) { n, _ = stream.Peek(fd) })
 	return err == nil && n > 0
@@ -95,6 +98,7 @@
 			continue
 		}
 		pass := m.Stream && res.StatusCode == http.StatusOK
+		framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 		if u.dialect != nil && m.Header != nil { // else it is a probe
 			if !u.dialect.Mine(m, res) { // it belongs to no request, or to one before
 				if _, err := io.Copy(io.Discard, res.Body); err != nil {
@@ -102,9 +106,9 @@
 				}
 				continue
 			}
-			if ending, _ := u.dialect.Judge(res); ending != policy.Served {
-				pass = false
-			}
+			ending, _ := u.dialect.Judge(res)
+			// One without a length or chunks ends with its connection: a cut one would be passed on as if it were whole.
+			pass = m.Stream && ending == policy.Served && framed
 		}
 		switch {
 		case res.ContentLength > call.BodyLimit && !pass:
@@ -208,6 +212,11 @@
 // speaks waits until there is something to read, the end included, and for a time at most.
 func (c *conn) speaks(u *Transport, hold, until time.Duration) bool {
 	_ = c.SetReadDeadline(u.clock.At(hold))
+	if c.raw == nil {
+		_, err := c.r.Peek(1)
+		_ = c.SetReadDeadline(u.clock.At(until))
+		return err == nil
+	}
 	err := c.raw.Read(func(fd uintptr) bool {
 		_, err := stream.Peek(fd)
 		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -52,6 +52,11 @@
 	Dialect     *Dialect
 	Rest        time.Duration // connections rest so long after an answer; 0: settleTime, negative: not at all
 	Silence     time.Duration // TCP_USER_TIMEOUT: a machine that acknowledges nothing for so long is gone; 0: the system's own
+
+	// Dial opens connections in place of the system's own dialer, in memory for instance; nil: the system's. On a
+	// connection that is no socket nothing can be seen without reading it, so what came while it was idle is found
+	// only by the next answer's id.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Dialect is how requests and answers go where that is not the daemon's own way. nil: the daemon's own.
@@ -61,6 +66,10 @@
 	Mine func(m *call.Message, res *http.Response) bool
 	// Judge says what an answer's head proves. Only what is Served may be passed on while it comes.
 	Judge func(res *http.Response) (policy.Ending, policy.Load)
+	// Sign is the value of a field that each attempt has anew, so that its receiver can tell a second send of a request
+	// from a late copy of the first; SignField is the field's name. nil: there is none.
+	Sign      func() string
+	SignField string
 }
 
 // Transport carries attempts and probes to the servers, over connections that it keeps. It is not
@@ -78,6 +87,7 @@
 
 	dialect  *Dialect
 	silence  time.Duration
+	dial     func(ctx context.Context, address string) (net.Conn, error)
 	running  sync.WaitGroup // attempts and probes
 	wrote    func()
 	breaking atomic.Bool // so many connections are, that write keeps the last byte back
@@ -107,7 +117,7 @@
 // conn is a connection to a server; it carries one exchange at a time.
 type conn struct {
 	net.Conn
-	raw       syscall.RawConn
+	raw       syscall.RawConn // nil: it is no socket
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
 	idleSince time.Duration
@@ -129,6 +139,9 @@
 		idle:      make(map[*host][]*conn),
 		under:     make(map[*exchange]struct{}),
 	}
+	if u.dial = cfg.Dial; u.dial == nil {
+		u.dial = u.dialSystem
+	}
 	if u.wrote == nil {
 		u.wrote = func() {}
 	}
@@ -346,6 +359,9 @@
 	for _, f := range fields {
 		line(f.Name, f.Value)
 	}
+	if u.dialect != nil && u.dialect.Sign != nil && m.Header != nil {
+		line(u.dialect.SignField, u.dialect.Sign())
+	}
 	for name, values := range m.Header {
 		for _, value := range values {
 			if name != timeout {
@@ -418,7 +434,7 @@
 				return nil, nil, policy.Cancelled
 			case err != nil:
 				return nil, nil, policy.NoConnection
-			case res.StatusCode == http.StatusOK: // of what? nobody knows what it did
+			case res.StatusCode == http.StatusOK, streamOf(res) != nil: // of what? nobody knows what it did
 				return nil, nil, policy.Broken
 			}
 			return res, nil, policy.Errored
@@ -470,7 +486,7 @@
 func (u *Transport) write(c *conn, request []byte, matters bool, until time.Duration) error {
 	now := u.clock.Now()
 	hold := min(holdTime, (until-now)/holdPart)
-	if !matters || hold < holdLeast || !u.breaking.Load() {
+	if !matters || hold < holdLeast || !u.breaking.Load() || c.raw == nil {
 		_, err := c.Write(request)
 		return err
 	}
@@ -559,12 +575,7 @@
 	if !x.begin(cancel) {
 		cancel()
 	}
-	var d net.Dialer
-	d.KeepAlive = -1 // no use against a silent machine; the time-outs are
-	if u.silence > 0 {
-		d.Control = u.silent
-	}
-	raw, err := d.DialContext(ctx, "tcp", to.address)
+	raw, err := u.dial(ctx, to.address)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
@@ -572,15 +583,27 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw}
-	if c.raw, err = raw.(*net.TCPConn).SyscallConn(); err != nil {
-		u.discard(c)
-		return nil, err
+	if socket, ok := raw.(syscall.Conn); ok {
+		if c.raw, err = socket.SyscallConn(); err != nil {
+			u.discard(c)
+			return nil, err
+		}
 	}
 	c.limit.R = raw
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
 
+// dialSystem opens a connection by TCP.
+func (u *Transport) dialSystem(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	d.KeepAlive = -1 // no use against a silent machine; the time-outs are
+	if u.silence > 0 {
+		d.Control = u.silent
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // silent has the system give a connection up whose other end acknowledges nothing any more.
 func (u *Transport) silent(_, _ string, raw syscall.RawConn) error {
 	var err error
@@ -755,6 +778,9 @@
 // usable tells whether an idle connection still stands: its server has neither closed or reset it
 // (at its idle time-out, when it drains, when it restarts) nor sent what nobody asked for.
 func (c *conn) usable() bool {
+	if c.raw == nil {
+		return true
+	}
 	standing := false
 	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
