--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -104,7 +104,7 @@
 	Log     *slog.Logger
 
 	// InMemory says that the listener's connections are no sockets: the system tells nothing of them, so that a client
-	// that leaves is noticed by the next write, and nothing is read ahead.
+	// that leaves is noticed by the next write, and only what comes with a head is read ahead.
 	InMemory bool
 }
 
