Fence: one phase for what waits or was sent; what a gate's front refuses is remembered, shown by tests

Cause: taking out the mark of a begun request failed no test, as waiting and begun are answered alike; refusals by the front and the rise of send numbers had no test. Change: phases under way, turned away, refused; tests of both.

--- a/internal/mesh/gate/fence.go
+++ b/internal/mesh/gate/fence.go
@@ -54,8 +54,7 @@
 type phase int8
 
 const (
-	queued     phase = iota // it waits for a slot
-	begun                   // it was sent to the upstream, a byte of it at least
+	underWay   phase = iota // it waits for a slot, or was sent to the upstream, whatever became of it there
 	turnedAway              // it never reached the upstream; a later send may
 	refused                 // the upstream refused it. It is not sent there again: a second copy of that refusal could
 	// be read as the answer to the second send.
@@ -94,7 +93,7 @@
 	case !known && !f.room():
 		return mayHaveRun
 	case !known, before.phase == turnedAway && send.after(before.send):
-		f.put(key, record{send: send, until: f.age + left + fenceMargin, phase: queued})
+		f.put(key, record{send: send, until: f.age + left + fenceMargin, phase: underWay})
 		return admitted
 	case before.phase == turnedAway, before.phase == refused:
 		return neverRan
@@ -110,7 +109,7 @@
 	f.pass(now)
 	before, known := f.records[key]
 	switch {
-	case !known && !f.room(), known && (before.phase == queued || before.phase == begun):
+	case !known && !f.room(), known && before.phase == underWay:
 		return false
 	case !known, before.phase == turnedAway && send.after(before.send):
 		f.put(key, record{send: send, until: f.age + left + fenceMargin, phase: turnedAway})
@@ -160,10 +159,10 @@
 	return len(f.records) < fenceMost
 }
 
-// forget forgets what has expired. What waits stays: its end is the gate's to say.
+// forget forgets what has expired. A request that waits expires no earlier than it is turned back or sent.
 func (f *Fence) forget() {
 	for key, r := range f.records {
-		if f.age >= r.until && r.phase != queued {
+		if f.age >= r.until {
 			delete(f.records, key)
 		}
 	}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -269,7 +269,6 @@
 // reason to end it sooner.
 func (g *Gate) send(now time.Duration, r *request) {
 	r.sent, r.sentAt, r.to = true, now, g.upstream
-	g.mark(r, begun)
 	g.running++
 	g.count.Ordinary++
 	g.host.Send(r.id, g.upstream, 0)
--- a/internal/mesh/headers/headers_test.go
+++ b/internal/mesh/headers/headers_test.go
@@ -152,6 +152,25 @@
 	})
 }
 
+// TestSends: sends of a process are told apart, later ones have higher numbers, and those of two processes are not alike.
+func TestSends(t *testing.T) {
+	s, other := NewSends(), NewSends()
+	last, _ := ReadSend(head(SendField, other.Next()))
+	before := Send{}
+	for range 100 {
+		got, ok := ReadSend(head(SendField, s.Next()))
+		if !ok || got.Number <= before.Number || before.Number > 0 && got.Sender != before.Sender || got.Sender == last.Sender {
+			t.Fatalf("%+v behind %+v, of another %+v", got, before, last)
+		}
+		before = got
+	}
+	for _, text := range []string{"", ".", "1", "1.", ".1", "x.1", "1.x", "1.-1", "1.2.3", "10000000000000000.1", "1.18446744073709551616"} {
+		if got, ok := ReadSend(head(SendField, text)); ok {
+			t.Errorf("%q was taken for %+v", text, got)
+		}
+	}
+}
+
 // TestAttempt: the terms of an attempt are read as they were put, to the millisecond, whatever stood there.
 func TestAttempt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/mesh/sidecar/sidecar_test.go
+++ b/internal/mesh/sidecar/sidecar_test.go
@@ -204,6 +204,14 @@
 	})
 }
 
+// said is a host that counts what a gate sends.
+type said struct {
+	policy.Host
+	sent int
+}
+
+func (s *said) Send(policy.RequestID, policy.ServerID, time.Duration) { s.sent++ }
+
 func TestInbound(t *testing.T) {
 	Convey("The gate takes what a sidecar has for the instance here, and turns all else back as never run", t, func() {
 		i := &inbound{gate: gate.New(nil), clock: clock.NewMovable()}
@@ -228,6 +236,25 @@
 		refused(id+terms+"X-Mesh-Send: a1.8\r\n"+left+target, 400)
 		refused(id+terms+left, 503)
 		refused(id+terms+left+"X-Caperarch-Target-Instance: i-2\r\n", 503)
+		once := request(lepu, id+"X-Mesh-Visit: 2,250,0\r\nX-Mesh-Send: a1.7\r\n"+left+target)
+		verdict := func(a *call.Answer) policy.Ending {
+			ending, _ := headers.JudgeGate(&http.Response{StatusCode: 503, Header: d.Own(once, a)})
+			return ending
+		}
+		So(verdict(nil), ShouldEqual, policy.Gated) // refused by the front, and remembered
+		So(i.gate.Fence().Size(), ShouldEqual, 1)
+		So(verdict(&call.Answer{Kind: call.Refused, Unasked: true}), ShouldEqual, policy.Gated)
+		said := &said{Host: nil}
+		i.gate = gate.New(said)
+		i.gate.List(0, policy.ListFull, []policy.Server{{ID: 1, State: policy.Ready, Weight: 4}})
+		begun, time800, bad := d.Read(once)
+		So(bad, ShouldBeNil)
+		begun.ID, begun.Left = 1, time800
+		i.gate.Request(0, begun)
+		So(said.sent, ShouldEqual, 1)
+		So(verdict(&call.Answer{Kind: call.Refused, Unasked: true}), ShouldEqual, policy.Broken) // it is here by another arrival
+		So(verdict(nil), ShouldEqual, policy.Broken)
+		So(verdict(&call.Answer{Kind: call.Refused}), ShouldEqual, policy.Gated) // the gate's own word
 		h := request(lepu, id+terms+left+target+"X-Caperarch-Tenant-Id: bozi300\r\n")
 		q, time800, bad := d.Read(h)
 		So(bad, ShouldBeNil)
