--- a/internal/mesh/balancer/balancer.go
+++ b/internal/mesh/balancer/balancer.go
@@ -1,8 +1,12 @@
-// Package balancer decides, at the sidecar beside a caller, when and where each request goes: it is an engine's decision module, free of I/O, with time passed in.
+// Package balancer decides, at the sidecar beside a caller, when and where each request goes: it is
+// an engine's decision module, free of I/O, with time passed in.
 //
-// The design is the bulkhead's: each tenant, and each service for requests without one, has a compartment of its own, a semaphore of slots with a short queue; who finds both full is
-// refused at once. A slot is held for an attempt's life. The upstream is the one whose turn it is by smooth weighted round robin over those that are ready, weighted by the slots that
-// they report. What this sidecar knows of them beyond the catalogue is what their gates told with the last answers: one that is full loses its turn.
+// The design is the bulkhead's: each tenant, and each service for requests without one, has a
+// compartment of its own, a semaphore of slots with a short queue; who finds both full is refused
+// at once. A slot is held for an attempt's life. The upstream is the one whose turn it is by smooth
+// weighted round robin over those that are ready, weighted by the slots that they report. What this
+// sidecar knows of them beyond the catalogue is what their gates told with the last answers: one
+// that is full loses its turn.
 package balancer
 
 import (
@@ -12,27 +16,33 @@
 )
 
 const (
-	// waitShare of the aim is the longest that a request may wait here and be refused still in time to be served elsewhere or later.
+	// waitShare of the aim is the longest that a request may wait here and be refused still in
+	// time to be served elsewhere or later.
 	waitShare = 0.2
 	// urgentShare of all its time is the same for a request of the highest rank.
 	urgentShare = 0.4
-	// errorShare of a service's requests may have another run after the upstream's own failure: one in so many is chance, more is a fault that further runs only feed (what a run
-	// calls is called again with it). errorMost may come at once.
+	// errorShare of a service's requests may have another run after the upstream's own failure:
+	// one in so many is chance, more is a fault that further runs only feed (what a run calls is
+	// called again with it). errorMost may come at once.
 	errorShare = 0.02
 	errorMost  = 4
 	// pauseLeast and pauseMost bound what a refused client is told to wait.
 	pauseLeast = 20 * time.Millisecond
 	pauseMost  = time.Second
-	// failPause is how long an upstream has no turns after a failure to reach it, doubled up to failDouble times.
+	// failPause is how long an upstream has no turns after a failure to reach it, doubled up to
+	// failDouble times.
 	failPause  = 40 * time.Millisecond
 	failDouble = 4
-	// gatedFor is how long an upstream has no turns whose gate turned a request back, unless an answer tells of room before.
+	// gatedFor is how long an upstream has no turns whose gate turned a request back, unless an
+	// answer tells of room before.
 	gatedFor = 15 * time.Millisecond
 	// toldFor is how long a gate's word on its load is believed.
 	toldFor = 400 * time.Millisecond
-	// nearFull is the share of an upstream's slots up to which one in the caller's own zone is preferred: crossing zones has a price, a queue a higher one.
+	// nearFull is the share of an upstream's slots up to which one in the caller's own zone is
+	// preferred: crossing zones has a price, a queue a higher one.
 	nearFull = 0.75
-	// overFull is how far beyond its slots, as a share of them, an upstream is sent to where all are full: its gate's queue is short.
+	// overFull is how far beyond its slots, as a share of them, an upstream is sent to where all
+	// are full: its gate's queue is short.
 	overFull = 0.5
 	// endMargin before its deadline a request is given up: an answer later than that comes too late.
 	endMargin = 5 * time.Millisecond
@@ -67,19 +77,19 @@
 
 // Balancer is the module. One goroutine calls it.
 type Balancer struct {
-	cfg      Config
-	host     policy.Host
-	requests map[policy.RequestID]*request
-	servers  []*upstream // by id, so that turns are the same everywhere
-	walls    map[string]*compartment
-	waiting  int
-	total    float64 // slots of all that are ready
-	members  int
-	turn     map[int]float64 // time of round robin, by service
-	errors   map[int]float64 // runs after a failure that a service has left
-	wakeAt   time.Duration
-	sweepAt  time.Duration
-	count    policy.Counters
+	cfg          Config
+	host         policy.Host
+	requests     map[policy.RequestID]*request
+	servers      []*upstream // by id, so that turns are the same everywhere
+	compartments map[string]*compartment
+	waiting      int
+	total        float64 // slots of all that are ready
+	members      int
+	turn         map[int]float64 // time of round robin, by service
+	errors       map[int]float64 // runs after a failure that a service has left
+	wakeAt       time.Duration
+	sweepAt      time.Duration
+	count        policy.Counters
 }
 
 type request struct {
@@ -100,7 +110,13 @@
 
 // New makes one.
 func New(cfg Config, host policy.Host) *Balancer {
-	return &Balancer{cfg: cfg, host: host, requests: make(map[policy.RequestID]*request), walls: make(map[string]*compartment), turn: make(map[int]float64), errors: make(map[int]float64), members: 1}
+	return &Balancer{
+		cfg: cfg, host: host, members: 1,
+		requests:     make(map[policy.RequestID]*request),
+		compartments: make(map[string]*compartment),
+		turn:         make(map[int]float64),
+		errors:       make(map[int]float64),
+	}
 }
 
 // Start begins its life.
@@ -116,7 +132,9 @@
 	}
 	b.cfg.Budget.Request(now, o.Service)
 	b.errors[o.Service] = min(errorMost, b.errors[o.Service]+errorShare)
-	r := &request{id: q.ID, order: o, home: b.compartment(now, o.Wall), arrived: now, deadline: now + q.Left - endMargin}
+	r := &request{
+		id: q.ID, order: o, home: b.compartment(now, o.Wall), arrived: now, deadline: now + q.Left - endMargin,
+	}
 	r.until = min(r.deadline, now+time.Duration(waitShare*float64(o.Aim)))
 	if o.Rank == 0 { // an internal check has no other try, and takes the request that made it along
 		r.until = min(r.deadline, max(r.until, now+time.Duration(urgentShare*float64(q.Left))))
@@ -156,7 +174,7 @@
 		return
 	}
 	next := now + time.Hour
-	for _, c := range b.walls {
+	for _, c := range b.compartments {
 		for i := 0; i < len(c.queue); {
 			r := c.queue[i]
 			switch {
--- a/internal/mesh/balancer/compartment.go
+++ b/internal/mesh/balancer/compartment.go
@@ -32,10 +32,10 @@
 
 // compartment is the one of a name, sized by its share now.
 func (b *Balancer) compartment(now time.Duration, w Wall) *compartment {
-	c := b.walls[w.Name]
+	c := b.compartments[w.Name]
 	if c == nil {
 		c = &compartment{name: w.Name}
-		b.walls[w.Name] = c
+		b.compartments[w.Name] = c
 	}
 	c.usedAt = now
 	if n := max(1, b.cfg.Members()); n != b.members {
@@ -49,7 +49,8 @@
 	return c
 }
 
-// size derives a compartment's slots: by its share of what the slots of all ready upstreams come to at one of so many sidecars, see sizing.Compartments.
+// size derives a compartment's slots: by its share of what the slots of all ready upstreams come to
+// at one of so many sidecars, see sizing.Compartments.
 func (b *Balancer) size(c *compartment) {
 	all, _ := sizing.Compartments(b.total*c.share, b.members, 0, -1, 1, []float64{1})
 	c.slots = max(all[0].Slots, c.least)
@@ -57,7 +58,7 @@
 }
 
 func (b *Balancer) resize() {
-	for _, c := range b.walls {
+	for _, c := range b.compartments {
 		b.size(c)
 	}
 }
@@ -82,15 +83,16 @@
 	}
 }
 
-// sweep forgets compartments that are empty and were not asked for lately: tenants come and go with configurations.
+// sweep forgets compartments that are empty and were not asked for lately: tenants come and go with
+// configurations.
 func (b *Balancer) sweep(now time.Duration) {
 	if now < b.sweepAt {
 		return
 	}
 	b.sweepAt = now + forgetAfter
-	for name, c := range b.walls {
+	for name, c := range b.compartments {
 		if c.used == 0 && len(c.queue) == 0 && now-c.usedAt > forgetAfter {
-			delete(b.walls, name)
+			delete(b.compartments, name)
 		}
 	}
 }
--- a/internal/mesh/balancer/endpoint.go
+++ b/internal/mesh/balancer/endpoint.go
@@ -18,8 +18,9 @@
 	fails  int
 }
 
-// pick is smooth weighted round robin over the ready upstreams of the service that have room: first among those of our own zone with some to spare, then among all, then, where all are
-// full, the one whose queue is shortest.
+// pick is smooth weighted round robin over the ready upstreams of the service that have room: first
+// among those of our own zone with some to spare, then among all, then, where all are full, the one
+// whose queue is shortest.
 func (b *Balancer) pick(now time.Duration, r *request) *upstream {
 	var near, any, least *upstream
 	for _, u := range b.servers {
@@ -71,7 +72,8 @@
 	return false
 }
 
-// opens is when an upstream has turns again that has none now, or its gate's word is old; far off where there is no such time.
+// opens is when an upstream has turns again that has none now, or its gate's word is old; far off
+// where there is no such time.
 func (b *Balancer) opens(now time.Duration, r *request) time.Duration {
 	at := now + time.Hour
 	for _, u := range b.servers {
@@ -125,7 +127,7 @@
 	}
 	for _, e := range entries {
 		e.Weight = max(1, e.Weight)
-		at, known := slices.BinarySearchFunc(b.servers, e.ID, func(u *upstream, id policy.ServerID) int { return cmp.Compare(u.ID, id) })
+		at, known := slices.BinarySearchFunc(b.servers, e.ID, byID)
 		if known {
 			b.servers[at].Server = e
 			continue
@@ -142,3 +144,6 @@
 	b.resize()
 	b.feed(now)
 }
+
+// byID orders upstreams.
+func byID(u *upstream, id policy.ServerID) int { return cmp.Compare(u.ID, id) }
--- a/internal/mesh/gate/fence.go
+++ b/internal/mesh/gate/fence.go
@@ -7,14 +7,16 @@
 )
 
 const (
-	// fenceMost bounds the requests that are remembered, some 100 bytes each. It holds those of 64 s at 1,000 a second.
-	// Beyond it no request that must not run twice is begun: it is answered as unknown, which promises nothing.
+	// fenceMost bounds the requests that are remembered, some 100 bytes each. It holds those of 64
+	// s at 1,000 a second. Beyond it no request that must not run twice is begun: it is answered
+	// as unknown, which promises nothing.
 	fenceMost = 1 << 16
-	// fenceMargin is how much longer than its own time a request is remembered: longer than bytes stay under way
-	// between two machines that the system still counts as connected.
+	// fenceMargin is how much longer than its own time a request is remembered: longer than bytes
+	// stay under way between two machines that the system still counts as connected.
 	fenceMargin = time.Minute
-	// fenceGap is the longest time between two events that counts as passed. A process that stood still finds bytes in
-	// its sockets that are as old as they were when it stopped, so its memory must not age meanwhile.
+	// fenceGap is the longest time between two events that counts as passed. A process that stood
+	// still finds bytes in its sockets that are as old as they were when it stopped, so its memory
+	// must not age meanwhile.
 	fenceGap = time.Second
 	// fenceSweep is the time between two looks for what has expired. It bounds what forgetting costs.
 	fenceSweep = 5 * time.Second
@@ -29,8 +31,8 @@
 	return Key(sum[:len(Key{})])
 }
 
-// Send names one send of a request by its caller's sidecar. A later send of the same request has a higher number; a late
-// copy of a send has the same one.
+// Send names one send of a request by its caller's sidecar. A later send of the same request has a
+// higher number; a late copy of a send has the same one.
 type Send struct {
 	Sender uint64 // drawn anew at each start of a sidecar
 	Number uint64
@@ -46,7 +48,8 @@
 	admitted admission = iota
 	// neverRan: it was turned away here before and was promised never to run.
 	neverRan
-	// mayHaveRun: it is here already, or has been sent to the upstream; or there is no room to remember it.
+	// mayHaveRun: it is here already, or has been sent to the upstream; or there is no room to
+	// remember it.
 	mayHaveRun
 )
 
@@ -101,8 +104,9 @@
 	return mayHaveRun
 }
 
-// Promise takes that a send is to be turned away before it came to the gate, and says whether that may be said: not where
-// the request is here by another arrival, nor where there is no room to remember the promise.
+// Promise takes that a send is to be turned away before it came to the gate, and says whether that
+// may be said: not where the request is here by another arrival, nor where there is no room to
+// remember the promise.
 func (f *Fence) Promise(now time.Duration, key Key, send Send, left time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -159,7 +163,8 @@
 	return len(f.records) < fenceMost
 }
 
-// forget forgets what has expired. A request that waits expires no earlier than it is turned back or sent.
+// forget forgets what has expired. A request that waits expires no earlier than it is turned back
+// or sent.
 func (f *Fence) forget() {
 	for key, r := range f.records {
 		if f.age >= r.until {
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -1,13 +1,13 @@
-// Package gate is the gate beside an upstream: a decision module that all requests for the one upstream on this
-// machine pass through, from all sidecars of the mesh. As nobody else reaches the upstream, the gate knows how many
-// of its slots are busy.
+// Package gate is the gate beside an upstream: a decision module that all requests for the one
+// upstream on this machine pass through, from all sidecars of the mesh. As nobody else reaches the
+// upstream, the gate knows how many of its slots are busy.
 //
-// The guarantees: there are never more attempts out than the upstream has slots; nothing is sent to an upstream that
-// drains or is gone; each request has one attempt at most and one answer; and a request that can't start in time is
-// turned back while its caller can still go elsewhere.
+// The guarantees: there are never more attempts out than the upstream has slots; nothing is sent to
+// an upstream that drains or is gone; each request has one attempt at most and one answer; and a
+// request that can't start in time is turned back while its caller can still go elsewhere.
 //
-// A Gate has no goroutines, no clock and no I/O. It is driven like policy.Balancer, by one goroutine; only Load and
-// Mean may be called from others.
+// A Gate has no goroutines, no clock and no I/O. It is driven like policy.Balancer, by one
+// goroutine; only Load and Mean may be called from others.
 package gate
 
 import (
@@ -23,20 +23,23 @@
 	usualRank = 2
 	// lowestRank bounds the number of queues; what ranks lower queues with it.
 	lowestRank = 15
-	// turnEvery guards the lower ranks against being kept waiting for good: of so much of the slots' time that is handed
-	// out while one of them waits, one part goes to the one that has waited longest.
+	// turnEvery guards the lower ranks against being kept waiting for good: of so much of the
+	// slots' time that is handed out while one of them waits, one part goes to the one that has
+	// waited longest.
 	turnEvery = 8
-	// fewestWaiting is how many may wait before an upstream with fewer slots than that; else as many as it has slots.
-	// The bound guards against a queue that only makes callers late.
+	// fewestWaiting is how many may wait before an upstream with fewer slots than that; else as
+	// many as it has slots. The bound guards against a queue that only makes callers late.
 	fewestWaiting = 2
 	// waitShare is the part of a request's aim that it may wait for: the rest belongs to its work.
 	waitShare = 4
 	// urgentPlaces is how many times as many of the highest rank may wait.
 	urgentPlaces = 4
-	// urgentShare is the part of all its time that a request of the highest rank waits at most: half of it is left for its work.
+	// urgentShare is the part of all its time that a request of the highest rank waits at most:
+	// half of it is left for its work.
 	urgentShare = 2
-	// meanShare is the weight of the past in the mean service time: high enough that one slow request does not turn
-	// all others back, low enough that a change shows within some dozens of requests.
+	// meanShare is the weight of the past in the mean service time: high enough that one slow
+	// request does not turn all others back, low enough that a change shows within some dozens of
+	// requests.
 	meanShare = 16
 
 	// shortestPause guards against callers that come back before anything can have changed.
@@ -52,19 +55,21 @@
 	shedTime = 200 * time.Millisecond
 	// missesToDead is how many connections in a row have to fail before the upstream is taken for dead.
 	missesToDead = 3
-	// firstDead and longestDead bound the time for which it is: it doubles from one to the other for as long as
-	// no connection comes about, so that a dead upstream costs little and a new one is found soon.
+	// firstDead and longestDead bound the time for which it is: it doubles from one to the other
+	// for as long as no connection comes about, so that a dead upstream costs little and a new one
+	// is found soon.
 	firstDead   = 100 * time.Millisecond
 	longestDead = 800 * time.Millisecond
 
 	// mostSlots guards against a weight that no upstream can mean.
 	mostSlots = 1 << 16
-	// mostRetired bounds how many upstreams that have left are remembered, so that no late word revives them.
+	// mostRetired bounds how many upstreams that have left are remembered, so that no late word
+	// revives them.
 	mostRetired = 64
 )
 
-// Attempt is what a request's Terms say of it. The gate goes by Rank and Aim, and by Key and Send where it is not Safe;
-// the rest is for those who answer the request's caller.
+// Attempt is what a request's Terms say of it. The gate goes by Rank and Aim, and by Key and Send
+// where it is not Safe; the rest is for those who answer the request's caller.
 type Attempt struct {
 	Rank     int           // 0 is the highest: internal checks
 	Safe     bool          // it may run twice
@@ -117,18 +122,20 @@
 // fenced says whether a request must not run twice.
 func (r *request) fenced() bool { return r.terms != nil && !r.terms.Safe }
 
-// New makes a gate that decides nothing until a list names its upstream: requests are turned back until then.
+// New makes a gate that decides nothing until a list names its upstream: requests are turned back
+// until then.
 func New(host policy.Host) *Gate {
 	return &Gate{host: host, requests: make(map[policy.RequestID]*request)}
 }
 
-// Load is how many attempts are out, how many requests wait and how many slots the upstream has. It may be called
-// from any goroutine; each of the figures is the latest one.
+// Load is how many attempts are out, how many requests wait and how many slots the upstream has. It
+// may be called from any goroutine; each of the figures is the latest one.
 func (g *Gate) Load() (running, queued, slots int) {
 	return int(g.load.running.Load()), int(g.load.queued.Load()), int(g.load.slots.Load())
 }
 
-// Mean is the mean time of an attempt of late; 0: none has ended yet. It may be called from any goroutine.
+// Mean is the mean time of an attempt of late; 0: none has ended yet. It may be called from any
+// goroutine.
 func (g *Gate) Mean() time.Duration { return time.Duration(g.load.mean.Load()) }
 
 // Fence is what the gate remembers of requests that must not run twice.
@@ -218,8 +225,8 @@
 // Probed takes the report of a probe, which the gate asks for none of.
 func (g *Gate) Probed(time.Duration, policy.ServerID, bool, policy.Load) {}
 
-// ClientGone takes that a caller quit: it waits no more. What runs for it keeps its slot until it ends, as the
-// upstream is still at it.
+// ClientGone takes that a caller quit: it waits no more. What runs for it keeps its slot until it
+// ends, as the upstream is still at it.
 func (g *Gate) ClientGone(now time.Duration, id policy.RequestID) {
 	if r := g.requests[id]; r != nil && !r.sent {
 		g.mark(r, turnedAway)
@@ -229,7 +236,8 @@
 	g.settle(now)
 }
 
-// StreamBegun takes that a request has its answer while its attempt goes on. Its slot stays busy until the Outcome.
+// StreamBegun takes that a request has its answer while its attempt goes on. Its slot stays busy
+// until the Outcome.
 func (g *Gate) StreamBegun(policy.RequestID) {}
 
 // Reconfigure has nothing to change: the gate goes by the list alone.
@@ -265,8 +273,8 @@
 	g.load.mean.Store(int64(g.mean))
 }
 
-// send starts a request's one attempt, which may last until its caller's deadline: an upstream's silence is no
-// reason to end it sooner.
+// send starts a request's one attempt, which may last until its caller's deadline: an upstream's
+// silence is no reason to end it sooner.
 func (g *Gate) send(now time.Duration, r *request) {
 	r.sent, r.sentAt, r.to = true, now, g.upstream
 	g.running++
@@ -274,7 +282,8 @@
 	g.host.Send(r.id, g.upstream, 0)
 }
 
-// refuse turns a request back, which has not run, with the time when a slot is expected to be free for it.
+// refuse turns a request back, which has not run, with the time when a slot is expected to be free
+// for it.
 func (g *Gate) refuse(now time.Duration, r *request) {
 	pause := closedPause
 	switch {
--- a/internal/mesh/gate/queue.go
+++ b/internal/mesh/gate/queue.go
@@ -9,7 +9,8 @@
 // room is how many requests may wait below the highest rank.
 func (g *Gate) room() int { return max(fewestWaiting, g.slots) }
 
-// full says whether no more of a rank may wait. Those of the highest have places of their own: they are short, and bounded by their time, and none below would ever wait beside them.
+// full says whether no more of a rank may wait. Those of the highest have places of their own: they
+// are short, and bounded by their time, and none below would ever wait beside them.
 func (g *Gate) full(rank int) bool {
 	if rank == 0 {
 		return len(g.queues[0]) >= urgentPlaces*g.room()
@@ -26,10 +27,12 @@
 	return time.Duration(float64(g.mean) * float64(position) / float64(g.capacity(now)))
 }
 
-// latest is when a request has to have started: within its share of the aim, and early enough to end in time.
+// latest is when a request has to have started: within its share of the aim, and early enough to
+// end in time.
 func (g *Gate) latest(r *request) time.Duration { return min(r.startBy, r.deadline-g.expected(r.rank)) }
 
-// advance turns back what has no chance any more, hands out what slots are free, and keeps the queue to its length.
+// advance turns back what has no chance any more, hands out what slots are free, and keeps the
+// queue to its length.
 func (g *Gate) advance(now time.Duration) {
 	open := g.open(now)
 	for rank := range g.queues {
@@ -51,8 +54,8 @@
 	}
 }
 
-// next is the request whose turn it is: the first of the highest rank or, once in turnEvery, the one of a lower rank
-// that has waited longest. Something waits.
+// next is the request whose turn it is: the first of the highest rank or, once in turnEvery, the
+// one of a lower rank that has waited longest. Something waits.
 func (g *Gate) next() *request {
 	var first, lower *request
 	for _, line := range g.queues {
@@ -90,7 +93,8 @@
 	}
 }
 
-// displace makes room for a rank: the last one of the lowest rank is turned back, if that is a lower one.
+// displace makes room for a rank: the last one of the lowest rank is turned back, if that is a
+// lower one.
 func (g *Gate) displace(now time.Duration, rank int) bool {
 	r := g.last()
 	if r.rank <= rank {
--- a/internal/mesh/gate/upstream.go
+++ b/internal/mesh/gate/upstream.go
@@ -9,8 +9,8 @@
 	"caperarch/policy"
 )
 
-// List takes what is said of the upstream. One that drains or is gone is sent nothing more, whatever is said of it
-// later; another one in its place is.
+// List takes what is said of the upstream. One that drains or is gone is sent nothing more,
+// whatever is said of it later; another one in its place is.
 func (g *Gate) List(now time.Duration, kind policy.ListKind, entries []policy.Server) {
 	if kind == policy.ListFailed {
 		return
@@ -96,8 +96,9 @@
 	}
 }
 
-// miss takes that a connection failed. After some in a row the upstream is taken for dead for a while. Requests then
-// pass again, and the first of them that fails alike has it taken for dead for longer.
+// miss takes that a connection failed. After some in a row the upstream is taken for dead for a
+// while. Requests then pass again, and the first of them that fails alike has it taken for dead for
+// longer.
 func (g *Gate) miss(now time.Duration, r *request) {
 	if r.sentAt < g.deadUntil {
 		return // sent before it was taken for dead: nothing new
--- a/internal/mesh/headers/attempt.go
+++ b/internal/mesh/headers/attempt.go
@@ -41,7 +41,8 @@
 	if bad != nil || bad2 != nil || aim < 0 || rank < 0 {
 		return Attempt{}, false
 	}
-	return Attempt{Rank: rank, Aim: time.Duration(min(aim, longest.Milliseconds())) * time.Millisecond, Safe: parts[2] == "1"}, true
+	aim = min(aim, longest.Milliseconds())
+	return Attempt{Rank: rank, Aim: time.Duration(aim) * time.Millisecond, Safe: parts[2] == "1"}, true
 }
 
 // Stripped takes off what is the gate's alone, before a request goes to the upstream.
@@ -53,7 +54,8 @@
 // SendField is the field that names a send.
 const SendField = sendName
 
-// Send names one send of a request: no two of them are alike, and later ones of a sender have higher numbers.
+// Send names one send of a request: no two of them are alike, and later ones of a sender have
+// higher numbers.
 type Send struct {
 	Sender uint64 // drawn anew at each start of a sidecar
 	Number uint64
--- a/internal/mesh/headers/headers.go
+++ b/internal/mesh/headers/headers.go
@@ -1,8 +1,9 @@
-// Package headers is what a request carries on its way through the mesh: the fields that clients, sidecars and upstreams read and write, and what an answer's head proves. It decides
-// nothing.
+// Package headers is what a request carries on its way through the mesh: the fields that clients,
+// sidecars and upstreams read and write, and what an answer's head proves. It decides nothing.
 //
-// Between two sidecars there are three kinds of answer: it ran, with the upstream's own bytes; it did not run and never will (Verdict: turned); and unknown, which is everything else.
-// Only the second lets a request that must not run twice be sent again.
+// Between two sidecars there are three kinds of answer: it ran, with the upstream's own bytes; it
+// did not run and never will (Verdict: turned); and unknown, which is everything else. Only the
+// second lets a request that must not run twice be sent again.
 package headers
 
 import (
@@ -55,7 +56,8 @@
 	return left, left > 0
 }
 
-// Twice is the name of a field that steers a request and is given twice, or "": two readers may heed different ones.
+// Twice is the name of a field that steers a request and is given twice, or "": two readers may
+// heed different ones.
 func Twice(h *h1.Head, names ...string) string {
 	for _, name := range names {
 		seen := false
--- a/internal/mesh/headers/load.go
+++ b/internal/mesh/headers/load.go
@@ -27,7 +27,9 @@
 	if bad != nil || bad2 != nil || running < 0 || waiting < 0 || max(running, waiting) > mostLoad {
 		return policy.Load{}
 	}
-	return policy.Load{Has: policy.HasInFlight | policy.HasQueued, InFlight: float64(running + waiting), Queued: float64(waiting)}
+	return policy.Load{
+		Has: policy.HasInFlight | policy.HasQueued, InFlight: float64(running + waiting), Queued: float64(waiting),
+	}
 }
 
 // Slots reads how many requests an upstream works on at once from its load; 0: it does not say.
--- a/internal/mesh/headers/verdict.go
+++ b/internal/mesh/headers/verdict.go
@@ -7,8 +7,8 @@
 	"caperarch/policy"
 )
 
-// Own are the fields of a gate's own answer: whether it says that the request never ran and never will, or that nobody
-// can say.
+// Own are the fields of a gate's own answer: whether it says that the request never ran and never
+// will, or that nobody can say.
 func Own(id string, neverRan bool, load string) http.Header {
 	said := unknown
 	if neverRan {
@@ -27,7 +27,8 @@
 	return len(ids) == 1 && len(m.Header[AttemptID]) == 1 && ids[0] == m.Header[AttemptID][0]
 }
 
-// JudgeUpstream says what the head of an upstream's answer proves. A success without a stamp, or in an encoding that nobody asked for, is none.
+// JudgeUpstream says what the head of an upstream's answer proves. A success without a stamp, or in
+// an encoding that nobody asked for, is none.
 func JudgeUpstream(res *http.Response) (policy.Ending, policy.Load) {
 	load := ReadLoad(res.Header.Get(Load))
 	switch {
@@ -35,7 +36,7 @@
 		return policy.TurnedAway, load
 	case res.StatusCode/100 == 2 && (res.Header[Signature] == nil || res.Header["Content-Encoding"] != nil):
 		return policy.Broken, load
-	case res.StatusCode == http.StatusServiceUnavailable, res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusRequestTimeout:
+	case promises(res.StatusCode):
 		return policy.Broken, load // our client would take it for a promise that nobody gave
 	case res.StatusCode/100 == 5:
 		return policy.Errored, load
@@ -66,3 +67,12 @@
 	delete(fields, verdict) // only a gate may say
 	fields[gateLoad] = []string{load}
 }
+
+// promises says whether our clients take a status for the word that their request never ran and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return true
+	}
+	return false
+}
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -30,8 +30,8 @@
 	return headers.LoadText(running, waiting, slots)
 }
 
-// read takes a request of a sidecar. One for another instance than the one here is turned back: it has not run, and the
-// instance that it was for is gone.
+// read takes a request of a sidecar. One for another instance than the one here is turned back: it
+// has not run, and the instance that it was for is gone.
 func (i *inbound) read(h *h1.Head) (q policy.Request, left time.Duration, bad *http1.Rejection) {
 	terms, left, ok := attemptOf(h)
 	if !ok {
@@ -44,8 +44,8 @@
 	return policy.Request{Terms: terms}, left, nil
 }
 
-// attemptOf reads what a request says of itself; false: it comes from no sidecar, or says something twice that two
-// readers could heed differently.
+// attemptOf reads what a request says of itself; false: it comes from no sidecar, or says something
+// twice that two readers could heed differently.
 func attemptOf(h *h1.Head) (terms *gate.Attempt, left time.Duration, ok bool) {
 	said, sound := headers.ReadAttempt(h)
 	send, sent := headers.ReadSend(h)
@@ -68,8 +68,9 @@
 	return headers.Own(h.Get(headers.AttemptID), i.neverRan(h, a), i.load())
 }
 
-// neverRan says whether an answer of our own may say that its request never ran and never will. What the engine refuses
-// the gate has seen to. What the front refuses by itself has to be remembered, so that no late copy of it runs.
+// neverRan says whether an answer of our own may say that its request never ran and never will.
+// What the engine refuses the gate has seen to. What the front refuses by itself has to be
+// remembered, so that no late copy of it runs.
 func (i *inbound) neverRan(h *h1.Head, a *call.Answer) bool {
 	if a != nil && a.Kind != call.Refused {
 		return false
