--- a/internal/mesh/gate/fence.go
+++ b/internal/mesh/gate/fence.go
@@ -57,19 +57,22 @@
 type phase int8
 
 const (
-	underWay   phase = iota // it waits for a slot, or was sent to the upstream, whatever became of it there
-	turnedAway              // it never reached the upstream; a later send may
-	refused                 // the upstream refused it. It is not sent there again: a second copy of that refusal could
-	// be read as the answer to the second send.
+	// underWay: it waits for a slot, or was sent to the upstream, whatever became of it there.
+	underWay phase = iota
+	// turnedAway: it never reached the upstream; a later send may.
+	turnedAway
+	// refused: the upstream refused it. It is not sent there again, as a second copy of that refusal
+	// could be read as the answer to the second send.
+	refused
 )
 
-// Fence remembers requests that must not run twice, so that none of them is sent to the upstream by two arrivals, and none
-// that was promised never to run runs after all. It keeps three promises until a request has expired:
+// Fence remembers requests that must not run twice, so that none of them is sent to the upstream by
+// two arrivals, and none that was promised never to run runs after all. It keeps these promises until
+// a request has expired:
 //
-//   - a request that was begun is begun by no other arrival, which is told that it may have run;
-//   - a request that waits is begun by no other arrival either;
-//   - a send that was turned away is not begun by a late copy of it, which is turned away too. Only a later send of
-//     the same sidecar may be.
+//   - a request that is under way is begun by no other arrival, which is told that it may have run;
+//   - a send that was turned away is not begun by a late copy of it, which is turned away too. Only a
+//     later send of the same sidecar may be, and none if the upstream itself refused it.
 //
 // Its methods may be called from any goroutine. The zero value is ready for use.
 type Fence struct {
