A connection is not used again behind an upstream's refusal; its request may come back to the gate

Cause: the fence kept a request that the upstream had refused from a later send to the same gate, against a second copy of that refusal. The hazard is the connection's, not the id's. Change: the connection is closed instead, and such a request may be sent there again, as before.

--- a/internal/mesh/gate/fence.go
+++ b/internal/mesh/gate/fence.go
@@ -59,11 +59,8 @@
 const (
 	// underWay: it waits for a slot, or was sent to the upstream, whatever became of it there.
 	underWay phase = iota
-	// turnedAway: it never reached the upstream; a later send may.
+	// turnedAway: it never reached the upstream, or the upstream refused it; a later send may run.
 	turnedAway
-	// refused: the upstream refused it. It is not sent there again, as a second copy of that refusal
-	// could be read as the answer to the second send.
-	refused
 )
 
 // Fence remembers requests that must not run twice, so that none of them is sent to the upstream by
@@ -72,7 +69,7 @@
 //
 //   - a request that is under way is begun by no other arrival, which is told that it may have run;
 //   - a send that was turned away is not begun by a late copy of it, which is turned away too. Only a
-//     later send of the same sidecar may be, and none if the upstream itself refused it.
+//     later send of the same sidecar may be.
 //
 // Its methods may be called from any goroutine. The zero value is ready for use.
 type Fence struct {
@@ -101,7 +98,7 @@
 	case !known, before.phase == turnedAway && send.after(before.send):
 		f.put(key, record{send: send, until: f.age + left + fenceMargin, phase: underWay})
 		return admitted
-	case before.phase == turnedAway, before.phase == refused:
+	case before.phase == turnedAway:
 		return neverRan
 	}
 	return mayHaveRun
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -199,10 +199,7 @@
 	if !o.Settled {
 		switch o.Ending {
 		case policy.Served:
-		case policy.TurnedAway, policy.Gated:
-			g.mark(r, refused)
-			g.refuse(now, r)
-		case policy.NoConnection, policy.NotSent:
+		case policy.TurnedAway, policy.NoConnection, policy.NotSent, policy.Gated:
 			g.turnAway(now, r)
 		default:
 			g.count.Failed++
@@ -310,7 +307,7 @@
 	return true
 }
 
-// turnAway refuses a request that the upstream never had. A later send of it may come.
+// turnAway refuses a request that has not run. A later send of it may come.
 func (g *Gate) turnAway(now time.Duration, r *request) {
 	g.mark(r, turnedAway)
 	g.refuse(now, r)
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -296,6 +296,16 @@
 	return x
 }
 
+// refused says whether an answer is a server's refusal of a request that may come again under its id. A second copy of
+// it, on a connection that is used again, could be read as the answer to that.
+func (u *Transport) refused(res *http.Response) bool {
+	if u.dialect == nil {
+		return false
+	}
+	ending, _ := u.dialect.Judge(res)
+	return ending == policy.TurnedAway
+}
+
 // judge says what an answer's head proves.
 func (u *Transport) judge(res *http.Response) (policy.Ending, policy.Load) {
 	if u.dialect != nil {
@@ -454,9 +464,9 @@
 	switch {
 	case err == nil && streamOf(res) != nil:
 		return res, nil, policy.Served // its connection is its own till its end
-	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
+	case err == nil && !res.Close && c.r.Buffered() == 0 && !u.refused(res) && x.begin(nil):
 		u.keepIdle(to, c)
-	default: // broken, to be closed, with bytes left over behind the answer, or given up
+	default: // broken, to be closed, with bytes left over behind the answer, a refusal, or given up
 		u.discard(c)
 	}
 	if err == nil {
