A second copy of a refusal comes late in the test, not in the same read

Cause: it came in one write, and bytes left over close a connection anyway, so that the test passed without the guard. Change: the copy is written 5 ms later. Measured: without the guard TestStrayAnswers fails.

--- a/internal/mesh/sidecar/once_test.go
+++ b/internal/mesh/sidecar/once_test.go
@@ -198,7 +198,15 @@
 		if runs {
 			time.Sleep(20 * time.Millisecond) // its work
 		}
-		if _, err := io.WriteString(c, out); err != nil || !goesOn {
+		for i, part := range strings.Split(out, later) {
+			if i > 0 {
+				time.Sleep(5 * time.Millisecond)
+			}
+			if _, err := io.WriteString(c, part); err != nil {
+				return
+			}
+		}
+		if !goesOn {
 			return
 		}
 	}
@@ -210,6 +218,9 @@
 	return "HTTP/1.1 200 OK\r\n" + idField(id) + fmt.Sprintf("%s: 3e1b.%s\r\nContent-Length: %d\r\n", headers.Signature, id, len(body)) + strings.Join(more, "") + "\r\n" + body
 }
 
+// later divides what an upstream writes at once from what follows some milliseconds behind.
+const later = "\x00"
+
 // long marks ids of requests and answers whose bodies are longer than what is held whole.
 const long = "long"
 
@@ -434,7 +445,7 @@
 		}), 0},
 		{"a refusal twice, and then it runs", func(_, id string, n int) (bool, string, bool) {
 			if n < 2 { // once at either
-				return false, refusal(id) + refusal(id), true
+				return false, refusal(id) + later + refusal(id), true
 			}
 			return true, upstreamAnswer(id), true
 		}, 200},
