--- /dev/null
+++ b/internal/mesh/replication/store_test.go
@@ -0,0 +1,155 @@
+package replication
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"go.uber.org/zap"
+
+	"caperarch/internal/mesh/errs"
+)
+
+func TestStore(t *testing.T) {
+	Convey("Given a store that was founded and written to", t, func() {
+		dir := t.TempDir()
+		address := memberA.Address()
+		s, state, err := Open(dir, address)
+		So(err, ShouldBeNil)
+		So(state, ShouldResemble, State{})
+		three := Membership{Voters: allMembers[:3]}
+		So(s.Found(State{ID: memberA + "#7", Cluster: testCluster, Snapshot: Snapshot{Membership: three}}), ShouldBeNil)
+		hard := HardState{Term: 3, Vote: memberB}
+		four := Membership{Voters: allMembers[:4], Outgoing: allMembers[:3]}
+		entries := []Entry{
+			{Index: 1, Term: 1},
+			{Index: 2, Term: 1, Cmd: []byte("x")},
+			{Index: 3, Term: 2, Cmd: make([]byte, 2*writeBuffer)},
+			{Index: 4, Term: 2, Cmd: []byte("y")},
+			{Index: 5, Term: 2, Kind: EntryMembership, Cmd: four.encode()},
+		}
+		So(s.Save(&Persist{Hard: &hard, Entries: entries}), ShouldBeNil)
+		replaced := []Entry{{Index: 4, Term: 3, Cmd: []byte("z")}, {Index: 5, Term: 3, Kind: EntryMembership, Cmd: four.encode()}}
+		So(s.Save(&Persist{TruncateFrom: 4, Entries: replaced}), ShouldBeNil)
+		snapshot := Snapshot{Index: 2, Term: 1, Membership: three, Data: []byte("s")}
+		So(s.Save(&Persist{Snapshot: &snapshot}), ShouldBeNil)
+		want := State{ID: memberA + "#7", Cluster: testCluster, Hard: hard, Snapshot: snapshot, Entries: append(entries[2:3:3], replaced...)}
+		reopened := func() State {
+			So(s.Close(), ShouldBeNil)
+			s, state, err = Open(dir, "10.9.9.9:1")
+			So(err, ShouldBeNil)
+			So(s.Close(), ShouldBeNil)
+			return state
+		}
+
+		Convey("it reads back what was saved, and the identity is the one on disk", func() {
+			So(reopened(), ShouldResemble, want)
+		})
+		Convey("a write that was refused and got there all the same leaves nothing behind what takes its place", func() {
+			refused := &Persist{Entries: []Entry{{Index: 6, Term: 3, Cmd: []byte("6")}, {Index: 7, Term: 3, Cmd: []byte("7")}}}
+			batch, _, last, err := s.batch(refused)
+			So(err, ShouldBeNil)
+			So(s.db.Write(batch, &opt.WriteOptions{Sync: true}), ShouldBeNil)
+			s.tried = last // as Save notes it when the sync fails
+			newer := Entry{Index: 6, Term: 4, Cmd: []byte("newer")}
+			So(s.Save(&Persist{TruncateFrom: 6, Entries: []Entry{newer}}), ShouldBeNil)
+			want.Entries = append(want.Entries, newer)
+			So(reopened(), ShouldResemble, want)
+		})
+		Convey("a torn end costs no more than the write that was never synced", func() {
+			journals, err := filepath.Glob(filepath.Join(dir, folder, "*.log"))
+			So(err, ShouldBeNil)
+			journal := journals[len(journals)-1]
+			before, err := os.Stat(journal)
+			So(err, ShouldBeNil)
+			So(s.Save(&Persist{Entries: []Entry{{Index: 6, Term: 3, Cmd: []byte("torn")}}}), ShouldBeNil)
+			after, err := os.Stat(journal)
+			So(err, ShouldBeNil)
+			So(s.Close(), ShouldBeNil)
+			So(os.Truncate(journal, (before.Size()+after.Size())/2), ShouldBeNil)
+			So(reopened(), ShouldResemble, want)
+		})
+		Convey("one that is damaged is set aside, and the machine starts without an identity", func() {
+			So(s.Close(), ShouldBeNil)
+			manifests, err := filepath.Glob(filepath.Join(dir, folder, "MANIFEST-*"))
+			So(err, ShouldBeNil)
+			for _, m := range manifests {
+				So(os.WriteFile(m, []byte("no manifest"), 0o600), ShouldBeNil)
+			}
+			_, _, err = Open(dir, address)
+			So(errs.Of(err), ShouldEqual, errs.DiskFailed)
+			So(Damaged(err), ShouldBeTrue)
+			s, state, err = OpenOrDiscard(dir, address, zap.NewNop())
+			So(err, ShouldBeNil)
+			So(state, ShouldResemble, State{})
+			So(s.Close(), ShouldBeNil)
+		})
+	})
+}
+
+// earlierStore writes a data directory as the program with a fixed set of members left it.
+func earlierStore(dir string, values map[string]any) {
+	db, err := leveldb.OpenFile(filepath.Join(dir, folder), options(false))
+	So(err, ShouldBeNil)
+	for key, value := range values {
+		data, err := json.Marshal(value)
+		So(err, ShouldBeNil)
+		So(db.Put([]byte(key), data, &opt.WriteOptions{Sync: true}), ShouldBeNil)
+	}
+	e := Entry{Index: 1, Term: 4, Cmd: []byte("kept")}
+	So(db.Put(entryKey(1), encodeEntry(&e), &opt.WriteOptions{Sync: true}), ShouldBeNil)
+	So(db.Close(), ShouldBeNil)
+}
+
+func TestStoreOfEarlierProgram(t *testing.T) {
+	seeds := []string{memberA.Address(), memberB.Address(), memberC.Address()}
+	hard := func(remembers bool) map[string]any {
+		return map[string]any{"view": 4, "vote": memberB, "remembers": remembers, "known": map[string]any{}}
+	}
+	Convey("A disk that remembers is taken over whole, as a first voter", t, func() {
+		dir := t.TempDir()
+		earlierStore(dir, map[string]any{"members": seeds, "hard": hard(true)})
+		for range 2 {
+			s, state, err := Open(dir, seeds[0])
+			So(err, ShouldBeNil)
+			So(s.Close(), ShouldBeNil)
+			cluster, membership := Bootstrap(seeds)
+			So(state, ShouldResemble, State{
+				ID: memberA, Cluster: cluster, Hard: HardState{Term: 4, Vote: memberB},
+				Snapshot: Snapshot{Membership: membership}, Entries: []Entry{{Index: 1, Term: 4, Cmd: []byte("kept")}},
+			})
+		}
+	})
+	Convey("One that had forgotten, or misses a part, is damaged: the machine begins as another member", t, func() {
+		for _, values := range []map[string]any{
+			{"members": seeds, "hard": hard(false)}, {"members": seeds}, {"hard": hard(true)},
+			{"members": []string{}, "hard": hard(true)}, {"members": 7, "hard": hard(true)},
+			{"identity": map[string]any{"id": ""}, "hard": hard(true)}, {"identity": identity{ID: memberA}, "hard": hard(true)},
+		} {
+			dir := t.TempDir()
+			earlierStore(dir, values)
+			_, _, err := Open(dir, seeds[0])
+			So(errs.Of(err), ShouldEqual, errs.DiskFailed)
+			So(Damaged(err), ShouldBeTrue)
+			s, state, err := OpenOrDiscard(dir, seeds[0], zap.NewNop())
+			So(err, ShouldBeNil)
+			So(state, ShouldResemble, State{})
+			So(s.Close(), ShouldBeNil)
+		}
+	})
+	Convey("A disk of another cluster keeps its identity: its messages are refused by ours, and ours by it", t, func() {
+		dir := t.TempDir()
+		s, _, err := Open(dir, seeds[0])
+		So(err, ShouldBeNil)
+		So(s.Found(State{ID: memberA, Cluster: testCluster + 1}), ShouldBeNil)
+		So(s.Close(), ShouldBeNil)
+		s, state, err := Open(dir, seeds[0])
+		So(err, ShouldBeNil)
+		So(state.Cluster, ShouldEqual, testCluster+1)
+		So(s.Close(), ShouldBeNil)
+	})
+}
