--- a/cmd/measure/mutants.go
+++ b/cmd/measure/mutants.go
@@ -26,6 +26,7 @@
 var planted = []batch{
 	{"internal/accord", "", accordMutants}, {"internal/agree", "", agreeMutants}, {"internal/fleetpolicy", "internal/accord", policyMutants}, {"internal/outage", "", outageMutants},
 	{"internal/outage", "internal/accord", roundMutants}, {"internal/swim", "", swimMutants},
+	{"internal/mesh/replication", "", replicationMutants},
 }
 
 // swimMutants are faults in what a sidecar holds of others and of its own contact.
@@ -157,7 +158,10 @@
 	{"work.go", "p.Clear, p.Rate, p.Served = r.Clear,", "p.Clear, p.Rate, p.Served = n.work.state.LastTurn,", "a sidecar tells that it is clear of all that it knows of"},
 }
 
-var failedSeed = regexp.MustCompile(`seed (\d+)`)
+var (
+	failedSeed = regexp.MustCompile(`seed (\d+)`)
+	failedTest = regexp.MustCompile(`(?m)^--- FAIL: (\w+)`)
+)
 
 // fits says whether there is one place in a file's text where it can be planted.
 func (m mutant) fits(text string) error {
@@ -167,49 +171,60 @@
 	return nil
 }
 
-// find plays histories with a fault planted, and says at which seed it was found; 0: by another test, -1: not at all.
-func (m mutant) find(in, where, dir string, number, most int) (seed int, err error) {
+// find plays histories with a fault planted, and says at which seed it was found, 0: by tests alone that play
+// none, -1: not at all; and the names of all tests that failed.
+func (m mutant) find(in, where, dir string, number, most int) (seed int, tests []string, err error) {
 	path, err := filepath.Abs(filepath.Join(in, m.file))
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	if err := m.fits(string(text)); err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	planted := filepath.Join(dir, fmt.Sprintf("%s-%d.go", filepath.Base(in), number))
 	if err := os.WriteFile(planted, []byte(strings.Replace(string(text), m.old, m.new, 1)), 0o600); err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{path: planted}})
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	list := filepath.Join(dir, fmt.Sprintf("%s-%d.json", filepath.Base(in), number))
 	if err := os.WriteFile(list, overlay, 0o600); err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	args := []string{"test", "-overlay", list, "-vet=off", "caperarch/" + in}
 	if where != "" { // first what needs no histories
 		if out, err := exec.Command("go", args...).CombinedOutput(); err != nil && !strings.Contains(string(out), "build failed") {
-			return 0, nil
+			return 0, testsFailed(out), nil
 		}
 		args[len(args)-1] = "caperarch/" + where
 	}
 	out, err := exec.Command("go", append(args, "-histories", strconv.Itoa(most))...).CombinedOutput()
 	if err == nil {
-		return -1, nil
+		return -1, nil, nil
 	}
 	if strings.Contains(string(out), "build failed") {
-		return 0, fmt.Errorf("%s: it does not build: %s", m.what, out)
+		return 0, nil, fmt.Errorf("%s: it does not build: %s", m.what, out)
 	}
 	if found := failedSeed.FindSubmatch(out); found != nil {
-		return strconv.Atoi(string(found[1]))
+		seed, err = strconv.Atoi(string(found[1]))
+		return seed, testsFailed(out), err
+	}
+	return 0, testsFailed(out), nil
+}
+
+// testsFailed are the names of the tests that failed by their output.
+func testsFailed(out []byte) []string {
+	var names []string
+	for _, found := range failedTest.FindAllSubmatch(out, -1) {
+		names = append(names, string(found[1]))
 	}
-	return 0, nil
+	return names
 }
 
 // measureMutants plants faults, one after the other, and has the tests of their package look for each.
@@ -238,7 +253,7 @@
 			done.Go(func() {
 				places <- struct{}{}
 				defer func() { <-places }()
-				seed, err := m.find(in, b.where, dir, number, most)
+				seed, tests, err := m.find(in, b.where, dir, number, most)
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
@@ -250,9 +265,9 @@
 					missed = append(missed, in+": "+m.what)
 					return
 				case seed == 0:
-					fmt.Printf("%s: found by a test of its own: %s\n", in, m.what)
+					fmt.Printf("%s: found by %v, which play no histories: %s\n", in, tests, m.what)
 				default:
-					fmt.Printf("%s: found at seed %d: %s\n", in, seed, m.what)
+					fmt.Printf("%s: found at seed %d and by %v: %s\n", in, seed, tests, m.what)
 					needed.add(float64(seed))
 				}
 				found++
--- a/cmd/measure/mutants_replication.go
+++ b/cmd/measure/mutants_replication.go
@@ -7,7 +7,7 @@
 	{"membership.go", "return majority(m.Voters, has) && (!m.Joint() || majority(m.Outgoing, has))", "if m.Joint() {\n\t\treturn majority(m.Outgoing, has)\n\t}\n\treturn majority(m.Voters, has)", "votes of the old set alone elect"},
 	{"membership.go", "value = min(value, reachedBy(m.Outgoing, of))", "value = max(value, 0)", "the new set alone commits"},
 	{"membership.go", "value = min(value, reachedBy(m.Outgoing, of))", "value = reachedBy(m.Outgoing, of)", "the old set alone commits"},
-	{"membership.go", "return values[(len(values)-1)/2]", "return values[len(values)/2]", "half of an even set commits"},
+	{"membership.go", "return values[(len(voters)-1)/2]", "return values[len(voters)/2]", "half of an even set commits"},
 	{"membership.go", "return n > len(voters)/2", "return n >= len(voters)/2", "half of a set is a majority"},
 	{"leader.go", "case !r.openedTerm():\n\t\treturn errs.New(errs.Busy, \"replication: the term has", "case false:\n\t\treturn errs.New(errs.Busy, \"replication: the term has", "a change begins before the term has a committed entry"},
 	{"leader.go", "case current.Joint() || current.index > r.commit:", "case false:", "two changes at once"},
