--- a/internal/mesh/replication/leader.go
+++ b/internal/mesh/replication/leader.go
@@ -239,6 +239,8 @@
 		return
 	}
 	switch {
+	case answer.Refused && p.snapshot != nil:
+		// Heartbeats are refused until the snapshot is there; its pieces are on their way.
 	case answer.Refused:
 		if answer.PrevIndex == max(p.next-1, r.log.snapshot.Index) {
 			p.next = max(p.match, min(answer.Match, r.log.last())) + 1
--- a/internal/mesh/replication/manager_test.go
+++ b/internal/mesh/replication/manager_test.go
@@ -42,7 +42,7 @@
 // address, leaves or is silent is swapped for one, one at a time.
 func (w *world) manageMembers(n *machine) {
 	r, now := n.replica, w.clock(n)
-	if !r.Leads(now) {
+	if !r.Leads(now) || w.manageOff {
 		return
 	}
 	membership, committed := r.Membership()
--- a/internal/mesh/replication/network_test.go
+++ b/internal/mesh/replication/network_test.go
@@ -55,13 +55,16 @@
 			w.count("message late")
 		}
 		if w.bits > 0 {
-			w.free[way] = max(w.free[way], w.now) + time.Duration(msg.size()+200)*8*time.Second/time.Duration(w.bits)
+			w.free[way] = max(w.free[way], w.now) + time.Duration(onLink(&msg))*8*time.Second/time.Duration(w.bits)
 			late += w.free[way] - w.now
 		}
 		w.after(late, func() { w.arrive(way, func() { w.deliver(from, way.to, msg) }) })
 	}
 }
 
+// onLink is about how many bytes a message takes on a link: a third more than in memory, and headers.
+func onLink(msg *Message) int { return msg.size()*4/3 + 300 }
+
 // arrive has a message through a link as it is now.
 func (w *world) arrive(way link, deliver func()) {
 	switch w.cut[way] {
--- a/internal/mesh/replication/world_test.go
+++ b/internal/mesh/replication/world_test.go
@@ -42,6 +42,7 @@
 	// padding is how large snapshots are beside what they hold, and commandPadding commands.
 	padding, commandPadding int
 	quiet                   bool // no more commands come
+	manageOff               bool // the membership stays as it is
 	counts                  map[string]int
 	checker
 }
