--- a/internal/mesh/replication/input_test.go
+++ b/internal/mesh/replication/input_test.go
@@ -63,6 +63,27 @@
 	})
 }
 
+func TestImproperAnswers(t *testing.T) {
+	for name, answer := range map[string]AppendAnswer{
+		"from the future":             {Match: 1, Sent: time.Hour},
+		"to a round that never began": {Match: 1, Round: 9},
+	} {
+		Convey("An answer "+name+" is counted and confirms nothing", t, func() {
+			b := newBench(3, State{})
+			term := b.led(false, memberB)
+			_, err := b.r.Read(b.now)
+			So(err, ShouldBeNil)
+			b.drain()
+			heard := b.r.heardByMajority()
+			b.step(memberB, Message{Term: term, AppendAnswer: &answer})
+			So(b.r.Refused(), ShouldEqual, 1)
+			So(b.r.commit, ShouldEqual, 0)
+			So(b.r.reads, ShouldHaveLength, 1)
+			So(b.r.heardByMajority(), ShouldEqual, heard)
+		})
+	}
+}
+
 // FuzzStep feeds a follower, a learner and a leader what may be any message: none of them panics, nor
 // goes back behind what it promised or committed.
 func FuzzStep(f *testing.F) {
--- a/internal/mesh/replication/leader.go
+++ b/internal/mesh/replication/leader.go
@@ -233,8 +233,8 @@
 	return Heartbeat{Commit: r.commit, Sent: now, Round: r.round, Age: age, Echo: p.clock}
 }
 
-func (r *Replica) stepAppendAnswer(from MemberID, term Term, answer *AppendAnswer) {
-	p := r.answered(from, term, answer.Sent, answer.Round, answer.Clock)
+func (r *Replica) stepAppendAnswer(now time.Duration, from MemberID, term Term, answer *AppendAnswer) {
+	p := r.answered(now, from, term, answer.Sent, answer.Round, answer.Clock)
 	if p == nil {
 		return
 	}
@@ -259,8 +259,9 @@
 	r.confirmReads()
 }
 
-// answered notes that a member has answered this leader; nil where the answer isn't for it.
-func (r *Replica) answered(from MemberID, term Term, sent time.Duration, round uint64, clock Clock) *progress {
+// answered notes that a member has answered this leader; nil where the answer isn't for it, or is to a
+// message that was never sent.
+func (r *Replica) answered(now time.Duration, from MemberID, term Term, sent time.Duration, round uint64, clock Clock) *progress {
 	if term > r.hard.Term {
 		r.follow(term, "")
 		return nil
@@ -269,6 +270,10 @@
 	if r.role != leader || term < r.hard.Term || p == nil {
 		return nil
 	}
+	if sent > now || round > r.round {
+		r.refused++
+		return nil
+	}
 	p.heard = max(p.heard, sent)
 	p.round = max(p.round, round)
 	p.clock = clock
--- a/internal/mesh/replication/replica.go
+++ b/internal/mesh/replication/replica.go
@@ -338,7 +338,7 @@
 	case msg.Snapshot != nil:
 		r.stepSnapshot(now, from, msg.Term, msg.Snapshot)
 	case msg.AppendAnswer != nil:
-		r.stepAppendAnswer(from, msg.Term, msg.AppendAnswer)
+		r.stepAppendAnswer(now, from, msg.Term, msg.AppendAnswer)
 	case msg.SnapshotAnswer != nil:
 		r.stepSnapshotAnswer(now, from, msg.Term, msg.SnapshotAnswer)
 	case msg.VoteRequest != nil:
--- a/internal/mesh/replication/replica_test.go
+++ b/internal/mesh/replication/replica_test.go
@@ -1,10 +1,10 @@
 package replication
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperarch/internal/mesh/errs"
@@ -205,7 +205,7 @@
 		So(err, ShouldBeNil)
 		ready, _ := b.r.Ready(b.now)
 		So(ready.Persist.Entries, ShouldHaveLength, 1)
-		b.r.stepAppendAnswer(memberB, term, b.matches(term, b.r.log.last()).AppendAnswer)
+		b.r.stepAppendAnswer(b.now, memberB, term, b.matches(term, b.r.log.last()).AppendAnswer)
 		So(b.r.commit, ShouldEqual, b.r.log.last()-1)
 		b.r.Advance(b.now, &ready)
 		So(b.r.commit, ShouldEqual, b.r.log.last())
@@ -354,15 +354,27 @@
 	Convey("Leadership goes to nobody who lacks what is committed", t, func() {
 		b := newBench(3, State{})
 		term := b.led(true, memberB)
+		So(b.r.TransferLeadership(b.now), ShouldBeTrue)
+		sent := b.drain()[memberB]
+		So(sent[len(sent)-1].TimeoutNow, ShouldNotBeNil)
+		// Only one that lacks it is in touch.
+		b.now += ContactOut
 		b.step(memberC, b.matches(term, 0))
 		b.now += ContactOut / 2
-		b.step(memberC, b.matches(term, 0))
-		So(b.r.TransferLeadership(b.now), ShouldBeTrue)
-		sent := b.drain()
-		for _, msg := range sent[memberC] {
-			So(msg.TimeoutNow, ShouldBeNil)
+		So(b.r.TransferLeadership(b.now), ShouldBeFalse)
+		for _, messages := range b.drain() {
+			for _, msg := range messages {
+				So(msg.TimeoutNow, ShouldBeNil)
+			}
+		}
+	})
+	Convey("A vote at a leader's wish is given to no log that lacks what is held", t, func() {
+		b := newBench(3, State{Hard: HardState{Term: 2}, Entries: []Entry{{Index: 1, Term: 2, Cmd: []byte("x")}}})
+		for _, request := range []VoteRequest{{LastIndex: 5, LastTerm: 1}, {LastIndex: 0, LastTerm: 2}} {
+			request.Transfer = true
+			sent := b.step(memberB, Message{Term: 3, VoteRequest: &request})
+			So(sent[memberB][0].VoteAnswer.Refused, ShouldBeTrue)
 		}
-		So(fmt.Sprint(sent[memberB]), ShouldNotBeEmpty)
 	})
 }
 
@@ -373,18 +385,25 @@
 			Offset: offset, Data: []byte(data),
 		}}
 	}
-	Convey("Pieces of two snapshots are never put together, and one whose sum is wrong isn't taken", t, func() {
+	Convey("Pieces of two snapshots are never put together, even where their sum would be right", t, func() {
 		b := newBench(0, State{})
 		sent := b.step(memberB, piece(5, 1, 0, "aa", 4))
 		So(sent[memberB][0].SnapshotAnswer.Offset, ShouldEqual, 2)
-		sent = b.step(memberB, piece(5, 2, 2, "bb", 4))
+		sent = b.step(memberB, piece(6, xxhash.Sum64String("aabb"), 2, "bb", 4))
+		So(sent[memberB][0].SnapshotAnswer, ShouldNotBeNil)
 		So(sent[memberB][0].SnapshotAnswer.Offset, ShouldEqual, 0)
-		sent = b.step(memberB, piece(5, 2, 0, "aa", 4))
-		So(sent[memberB][0].SnapshotAnswer.Offset, ShouldEqual, 2)
-		refused := b.r.Refused()
-		sent = b.step(memberB, piece(5, 2, 2, "bb", 4))
+		So(b.disk.Snapshot.Index, ShouldEqual, 0)
+	})
+	Convey("A snapshot whose sum is wrong isn't taken, and is asked for from its beginning", t, func() {
+		b := newBench(0, State{})
+		b.step(memberB, piece(5, xxhash.Sum64String("aabb"), 0, "aa", 4))
+		sent := b.step(memberB, piece(5, xxhash.Sum64String("aabb"), 2, "bc", 4))
+		So(sent[memberB][0].SnapshotAnswer, ShouldNotBeNil)
 		So(sent[memberB][0].SnapshotAnswer.Offset, ShouldEqual, 0)
-		So(b.r.Refused(), ShouldEqual, refused+1)
+		So(b.r.Refused(), ShouldEqual, 1)
 		So(b.disk.Snapshot.Index, ShouldEqual, 0)
+		b.step(memberB, piece(5, xxhash.Sum64String("aabb"), 0, "aa", 4))
+		b.step(memberB, piece(5, xxhash.Sum64String("aabb"), 2, "bb", 4))
+		So(string(b.disk.Snapshot.Data), ShouldEqual, "aabb")
 	})
 }
--- a/internal/mesh/replication/snapshot.go
+++ b/internal/mesh/replication/snapshot.go
@@ -54,7 +54,7 @@
 
 // stepSnapshotAnswer goes on at the offset that the member names.
 func (r *Replica) stepSnapshotAnswer(now time.Duration, from MemberID, term Term, answer *SnapshotAnswer) {
-	p := r.answered(from, term, answer.Sent, answer.Round, answer.Clock)
+	p := r.answered(now, from, term, answer.Sent, answer.Round, answer.Clock)
 	if p == nil {
 		return
 	}
