--- a/cmd/measure/mutants_replication.go
+++ b/cmd/measure/mutants_replication.go
@@ -37,5 +37,9 @@
 	{"election.go", "r.appendMembership(now, r.memberships.current().Membership)", "r.log.append(Entry{Index: r.log.last() + 1, Term: r.hard.Term})", "a learner's snapshot names no voters"},
 	{"leader.go", "if current.Joint() && current.index <= r.commit && slices.Contains(current.Voters, r.id) {", "if current.Joint() && current.index <= r.commit {", "a leader ends a change that leaves it out"},
 	{"leader.go", "if current.Joint() && current.index <= r.commit && slices.Contains(current.Voters, r.id) {", "if current.Joint() && slices.Contains(current.Voters, r.id) {", "a change ends before its joint membership is committed"},
+	{"leader.go", "case answer.Refused && p.snapshot != nil:", "case false:", "a refused heartbeat has a snapshot's piece sent again"},
+	{"leader.go", "if sent > now || round > r.round {", "if false {", "answers to what was never sent count"},
+	{"replica.go", "return r.role == leader || r.leader != \"\" && now-r.heard < ElectionMin", "return false", "there is no lease"},
+	{"replica.go", "if now-r.heardByMajority() > ContactOut {", "if false {", "a leader that nobody hears stays one"},
 	{"store.go", "i <= max(last, s.tried); i++ {", "i <= last; i++ {", "a refused write leaves entries behind"},
 }
