--- a/internal/mesh/replication/replica_test.go
+++ b/internal/mesh/replication/replica_test.go
@@ -189,6 +189,8 @@
 	Convey("It counts neither learners, nor other disks at a voter's address, nor answers to an earlier term", t, func() {
 		b := newBench(3, State{})
 		term := b.led(false, memberB)
+		b.step(memberB+"#1", b.matches(term, 1))
+		So(b.r.commit, ShouldEqual, 0)
 		b.r.SetLearners(b.now, []MemberID{memberD, memberB + "#1"})
 		b.drain()
 		b.step(memberD, b.matches(term, 1))
