--- a/internal/mesh/replication/replica_test.go
+++ b/internal/mesh/replication/replica_test.go
@@ -353,6 +353,23 @@
 		}
 		So(handed, ShouldBeTrue)
 	})
+	Convey("A term opens with the membership in force, so a learner that has the log from its beginning knows who votes", t, func() {
+		b := newBench(3, State{})
+		b.led(true, memberB)
+		learner := newBench(0, State{})
+		learner.step(memberB, entriesFrom(b.r.hard.Term, 0, 0, 1, b.r.log.entries...))
+		current, committed := learner.r.Membership()
+		So(committed, ShouldBeTrue)
+		So(current.Voters, ShouldResemble, allMembers[:3])
+		learner.r.Compact([]byte("state"))
+		So(learner.r.log.snapshot.Membership, ShouldResemble, current)
+	})
+	Convey("Without a membership no snapshot is made: nobody could take it", t, func() {
+		learner := newBench(0, State{})
+		learner.step(memberB, entriesFrom(1, 0, 0, 1, Entry{Index: 1, Term: 1, Cmd: []byte("x")}))
+		learner.r.Compact([]byte("state"))
+		So(learner.r.log.snapshot.Index, ShouldEqual, 0)
+	})
 	Convey("Leadership goes to nobody who lacks what is committed", t, func() {
 		b := newBench(3, State{})
 		term := b.led(true, memberB)
