--- a/internal/mesh/replication/replica_test.go
+++ b/internal/mesh/replication/replica_test.go
@@ -145,6 +145,28 @@
 		So(ready.Persist, ShouldNotBeNil)
 		So(ready.Persist.Hard, ShouldResemble, &HardState{Term: 4, Vote: memberB})
 	})
+	Convey("So does a vote in a term that is synced already", t, func() {
+		b := newBench(3, State{Entries: []Entry{{Index: 1, Term: 1}}})
+		behind := Message{Term: 4, VoteRequest: &VoteRequest{}}
+		So(b.step(memberC, behind)[memberC][0].VoteAnswer.Refused, ShouldBeTrue)
+		msg := voteRequest(4)
+		msg.Cluster = testCluster
+		b.r.Step(b.now, memberB, msg)
+		ready, _ := b.r.Ready(b.now)
+		So(ready.Messages[0].Message.VoteAnswer.Refused, ShouldBeFalse)
+		So(ready.Persist, ShouldNotBeNil)
+		So(ready.Persist.Hard, ShouldResemble, &HardState{Term: 4, Vote: memberB})
+	})
+	Convey("The own vote doesn't count before it is synced, whoever else votes", t, func() {
+		b := newBench(3, State{})
+		b.step(memberB, entriesFrom(1, 0, 0, 0))
+		b.r.Step(b.now, memberB, Message{Cluster: testCluster, Term: 1, TimeoutNow: &TimeoutNow{}})
+		b.r.Step(b.now, memberC, Message{Cluster: testCluster, Term: 2, VoteAnswer: &VoteAnswer{}})
+		So(b.r.role, ShouldEqual, candidate)
+		b.drain()
+		So(b.r.role, ShouldEqual, leader)
+		So(b.disk.Hard, ShouldResemble, HardState{Term: 2, Vote: memberA})
+	})
 	Convey("A candidate counts no vote of a learner or of another disk at a voter's address", t, func() {
 		b := newBench(3, State{})
 		term := b.ballot(memberB)
