Client: a call whose time ran out on the way to a connection was never sent

Cause: a dial that the end of the time cut off came back as a plain time-out and counted as sent, so the caller was told that a change may be in force (TestMisuse, 1 of 20 to 60 under load). Change: only a call that had a connection counts as sent.

--- a/meshclient/client.go
+++ b/meshclient/client.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/url"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -157,8 +156,10 @@
 		if method == http.MethodPost {
 			r.Header.Set("Content-Type", "application/json")
 		}
-		if answer, err = client.Do(r); err != nil {
-			t.sent = t.sent || !neverSent(err)
+		var connected atomic.Bool
+		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+		if answer, err = client.Do(r.WithContext(httptrace.WithClientTrace(try, trace))); err != nil {
+			t.sent = t.sent || connected.Load() // else no byte of it left, also where the time ran out on the way to a connection
 			t.err.Message, t.err.cause = "no answer: "+err.Error(), err
 			return nil, t
 		}
@@ -220,13 +221,6 @@
 	}
 }
 
-// neverSent says whether a call failed before a byte of it left, as its connection did not come up.
-func neverSent(err error) bool {
-	var wrapped *url.Error
-	var op *net.OpError
-	return errors.As(err, &wrapped) && errors.As(wrapped.Err, &op) && op.Op == "dial"
-}
-
 // moving is an answer's body whose every read puts off the end by silence.
 type moving struct {
 	from  io.Reader
