A voter that a new leader never heard has one second; a leaving machine ends on the leader's word

Change: a second for a voter never heard in this term; the leader releases a leaving machine twice in a row. Measured: TestPlanner.

--- a/internal/mesh/cluster/policy.go
+++ b/internal/mesh/cluster/policy.go
@@ -13,6 +13,9 @@
 	// votes in time. A voter that was wrongly taken for lost costs nothing but a move: its
 	// successor holds all that it held.
 	DeadAfter = 2 * time.Second
+	// deadAfterElection is the same for a voter that a leader has never heard: it was silent before
+	// the election, too, and an election with its wait alone would take most of catchUpS.
+	deadAfterElection = time.Second
 	// changeEvery is the least time between two changes, so that flickering machines can't keep the
 	// log busy with memberships.
 	changeEvery = 300 * time.Millisecond
@@ -150,7 +153,7 @@
 
 func (v View) unheard(id replication.MemberID) bool {
 	known, ok := v.progress(id)
-	return ok && known.Silent > DeadAfter
+	return ok && (known.Silent > DeadAfter || known.Match == 0 && known.Silent > deadAfterElection)
 }
 
 // grow promotes learners until the target is reached, to an odd number: an even one bears no more
--- a/internal/mesh/cluster/policy_test.go
+++ b/internal/mesh/cluster/policy_test.go
@@ -21,10 +21,10 @@
 		v.Live = append(v.Live, Announcement{ID: id, Zone: string(id[:4])})
 	}
 	for _, id := range voters[1:] {
-		v.Status.Progress = append(v.Status.Progress, replication.Progress{ID: id, Voter: true, CaughtUp: true})
+		v.Status.Progress = append(v.Status.Progress, replication.Progress{ID: id, Voter: true, Match: 9, CaughtUp: true})
 	}
 	for _, id := range learners {
-		v.Status.Progress = append(v.Status.Progress, replication.Progress{ID: id, CaughtUp: true})
+		v.Status.Progress = append(v.Status.Progress, replication.Progress{ID: id, Match: 9, CaughtUp: true})
 	}
 	return v
 }
@@ -80,6 +80,18 @@
 			So(ok, ShouldBeFalse)
 		}
 	})
+	Convey("A voter that the leader has never heard has less time", t, func() {
+		v := view(three, []replication.MemberID{"10.3.0.2:1"})
+		v.of(three[1]).Silent = deadAfterElection + 1
+		_, ok := plan(3, v)
+		So(ok, ShouldBeFalse)
+		v.of(three[1]).Match = 0
+		_, ok = plan(3, v)
+		So(ok, ShouldBeTrue)
+		v.of(three[1]).Silent = deadAfterElection
+		_, ok = plan(3, v)
+		So(ok, ShouldBeFalse)
+	})
 	Convey("A disk that is gone for certain is replaced at once, by the new one at its address before others", t, func() {
 		v := view(three, []replication.MemberID{"10.1.0.9:1", "10.2.0.1:1#new"})
 		v.Live = append(v.Live[:1], v.Live[2:]...) // the old disk says nothing any more
--- a/internal/mesh/controlplane/membership.go
+++ b/internal/mesh/controlplane/membership.go
@@ -31,8 +31,12 @@
 	planEvery = 50 * time.Millisecond
 	// leavePart is the part of the grace period for which a leaving machine waits to be replaced.
 	leavePart = 0.5
-	// leavePause is between two looks of a leaving machine.
-	leavePause = 50 * time.Millisecond
+	// leavePause is between two looks of a leaving machine: longer than a leader takes from its view of
+	// the machines to the change that it decides on.
+	leavePause = 60 * time.Millisecond
+	// releasedTwice is how often in a row the leader has to release a leaving machine: between the two
+	// it has carried out what it had decided before it knew of the leaving.
+	releasedTwice = 2
 	// incarnationBytes is how many random bytes tell a new disk from all others.
 	incarnationBytes = 8
 )
@@ -225,10 +229,12 @@
 	own := s.roster.Own()
 	own.Leaving = true
 	s.roster.SetOwn(own)
-	for {
+	for released := 0; released < releasedTwice; {
 		if !node.Status().Leads {
 			if s.released(ctx, node) {
-				return
+				released++
+			} else {
+				released = 0
 			}
 		} else if err := node.TransferLeadership(ctx, s.leaving()...); err != nil && len(node.Status().Progress) == 0 {
 			return // it is alone
@@ -251,21 +257,17 @@
 	return leaving
 }
 
-// released says that nothing waits for this machine any more.
+// released says that nothing waits for this machine any more, by the leader's word: a membership that
+// doesn't name it here may be older than one that does.
 func (s *Server) released(ctx context.Context, node *replication.Node) bool {
-	status := node.Status()
-	if !status.Membership.Has(node.ID()) || status.Settled && !slices.Contains(status.Membership.Voters, node.ID()) {
-		return true
-	}
-	if status.Leader == "" {
+	leader := node.Status().Leader
+	if leader == "" {
 		return false
 	}
-	for _, p := range s.announce(ctx, []string{status.Leader.Address()}) {
-		if p.Released {
-			return true
-		}
-	}
-	return false
+	said := s.announce(ctx, []string{leader.Address()})
+	return slices.ContainsFunc(said, func(p *cluster.Peers) bool {
+		return p.Released && p.Leader == leader
+	})
 }
 
 // follow takes over settings that were written anew: the seeds are where others may be found.
