--- a/internal/mesh/cli/enquiry_test.go
+++ b/internal/mesh/cli/enquiry_test.go
@@ -26,7 +26,7 @@
 
 // coreSettings are of a core machine that is alone: its address, the mesh's port and the data directory are filled in.
 const coreSettings = `
-self: {nodeName: core-1, role: stacks, machineClass: core, servedRoles: [control_plane], ipAddress: 127.0.0.1, zone: a, region: r, countedInQuorum: true,
+self: {nodeName: core-1, role: controlplane, machineClass: core, servedRoles: [control_plane], ipAddress: 127.0.0.1, zone: a, region: r, countedInQuorum: true,
   firstStart: true, dataDirectory: %[3]q, limits: {cpuShare: 1, cpuCores: 1, memoryMb: 256, maxOpenFiles: 1024, bandwidthMbps: 100, diskMb: 64}}
 network: {listenAddresses: {controlPlane: "%[1]s"}, internalPortRange: [%[2]s, %[2]s], seedNodes: ["%[1]s"], zones: {a: r}}
 provider: {discoverySource: static, entryType: static, heartbeatIntervalS: 1}
