--- a/internal/mesh/api/api_test.go
+++ b/internal/mesh/api/api_test.go
@@ -116,7 +116,7 @@
 		Operators(front, Forward{Client: client, To: func() []string {
 			return append([]string{strings.TrimPrefix(gone.URL, "http://")}, addresses...)
 		}})
-		servers[0].err = errs.New(errs.NotSequencer, "another leads")
+		servers[0].err = errs.New(errs.NotLeader, "another leads")
 		body := `{"configVersion": 7,  "x":"<&>"}`
 		status, said := call(front, "POST", "/api/configuration/replace", body)
 		So([]any{status, said}, ShouldResemble, []any{200, `{"configVersion":7}`})
--- a/internal/mesh/controlplane/deal.go
+++ b/internal/mesh/controlplane/deal.go
@@ -47,7 +47,7 @@
 // was passed.
 func (s *Server) passToDealer(r *http.Request, leader string, request *sidecar.DealAsk) (*sidecar.Dealt, error) {
 	if leader == "" || request.Passed {
-		return nil, errs.New(errs.NotSequencer, "nobody deals here")
+		return nil, errs.New(errs.NotLeader, "nobody deals here")
 	}
 	request.Passed = true
 	url := "http://" + leader + sidecar.DealPath
@@ -65,7 +65,7 @@
 // checkDealer refuses to deal without a contact young enough, or when the term is over.
 func checkDealer(age time.Duration, contact, leads bool) error {
 	if !leads {
-		return errs.New(errs.NotSequencer, "the term is over")
+		return errs.New(errs.NotLeader, "the term is over")
 	}
 	if !contact || age > maxDealContactAge {
 		return errs.New(errs.NoQuorum, "the term may be over: the contact with a majority is %v old", age)
--- a/internal/mesh/controlplane/deal_test.go
+++ b/internal/mesh/controlplane/deal_test.go
@@ -18,7 +18,7 @@
 		So(checkDealer(maxDealContactAge, true, true), ShouldBeNil)
 		So(errs.Of(checkDealer(maxDealContactAge+1, true, true)), ShouldEqual, errs.NoQuorum)
 		So(errs.Of(checkDealer(0, false, true)), ShouldEqual, errs.NoQuorum)
-		So(errs.Of(checkDealer(0, true, false)), ShouldEqual, errs.NotSequencer)
+		So(errs.Of(checkDealer(0, true, false)), ShouldEqual, errs.NotLeader)
 	})
 	Convey("A leader that is cut off and the next one never deal tokens that can be spent at the same time", t, func() {
 		rules := quota.Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
--- a/internal/mesh/controlplane/orders.go
+++ b/internal/mesh/controlplane/orders.go
@@ -85,7 +85,7 @@
 func (s *Server) propose(ctx context.Context, change *config.Change) (*api.Taken, error) {
 	node := s.node.Load()
 	if node == nil {
-		return nil, errs.New(errs.NotSequencer, "no log is held here")
+		return nil, errs.New(errs.NotLeader, "no log is held here")
 	}
 	number := rand.Uint64()
 	told := s.machine.expect(number)
@@ -124,7 +124,7 @@
 func (s *Server) confirm(ctx context.Context) (*json.RawMessage, error) {
 	node := s.node.Load()
 	if node == nil {
-		return nil, errs.New(errs.NotSequencer, "no log is held here")
+		return nil, errs.New(errs.NotLeader, "no log is held here")
 	}
 	if err := node.Read(ctx); err != nil {
 		return nil, err
--- a/internal/mesh/errs/faultlist.go
+++ b/internal/mesh/errs/faultlist.go
@@ -28,8 +28,8 @@
 	Busy
 	// NoQuorum means that no majority was in contact. Whether a change was made is unclear.
 	NoQuorum
-	// NotSequencer means that this member does not lead. Nothing was done.
-	NotSequencer
+	// NotLeader means that this member does not lead. Nothing was done.
+	NotLeader
 	// Late means that the time ran out. Whether a change was made is unclear.
 	Late
 	// Undecided means that it can no longer be told whether the change was made: the record of applied
@@ -61,7 +61,7 @@
 	Unknown:      {"Unknown", http.StatusNotFound, ""},
 	Busy:         {"Busy", http.StatusServiceUnavailable, "0.2"},
 	NoQuorum:     {"NoQuorum", http.StatusServiceUnavailable, "0.3"},
-	NotSequencer: {"NotSequencer", http.StatusServiceUnavailable, ""},
+	NotLeader: {"NotLeader", http.StatusServiceUnavailable, ""},
 	Late:         {"Late", http.StatusServiceUnavailable, ""},
 	Undecided:    {"Undecided", http.StatusServiceUnavailable, ""},
 	DiskFailed:   {"DiskFailed", http.StatusServiceUnavailable, ""},
--- a/internal/mesh/replication/history_test.go
+++ b/internal/mesh/replication/history_test.go
@@ -187,7 +187,7 @@
 			now := w.clock(lead) + time.Second
 			So(lead.replica.Leads(now), ShouldBeFalse)
 			_, err = lead.replica.Read(now)
-			So(errs.Of(err), ShouldEqual, errs.NotSequencer)
+			So(errs.Of(err), ShouldEqual, errs.NotLeader)
 			r, _ := lead.replica.Ready(now)
 			So(r.Proposals, ShouldResemble, []Settlement{{Token: token, Index: index, Aborted: true}})
 			So(r.Messages, ShouldBeEmpty)
--- a/internal/mesh/replication/leader.go
+++ b/internal/mesh/replication/leader.go
@@ -20,7 +20,7 @@
 	case r.sick:
 		return 0, errs.New(errs.DiskFailed, "replication: the disk of %s takes no writes", r.id)
 	case r.role != leader:
-		return 0, errs.New(errs.NotSequencer, "replication: %s isn't the leader", r.id)
+		return 0, errs.New(errs.NotLeader, "replication: %s isn't the leader", r.id)
 	case len(r.proposals) >= maxPending || r.pendingBytes+len(cmd) > maxPendingBytes:
 		return 0, errs.New(errs.Busy, "replication: %d proposals wait for a quorum", len(r.proposals))
 	}
@@ -37,7 +37,7 @@
 func (r *Replica) Read(now time.Duration) (token uint64, err error) {
 	r.checkContact(now)
 	if r.role != leader {
-		return 0, errs.New(errs.NotSequencer, "replication: %s isn't the leader", r.id)
+		return 0, errs.New(errs.NotLeader, "replication: %s isn't the leader", r.id)
 	}
 	if len(r.reads) >= maxReads {
 		return 0, errs.New(errs.Busy, "replication: %d reads wait for their round", len(r.reads))
@@ -113,7 +113,7 @@
 	next := Membership{Voters: slices.Sorted(slices.Values(voters)), Outgoing: current.Voters}
 	switch {
 	case r.role != leader || r.sick:
-		return errs.New(errs.NotSequencer, "replication: %s isn't the leader", r.id)
+		return errs.New(errs.NotLeader, "replication: %s isn't the leader", r.id)
 	case !r.openedTerm():
 		return errs.New(errs.Busy, "replication: the term has no committed entry yet")
 	case current.Joint() || current.index > r.commit:
--- a/internal/mesh/replication/loop.go
+++ b/internal/mesh/replication/loop.go
@@ -149,7 +149,7 @@
 		case c.cmd != nil:
 			c.done <- result{err: errs.New(errs.NoQuorum, "replication: the term ended before the command was committed; it may be or not")}
 		default:
-			c.done <- result{err: errs.New(errs.NotSequencer, "replication: the term ended before the read was confirmed")}
+			c.done <- result{err: errs.New(errs.NotLeader, "replication: the term ended before the read was confirmed")}
 		}
 	}
 }
--- a/internal/mesh/replication/node.go
+++ b/internal/mesh/replication/node.go
@@ -151,7 +151,7 @@
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
 // Propose returns the index of cmd once it is committed and applied here.
-// NotSequencer, Invalid, TooLarge, Busy and DiskFailed mean that nothing was
+// NotLeader, Invalid, TooLarge, Busy and DiskFailed mean that nothing was
 // done; NoQuorum and Late that it may be committed or not.
 func (n *Node) Propose(ctx context.Context, cmd []byte) (index uint64, err error) {
 	if len(cmd) == 0 {
--- a/internal/mesh/replication/node_test.go
+++ b/internal/mesh/replication/node_test.go
@@ -134,7 +134,7 @@
 			So(first, ShouldBeGreaterThanOrEqualTo, 0)
 			ctx := context.Background()
 			So(nodes[first].Read(ctx), ShouldBeNil)
-			So(errs.Of(nodes[(first+1)%3].Read(ctx)), ShouldEqual, errs.NotSequencer)
+			So(errs.Of(nodes[(first+1)%3].Read(ctx)), ShouldEqual, errs.NotLeader)
 
 			disks[first].setFull(true)
 			_, err := nodes[first].Propose(ctx, []byte("refused"))
