--- a/internal/mesh/errs/faultlist.go
+++ b/internal/mesh/errs/errs.go
@@ -54,19 +54,19 @@
 
 // table is the one place where kinds are turned into names, statuses and waits.
 var table = [...]row{
-	Invalid:      {"Invalid", http.StatusBadRequest, ""},
-	Unreadable:   {"Unreadable", http.StatusBadRequest, ""},
-	TooLarge:     {"TooLarge", http.StatusRequestEntityTooLarge, ""},
-	Stale:        {"Stale", http.StatusPreconditionFailed, ""},
-	Unknown:      {"Unknown", http.StatusNotFound, ""},
-	Busy:         {"Busy", http.StatusServiceUnavailable, "0.2"},
-	NoQuorum:     {"NoQuorum", http.StatusServiceUnavailable, "0.3"},
-	NotLeader: {"NotLeader", http.StatusServiceUnavailable, ""},
-	Late:         {"Late", http.StatusServiceUnavailable, ""},
-	Undecided:    {"Undecided", http.StatusServiceUnavailable, ""},
-	DiskFailed:   {"DiskFailed", http.StatusServiceUnavailable, ""},
-	Unreachable:  {"Unreachable", http.StatusBadGateway, ""},
-	Internal:     {"Internal", http.StatusInternalServerError, ""},
+	Invalid:     {"Invalid", http.StatusBadRequest, ""},
+	Unreadable:  {"Unreadable", http.StatusBadRequest, ""},
+	TooLarge:    {"TooLarge", http.StatusRequestEntityTooLarge, ""},
+	Stale:       {"Stale", http.StatusPreconditionFailed, ""},
+	Unknown:     {"Unknown", http.StatusNotFound, ""},
+	Busy:        {"Busy", http.StatusServiceUnavailable, "0.2"},
+	NoQuorum:    {"NoQuorum", http.StatusServiceUnavailable, "0.3"},
+	NotLeader:   {"NotLeader", http.StatusServiceUnavailable, ""},
+	Late:        {"Late", http.StatusServiceUnavailable, ""},
+	Undecided:   {"Undecided", http.StatusServiceUnavailable, ""},
+	DiskFailed:  {"DiskFailed", http.StatusServiceUnavailable, ""},
+	Unreachable: {"Unreachable", http.StatusBadGateway, ""},
+	Internal:    {"Internal", http.StatusInternalServerError, ""},
 }
 
 // row gives the kind's row of the table, and that of Internal for a value that is none of the list.
