--- a/internal/mesh/replication/replica_test.go
+++ b/internal/mesh/replication/replica_test.go
@@ -242,6 +242,13 @@
 		b.step(memberB, b.matches(term, 1))
 		So(b.r.commit, ShouldEqual, 1)
 	})
+	Convey("A follower applies nothing that its leader hasn't confirmed to be the same there", t, func() {
+		b := newBench(3, State{Hard: HardState{Term: 1}, Entries: []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1, Cmd: []byte("other")}}})
+		b.step(memberB, entriesFrom(2, 1, 1, 2))
+		So(b.r.commit, ShouldEqual, 1)
+		b.step(memberB, entriesFrom(2, 1, 1, 2, Entry{Index: 2, Term: 2, Cmd: []byte("x")}))
+		So(string(b.committed[1].Cmd), ShouldEqual, "x")
+	})
 	Convey("Its own disk counts once it is synced", t, func() {
 		b := newBench(3, State{})
 		term := b.led(true, memberB)
