--- a/internal/mesh/replication/manager_test.go
+++ b/internal/mesh/replication/manager_test.go
@@ -10,6 +10,8 @@
 	manageEvery = 100 * time.Millisecond
 	// silentOut is the silence after which a voter is replaced.
 	silentOut = 2 * time.Second
+	// neverHeardOut is the same for a voter that a leader has never heard.
+	neverHeardOut = time.Second
 	// announceOut is how long an announcement counts.
 	announceOut = 2 * time.Second
 )
@@ -121,6 +123,9 @@
 	silent := map[MemberID]time.Duration{}
 	for _, p := range n.replica.Progress(w.clock(n)) {
 		silent[p.ID] = p.Silent
+		if p.Match == 0 && p.Silent > neverHeardOut { // by this leader, and not by the one before
+			silent[p.ID] = silentOut + 1
+		}
 	}
 	for _, id := range m.Voters {
 		if id != n.id && w.replacedAtAddress(n, id) {
