--- a/internal/mesh/replication/checker_test.go
+++ b/internal/mesh/replication/checker_test.go
@@ -78,7 +78,6 @@
 	confirmed   int
 	unchecked   int
 	faults      []string
-	whole       []time.Duration // how long replacements took
 }
 
 func newChecker() checker {
--- a/internal/mesh/replication/replica_test.go
+++ b/internal/mesh/replication/replica_test.go
@@ -452,6 +452,24 @@
 			}
 		}
 	})
+	Convey("Who has asked another to take over counts no later confirmation, goes to none that leaves, and does not wait for ever", t, func() {
+		b := newBench(3, State{})
+		term := b.led(true, memberB)
+		b.step(memberB, b.matches(term, 1))
+		So(b.r.TransferLeadership(b.now, memberB), ShouldBeFalse)
+		asked := b.now
+		So(b.r.TransferLeadership(b.now), ShouldBeTrue)
+		b.drain()
+		for b.now < asked+handOverTime {
+			b.now += HeartbeatEvery / 2
+			b.step(memberB, b.matches(term, 1))
+			So(b.r.Leads(b.now) || b.now > asked+handOverTime, ShouldBeTrue)
+			at, _, _ := b.r.Confirmed()
+			So(at, ShouldBeLessThanOrEqualTo, asked)
+		}
+		b.now = asked + handOverTime + 1
+		So(b.r.Leads(b.now), ShouldBeFalse)
+	})
 	Convey("A vote at a leader's wish is given to no log that lacks what is held", t, func() {
 		b := newBench(3, State{Hard: HardState{Term: 2}, Entries: []Entry{{Index: 1, Term: 2, Cmd: []byte("x")}}})
 		for _, request := range []VoteRequest{{LastIndex: 5, LastTerm: 1}, {LastIndex: 0, LastTerm: 2}} {
