--- /dev/null
+++ b/cmd/measure/control.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// controlRounds and controlRoundsShort are how often each thing happens.
+	controlRounds      = 30
+	controlRoundsShort = 2
+	// ackBound is the most that a change may wait behind a fault of the leader; catchUpBound is
+	// catchUpS of the sites.
+	ackBound     = 2.0
+	catchUpBound = 4.0
+)
+
+// controlPart is one thing that happens to a core of its own, again and again.
+type controlPart struct {
+	name, key string
+	// figure is the one that the bound is on.
+	figure string
+	bound  float64
+	run    func() (figures, error)
+
+	measured figures
+	err      error
+}
+
+// controlParts are all of them; each core of processes has a loopback network of its own.
+func controlParts(binary string, rounds, behind int) []*controlPart {
+	leader := func(name, key string, run func() (figures, error)) *controlPart {
+		return &controlPart{name: name, key: key, figure: "acknowledged", bound: ackBound, run: run}
+	}
+	process := func(network int, fault leaderFault) func() (figures, error) {
+		return func() (figures, error) { return afterLeader(binary, network, rounds, fault) }
+	}
+	link := func(fault linkFault) func() (figures, error) {
+		return func() (figures, error) { return afterLink(rounds, fault) }
+	}
+	join := func(name, key string, network int, replace replacement) *controlPart {
+		run := func() (figures, error) { return toTolerance(binary, network, rounds, replace) }
+		return &controlPart{name: name, key: key, figure: "tolerance", bound: catchUpBound, run: run}
+	}
+	return []*controlPart{
+		leader("leader killed", "kill", process(1, killLeader)),
+		leader("leader frozen for 5 s", "freeze", process(2, freezeLeader)),
+		leader("leader cut off", "cut", link(cutOff)),
+		leader("leader's disk stalled", "stall", link(stallDisk)),
+		join("follower lost", "follower", 3, replaceFollower),
+		join("leader lost", "leader", 4, replaceLeader),
+		join("planned", "planned", 5, replacePlanned),
+		join("empty disk at the old address", "disk", 6, replaceDisk),
+		{name: fmt.Sprintf("%d changes behind", behind), key: "behind", figure: "caught up", bound: catchUpBound,
+			run: func() (figures, error) { return catchUpTogether(binary, 7, rounds, behind) }},
+	}
+}
+
+// measureControl measures how long the control side takes to go on after a loss: to the next
+// acknowledged change, to full tolerance, and to what a member far behind lacks. All parts run at the
+// same time, each on a core of its own.
+func measureControl(short bool) (string, []string, error) {
+	rounds, behind := controlRounds, behindBy
+	if short {
+		rounds, behind = controlRoundsShort, behindByShort
+	}
+	dir, err := os.MkdirTemp("", "control")
+	if err != nil {
+		return "", nil, err
+	}
+	defer os.RemoveAll(dir)
+	binary, err := buildMeshd(dir)
+	if err != nil {
+		return "", nil, err
+	}
+	parts := slices.DeleteFunc(controlParts(binary, rounds, behind), func(p *controlPart) bool { return !strings.Contains(p.key, within) })
+	before := loadAverage()
+	var running sync.WaitGroup
+	for _, p := range parts {
+		running.Go(func() {
+			p.measured, p.err = p.run()
+			fmt.Printf("%s: done, load average %s\n", p.row(), loadAverage())
+		})
+	}
+	running.Wait()
+	fmt.Printf("%s, %d cores, load average %s before and %s after, %d rounds each\n\n",
+		time.Now().Format(time.DateOnly), runtime.NumCPU(), before, loadAverage(), rounds)
+	result, missed := controlResult(parts, rounds)
+	return result, missed, nil
+}
+
+// worst is the longest of the times that the bound is on.
+func (p *controlPart) worst() float64 {
+	times := p.measured[p.figure]
+	if len(times) == 0 {
+		return 0
+	}
+	return slices.Max(times)
+}
+
+// row is the part's line of the table.
+func (p *controlPart) row() string {
+	times, elected := p.measured[p.figure], "-"
+	if e := p.measured["elected"]; len(e) > 0 {
+		elected = fmt.Sprintf("%.3f, %.3f", e.median(), slices.Max(e))
+	}
+	return fmt.Sprintf("| %s | %d | %.3f | %.3f | %s | %g |", p.name, len(times), times.median(), p.worst(), elected, p.bound)
+}
+
+// missed names what the part did not do, and its bound where that was missed.
+func (p *controlPart) missed(rounds int) (missed []string) {
+	if p.err != nil {
+		missed = append(missed, fmt.Sprintf("%s: %v", p.name, p.err))
+	}
+	if done := len(p.measured[p.figure]); done < rounds {
+		missed = append(missed, fmt.Sprintf("%s: %d rounds of %d", p.name, done, rounds))
+	}
+	if p.worst() >= p.bound {
+		missed = append(missed, fmt.Sprintf("%s: %.3f s is not under %g s", p.name, p.worst(), p.bound))
+	}
+	return missed
+}
+
+// controlResult prints the table and says which bounds were missed.
+func controlResult(parts []*controlPart, rounds int) (result string, missed []string) {
+	fmt.Println("| what | rounds | median s | worst s | another leader known: median s, worst s | bound s |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- |")
+	var keys []string
+	for _, p := range parts {
+		fmt.Println(p.row())
+		keys = append(keys, fmt.Sprintf("%s_median_s=%.3f %s_worst_s=%.3f", p.key, p.measured[p.figure].median(), p.key, p.worst()))
+		missed = append(missed, p.missed(rounds)...)
+	}
+	fmt.Println()
+	return strings.Join(keys, " "), missed
+}
+
+// loadAverage is the machine's, over the last minute.
+func loadAverage() string {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(raw), " ")
+	return first
+}
--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,12 +26,19 @@
 	meshPrefix = "127.77.0."
 	// meshUp bounds how long a mesh takes to come up here, against a measurement that hangs.
 	meshUp = 20 * time.Second
+	// meshControlPorts and meshInternalPorts are where the spans of either kind of port begin;
+	// meshPortTries bounds the search in one, against a machine on which all are taken.
+	meshControlPorts  = 20_000
+	meshInternalPorts = 25_000
+	meshPortSpan      = 4_900
+	meshPortTries     = 100
 )
 
 // meshCore is core members as processes of cmd/meshd, on loopback addresses of their own.
 type meshCore struct {
 	binary, dir string
-	control     int // ports
+	prefix      string // of the members' addresses
+	control     int    // ports
 	internal    int
 	members     []*process
 	hosts       []string
@@ -49,39 +57,43 @@
 	return path, nil
 }
 
-// meshPort is a port that is free on the first machine's address.
-func meshPort() (int, error) {
-	l, err := net.Listen("tcp", meshPrefix+"1:0")
-	if err != nil {
-		return 0, err
+// meshPort is a port that is free on the first machine's address, out of a span below those that
+// outgoing connections get.
+func meshPort(prefix string, low int) (int, error) {
+	for range meshPortTries {
+		port := low + rand.IntN(meshPortSpan)
+		l, err := net.Listen("tcp", net.JoinHostPort(prefix+"1", strconv.Itoa(port)))
+		if err == nil {
+			return port, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, fmt.Errorf("no free port from %d on", low)
 }
 
 // startMeshCore starts core members with empty disks and returns once a sequencer is known.
 func startMeshCore(c cleanups, binary string, members int) (*meshCore, error) {
+	return startMeshCoreIn(c, binary, meshPrefix, members)
+}
+
+// startMeshCoreIn is startMeshCore in a loopback network of its own, beside other cores.
+func startMeshCoreIn(c cleanups, binary, prefix string, members int) (*meshCore, error) {
 	dir, err := os.MkdirTemp("", "mesh")
 	if err != nil {
 		return nil, err
 	}
 	c.Cleanup(func() { os.RemoveAll(dir) })
-	m := &meshCore{binary: binary, dir: dir, client: rpc.NewClient(time.Second)}
-	if m.control, err = meshPort(); err != nil {
+	m := &meshCore{binary: binary, dir: dir, prefix: prefix, client: rpc.NewClient(time.Second)}
+	if m.control, err = meshPort(prefix, meshControlPorts); err != nil {
 		return nil, err
 	}
-	if m.internal, err = meshPort(); err != nil {
+	if m.internal, err = meshPort(prefix, meshInternalPorts); err != nil {
 		return nil, err
 	}
 	for i := range members {
-		m.hosts = append(m.hosts, meshPrefix+strconv.Itoa(i+1))
+		m.hosts = append(m.hosts, prefix+strconv.Itoa(i+1))
 	}
 	for i, host := range m.hosts {
-		disk := filepath.Join(dir, host)
-		if err := os.Mkdir(disk, 0o700); err != nil {
-			return nil, err
-		}
-		p, err := m.start(c, "controlplane", host, meshZones[i%len(meshZones)], map[string]any{"dataDirectory": disk, "machineClass": settings.Core}, nil)
+		p, err := m.startMember(c, host, i, true)
 		if err != nil {
 			return nil, err
 		}
@@ -95,6 +107,18 @@
 	return nil, fmt.Errorf("%d core members have no sequencer after %v", members, meshUp)
 }
 
+// disk is the data directory of the member at an address.
+func (m *meshCore) disk(host string) string { return filepath.Join(m.dir, host) }
+
+// startMember starts a core member at an address, with the disk that it has there or an empty one.
+func (m *meshCore) startMember(c cleanups, host string, number int, firstStart bool) (*process, error) {
+	if err := os.MkdirAll(m.disk(host), 0o700); err != nil {
+		return nil, err
+	}
+	self := map[string]any{"dataDirectory": m.disk(host), "machineClass": settings.Core, "firstStart": firstStart}
+	return m.start(c, "controlplane", host, meshZones[number%len(meshZones)], self, nil)
+}
+
 // start starts one machine's process with a settings file of its own.
 func (m *meshCore) start(c cleanups, role, host, zone string, self, listen map[string]any) (*process, error) {
 	var seeds []string
