Read again: one write path for the store, one copy of limits, no time that nobody needs

Cause: Store.Found wrote beside Save and without its opening anew behind a failure, so a disk that refused a new member's first write refused it for ever; Dealer and Purse copied the tenants' limits by the same loop; Replica.elected was kept only to be handed on. Change: Found and Save share write; limited serves both; advanceCommit and leaveJoint are given the time. Else behaviour as it was.

--- a/internal/mesh/quota/dealer.go
+++ b/internal/mesh/quota/dealer.go
@@ -83,12 +83,7 @@
 	}
 	d.settle(now)
 	d.members.set(now, members)
-	d.limits = make(map[string]Limit, len(limits))
-	for name, l := range limits {
-		if l.Rate > 0 {
-			d.limits[name] = l
-		}
-	}
+	d.limits = limited(limits)
 	d.replan(now)
 	return nil
 }
--- a/internal/mesh/quota/purse.go
+++ b/internal/mesh/quota/purse.go
@@ -135,12 +135,7 @@
 	}
 	p.settle(now)
 	p.members.set(now, members)
-	p.limits = make(map[string]Limit, len(limits))
-	for name, l := range limits {
-		if l.Rate > 0 {
-			p.limits[name] = l
-		}
-	}
+	p.limits = limited(limits)
 	p.replan(now)
 	return nil
 }
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -165,6 +165,17 @@
 // amount says whether x is a number of something: not negative, and mostAmount at most.
 func amount(x float64) bool { return x >= 0 && x <= mostAmount }
 
+// limited is the limits of the tenants that have one: a rate of 0 is none.
+func limited(limits map[string]Limit) map[string]Limit {
+	some := make(map[string]Limit, len(limits))
+	for name, l := range limits {
+		if l.Rate > 0 {
+			some[name] = l
+		}
+	}
+	return some
+}
+
 func checkLimits(limits map[string]Limit, members int) error {
 	if members < 1 {
 		return errs.New(errs.Invalid, "%d members: at least one is there", members)
--- a/internal/mesh/replication/election.go
+++ b/internal/mesh/replication/election.go
@@ -118,10 +118,9 @@
 // the log from its beginning knows who votes.
 func (r *Replica) lead(now time.Duration) {
 	r.role, r.leader, r.votes = leader, r.id, nil
-	r.elected = now
 	r.handingOver = false
 	r.peers = map[MemberID]*progress{}
 	r.track(now)
 	r.appendMembership(now, r.memberships.current().Membership)
-	r.advanceCommit()
+	r.advanceCommit(now)
 }
--- a/internal/mesh/replication/leader.go
+++ b/internal/mesh/replication/leader.go
@@ -255,7 +255,7 @@
 			p.next = p.match + 1
 		}
 	}
-	r.advanceCommit()
+	r.advanceCommit(now)
 	r.confirmReads()
 }
 
@@ -283,7 +283,7 @@
 // advanceCommit commits what a majority of the voters has synced, provided that its last entry is
 // of this term: an entry of an earlier term may be held by a majority and yet be dropped, if it
 // isn't followed by one of this.
-func (r *Replica) advanceCommit() {
+func (r *Replica) advanceCommit(now time.Duration) {
 	if r.role != leader {
 		return
 	}
@@ -298,15 +298,15 @@
 	}
 	r.commit = index
 	r.confirmReads()
-	r.leaveJoint()
+	r.leaveJoint(now)
 }
 
 // leaveJoint ends a change whose joint membership is committed. A leader that was chosen in the
 // middle of a change ends it so, too; one that isn't among the new voters hands over instead.
-func (r *Replica) leaveJoint() {
+func (r *Replica) leaveJoint(now time.Duration) {
 	current := r.memberships.current()
 	if current.Joint() && current.index <= r.commit && slices.Contains(current.Voters, r.id) {
-		r.appendMembership(r.elected, Membership{Voters: current.Voters})
+		r.appendMembership(now, Membership{Voters: current.Voters})
 	}
 }
 
--- a/internal/mesh/replication/ready.go
+++ b/internal/mesh/replication/ready.go
@@ -83,7 +83,7 @@
 	r.applied = r.lastCommitted
 	r.checkContact(now)
 	r.countVotes(now)
-	r.advanceCommit()
+	r.advanceCommit(now)
 }
 
 // Failed says that the disk refused the last Ready's Persist. None of that Ready has been done: its
--- a/internal/mesh/replication/replica.go
+++ b/internal/mesh/replication/replica.go
@@ -69,8 +69,7 @@
 	// confirmed that leader, by its own word.
 	heard, confirmed time.Duration
 	// life tells this replica's life from earlier ones of the same id, whose clocks were others.
-	life    uint64
-	elected time.Duration
+	life uint64
 	// handingOver says that this leader has asked another replica to take over in its stead, first at
 	// handedOverAt. It holds to the end of the term, as the request may still be on its way.
 	handingOver  bool
--- a/internal/mesh/replication/store.go
+++ b/internal/mesh/replication/store.go
@@ -164,10 +164,7 @@
 	if err := putJSON(batch, keyHard, state.Hard); err != nil {
 		return err
 	}
-	if err := s.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
-		return errs.Wrap(err, errs.DiskFailed, "replication: found %s", s.path)
-	}
-	return nil
+	return s.write(batch)
 }
 
 func putIdentity(batch *leveldb.Batch, state State) error {
@@ -353,24 +350,32 @@
 	return key
 }
 
-// Save writes and syncs p in one batch. After a failure the database is
-// opened anew, since goleveldb writes nothing more to a journal that failed once.
+// Save writes and syncs p in one batch.
 func (s *Store) Save(p *Persist) error {
+	batch, first, last, err := s.batch(p)
+	if err != nil {
+		return err
+	}
+	if err := s.write(batch); err != nil {
+		s.tried = max(s.tried, last)
+		return err
+	}
+	s.first, s.last, s.tried = first, last, 0
+	return nil
+}
+
+// write writes and syncs a batch. After a failure the database is opened anew with the next one,
+// since goleveldb writes nothing more to a journal that failed once.
+func (s *Store) write(batch *leveldb.Batch) error {
 	if s.db == nil {
 		if err := s.open(true); err != nil {
 			return errs.Wrap(err, errs.DiskFailed, "replication: open %s again", s.path)
 		}
 	}
-	batch, first, last, err := s.batch(p)
-	if err != nil {
-		return err
-	}
 	if err := s.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
-		s.tried = max(s.tried, last)
 		_ = s.Close()
 		return errs.Wrap(err, errs.DiskFailed, "replication: write to %s", s.path)
 	}
-	s.first, s.last, s.tried = first, last, 0
 	return nil
 }
 
--- a/internal/mesh/replication/store_test.go
+++ b/internal/mesh/replication/store_test.go
@@ -153,3 +153,26 @@
 		So(s.Close(), ShouldBeNil)
 	})
 }
+
+func TestFoundAgain(t *testing.T) {
+	Convey("A disk that refused to be founded, or a write, takes the next try", t, func() {
+		dir := t.TempDir()
+		s, _, err := Open(dir, memberA.Address())
+		So(err, ShouldBeNil)
+		refuse := func() { So(s.db.Close(), ShouldBeNil) } // as a journal that failed once
+		state := State{ID: memberA, Cluster: testCluster, Snapshot: Snapshot{Membership: Membership{Voters: allMembers[:3]}}}
+		refuse()
+		So(errs.Of(s.Found(state)), ShouldEqual, errs.DiskFailed)
+		So(s.Found(state), ShouldBeNil)
+		entry := &Persist{Entries: []Entry{{Index: 1, Term: 1, Cmd: []byte("x")}}}
+		refuse()
+		So(errs.Of(s.Save(entry)), ShouldEqual, errs.DiskFailed)
+		So(s.Save(entry), ShouldBeNil)
+		So(s.Close(), ShouldBeNil)
+		s, read, err := Open(dir, memberA.Address())
+		So(err, ShouldBeNil)
+		So(s.Close(), ShouldBeNil)
+		state.Entries = entry.Entries
+		So(read, ShouldResemble, state)
+	})
+}
