--- a/internal/mesh/quota/limiter.go
+++ b/internal/mesh/quota/limiter.go
@@ -88,9 +88,15 @@
 	tokens := t.tokens()
 	allowed := tokens >= oneToken
 	if allowed {
-		t.spend()
+		if t.spend() {
+			t.usage.FromFloor++
+		} else {
+			t.usage.FromGrants++
+		}
 		t.served.add(now, shortAverage, 1)
 		tokens--
+	} else {
+		t.usage.Rejected++
 	}
 	if !allowed || tokens < lowWaterFraction*t.target(now) {
 		if t.underGranted {
@@ -113,6 +119,9 @@
 	if allowed {
 		b.tokens = max(0, b.tokens-1)
 		t.served.add(now, shortAverage, 1)
+		t.usage.Deferred++
+	} else {
+		t.usage.Rejected++
 	}
 	if inContact {
 		b.record(allowed)
--- a/internal/mesh/quota/tenant_bucket.go
+++ b/internal/mesh/quota/tenant_bucket.go
@@ -28,6 +28,7 @@
 type tenantBucket struct {
 	plan
 	demand, served movingAverage // over shortAverage
+	usage          Usage         // since it was last taken
 
 	// Of a prepaid tenant:
 	longDemand      movingAverage   // over longAverage
@@ -85,8 +86,9 @@
 	return sum
 }
 
-// spend removes one token: of those that expire first, and of the floor last.
-func (t *tenantBucket) spend() {
+// spend removes one token: of those that expire first, and of the floor last. It reports whether a part
+// of it came from the floor.
+func (t *tenantBucket) spend() (fromFloor bool) {
 	remaining, spent := 1.0, 0
 	for spent < len(t.grants) && t.grants[spent].tokens <= remaining {
 		remaining -= t.grants[spent].tokens
@@ -95,9 +97,10 @@
 	t.removeFirstGrants(spent)
 	if len(t.grants) > 0 {
 		t.grants[0].tokens -= remaining
-		return
+		return false
 	}
 	t.floor = max(0, t.floor-remaining)
+	return remaining > 0
 }
 
 // removeFirstGrants keeps the array, as this runs for each request.
--- /dev/null
+++ b/internal/mesh/quota/usage_test.go
@@ -0,0 +1,32 @@
+package quota
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestUsageNamesTheSourceOfTokens(t *testing.T) {
+	Convey("Usage counts granted, floor and rejected requests once, and names rate and members", t, func() {
+		l, err := NewLocalLimiter(rules)
+		So(err, ShouldBeNil)
+		So(l.Configure(0, map[string]Limit{"a": {172, 172}, "idle": {8, 8}}, 12), ShouldBeNil)
+		l.Demands(0)
+		So(l.ApplyGrants(0, 1, []Grant{{"a", 2}}, nil), ShouldBeNil)
+		admitted := 0
+		for range 20 {
+			if l.Allow(0, "a") {
+				admitted++
+			}
+		}
+		usage := l.TakeUsage()
+		So(usage, ShouldHaveLength, 1)
+		So(usage[0].FromGrants, ShouldEqual, 2)
+		So(usage[0].Admitted(), ShouldEqual, admitted)
+		So(usage[0].Admitted()+usage[0].Rejected, ShouldEqual, 20)
+		So(usage[0].Tenant, ShouldEqual, "a")
+		So(usage[0].Rate, ShouldEqual, 172)
+		So(usage[0].Members, ShouldEqual, 12)
+		So(l.TakeUsage(), ShouldBeEmpty)
+	})
+}
--- a/internal/mesh/sidecar/quota_client.go
+++ b/internal/mesh/sidecar/quota_client.go
@@ -22,6 +22,9 @@
 	allocateBackoff = 100 * time.Millisecond
 	// minAllocateInterval is the least time between two requests.
 	minAllocateInterval = 20 * time.Millisecond
+	// usageLogInterval is the time between two log entries of what tenants used. It guards the log's
+	// ring against one entry for each request.
+	usageLogInterval = time.Second
 	// unusedQuotaWindow stands in for the window of settings without quotas: nothing asks for tokens.
 	unusedQuotaWindow = time.Second
 )
@@ -75,7 +78,8 @@
 	limiter     *quota.LocalLimiter
 	retryBudget *quota.RetryBudget
 	limits      map[string]quota.Limit
-	sidecars    int // that limits and budget were divided by; 0: they have to be divided anew
+	sidecars    int           // that limits and budget were divided by; 0: they have to be divided anew
+	usageLogged time.Duration // when the usage was logged last
 }
 
 func newQuotaClient(bounds settings.Bounds, cfg quotaConfig) (*quotaClient, error) {
@@ -185,6 +189,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
+	q.logUsage(now)
 	due := dueDemands{hasLimits: len(q.limits) > 0, wait: max(0, q.limiter.NextRequest(now)-now)}
 	if due.hasLimits && due.wait == 0 {
 		due.demands = q.limiter.Demands(now)
@@ -192,6 +197,26 @@
 	return due
 }
 
+// logUsage logs, once in usageLogInterval, what tenants used here: those whose requests were rejected or
+// exceeded an even share of the limit. The caller holds mu.
+func (q *quotaClient) logUsage(now time.Duration) {
+	interval := now - q.usageLogged
+	if interval < usageLogInterval {
+		return
+	}
+	q.usageLogged = now
+	for _, usage := range q.limiter.TakeUsage() {
+		evenShare := usage.Rate * min(interval, usageLogInterval).Seconds() / float64(usage.Members)
+		if usage.Rejected == 0 && float64(usage.Admitted()) <= evenShare {
+			continue
+		}
+		q.log.Debug("tenant usage", zap.String("tenant", usage.Tenant),
+			zap.Int("granted", usage.FromGrants), zap.Int("floor", usage.FromFloor),
+			zap.Int("deferred", usage.Deferred), zap.Int("rejected", usage.Rejected),
+			zap.Float64("rate", usage.Rate), zap.Int("members", usage.Members))
+	}
+}
+
 // requestTokens asks the core machine in use; false: no answer came.
 func (q *quotaClient) requestTokens(ctx context.Context, demands []quota.Demand) bool {
 	peers := q.peers()
