--- a/internal/mesh/sidecar/lease.go
+++ b/internal/mesh/sidecar/lease.go
@@ -17,12 +17,14 @@
 	return lease
 }
 
-// sidecarCount is how many sidecars share quotas and retry budgets: the largest recent number. Until
-// the core reports one it is more than there are likely to be: with a smaller number each sidecar would
-// take too large a share.
-func (s *Sidecar) sidecarCount() int {
-	if n := s.watchClient.PeakMembers(); n > 0 {
-		return n
+// sidecarCount is how many sidecars share quotas and retry budgets: the largest recent number.
+func (s *Sidecar) sidecarCount() int { return countOrAssumed(s.watchClient.PeakMembers()) }
+
+// countOrAssumed is the number of sidecars that the core reported. Until it reports one it is more than
+// there are likely to be: with a smaller number each sidecar would take too large a share.
+func countOrAssumed(reported int) int {
+	if reported > 0 {
+		return reported
 	}
 	return assumedSidecars
 }
