controlplane: the number of sidecars outlives a restart of all core machines

Leases are in memory; when all core machines and sidecars start together, a sidecar hears 3, then 7, then 12, and divides tenants' limits by each. Change: core machines save the largest recent number (sidecars.json, synced and renamed) when it changes and count it as seen at their start; only raised while they may not know all.

--- a/internal/mesh/controlplane/server.go
+++ b/internal/mesh/controlplane/server.go
@@ -105,7 +105,8 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.watchSettings(running, reload)
-	s.watchServer = s.newWatchServer()
+	knownSidecars := s.loadedSidecarCount()
+	s.watchServer = s.newWatchServer(knownSidecars)
 	failed, closeListeners, err := s.listen()
 	if err != nil {
 		return err
@@ -121,6 +122,7 @@
 	}
 	defer closeReplica()
 	go s.watchServer.Run(running)
+	go s.keepSidecarCount(running, knownSidecars)
 	s.log.Info("serving",
 		zap.String("member", string(state.ID)), zap.Any("voters", node.Status().Membership.Voters))
 	select {
@@ -132,17 +134,18 @@
 	}
 }
 
-func (s *Server) newWatchServer() *watch.Server {
+func (s *Server) newWatchServer(knownSidecars int) *watch.Server {
 	return watch.NewServer(watch.ServerConfig{
-		Self:         s.ownAddress(),
-		Zone:         s.settings.Self.Zone,
-		Epoch:        registry.Epoch(s.startedAt.UnixNano()),
-		Peers:        func() []string { return s.memberList.Addresses(s.now()) },
-		Contact:      s.contact,
-		Leader:       func() string { address, _ := s.leader(); return address },
-		HTTP:         s.client,
-		ConfigSource: s.stateMachine,
-		Log:          s.log,
+		Self:          s.ownAddress(),
+		Zone:          s.settings.Self.Zone,
+		Epoch:         registry.Epoch(s.startedAt.UnixNano()),
+		KnownSidecars: knownSidecars,
+		Peers:         func() []string { return s.memberList.Addresses(s.now()) },
+		Contact:       s.contact,
+		Leader:        func() string { address, _ := s.leader(); return address },
+		HTTP:          s.client,
+		ConfigSource:  s.stateMachine,
+		Log:           s.log,
 	})
 }
 
--- /dev/null
+++ b/internal/mesh/controlplane/sidecar_count.go
@@ -0,0 +1,119 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/registry"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// sidecarCountName is the file in the data directory that holds a sidecarCountFile.
+	sidecarCountName = "sidecars.json"
+	// sidecarCountInterval is the time between two looks at the number of sidecars. It guards the disk
+	// against a write for each sidecar that comes.
+	sidecarCountInterval = time.Second
+)
+
+// sidecarCountFile is what a core machine remembers of the sidecars across its restarts. Tenants' limits are
+// divided by their number, and the leases that it is counted from are in memory alone: while a machine that
+// has just started hears from them one by one, a sidecar that hears a part of the number would take too
+// large a share.
+type sidecarCountFile struct {
+	Sidecars int `json:"sidecars"` // the largest recent number
+}
+
+// loadSidecarCount reads the number in a data directory, 0 if there is none. An error is DiskFailed if the
+// file can't be read and Malformed if it makes no sense; the number is 0 then.
+func loadSidecarCount(directory string) (int, error) {
+	path := filepath.Join(directory, sidecarCountName)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, errs.Wrap(err, errs.DiskFailed, "read %s", path)
+	}
+	var file sidecarCountFile
+	if err := json.Unmarshal(data, &file); err != nil {
+		return 0, errs.Wrap(err, errs.Malformed, "read %s", path)
+	}
+	if file.Sidecars < 0 || file.Sidecars > registry.MaxLeases {
+		return 0, errs.New(errs.Malformed, "read %s: %d sidecars", path, file.Sidecars)
+	}
+	return file.Sidecars, nil
+}
+
+// saveSidecarCount replaces the number in a data directory, so that after a loss of power the file holds
+// either number whole. An error is of kind DiskFailed.
+func saveSidecarCount(directory string, sidecars int) error {
+	data, err := json.Marshal(sidecarCountFile{Sidecars: sidecars})
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "encode the number of sidecars")
+	}
+	path := filepath.Join(directory, sidecarCountName)
+	next := path + ".next"
+	if err := writeSynced(next, data); err != nil {
+		return errs.Wrap(err, errs.DiskFailed, "write %s", next)
+	}
+	if err := os.Rename(next, path); err != nil {
+		return errs.Wrap(err, errs.DiskFailed, "replace %s", path)
+	}
+	if err := syncDirectory(directory); err != nil {
+		return errs.Wrap(err, errs.DiskFailed, "sync %s", directory)
+	}
+	return nil
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if _, err := file.Write(data); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+func syncDirectory(path string) error {
+	directory, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer directory.Close()
+	return directory.Sync()
+}
+
+// loadedSidecarCount is loadSidecarCount, and 0 with a log line where that fails.
+func (s *Server) loadedSidecarCount() int {
+	sidecars, err := loadSidecarCount(s.settings.Self.DataDirectory)
+	if err != nil {
+		s.log.Warn("number of sidecars not read, counting anew", zap.Error(err))
+	}
+	return sidecars
+}
+
+// keepSidecarCount saves the number of sidecars when it changes, until ctx ends. While this machine may not
+// know all of them it only raises the number. A failed write is tried again.
+func (s *Server) keepSidecarCount(ctx context.Context, saved int) {
+	for sleep(ctx, sidecarCountInterval) {
+		syncing := s.watchServer.Syncing()
+		_, peak := s.watchServer.Members()
+		if peak == saved || syncing && peak < saved {
+			continue
+		}
+		if err := saveSidecarCount(s.settings.Self.DataDirectory, peak); err != nil {
+			s.log.Warn("number of sidecars not saved, retrying", zap.Error(err))
+			continue
+		}
+		saved = peak
+	}
+}
--- /dev/null
+++ b/internal/mesh/controlplane/sidecar_count_test.go
@@ -0,0 +1,34 @@
+package controlplane
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperarch/internal/mesh/errs"
+)
+
+func TestSidecarCountOutlivesRestart(t *testing.T) {
+	Convey("The number of sidecars is read as it was saved; a file that makes no sense counts as none", t, func() {
+		directory := t.TempDir()
+		count, err := loadSidecarCount(directory)
+		So(err, ShouldBeNil)
+		So(count, ShouldEqual, 0)
+		for _, sidecars := range []int{12, 9} {
+			So(saveSidecarCount(directory, sidecars), ShouldBeNil)
+			count, err = loadSidecarCount(directory)
+			So(err, ShouldBeNil)
+			So(count, ShouldEqual, sidecars)
+		}
+		for _, content := range []string{"", "{", `{"sidecars":-1}`, `{"sidecars":1e9}`, `{"sidecars":1.5}`} {
+			path := filepath.Join(directory, sidecarCountName)
+			So(os.WriteFile(path, []byte(content), 0o600), ShouldBeNil)
+			count, err = loadSidecarCount(directory)
+			So(errs.KindOf(err), ShouldEqual, errs.Malformed)
+			So(count, ShouldEqual, 0)
+		}
+		So(errs.KindOf(saveSidecarCount(filepath.Join(directory, "none"), 1)), ShouldEqual, errs.DiskFailed)
+	})
+}
--- a/internal/mesh/registry/counts.go
+++ b/internal/mesh/registry/counts.go
@@ -28,13 +28,17 @@
 	}
 }
 
-func (t *Table) recordPeak(now time.Duration) {
+func (t *Table) recordPeak(now time.Duration) { t.RecordPeak(now, t.liveLeases) }
+
+// RecordPeak counts so many live leases as seen now. At the start of a process this is what an earlier one
+// has seen, as the leases themselves arrive one by one.
+func (t *Table) RecordPeak(now time.Duration, leases int) {
 	second := int64(now / time.Second)
 	sample := &t.recentPeaks[second%int64(len(t.recentPeaks))]
 	if sample.second != second {
 		*sample = peakSample{second: second}
 	}
-	sample.count = max(sample.count, t.liveLeases)
+	sample.count = max(sample.count, leases)
 }
 
 // Members is the number of live leases.
--- a/internal/mesh/watch/server.go
+++ b/internal/mesh/watch/server.go
@@ -43,6 +43,9 @@
 	// Epoch differs in each incarnation of the process, for example its start in
 	// nanoseconds.
 	Epoch registry.Epoch
+	// KnownSidecars is how many sidecars there were before this process started, 0 if
+	// that is not known. It counts as a recent number.
+	KnownSidecars int
 	// Peers returns the internal addresses of the core machines; Self may be among
 	// them.
 	Peers func() []string
@@ -86,11 +89,13 @@
 // NewServer makes a Server. It answers once registered, and gossips while Run
 // runs.
 func NewServer(cfg ServerConfig) *Server {
+	table := registry.New(cfg.Epoch)
+	table.RecordPeak(0, cfg.KnownSidecars)
 	return &Server{
 		cfg:          cfg,
 		start:        time.Now(),
 		done:         make(chan struct{}),
-		table:        registry.New(cfg.Epoch),
+		table:        table,
 		sessions:     map[string]*session{},
 		peers:        map[string]*gossipPeer{},
 		waiters:      map[*waiter]struct{}{},
