measure quota: a small deployment on loopback, its limits counted from outside

Cause: the incident was seen on real machines, and no run of ours had more than one core to a process. Change: measure quota starts 3 core machines and 12 sidecars with 4 processors each, a tenant that sends six times its limit, and kills, rolls, freezes them; upstreams and clients count.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -5,7 +5,7 @@
 //
 // A file's prefix says what it measures: proxy_ one proxy, virtual_ the decision module in virtual time, even
 // how evenly requests are spread, fleet_ fleets of proxies, mesh_ the mesh, control_ its core machines after a
-// fault, mutants whether the tests find planted faults. Subjects and callers are processes of their own
+// fault, quota_ tenants' limits under faults, mutants whether the tests find planted faults. Subjects and callers are processes of their own
 // (process.go, child.go); what a measurement has started is ended by its cleanups (cleanup.go).
 package main
 
@@ -62,6 +62,7 @@
 	"mesh":      measureMesh,
 	"meshlarge": measureMeshLarge,
 	"control":   measureControl,
+	"quota":     measureQuota,
 
 	// Planted faults that the tests must find.
 	"mutants": measureMutants,
--- a/cmd/measure/mesh_child.go
+++ b/cmd/measure/mesh_child.go
@@ -57,18 +57,23 @@
 	}
 	fmt.Println("upstream", l.Addr())
 	return http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		h := w.Header()
-		h[headers.Instance], h[headers.Load], h[headers.Signature] = []string{"i-measured"},
-			[]string{"0,0,64"}, []string{"stamp"}
-		if id := r.Header[headers.AttemptID]; id != nil {
-			h[headers.AttemptID] = id
-		}
-		h["Content-Length"] = []string{"4"}
-		_, _ = io.WriteString(w, "done")
+		answerAsUpstream(w, r, "i-measured")
 	}))
 }
 
+// answerAsUpstream is the answer of an upstream's instance that runs a request in no time.
+func answerAsUpstream(w http.ResponseWriter, r *http.Request, instance string) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	h := w.Header()
+	h[headers.Instance], h[headers.Load], h[headers.Signature] = []string{instance},
+		[]string{"0,0,64"}, []string{"stamp"}
+	if id := r.Header[headers.AttemptID]; id != nil {
+		h[headers.AttemptID] = id
+	}
+	h["Content-Length"] = []string{"4"}
+	_, _ = io.WriteString(w, "done")
+}
+
 // meshLoad is what a process of callers is asked for: calls at random moments, drawn to go to the
 // upstream or through the mesh, so that what else runs on the machine meets both alike.
 type meshLoad struct {
--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -47,6 +47,7 @@
 	client      *http.Client
 	version     int64
 	resources   []json.RawMessage
+	processors  int // that each process started from now on may use at the same time
 }
 
 // buildMeshd builds the mesh's program into a folder.
@@ -84,7 +85,7 @@
 		return nil, err
 	}
 	c.Cleanup(func() { os.RemoveAll(dir) })
-	m := &meshCore{binary: binary, dir: dir, prefix: prefix, client: httpclient.New(time.Second)}
+	m := &meshCore{binary: binary, dir: dir, prefix: prefix, client: httpclient.New(time.Second), processors: 1}
 	if m.control, err = meshPort(prefix, meshControlPorts); err != nil {
 		return nil, err
 	}
@@ -168,7 +169,7 @@
 		return nil, err
 	}
 	p, err := start(exec.Command(m.binary, "-say", "error", role),
-		[]string{settings.BootVariable + "=" + path, "GOMAXPROCS=1"}, false)
+		[]string{settings.BootVariable + "=" + path, fmt.Sprint("GOMAXPROCS=", m.processors)}, false)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/measure/process.go
+++ b/cmd/measure/process.go
@@ -75,6 +75,15 @@
 	return p.cmd.Wait()
 }
 
+// end sends a process a signal that ends it, and waits until it has ended.
+func (p *process) end(signal os.Signal) error {
+	if err := p.cmd.Process.Signal(signal); err != nil {
+		return err
+	}
+	_ = p.cmd.Wait() // it was told to end, with whatever status
+	return nil
+}
+
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
 	_ = p.cmd.Wait()
--- /dev/null
+++ b/cmd/measure/quota.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// quotaSidecars and quotaCore are the fleet's machines: those of a small deployment.
+	quotaSidecars, quotaCore = 12, 3
+	// quotaRate is the limit of the tenant that is watched, in requests a second and as its burst, and
+	// quotaLowerRate the one that it is lowered to; the tenant sends quotaSurge times the first.
+	quotaRate, quotaLowerRate, quotaSurge = 130, 56, 6
+	// quotaWindow, quotaOverage and quotaSlack are the rule's, as meshCore sets them.
+	quotaWindow                = 5 * time.Second
+	quotaOverage, quotaSlack   = 0.1, 20
+	quotaProcessors            = 4 // that each process may use at the same time
+	quotaPhase, quotaPhaseFast = 16 * time.Second, 7 * time.Second
+)
+
+// quotaFault is what happens to the fleet while the tenant surges.
+type quotaFault struct {
+	name string
+	key  string
+	run  func(r *quotaRig, length time.Duration) error
+}
+
+// quotaFaults are played one after the other, each for the length of a phase.
+var quotaFaults = []quotaFault{
+	{"no fault", "none", func(_ *quotaRig, length time.Duration) error {
+		time.Sleep(length)
+		return nil
+	}},
+	{"all sidecars killed, again and again", "killed", func(r *quotaRig, length time.Duration) error {
+		return r.repeat(length, 3*time.Second, func() error { return r.restart(r.all(), syscall.SIGKILL) })
+	}},
+	{"sidecars stopped and started in turn", "rolled", func(r *quotaRig, length time.Duration) error {
+		number := 0
+		return r.repeat(length, 700*time.Millisecond, func() error {
+			number++
+			return r.restart([]int{number % quotaSidecars}, syscall.SIGTERM)
+		})
+	}},
+	{"half of the sidecars and a core machine frozen", "frozen", func(r *quotaRig, length time.Duration) error {
+		return r.repeat(length, 4*time.Second, r.freeze)
+	}},
+	{"all processes killed at once", "all", func(r *quotaRig, length time.Duration) error {
+		return r.repeat(length, 8*time.Second, r.restartAll)
+	}},
+	{"limit lowered, then all sidecars killed", "lowered", func(r *quotaRig, length time.Duration) error {
+		if err := r.setRate(quotaLowerRate); err != nil {
+			return err
+		}
+		return r.repeat(length, 3*time.Second, func() error { return r.restart(r.all(), syscall.SIGKILL) })
+	}},
+}
+
+// measureQuota plays a small deployment as processes of its own on loopback, with one tenant that sends many
+// times its limit, and counts from outside what of its requests upstreams ran in any window.
+func measureQuota(short bool) (string, []string, error) {
+	phase := quotaPhase
+	if short {
+		phase = quotaPhaseFast
+	}
+	dir, err := os.MkdirTemp("", "quota")
+	if err != nil {
+		return "", nil, err
+	}
+	defer os.RemoveAll(dir)
+	binary, err := buildMeshd(dir)
+	if err != nil {
+		return "", nil, err
+	}
+	c := newCleanups()
+	defer c.end()
+	rig, err := startQuotaRig(c, binary)
+	if err != nil {
+		return "", nil, err
+	}
+	fmt.Printf("%s, %d cores, %d for each process, load average %s\n\n",
+		time.Now().Format(time.DateOnly), runtime.NumCPU(), quotaProcessors, loadAverage())
+	fmt.Println("| fault | s | sent | run | fullest window | allowed |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- |")
+	var keys, missed []string
+	for _, fault := range quotaFaults {
+		if !strings.Contains(fault.key, nameFilter) {
+			continue
+		}
+		row, err := rig.play(fault, phase)
+		if err != nil {
+			return "", nil, fmt.Errorf("%s: %w", fault.name, err)
+		}
+		fmt.Printf("| %s | %.0f | %d | %d | %d | %.0f |\n",
+			fault.name, phase.Seconds(), row.sent, row.ran, row.fullest, row.allowed)
+		keys = append(keys, fmt.Sprintf("%s=%d/%.0f", fault.key, row.fullest, row.allowed))
+		if float64(row.fullest) > row.allowed {
+			missed = append(missed, fmt.Sprintf("%s: %d requests in a window, %.0f are allowed",
+				fault.name, row.fullest, row.allowed))
+		}
+	}
+	return strings.Join(keys, " "), missed, nil
+}
+
+// quotaRow is what came of a phase.
+type quotaRow struct {
+	sent, ran, fullest int
+	allowed            float64
+}
+
+// play plays a fault, and counts the windows that end in its phase.
+func (r *quotaRig) play(fault quotaFault, phase time.Duration) (row quotaRow, err error) {
+	from, sentBefore := time.Now(), r.sent.Load()
+	if err := fault.run(r, phase); err != nil {
+		return row, err
+	}
+	row.sent = int(r.sent.Load() - sentBefore)
+	row.ran, row.fullest = r.ledger.count(from, quotaWindow)
+	// A lower limit holds one window after it is in force: the phase's windows are held to it only where
+	// they begin after that.
+	rate := quotaRate
+	if r.lowered {
+		rate = quotaLowerRate
+		_, row.fullest = r.ledger.count(from.Add(quotaWindow+2*time.Second), quotaWindow)
+	}
+	row.allowed = (float64(rate)*quotaWindow.Seconds()+float64(rate))*(1+quotaOverage) + quotaSlack
+	return row, nil
+}
+
+// repeat does something at once and then each time an interval is over, until the length is.
+func (r *quotaRig) repeat(length, interval time.Duration, do func() error) error {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		if err := do(); err != nil {
+			return err
+		}
+		time.Sleep(min(interval, time.Until(end)))
+	}
+	return nil
+}
+
+func (r *quotaRig) all() (numbers []int) {
+	for i := range r.sidecars {
+		numbers = append(numbers, i)
+	}
+	return numbers
+}
+
+// restart ends sidecars by a signal, and starts them again.
+func (r *quotaRig) restart(numbers []int, signal syscall.Signal) error {
+	for _, number := range numbers {
+		if err := r.sidecars[number].end(signal); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
+	for _, number := range numbers {
+		if err := r.startSidecar(number); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restartAll kills all processes, and starts them again with their disks.
+func (r *quotaRig) restartAll() error {
+	for _, member := range r.core.members {
+		if err := member.end(syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	for i, host := range r.core.hosts {
+		member, err := r.core.startMember(r.cleanups, host, i, false)
+		if err != nil {
+			return err
+		}
+		r.core.members[i] = member
+	}
+	return r.restart(r.all(), syscall.SIGKILL)
+}
+
+// freeze stops half of the sidecars and a core machine, which wake one after the other.
+func (r *quotaRig) freeze() error {
+	frozen := []*process{r.core.members[rand.IntN(quotaCore)]}
+	for _, number := range rand.Perm(quotaSidecars)[:quotaSidecars/2] {
+		frozen = append(frozen, r.sidecars[number])
+	}
+	for _, p := range frozen {
+		if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+	}
+	for _, p := range frozen {
+		time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
+		if err := p.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setRate changes the tenant's limit.
+func (r *quotaRig) setRate(rate int) error {
+	r.lowered = rate < quotaRate
+	_, _, _, err := r.core.replace(append(r.core.resources[:len(r.core.resources)-1:len(r.core.resources)-1],
+		quotaTenantResource(rate)))
+	return err
+}
+
+// quotaTenantResource is the tenant that is watched.
+func quotaTenantResource(rate int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"resourceType":"tenants","metadata":{"name":"%s"},`+
+		`"specification":{"apiKeys":["%s"],"priority":1,"ratePerS":%d,"burstLimit":%d}}`,
+		quotaTenant, quotaKey, rate, rate))
+}
--- /dev/null
+++ b/cmd/measure/quota_rig.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperarch/internal/mesh/headers"
+	"caperarch/internal/mesh/settings"
+)
+
+const (
+	quotaTenant, quotaKey = "watched", "key-watched-kcuyj8pjbvk9m68k"
+	// quotaSentField carries the moment at which a client sent a request, in ns, to the upstream.
+	quotaSentField = "X-Measure-Sent"
+	// quotaCallTimeout bounds a client's call.
+	quotaCallTimeout = time.Second
+	quotaRoute       = `{"resourceType":"routes","metadata":{"name":"watched"},` +
+		`"specification":{"hostname":"quota.example","pathPrefix":"/","routeType":"idempotent","timeoutS":1,` +
+		`"targetLatencyS":0.25,"serviceName":"service00","maxAttempts":2,"public":false}}`
+)
+
+// quotaRig is a small deployment of processes, with upstreams and clients in this one, which count.
+type quotaRig struct {
+	cleanups cleanups
+	core     *meshCore
+	sidecars []*process
+	ports    [][]string // of each sidecar: inbound, outbound, readiness, upstream
+	ledger   requestLedger
+	sent     atomic.Int64
+	lowered  bool // the limit is
+}
+
+// requestLedger is what upstreams ran, as seen from outside.
+type requestLedger struct {
+	mu  sync.Mutex
+	ran []ranRequest
+}
+
+// ranRequest is when a request was sent by its client and when an upstream received it.
+type ranRequest struct{ sent, arrived time.Time }
+
+func (l *requestLedger) record(sent, arrived time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran = append(l.ran, ranRequest{sent, arrived})
+}
+
+// count is how many requests sent from a time on ran, and the most that were both sent and received within
+// one window.
+func (l *requestLedger) count(from time.Time, window time.Duration) (ran, fullest int) {
+	l.mu.Lock()
+	later := slices.DeleteFunc(slices.Clone(l.ran), func(r ranRequest) bool { return r.sent.Before(from) })
+	l.mu.Unlock()
+	slices.SortFunc(later, func(a, b ranRequest) int { return a.sent.Compare(b.sent) })
+	for i, first := range later {
+		end, held := first.sent.Add(window), 0
+		for _, r := range later[i:] {
+			if r.sent.After(end) {
+				break
+			}
+			if !r.arrived.After(end) {
+				held++
+			}
+		}
+		fullest = max(fullest, held)
+	}
+	return len(later), fullest
+}
+
+// startQuotaRig starts core, upstreams, sidecars and clients, and returns once calls come through.
+func startQuotaRig(c cleanups, binary string) (*quotaRig, error) {
+	core, err := startMeshCoreIn(c, binary, meshPrefix, quotaCore)
+	if err != nil {
+		return nil, err
+	}
+	core.processors = quotaProcessors
+	r := &quotaRig{cleanups: c, core: core}
+	resources := append(meshResources(5), json.RawMessage(quotaRoute), quotaTenantResource(quotaRate))
+	if _, _, _, err := core.replace(resources); err != nil {
+		return nil, err
+	}
+	for number := range quotaSidecars {
+		ports, err := freePorts(r.host(number), 4)
+		if err != nil {
+			return nil, err
+		}
+		r.ports, r.sidecars = append(r.ports, ports), append(r.sidecars, nil)
+		if err := r.startUpstream(number); err != nil {
+			return nil, err
+		}
+		if err := r.startSidecar(number); err != nil {
+			return nil, err
+		}
+	}
+	for number := range quotaSidecars {
+		go r.callWithoutEnd(number)
+	}
+	for end := time.Now().Add(meshStartTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if ran, _ := r.ledger.count(time.Time{}, 0); ran > quotaRate {
+			return r, nil
+		}
+	}
+	return nil, fmt.Errorf("no calls come through after %v", meshStartTimeout)
+}
+
+func (r *quotaRig) host(number int) string { return meshPrefix + strconv.Itoa(101+number) }
+
+// startSidecar starts a sidecar's process, at the addresses that it had before.
+func (r *quotaRig) startSidecar(number int) error {
+	ports := r.ports[number]
+	p, err := r.core.start(r.cleanups, "sidecar", r.host(number), meshZones[number%len(meshZones)],
+		map[string]any{"machineClass": settings.Sidecar, "appAddress": ports[3], "serviceName": "service00"},
+		map[string]any{"inbound": ports[0], "outbound": ports[1], "readiness": ports[2]})
+	if err != nil {
+		return err
+	}
+	p.drop()
+	r.sidecars[number] = p
+	return nil
+}
+
+// startUpstream serves the upstream beside a sidecar, and counts what it runs.
+func (r *quotaRig) startUpstream(number int) error {
+	listener, err := net.Listen("tcp", r.ports[number][3])
+	if err != nil {
+		return err
+	}
+	instance := "i-" + strconv.Itoa(number)
+	serve := func(w http.ResponseWriter, request *http.Request) {
+		arrived := time.Now()
+		answerAsUpstream(w, request, instance)
+		if request.Header.Get(headers.Tenant) != quotaTenant {
+			return
+		}
+		if ns, err := strconv.ParseInt(request.Header.Get(quotaSentField), 10, 64); err == nil {
+			r.ledger.record(time.Unix(0, ns), arrived)
+		}
+	}
+	server := &http.Server{Handler: http.HandlerFunc(serve)}
+	r.cleanups.Cleanup(func() { server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// callWithoutEnd sends the tenant's requests to a sidecar at random moments, as long as this process runs.
+func (r *quotaRig) callWithoutEnd(number int) {
+	client := http.Client{
+		Timeout:   quotaCallTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 64, DisableCompression: true},
+	}
+	rate := float64(quotaRate*quotaSurge) / quotaSidecars
+	for n := 0; !ending.Load(); n++ {
+		time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
+		go r.call(&client, number, n)
+	}
+}
+
+// call sends one request; what becomes of it the upstreams tell.
+func (r *quotaRig) call(client *http.Client, number, n int) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+r.ports[number][1]+"/x", nil)
+	if err != nil {
+		panic(err) // the address is one that this process listened at
+	}
+	request.Host = "quota.example"
+	request.Header[headers.AttemptID] = []string{fmt.Sprintf("%d-%d", number, n)}
+	request.Header[headers.Key] = []string{quotaKey}
+	request.Header[quotaSentField] = []string{strconv.FormatInt(time.Now().UnixNano(), 10)}
+	r.sent.Add(1)
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+}
