--- a/cmd/measure/quota.go
+++ b/cmd/measure/quota.go
@@ -16,7 +16,7 @@
 	quotaSidecars, quotaCore = 12, 3
 	// quotaRate is the limit of the tenant that is watched, in requests a second and as its burst, and
 	// quotaLowerRate the one that it is lowered to; the tenant sends quotaSurge times the first.
-	quotaRate, quotaLowerRate, quotaSurge = 130, 56, 6
+	quotaRate, quotaLowerRate, quotaSurge = 130, 56, 12
 	// quotaWindow, quotaOverage and quotaSlack are the rule's, as meshCore sets them.
 	quotaWindow                = 5 * time.Second
 	quotaOverage, quotaSlack   = 0.1, 20
