watch: a sidecar whose clock went back before it started is not shut out

After a kill with the clock 8 s back the table ignored the new process's lease for 62 s: it was not counted, and its upstream went stale and was dropped after 20 s. Change: the response to an ignored lease names the incarnation that is known, and the sidecar goes on with a larger one.

--- a/internal/mesh/registry/lease_table.go
+++ b/internal/mesh/registry/lease_table.go
@@ -20,6 +20,14 @@
 	return t.applyLease(now, l, LeaseTTL), nil
 }
 
+// Incarnation is the newest incarnation of a node that is known, 0 if none is.
+func (t *Table) Incarnation(node string) Incarnation {
+	if l := t.leases[node]; l != nil {
+		return l.Incarnation
+	}
+	return 0
+}
+
 // Merge applies leases that other members hold. It returns the nodes whose lease was newer than the one
 // held here. Leases that Check rejects, that expired on their way, or for which the table has no capacity
 // are ignored.
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -19,8 +19,9 @@
 // a time, from Run.
 type ClientConfig struct {
 	Node string
-	// Incarnation grows with each run of the process, for example its start in
-	// nanoseconds.
+	// Incarnation is likely to grow with each run of the process, for example its
+	// start in nanoseconds. Where it did not, as the machine's clock went back, the
+	// Client goes by a larger one.
 	Incarnation registry.Incarnation
 	Zone        string
 	// Seeds are internal addresses of core machines to begin with.
@@ -54,6 +55,8 @@
 
 	// mu guards the fields below.
 	mu            sync.Mutex
+	incarnation   registry.Incarnation
+	outgrew       bool // incarnation was raised once
 	leaseSequence registry.Sequence
 	left          bool // Leave was called
 	connected     bool
@@ -90,6 +93,7 @@
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg:         cfg,
+		incarnation: cfg.Incarnation,
 		renewNow:    make(chan struct{}, 1),
 		resubscribe: make(chan struct{}, 1),
 		contactLost: make(chan struct{}, 1),
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"caperarch/internal/mesh/errs"
@@ -117,7 +118,7 @@
 	c.leaseSequence++
 	lease := &state
 	lease.Node = c.cfg.Node
-	lease.Incarnation = c.cfg.Incarnation
+	lease.Incarnation = c.incarnation
 	lease.Zone = c.cfg.Zone
 	lease.Sequence = c.leaseSequence
 	lease.Left = c.left
@@ -139,5 +140,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordConfirmation(askedAt, response)
+	c.outgrow(response.NewerIncarnation)
 	return response, nil
 }
+
+// outgrow has this process count as newer than an earlier one of the same node,
+// whose incarnation is the larger because the machine's clock went back between
+// them. The first time it renews at once. If two processes of one node live, which
+// no machine does, they outgrow each other no faster than they renew. c.mu is held.
+func (c *Client) outgrow(newer registry.Incarnation) {
+	if newer <= c.incarnation || newer == math.MaxUint64 {
+		return
+	}
+	c.incarnation = newer + 1
+	c.cfg.Log.Warn("incarnation raised, the clock went back before this process started")
+	if !c.outgrew {
+		c.outgrew = true
+		signal(c.renewNow)
+	}
+}
+
+// currentIncarnation is what this process counts as now.
+func (c *Client) currentIncarnation() registry.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.incarnation
+}
--- a/internal/mesh/watch/client_watch.go
+++ b/internal/mesh/watch/client_watch.go
@@ -76,7 +76,7 @@
 	}
 	return watchRequest{
 		Node:          c.cfg.Node,
-		Incarnation:   c.cfg.Incarnation,
+		Incarnation:   c.currentIncarnation(),
 		ConfigVersion: c.cfg.ConfigVersion(),
 		FullConfig:    c.needsFullConfig,
 		Epoch:         c.registryEpoch,
--- a/internal/mesh/watch/fixture_test.go
+++ b/internal/mesh/watch/fixture_test.go
@@ -147,7 +147,7 @@
 	client := n.client(name)
 	s.Client = NewClient(ClientConfig{
 		Node:        name,
-		Incarnation: registry.Incarnation(time.Now().UnixNano()),
+		Incarnation: registry.Incarnation(time.Now().Add(n.clockStep).UnixNano()),
 		Zone:        zone,
 		Seeds:       seeds,
 		HTTP:        client,
--- a/internal/mesh/watch/golden_test.go
+++ b/internal/mesh/watch/golden_test.go
@@ -8,7 +8,9 @@
 
 // What other processes send and expect: testdata holds it as the release before wrote it.
 func TestMessagesOnTheWire(t *testing.T) {
-	goldentest.CheckJSON[LeaseResponse](t, "lease_answer")
+	goldentest.CheckJSON[LeaseResponse](t, "lease_response")
+	// Core machines of the release before incarnations were raised.
+	goldentest.CheckStillRead[LeaseResponse](t, "lease_answer")
 	goldentest.CheckJSON[watchRequest](t, "watch_request")
 	goldentest.CheckJSON[frame](t, "frame")
 	goldentest.CheckJSON[gossipRequest](t, "gossip")
--- a/internal/mesh/watch/network_test.go
+++ b/internal/mesh/watch/network_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // network connects hosts by pipes within a synctest bubble, so that time is virtual.
@@ -14,6 +15,8 @@
 	ports   map[string]*port
 	severed map[string]bool
 	links   map[string][]net.Conn
+	// clockStep is how far the machines' clocks are off while sidecars start.
+	clockStep time.Duration
 }
 
 // port is a host's listener.
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if newest := s.table.Incarnation(lease.Node); newest > lease.Incarnation {
+		response.NewerIncarnation = newest
+	}
 	update := renewalOnly
 	if changed {
 		update = fullLease
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -62,6 +62,10 @@
 	// CaughtUp says that this member is in contact with a quorum and that the
 	// sidecar has applied the newest configuration known here.
 	CaughtUp bool `json:"caught"`
+	// NewerIncarnation is that of a process of the same node which the member knows
+	// and which is newer than the one that renews, by its own word: the lease was
+	// ignored. It is 0 otherwise.
+	NewerIncarnation registry.Incarnation `json:"newerLife,omitempty"`
 }
 
 // watchRequest opens a watch that continues from the sidecar's current state.
