quota: a bucket is refilled only by an allocator that knows of its reports; planted faults

Change: refill and the end of a report are two steps, and the allocator's number of members is taken in before them. measure mutants plants 12 faults in quota; -histories and -seed as in other packages. measure's programs are built at one place.

--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -69,15 +69,11 @@
 	if short {
 		rounds, behind = controlRoundsShort, behindByShort
 	}
-	dir, err := os.MkdirTemp("", "control")
-	if err != nil {
-		return "", nil, err
-	}
-	defer os.RemoveAll(dir)
-	binary, err := buildMeshd(dir)
+	binary, end, err := tempMeshd()
 	if err != nil {
 		return "", nil, err
 	}
+	defer end()
 	scenarios := slices.DeleteFunc(controlScenarios(binary, rounds, behind), func(p *controlScenario) bool {
 		return !strings.Contains(p.key, nameFilter)
 	})
--- a/cmd/measure/mesh.go
+++ b/cmd/measure/mesh.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 )
 
@@ -39,15 +38,11 @@
 	if short {
 		sizes, windows, each, routes = []int{50, 100}, 1, 2*time.Second, []int{25}
 	}
-	dir, err := os.MkdirTemp("", "measure")
-	if err != nil {
-		return "", nil, err
-	}
-	defer os.RemoveAll(dir)
-	binary, err := buildMeshd(dir)
+	binary, end, err := tempMeshd()
 	if err != nil {
 		return "", nil, err
 	}
+	defer end()
 	var missed []string
 	added, err := meshPath(binary, short)
 	if err != nil {
@@ -151,15 +146,11 @@
 // measureMeshLarge measures meshes of the size that the operators expect, as far as this machine
 // bears them: it prints which it does not.
 func measureMeshLarge(short bool) (string, []string, error) {
-	dir, err := os.MkdirTemp("", "measure")
-	if err != nil {
-		return "", nil, err
-	}
-	defer os.RemoveAll(dir)
-	binary, err := buildMeshd(dir)
+	binary, end, err := tempMeshd()
 	if err != nil {
 		return "", nil, err
 	}
+	defer end()
 	shapes := []meshShape{
 		{members: meshCoreMachines, sidecars: meshSize, called: 8, over: 30 * time.Second},
 		{members: meshCoreMachines, sidecars: meshSize, over: 60 * time.Second},
--- a/cmd/measure/mutants.go
+++ b/cmd/measure/mutants.go
@@ -2,9 +2,14 @@
 
 // planted are all faults.
 var planted = []batch{
-	{"internal/fleet/replicatedstate", "", replicatedStateMutants}, {"internal/fleet/raftlog", "", raftLogMutants}, {"internal/fleet/policyrollout", "internal/fleet/replicatedstate", policyRolloutMutants}, {"internal/fleet/maintenance", "", maintenanceMutants},
-	{"internal/fleet/maintenance", "internal/fleet/replicatedstate", roundMutants}, {"internal/fleet/swim", "", swimMutants},
+	{"internal/fleet/replicatedstate", "", replicatedStateMutants},
+	{"internal/fleet/raftlog", "", raftLogMutants},
+	{"internal/fleet/policyrollout", "internal/fleet/replicatedstate", policyRolloutMutants},
+	{"internal/fleet/maintenance", "", maintenanceMutants},
+	{"internal/fleet/maintenance", "internal/fleet/replicatedstate", roundMutants},
+	{"internal/fleet/swim", "", swimMutants},
 	{"internal/mesh/replication", "", replicationMutants},
+	{"internal/mesh/quota", "", quotaMutants},
 }
 
 // swimMutants are faults in what a sidecar holds of others and of its own contact.
--- a/cmd/measure/quota.go
+++ b/cmd/measure/quota.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"runtime"
 	"strings"
 	"syscall"
@@ -68,15 +67,11 @@
 	if short {
 		phase = quotaPhaseFast
 	}
-	dir, err := os.MkdirTemp("", "quota")
-	if err != nil {
-		return "", nil, err
-	}
-	defer os.RemoveAll(dir)
-	binary, err := buildMeshd(dir)
+	binary, end, err := tempMeshd()
 	if err != nil {
 		return "", nil, err
 	}
+	defer end()
 	c := newCleanups()
 	defer c.end()
 	rig, err := startQuotaRig(c, binary)
--- a/internal/mesh/quota/adversary_test.go
+++ b/internal/mesh/quota/adversary_test.go
@@ -1,10 +1,9 @@
 package quota
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 )
@@ -12,15 +11,17 @@
 // The adversary's histories. Its clients send wherever a token can be spent, and faults come at random: the
 // rule must hold in every window of every history.
 const (
-	adversaryMembers  = 12
-	adversaryStep     = 5 * ms
-	adversaryLength   = 25 * second
-	adversaryTenant   = "a"
-	histories         = 150
-	historiesVariable = "CAPERARCH_HISTORIES" // another number of histories
-	seedVariable      = "CAPERARCH_SEED"      // one history again
-	giveUpAfter       = 500 * ms              // a sidecar waits no longer for a response
-	backoffAfter      = 100 * ms
+	adversaryMembers = 12
+	adversaryStep    = 5 * ms
+	adversaryLength  = 25 * second
+	adversaryTenant  = "a"
+	giveUpAfter      = 500 * ms // a sidecar waits no longer for a response
+	backoffAfter     = 100 * ms
+)
+
+var (
+	histories = flag.Int("histories", 150, "how many histories an adversary plays")
+	onlySeed  = flag.Uint64("seed", 0, "play the history of this seed alone")
 )
 
 // adversary is one history: a fleet, its leader, and what is on its way between them.
@@ -339,33 +340,22 @@
 	}
 	fullest, at := a.fullest()
 	if fullest > 1 {
-		t.Errorf("%s=%d: the window up to %v holds %.3f of what is allowed", seedVariable, seed, at, fullest)
+		t.Errorf("seed %d: the window up to %v holds %.3f of what is allowed", seed, at, fullest)
 	}
 	return fullest
 }
 
 func TestPrepaidLimitsHoldInEveryHistory(t *testing.T) {
-	if text := os.Getenv(seedVariable); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("the fullest window holds %.3f of what is allowed", playHistory(t, seed))
+	if *onlySeed > 0 {
+		t.Logf("the fullest window holds %.3f of what is allowed", playHistory(t, *onlySeed))
 		return
 	}
-	count := histories
-	if text := os.Getenv(historiesVariable); text != "" {
-		var err error
-		if count, err = strconv.Atoi(text); err != nil {
-			t.Fatal(err)
-		}
-	}
 	fullest, fullestSeed := 0.0, uint64(0)
-	for seed := range uint64(count) {
+	for seed := uint64(1); seed <= uint64(*histories); seed++ {
 		if part := playHistory(t, seed); part > fullest {
 			fullest, fullestSeed = part, seed
 		}
 	}
-	t.Logf("%d histories, the fullest window, of %s=%d, holds %.3f of what is allowed",
-		count, seedVariable, fullestSeed, fullest)
+	t.Logf("%d histories, the fullest window, of seed %d, holds %.3f of what is allowed",
+		*histories, fullestSeed, fullest)
 }
--- a/internal/mesh/quota/floor_lease_test.go
+++ b/internal/mesh/quota/floor_lease_test.go
@@ -122,3 +122,32 @@
 		So(response.Grants[0].Tokens, ShouldBeLessThanOrEqualTo, own)
 	})
 }
+
+func TestBothSidesDivideByTheLargerNumber(t *testing.T) {
+	Convey("A limiter takes the allocator's number if it is larger, and the allocator the limiter's", t, func() {
+		l := newLeaseLimiter()
+		l.Request(10 * second)
+		So(l.ApplyResponse(10*second, Response{Epoch: 1, Members: 15, Clock: second}), ShouldBeNil)
+		So(l.Request(10*second+ms).Lease.Share, ShouldEqual, 1./15)
+
+		a, err := NewAllocator(rules)
+		So(err, ShouldBeNil)
+		So(a.Configure(0, leaseLimits, 12), ShouldBeNil)
+		_, _ = a.Allocate(0, 1, "n", wants()) // the epoch begins
+		response, err := a.Allocate(second, 1, "n", &Request{Members: 14})
+		So(err, ShouldBeNil)
+		So(response.Members, ShouldEqual, 14)
+	})
+	Convey("A limiter that defers a tenant has its floor alone while the allocator grants tokens for it", t, func() {
+		l, err := NewLocalLimiter(0, rules)
+		So(err, ShouldBeNil)
+		So(l.Configure(0, leaseLimits, maxPrepaidMembers+4), ShouldBeNil)
+		admitted := 0
+		for now := 10 * second; now < 15*second; now += 100 * ms {
+			l.Request(now)
+			So(l.ApplyResponse(now, Response{Epoch: 1, Members: 12, Clock: now}), ShouldBeNil)
+			admitted += admitAll(now, l)
+		}
+		So(admitted, ShouldBeLessThanOrEqualTo, int(l.tenants["a"].floorDepth))
+	})
+}
--- a/internal/mesh/quota/limiter.go
+++ b/internal/mesh/quota/limiter.go
@@ -201,11 +201,11 @@
 	if response.Epoch > l.epoch {
 		l.epoch, l.epochStart = response.Epoch, now
 	}
+	l.recordPeerMembers(now, response.Members)
 	l.endReports(now)
 	l.schedule.awaitingResponse = false
 	l.schedule.leaseDue = l.lease.responded(now, l.schedule.requestedAt, &response)
 	l.inContactUntil = max(l.inContactUntil, l.schedule.requestedAt+contactTTL)
-	l.recordPeerMembers(now, response.Members)
 	l.applyThrottling(now, response.Throttled)
 	l.applyGrants(now, response.Grants)
 	return nil
@@ -223,13 +223,17 @@
 	}
 }
 
-// endReports subtracts from the reports of deferred tenants what the Allocator now knows.
+// endReports ends the reports of deferred tenants that the Allocator now knows, and refills their buckets if
+// it took them for reports.
 func (l *LocalLimiter) endReports(now time.Duration) {
 	for _, t := range l.tenants {
 		t.underGranted = t.requestedTokens > 0
 		if t.deferred {
 			l.fillLocal(now, t)
-			t.local.applyResponse(&t.plan)
+			if t.peerDefersToo {
+				t.local.refill(&t.plan)
+			}
+			t.local.endReport()
 		}
 	}
 }
--- a/internal/mesh/quota/local_bucket.go
+++ b/internal/mesh/quota/local_bucket.go
@@ -70,12 +70,16 @@
 	return b.reported
 }
 
-// applyResponse refills the bucket, which is filled up to now, and subtracts from the report what the
-// Allocator now knows.
-func (b *localBucket) applyResponse(plan *plan) {
+// refill refills the bucket, which is filled up to now, after a response to a report.
+func (b *localBucket) refill(plan *plan) {
 	b.tokens = max(plan.localDepth, min(responseGrowth*b.reported.Want, maxGrowthFraction*plan.rate))
+	b.contactLost = false
+}
+
+// endReport subtracts from the report what the Allocator now knows.
+func (b *localBucket) endReport() {
 	b.arrived, b.admitted = b.arrived-b.reported.Want, b.admitted-b.reported.Used
-	b.reported, b.contactLost = Demand{}, false
+	b.reported = Demand{}
 }
 
 // setThrottle sets the fraction of the requests that may run.
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -196,7 +196,7 @@
 func validAmount(x float64) bool { return x >= 0 && x <= maxAmount }
 
 // maxMembers is the largest number of sidecars. It guards against floors that are divided to nothing.
-const maxMembers = 1 << 20
+const maxMembers = 1 << 14
 
 // UnknownMembers is the number of members that a LocalLimiter is configured with until one is known.
 const UnknownMembers = 0
