controlplane: sidecars.json is written and read by proxy/durable, which existed

Cause: reading the change once more. sidecar_count.go wrote again what internal/proxy/durable does: replace a file with both syncs, bound what is read, remove what a killed writer left. cmd/measure had tempMeshd beside its twin tempDaemon; a comment of measure quota named the wrong windows; a test fixture unlocked on three paths. Change: durable.Replace, ReadBounded and RemoveTemporary; buildInTemp for both programs; the comment; quotaFleet.allocate. No test lost an assertion.

--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -60,19 +60,6 @@
 	return path, nil
 }
 
-// tempMeshd builds the mesh's program into a folder of its own, which end removes.
-func tempMeshd() (binary string, end func(), err error) {
-	dir, err := os.MkdirTemp("", "measure")
-	if err != nil {
-		return "", nil, err
-	}
-	end = func() { os.RemoveAll(dir) }
-	if binary, err = buildMeshd(dir); err != nil {
-		end()
-	}
-	return binary, end, err
-}
-
 // meshPort is a port that is free on the first machine's address, out of a span below those that
 // outgoing connections get.
 func meshPort(prefix string, low int) (int, error) {
--- a/cmd/measure/process.go
+++ b/cmd/measure/process.go
@@ -118,13 +118,19 @@
 }
 
 // tempDaemon builds the daemon into a folder of its own, which end removes.
-func tempDaemon() (binary string, end func(), err error) {
+func tempDaemon() (binary string, end func(), err error) { return buildInTemp(buildDaemon) }
+
+// tempMeshd builds the mesh's program into a folder of its own, which end removes.
+func tempMeshd() (binary string, end func(), err error) { return buildInTemp(buildMeshd) }
+
+// buildInTemp has a program built into a folder of its own, which end removes.
+func buildInTemp(build func(dir string) (string, error)) (binary string, end func(), err error) {
 	dir, err := os.MkdirTemp("", "measure")
 	if err != nil {
 		return "", nil, err
 	}
 	end = func() { os.RemoveAll(dir) }
-	if binary, err = buildDaemon(dir); err != nil {
+	if binary, err = build(dir); err != nil {
 		end()
 	}
 	return binary, end, err
--- a/cmd/measure/quota.go
+++ b/cmd/measure/quota.go
@@ -108,7 +108,7 @@
 	allowed            float64
 }
 
-// play plays a fault, and counts the windows that end in its phase.
+// play plays a fault, and counts the windows that begin in its phase.
 func (r *quotaRig) play(fault quotaFault, phase time.Duration) (row quotaRow, err error) {
 	from, sentBefore := time.Now(), r.sent.Load()
 	if err := fault.run(r, phase); err != nil {
--- a/internal/mesh/controlplane/sidecar_count.go
+++ b/internal/mesh/controlplane/sidecar_count.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"time"
 
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
+	"caperarch/internal/proxy/durable"
 
 	"go.uber.org/zap"
 )
@@ -19,6 +21,8 @@
 	// sidecarCountInterval is the time between two looks at the number of sidecars. It guards the disk
 	// against a write for each sidecar that comes.
 	sidecarCountInterval = time.Second
+	// maxSidecarCountBytes bounds the file. It guards the memory against one that is no such file.
+	maxSidecarCountBytes = 4 << 10
 )
 
 // sidecarCountFile is what a core machine remembers of the sidecars across its restarts. Tenants' limits are
@@ -29,15 +33,21 @@
 	Sidecars int `json:"sidecars"` // the largest recent number
 }
 
-// loadSidecarCount reads the number in a data directory, 0 if there is none. An error is DiskFailed if the
-// file can't be read and Malformed if it makes no sense; the number is 0 then.
+// loadSidecarCount reads the number in a data directory, 0 if there is none, and removes what writers that
+// were killed have left. An error is DiskFailed if the file can't be read and Malformed if it makes no
+// sense; the number is 0 then.
 func loadSidecarCount(directory string) (int, error) {
 	path := filepath.Join(directory, sidecarCountName)
-	data, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
-		return 0, nil
+	if err := durable.RemoveTemporary(path); err != nil {
+		return 0, errs.Wrap(err, errs.DiskFailed, "remove what was left beside %s", path)
 	}
-	if err != nil {
+	data, err := durable.ReadBounded(path, maxSidecarCountBytes)
+	switch {
+	case os.IsNotExist(err):
+		return 0, nil
+	case errors.Is(err, durable.ErrTooLarge):
+		return 0, errs.Wrap(err, errs.Malformed, "read %s", path)
+	case err != nil:
 		return 0, errs.Wrap(err, errs.DiskFailed, "read %s", path)
 	}
 	var file sidecarCountFile
@@ -58,40 +68,12 @@
 		return errs.Wrap(err, errs.Internal, "encode the number of sidecars")
 	}
 	path := filepath.Join(directory, sidecarCountName)
-	next := path + ".next"
-	if err := writeSynced(next, data); err != nil {
-		return errs.Wrap(err, errs.DiskFailed, "write %s", next)
-	}
-	if err := os.Rename(next, path); err != nil {
+	if err := durable.Replace(path, data); err != nil {
 		return errs.Wrap(err, errs.DiskFailed, "replace %s", path)
 	}
-	if err := syncDirectory(directory); err != nil {
-		return errs.Wrap(err, errs.DiskFailed, "sync %s", directory)
-	}
 	return nil
 }
 
-func writeSynced(path string, data []byte) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	if _, err := file.Write(data); err != nil {
-		return err
-	}
-	return file.Sync()
-}
-
-func syncDirectory(path string) error {
-	directory, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer directory.Close()
-	return directory.Sync()
-}
-
 // loadedSidecarCount is loadSidecarCount, and 0 with a log line where that fails.
 func (s *Server) loadedSidecarCount() int {
 	sidecars, err := loadSidecarCount(s.settings.Self.DataDirectory)
--- a/internal/mesh/sidecar/quota_fleet_test.go
+++ b/internal/mesh/sidecar/quota_fleet_test.go
@@ -150,15 +150,7 @@
 	if err := wait(r.Context(), allocateLatency); err != nil {
 		return nil, err
 	}
-	f.allocatorMu.Lock()
-	now := time.Since(f.began)
-	limits := map[string]quota.Limit{quotaTenant: f.limit}
-	if err := f.allocator.Configure(now, limits, quotaFleetSize); err != nil {
-		f.allocatorMu.Unlock()
-		return nil, err
-	}
-	response, err := f.allocator.Allocate(now, 1, request.Node, &request.Request)
-	f.allocatorMu.Unlock()
+	response, err := f.allocate(&request)
 	if errs.KindOf(err) == errs.Busy {
 		return nil, errNoLeader
 	}
@@ -179,6 +171,18 @@
 	}, err
 }
 
+// allocate has the leader allocate now.
+func (f *quotaFleet) allocate(request *AllocateRequest) (quota.Response, error) {
+	f.allocatorMu.Lock()
+	defer f.allocatorMu.Unlock()
+	now := time.Since(f.began)
+	limits := map[string]quota.Limit{quotaTenant: f.limit}
+	if err := f.allocator.Configure(now, limits, quotaFleetSize); err != nil {
+		return quota.Response{}, err
+	}
+	return f.allocator.Allocate(now, 1, request.Node, &request.Request)
+}
+
 // wait waits in virtual time.
 func wait(ctx context.Context, d time.Duration) error {
 	select {
