daemon/control: an eviction that comes before the caller's first read holds

An eviction moves the caller's read deadline into the past, but the caller's own goroutine set its deadline of 5 s when it first ran. Where it ran over 10 ms late, as on a saturated machine, it undid the eviction; three of these, and nobody else was evicted for 5 s. Change: the deadline is set when the caller is admitted, before it can be evicted. A test runs the goroutine late by itself.

--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -120,6 +121,31 @@
 	}
 }
 
+// An eviction holds though it comes before the caller's own goroutine has run, as it does when the processor is
+// saturated: on one processor the goroutine runs only once both callers have been admitted.
+func TestEvictionBeforeTheFirstReadHolds(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	server := New(desk{make(chan string, 1)}, 1)
+	idleClient, idleServer := net.Pipe()
+	defer idleClient.Close()
+	if !server.admit(&caller{Conn: idleServer, since: time.Now().Add(-2 * evictionGrace)}) {
+		t.Fatal("the first caller was not admitted")
+	}
+	nextClient, nextServer := net.Pipe()
+	defer nextClient.Close()
+	if !server.admit(&caller{Conn: nextServer, since: time.Now()}) {
+		t.Fatal("the second caller was not admitted in place of the idle one")
+	}
+	begun := time.Now()
+	_ = idleClient.SetReadDeadline(begun.Add(testbed.Generous))
+	if _, err := idleClient.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the evicted caller's connection ended by %v, want EOF", err)
+	}
+	if took := time.Since(begun); took > readTimeout/2 { // only its own time-out would end it else
+		t.Errorf("the evicted caller was closed after %v", took)
+	}
+}
+
 // Who says nothing is not even handed over, who speaks is at once.
 func TestIdleCallersAreNotAccepted(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
--- a/internal/daemon/control/server.go
+++ b/internal/daemon/control/server.go
@@ -114,6 +114,8 @@
 		return false
 	}
 	s.open++
+	// Set before the caller can be evicted: an eviction is an earlier deadline, which a later call would undo.
+	_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 	idle := s.idle.PushBack(c)
 	go s.serve(c, idle)
 	return true
@@ -152,9 +154,9 @@
 	}
 }
 
-// readLine reads one line, or as much as makes it too long. complete says that nothing followed it.
+// readLine reads one line, or as much as makes it too long, until the connection's read deadline. complete says
+// that nothing followed it.
 func readLine(c net.Conn) (line []byte, complete bool, err error) {
-	_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 	b := make([]byte, MaxLineBytes+2)
 	for n := 0; ; {
 		m, err := c.Read(b[n:])
