--- a/cmd/measure/quota.go
+++ b/cmd/measure/quota.go
@@ -13,14 +13,17 @@
 const (
 	// quotaSidecars and quotaCore are the fleet's machines: those of a small deployment.
 	quotaSidecars, quotaCore = 12, 3
-	// quotaRate is the limit of the tenant that is watched, in requests a second and as its burst, and
-	// quotaLowerRate the one that it is lowered to; the tenant sends quotaSurge times the first.
-	quotaRate, quotaLowerRate, quotaSurge = 130, 56, 12
+	// quotaRate is the limit of the tenant that is watched, in requests a second and as its burst;
+	// quotaHighRate and quotaLowRate are those that it is changed to. The tenant sends quotaSurge times the
+	// first.
+	quotaRate, quotaHighRate, quotaLowRate, quotaSurge = 130, 312, 56, 12
 	// quotaWindow, quotaOverage and quotaSlack are the rule's, as meshCore sets them.
 	quotaWindow                = 5 * time.Second
 	quotaOverage, quotaSlack   = 0.1, 20
 	quotaProcessors            = 4 // that each process may use at the same time
 	quotaPhase, quotaPhaseFast = 16 * time.Second, 7 * time.Second
+	// quotaShortPause is how long sidecars are down at the least.
+	quotaShortPause = 50 * time.Millisecond
 )
 
 // quotaFault is what happens to the fleet while the tenant surges.
@@ -52,8 +55,16 @@
 	{"all processes killed at once", "all", func(r *quotaRig, length time.Duration) error {
 		return r.repeat(length, 8*time.Second, r.restartAll)
 	}},
+	{"limit raised, then all sidecars killed each second", "often", func(r *quotaRig, length time.Duration) error {
+		if err := r.setRate(quotaHighRate); err != nil {
+			return err
+		}
+		return r.repeat(length, time.Second, func() error {
+			return r.restartAfter(quotaShortPause, r.all(), syscall.SIGKILL)
+		})
+	}},
 	{"limit lowered, then all sidecars killed", "lowered", func(r *quotaRig, length time.Duration) error {
-		if err := r.setRate(quotaLowerRate); err != nil {
+		if err := r.setRate(quotaLowRate); err != nil {
 			return err
 		}
 		return r.repeat(length, 3*time.Second, func() error { return r.restart(r.all(), syscall.SIGKILL) })
@@ -110,7 +121,7 @@
 
 // play plays a fault, and counts the windows that begin in its phase.
 func (r *quotaRig) play(fault quotaFault, phase time.Duration) (row quotaRow, err error) {
-	from, sentBefore := time.Now(), r.sent.Load()
+	from, sentBefore, rateBefore := time.Now(), r.sent.Load(), r.rate
 	if err := fault.run(r, phase); err != nil {
 		return row, err
 	}
@@ -118,12 +129,11 @@
 	row.ran, row.fullest = r.ledger.count(from, quotaWindow)
 	// A lower limit holds one window after it is in force: the phase's windows are held to it only where
 	// they begin after that.
-	rate := quotaRate
-	if r.lowered {
-		rate = quotaLowerRate
+	if r.rate < rateBefore {
 		_, row.fullest = r.ledger.count(from.Add(quotaWindow+2*time.Second), quotaWindow)
 	}
-	row.allowed = (float64(rate)*quotaWindow.Seconds()+float64(rate))*(1+quotaOverage) + quotaSlack
+	rate := float64(r.rate)
+	row.allowed = (rate*quotaWindow.Seconds()+rate)*(1+quotaOverage) + quotaSlack
 	return row, nil
 }
 
@@ -145,14 +155,19 @@
 	return numbers
 }
 
-// restart ends sidecars by a signal, and starts them again.
+// restart ends sidecars by a signal, and starts them again a moment later.
 func (r *quotaRig) restart(numbers []int, signal syscall.Signal) error {
+	return r.restartAfter(time.Duration(100+rand.IntN(300))*time.Millisecond, numbers, signal)
+}
+
+// restartAfter ends sidecars by a signal, and starts them again after a pause.
+func (r *quotaRig) restartAfter(pause time.Duration, numbers []int, signal syscall.Signal) error {
 	for _, number := range numbers {
 		if err := r.sidecars[number].end(signal); err != nil {
 			return err
 		}
 	}
-	time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
+	time.Sleep(pause)
 	for _, number := range numbers {
 		if err := r.startSidecar(number); err != nil {
 			return err
@@ -200,7 +215,7 @@
 
 // setRate changes the tenant's limit.
 func (r *quotaRig) setRate(rate int) error {
-	r.lowered = rate < quotaRate
+	r.rate = rate
 	_, _, _, err := r.core.replace(append(r.core.resources[:len(r.core.resources)-1:len(r.core.resources)-1],
 		quotaTenantResource(rate)))
 	return err
--- a/cmd/measure/quota_rig.go
+++ b/cmd/measure/quota_rig.go
@@ -36,7 +36,7 @@
 	ports    [][]string // of each sidecar: inbound, outbound, readiness, upstream
 	ledger   requestLedger
 	sent     atomic.Int64
-	lowered  bool // the limit is
+	rate     int // the tenant's limit
 }
 
 // requestLedger is what upstreams ran, as seen from outside.
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	core.processors = quotaProcessors
-	r := &quotaRig{cleanups: c, core: core}
+	r := &quotaRig{cleanups: c, core: core, rate: quotaRate}
 	resources := append(meshResources(5), json.RawMessage(quotaRoute), quotaTenantResource(quotaRate))
 	if _, _, _, err := core.replace(resources); err != nil {
 		return nil, err
