--- a/internal/mesh/sidecar/quota_fleet_test.go
+++ b/internal/mesh/sidecar/quota_fleet_test.go
@@ -48,6 +48,11 @@
 
 	// loses reports whether responses to a node are lost now; nil: none is.
 	loses func(node string) bool
+	// silent reports whether a node is out of contact with the core now; nil: none is.
+	silent func(node string) bool
+	// members is how many sidecars a node, or the leader by the name "", takes part in the limits with. It
+	// is quotaFleetSize unless a test counts them.
+	members func(node string) int
 
 	allocatorMu sync.Mutex // guards the allocator
 	allocator   *quota.Allocator
@@ -67,6 +72,7 @@
 			RetryWindow: 10 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 62,
 		},
 		clients: make([]*fleetClient, quotaFleetSize),
+		members: func(string) int { return quotaFleetSize },
 	}
 	var err error
 	f.allocator, err = quota.NewAllocator(quota.Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
@@ -83,9 +89,9 @@
 // sidecars countDelay later.
 func (f *quotaFleet) start(i int) {
 	f.t.Helper()
-	startedAt := time.Now()
+	startedAt, node := time.Now(), nodeName(i)
 	client, err := newQuotaClient(f.bounds, quotaConfig{
-		clock: clock.New(), log: zap.NewNop(), node: string(rune('a' + i)),
+		clock: clock.New(), log: zap.NewNop(), node: node,
 		httpClient:  &http.Client{Transport: f},
 		peers:       func() []string { return []string{"leader"} },
 		serviceName: func(int) string { return "s" },
@@ -93,7 +99,7 @@
 			if time.Since(startedAt) < f.countDelay {
 				return quota.UnknownMembers // as watch.Client says it
 			}
-			return quotaFleetSize
+			return f.members(node)
 		},
 	})
 	if err != nil {
@@ -105,6 +111,9 @@
 	f.clients[i] = &fleetClient{quotaClient: client, stop: stop}
 }
 
+// nodeName is the name of a sidecar by its number.
+func nodeName(i int) string { return string(rune('a' + i)) }
+
 // kill ends a sidecar's client with all that it knows.
 func (f *quotaFleet) kill(i int) {
 	f.clients[i].stop()
@@ -150,6 +159,9 @@
 	if err := wait(r.Context(), allocateLatency); err != nil {
 		return nil, err
 	}
+	if f.silent != nil && f.silent(request.Node) {
+		return nil, errNoLeader
+	}
 	response, err := f.allocate(&request)
 	if errs.KindOf(err) == errs.Busy {
 		return nil, errNoLeader
@@ -177,7 +189,7 @@
 	defer f.allocatorMu.Unlock()
 	now := time.Since(f.began)
 	limits := map[string]quota.Limit{quotaTenant: f.limit}
-	if err := f.allocator.Configure(now, limits, quotaFleetSize); err != nil {
+	if err := f.allocator.Configure(now, limits, f.members("")); err != nil {
 		return quota.Response{}, err
 	}
 	return f.allocator.Allocate(now, 1, request.Node, &request.Request)
