quota: a silent sidecar is counted for as long as it may go on by its share

Cause: the core counted a sidecar for 30 s after its lease had ended (a recent peak, and 10 s of hold), and a sidecar out of contact went on by its share for ever: the same share was given out twice. Change: registry remembers silent sidecars by name for SilentRetention (2 h), core machines tell each other of them, and the number on disk counts for as long after a start. A sidecar that no member in contact has answered for a minute less knows no number of share holders any more, and so has no floor; quota takes UnknownMembers at once and over the leader's number. Capacity and compartments still go by the recent peak. The counts of a response are one type. New wire fields are optional; messages of the release before are still read (three golden files added, none changed).

--- a/cmd/measure/mutants_quota.go
+++ b/cmd/measure/mutants_quota.go
@@ -22,8 +22,10 @@
 	{"limiter.go", "\tif now >= expires {\n\t\treturn\n\t}\n",
 		"\tif now >= expires {\n\t\texpires = now + TokenTTL\n\t}\n",
 		"tokens that come late count"},
-	{"planner.go", "return max(p.members.at(now), p.peerMembers)", "return p.members.at(now)",
+	{"planner.go", "return max(own, p.peerMembers)", "return own",
 		"each side divides by its own number of members"},
+	{"planner.go", "\tif own == UnknownMembers {\n\t\treturn UnknownMembers\n\t}\n", "",
+		"a limiter that the core has forgotten has a floor by the leader's number"},
 	{"limiter.go", "inContact := t.peerDefersToo && now <= l.inContactUntil", "inContact := now <= l.inContactUntil",
 		"a limiter reports to an allocator that grants"},
 }
--- a/internal/mesh/controlplane/quota.go
+++ b/internal/mesh/controlplane/quota.go
@@ -30,12 +30,12 @@
 	if leader != s.ownAddress() {
 		return s.forwardToLeader(r, leader, request)
 	}
-	live, peak := s.watchServer.Members()
+	shareHolders := s.watchServer.Counts().ShareHolders
 	s.allocatorMu.Lock()
 	defer s.allocatorMu.Unlock()
 	now := s.now()
 	limits := sidecar.TenantLimits(s.stateMachine.currentConfig())
-	if err := s.allocator.Configure(now, limits, max(1, live, peak)); err != nil {
+	if err := s.allocator.Configure(now, limits, max(1, shareHolders)); err != nil {
 		return nil, err
 	}
 	if err := s.checkMayAllocate(term); err != nil {
--- a/internal/mesh/controlplane/server.go
+++ b/internal/mesh/controlplane/server.go
@@ -105,8 +105,8 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.watchSettings(running, reload)
-	knownSidecars := s.loadedSidecarCount()
-	s.watchServer = s.newWatchServer(knownSidecars)
+	shareHolders := s.loadedSidecarCount()
+	s.watchServer = s.newWatchServer(shareHolders)
 	failed, closeListeners, err := s.listen()
 	if err != nil {
 		return err
@@ -122,7 +122,7 @@
 	}
 	defer closeReplica()
 	go s.watchServer.Run(running)
-	go s.keepSidecarCount(running, knownSidecars)
+	go s.keepSidecarCount(running, shareHolders)
 	s.log.Info("serving",
 		zap.String("member", string(state.ID)), zap.Any("voters", node.Status().Membership.Voters))
 	select {
@@ -134,18 +134,18 @@
 	}
 }
 
-func (s *Server) newWatchServer(knownSidecars int) *watch.Server {
+func (s *Server) newWatchServer(shareHolders int) *watch.Server {
 	return watch.NewServer(watch.ServerConfig{
-		Self:          s.ownAddress(),
-		Zone:          s.settings.Self.Zone,
-		Epoch:         registry.Epoch(s.startedAt.UnixNano()),
-		KnownSidecars: knownSidecars,
-		Peers:         func() []string { return s.memberList.Addresses(s.now()) },
-		Contact:       s.contact,
-		Leader:        func() string { address, _ := s.leader(); return address },
-		HTTP:          s.client,
-		ConfigSource:  s.stateMachine,
-		Log:           s.log,
+		Self:         s.ownAddress(),
+		Zone:         s.settings.Self.Zone,
+		Epoch:        registry.Epoch(s.startedAt.UnixNano()),
+		ShareHolders: shareHolders,
+		Peers:        func() []string { return s.memberList.Addresses(s.now()) },
+		Contact:      s.contact,
+		Leader:       func() string { address, _ := s.leader(); return address },
+		HTTP:         s.client,
+		ConfigSource: s.stateMachine,
+		Log:          s.log,
 	})
 }
 
--- a/internal/mesh/controlplane/sidecar_count.go
+++ b/internal/mesh/controlplane/sidecar_count.go
@@ -30,7 +30,7 @@
 // has just started hears from them one by one, a sidecar that hears a part of the number would take too
 // large a share.
 type sidecarCountFile struct {
-	Sidecars int `json:"sidecars"` // the largest recent number
+	Sidecars int `json:"sidecars"` // that may hold a share
 }
 
 // loadSidecarCount reads the number in a data directory, 0 if there is none, and removes what writers that
@@ -88,14 +88,14 @@
 func (s *Server) keepSidecarCount(ctx context.Context, saved int) {
 	for sleep(ctx, sidecarCountInterval) {
 		syncing := s.watchServer.Syncing()
-		_, peak := s.watchServer.Members()
-		if peak == saved || syncing && peak < saved {
+		shareHolders := s.watchServer.Counts().ShareHolders
+		if shareHolders == saved || syncing && shareHolders < saved {
 			continue
 		}
-		if err := saveSidecarCount(s.settings.Self.DataDirectory, peak); err != nil {
+		if err := saveSidecarCount(s.settings.Self.DataDirectory, shareHolders); err != nil {
 			s.log.Warn("number of sidecars not saved, retrying", zap.Error(err))
 			continue
 		}
-		saved = peak
+		saved = shareHolders
 	}
 }
--- a/internal/mesh/quota/floor_lease_test.go
+++ b/internal/mesh/quota/floor_lease_test.go
@@ -144,10 +144,31 @@
 		So(l.Configure(0, leaseLimits, maxPrepaidMembers+4), ShouldBeNil)
 		admitted := 0
 		for now := 10 * second; now < 15*second; now += 100 * ms {
-			l.Request(now)
+			for _, demand := range l.Request(now).Demands {
+				So(demand.Used, ShouldEqual, 0) // the floor's tokens are no report
+			}
 			So(l.ApplyResponse(now, Response{Epoch: 1, Members: 12, Clock: now}), ShouldBeNil)
 			admitted += admitAll(now, l)
 		}
 		So(admitted, ShouldBeLessThanOrEqualTo, int(l.tenants["a"].floorDepth))
 	})
 }
+
+func TestForgottenLimiterHasNoFloor(t *testing.T) {
+	Convey("A limiter that the core may have forgotten has no floor from then on, whatever the leader said", t, func() {
+		limits := map[string]Limit{"a": {172, 172}}
+		limiter, err := NewLocalLimiter(0, rules)
+		So(err, ShouldBeNil)
+		So(limiter.Configure(0, limits, 12), ShouldBeNil)
+		_ = limiter.Request(0)
+		So(limiter.ApplyResponse(0, Response{Epoch: 1, Members: 12}), ShouldBeNil)
+		So(limiter.Allow(5*second, "a"), ShouldBeTrue)
+		So(limiter.Configure(5*second, limits, UnknownMembers), ShouldBeNil)
+		for now := 5 * second; now < 20*second; now += 100 * ms {
+			So(limiter.Allow(now, "a"), ShouldBeFalse)
+		}
+		So(limiter.Configure(20*second, limits, 12), ShouldBeNil)
+		So(limiter.Allow(20*second, "a"), ShouldBeFalse)
+		So(limiter.Allow(25*second, "a"), ShouldBeTrue)
+	})
+}
--- a/internal/mesh/quota/planner.go
+++ b/internal/mesh/quota/planner.go
@@ -26,15 +26,23 @@
 
 // configure sets limits that were validated. They are enforced from the next call of update on.
 func (p *planner) configure(now time.Duration, limits map[string]Limit, members int) {
-	p.members.set(now, members)
+	if members == UnknownMembers {
+		p.members = memberCount{}
+	} else {
+		p.members.set(now, members)
+	}
 	p.limits = enforcedLimits(limits)
 }
 
 // memberCount is the number of members to divide by: the larger of what the two sides have seen lately.
-// The side that knows of more is right, as nobody counts a member that was never there. 0: neither knows
-// any.
+// The side that knows of more is right, as nobody counts a member that was never there. It is
+// UnknownMembers where this side knows none: then the core may not know this member either.
 func (p *planner) memberCount(now time.Duration) int {
-	return max(p.members.at(now), p.peerMembers)
+	own := p.members.at(now)
+	if own == UnknownMembers {
+		return UnknownMembers
+	}
+	return max(own, p.peerMembers)
 }
 
 // outdated reports whether the current plans are made for another number of members than there are now.
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -45,9 +45,11 @@
 //
 // The shares add up to 1 at most if no limiter divides by fewer members than there are. Each side tells the
 // other by how many it divides, and both divide by the larger number; a number that shrinks holds for
-// memberCountHold more. What is not proven: limiters that divide by a smaller number than the others because
-// they were out of contact when members came, or longer than the core remembers a member that has gone
-// silent. The reserve, a fifth of a second's rate, covers a fleet that grows by 4 in 100 meanwhile.
+// memberCountHold more. A member out of contact is counted for registry.SilentRetention, also over restarts of
+// the core, and takes itself for forgotten before that is over: then it knows no number and has no floor.
+// What is not proven: limiters that divide by a smaller number than the others because they were out of
+// contact when members came. The reserve, a fifth of a second's rate, covers a fleet that grows by 4 in 100
+// meanwhile.
 //
 // Whether a tenant is prepaid follows from the number of members. A limiter and an Allocator that divide by
 // different numbers may disagree for a call; then neither grants nor reports count, and the tenant has its
@@ -198,7 +200,8 @@
 // maxMembers is the largest number of sidecars. It guards against floors that are divided to nothing.
 const maxMembers = 1 << 14
 
-// UnknownMembers is the number of members that a LocalLimiter is configured with until one is known.
+// UnknownMembers is the number of members that a LocalLimiter is configured with until one is known, and
+// when the core may have forgotten this member.
 const UnknownMembers = 0
 
 // validateMembers is an error if there is no member, or are absurdly many.
--- a/internal/mesh/registry/counts.go
+++ b/internal/mesh/registry/counts.go
@@ -2,21 +2,45 @@
 
 import "time"
 
+// Counts are the numbers of sidecars that a member tells the others and the sidecars.
+type Counts struct {
+	// Live is the number of live leases, Peak the largest recent one.
+	Live int `json:"members"`
+	Peak int `json:"largest"`
+	// ShareHolders is how many sidecars may hold a share of the tenants' limits. It is 0 from a member of an
+	// earlier release, which remembers nobody for longer than Peak does.
+	ShareHolders int `json:"holders,omitempty"`
+}
+
+// Raised is the larger of each of the numbers.
+func (c Counts) Raised(other Counts) Counts {
+	return Counts{
+		Live: max(c.Live, other.Live), Peak: max(c.Peak, other.Peak),
+		ShareHolders: max(c.ShareHolders, other.ShareHolders),
+	}
+}
+
+// Counts are this table's numbers.
+func (t *Table) Counts(now time.Duration) Counts {
+	return Counts{Live: t.liveLeases, Peak: t.PeakMembers(now), ShareHolders: t.ShareHolders(now)}
+}
+
 // peakSample is the largest number of live leases during one second of the table's clock.
 type peakSample struct {
 	second int64
 	count  int
 }
 
-// markLive counts a lease that is not counted yet.
+// markLive counts a lease that is not live yet.
 func (t *Table) markLive(now time.Duration, l *lease) {
+	t.markNotSilent(l)
 	l.live = true
 	t.liveLeases++
 	t.liveByVersion[l.Applied]++
 	t.recordPeak(now)
 }
 
-// markEnded removes a lease from the counts, if it is counted.
+// markEnded removes a lease from the counts of live ones, if it is counted.
 func (t *Table) markEnded(l *lease) {
 	if !l.live {
 		return
@@ -28,6 +52,22 @@
 	}
 }
 
+// markSilent counts a lease that has expired.
+func (t *Table) markSilent(l *lease) {
+	if !l.silent {
+		l.silent = true
+		t.silentLeases++
+	}
+}
+
+// markNotSilent removes a lease from the count of silent ones, if it is counted.
+func (t *Table) markNotSilent(l *lease) {
+	if l.silent {
+		l.silent = false
+		t.silentLeases--
+	}
+}
+
 func (t *Table) recordPeak(now time.Duration) { t.RecordPeak(now, t.liveLeases) }
 
 // RecordPeak counts so many live leases as seen now. At the start of a process this is what an earlier one
@@ -55,6 +95,22 @@
 	return peak
 }
 
+// RecordEarlier counts so many share holders, which an earlier process knew by name, for SilentRetention.
+func (t *Table) RecordEarlier(now time.Duration, holders int) {
+	t.earlier, t.earlierUntil = holders, now+SilentRetention
+	t.RecordPeak(now, holders)
+}
+
+// ShareHolders is how many sidecars may hold a share of the tenants' limits: those with a live lease, those
+// that have been silent for less than SilentRetention, and those that left in order within PeakWindow.
+func (t *Table) ShareHolders(now time.Duration) int {
+	holders := max(t.PeakMembers(now), t.liveLeases+t.silentLeases)
+	if now < t.earlierUntil {
+		holders = max(holders, t.earlier)
+	}
+	return holders
+}
+
 // MembersBehind is the number of live leases whose sidecar has not applied the given configuration
 // version yet.
 func (t *Table) MembersBehind(version int64) int {
--- a/internal/mesh/registry/lease.go
+++ b/internal/mesh/registry/lease.go
@@ -59,14 +59,15 @@
 	return nil
 }
 
-// lease is a lease as a table holds it. It is live until it expires or the sidecar leaves; then only
-// its incarnation and sequence are of use, against messages that arrive late.
+// lease is a lease as a table holds it. It is live until it expires, and the sidecar is silent then, or until
+// the sidecar leaves. Then only its incarnation and sequence are of use, against messages that arrive late.
 type lease struct {
 	Lease
 	warmupEnd       time.Duration
 	contentSequence Sequence
 	expiresAt       time.Duration
-	live            bool
+	forgetAt        time.Duration
+	live, silent    bool // never both
 }
 
 // isLive reports whether the lease is live at this moment, whenever Expire was called last.
--- a/internal/mesh/registry/lease_table.go
+++ b/internal/mesh/registry/lease_table.go
@@ -14,7 +14,7 @@
 	if err := l.Check(); err != nil {
 		return false, err
 	}
-	if t.leases[l.Node] == nil && len(t.leases) >= MaxLeases {
+	if !t.hasCapacityFor(l.Node) {
 		return false, errs.New(errs.Busy, "this member holds %d leases and takes no new node", MaxLeases)
 	}
 	return t.applyLease(now, l, LeaseTTL), nil
@@ -33,7 +33,7 @@
 // are ignored.
 func (t *Table) Merge(now time.Duration, leases []RemoteLease) (newer []string) {
 	for _, r := range leases {
-		if r.Lease.Check() != nil || (t.leases[r.Lease.Node] == nil && len(t.leases) >= MaxLeases) {
+		if r.Lease.Check() != nil || !t.hasCapacityFor(r.Lease.Node) {
 			continue
 		}
 		if !t.isNewer(&r.Lease) || r.Remaining <= 0 && !r.Lease.Left {
@@ -94,8 +94,11 @@
 	}
 	t.markEnded(current)
 	current.Lease, current.warmupEnd, current.expiresAt = l, warmupEnd, now+validFor
+	current.forgetAt = current.expiresAt + SilentRetention
 	if l.Left {
+		t.markNotSilent(current)
 		current.expiresAt = now + TombstoneTTL
+		current.forgetAt = current.expiresAt + TombstoneTTL
 		if instance, ok := t.instanceByNode[l.Node]; ok {
 			t.remove(now, instance, replaced)
 		}
--- /dev/null
+++ b/internal/mesh/registry/silent_test.go
@@ -0,0 +1,101 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// renewed is a table in which these nodes have renewed their leases at a time.
+func renewed(now time.Duration, nodes ...string) *Table {
+	table := New(1)
+	for _, node := range nodes {
+		_, err := table.Renew(now, Lease{Node: node, Incarnation: 5, Sequence: 1})
+		So(err, ShouldBeNil)
+	}
+	return table
+}
+
+func TestSilentSidecarsHoldShares(t *testing.T) {
+	const silentSince = LeaseTTL
+	Convey("A sidecar whose lease expires holds a share for SilentRetention, and no longer", t, func() {
+		table := renewed(0, "a", "b", "c")
+		table.Expire(silentSince)
+		So(table.Counts(PeakWindow-time.Second), ShouldResemble, Counts{Live: 0, Peak: 3, ShareHolders: 3})
+		table.Expire(time.Hour)
+		So(table.Counts(time.Hour), ShouldResemble, Counts{Live: 0, Peak: 0, ShareHolders: 3})
+		table.Expire(silentSince + SilentRetention)
+		So(table.ShareHolders(silentSince+SilentRetention), ShouldEqual, 0)
+	})
+	Convey("One that renews again is counted once", t, func() {
+		table := renewed(0, "a", "b")
+		table.Expire(time.Hour)
+		_, err := table.Renew(time.Hour, Lease{Node: "a", Incarnation: 6, Sequence: 1})
+		So(err, ShouldBeNil)
+		So(table.Counts(time.Hour), ShouldResemble, Counts{Live: 1, Peak: 1, ShareHolders: 2})
+		So(table.Silent(time.Hour), ShouldResemble, []SilentSidecar{
+			{"b", 5, SilentRetention + LeaseTTL - time.Hour},
+		})
+	})
+	Convey("One that leaves in order, silent or not, is counted as a recent number alone", t, func() {
+		table := renewed(0, "a", "b")
+		table.Expire(time.Hour)
+		for _, node := range []string{"a", "b"} {
+			_, err := table.Renew(time.Hour, Lease{Node: node, Incarnation: 5, Sequence: 2, Left: true})
+			So(err, ShouldBeNil)
+		}
+		So(table.ShareHolders(time.Hour+PeakWindow+time.Second), ShouldEqual, 0)
+		So(table.Silent(time.Hour), ShouldBeEmpty)
+	})
+	Convey("What an earlier process counted holds for as long, whoever comes back", t, func() {
+		table := renewed(0, "a")
+		table.RecordEarlier(0, 12)
+		So(table.ShareHolders(SilentRetention-time.Second), ShouldEqual, 12)
+		table.Expire(SilentRetention)
+		So(table.ShareHolders(SilentRetention), ShouldEqual, 1)
+	})
+}
+
+func TestMembersTellEachOtherOfSilentSidecars(t *testing.T) {
+	Convey("A member that starts counts those that another one remembers, for the time that is left", t, func() {
+		from := renewed(0, "a", "b")
+		from.Expire(time.Hour)
+		to := renewed(0, "b", "c")
+		to.MergeSilent(time.Second, from.Silent(time.Hour))
+		So(to.ShareHolders(PeakWindow+2*time.Second), ShouldEqual, 3)
+		to.Expire(time.Second + SilentRetention + LeaseTTL - time.Hour)
+		So(to.ShareHolders(SilentRetention), ShouldEqual, 2)
+	})
+	Convey("One that has left here is not silent, and an invalid one is ignored", t, func() {
+		to := renewed(0, "a")
+		_, err := to.Renew(0, Lease{Node: "a", Incarnation: 5, Sequence: 2, Left: true})
+		So(err, ShouldBeNil)
+		to.MergeSilent(0, []SilentSidecar{{"a", 5, time.Hour}, {"", 5, time.Hour}, {"x", 0, time.Hour}, {"y", 1, 0}})
+		So(to.ShareHolders(PeakWindow+time.Second), ShouldEqual, 0)
+	})
+	Convey("A sidecar that another member called silent renews as any other", t, func() {
+		to := New(1)
+		to.MergeSilent(0, []SilentSidecar{{"a", 5, time.Hour}})
+		changed, err := to.Renew(0, Lease{Node: "a", Incarnation: 5, Sequence: 1})
+		So(err, ShouldBeNil)
+		So(changed, ShouldBeTrue)
+		So(to.Counts(0), ShouldResemble, Counts{Live: 1, Peak: 1, ShareHolders: 1})
+	})
+	Convey("In a full table the one that was silent for longest makes way; without any a new node is Busy", t, func() {
+		table := New(1)
+		for i := range MaxLeases {
+			_, err := table.Renew(time.Duration(i)*time.Millisecond, Lease{Node: fmt.Sprint(i), Incarnation: 1, Sequence: 1})
+			So(err, ShouldBeNil)
+		}
+		_, err := table.Renew(0, Lease{Node: "new", Incarnation: 1, Sequence: 1})
+		So(err, ShouldNotBeNil)
+		now := LeaseTTL + time.Millisecond
+		table.Expire(now) // of the first two
+		_, err = table.Renew(now, Lease{Node: "new", Incarnation: 1, Sequence: 1})
+		So(err, ShouldBeNil)
+		So(table.Silent(now), ShouldHaveLength, 1)
+		So(table.Silent(now)[0].Node, ShouldEqual, "1")
+	})
+}
--- a/internal/mesh/registry/table.go
+++ b/internal/mesh/registry/table.go
@@ -18,6 +18,11 @@
 	// TombstoneTTL is how long removed instances and the sequences of expired leases are remembered,
 	// against messages that arrive late.
 	TombstoneTTL = 60 * time.Second
+	// SilentRetention is how long a sidecar whose lease expired, and that didn't leave in order, counts as
+	// one that may still serve: it goes on by its share of the tenants' limits while it is out of contact,
+	// and gives that up before this time is over. It spans a partition between regions; the longer it is,
+	// the longer the share of a machine that is gone for good isn't used.
+	SilentRetention = 2 * time.Hour
 	// PeakWindow is how far back PeakMembers looks.
 	PeakWindow = 30 * time.Second
 	// MaxLeases bounds the leases and, separately, the upstreams, against memory taken by invented
@@ -43,6 +48,9 @@
 	instanceByAddress map[string]string
 
 	liveLeases    int
+	silentLeases  int           // expired and not left, see SilentRetention
+	earlier       int           // share holders that an earlier process counted
+	earlierUntil  time.Duration // when earlier is forgotten
 	liveByVersion map[int64]int // live leases by the configuration version applied
 	recentPeaks   [PeakWindow/time.Second + 1]peakSample
 }
@@ -61,14 +69,15 @@
 }
 
 // Expire ends leases and marks or removes upstreams whose time has run out, and forgets old
-// tombstones. Counts and Stale marks are as of its last call.
+// tombstones and silent sidecars. Counts and Stale marks are as of its last call.
 func (t *Table) Expire(now time.Duration) {
 	for node, l := range t.leases {
 		if l.live && l.expiresAt <= now {
 			t.markEnded(l)
+			t.markSilent(l)
 		}
-		if !l.live && l.expiresAt+TombstoneTTL <= now {
-			delete(t.leases, node)
+		if !l.live && l.forgetAt <= now {
+			t.forget(node)
 		}
 	}
 	for _, e := range t.upstreams {
--- a/internal/mesh/sidecar/lease.go
+++ b/internal/mesh/sidecar/lease.go
@@ -18,8 +18,8 @@
 	return lease
 }
 
-// sidecarCount is how many sidecars share retry budgets and capacity: the largest recent number.
-func (s *Sidecar) sidecarCount() int { return countOrAssumed(s.watchClient.PeakMembers()) }
+// sidecarCount is how many sidecars share the capacity of upstreams: the largest recent number.
+func (s *Sidecar) sidecarCount() int { return countOrAssumed(s.watchClient.Counts().Peak) }
 
 // countOrAssumed is the number of sidecars that the core reported. Until it reports one it is more than
 // there are likely to be: with a smaller number each sidecar would take too large a share.
--- a/internal/mesh/sidecar/quota_client.go
+++ b/internal/mesh/sidecar/quota_client.go
@@ -57,13 +57,15 @@
 
 // quotaConfig is what a quotaClient is made of.
 type quotaConfig struct {
-	clock        clock.Clock
-	log          *zap.Logger
-	httpClient   *http.Client
-	node         string
-	peers        func() []string          // addresses of core machines, the one in use first
-	serviceName  func(service int) string // by the service's number
-	sidecarCount func() int               // how many share the limits, quota.UnknownMembers at first
+	clock       clock.Clock
+	log         *zap.Logger
+	httpClient  *http.Client
+	node        string
+	peers       func() []string          // addresses of core machines, the one in use first
+	serviceName func(service int) string // by the service's number
+	// sidecarCount is how many share the limits, quota.UnknownMembers at first and when the core may have
+	// forgotten this sidecar.
+	sidecarCount func() int
 }
 
 // quotaClient decides what this sidecar may admit for each tenant and may retry for each service. It
@@ -118,6 +120,9 @@
 	if q.divided && sidecars == q.sidecars {
 		return
 	}
+	if q.sidecars != quota.UnknownMembers && sidecars == quota.UnknownMembers {
+		q.log.Warn("out of contact for too long, tenants with limits are rejected")
+	}
 	q.divided, q.sidecars = true, sidecars
 	if err := q.limiter.Configure(now, q.limits, sidecars); err != nil {
 		q.log.Error("tenant limits rejected, the previous ones stay in force", zap.Error(err))
--- a/internal/mesh/sidecar/quota_silence_test.go
+++ b/internal/mesh/sidecar/quota_silence_test.go
@@ -37,7 +37,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if node == "" {
-		return f.table.PeakMembers(time.Since(f.began))
+		return f.table.ShareHolders(time.Since(f.began))
 	}
 	return f.heard[node]
 }
@@ -58,7 +58,7 @@
 	}
 	for i := range f.clients {
 		if !f.silent(nodeName(i)) {
-			f.heard[nodeName(i)] = f.table.PeakMembers(now)
+			f.heard[nodeName(i)] = f.table.ShareHolders(now)
 		}
 	}
 }
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -117,7 +117,7 @@
 	var err error
 	s.quota, err = newQuotaClient(current.Guarantees.Bounds, quotaConfig{
 		clock: s.clock, log: log, httpClient: s.client, node: current.Self.NodeName,
-		peers: s.watchClient.Peers, serviceName: s.endpoints.serviceName, sidecarCount: s.watchClient.PeakMembers,
+		peers: s.watchClient.Peers, serviceName: s.endpoints.serviceName, sidecarCount: s.watchClient.ShareHolders,
 	})
 	return s, err
 }
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -60,8 +60,8 @@
 	leaseSequence registry.Sequence
 	left          bool // Leave was called
 	connected     bool
-	members       int
-	peakMembers   int
+	counts        registry.Counts // as last received
+	renewedAt     time.Time       // when the last lease was sent that a member in contact answered, or the start
 	seeds         []string
 	discovered    []Peer
 	current       string // the member that the session is with, or was last with
@@ -94,6 +94,7 @@
 	return &Client{
 		cfg:         cfg,
 		incarnation: cfg.Incarnation,
+		renewedAt:   time.Now(),
 		renewNow:    make(chan struct{}, 1),
 		resubscribe: make(chan struct{}, 1),
 		contactLost: make(chan struct{}, 1),
@@ -133,19 +134,24 @@
 	return c.connected
 }
 
-// Members is the number of sidecars with a live lease, as last received. A
-// member that may not know all sidecars only raises it.
-func (c *Client) Members() int {
+// Counts are the numbers of sidecars, as last received. A member that may not know
+// all sidecars only raises them.
+func (c *Client) Counts() registry.Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.members
+	return c.counts
 }
 
-// PeakMembers is the largest recent number of sidecars, as last received.
-func (c *Client) PeakMembers() int {
+// ShareHolders is how many sidecars may hold a share of the tenants' limits, this one
+// among them. It is 0 while no number was heard, and once the core may have forgotten
+// this sidecar: it holds no share then.
+func (c *Client) ShareHolders() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.peakMembers
+	if time.Since(c.renewedAt) >= registry.SilentRetention-forgottenMargin {
+		return 0
+	}
+	return max(c.counts.ShareHolders, c.counts.Peak)
 }
 
 // Peers returns the internal addresses of the core machines known, the current
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -10,6 +10,11 @@
 	"caperarch/internal/mesh/rpc"
 )
 
+// forgottenMargin is how long before the core may forget a silent sidecar the sidecar
+// takes itself for forgotten. It guards against clocks that run at different rates, by
+// 0.8 % here.
+const forgottenMargin = time.Minute
+
 // Leave ends the lease, so that this sidecar's upstream is removed from the
 // registry, and renews no more. It notifies each member known until one answers
 // that is in contact, as one without may be unable to notify the others; if there
@@ -139,11 +144,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordRenewal(askedAt, response)
 	c.recordConfirmation(askedAt, response)
 	c.outgrow(response.NewerIncarnation)
 	return response, nil
 }
 
+// recordRenewal records that a lease was answered. Only a member in contact with a
+// majority counts: what one without contact knows of, the leader may not. c.mu is held.
+func (c *Client) recordRenewal(askedAt time.Time, response *LeaseResponse) {
+	if response.Contact.OK && askedAt.After(c.renewedAt) {
+		c.renewedAt = askedAt
+	}
+}
+
 // outgrow has this process count as newer than an earlier one of the same node,
 // whose incarnation is the larger because the machine's clock went back between
 // them. The first time it renews at once. If two processes of one node live, which
--- a/internal/mesh/watch/client_members.go
+++ b/internal/mesh/watch/client_members.go
@@ -12,9 +12,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.Syncing || !response.Contact.OK {
-		c.raiseCounts(response.Members, response.PeakMembers)
+		c.counts = c.counts.Raised(response.Counts)
 	} else {
-		c.setCounts(response.Members, response.PeakMembers)
+		c.counts = response.Counts
 	}
 	if !response.Contact.OK {
 		c.addMembers(response.Peers)
@@ -54,13 +54,3 @@
 		}
 	}
 }
-
-// setCounts sets the counts of sidecars. c.mu is held.
-func (c *Client) setCounts(members, peak int) {
-	c.members, c.peakMembers = members, peak
-}
-
-// raiseCounts applies counts of sidecars that may be too small. c.mu is held.
-func (c *Client) raiseCounts(members, peak int) {
-	c.setCounts(max(members, c.members), max(peak, c.peakMembers))
-}
--- a/internal/mesh/watch/client_watch.go
+++ b/internal/mesh/watch/client_watch.go
@@ -168,9 +168,9 @@
 	case !heartbeat.Contact.OK:
 		signal(c.contactLost)
 	case heartbeat.Syncing:
-		c.raiseCounts(heartbeat.Members, heartbeat.PeakMembers)
+		c.counts = c.counts.Raised(heartbeat.Counts)
 	default:
-		c.setCounts(heartbeat.Members, heartbeat.PeakMembers)
+		c.counts = heartbeat.Counts
 	}
 }
 
--- a/internal/mesh/watch/contact_age_test.go
+++ b/internal/mesh/watch/contact_age_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"caperarch/internal/mesh/registry"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -186,9 +187,9 @@
 			So(ok, ShouldBeFalse)
 		}
 		peers := []Peer{{Address: "a:1"}, {Address: "b:1"}}
-		c.recordMembers(&LeaseResponse{Contact: Contact{OK: true}, Members: 9, PeakMembers: 9, Peers: peers})
-		c.recordMembers(&LeaseResponse{Members: 2, PeakMembers: 3, Peers: []Peer{{Address: "a:1"}, {Address: "c:1"}}})
-		So([]int{c.Members(), c.PeakMembers()}, ShouldResemble, []int{9, 9})
+		c.recordMembers(&LeaseResponse{Contact: Contact{OK: true}, Counts: registry.Counts{Live: 9, Peak: 9}, Peers: peers})
+		c.recordMembers(&LeaseResponse{Counts: registry.Counts{Live: 2, Peak: 3}, Peers: []Peer{{Address: "a:1"}, {Address: "c:1"}}})
+		So(c.Counts(), ShouldResemble, registry.Counts{Live: 9, Peak: 9})
 		So(c.Peers(), ShouldHaveLength, 3)
 	})
 }
--- a/internal/mesh/watch/fixture_test.go
+++ b/internal/mesh/watch/fixture_test.go
@@ -297,7 +297,7 @@
 				So(s.Connected(), ShouldBeTrue)
 				So(s.Peers()[0], ShouldEqual, memberAddresses[i])
 				So(s.upstreams(), ShouldEqual, "i-c1 i-c2 i-c3")
-				So(s.Members(), ShouldEqual, 3)
+				So(s.Counts().Live, ShouldEqual, 3)
 			}
 			scenario(n, m, c)
 		})
--- a/internal/mesh/watch/golden_test.go
+++ b/internal/mesh/watch/golden_test.go
@@ -8,14 +8,17 @@
 
 // What other processes send and expect: testdata holds it as the release before wrote it.
 func TestMessagesOnTheWire(t *testing.T) {
-	goldentest.CheckJSON[LeaseResponse](t, "lease_response")
-	// Core machines of the release before incarnations were raised.
+	goldentest.CheckJSON[LeaseResponse](t, "lease_response_holders")
+	// Core machines of the releases before share holders were counted, and before incarnations were raised.
+	goldentest.CheckStillRead[LeaseResponse](t, "lease_response")
 	goldentest.CheckStillRead[LeaseResponse](t, "lease_answer")
 	goldentest.CheckJSON[watchRequest](t, "watch_request")
-	goldentest.CheckJSON[frame](t, "frame")
+	goldentest.CheckJSON[frame](t, "frame_holders")
+	goldentest.CheckStillRead[frame](t, "frame") // before share holders were counted
 	goldentest.CheckJSON[gossipRequest](t, "gossip")
 	goldentest.CheckJSON[gossipResponse](t, "gossip_answer")
-	goldentest.CheckJSON[memberListResponse](t, "roll_answer")
+	goldentest.CheckJSON[memberListResponse](t, "roll_answer_silent")
+	goldentest.CheckStillRead[memberListResponse](t, "roll_answer") // before silent sidecars were remembered
 }
 
 func TestPaths(t *testing.T) {
--- a/internal/mesh/watch/gossip_receive.go
+++ b/internal/mesh/watch/gossip_receive.go
@@ -52,6 +52,7 @@
 		Zone:    s.cfg.Zone,
 		Leases:  s.table.Leases(now),
 		Reports: s.table.Unleased(now),
+		Silent:  s.table.Silent(now),
 	}, nil
 }
 
--- a/internal/mesh/watch/gossip_send.go
+++ b/internal/mesh/watch/gossip_send.go
@@ -88,6 +88,7 @@
 	p.recordResponse(response.Zone, response.Clock, now)
 	age := now - askedAt // the response is no older than the request
 	s.table.Merge(now, aged(response.Leases, age))
+	s.table.MergeSilent(now, response.Silent)
 	for _, r := range response.Reports {
 		s.table.RelayedHeartbeat(now, r.Upstream, r.Remaining-age)
 	}
--- a/internal/mesh/watch/incarnation_test.go
+++ b/internal/mesh/watch/incarnation_test.go
@@ -23,7 +23,6 @@
 		n.clockStep = 0
 		advance(registry.LeaseTTL + registry.StaleTTL + time.Second)
 		So(c[0].upstreams(), ShouldEqual, "i-c1 i-c2 i-c3-next")
-		live, _ := m[1].Members()
-		So(live, ShouldEqual, 3)
+		So(m[1].Counts().Live, ShouldEqual, 3)
 	})
 }
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -56,7 +56,7 @@
 		p.queueLease(lease.Node, update)
 	}
 	s.notifyChanged()
-	response.Members, response.PeakMembers = s.table.Members(), s.table.PeakMembers(now)
+	response.Counts = s.table.Counts(now)
 	response.Syncing = now < s.syncingUntil
 	response.Peers = s.listPeers()
 	return response, nil
--- a/internal/mesh/watch/server_query.go
+++ b/internal/mesh/watch/server_query.go
@@ -16,11 +16,11 @@
 	return s.table.Upstreams(s.now())
 }
 
-// Members returns the number of live leases, and the largest recent number.
-func (s *Server) Members() (live, peak int) {
+// Counts returns the numbers of sidecars as this member knows them.
+func (s *Server) Counts() registry.Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Members(), s.table.PeakMembers(s.now())
+	return s.table.Counts(s.now())
 }
 
 // Behind returns the number of live leases whose sidecar has not applied the
--- a/internal/mesh/watch/server_updates.go
+++ b/internal/mesh/watch/server_updates.go
@@ -88,11 +88,10 @@
 	f := &frame{}
 	if heartbeatDue {
 		f.Heartbeat = &heartbeatFrame{
-			Contact:     contact,
-			Version:     version,
-			Members:     s.table.Members(),
-			PeakMembers: s.table.PeakMembers(now),
-			Syncing:     now < s.syncingUntil,
+			Contact: contact,
+			Version: version,
+			Counts:  s.table.Counts(now),
+			Syncing: now < s.syncingUntil,
 		}
 	}
 	if !s.delaysRegistry(now) {
--- a/internal/mesh/watch/watch_test.go
+++ b/internal/mesh/watch/watch_test.go
@@ -120,10 +120,10 @@
 		advance(maxBackoff + 4*minBackoff)
 		So(c[0].Connected() && c[1].Connected(), ShouldBeTrue)
 		So(c[0].upstreams(), ShouldEqual, "i-c1 i-c2 i-c3")
-		So(c[0].Members(), ShouldEqual, 3)
+		So(c[0].Counts().Live, ShouldEqual, 3)
 		advance(syncingPeriod + heartbeatInterval - time.Since(began))
 		So(c[0].upstreams(), ShouldEqual, "i-c1 i-c2")
-		So(c[0].Members(), ShouldEqual, 2)
+		So(c[0].Counts().Live, ShouldEqual, 2)
 	})
 }
 
@@ -147,8 +147,7 @@
 		So(m[0].WaitApplied(context.Background(), 2), ShouldEqual, 0)
 		advance(time.Second)
 		So(c[0].upstreams(), ShouldEqual, "i-c1 i-c3?")
-		live, largest := m[1].Members()
-		So([]int{live, largest}, ShouldResemble, []int{1, 3})
+		So(m[1].Counts(), ShouldResemble, registry.Counts{Live: 1, Peak: 3, ShareHolders: 3})
 		So(c[2].Connected(), ShouldBeFalse)
 		// Its upstream reaches a member directly.
 		up := registry.Upstream{Instance: "i-c3", Service: "s-c3", Address: "c3:80", Sequence: 5}
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -46,11 +46,9 @@
 type LeaseResponse struct {
 	// TTL is how long the lease lasts, in seconds.
 	TTL float64 `json:"ttl"`
-	// Members counts the live leases, PeakMembers is the largest recent count.
-	// While Syncing both may be too small.
-	Members     int  `json:"members"`
-	PeakMembers int  `json:"largest"`
-	Syncing     bool `json:"young,omitempty"`
+	// The counts may be too small while Syncing.
+	registry.Counts
+	Syncing bool `json:"young,omitempty"`
 	// Leader is a hint where the leader is.
 	Leader string `json:"sequencer,omitempty"`
 	// Zone is the answering member's, and Peers are all core machines.
@@ -106,11 +104,10 @@
 // heartbeatFrame says that the member is alive. Without contact it carries
 // nothing else, and the sidecar goes to another member.
 type heartbeatFrame struct {
-	Contact     Contact `json:"contact"`
-	Version     int64   `json:"version"`
-	Members     int     `json:"members"`
-	PeakMembers int     `json:"largest"`
-	Syncing     bool    `json:"young,omitempty"`
+	Contact Contact `json:"contact"`
+	Version int64   `json:"version"`
+	registry.Counts
+	Syncing bool `json:"young,omitempty"`
 }
 
 // gossipRequest carries one member's changes to another. UnreachedPeers are the
@@ -149,4 +146,5 @@
 	Zone    string                    `json:"zone,omitempty"`
 	Leases  []registry.RemoteLease    `json:"leases,omitempty"`
 	Reports []registry.UpstreamReport `json:"beats,omitempty"`
+	Silent  []registry.SilentSidecar  `json:"silent,omitempty"`
 }
