controlplane: share holders are kept by name, those that left in order for 10 s

Cause: the number on disk, counted for two hours after a start, would hold the shares of sidecars that left in order just before; a recent number can't tell them from silent ones. Change: sidecars.json holds the names of those that have not left in order; a core machine that starts counts them as silent until each renews or leaves. One that left in order is counted for LeaveWindow (10 s) where limits are divided, and for PeakWindow where capacity is.

--- a/internal/mesh/controlplane/server.go
+++ b/internal/mesh/controlplane/server.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,7 +106,7 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.watchSettings(running, reload)
-	shareHolders := s.loadedSidecarCount()
+	shareHolders := s.restoredShareHolders()
 	s.watchServer = s.newWatchServer(shareHolders)
 	failed, closeListeners, err := s.listen()
 	if err != nil {
@@ -122,7 +123,7 @@
 	}
 	defer closeReplica()
 	go s.watchServer.Run(running)
-	go s.keepSidecarCount(running, shareHolders)
+	go s.keepShareHolders(running, slices.Clone(shareHolders))
 	s.log.Info("serving",
 		zap.String("member", string(state.ID)), zap.Any("voters", node.Status().Membership.Voters))
 	select {
@@ -134,7 +135,7 @@
 	}
 }
 
-func (s *Server) newWatchServer(shareHolders int) *watch.Server {
+func (s *Server) newWatchServer(shareHolders []string) *watch.Server {
 	return watch.NewServer(watch.ServerConfig{
 		Self:         s.ownAddress(),
 		Zone:         s.settings.Self.Zone,
--- a/internal/mesh/registry/counts.go
+++ b/internal/mesh/registry/counts.go
@@ -25,19 +25,13 @@
 	return Counts{Live: t.liveLeases, Peak: t.PeakMembers(now), ShareHolders: t.ShareHolders(now)}
 }
 
-// peakSample is the largest number of live leases during one second of the table's clock.
-type peakSample struct {
-	second int64
-	count  int
-}
-
 // markLive counts a lease that is not live yet.
 func (t *Table) markLive(now time.Duration, l *lease) {
 	t.markNotSilent(l)
 	l.live = true
 	t.liveLeases++
 	t.liveByVersion[l.Applied]++
-	t.recordPeak(now)
+	t.recordPeaks(now)
 }
 
 // markEnded removes a lease from the counts of live ones, if it is counted.
@@ -68,17 +62,10 @@
 	}
 }
 
-func (t *Table) recordPeak(now time.Duration) { t.RecordPeak(now, t.liveLeases) }
-
-// RecordPeak counts so many live leases as seen now. At the start of a process this is what an earlier one
-// has seen, as the leases themselves arrive one by one.
-func (t *Table) RecordPeak(now time.Duration, leases int) {
-	second := int64(now / time.Second)
-	sample := &t.recentPeaks[second%int64(len(t.recentPeaks))]
-	if sample.second != second {
-		*sample = peakSample{second: second}
-	}
-	sample.count = max(sample.count, leases)
+// recordPeaks samples the numbers of which the recent maximum counts.
+func (t *Table) recordPeaks(now time.Duration) {
+	t.recentLive.record(now, t.liveLeases)
+	t.recentHolders.record(now, t.liveLeases+t.silentLeases)
 }
 
 // Members is the number of live leases.
@@ -86,29 +73,13 @@
 
 // PeakMembers is the largest number of live leases within the last PeakWindow.
 func (t *Table) PeakMembers(now time.Duration) int {
-	peak, second := t.liveLeases, int64(now/time.Second)
-	for _, sample := range t.recentPeaks {
-		if sample.second > second-int64(PeakWindow/time.Second) {
-			peak = max(peak, sample.count)
-		}
-	}
-	return peak
-}
-
-// RecordEarlier counts so many share holders, which an earlier process knew by name, for SilentRetention.
-func (t *Table) RecordEarlier(now time.Duration, holders int) {
-	t.earlier, t.earlierUntil = holders, now+SilentRetention
-	t.RecordPeak(now, holders)
+	return max(t.liveLeases, t.recentLive.at(now))
 }
 
 // ShareHolders is how many sidecars may hold a share of the tenants' limits: those with a live lease, those
-// that have been silent for less than SilentRetention, and those that left in order within PeakWindow.
+// that have been silent for less than SilentRetention, and those that left in order within LeaveWindow.
 func (t *Table) ShareHolders(now time.Duration) int {
-	holders := max(t.PeakMembers(now), t.liveLeases+t.silentLeases)
-	if now < t.earlierUntil {
-		holders = max(holders, t.earlier)
-	}
-	return holders
+	return max(t.liveLeases+t.silentLeases, t.recentHolders.at(now))
 }
 
 // MembersBehind is the number of live leases whose sidecar has not applied the given configuration
--- a/internal/mesh/registry/table.go
+++ b/internal/mesh/registry/table.go
@@ -25,6 +25,9 @@
 	SilentRetention = 2 * time.Hour
 	// PeakWindow is how far back PeakMembers looks.
 	PeakWindow = 30 * time.Second
+	// LeaveWindow is for how long a sidecar that left in order holds a share. It spans a restart, so that the
+	// number of share holders doesn't fall and rise again by each.
+	LeaveWindow = 10 * time.Second
 	// MaxLeases bounds the leases and, separately, the upstreams, against memory taken by invented
 	// names. It is over three times the largest fleet foreseen.
 	MaxLeases = 8192
@@ -49,10 +52,9 @@
 
 	liveLeases    int
 	silentLeases  int           // expired and not left, see SilentRetention
-	earlier       int           // share holders that an earlier process counted
-	earlierUntil  time.Duration // when earlier is forgotten
 	liveByVersion map[int64]int // live leases by the configuration version applied
-	recentPeaks   [PeakWindow/time.Second + 1]peakSample
+	recentLive    recentMaximum // of liveLeases, within PeakWindow
+	recentHolders recentMaximum // of live and silent leases together, within LeaveWindow
 }
 
 // New makes an empty table. The epoch must differ from that of every other table and be above zero.
@@ -65,6 +67,8 @@
 		instanceByNode:    map[string]string{},
 		instanceByAddress: map[string]string{},
 		liveByVersion:     map[int64]int{},
+		recentLive:        newRecentMaximum(PeakWindow),
+		recentHolders:     newRecentMaximum(LeaveWindow),
 	}
 }
 
@@ -93,5 +97,5 @@
 			delete(t.tombstones, instance)
 		}
 	}
-	t.recordPeak(now)
+	t.recordPeaks(now)
 }
--- a/internal/mesh/watch/server.go
+++ b/internal/mesh/watch/server.go
@@ -43,9 +43,9 @@
 	// Epoch differs in each incarnation of the process, for example its start in
 	// nanoseconds.
 	Epoch registry.Epoch
-	// ShareHolders is the number that an earlier process of this member counted last,
-	// 0 if that is not known.
-	ShareHolders int
+	// ShareHolders are the sidecars that an earlier process of this member knew last,
+	// by name.
+	ShareHolders []string
 	// Peers returns the internal addresses of the core machines; Self may be among
 	// them.
 	Peers func() []string
@@ -90,7 +90,7 @@
 // runs.
 func NewServer(cfg ServerConfig) *Server {
 	table := registry.New(cfg.Epoch)
-	table.RecordEarlier(0, cfg.ShareHolders)
+	table.RestoreHolders(0, cfg.ShareHolders)
 	return &Server{
 		cfg:          cfg,
 		start:        time.Now(),
--- a/internal/mesh/watch/server_query.go
+++ b/internal/mesh/watch/server_query.go
@@ -9,6 +9,14 @@
 	return s.now() < s.syncingUntil
 }
 
+// ShareHolders lists by name the sidecars that have not left in order, in no
+// particular order.
+func (s *Server) ShareHolders() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Holders()
+}
+
 // Upstreams lists all upstreams known here.
 func (s *Server) Upstreams() []registry.Upstream {
 	s.mu.Lock()
