--- a/internal/mesh/quota/adversary_test.go
+++ b/internal/mesh/quota/adversary_test.go
@@ -11,7 +11,6 @@
 // The adversary's histories. Its clients send wherever a token can be spent, and faults come at random: the
 // rule must hold in every window of every history.
 const (
-	adversaryMembers = 12
 	adversaryStep    = 5 * ms
 	adversaryLength  = 25 * second
 	adversaryTenant  = "a"
@@ -30,7 +29,7 @@
 	now     time.Duration
 	limit   Limit
 	limits  []limitChange
-	nodes   [adversaryMembers]*adversaryNode
+	nodes   []*adversaryNode
 	leader  *Allocator
 	epoch   Epoch
 	stalled time.Duration // the leader handles nothing before
@@ -44,7 +43,7 @@
 
 	// The partition of the moment.
 	partitionUntil               time.Duration
-	partitioned                  [adversaryMembers]bool
+	partitioned                  []bool
 	requestsPass, responsesReach bool
 }
 
@@ -71,9 +70,12 @@
 	nextAllowed time.Duration // no request before
 }
 
-func newAdversary(t *testing.T, seed uint64) *adversary {
+func newAdversary(t *testing.T, seed uint64, members int) *adversary {
 	t.Helper()
-	a := &adversary{Rand: rand.New(rand.NewPCG(seed, 7))}
+	a := &adversary{
+		Rand:  rand.New(rand.NewPCG(seed, 7)),
+		nodes: make([]*adversaryNode, members), partitioned: make([]bool, members),
+	}
 	a.limit = a.drawLimit()
 	a.limits = []limitChange{{0, a.limit}}
 	a.drawFaults()
@@ -150,9 +152,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	limiter.random = a.Rand // so that a seed plays the same history again
 	node.limiter = limiter
 	a.configure(t, node, UnknownMembers, node.upFrom)
-	a.configure(t, node, adversaryMembers, node.upFrom+time.Duration(a.IntN(400))*ms)
+	a.configure(t, node, len(a.nodes), node.upFrom+time.Duration(a.IntN(400))*ms)
 }
 
 // configure has the limits of the moment reach a process at a time.
@@ -198,7 +201,7 @@
 		a.deliver(a.stalled, func() { a.handle(node, incarnation, request) })
 		return
 	}
-	if err := a.leader.Configure(a.now, a.limitsNow(), adversaryMembers); err != nil {
+	if err := a.leader.Configure(a.now, a.limitsNow(), len(a.nodes)); err != nil {
 		return
 	}
 	response, err := a.leader.Allocate(a.now, a.epoch, node.name, &request)
@@ -260,7 +263,7 @@
 		a.kill(t)
 	}
 	if a.happens(a.freezes) {
-		a.nodes[a.IntN(adversaryMembers)].frozenUntil = a.now + time.Duration(a.IntN(6000))*ms
+		a.nodes[a.IntN(len(a.nodes))].frozenUntil = a.now + time.Duration(a.IntN(6000))*ms
 	}
 	if a.happens(a.stalls) {
 		a.stalled = a.now + time.Duration(a.IntN(3000))*ms
@@ -275,7 +278,7 @@
 		a.limit = a.drawLimit()
 		a.limits = append(a.limits, limitChange{a.now, a.limit})
 		for _, node := range a.nodes {
-			a.configure(t, node, adversaryMembers, a.now+time.Duration(a.IntN(300))*ms)
+			a.configure(t, node, len(a.nodes), a.now+time.Duration(a.IntN(300))*ms)
 		}
 	}
 }
@@ -283,7 +286,7 @@
 // kill ends one process or all, which start again within a moment.
 func (a *adversary) kill(t *testing.T) {
 	t.Helper()
-	all, one := a.IntN(2) == 0, a.IntN(adversaryMembers)
+	all, one := a.IntN(2) == 0, a.IntN(len(a.nodes))
 	for i, node := range a.nodes {
 		if all || i == one {
 			node.upFrom = a.now + time.Duration(a.IntN(200))*ms
@@ -332,9 +335,9 @@
 	return part, at
 }
 
-func playHistory(t *testing.T, seed uint64) (fullest float64) {
+func playHistory(t *testing.T, seed uint64, members int) (fullest float64) {
 	t.Helper()
-	a := newAdversary(t, seed)
+	a := newAdversary(t, seed, members)
 	for ; a.now < adversaryLength; a.now += adversaryStep {
 		a.step(t)
 	}
@@ -345,17 +348,24 @@
 	return fullest
 }
 
-func TestPrepaidLimitsHoldInEveryHistory(t *testing.T) {
+// playHistories plays as many histories as were asked for, or that of one seed.
+func playHistories(t *testing.T, members int) {
+	t.Helper()
 	if *onlySeed > 0 {
-		t.Logf("the fullest window holds %.3f of what is allowed", playHistory(t, *onlySeed))
+		t.Logf("the fullest window holds %.3f of what is allowed", playHistory(t, *onlySeed, members))
 		return
 	}
 	fullest, fullestSeed := 0.0, uint64(0)
 	for seed := uint64(1); seed <= uint64(*histories); seed++ {
-		if part := playHistory(t, seed); part > fullest {
+		if part := playHistory(t, seed, members); part > fullest {
 			fullest, fullestSeed = part, seed
 		}
 	}
 	t.Logf("%d histories, the fullest window, of seed %d, holds %.3f of what is allowed",
 		*histories, fullestSeed, fullest)
 }
+
+func TestPrepaidLimitsHoldInEveryHistory(t *testing.T) { playHistories(t, 12) }
+
+// The same with more sidecars than are granted tokens.
+func TestDeferredLimitsHoldInEveryHistory(t *testing.T) { playHistories(t, maxPrepaidMembers+8) }
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -78,7 +78,8 @@
 // 4*R*0.6 = 24, and the rule leaves 37. In trials with 200 cold starts at eight times the usual demand,
 // rates 7 to 18 and m 82, the fullest window lay 19 below the rule with a standard deviation of 7; the
 // worst was over by 3 of about 80. So for these rates the rule is kept but for rare chance, and isn't
-// proven.
+// proven; it is broken where clients come at all members in one moment while messages take seconds
+// (TestDeferredLimitsHoldInEveryHistory).
 //
 // A member whose response is missing for responseTimeout stops filling its local bucket and cuts it to
 // the floor; after contactTTL the floor fills at the member's even share. Floors hold a token each, more
