--- a/internal/mesh/quota/adversary_test.go
+++ b/internal/mesh/quota/adversary_test.go
@@ -11,11 +11,11 @@
 // The adversary's histories. Its clients send wherever a token can be spent, and faults come at random: the
 // rule must hold in every window of every history.
 const (
-	adversaryStep    = 5 * ms
-	adversaryLength  = 25 * second
-	adversaryTenant  = "a"
-	giveUpAfter      = 500 * ms // a sidecar waits no longer for a response
-	backoffAfter     = 100 * ms
+	adversaryStep   = 5 * ms
+	adversaryLength = 25 * second
+	adversaryTenant = "a"
+	giveUpAfter     = 500 * ms // a sidecar waits no longer for a response
+	backoffAfter    = 100 * ms
 )
 
 var (
