controlplane, watch: lists of core machines are sent where the other side may not know them

The answers to renewals come next (10.8 to 11.8 kB a second), half of each the same list. Change: an announcement and a renewal name the digest (xxhash) of the list that their sender knows; where it is the answerer's own, the list is left out. New fields are optional, so a machine of the release before sends and gets the list as before.

--- a/internal/mesh/cluster/announcement.go
+++ b/internal/mesh/cluster/announcement.go
@@ -1,9 +1,12 @@
 package cluster
 
 import (
+	"fmt"
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/replication"
 )
@@ -28,6 +31,26 @@
 	Cluster replication.ClusterID `json:"cluster,omitempty"`
 }
 
+// AnnounceRequest is an announcement with what its sender knows of the others.
+type AnnounceRequest struct {
+	Announcement
+	// KnownMachines is the digest of the machines that are live by the sender's own list, 0 from one that
+	// doesn't say. One that receives it and knows the same machines leaves them out of its response.
+	KnownMachines MachinesDigest `json:"knownMachines,omitempty"`
+}
+
+// MachinesDigest is a hash of a list of live machines. Equal lists have equal digests.
+type MachinesDigest uint64
+
+// DigestMachines returns the digest of machines that are sorted by id. It is never 0.
+func DigestMachines(machines []Announcement) MachinesDigest {
+	hash := xxhash.New()
+	for _, m := range machines {
+		fmt.Fprintf(hash, "%q %q %t %d\n", m.ID, m.Zone, m.Leaving, m.Cluster)
+	}
+	return MachinesDigest(max(1, hash.Sum64()))
+}
+
 // Validate returns an error of kind Invalid for an announcement without an address, or with names
 // that are too long.
 func (a *Announcement) Validate() error {
@@ -45,7 +68,8 @@
 	// Cluster is 0 while the answering machine itself belongs to none.
 	Cluster    replication.ClusterID  `json:"cluster,omitempty"`
 	Membership replication.Membership `json:"membership"`
-	// Machines are those whose announcements are live, and the answering machine itself.
+	// Machines are those whose announcements are live, and the answering machine itself. There are none
+	// where the request's KnownMachines are the same.
 	Machines []Announcement       `json:"machines,omitempty"`
 	Leader   replication.MemberID `json:"leader,omitempty"`
 	Term     replication.Term     `json:"term,omitempty"`
--- a/internal/mesh/controlplane/announce.go
+++ b/internal/mesh/controlplane/announce.go
@@ -40,11 +40,14 @@
 func (s *Server) announce(ctx context.Context, addresses []string) []*cluster.AnnounceResponse {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	local := s.memberList.Local()
+	request := &cluster.AnnounceRequest{
+		Announcement:  s.memberList.Local(),
+		KnownMachines: cluster.DigestMachines(s.memberList.LiveMembers(s.now())),
+	}
 	responses := make([]*cluster.AnnounceResponse, len(addresses))
 	var calls sync.WaitGroup
 	for i, address := range addresses {
-		calls.Go(func() { responses[i] = s.announceTo(ctx, address, &local) })
+		calls.Go(func() { responses[i] = s.announceTo(ctx, address, request) })
 	}
 	calls.Wait()
 	responses = slices.DeleteFunc(responses, func(r *cluster.AnnounceResponse) bool { return r == nil })
@@ -57,15 +60,15 @@
 // announceTo announces this machine to one other, and returns nil for no answer and for that of
 // another cluster.
 func (s *Server) announceTo(
-	ctx context.Context, address string, local *cluster.Announcement,
+	ctx context.Context, address string, request *cluster.AnnounceRequest,
 ) *cluster.AnnounceResponse {
 	url := "http://" + address + announcePath
-	response, err := rpc.Call[cluster.Announcement, cluster.AnnounceResponse](ctx, s.client, url, local)
+	response, err := rpc.Call[cluster.AnnounceRequest, cluster.AnnounceResponse](ctx, s.client, url, request)
 	if err != nil {
 		s.log.Debug("peer did not answer an announcement", zap.String("address", address), zap.Error(err))
 		return nil
 	}
-	if isOtherCluster(local.Cluster, response.Cluster) {
+	if isOtherCluster(request.Cluster, response.Cluster) {
 		s.log.Warn("peer belongs to another cluster", zap.String("address", address))
 		return nil
 	}
@@ -83,23 +86,24 @@
 }
 
 func (s *Server) receiveAnnouncement(
-	_ *http.Request, a *cluster.Announcement,
+	_ *http.Request, request *cluster.AnnounceRequest,
 ) (*cluster.AnnounceResponse, error) {
 	local := s.memberList.Local()
-	if isOtherCluster(local.Cluster, a.Cluster) {
-		return nil, errs.New(errs.Invalid, "cluster: this is %x, not %x", local.Cluster, a.Cluster)
+	if isOtherCluster(local.Cluster, request.Cluster) {
+		return nil, errs.New(errs.Invalid, "cluster: this is %x, not %x", local.Cluster, request.Cluster)
 	}
-	if err := s.memberList.Receive(s.now(), *a); err != nil {
+	if err := s.memberList.Receive(s.now(), request.Announcement); err != nil {
 		return nil, err
 	}
-	return s.announceResponse(a), nil
+	return s.announceResponse(request), nil
 }
 
-// announceResponse is what this machine knows of the core machines.
-func (s *Server) announceResponse(a *cluster.Announcement) *cluster.AnnounceResponse {
-	response := &cluster.AnnounceResponse{
-		Cluster:  s.memberList.Local().Cluster,
-		Machines: s.memberList.LiveMembers(s.now()),
+// announceResponse is what this machine knows of the core machines, as far as the other one may not.
+func (s *Server) announceResponse(request *cluster.AnnounceRequest) *cluster.AnnounceResponse {
+	response := &cluster.AnnounceResponse{Cluster: s.memberList.Local().Cluster}
+	machines := s.memberList.LiveMembers(s.now())
+	if request.KnownMachines != cluster.DigestMachines(machines) {
+		response.Machines = machines
 	}
 	node := s.node.Load()
 	if node == nil {
@@ -107,8 +111,8 @@
 	}
 	status := node.Status()
 	response.Membership, response.Leader, response.Term = status.Membership, status.Leader, status.Term
-	if a.Leaving && status.IsLeader && status.MembershipStable {
-		response.SafeToLeave = !cluster.HasReplacement(s.clusterView(node), a.ID)
+	if request.Leaving && status.IsLeader && status.MembershipStable {
+		response.SafeToLeave = !cluster.HasReplacement(s.clusterView(node), request.ID)
 	}
 	return response
 }
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -64,8 +64,9 @@
 	renewedAt     time.Time       // when the last lease was sent that a member in contact answered, or the start
 	seeds         []string
 	discovered    []Peer
-	current       string // the member that the session is with, or was last with
-	moveTarget    string // the member to go to from one without contact
+	peersDigest   PeersDigest // of the list that discovered was replaced with, 0 if it was changed since
+	current       string      // the member that the session is with, or was last with
+	moveTarget    string      // the member to go to from one without contact
 	// confirmedAt is the latest time at which what is applied is known to have
 	// been the newest.
 	confirmedAt time.Time
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -138,7 +138,8 @@
 	defer cancel()
 	askedAt := time.Now()
 	url := "http://" + address + leasePath
-	response, err := rpc.Call[registry.Lease, LeaseResponse](ctx, c.cfg.HTTP, url, lease)
+	request := &leaseRequest{Lease: *lease, KnownPeers: c.knownPeersDigest()}
+	response, err := rpc.Call[leaseRequest, LeaseResponse](ctx, c.cfg.HTTP, url, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mesh/watch/client_members.go
+++ b/internal/mesh/watch/client_members.go
@@ -26,9 +26,17 @@
 	inOwnZone := func(p Peer) bool { return c.sameZone(p.Zone) }
 	knewOne := slices.ContainsFunc(c.discovered, inOwnZone)
 	c.replaceMembers(response.Peers)
+	c.peersDigest = response.PeersDigest
 	return !knewOne && response.Zone != c.cfg.Zone && slices.ContainsFunc(c.discovered, inOwnZone)
 }
 
+// knownPeersDigest is the digest of the list of members that is in place.
+func (c *Client) knownPeersDigest() PeersDigest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peersDigest
+}
+
 // replaceMembers replaces the members discovered. A zone known
 // before is kept if the new list names none. c.mu is held.
 func (c *Client) replaceMembers(peers []Peer) {
@@ -51,6 +59,7 @@
 		known := slices.ContainsFunc(c.discovered, func(other Peer) bool { return other.Address == p.Address })
 		if !known && len(c.discovered) < maxKnownMembers {
 			c.discovered = append(c.discovered, p)
+			c.peersDigest = 0
 		}
 	}
 }
--- a/internal/mesh/watch/network_test.go
+++ b/internal/mesh/watch/network_test.go
@@ -39,6 +39,10 @@
 
 func (p *port) Addr() net.Addr { return &net.UnixAddr{Name: p.address} }
 
+func newNetwork() *network {
+	return &network{ports: map[string]*port{}, severed: map[string]bool{}, links: map[string][]net.Conn{}}
+}
+
 // client is an HTTP client on a host.
 func (n *network) client(from string) *http.Client {
 	dial := func(_ context.Context, _, to string) (net.Conn, error) { return n.dial(from, to) }
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -25,7 +25,8 @@
 }
 
 // renewLease applies a sidecar's renewal, and answers with what is known here.
-func (s *Server) renewLease(_ *http.Request, lease *registry.Lease) (*LeaseResponse, error) {
+func (s *Server) renewLease(_ *http.Request, request *leaseRequest) (*LeaseResponse, error) {
+	lease := &request.Lease
 	contact := s.checkContact()
 	// Read after the contact, which proves that it is the newest.
 	version := s.cfg.ConfigSource.Current()
@@ -58,7 +59,11 @@
 	s.notifyChanged()
 	response.Counts = s.table.Counts(now)
 	response.Syncing = now < s.syncingUntil
-	response.Peers = s.listPeers()
+	peers := s.listPeers()
+	response.PeersDigest = digestPeers(peers)
+	if request.KnownPeers != response.PeersDigest {
+		response.Peers = peers
+	}
 	return response, nil
 }
 
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -1,9 +1,14 @@
 package watch
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"caperarch/internal/mesh/registry"
 )
 
@@ -42,6 +47,30 @@
 	Zone    string `json:"zone,omitempty"`
 }
 
+// PeersDigest is a hash of a list of core machines with their zones. Lists of the
+// same machines have equal digests.
+type PeersDigest uint64
+
+// digestPeers returns the digest of a list of core machines in any order. It is
+// never 0.
+func digestPeers(peers []Peer) PeersDigest {
+	sorted := slices.Clone(peers)
+	slices.SortFunc(sorted, func(a, b Peer) int { return cmp.Compare(a.Address, b.Address) })
+	hash := xxhash.New()
+	for _, p := range sorted {
+		fmt.Fprintf(hash, "%q %q\n", p.Address, p.Zone)
+	}
+	return PeersDigest(max(1, hash.Sum64()))
+}
+
+// leaseRequest renews a lease.
+type leaseRequest struct {
+	registry.Lease
+	// KnownPeers is the PeersDigest of the last list that the sidecar received, 0 if
+	// it has none.
+	KnownPeers PeersDigest `json:"knownPeers,omitempty"`
+}
+
 // LeaseResponse answers a renewal.
 type LeaseResponse struct {
 	// TTL is how long the lease lasts, in seconds.
@@ -51,9 +80,11 @@
 	Syncing bool `json:"young,omitempty"`
 	// Leader is a hint where the leader is.
 	Leader string `json:"sequencer,omitempty"`
-	// Zone is the answering member's, and Peers are all core machines.
-	Zone  string `json:"zone,omitempty"`
-	Peers []Peer `json:"peers"`
+	// Zone is the answering member's, and Peers are all core machines, with their
+	// digest. There are none where the request names the same digest.
+	Zone        string      `json:"zone,omitempty"`
+	Peers       []Peer      `json:"peers"`
+	PeersDigest PeersDigest `json:"peersDigest,omitempty"`
 	// Contact is the answering member's. Without it the sidecar should go to
 	// another member, and the counts and Peers may be outdated.
 	Contact Contact `json:"contact"`
