--- a/internal/mesh/replication/store.go
+++ b/internal/mesh/replication/store.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"caperarch/internal/mesh/errs"
+	"caperarch/internal/proxy/durable"
 )
 
 const (
@@ -100,7 +101,7 @@
 	if err := os.Rename(filepath.Join(dir, databaseDirectory), aside); err != nil {
 		return errs.Wrap(err, errs.DiskFailed, "replication: move the damaged store aside")
 	}
-	if err := syncDir(dir); err != nil {
+	if err := durable.SyncName(aside); err != nil {
 		return errs.Wrap(err, errs.DiskFailed, "replication: sync %s", dir)
 	}
 	if err := os.RemoveAll(aside); err != nil {
@@ -109,22 +110,13 @@
 	return nil
 }
 
-func syncDir(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return f.Sync()
-}
-
 func (s *Store) open(mustExist bool) error {
 	db, err := leveldb.OpenFile(s.path, leveldbOptions(mustExist))
 	if err != nil {
 		return err
 	}
 	// The directory's name is durable once the one that holds it is synced.
-	if err := syncDir(filepath.Dir(s.path)); err != nil {
+	if err := durable.SyncName(s.path); err != nil {
 		_ = db.Close()
 		return err
 	}
--- a/internal/proxy/durable/file.go
+++ b/internal/proxy/durable/file.go
@@ -25,7 +25,7 @@
 	if err := replace(path, content, (*os.File).Sync); err != nil {
 		return err
 	}
-	return syncDirectory(path)
+	return SyncName(path)
 }
 
 // ReplaceUnsynced replaces a file or creates it, for readers on this machine only: a crash of the machine
@@ -86,7 +86,7 @@
 	if err := os.Rename(path, path+quarantineSuffix); err != nil {
 		return err
 	}
-	return syncDirectory(path)
+	return SyncName(path)
 }
 
 // Remove removes a file; its name is gone from the disk when it returns.
@@ -94,11 +94,12 @@
 	if err := os.Remove(path); err != nil {
 		return err
 	}
-	return syncDirectory(path)
+	return SyncName(path)
 }
 
-// syncDirectory syncs the names in a file's directory.
-func syncDirectory(path string) error {
+// SyncName makes the name of a file or directory durable, or that it is gone: it syncs the directory that
+// holds it.
+func SyncName(path string) error {
 	directory, err := os.Open(filepath.Dir(path))
 	if err != nil {
 		return err
