sidecar: the test of silent sidecars sets its hooks before clients run

Cause: go test -race found that the fixture's hook was written while clients' loops read it. The test alone is touched. Change: the fleet starts once the hooks are set; how many sidecars are silent is atomic. Measured: go test -race, three times, passes; the race run of all other packages of the mesh passed.

--- a/internal/mesh/sidecar/quota_fleet_test.go
+++ b/internal/mesh/sidecar/quota_fleet_test.go
@@ -64,6 +64,14 @@
 }
 
 func newQuotaFleet(t *testing.T, countDelay time.Duration, limit quota.Limit) *quotaFleet {
+	t.Helper()
+	f := newStoppedQuotaFleet(t, countDelay, limit)
+	f.startAll()
+	return f
+}
+
+// newStoppedQuotaFleet is a fleet of which no sidecar has started, so that what they call can be set.
+func newStoppedQuotaFleet(t *testing.T, countDelay time.Duration, limit quota.Limit) *quotaFleet {
 	t.Helper()
 	f := &quotaFleet{
 		t: t, rng: rand.New(rand.NewPCG(1, 1)), limit: limit, began: time.Now(), countDelay: countDelay,
@@ -79,10 +87,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return f
+}
+
+func (f *quotaFleet) startAll() {
+	f.t.Helper()
 	for i := range f.clients {
 		f.start(i)
 	}
-	return f
 }
 
 // start starts a sidecar's client anew: it has the configuration at once, and hears the number of
--- a/internal/mesh/sidecar/quota_silence_test.go
+++ b/internal/mesh/sidecar/quota_silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 // those in contact renew their leases and hear the number, the others go on by the number heard last.
 type countedFleet struct {
 	*quotaFleet
+	silentSidecars atomic.Int64 // the first so many are out of contact
 
 	mu    sync.Mutex // guards all below
 	table *registry.Table
@@ -24,11 +26,12 @@
 func newCountedFleet(t *testing.T, limit quota.Limit) *countedFleet {
 	t.Helper()
 	f := &countedFleet{
-		quotaFleet: newQuotaFleet(t, 0, limit), table: registry.New(1), heard: map[string]int{},
+		quotaFleet: newStoppedQuotaFleet(t, 0, limit), table: registry.New(1), heard: map[string]int{},
 	}
-	f.silent = func(string) bool { return false }
-	f.renewAll(1)
+	f.silent = func(node string) bool { return node < nodeName(int(f.silentSidecars.Load())) }
 	f.members = f.count
+	f.renewAll(1)
+	f.startAll()
 	return f
 }
 
@@ -80,7 +83,7 @@
 				f := newCountedFleet(t, quota.Limit{Rate: 172, Burst: 172})
 				defer f.close()
 				f.idle(5 * time.Second)
-				f.silent = func(node string) bool { return node < nodeName(silent) }
+				f.silentSidecars.Store(int64(silent))
 				f.idle(2 * time.Minute)
 				f.run(30 * time.Second)
 				f.checkWindows()
