balancer: the upstream on the same machine comes first while it has capacity to spare

A third of the requests could have been served beside the sidecar that took them, and were sent to another machine. Change: the listing marks the upstream behind this sidecar's own gate; selection takes it first under 0.6 of its slots, then the own zone under 0.75, then all, as before.

--- a/internal/mesh/balancer/dispatch.go
+++ b/internal/mesh/balancer/dispatch.go
@@ -38,7 +38,7 @@
 	} else {
 		b.counters.Retries++
 	}
-	if u.Zone != b.cfg.Zone {
+	if !b.inOwnZone(u) {
 		b.counters.Crossed++
 	}
 	r.attempts = append(r.attempts, attempt{upstream: u})
--- a/internal/mesh/balancer/selection.go
+++ b/internal/mesh/balancer/selection.go
@@ -7,7 +7,15 @@
 	"caperarch/policy"
 )
 
+// SameMachine is the policy.Server.Zone of the upstream beside this sidecar, where there is one. No zone
+// has this number.
+const SameMachine = -1
+
 const (
+	// sameMachineLoadLimit is the share of its slots up to which the upstream on this machine is
+	// preferred to all others: a request to it crosses no link, and a machine's link may be its narrowest
+	// resource. It is low, as the sidecars of other machines send there as well.
+	sameMachineLoadLimit = 0.6
 	// localZoneLoadLimit is the share of an upstream's slots up to which one in the own zone is
 	// preferred: crossing zones has a price, waiting in a queue a higher one.
 	localZoneLoadLimit = 0.75
@@ -18,11 +26,11 @@
 
 // selectUpstream is smooth weighted round robin over the ready upstreams of a request's service that
 // have capacity, as a scheduler by earliest deadline in virtual time (Envoy has the same): the
-// deadlines of an upstream with n slots are 1/n apart. First it looks among those of the own zone that
-// have capacity to spare, then among all. Where all are full it selects the one with the least load for
-// its slots. It returns nil where there is none.
+// deadlines of an upstream with n slots are 1/n apart. First comes the one on this machine, then those of
+// the own zone, each while they have capacity to spare, then all. Where all are full it selects the one
+// with the least load for its slots. It returns nil where there is none.
 func (b *Balancer) selectUpstream(now time.Duration, r *request) *upstream {
-	var inZone, withCapacity, leastLoaded *upstream
+	var onMachine, inZone, withCapacity, leastLoaded *upstream
 	for _, u := range b.upstreams {
 		if u.Cell != r.class.Service || u.State != policy.Ready || now < u.availableAt || r.attempted(u) {
 			continue
@@ -33,17 +41,23 @@
 			continue
 		}
 		withCapacity = earlierDeadline(withCapacity, u)
-		if u.Zone == b.cfg.Zone && load < localZoneLoadLimit {
+		if u.Zone == SameMachine && load < sameMachineLoadLimit {
+			onMachine = u
+		}
+		if b.inOwnZone(u) && load < localZoneLoadLimit {
 			inZone = earlierDeadline(inZone, u)
 		}
 	}
-	selected := cmp.Or(inZone, withCapacity, leastLoaded)
+	selected := cmp.Or(onMachine, inZone, withCapacity, leastLoaded)
 	if selected != nil {
 		b.advanceVirtualTime(selected)
 	}
 	return selected
 }
 
+// inOwnZone reports whether an upstream is in this sidecar's zone.
+func (b *Balancer) inOwnZone(u *upstream) bool { return u.Zone == b.cfg.Zone || u.Zone == SameMachine }
+
 // earlierDeadline is the upstream with the earlier deadline, a where they are equal; a may be nil.
 func earlierDeadline(a, u *upstream) *upstream {
 	if a == nil || u.virtualDeadline < a.virtualDeadline {
--- a/internal/mesh/balancer/selection_test.go
+++ b/internal/mesh/balancer/selection_test.go
@@ -43,6 +43,23 @@
 		h.now += loadReportTTL + ms
 		So(countOf(h.serveOneByOne(30, 20), 1), ShouldBeGreaterThan, 5)
 	})
+	Convey("The upstream on the same machine is preferred up to a load, and counts as of the own zone", t, func() {
+		h := newHarness(ready(1, 0, 8), ready(2, SameMachine, 5), ready(3, 1, 8))
+		So(countOf(h.serveOneByOne(1, 20), 2), ShouldEqual, 20)
+		for id := policy.RequestID(101); id <= 103; id++ {
+			So(h.request(id, newClass()), ShouldResemble, []string{fmt.Sprintf("send %d to 2", id)})
+		}
+		So(h.request(104, newClass()), ShouldResemble, []string{"send 104 to 1"}) // three of five slots are in use
+		So(h.balancer.counters.Crossed, ShouldEqual, 0)
+		h.endAttempt(101, 0, policy.Served)
+		So(h.request(105, newClass()), ShouldResemble, []string{"send 105 to 2"})
+		h.endAttempt(105, 0, policy.NoConnection)
+		So(h.request(106, newClass()), ShouldResemble, []string{"send 106 to 1"})
+		full := newHarness(ready(1, 0, 4), ready(2, SameMachine, 4))
+		full.request(1, newClass())
+		full.endAttempt(1, 0, policy.Served, 3) // others' requests, by its gate's report
+		So(countOf(full.serveOneByOne(10, 8), 2), ShouldEqual, 0)
+	})
 	Convey("The own zone is preferred up to a load, and what drains or is gone gets nothing", t, func() {
 		h := newHarness(ready(1, 0, 4), ready(2, 1, 8))
 		So(countOf(h.serveOneByOne(1, 20), 1), ShouldEqual, 20)
--- a/internal/mesh/sidecar/endpoints_test.go
+++ b/internal/mesh/sidecar/endpoints_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/registry"
 	"caperarch/policy"
 
@@ -117,6 +118,28 @@
 	}
 }
 
+// Only the upstream behind this sidecar's own gate is listed as one on the same machine.
+func TestListingTellsTheUpstreamOnThisMachine(t *testing.T) {
+	e := newEndpoints([]string{"a", "b"}, localInbound)
+	e.apply(true, []registry.Upstream{
+		testUpstream("pushed", localInbound, registry.Ready, 1), testUpstream("other", otherInbound, registry.Ready, 1),
+	}, nil)
+	zonesOf := func() map[string]int {
+		zones, listing := map[string]int{}, e.balancerListing()
+		for _, server := range listing.Servers {
+			zones[listing.Names[server.ID]] = server.Zone
+		}
+		return zones
+	}
+	if got := zonesOf(); got["pushed"] != balancer.SameMachine || got["other"] != 0 {
+		t.Errorf("zones %v before the local upstream is known", got)
+	}
+	e.recordHeartbeat(testUpstream("local", "", registry.Ready, 2))
+	if got := zonesOf(); len(got) != 2 || got["local"] != balancer.SameMachine || got["other"] != 0 {
+		t.Errorf("zones %v", got)
+	}
+}
+
 // There is an upstream that a request can go to exactly where the balancer's list has a ready one.
 func TestHasReadyAgreesWithBalancerListing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/mesh/sidecar/listings.go
+++ b/internal/mesh/sidecar/listings.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/proxy/call"
 	"caperarch/policy"
@@ -23,8 +24,12 @@
 			return
 		}
 		id := call.ServerID(u.Instance)
+		zone := e.zones[u.Zone]
+		if u.Inbound == e.inboundAddress {
+			zone = balancer.SameMachine
+		}
 		listing.Servers = append(listing.Servers, policy.Server{
-			ID: id, Zone: e.zones[u.Zone], Cell: e.services.number(u.Service),
+			ID: id, Zone: zone, Cell: e.services.number(u.Service),
 			State: policyState(u.State), Weight: float64(u.Slots),
 		})
 		listing.Addresses[id] = u.Inbound + " " + u.Instance
