sidecar: what an outdated configuration does not allow is answered 503, not 404 or 401

A new route is unknown to it, and it says 404, which the client takes for the truth. Change: a sidecar that no core machine in contact has confirmed its configuration to for longer than configApplyS answers requests that this configuration does not allow with 503 and Retry-After. What it allows is served as before. The contact's age was kept and not acted on. The test fails on the code before (404 where 503 is wanted).

--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// noConfigRetryAfter is the Retry-After of requests that arrive before the first configuration.
-	noConfigRetryAfter = 300 * time.Millisecond
+	// configRetryAfter is the Retry-After of requests that arrive before the first configuration, and of
+	// those that the one here does not allow while a newer one may be in force.
+	configRetryAfter = 300 * time.Millisecond
 	// defaultLatencyTarget is that of a route that names none.
 	defaultLatencyTarget = time.Second
 )
@@ -29,12 +30,17 @@
 	quota       *quotaClient
 	routes      routeCache
 	callerField []string // the local service, as the header field has it
+	// contactAge is how old the configuration here may be; false: it was never confirmed. What is older
+	// than maxConfigAge, unless that is 0, may have been replaced for longer than the rules allow.
+	contactAge   func() (age time.Duration, ok bool)
+	maxConfigAge time.Duration
 }
 
 func (s *Sidecar) newOutbound() *outbound {
 	return &outbound{
 		config: &s.config, endpoints: s.endpoints, quota: s.quota,
 		callerField: []string{s.settings.Self.ServiceName},
+		contactAge:  s.watchClient.ContactAge, maxConfigAge: s.settings.Guarantees.Bounds.ConfigApply,
 	}
 }
 
@@ -75,7 +81,7 @@
 		return policy.Request{}, 0, rejection
 	}
 	snapshot := o.config.Load()
-	route, rejection := findRoute(snapshot, h)
+	route, rejection := o.findRoute(snapshot, h)
 	if rejection != nil {
 		return policy.Request{}, 0, rejection
 	}
@@ -120,15 +126,15 @@
 }
 
 // findRoute matches a request's host and path, and bounds its body.
-func findRoute(snapshot *config.Snapshot, h *h1.Head) (*config.Route, *http1.Rejection) {
+func (o *outbound) findRoute(snapshot *config.Snapshot, h *h1.Head) (*config.Route, *http1.Rejection) {
 	if snapshot.Version() == 0 {
 		return nil, rejectUntil(
-			http.StatusServiceUnavailable, "no configuration yet", noConfigRetryAfter)
+			http.StatusServiceUnavailable, "no configuration yet", configRetryAfter)
 	}
 	path, _, _ := strings.Cut(h.Target, "?")
 	route := snapshot.Match(h.Host, path)
 	if route == nil {
-		return nil, rejectAndKeep(http.StatusNotFound, "no route")
+		return nil, o.rejectUnlessOutdated(http.StatusNotFound, "no route")
 	}
 	if h.Length > snapshot.Limits().BodyBytes {
 		return nil, rejectAndClose(http.StatusRequestEntityTooLarge, "the body is too long")
@@ -136,6 +142,18 @@
 	return route, nil
 }
 
+// rejectUnlessOutdated rejects a request that the configuration here does not allow. Where a newer one may be
+// in force for too long already, as no core machine in contact has confirmed this one lately, the client is
+// to ask again: the newer one may allow it.
+func (o *outbound) rejectUnlessOutdated(status int, reason string) *http1.Rejection {
+	if o.maxConfigAge > 0 {
+		if age, confirmed := o.contactAge(); !confirmed || age > o.maxConfigAge {
+			return rejectUntil(http.StatusServiceUnavailable, "the configuration may be outdated: "+reason, configRetryAfter)
+		}
+	}
+	return rejectAndKeep(status, reason)
+}
+
 // remainingTime is how long a request may take: the lesser of its client's and its route's timeout, or
 // the default latency target where there is neither.
 func remainingTime(h *h1.Head, route *config.Route) (time.Duration, *http1.Rejection) {
@@ -167,7 +185,7 @@
 	}
 	tenant := snapshot.Tenant(h.Get(headers.Key))
 	if tenant == nil {
-		return nil, rejectAndKeep(http.StatusUnauthorized, "no such key")
+		return nil, o.rejectUnlessOutdated(http.StatusUnauthorized, "no such key")
 	}
 	if retryAfter, allowed := o.quota.allow(tenant.Name); !allowed {
 		return nil, rejectUntil(http.StatusTooManyRequests, "over the quota", retryAfter)
--- a/internal/mesh/sidecar/outbound_test.go
+++ b/internal/mesh/sidecar/outbound_test.go
@@ -171,6 +171,31 @@
 		So(rejection.Status, ShouldEqual, http.StatusServiceUnavailable)
 		So(rejection.RetryAfter, ShouldBeGreaterThan, 0)
 	})
+	Convey("What an outdated configuration does not allow is asked for again, what it allows is served", t, func() {
+		o, d := newOutbound(tenantConfig)
+		age, confirmed := time.Duration(0), true
+		o.contactAge = func() (time.Duration, bool) { return age, confirmed }
+		o.maxConfigAge = 3 * time.Second
+		noRoute, noKey := "GET /lepu270 HTTP/1.1\r\nHost: jepu9.example", attemptIDField+"X-Api-Key: 89anu6wS\r\n"
+		check := func(want404, want401 int) {
+			_, _, rejection := d.ParseRequest(parseHead(noRoute, attemptIDField+apiKeyField))
+			So(rejection.Status, ShouldEqual, want404)
+			So(rejection.RetryAfter > 0, ShouldEqual, want404 == 503)
+			_, _, rejection = d.ParseRequest(parseHead(idempotentLine, noKey))
+			So(rejection.Status, ShouldEqual, want401)
+			So(rejection.KeepAlive, ShouldBeTrue)
+			_, _, rejection = d.ParseRequest(parseHead(idempotentLine, attemptIDField+apiKeyField))
+			So(rejection, ShouldBeNil)
+		}
+		age = 3 * time.Second
+		check(404, 401)
+		age++
+		check(503, 503)
+		age, confirmed = 0, false
+		check(503, 503)
+		o.maxConfigAge = 0 // settings without the bound
+		check(404, 401)
+	})
 	Convey("Only a tenant over its quota is rejected, and told when to come back", t, func() {
 		o, d := newOutbound(tenantConfig)
 		admit := func(line, key string) *http1.Rejection {
