quota, registry: two comments follow what the constants are now

Cause: reading the change again. renewInterval's comment named a constant that is gone, TombstoneTTL's said that expired leases are forgotten by it, which is SilentRetention since. Change: comments only.

--- a/internal/mesh/quota/request_schedule.go
+++ b/internal/mesh/quota/request_schedule.go
@@ -10,7 +10,7 @@
 	// demand wasn't granted in full. It guards the leader against many sidecars under pressure, where
 	// asking sooner brings no more.
 	scarceRequestInterval = 120 * time.Millisecond
-	// renewInterval is the longest time between two requests. It is about half of allocatorFloorLease,
+	// renewInterval is the longest time between two requests. It is about half of limiterFloorLease,
 	// so that one late request doesn't cost a sidecar's share.
 	renewInterval = 250 * time.Millisecond
 	// idleInterval is the longest time between two requests where all tenants are deferred and no demand
--- a/internal/mesh/registry/table.go
+++ b/internal/mesh/registry/table.go
@@ -15,8 +15,8 @@
 	// StaleTTL is how long an upstream is kept after its last refresh ran out, so that a sidecar
 	// that is partitioned from the core isn't taken for a dead upstream.
 	StaleTTL = 20 * time.Second
-	// TombstoneTTL is how long removed instances and the sequences of expired leases are remembered,
-	// against messages that arrive late.
+	// TombstoneTTL is how long removed instances, and leases of sidecars that left, are remembered against
+	// messages that arrive late. A lease that expired is remembered for SilentRetention.
 	TombstoneTTL = 60 * time.Second
 	// SilentRetention is how long a sidecar whose lease expired, and that didn't leave in order, counts as
 	// one that may still serve: it goes on by its share of the tenants' limits while it is out of contact,
