engine, sidecar: what becomes of requests whose clients leave is counted and logged

Nothing that a sidecar wrote said that a client left, so the incident's hypotheses could not be told apart. Each engine counts such requests, their attempts in flight and those that ran on for over half a second; a sidecar logs both sides once a second while there are more.

--- a/internal/proxy/engine/engine.go
+++ b/internal/proxy/engine/engine.go
@@ -78,11 +78,12 @@
 	module      Module
 	maxAttempts int // for one request
 
-	lastID  atomic.Uint64
-	avoided atomic.Int64 // policy.Counters.Avoided
-	running atomic.Bool  // Run has applied the first list, and has not returned
-	events  chan func(now time.Duration)
-	done    chan struct{} // closed when Run returns
+	lastID    atomic.Uint64
+	avoided   atomic.Int64 // policy.Counters.Avoided
+	abandoned abandonedCounters
+	running   atomic.Bool // Run has applied the first list, and has not returned
+	events    chan func(now time.Duration)
+	done      chan struct{} // closed when Run returns
 
 	// The fields below belong to Run's goroutine.
 	appliedLimits *policy.Limits // as the module has them; nil: those of Policy
--- a/internal/proxy/engine/requests.go
+++ b/internal/proxy/engine/requests.go
@@ -9,15 +9,17 @@
 
 // request is one that has no answer yet, or whose answered attempts have not all ended.
 type request struct {
-	message     *call.Message
-	reply       chan<- call.Answer
-	deadline    time.Duration
-	attempts    []call.Attempt // by number; nil: was not sent
-	inFlight    int            // attempts without an Outcome
-	bodyClaimed bool           // an attempt streams the body, so there is no other attempt
-	finished    bool           // it has its final answer, or its client has gone
-	timedOut    bool           // its last attempt timed out: Answer.TimedOut of a failure
-	lastResult  *call.Result   // the last answer of a server that was an error
+	message      *call.Message
+	reply        chan<- call.Answer
+	deadline     time.Duration
+	attempts     []call.Attempt // by number; nil: was not sent
+	inFlight     int            // attempts without an Outcome
+	bodyClaimed  bool           // an attempt streams the body, so there is no other attempt
+	finished     bool           // it has its final answer, or its client has gone
+	clientGone   bool           // its client has gone, at clientGoneAt
+	clientGoneAt time.Duration
+	timedOut     bool         // its last attempt timed out: Answer.TimedOut of a failure
+	lastResult   *call.Result // the last answer of a server that was an error
 }
 
 // Submit accepts a request and gives it its ID, which it returns. The final answer goes to reply, which must
@@ -57,6 +59,8 @@
 func (e *Engine) ClientGone(id policy.RequestID) {
 	e.post(func(now time.Duration) {
 		if r := e.requests[id]; r != nil && !r.finished {
+			r.clientGone, r.clientGoneAt = true, now
+			e.abandoned.clientLeft(r.inFlight)
 			e.finish(id, r, nil)
 			e.module.ClientGone(now, id)
 		}
@@ -78,6 +82,9 @@
 func (e *Engine) reportOutcome(o policy.Outcome) {
 	r := e.requests[o.ID]
 	r.inFlight--
+	if r.clientGone {
+		e.abandoned.attemptEnded(e.now - r.clientGoneAt)
+	}
 	o.Finished = r.finished
 	if !r.bodyClaimed { // else bodyClaimed has reported it
 		e.module.Outcome(e.now, o)
