--- a/internal/mesh/sidecar/at_most_once_test.go
+++ b/internal/mesh/sidecar/at_most_once_test.go
@@ -79,7 +79,7 @@
 		err = m.verify(all, w)
 		sizes = make(map[string][2]int)
 		for _, kind := range []string{"client", "gate", "upstream"} {
-			sizes[kind] = m.net.bytesOfFirstLink(kind)
+			sizes[kind] = m.memory.bytesOfFirstLink(kind)
 		}
 		m.close()
 	})
--- a/internal/mesh/sidecar/memory_network_test.go
+++ b/internal/mesh/sidecar/memory_network_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"io"
 	"net"
 	"os"
@@ -57,7 +56,7 @@
 }
 
 // listen opens a listener at an address.
-func (m *memoryNetwork) listen(address string) *memoryListener {
+func (m *memoryNetwork) listen(address string) net.Listener {
 	l := &memoryListener{address: address, ready: make(chan net.Conn, 64), done: make(chan struct{})}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,10 +88,7 @@
 	return k.ends[0], nil
 }
 
-// dialer is dial as a transport wants it.
-func (m *memoryNetwork) dialer(from, kind string) func(context.Context, string) (net.Conn, error) {
-	return func(_ context.Context, address string) (net.Conn, error) { return m.dial(from, kind, address) }
-}
+func (m *memoryNetwork) inMemory() bool { return true }
 
 // bytesOfFirstLink is how many bytes passed on the first connection of a kind, by direction.
 func (m *memoryNetwork) bytesOfFirstLink(kind string) [2]int {
--- a/internal/mesh/sidecar/mesh_test.go
+++ b/internal/mesh/sidecar/mesh_test.go
@@ -39,13 +39,25 @@
 		"targetLatencyS":1,"serviceName":"s","maxAttempts":2}},
 	{"resourceType":"services","metadata":{"name":"s"},"specification":{}}]}`
 
-// mesh is a caller's sidecar and two gates with an upstream each, in memory.
+// network is what a mesh's processes reach each other by. Addresses are names.
+type network interface {
+	listen(address string) net.Listener
+	dial(from, kind, address string) (net.Conn, error)
+	// inMemory says that connections are no sockets.
+	inMemory() bool
+	close()
+}
+
+// mesh is a caller's sidecar and two gates with an upstream each.
 type mesh struct {
 	t           *testing.T
-	net         *memoryNetwork
+	net         network
+	memory      *memoryNetwork // the same, where it is in memory
+	config      string         // that the caller's sidecar has
 	stop        context.CancelFunc
 	transports  []*http1.Transport
 	gates       []*inbound
+	engines     []*engine.Engine // of the gates, and last the caller's
 	upstreamLog struct {
 		sync.Mutex
 		executions, arrivals map[string]int
@@ -71,7 +83,8 @@
 // many bytes of request bodies.
 func newMesh(t *testing.T, p faultPlan, upstreams upstreamBehavior, bodyBytes int64) *mesh {
 	t.Helper()
-	m := &mesh{t: t, net: &memoryNetwork{plan: p}, upstreams: upstreams}
+	memory := &memoryNetwork{plan: p}
+	m := &mesh{t: t, net: memory, memory: memory, config: onceConfig, upstreams: upstreams}
 	if m.upstreams == nil {
 		m.upstreams = func(_, id string, _ int) (bool, string, bool) { return true, successOf(id), true }
 	}
@@ -111,6 +124,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	m.engines = append(m.engines, e)
 	go e.Run(ctx, call.ServerList{})
 	return e
 }
@@ -125,7 +139,7 @@
 	front := fronthttp1.New(fronthttp1.Config{
 		Route:   fronthttp1.RouteTo(&fronthttp1.Target{Engine: e, MaxBodyBytes: bodyBytes}),
 		Dialect: d, ConnLimits: fronthttp1.NewConnLimits(100, 100),
-		Log: slog.New(slog.DiscardHandler), InMemory: true,
+		Log: slog.New(slog.DiscardHandler), InMemory: m.net.inMemory(),
 	}, clock.New())
 	listener := m.net.listen(address)
 	go front.Serve(listener)
@@ -134,7 +148,9 @@
 func (m *mesh) transport(from, kind string, d *http1.Dialect) *http1.Transport {
 	transport := http1.New(http1.Config{
 		Clock: clock.New(), DialTimeout: dialTimeout, IdleTimeout: time.Minute, MaxConns: 100, Dialect: d,
-		Dial: m.net.dialer(from, kind),
+		Dial: func(_ context.Context, address string) (net.Conn, error) {
+			return m.net.dial(from, kind, address)
+		},
 	})
 	m.transports = append(m.transports, transport)
 	return transport
@@ -148,7 +164,7 @@
 		endpoints: newEndpoints([]string{"z"}, "caller"),
 	}
 	s.settings.Self.ServiceName = "s"
-	change, err := config.ParseReplace([]byte(onceConfig))
+	change, err := config.ParseReplace([]byte(m.config))
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/internal/proxy/front/http1/fake_engine_test.go
+++ b/internal/proxy/front/http1/fake_engine_test.go
@@ -43,6 +43,7 @@
 	submitted chan submittedRequest
 	gone      chan policy.RequestID
 	served    chan error
+	onGone    func() // called when a request is reported gone; nil: nothing is
 
 	mu            sync.Mutex
 	last          policy.RequestID
@@ -59,8 +60,14 @@
 	return d.last
 }
 
-func (d *fakeEngine) ClientGone(id policy.RequestID) { d.gone <- id }
-func (d *fakeEngine) Done() <-chan struct{}          { return nil }
+func (d *fakeEngine) ClientGone(id policy.RequestID) {
+	if d.onGone != nil {
+		d.onGone()
+	}
+	d.gone <- id
+}
+
+func (d *fakeEngine) Done() <-chan struct{} { return nil }
 
 // dialect has /safe/... be idempotent and /over/... be over a quota.
 func (d *fakeEngine) dialect() *Dialect {
