gate: the attempts of idempotent requests whose callers left are cancelled

The gate cancels what is idempotent; what must not run twice is finished. A cancelled attempt ends our side of its connection and keeps its slot until the upstream has ended it. The service time of one that was cancelled counts only where it raises the mean. The tests' mesh has the product's own wiring.

--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -8,7 +8,8 @@
 //   - there are never more attempts in flight than the upstream has slots;
 //   - nothing is sent to an upstream that drains or is deregistered;
 //   - each request has one attempt at most and one answer;
-//   - a request that can't start in time is rejected while its caller can still go elsewhere.
+//   - a request that can't start in time is rejected while its caller can still go elsewhere;
+//   - no attempt of an idempotent request goes on once its caller has left.
 //
 // A Gate has no goroutines, no clock and no I/O. One goroutine drives it, as policy.Balancer says;
 // only Load, MeanServiceTime and the AttemptLog may be used from others.
@@ -118,12 +119,17 @@
 	g.endEvent(now)
 }
 
-// ClientGone removes a request from the queue whose caller has left. What runs keeps its slot until
-// it ends, as the upstream still works on it.
+// ClientGone handles that the caller of a request has left: nobody is left to read its answer. One that
+// is queued is removed, and an attempt that may be cancelled is. It keeps its slot until its Outcome, as
+// the upstream may still work on it.
 func (g *Gate) ClientGone(now time.Duration, id policy.RequestID) {
-	if r := g.requests[id]; r != nil && !r.sent {
+	switch r := g.requests[id]; {
+	case r == nil:
+	case !r.sent:
 		g.recordPhase(r, rejected)
 		g.removeQueued(r)
+	case r.mayCancel:
+		g.host.Cancel(id, 0)
 	}
 	g.advance(now)
 	g.endEvent(now)
--- a/internal/mesh/gate/harness_test.go
+++ b/internal/mesh/gate/harness_test.go
@@ -44,6 +44,10 @@
 	h.onAnswer(id)
 }
 
+func (h *harness) Cancel(id policy.RequestID, attempt int) {
+	h.Log(fmt.Sprintf("cancel %d, attempt %d", id, attempt))
+}
+
 func (h *harness) Wake(d time.Duration) { h.wakes = append(h.wakes, h.now+d) }
 func (h *harness) Log(line string)      { h.decisions = append(h.decisions, line) }
 
@@ -66,6 +70,17 @@
 	}, remaining)
 }
 
+// idempotentRequest has an idempotent request arrive.
+func (h *harness) idempotentRequest(id policy.RequestID, remaining time.Duration) []string {
+	return h.requestWithTerms(id, &AttemptTerms{Priority: defaultPriority, Idempotent: true}, remaining)
+}
+
+// leave has the caller of a request leave.
+func (h *harness) leave(id policy.RequestID) []string {
+	h.gate.ClientGone(h.now, id)
+	return h.takeDecisions()
+}
+
 // requestWithTerms has a request arrive.
 func (h *harness) requestWithTerms(
 	id policy.RequestID, terms *AttemptTerms, remaining time.Duration,
--- a/internal/mesh/gate/health.go
+++ b/internal/mesh/gate/health.go
@@ -51,12 +51,25 @@
 		}
 	case policy.NoConnection:
 		h.recordConnectFailure(now, r)
+	case policy.Cancelled:
+		h.recordCancelled(r.priority, now-r.sentAt)
 	default: // it was in a slot that long
 		updateMean(&h.meanService, now-r.sentAt)
 		updateMean(&h.meanByPriority[r.priority], now-r.sentAt)
 	}
 }
 
+// recordCancelled records an attempt that was cancelled after a time. It would have taken longer, so it
+// only counts where it raises a mean: callers that leave early must not make the upstream look fast.
+func (h *health) recordCancelled(priority int, after time.Duration) {
+	if after > h.meanService {
+		updateMean(&h.meanService, after)
+	}
+	if after > h.meanByPriority[priority] {
+		updateMean(&h.meanByPriority[priority], after)
+	}
+}
+
 // updateMean adds a service time to a moving mean.
 func updateMean(mean *time.Duration, took time.Duration) {
 	if *mean == 0 {
--- a/internal/mesh/gate/random_test.go
+++ b/internal/mesh/gate/random_test.go
@@ -26,6 +26,7 @@
 	inFlightBefore []policy.RequestID // at the upstreams before it
 	waitDeadlines  map[policy.RequestID]time.Duration
 	highest        map[policy.RequestID]bool // of the highest priority
+	idempotent     map[policy.RequestID]bool
 	answered       map[policy.RequestID]bool
 }
 
@@ -37,6 +38,7 @@
 		t: t, h: newHarness(3), slots: 3, upstream: 1, ready: true,
 		waitDeadlines: map[policy.RequestID]time.Duration{},
 		highest:       map[policy.RequestID]bool{},
+		idempotent:    map[policy.RequestID]bool{},
 		answered:      map[policy.RequestID]bool{},
 	}
 	tr.h.onAnswer = tr.recordAnswer
@@ -124,13 +126,22 @@
 	tr.h.list(policy.ListDelta, tr.upstream, policy.Ready, float64(tr.slots))
 }
 
-// leave has the caller of one of the last requests leave.
+// leave has the caller of one of the last requests leave. Its attempt is cancelled if it is idempotent and
+// in flight, and no other is.
 func (tr *gateTrace) leave() {
 	back := policy.RequestID(rapid.IntRange(0, 9).Draw(tr.t, "back"))
 	id := tr.last - min(tr.last-1, back)
+	inFlight := slices.Contains(tr.inFlight, id) || slices.Contains(tr.inFlightBefore, id)
 	tr.answered[id] = true
 	delete(tr.waitDeadlines, id)
-	tr.h.gate.ClientGone(tr.h.now, id)
+	tr.h.takeDecisions()
+	cancelled := slices.ContainsFunc(tr.h.leave(id), func(decision string) bool {
+		return strings.HasPrefix(decision, "cancel")
+	})
+	if cancelled != (inFlight && tr.idempotent[id]) {
+		tr.t.Fatalf("request %d, in flight %v, idempotent %v: cancelled %v",
+			id, inFlight, tr.idempotent[id], cancelled)
+	}
 }
 
 // request has a request arrive. It may wait for a quarter of its time, an internal check for half.
@@ -144,6 +155,10 @@
 		tr.highest[tr.last] = true
 	}
 	tr.waitDeadlines[tr.last] = tr.h.now + wait
+	if tr.idempotent[tr.last] = rapid.Bool().Draw(tr.t, "idempotent"); tr.idempotent[tr.last] {
+		tr.h.requestWithTerms(tr.last, &AttemptTerms{Priority: priority, Idempotent: true}, remaining)
+		return
+	}
 	tr.h.request(tr.last, priority, remaining, 0)
 }
 
--- a/internal/mesh/gate/request.go
+++ b/internal/mesh/gate/request.go
@@ -37,6 +37,7 @@
 	startBy   time.Duration // rejected if it is still queued then
 	deadline  time.Duration
 	terms     *AttemptTerms // nil: it brought none
+	mayCancel bool          // see MayCancel
 
 	sent     bool
 	sentAt   time.Duration   // if sent
@@ -46,7 +47,7 @@
 // newRequest is a request that arrives now.
 func newRequest(now time.Duration, q policy.Request) *request {
 	remaining := min(q.TimeLeft, maxRemaining)
-	r := &request{id: q.ID, priority: defaultPriority, arrivedAt: now, deadline: now + remaining}
+	r := &request{id: q.ID, priority: defaultPriority, arrivedAt: now, deadline: now + remaining, mayCancel: MayCancel(q)}
 	latencyTarget := remaining
 	r.terms, _ = q.Terms.(*AttemptTerms)
 	if r.terms != nil {
@@ -64,3 +65,11 @@
 
 // runsOnce reports whether a request must not run twice.
 func (r *request) runsOnce() bool { return r.terms != nil && !r.terms.Idempotent }
+
+// MayCancel reports whether the attempt of a request may be cancelled once its caller has left: that of
+// one that is known to be idempotent. What must not run twice is finished once it has begun, or nobody
+// could tell what became of it.
+func MayCancel(q policy.Request) bool {
+	terms, _ := q.Terms.(*AttemptTerms)
+	return terms != nil && terms.Idempotent
+}
--- a/internal/mesh/sidecar/abandoned_test.go
+++ b/internal/mesh/sidecar/abandoned_test.go
@@ -13,6 +13,7 @@
 
 	"caperarch/internal/lab/testbed"
 	"caperarch/internal/mesh/headers"
+	"caperarch/internal/proxy/call"
 )
 
 // socketNetwork is the loopback interface: only on sockets a process is told that its peer has left.
@@ -151,11 +152,15 @@
 	return all
 }
 
-const (
-	readRequest  = "GET /read/ HTTP/1.1\r\nHost: h\r\n%s\r\n"
-	postToRead   = "POST /read/ HTTP/1.1\r\nHost: h\r\n%sContent-Length: 2\r\n\r\nok"
-	writeRequest = "POST /write/ HTTP/1.1\r\nHost: h\r\n%sContent-Length: 2\r\n\r\nok"
-)
+// readRequest is an idempotent request, where its id field is to be set.
+const readRequest = "GET /read/ HTTP/1.1\r\nHost: h\r\n%s\r\n"
+
+// postTo is a request with a body of a length, where its id field is to be set. Over call.MaxBufferedBody
+// bytes it is streamed.
+func postTo(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%%sContent-Length: %d\r\n\r\n%s",
+		path, length, strings.Repeat("x", length))
+}
 
 // Upstreams are told when the client of an idempotent request leaves, however it does: their connection
 // ends, so that they can drop the request. Nobody is left to read its answer.
@@ -175,7 +180,8 @@
 		"closes its connection":       {1, readRequest, closeConn},
 		"resets its connection":       {1, readRequest, reset},
 		"ends its side":               {1, readRequest, (*net.TCPConn).CloseWrite},
-		"had sent a body":             {1, postToRead, closeConn},
+		"had sent a body":             {1, postTo("/read/", 2), closeConn},
+		"had sent a long body":        {1, postTo("/read/", 2*call.MaxBufferedBody), closeConn},
 		"had sent several at once":    {3, readRequest, closeConn},
 		"resets several sent at once": {3, readRequest, reset},
 	} {
@@ -197,15 +203,19 @@
 
 // A request that must not run twice goes on when its client leaves: what it has begun is finished.
 func TestNonIdempotentRunOutlivesItsClient(t *testing.T) {
-	m := newSocketMesh(t)
-	c := m.dialCaller()
-	held := m.sendRequests(c, 1, writeRequest)[0]
-	c.Close()
-	testbed.Until(t, "its gate knows that the caller has left", func() bool {
-		return m.engines[0].Abandoned().Requests+m.engines[1].Abandoned().Requests == 1
-	})
-	close(held.answer)
-	if err := testbed.Wait(t, "the answer", held.ended); err != nil {
-		t.Errorf("the upstream's connection ended while it worked: %v", err)
+	for name, length := range map[string]int{"short body": 2, "long body": 2 * call.MaxBufferedBody} {
+		t.Run(name, func(t *testing.T) {
+			m := newSocketMesh(t)
+			c := m.dialCaller()
+			held := m.sendRequests(c, 1, postTo("/write/", length))[0]
+			c.Close()
+			testbed.Until(t, "its gate knows that the caller has left", func() bool {
+				return m.engines[0].Abandoned().Requests+m.engines[1].Abandoned().Requests == 1
+			})
+			close(held.answer)
+			if err := testbed.Wait(t, "the answer", held.ended); err != nil {
+				t.Errorf("the upstream's connection ended while it worked: %v", err)
+			}
+		})
 	}
 }
--- a/internal/mesh/sidecar/engines.go
+++ b/internal/mesh/sidecar/engines.go
@@ -11,6 +11,7 @@
 	"caperarch/internal/mesh/headers"
 	"caperarch/internal/mesh/logring"
 	"caperarch/internal/proxy/call"
+	"caperarch/internal/proxy/clock"
 	"caperarch/internal/proxy/engine"
 	"caperarch/internal/proxy/h1"
 	"caperarch/internal/proxy/transport/http1"
@@ -50,36 +51,67 @@
 
 // newBalancerEngine makes the engine that sends this machine's requests to gates.
 func (s *Sidecar) newBalancerEngine() (*engine.Engine, error) {
-	transport := http1.New(http1.Config{
-		Clock: s.clock, DialTimeout: dialTimeout, IdleTimeout: gateConnIdle,
-		MaxConns: s.connectionFiles() / 4, ReuseDelay: -1, UserTimeout: gateUserTimeout, Dialect: gateDialect(),
-	})
-	cfg := balancer.Config{
+	transport := gateTransportConfig(s.clock)
+	transport.MaxConns = s.connectionFiles() / 4
+	return engine.New(s.withIdentity(balancerEngineConfig(http1.New(transport), balancer.Config{
 		Zone: s.endpoints.zones[s.settings.Self.Zone], Members: s.sidecarCount, RetryBudget: s.quota,
+	})))
+}
+
+// newGateEngine makes the engine that sends admitted requests to the upstream beside the sidecar.
+func (s *Sidecar) newGateEngine() (*engine.Engine, error) {
+	transport := s.inbound.upstreamTransportConfig()
+	transport.MaxConns = s.connectionFiles() / 8
+	return engine.New(s.withIdentity(s.inbound.gateEngineConfig(http1.New(transport))))
+}
+
+// withIdentity completes an engine's configuration by what is this sidecar's own.
+func (s *Sidecar) withIdentity(cfg engine.Config) engine.Config {
+	cfg.Seed, cfg.Clock, cfg.Log = s.engineSeed(), s.clock, logring.NewSlog(s.log)
+	return cfg
+}
+
+// gateTransportConfig is how gates are reached.
+func gateTransportConfig(clk clock.Clock) http1.Config {
+	return http1.Config{
+		Clock: clk, DialTimeout: dialTimeout, IdleTimeout: gateConnIdle, ReuseDelay: -1,
+		UserTimeout: gateUserTimeout, Dialect: gateDialect(),
 	}
-	return engine.New(engine.Config{
-		Policy: policy.Config{MaxAttempts: maxSends}, Seed: s.engineSeed(), Clock: s.clock,
-		Transport: gateTransport{transport}, Log: logring.NewSlog(s.log), NoCounterLog: true, SleepsWhenIdle: true,
+}
+
+// balancerEngineConfig is that of an engine that sends to gates; see withIdentity for the rest.
+func balancerEngineConfig(transport *http1.Transport, cfg balancer.Config) engine.Config {
+	return engine.Config{
+		Policy: policy.Config{MaxAttempts: maxSends}, Transport: gateTransport{transport},
+		NoCounterLog: true, SleepsWhenIdle: true,
+		// The gate is told by the end of the connection, and decides what becomes of the request.
+		CancelAbandonedUpload: func(policy.Request) bool { return true },
 		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
 			return balancer.New(cfg, host), nil
 		},
-	})
+	}
 }
 
-// newGateEngine makes the engine that sends admitted requests to the upstream beside the sidecar.
-func (s *Sidecar) newGateEngine() (*engine.Engine, error) {
-	transport := http1.New(http1.Config{
-		Clock: s.clock, DialTimeout: dialTimeout, IdleTimeout: upstreamConnIdle,
-		MaxConns: s.connectionFiles() / 8, Dialect: s.inbound.upstreamDialect(),
-	})
-	return engine.New(engine.Config{
-		Policy: policy.Config{MaxAttempts: 1}, Seed: s.engineSeed(), Clock: s.clock,
-		Transport: transport, Log: logring.NewSlog(s.log), NoCounterLog: true, SleepsWhenIdle: true,
+// upstreamTransportConfig is how the local upstream is reached. An attempt that is cancelled keeps its
+// slot at the gate until the upstream has ended it.
+func (i *inbound) upstreamTransportConfig() http1.Config {
+	return http1.Config{
+		Clock: i.clock, DialTimeout: dialTimeout, IdleTimeout: upstreamConnIdle,
+		Dialect: i.upstreamDialect(), AwaitCancelled: true,
+	}
+}
+
+// gateEngineConfig is that of an engine with a gate, which becomes the inbound's; see withIdentity for
+// the rest.
+func (i *inbound) gateEngineConfig(transport *http1.Transport) engine.Config {
+	return engine.Config{
+		Policy: policy.Config{MaxAttempts: 1}, Transport: transport, NoCounterLog: true, SleepsWhenIdle: true,
+		CancelAbandonedUpload: gate.MayCancel,
 		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
-			s.inbound.gate = gate.New(host)
-			return s.inbound.gate, nil
+			i.gate = gate.New(host)
+			return i.gate, nil
 		},
-	})
+	}
 }
 
 // engineSeed is a hash of the node's name: sidecars differ, and restarts don't.
--- a/internal/mesh/sidecar/mesh_test.go
+++ b/internal/mesh/sidecar/mesh_test.go
@@ -15,7 +15,6 @@
 
 	"caperarch/internal/mesh/balancer"
 	"caperarch/internal/mesh/config"
-	"caperarch/internal/mesh/gate"
 	"caperarch/internal/mesh/headers"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/settings"
@@ -110,17 +109,10 @@
 }
 
 // startEngine runs an engine until ctx ends.
-func (m *mesh) startEngine(
-	ctx context.Context, tr call.Transport, attempts int, module func(policy.Host) engine.Module,
-) *engine.Engine {
+func (m *mesh) startEngine(ctx context.Context, cfg engine.Config) *engine.Engine {
 	m.t.Helper()
-	e, err := engine.New(engine.Config{
-		Policy: policy.Config{MaxAttempts: attempts}, Clock: clock.New(), Transport: tr,
-		Log: slog.New(slog.DiscardHandler), NoCounterLog: true, SleepsWhenIdle: true,
-		Module: func(_ policy.Config, _ uint64, host policy.Host) (engine.Module, error) {
-			return module(host), nil
-		},
-	})
+	cfg.Clock, cfg.Log = clock.New(), slog.New(slog.DiscardHandler)
+	e, err := engine.New(cfg)
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -145,13 +137,13 @@
 	go front.Serve(listener)
 }
 
-func (m *mesh) transport(from, kind string, d *http1.Dialect) *http1.Transport {
-	transport := http1.New(http1.Config{
-		Clock: clock.New(), DialTimeout: dialTimeout, IdleTimeout: time.Minute, MaxConns: 100, Dialect: d,
-		Dial: func(_ context.Context, address string) (net.Conn, error) {
-			return m.net.dial(from, kind, address)
-		},
-	})
+// transport connects a process to what a kind of connection leads to.
+func (m *mesh) transport(from, kind string, cfg http1.Config) *http1.Transport {
+	cfg.MaxConns, cfg.IdleTimeout = 100, time.Minute
+	cfg.Dial = func(_ context.Context, address string) (net.Conn, error) {
+		return m.net.dial(from, kind, address)
+	}
+	transport := http1.New(cfg)
 	m.transports = append(m.transports, transport)
 	return transport
 }
@@ -184,10 +176,8 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	toGates := gateTransport{m.transport("caller", "gate", gateDialect())}
-	e := m.startEngine(ctx, toGates, maxSends, func(host policy.Host) engine.Module {
-		return balancer.New(balancer.Config{Members: one, RetryBudget: s.quota}, host)
-	})
+	toGates := m.transport("caller", "gate", gateTransportConfig(clock.New()))
+	e := m.startEngine(ctx, balancerEngineConfig(toGates, balancer.Config{Members: one, RetryBudget: s.quota}))
 	s.endpoints.apply(true, []registry.Upstream{
 		{Instance: "i-1", Service: "s", Inbound: "gate1", Zone: "z", Slots: 4},
 		{Instance: "i-2", Service: "s", Inbound: "gate2", Zone: "z", Slots: 4},
@@ -202,11 +192,8 @@
 	in := &inbound{clock: clock.New()}
 	instance := "i-" + address[len("gate"):]
 	in.instance.Store(&instance)
-	toUpstream := m.transport(address, "upstream", in.upstreamDialect())
-	e := m.startEngine(ctx, toUpstream, 1, func(host policy.Host) engine.Module {
-		in.gate = gate.New(host)
-		return in.gate
-	})
+	toUpstream := m.transport(address, "upstream", in.upstreamTransportConfig())
+	e := m.startEngine(ctx, in.gateEngineConfig(toUpstream))
 	id := call.ServerID(instance)
 	e.UpdateServers(call.ServerList{
 		Full:      true,
--- a/internal/proxy/engine/engine.go
+++ b/internal/proxy/engine/engine.go
@@ -43,6 +43,10 @@
 	// AttemptEnded is called with the end of each attempt, and must not block; nil: not called.
 	AttemptEnded func(to policy.ServerID, end policy.Ending)
 
+	// CancelAbandonedUpload says whether the attempt that streams a request's body is cancelled when the
+	// request's client goes: the module has no say in it any more. nil: it is not.
+	CancelAbandonedUpload func(q policy.Request) bool
+
 	// Limits returns the limits that apply now; nil: those of Policy, for good. It is called before each
 	// event, so that a process that was stopped learns of a change before it decides anything, and must
 	// first hand over whatever else has to be applied by then. The value it returns must not change: the
--- a/internal/proxy/engine/requests.go
+++ b/internal/proxy/engine/requests.go
@@ -9,6 +9,7 @@
 
 // request is one that has no answer yet, or whose answered attempts have not all ended.
 type request struct {
+	policy       policy.Request // as the module has it
 	message      *call.Message
 	reply        chan<- call.Answer
 	deadline     time.Duration
@@ -33,7 +34,7 @@
 	}
 	e.post(func(now time.Duration) {
 		q.TimeLeft = deadline - now
-		e.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
+		e.requests[q.ID] = &request{policy: q, message: m, deadline: deadline, reply: reply}
 		e.module.Request(now, q)
 	})
 	return q.ID
@@ -63,10 +64,22 @@
 			e.abandoned.clientLeft(r.inFlight)
 			e.finish(id, r, nil)
 			e.module.ClientGone(now, id)
+			e.cancelAbandonedUpload(r)
 		}
 	})
 }
 
+// cancelAbandonedUpload cancels the attempt that streams a request's body, if the configuration says so. Its
+// client has gone.
+func (e *Engine) cancelAbandonedUpload(r *request) {
+	if !r.bodyClaimed || e.CancelAbandonedUpload == nil || !e.CancelAbandonedUpload(r.policy) {
+		return
+	}
+	if attempt := r.attempts[len(r.attempts)-1]; attempt != nil {
+		attempt.Cancel()
+	}
+}
+
 // finish ends a request with its one answer, or with none (nil) where the client has gone.
 func (e *Engine) finish(id policy.RequestID, r *request, a *call.Answer) {
 	r.finished = true
--- a/internal/proxy/transport/http1/roundtrip.go
+++ b/internal/proxy/transport/http1/roundtrip.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, nil, unsentEnding(x, err)
 	}
-	if !x.setCancelFunc(func() { c.Conn.Close() }) { // cancelled in the meantime: nothing may go out any more
+	if !x.setCancelFunc(func() { t.cancelOn(c) }) { // cancelled in the meantime: nothing may go out any more
 		t.keepIdle(to, c)
 		return nil, nil, policy.Cancelled
 	}
@@ -103,6 +103,16 @@
 	return nil, nil, policy.ConnectionLost // or malformed: it may have run
 }
 
+// cancelOn ends the exchange on a connection, as Config.AwaitCancelled says.
+func (t *Transport) cancelOn(c *conn) {
+	if t.awaitCancelled && !t.closing.Load() {
+		if side, ok := c.Conn.(interface{ CloseWrite() error }); ok && side.CloseWrite() == nil {
+			return
+		}
+	}
+	c.Conn.Close()
+}
+
 // readEarlyResponse reads the response of a server that does not want the rest of an upload, which says why.
 func (t *Transport) readEarlyResponse(
 	x *exchange, c *conn, m *call.Message, until time.Duration,
--- a/internal/proxy/transport/http1/transport.go
+++ b/internal/proxy/transport/http1/transport.go
@@ -39,6 +39,10 @@
 	Dialect          *Dialect      // nil: the daemon's own
 	ReuseDelay       time.Duration // a connection is idle so long before reuse; 0: defaultReuseDelay, negative: none
 	UserTimeout      time.Duration // TCP_USER_TIMEOUT: connections without an acknowledgement break; 0: the system's
+	// AwaitCancelled has a cancelled attempt last until its server has ended it: Cancel ends our side of the
+	// connection, which tells the server, and the result follows when the server ends its own side, answers all the
+	// same, or the attempt times out. Until then the server may be at work on it. false: Cancel closes the connection.
+	AwaitCancelled bool
 
 	// Dial opens connections in place of the system's own dialer, in memory for instance; nil: the system's. On a
 	// connection that is no socket nothing can be seen without reading it, so what came while it was idle is found
@@ -60,7 +64,9 @@
 	userTimeout      time.Duration
 	dial             func(ctx context.Context, address string) (net.Conn, error)
 	onRequestWritten func()
+	awaitCancelled   bool
 
+	closing    atomic.Bool    // Close was called: Cancel closes connections whatever awaitCancelled says
 	running    sync.WaitGroup // exchanges
 	connsBreak atomic.Bool    // connections break so often that writeRequest keeps the last byte back
 
@@ -102,6 +108,7 @@
 		userTimeout:      cfg.UserTimeout,
 		dial:             cfg.Dial,
 		onRequestWritten: cfg.OnRequestWritten,
+		awaitCancelled:   cfg.AwaitCancelled,
 		maxConns:         cfg.MaxConns,
 		idle:             make(map[*host][]*conn),
 		exchanges:        make(map[*exchange]struct{}),
@@ -121,6 +128,7 @@
 // Close cancels what is under way, closes all connections and returns when nothing of it is left. Nothing may be sent
 // by then or later.
 func (t *Transport) Close() {
+	t.closing.Store(true)
 	t.mu.Lock()
 	t.closed = true
 	exchanges := slices.Collect(maps.Keys(t.exchanges))
