front/http1: a client that leaves is noticed behind unread requests, and before forwarding

Now what came before the end is read first; a reset counts as gone whatever is unread; a request whose client left before it was forwarded is not forwarded; and a streamed reply that crosses the hangup is closed, also where requests are not pipelined (its server's connection stayed in use for good).

--- a/internal/proxy/front/http1/conn.go
+++ b/internal/proxy/front/http1/conn.go
@@ -47,6 +47,7 @@
 	dataArrived          chan struct{} // has an item if notifyOnData and bytes may have come; nil: never pipelines
 	notifyOnData         bool          // the watcher reports bytes, not only a hangup
 	mayHaveUnread        bool          // bytes may be in the kernel's buffer
+	sawReset             bool          // a look for such bytes found a reset, which the system reports once
 	firstReadWaited      bool          // the first bytes of a request were not there yet when they were looked for
 	unpipelinedResponses int           // responses in a row that no request had come behind
 
@@ -152,13 +153,55 @@
 // signalHangup reports that the client may have ended its side. The watcher calls it.
 func (c *conn) signalHangup() { c.hangupOnce.Do(func() { close(c.hangup) }) }
 
-// clientGone checks whether a client that may have gone has: it reset the connection, or ended its side and nothing
-// unread is left.
-func (c *conn) clientGone() bool {
-	gone := true
+// clientState is what a connection shows of its client.
+type clientState int
+
+const (
+	clientPresent   clientState = iota // or it has sent what is not read yet
+	clientEndedSide                    // it sends nothing more, and may still read
+	clientReset                        // it neither sends nor reads any more
+)
+
+// clientState returns the state of a client that may have gone.
+func (c *conn) clientState() clientState {
+	if c.sawReset {
+		return clientReset
+	}
+	state := clientReset
 	err := c.rawConn.Control(func(fd uintptr) {
 		n, err := stream.Peek(fd)
-		gone = n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		switch {
+		case n > 0, errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+			state = clientPresent
+		case err == nil:
+			state = clientEndedSide
+		}
 	})
-	return err != nil || gone
+	if err != nil {
+		return clientReset
+	}
+	return state
+}
+
+// clientGone returns whether a client that may have gone has: it reset the connection, or ended its side with all that
+// it sent read. Where a further request, or a part of one, is unread it still waits for the responses before that.
+func (c *conn) clientGone() bool {
+	switch c.clientState() {
+	case clientReset:
+		return true
+	case clientEndedSide:
+		return c.unreadStart == c.unreadEnd
+	}
+	return false
+}
+
+// leftAlready returns whether the client of a request that was not forwarded yet has gone. It costs nothing while the
+// watcher has told of no hangup.
+func (c *conn) leftAlready() bool {
+	select {
+	case <-c.hangup:
+		return c.clientGone()
+	default:
+		return false
+	}
 }
--- a/internal/proxy/front/http1/pipelining.go
+++ b/internal/proxy/front/http1/pipelining.go
@@ -165,6 +165,7 @@
 		var err error
 		for n, err = syscall.Read(int(fd), free); errors.Is(err, syscall.EINTR); n, err = syscall.Read(int(fd), free) {
 		}
+		c.sawReset = c.sawReset || errors.Is(err, syscall.ECONNRESET)
 	})
 	c.mayHaveUnread = n == len(free) // otherwise that was all, and the watcher reports what comes later
 	c.unreadEnd += max(n, 0)
--- a/internal/proxy/front/http1/request.go
+++ b/internal/proxy/front/http1/request.go
@@ -117,6 +117,9 @@
 	if !pending.reserve(c.front) {
 		return c.rejectOverload(body)
 	}
+	if body == nil && c.leftAlready() {
+		return false
+	}
 	pending.reply = make(chan call.Answer, 1)
 	c.pipelinable = c.canPipeline(head, &request)
 	c.releasePermit()
@@ -136,11 +139,12 @@
 				hangup = c.hangup // the input that kept it from being taken for gone may have been read by now
 			}
 		case <-hangup:
-			if c.unreadStart == c.unreadEnd && c.clientGone() { // nobody is left to respond to
+			c.mayHaveUnread = true // what came before the end may not have been reported
+			c.readPipelined()
+			if c.clientGone() { // nobody is left to respond to
 				pending.target.Engine.ClientGone(pending.id)
-				if c.pipelinable { // its reply may have been here before its turn
-					discardReplies([]chan call.Answer{pending.reply})
-				}
+				// Its reply may have been here before its turn, or cross this.
+				discardReplies([]chan call.Answer{pending.reply})
 				return false
 			}
 			hangup = nil // more requests came before the end: the client still waits for their responses
--- a/internal/proxy/front/http1/stream_response.go
+++ b/internal/proxy/front/http1/stream_response.go
@@ -85,7 +85,9 @@
 	for hangup := c.hangup; ; {
 		select {
 		case <-hangup:
-			if c.clientGone() {
+			c.mayHaveUnread = true // what came before the end may not have been reported
+			c.readPipelined()
+			if c.clientState() != clientPresent {
 				body.Close()
 				return
 			}
