--- a/internal/mesh/sidecar/drain_test.go
+++ b/internal/mesh/sidecar/drain_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	fronthttp1 "caperarch/internal/proxy/front/http1"
 )
 
 // A process that is asked to stop ends within its grace period, and uses most of a usual one.
@@ -19,3 +21,15 @@
 		t.Errorf("of 6s: linger %v and longest %v, want 4.5s together", linger, longest)
 	}
 }
+
+// What is in flight is not cut before the last sixth of the grace period, whatever that is: a request that
+// was sent before the stop, or soon after it, has that long.
+func TestDrainIsNotCutBeforeLastSixth(t *testing.T) {
+	for grace := 2 * time.Second; grace <= 2*time.Minute; grace += 100 * time.Millisecond {
+		linger, longest := drainTimes(grace)
+		cut := (linger + longest + fronthttp1.DrainMargin).Round(time.Millisecond)
+		if lastSixth := (grace - grace/6).Round(time.Millisecond); cut < lastSixth {
+			t.Errorf("of %v: requests are cut after %v", grace, cut)
+		}
+	}
+}
--- a/internal/proxy/front/http1/drain.go
+++ b/internal/proxy/front/http1/drain.go
@@ -10,9 +10,11 @@
 	defaultDrainLinger = 500 * time.Millisecond // connections are still accepted for so long
 	drainMinIdle       = 250 * time.Millisecond // a connection used so lately is likely to be used again meanwhile
 	drainPollInterval  = 50 * time.Millisecond  // between two looks at idle connections
-	drainMargin        = 600 * time.Millisecond // how much longer than the longest deadline a drain may take
 )
 
+// DrainMargin is how much longer than Config.Linger and Config.MaxDeadline a drain may take.
+const DrainMargin = 600 * time.Millisecond
+
 // Drain ends the service without losing a request. Clients still connect for a while, and send on the connections that
 // they have: so the listener stays open at first, and every connection closes with its next response, or at once if it
 // is idle (a request that crosses this is sent again on a new one). It returns context.DeadlineExceeded if requests are
@@ -29,7 +31,7 @@
 		a.closeIdle(drainMinIdle)
 	}
 	err := a.close()
-	for end := time.After(f.cfg.MaxDeadline + drainMargin); ; {
+	for end := time.After(f.cfg.MaxDeadline + DrainMargin); ; {
 		a.closeIdle(0)
 		if a.counters().Open == 0 {
 			break
