--- a/cmd/measure/soak_client.go
+++ b/cmd/measure/soak_client.go
@@ -22,6 +22,8 @@
 	soakRedialPause = 20 * time.Millisecond
 	// soakPause is the mean pause of a client between two requests.
 	soakPause = 40 * time.Millisecond
+	// soakLongShare of the requests of clients that wait are long, one in so many: some outlast their time-out.
+	soakLongShare = 8
 	// soakMaxLeave is the longest time after which a client leaves that is going to.
 	soakMaxLeave = 400 * time.Millisecond
 )
@@ -84,7 +86,11 @@
 
 // exchange sends one request and reads its response.
 func (c *soakClient) exchange() {
-	r, wire := c.newRequest(c.random.IntN(2) == 0, "/")
+	path := "/"
+	if c.random.IntN(soakLongShare) == 0 {
+		path = soakLongPath
+	}
+	r, wire := c.newRequest(c.random.IntN(2) == 0, path)
 	if !c.write(wire) {
 		return // it was not sent whole
 	}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -132,7 +132,8 @@
 // checkPlannedLoss judges a request whose sidecar was told to end or to reload: with no fault near, it has its
 // response.
 func (c *checker) checkPlannedLoss(r *Request) {
-	if r.Left > 0 || !c.plannedWork(r) || r.Ended-r.Sent >= c.rules.RouteTimeout {
+	work := c.plannedWork(r)
+	if r.Left > 0 || work == nil || r.Ended-r.Sent >= c.rules.RouteTimeout {
 		return
 	}
 	for _, number := range append(c.involved(r), int(Core)) {
@@ -143,14 +144,14 @@
 	c.verdict.Judged[NothingLost]++
 	passedOn, after := len(c.runs[r.ID]) > 0, r.Ended-r.Sent
 	if unanswered(r) && (passedOn || after > c.rules.LossSlack) {
-		c.report(NothingLost, r, r.Ended, "no response, %v after it was sent, beside planned work; passed on: %v",
-			after, passedOn)
+		c.report(NothingLost, r, r.Ended, "no response, %v after it was sent, beside planned work that began %v before; "+
+			"passed on: %v", after.Round(time.Millisecond), (r.Ended - work.From).Round(time.Millisecond), passedOn)
 	}
 }
 
-// plannedWork reports whether a request was open beside planned work on its sidecar.
-func (c *checker) plannedWork(r *Request) bool {
-	return slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
+// plannedWork is the planned work on a request's sidecar beside which the request was open; nil: there was none.
+func (c *checker) plannedWork(r *Request) *Disturbance {
+	i := slices.IndexFunc(c.Disturbances, func(d Disturbance) bool {
 		if d.Machine != Machine(r.Sidecar) || d.From > r.Ended {
 			return false
 		}
@@ -162,6 +163,10 @@
 		}
 		return false
 	})
+	if i < 0 {
+		return nil
+	}
+	return &c.Disturbances[i]
 }
 
 // checkLossAtRest judges connections that machines in contact end without the response to a request that they
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -49,7 +49,7 @@
 const (
 	// meanPause is the mean time between the beginnings of two events: shorter than most of them last, so that
 	// they overlap.
-	meanPause = 1500 * time.Millisecond
+	meanPause = 1200 * time.Millisecond
 	// quietEnd at the end of a run nothing new begins, so that what has begun shows its effect.
 	quietEnd = 3 * time.Second
 	// plannedOnlySeeds is the share of seeds without faults, one in so many: losses around planned work are judged
@@ -60,12 +60,13 @@
 // Draw returns the schedule of a seed for a run of so many sidecars, in order.
 func Draw(seed uint64, length time.Duration, sidecars int) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
-	kinds := planned
-	if seed%plannedOnlySeeds != 0 {
-		kinds = slices.Concat(planned, faults)
-	}
+	mayHaveFaults := seed%plannedOnlySeeds != 0
 	var all []Event
 	for at := meanPause; at < length-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
+		kinds := planned
+		if mayHaveFaults && random.IntN(2) == 0 {
+			kinds = faults
+		}
 		e := drawEvent(random, kinds[random.IntN(len(kinds))], sidecars)
 		e.At = at
 		all = append(all, e)
