--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -129,7 +129,7 @@
 
 // startSoakRig starts core, upstreams and sidecars, and returns once a request comes through each sidecar.
 func startSoakRig(c cleanups, binary string, seed uint64, sidecars int) (*soakRig, error) {
-	core, err := startMeshCoreIn(c, binary, meshPrefix, soakCore)
+	core, err := startMeshCoreIn(c, binary, soakNetwork(seed), soakCore)
 	if err != nil {
 		return nil, err
 	}
@@ -182,7 +182,10 @@
 	return nil
 }
 
-func (r *soakRig) host(number int) string { return meshPrefix + strconv.Itoa(101+number) }
+// soakNetwork is the loopback network of a seed: two that run at the same time must not take each other's ports.
+func soakNetwork(seed uint64) string { return fmt.Sprintf("127.79.%d.", seed%256) }
+
+func (r *soakRig) host(number int) string { return r.core.prefix + strconv.Itoa(101+number) }
 
 // startSidecar starts the process of a machine, at the addresses that it had before. The machine's lock is held,
 // or nobody else knows it yet.
