--- a/cmd/measure/cleanup.go
+++ b/cmd/measure/cleanup.go
@@ -21,17 +21,25 @@
 // Cleanup keeps nothing: whoever starts something ends it.
 func (panics) Cleanup(func()) {}
 
-// cleanups is a testbed.TB for a program that gives back what one part of it took.
+// cleanups is a testbed.TB for a program that gives back what one part of it took. Its methods may be called from
+// any goroutine.
 type cleanups struct {
 	panics
-	all *[]func()
+	*pendingCleanups
+}
+
+// pendingCleanups is what is to be done at the end.
+type pendingCleanups struct {
+	mu    sync.Mutex // guards the fields below
+	ended bool
+	all   []func()
 }
 
 func newCleanups() cleanups {
 	if ending.Load() {
 		select {} // the program is about to end
 	}
-	c := cleanups{all: new([]func())}
+	c := cleanups{pendingCleanups: new(pendingCleanups)}
 	open.Store(c, true)
 	return c
 }
@@ -58,14 +66,28 @@
 	}()
 }
 
-// Cleanup has something done at the end.
-func (c cleanups) Cleanup(f func()) { *c.all = append(*c.all, f) }
+// Cleanup has something done at the end: at once where that has come, as what is started beside the end must not be
+// left behind.
+func (c cleanups) Cleanup(f func()) {
+	c.mu.Lock()
+	if !c.ended {
+		c.all = append(c.all, f)
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	f()
+}
 
 func (c cleanups) end() {
 	if _, still := open.LoadAndDelete(c); !still {
 		return
 	}
-	for i := len(*c.all) - 1; i >= 0; i-- {
-		(*c.all)[i]()
+	c.mu.Lock()
+	c.ended = true
+	all := c.all
+	c.mu.Unlock()
+	for i := len(all) - 1; i >= 0; i-- {
+		all[i]()
 	}
 }
