--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -63,6 +63,19 @@
 
 const at = 10 * time.Second
 
+// earlyTerm is a SIGTERM of sidecar 0 so long before a moment at which runningUntilCut is cut.
+func earlyTerm(before time.Duration) []Disturbance {
+	return []Disturbance{{Machine: 0, From: at - before, To: at, Cause: Termination}}
+}
+
+// runningUntilCut is a request whose connection ends at a moment, while its upstream works.
+func runningUntilCut(cut time.Duration) History {
+	return History{
+		Requests: []Request{{ID: "cut", Sent: cut - 800*ms, Ended: cut}},
+		Runs:     []Run{{ID: "cut", Upstream: 1, Arrived: cut - 790*ms, Planned: cut + 100*ms, Ended: cut}},
+	}
+}
+
 var (
 	termOfCaller = []Disturbance{{Machine: 0, From: at - 50*ms, To: at + 500*ms, Cause: Termination}}
 	hupOfCaller  = []Disturbance{{Machine: 0, From: at - time.Second, To: at - time.Second, Cause: Reload}}
@@ -106,13 +119,18 @@
 		"foreign response":       {History{Requests: []Request{foreign}, Runs: []Run{ran("r", at)}}, OwnAnswer},
 		"success of no upstream": {History{Requests: []Request{read}}, OwnAnswer},
 
-		"lost at SIGTERM":                     {join(termOfCaller, lost(1, at, 100*ms)), NothingLost},
-		"not passed on, crossed the close":    {join(termOfCaller, History{Requests: lost(1, at, 100*ms).Requests}), ""},
-		"not passed on, ended late":           {join(termOfCaller, History{Requests: lost(1, at, 300*ms).Requests}), NothingLost},
-		"lost at SIGTERM beside a fault":      {join(append(faultOfOther, termOfCaller...), lost(1, at, 100*ms)), ""},
-		"lost at SIGTERM, core fault":         {join(append(faultOfCore, termOfCaller...), lost(1, at, 100*ms)), ""},
-		"lost at SIGTERM, at its time-out":    {join(termOfCaller, lost(1, at, time.Second)), ""},
-		"lost after a reload":                 {join(hupOfCaller, lost(1, at, 100*ms)), NothingLost},
+		"lost at SIGTERM":                    {join(termOfCaller, lost(1, at, 100*ms)), NothingLost},
+		"not passed on, crossed the close":   {join(termOfCaller, History{Requests: lost(1, at, 100*ms).Requests}), ""},
+		"not passed on, ended late":          {join(termOfCaller, History{Requests: lost(1, at, 300*ms).Requests}), NothingLost},
+		"lost at SIGTERM beside a fault":     {join(append(faultOfOther, termOfCaller...), lost(1, at, 100*ms)), ""},
+		"lost at SIGTERM, core fault":        {join(append(faultOfCore, termOfCaller...), lost(1, at, 100*ms)), ""},
+		"lost at SIGTERM, at its time-out":   {join(termOfCaller, lost(1, at, time.Second)), ""},
+		"lost after a reload":                {join(hupOfCaller, lost(1, at, 100*ms)), NothingLost},
+		"cut in the last sixth of the grace": {join(earlyTerm(1700*ms), runningUntilCut(at)), ""},
+		"cut before the last sixth":          {join(earlyTerm(1600*ms), runningUntilCut(at)), NothingLost},
+		"cut soon after a second SIGTERM": {
+			join(append(earlyTerm(1700*ms), earlyTerm(300*ms)...), runningUntilCut(at)), NothingLost,
+		},
 		"three lost at rest":                  {join(nil, lost(3, at, 100*ms)), ""},
 		"four lost at rest":                   {join(nil, lost(4, at, 100*ms)), NothingLost},
 		"four lost long after a fault":        {join(oldFault, lost(4, at, 100*ms)), NothingLost},
