measure soak: streamed responses and bodies, changed requests, reads of the configuration

The ledger judges UNASKED (path and body as the client sent them) and CONFIG (no read of the configuration that is older than what was acknowledged over configApplyS before). Clients send bodies of 100,000 bytes and get responses of 200 KiB in pieces; they leave within both.

--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -34,6 +34,8 @@
 	meshInternalPorts = 25_000
 	meshPortSpan      = 4_900
 	meshPortAttempts  = 100
+	// meshConfigApply is how long a change may take until it is in force everywhere, in seconds.
+	meshConfigApply = 14
 )
 
 // meshCore is core members as processes of cmd/meshd, on loopback addresses of their own.
@@ -48,6 +50,7 @@
 	version     int64
 	resources   []json.RawMessage
 	processors  int // that each process started from now on may use at the same time
+	configApply int // configApplyS of the processes' settings
 }
 
 // buildMeshd builds the mesh's program into a folder.
@@ -85,7 +88,7 @@
 		return nil, err
 	}
 	c.Cleanup(func() { os.RemoveAll(dir) })
-	m := &meshCore{binary: binary, dir: dir, prefix: prefix, client: httpclient.New(time.Second), processors: 1}
+	m := &meshCore{binary: binary, dir: dir, prefix: prefix, client: httpclient.New(time.Second), processors: 1, configApply: meshConfigApply}
 	if m.control, err = meshPort(prefix, meshControlPorts); err != nil {
 		return nil, err
 	}
@@ -155,7 +158,7 @@
 		"guarantees": map[string]any{
 			"contracts":      []string{"base", "drain", "config", "retry", "recover", "tenants", "quota"},
 			"faultTolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
-			"bounds": map[string]any{"gracePeriodS": 2, "configApplyS": 14, "quotaWindowS": 5,
+			"bounds": map[string]any{"gracePeriodS": 2, "configApplyS": m.configApply, "quotaWindowS": 5,
 				"quotaOverage": 0.1, "quotaSlack": 20, "retryBudgetRatio": 0.2, "retryWindowS": 10,
 				"retryBudgetSlack": 62},
 		},
--- a/cmd/measure/soak_client.go
+++ b/cmd/measure/soak_client.go
@@ -22,8 +22,9 @@
 	soakRedialPause = 20 * time.Millisecond
 	// soakPause is the mean pause of a client between two requests.
 	soakPause = 40 * time.Millisecond
-	// soakLongShare of the requests of clients that wait are long, one in so many: some outlast their time-out.
-	soakLongShare = 8
+	// soakLongShare of the requests have a body of soakLongBody bytes, which sidecars stream, one in so many; the
+	// others that must not run twice have one of soakShortBody.
+	soakLongShare, soakLongBody, soakShortBody = 10, 100_000, 40
 	// soakMaxLeave is the longest time after which a client leaves that is going to.
 	soakMaxLeave = 400 * time.Millisecond
 )
@@ -74,38 +75,61 @@
 	}
 }
 
-// newRequest is a request that is not sent yet, with its bytes.
-func (c *soakClient) newRequest(idempotent bool, path string) (r soak.Request, wire string) {
-	r = soak.Request{ID: c.rig.nextID(), Sidecar: c.sidecar, Idempotent: idempotent}
+// outgoing is a request that is not sent yet.
+type outgoing struct {
+	soak.Request
+	path string
+	wire string // its bytes
+}
+
+// newRequest makes a request for a path, with a body of a length: POST if it has one.
+func (c *soakClient) newRequest(idempotent bool, path string, length int) outgoing {
+	o := outgoing{
+		Request: soak.Request{ID: c.rig.nextID(), Sidecar: c.sidecar, Idempotent: idempotent}, path: path,
+	}
+	host, method, framing := "write", "POST", fmt.Sprintf("Content-Length: %d\r\n", length)
 	if idempotent {
-		return r, fmt.Sprintf("GET %s HTTP/1.1\r\nHost: read.soak.example\r\n%s: %s\r\n\r\n", path, headers.AttemptID, r.ID)
+		host = "read"
+	}
+	if length == 0 {
+		method, framing = "GET", ""
 	}
-	return r, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: write.soak.example\r\n%s: %s\r\nContent-Length: 4\r\n\r\nwork",
-		path, headers.AttemptID, r.ID)
+	o.wire = fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s.soak.example\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n%s",
+		method, path, host, headers.AttemptID, o.ID, soakPathField, path, soakLengthField, length, framing,
+		soakRequestBody(o.ID, length))
+	return o
+}
+
+// drawRequest draws a request: some are long, some are streamed, some have a body that is.
+func (c *soakClient) drawRequest(paths ...string) outgoing {
+	idempotent, length := c.random.IntN(2) == 0, 0
+	switch {
+	case c.random.IntN(soakLongShare) == 0:
+		length = soakLongBody
+	case !idempotent:
+		length = soakShortBody
+	}
+	return c.newRequest(idempotent, paths[c.random.IntN(len(paths))], length)
 }
 
 // exchange sends one request and reads its response.
 func (c *soakClient) exchange() {
-	path := "/"
-	if c.random.IntN(soakLongShare) == 0 {
-		path = soakLongPath
-	}
-	r, wire := c.newRequest(c.random.IntN(2) == 0, path)
-	if !c.write(wire) {
+	o := c.drawRequest("/", "/", "/", "/", "/", "/", soakLongPath, soakStreamPath)
+	if !c.write(o.wire) {
 		return // it was not sent whole
 	}
-	r.Sent = c.rig.since()
-	c.read(&r)
-	c.rig.recordRequest(r)
+	o.Sent = c.rig.since()
+	c.read(&o)
+	c.rig.recordRequest(o.Request)
 }
 
 // pipeline sends several idempotent requests at once and reads their responses.
 func (c *soakClient) pipeline() {
-	var all []soak.Request
+	var all []outgoing
 	wires := ""
 	for range soakPipelined {
-		r, wire := c.newRequest(true, "/")
-		all, wires = append(all, r), wires+wire
+		o := c.newRequest(true, "/", 0)
+		all, wires = append(all, o), wires+o.wire
 	}
 	if !c.write(wires) {
 		return
@@ -117,30 +141,30 @@
 			return
 		}
 		c.read(&all[i])
-		c.rig.recordRequest(all[i])
+		c.rig.recordRequest(all[i].Request)
 	}
 }
 
 // leave sends a request, or a part of one, and leaves after a while without having read the response.
 func (c *soakClient) leave() {
-	r, wire := c.newRequest(c.random.IntN(4) > 0, soakLongPath)
+	o := c.drawRequest(soakLongPath, soakLongPath, soakStreamPath)
 	if c.random.IntN(8) == 0 {
-		c.write(wire[:c.random.IntN(len(wire))])
+		c.write(o.wire[:c.random.IntN(len(o.wire))])
 		c.hangUp()
 		return
 	}
-	if !c.write(wire) {
+	if !c.write(o.wire) {
 		return
 	}
-	r.Sent = c.rig.since()
+	o.Sent = c.rig.since()
 	time.Sleep(time.Duration(c.random.Int64N(int64(soakMaxLeave))))
 	tcp := c.conn.(*net.TCPConn)
 	if c.random.IntN(3) == 0 {
 		_ = tcp.SetLinger(0) // a reset
 	}
 	c.hangUp()
-	r.Left = c.rig.since()
-	c.rig.recordRequest(r)
+	o.Left = c.rig.since()
+	c.rig.recordRequest(o.Request)
 }
 
 // write sends bytes, and hangs up where that fails.
@@ -153,7 +177,7 @@
 }
 
 // read reads the response to a request, and hangs up where there is none or the sidecar closes behind it.
-func (c *soakClient) read(r *soak.Request) {
+func (c *soakClient) read(r *outgoing) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(soakClientTimeout))
 	res, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
@@ -170,7 +194,7 @@
 	r.Status = res.StatusCode
 	r.Own = res.Header.Get(headers.AttemptID) == r.ID
 	if r.Status == http.StatusOK {
-		r.Own = r.Own && res.Header.Get(headers.Signature) == soakSignature(r.ID) && string(body) == soakBody(r.ID)
+		r.Own = r.Own && res.Header.Get(headers.Signature) == soakSignature(r.ID) && string(body) == soakBody(r.ID, r.path)
 	}
 	if res.Close {
 		c.hangUp()
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
 	"sync"
@@ -12,13 +14,19 @@
 	"time"
 
 	"caperarch/internal/lab/soak"
+	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
+	"caperarch/meshapi"
 )
 
 const (
 	soakCore = 3
 	// soakGrace is gracePeriodS and soakTimeout the routes' timeoutS, as meshCore and soakResources set them.
 	soakGrace, soakTimeout = 2 * time.Second, time.Second
+	// soakReadPause is the pause between two reads of the configuration.
+	soakReadPause = 20 * time.Millisecond
+	// soakConfigApply is configApplyS.
+	soakConfigApply = 2
 	// soakStartTime is how long a process may take to begin to handle signals on a busy machine.
 	soakStartTime = 300 * time.Millisecond
 	// soakEndSlack is how much longer than its grace period a process may take to end on a busy machine.
@@ -28,7 +36,7 @@
 // soakRules are what a soak's history is judged by.
 var soakRules = soak.Rules{
 	ContactWindow: 3 * time.Second, GracePeriod: soakGrace, RouteTimeout: soakTimeout, LossSlack: 200 * time.Millisecond,
-	ConfigApply: 2 * time.Second,
+	ConfigApply: soakConfigApply * time.Second,
 }
 
 // soakRig is a deployment of processes, with upstreams and clients in this one, which record what they see.
@@ -133,6 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
+	core.configApply = soakConfigApply // the sidecars' own: core machines don't go by it
 	r := &soakRig{cleanups: c, core: core, seed: seed, begun: time.Now()}
 	r.counts.Events = make(map[soak.Kind]int)
 	if _, _, _, err := core.replace(soakResources(0.25)); err != nil {
@@ -171,8 +180,8 @@
 			if c.conn == nil && !c.dial() {
 				continue
 			}
-			request, wire := c.newRequest(true, "/")
-			if c.write(wire) {
+			request := c.newRequest(true, "/", 0)
+			if c.write(request.wire) {
 				c.read(&request)
 				served = request.Status == 200
 			}
@@ -216,6 +225,32 @@
 			r.clients.Go(func() { c.run(behave) })
 		}
 	}
+	r.clients.Go(r.readConfig)
+}
+
+// soakDescription is what a soak reads of a configuration.
+type soakDescription struct {
+	ConfigVersion int64 `json:"configVersion"`
+}
+
+// readConfig reads the configuration at one sidecar after the other, again and again.
+func (r *soakRig) readConfig() {
+	random := rand.New(rand.NewPCG(r.seed, 0))
+	for !r.stopping.Load() {
+		time.Sleep(soakReadPause)
+		read := soak.Read{Sidecar: random.IntN(len(r.sidecars)), Sent: r.since()}
+		address := net.JoinHostPort(r.host(read.Sidecar), strconv.Itoa(r.core.control))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		answer, err := rpc.Get[soakDescription](ctx, r.core.client, "http://"+address+meshapi.DescribePath)
+		cancel()
+		if err != nil {
+			continue // a 5xx or silence promises nothing
+		}
+		read.Answered, read.Version = r.since(), answer.ConfigVersion
+		r.mu.Lock()
+		r.history.Reads = append(r.history.Reads, read)
+		r.mu.Unlock()
+	}
 }
 
 // await waits until a process that was told to end has ended. Unless a fault met its machine since, it has to end
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -170,8 +170,13 @@
 func (r *soakRig) replaceConfig(latencyTarget float64) error {
 	r.operator.Lock()
 	defer r.operator.Unlock()
-	_, _, _, err := r.core.replace(soakResources(latencyTarget))
-	return err
+	if _, _, _, err := r.core.replace(soakResources(latencyTarget)); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Changes = append(r.history.Changes, soak.Change{Version: r.core.version, Acknowledged: r.since()})
+	return nil
 }
 
 // killCoreMember kills a core member, not the one that operators call, and starts it again after a while.
--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -22,6 +22,11 @@
 	// soakWork is the mean time of a request; soakLongWork that of one whose path is soakLongPath.
 	soakWork, soakLongWork = 30 * time.Millisecond, 900 * time.Millisecond
 	soakLongPath           = "/long/"
+	// A response to soakStreamPath comes in soakPieces of soakPieceBytes, spread over its work.
+	soakStreamPath             = "/stream/"
+	soakPieces, soakPieceBytes = 10, 20 << 10
+	// soakPathField and soakLengthField say what path and how long a body the client has sent.
+	soakPathField, soakLengthField = "X-Soak-Path", "X-Soak-Length"
 )
 
 // soakUpstream is an upstream of a soak: it works for a drawn time, drops a request once its connection has
@@ -59,7 +64,7 @@
 
 // serve runs one request.
 func (u *soakUpstream) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body) // a body that was cut is another one
 	id := r.Header.Get(headers.AttemptID)
 	h := w.Header()
 	h[headers.Instance] = []string{"i-" + strconv.Itoa(u.number)}
@@ -67,24 +72,39 @@
 	if id == "" { // a health check
 		return
 	}
+	h[headers.AttemptID], h[headers.Signature] = []string{id}, []string{soakSignature(id)}
 	arrived, work := u.rig.since(), u.workFor(r.URL.Path)
-	dropped := sleepUnless(r.Context(), work)
+	u.answer(w, r, id, work)
 	u.rig.recordRun(soak.Run{
 		ID: id, Upstream: u.number, Arrived: arrived, Planned: arrived + work, Ended: u.rig.since(),
+		Changed: r.URL.Path != r.Header.Get(soakPathField) || !isSoakRequestBody(body, id, r.Header.Get(soakLengthField)),
 	})
-	if dropped {
+}
+
+// answer works on a request and answers it, unless its connection ends before.
+func (u *soakUpstream) answer(w http.ResponseWriter, r *http.Request, id string, work time.Duration) {
+	body := soakBody(id, r.URL.Path)
+	if r.URL.Path != soakStreamPath {
+		if sleepUnless(r.Context(), work) {
+			return
+		}
+		w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
+		_, _ = io.WriteString(w, body)
 		return
 	}
-	h[headers.AttemptID], h[headers.Signature] = []string{id}, []string{soakSignature(id)}
-	body := soakBody(id)
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
-	_, _ = io.WriteString(w, body)
+	for piece := range soakPieces {
+		if sleepUnless(r.Context(), work/soakPieces) {
+			return
+		}
+		_, _ = io.WriteString(w, body[piece*soakPieceBytes:(piece+1)*soakPieceBytes])
+		_ = http.NewResponseController(w).Flush()
+	}
 }
 
 // workFor draws how long a request takes.
 func (u *soakUpstream) workFor(path string) time.Duration {
 	mean := soakWork
-	if strings.HasPrefix(path, soakLongPath) {
+	if path == soakLongPath || path == soakStreamPath {
 		mean = soakLongWork
 	}
 	return time.Duration((0.5 + rand.Float64()) * float64(mean) * float64(u.slow.Load()) / 100)
@@ -104,4 +124,24 @@
 
 func soakSignature(id string) string { return "stamp." + id }
 
-func soakBody(id string) string { return "ran " + id }
+// soakBody is the body of a success.
+func soakBody(id, path string) string {
+	if path == soakStreamPath {
+		return repeated(id, soakPieces*soakPieceBytes)
+	}
+	return "ran " + id
+}
+
+// soakRequestBody is a request's body of a length.
+func soakRequestBody(id string, length int) string { return repeated("work of "+id+" ", length) }
+
+// isSoakRequestBody reports whether a body is what the client of a request has sent.
+func isSoakRequestBody(body []byte, id, length string) bool {
+	n, err := strconv.Atoi(length)
+	return err == nil && string(body) == soakRequestBody(id, n)
+}
+
+// repeated is a text over and over, of a length.
+func repeated(text string, length int) string {
+	return strings.Repeat(text, length/len(text)+1)[:length]
+}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -11,18 +11,20 @@
 // Promise names what a finding says was broken.
 type Promise string
 
-// The promises that Check judges, by the names of the operators' rules.
+// The promises that Check judges, by the names of the operators' rules (LATE is a part of CONFIG).
 const (
 	RunsOnce         Promise = "TWICE"   // what must not run twice ran twice
 	RejectedNeverRan Promise = "REFUSED" // what was answered as not executed ran
 	OwnAnswer        Promise = "MIXED"   // a response is not the request's own
 	NothingLost      Promise = "LOST"    // a connection ended without the response to a complete request
-	AnsweredInTime   Promise = "CONFIG"  // no final response half a second after the route's time-out
+	AnsweredInTime   Promise = "LATE"    // CONFIG: no final response half a second after the route's time-out
+	NewestConfig     Promise = "CONFIG"  // a read of the configuration is older than what was acknowledged
+	Unchanged        Promise = "UNASKED" // an upstream ran a request that was changed on its way
 	AbandonedEnds    Promise = "GONE"    // work went on, or began, for a client that had left
 )
 
 // Promises are all of them.
-var Promises = []Promise{RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, AbandonedEnds}
+var Promises = []Promise{RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, NewestConfig, Unchanged, AbandonedEnds}
 
 const (
 	// answerSlack is how long after the route's time-out a response may come, and how long after its client has
@@ -80,6 +82,7 @@
 	c.checkLossAtRest()
 	c.checkLate()
 	c.checkAbandoned()
+	c.checkReads()
 	slices.SortStableFunc(c.verdict.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	return c.verdict
 }
@@ -88,9 +91,15 @@
 	c.verdict.Findings = append(c.verdict.Findings, Finding{Promise: p, Request: r.ID, At: at, Text: fmt.Sprintf(format, args...)})
 }
 
-// checkRuns judges how often a request that must not run twice ran.
+// checkRuns judges what upstreams were sent, and how often a request that must not run twice ran.
 func (c *checker) checkRuns(r *Request) {
 	runs := c.runs[r.ID]
+	for _, run := range runs {
+		c.verdict.Judged[Unchanged]++
+		if run.Changed {
+			c.report(Unchanged, r, run.Arrived, "upstream %d was sent another path or body", run.Upstream)
+		}
+	}
 	if r.Idempotent || len(runs) == 0 {
 		return
 	}
@@ -250,3 +259,27 @@
 			len(wentOn), lasting)
 	}
 }
+
+// checkReads judges reads of the configuration, at machines in contact or not: none that was sent long enough after
+// an acknowledgement shows an older version.
+func (c *checker) checkReads() {
+	for _, read := range c.Reads {
+		newest := int64(0)
+		for _, change := range c.Changes {
+			if change.Acknowledged+c.rules.ConfigApply < read.Sent {
+				newest = max(newest, change.Version)
+			}
+		}
+		if newest == 0 {
+			continue
+		}
+		c.verdict.Judged[NewestConfig]++
+		if read.Version < newest {
+			c.verdict.Findings = append(c.verdict.Findings, Finding{
+				Promise: NewestConfig, At: read.Answered,
+				Text: fmt.Sprintf("sidecar %d answered version %d, %d was acknowledged over %v before",
+					read.Sidecar, read.Version, newest, c.rules.ConfigApply),
+			})
+		}
+	}
+}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -68,6 +68,14 @@
 	return []Disturbance{{Machine: 0, From: at - before, To: at, Cause: Termination}}
 }
 
+// reads are two changes, the second at a moment, and a read of a version.
+func reads(sent time.Duration, version int64) History {
+	return History{
+		Changes: []Change{{Version: 1, Acknowledged: at - time.Minute}, {Version: 2, Acknowledged: at}},
+		Reads:   []Read{{Sent: sent, Answered: sent + ms, Version: version}},
+	}
+}
+
 // runningUntilCut is a request whose connection ends at a moment, while its upstream works.
 func runningUntilCut(cut time.Duration) History {
 	return History{
@@ -139,6 +147,13 @@
 		"late responses, core fault":          {join(faultOfCore, late), ""},
 		"responses soon after their time-out": {onTime, ""},
 
+		"changed on its way": {
+			History{Requests: []Request{read}, Runs: []Run{{ID: "r", Upstream: 1, Changed: true}}}, Unchanged,
+		},
+		"reads of the newest":             {reads(at+3*time.Second, 2), ""},
+		"a read soon after a change":      {reads(at+time.Second, 1), ""},
+		"a read of an older version late": {reads(at+3*time.Second, 1), NewestConfig},
+
 		"abandoned runs end":               {abandoned(20, at, 400*ms, true), ""},
 		"abandoned runs go on":             {abandoned(minCases, at, 600*ms, true), AbandonedEnds},
 		"few abandoned runs go on":         {abandoned(minCases-1, at, 600*ms, true), ""},
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -29,6 +29,21 @@
 	Arrived  time.Duration // it was read
 	Planned  time.Duration // when it would end by itself
 	Ended    time.Duration // it was answered, or dropped as its connection had ended
+	Changed  bool          // its path or body is not what its client sent
+}
+
+// Change is a change of the configuration that was acknowledged.
+type Change struct {
+	Version      int64
+	Acknowledged time.Duration
+}
+
+// Read is a read of the configuration that was answered with success.
+type Read struct {
+	Sidecar  int // that was asked
+	Sent     time.Duration
+	Answered time.Duration
+	Version  int64
 }
 
 // Cause is what disturbs a machine.
@@ -59,6 +74,8 @@
 	Requests     []Request
 	Runs         []Run
 	Disturbances []Disturbance
+	Changes      []Change
+	Reads        []Read
 }
 
 // Rules are the bounds that a history is judged by, as the operators' pages have them.
@@ -67,7 +84,7 @@
 	GracePeriod   time.Duration // how long a process may go on after SIGTERM
 	RouteTimeout  time.Duration // of all requests
 	LossSlack     time.Duration // a connection that ends so soon after a request may have crossed it
-	ConfigApply   time.Duration // for how long a reload may show its effects
+	ConfigApply   time.Duration // within which a change is in force everywhere, and a reload shows its effects
 }
 
 // faulty reports whether a fault touched a machine between two moments.
