--- a/cmd/measure/soak_client.go
+++ b/cmd/measure/soak_client.go
@@ -185,6 +185,7 @@
 		c.hangUp()
 		return
 	}
+	r.Begun = c.rig.since()
 	body, err := io.ReadAll(res.Body)
 	r.Ended = c.rig.since()
 	if err != nil {
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -17,6 +17,7 @@
 	Idempotent bool
 	Sent       time.Duration // its last byte was written
 	Left       time.Duration // its client left on purpose; 0: it stayed until the end
+	Begun      time.Duration // the head of its final response came; 0: none did
 	Ended      time.Duration // its response was complete, or its connection ended without one; 0: its client left
 	Status     int           // of a complete response; 0: there was none
 	Own        bool          // the response has the request's id and, where it is a success, its signature and body
@@ -56,6 +57,8 @@
 	Reload                   // SIGHUP: the machine stays in contact
 )
 
+func (c Cause) String() string { return [...]string{"fault", "SIGTERM", "SIGHUP"}[c] }
+
 // Disturbance is a time in which something was done to a machine.
 type Disturbance struct {
 	Machine  Machine
