--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,6 +23,8 @@
 
 const (
 	soakCore = 3
+	// soakListeners is how many ports a sidecar and its upstream listen on, from soakLowestPort on.
+	soakListeners, soakLowestPort = 4, 15_000
 	// soakGrace is gracePeriodS and soakTimeout the routes' timeoutS, as meshCore and soakResources set them.
 	soakGrace, soakTimeout = 2 * time.Second, time.Second
 	// soakReadPause is the pause between two reads of the configuration.
@@ -147,12 +151,16 @@
 	if _, _, _, err := core.replace(soakResources(0.25)); err != nil {
 		return nil, err
 	}
+	ports, err := soakPorts(core.prefix)
+	if err != nil {
+		return nil, err
+	}
 	for number := range sidecars {
-		ports, err := freePorts(r.host(number), 4)
-		if err != nil {
-			return nil, err
+		var addresses []string
+		for _, port := range ports {
+			addresses = append(addresses, net.JoinHostPort(r.host(number), strconv.Itoa(port)))
 		}
-		r.ports = append(r.ports, ports)
+		r.ports = append(r.ports, addresses)
 		r.sidecars = append(r.sidecars, &soakMachine{number: number})
 		upstream := &soakUpstream{rig: r, number: number}
 		upstream.slow.Store(100)
@@ -168,14 +176,32 @@
 	return r, r.waitUntilServing()
 }
 
+// soakPorts are the ports that all sidecars listen on, each at its own address. They lie below those that outgoing
+// connections get: a restarted process must find its own free.
+func soakPorts(prefix string) (ports []int, err error) {
+	for len(ports) < soakListeners {
+		port, err := meshPort(prefix, soakLowestPort)
+		if err != nil {
+			return nil, err
+		}
+		if !slices.Contains(ports, port) {
+			ports = append(ports, port)
+		}
+	}
+	return ports, nil
+}
+
 // waitUntilServing waits until each sidecar answers a request with success.
 func (r *soakRig) waitUntilServing() error {
 	end := time.Now().Add(meshStartTimeout)
 	for number := range r.sidecars {
 		c := &soakClient{rig: r, sidecar: number, random: rand.New(rand.NewPCG(r.seed, uint64(number)))}
+		status := 0 // of the last response
 		for served := false; !served; time.Sleep(soakRedialPause) {
 			if time.Now().After(end) {
-				return fmt.Errorf("sidecar %d serves nothing after %v", number, meshStartTimeout)
+				r.sidecars[number].signal(syscall.SIGUSR1) // it writes out what it has logged
+				time.Sleep(time.Second)
+				return fmt.Errorf("sidecar %d serves nothing after %v; last status %d", number, meshStartTimeout, status)
 			}
 			if c.conn == nil && !c.dial() {
 				continue
@@ -183,7 +209,8 @@
 			request := c.newRequest(true, "/", 0)
 			if c.write(request.wire) {
 				c.read(&request)
-				served = request.Status == 200
+				status = request.Status
+				served = status == http.StatusOK
 			}
 		}
 		c.hangUp()
