--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -20,7 +20,7 @@
 	// soakSlots are those that an upstream reports.
 	soakSlots = 16
 	// soakWork is the mean time of a request; soakLongWork that of one whose path is soakLongPath.
-	soakWork, soakLongWork = 30 * time.Millisecond, 900 * time.Millisecond
+	soakWork, soakLongWork = 30 * time.Millisecond, 1400 * time.Millisecond
 	soakLongPath           = "/long/"
 	// A response to soakStreamPath comes in soakPieces of soakPieceBytes, spread over its work.
 	soakStreamPath             = "/stream/"
