--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -77,7 +77,7 @@
 	u.answer(w, r, id, work)
 	u.rig.recordRun(soak.Run{
 		ID: id, Upstream: u.number, Arrived: arrived, Planned: arrived + work, Ended: u.rig.since(),
-		Changed: r.URL.Path != r.Header.Get(soakPathField) || !isSoakRequestBody(body, id, r.Header.Get(soakLengthField)),
+		Changed: r.RequestURI != r.Header.Get(soakPathField) || !isSoakRequestBody(body, id, r.Header.Get(soakLengthField)),
 	})
 }
 
