soak: a request belongs to the process that had it, not to the one told to end after it

The history 'cut soon after a second SIGTERM' was wrong, as it had two SIGTERMs of one process at a time, which the rig never sends as two; two histories with two processes stand in its place, one of each verdict.

--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -175,25 +175,26 @@
 	return text
 }
 
-// plannedWork is the last planned work on a request's sidecar beside which the request was open; nil: there was none.
-func (c *checker) plannedWork(r *Request) (last *Disturbance) {
+// plannedWork is the planned work beside which a request was open: the first SIGTERM of the process that had it, else
+// the last reload of its sidecar; nil: there was none.
+func (c *checker) plannedWork(r *Request) (work *Disturbance) {
 	for i := range c.Disturbances {
 		d := &c.Disturbances[i]
-		if d.Machine != Machine(r.Sidecar) || d.From > r.Ended || last != nil && d.From < last.From {
+		if d.Machine != Machine(r.Sidecar) || d.From > r.Ended {
 			continue
 		}
-		switch d.Cause {
-		case Termination:
-			if r.Ended <= d.From+c.rules.GracePeriod+time.Second {
-				last = d
+		switch {
+		case d.Cause == Termination && d.To >= r.Sent && r.Ended <= d.From+c.rules.GracePeriod+time.Second:
+			if work == nil || work.Cause == Reload || d.From < work.From {
+				work = d
 			}
-		case Reload:
-			if r.Sent <= d.From+c.rules.ConfigApply {
-				last = d
+		case d.Cause == Reload && r.Sent <= d.From+c.rules.ConfigApply:
+			if work == nil || work.Cause == Reload && d.From > work.From {
+				work = d
 			}
 		}
 	}
-	return last
+	return work
 }
 
 // mayBeCut reports whether a request may be cut by a process that ends: it was sent soon after it was told to, and
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -136,8 +136,17 @@
 		"lost after a reload":                {join(hupOfCaller, lost(1, at, 100*ms)), NothingLost},
 		"cut in the last sixth of the grace": {join(earlyTerm(1700*ms), runningUntilCut(at)), ""},
 		"cut before the last sixth":          {join(earlyTerm(1600*ms), runningUntilCut(at)), NothingLost},
-		"cut soon after a second SIGTERM": {
-			join(append(earlyTerm(1700*ms), earlyTerm(300*ms)...), runningUntilCut(at)), NothingLost,
+		"cut soon after the SIGTERM of the next process": {
+			join([]Disturbance{
+				{Machine: 0, From: at - 2700*ms, To: at - 900*ms, Cause: Termination},
+				{Machine: 0, From: at - 300*ms, To: at + 100*ms, Cause: Termination},
+			}, runningUntilCut(at)), NothingLost,
+		},
+		"cut in the last sixth, the next process told at once": {
+			join([]Disturbance{
+				{Machine: 0, From: at - 1700*ms, To: at - ms, Cause: Termination},
+				{Machine: 0, From: at - ms, To: at + 100*ms, Cause: Termination},
+			}, runningUntilCut(at)), "",
 		},
 		"three lost at rest":                  {join(nil, lost(3, at, 100*ms)), ""},
 		"four lost at rest":                   {join(nil, lost(4, at, 100*ms)), NothingLost},
