--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -64,7 +64,10 @@
 
 // serve runs one request.
 func (u *soakUpstream) serve(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body) // a body that was cut is another one
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // its sender has given it up before it was whole: it does not run
+	}
 	id := r.Header.Get(headers.AttemptID)
 	h := w.Header()
 	h[headers.Instance] = []string{"i-" + strconv.Itoa(u.number)}
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -57,6 +57,7 @@
 	Reload                   // SIGHUP: the machine stays in contact
 )
 
+// String is the cause in words.
 func (c Cause) String() string { return [...]string{"fault", "SIGTERM", "SIGHUP"}[c] }
 
 // Disturbance is a time in which something was done to a machine.
