sidecar, front: the tests' upstreams and set-ups stand once

The change had written the accept loop of an upstream three times, the start of a mesh three times and the loop that has a client taken for one that does not pipeline twice. One function each; assertions as they were, both packages pass.

--- a/internal/mesh/sidecar/abandoned_test.go
+++ b/internal/mesh/sidecar/abandoned_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -75,34 +74,13 @@
 		t: t, config: patientConfig,
 		net: &socketNetwork{t: t, listeners: make(map[string]net.Listener)},
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	m.stop = stop
-	for _, n := range []string{"1", "2"} {
-		m.startHoldingUpstream("upstream" + n)
-		m.startGate(ctx, "gate"+n, "upstream"+n, frontBodyBytes)
-	}
-	m.startCaller(ctx)
+	m.start(frontBodyBytes, m.hold)
 	t.Cleanup(m.close)
 	return m
 }
 
-// startHoldingUpstream serves at an address, and drops a request once its connection closes.
-func (m *socketMesh) startHoldingUpstream(address string) {
-	l := m.net.listen(address)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go m.hold(c)
-		}
-	}()
-}
-
-// hold reads one request and holds it.
-func (m *socketMesh) hold(c net.Conn) {
-	defer c.Close()
+// hold reads one request and holds it, and drops it once its connection ends.
+func (m *socketMesh) hold(_ string, c net.Conn) {
 	in := bufio.NewReader(c)
 	r, err := http.ReadRequest(in)
 	if err != nil {
--- a/internal/mesh/sidecar/mesh_test.go
+++ b/internal/mesh/sidecar/mesh_test.go
@@ -90,14 +90,20 @@
 	m.upstreamLog.executions = make(map[string]int)
 	m.upstreamLog.arrivals = make(map[string]int)
 	m.upstreamLog.written = make(map[string]string)
+	m.start(bodyBytes, m.serveConn)
+	return m
+}
+
+// start starts all processes. Upstreams serve their connections by a function; gates hold so many bytes of
+// request bodies.
+func (m *mesh) start(bodyBytes int64, serve func(address string, c net.Conn)) {
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	for _, n := range []string{"1", "2"} {
-		m.startUpstream("upstream" + n)
+		m.startUpstream("upstream"+n, serve)
 		m.startGate(ctx, "gate"+n, "upstream"+n, bodyBytes)
 	}
 	m.startCaller(ctx)
-	return m
 }
 
 func (m *mesh) close() {
@@ -205,8 +211,9 @@
 	m.startFront(address, e, in.frontDialect(), bodyBytes)
 }
 
-// startUpstream serves at an address, one request at a time on a connection, and keeps the log.
-func (m *mesh) startUpstream(address string) {
+// startUpstream serves the connections to an address, each on a goroutine of its own, and closes them
+// behind that.
+func (m *mesh) startUpstream(address string, serve func(address string, c net.Conn)) {
 	l := m.net.listen(address)
 	go func() {
 		for {
@@ -214,14 +221,16 @@
 			if err != nil {
 				return
 			}
-			go m.serveConn(address, c)
+			go func() {
+				defer c.Close()
+				serve(address, c)
+			}()
 		}
 	}()
 }
 
-// serveConn answers the requests of a connection until it ends.
+// serveConn answers the requests of a connection until it ends, one at a time, and keeps the log.
 func (m *mesh) serveConn(address string, c net.Conn) {
-	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
--- a/internal/mesh/sidecar/route_timeout_test.go
+++ b/internal/mesh/sidecar/route_timeout_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,31 +17,16 @@
 // routeTimeout is that of onceConfig's routes.
 const routeTimeout = 2 * time.Second
 
-// startUpstreamThat serves requests at an address by a function, one on a connection.
-func (m *mesh) startUpstreamThat(address string, serve func(c net.Conn, r *http.Request)) {
-	l := m.net.listen(address)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				serve(c, r)
-			}()
-		}
-	}()
+// holdForLong reads one request and answers nothing for long.
+func holdForLong(_ string, c net.Conn) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(time.Minute)
 }
 
-// hold answers nothing for long.
-func hold(net.Conn, *http.Request) { time.Sleep(time.Minute) }
-
 // A client has its response when its route's time is over, counted once, also where its body is streamed.
 func TestResponseEndsAtRouteTimeout(t *testing.T) {
 	for name, request := range map[string]string{
@@ -55,13 +39,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				memory := new(memoryNetwork)
 				m := &mesh{t: t, net: memory, memory: memory, config: onceConfig}
-				ctx, stop := context.WithCancel(context.Background())
-				m.stop = stop
-				for _, n := range []string{"1", "2"} {
-					m.startUpstreamThat("upstream"+n, hold)
-					m.startGate(ctx, "gate"+n, "upstream"+n, frontBodyBytes)
-				}
-				m.startCaller(ctx)
+				m.start(frontBodyBytes, holdForLong)
 				c, _ := m.connect()
 				begun := time.Now()
 				if _, err := io.Copy(c, strings.NewReader(fmt.Sprintf(request, idField("a")))); err != nil {
--- a/internal/proxy/front/http1/fake_engine_test.go
+++ b/internal/proxy/front/http1/fake_engine_test.go
@@ -188,7 +188,18 @@
 	c.Close()
 }
 
-// expectAsked waits for requests, in this order.
+// serveUnpipelined has a client send so many requests one by one that it is taken for one that does not pipeline.
+func (d *fakeEngine) serveUnpipelined(t *testing.T, c *testClient) {
+	t.Helper()
+	for i := range 2 * maxUnpipelinedResponses {
+		uri := fmt.Sprint("/safe/", i)
+		c.send(get(uri))
+		d.expectSubmitted(t, uri)[0].reply()
+		c.expectResponse(200, "done "+uri)
+	}
+}
+
+// expectSubmitted waits for requests, in this order.
 func (d *fakeEngine) expectSubmitted(t *testing.T, uris ...string) (all []submittedRequest) {
 	t.Helper()
 	for _, uri := range uris {
--- a/internal/proxy/front/http1/hangup_test.go
+++ b/internal/proxy/front/http1/hangup_test.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -16,12 +15,7 @@
 func TestHangupBehindUnreadRequest(t *testing.T) {
 	d := newFakeEngine(t, 0, true)
 	c := d.dial(t)
-	for i := range 2 * maxUnpipelinedResponses {
-		uri := fmt.Sprint("/safe/", i)
-		c.send(get(uri))
-		d.expectSubmitted(t, uri)[0].reply()
-		c.expectResponse(200, "done "+uri)
-	}
+	d.serveUnpipelined(t, c)
 	c.send(get("/safe/a"))
 	all := d.expectSubmitted(t, "/safe/a")
 	c.send(get("/safe/b"))
--- a/internal/proxy/front/http1/pipelining_test.go
+++ b/internal/proxy/front/http1/pipelining_test.go
@@ -54,12 +54,7 @@
 func TestLatePipeliningIsNoticed(t *testing.T) {
 	d := newFakeEngine(t, 0, true)
 	c := d.dial(t)
-	for i := range 2 * maxUnpipelinedResponses {
-		uri := fmt.Sprint("/safe/", i)
-		c.send(get(uri))
-		d.expectSubmitted(t, uri)[0].reply()
-		c.expectResponse(200, "done "+uri)
-	}
+	d.serveUnpipelined(t, c)
 	c.send(get("/safe/a"))
 	a := d.expectSubmitted(t, "/safe/a")[0]
 	c.send(get("/safe/b")) // nobody looks for it before the response
