measure soak: one map of hard cases in place of a field, a closure and a sum for each

Adding a case meant a field, a line in add and one in the report. In a finding's file Counts has two maps.

--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -76,8 +76,7 @@
 	}
 	defer end()
 	var missed []string
-	total := soakReport{Verdict: soak.Verdict{Judged: make(map[soak.Promise]int)}}
-	total.Counts.Events = make(map[soak.Kind]int)
+	total := soakReport{Verdict: soak.Verdict{Judged: make(map[soak.Promise]int)}, Counts: newSoakCounts()}
 	for _, seed := range seeds {
 		report, err := playSoak(binary, seed, processes-soakCore, length)
 		if err != nil {
@@ -227,17 +226,7 @@
 	for promise, n := range one.Verdict.Judged {
 		r.Verdict.Judged[promise] += n
 	}
-	for kind, n := range one.Counts.Events {
-		r.Counts.Events[kind] += n
-	}
-	r.Counts.HupsInDrain += one.Counts.HupsInDrain
-	r.Counts.ChangesInDrain += one.Counts.ChangesInDrain
-	r.Counts.SecondTerms += one.Counts.SecondTerms
-	r.Counts.SeriesOnOneSidecar += one.Counts.SeriesOnOneSidecar
-	r.Counts.TermsBeforeLastDrained += one.Counts.TermsBeforeLastDrained
-	r.Counts.TermsWhileStarting += one.Counts.TermsWhileStarting
-	r.Counts.ConfigChanges += one.Counts.ConfigChanges
-	r.Counts.ConfigFailures += one.Counts.ConfigFailures
+	r.Counts.add(one.Counts)
 }
 
 func (r *soakReport) events() (n int) {
@@ -256,12 +245,9 @@
 
 // cases are how often each event, each hard case and each judged case happened. What never did is said.
 func (r *soakReport) cases() string {
-	all := map[string]int{
-		"SIGHUP within a drain": r.Counts.HupsInDrain, "change within a drain": r.Counts.ChangesInDrain,
-		"second SIGTERM": r.Counts.SecondTerms, "two series on one sidecar": r.Counts.SeriesOnOneSidecar,
-		"SIGTERM within the start":            r.Counts.TermsWhileStarting,
-		"SIGTERM before the last has drained": r.Counts.TermsBeforeLastDrained,
-		"configuration changes":               r.Counts.ConfigChanges, "changes without a clear answer": r.Counts.ConfigFailures,
+	all := make(map[string]int)
+	for _, name := range hardCases {
+		all[string(name)] = r.Counts.Cases[name]
 	}
 	for _, kind := range soak.Kinds() {
 		all["event "+string(kind)] = r.Counts.Events[kind]
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -65,11 +65,45 @@
 	counts  soakCounts
 }
 
-// soakCounts are how often the hard cases happened.
+// hardCase is a case that a soak counts, as its report names it.
+type hardCase string
+
+// The hard cases, and what the operator of the soak did.
+const (
+	hupInDrain            hardCase = "SIGHUP within a drain"
+	changeInDrain         hardCase = "change within a drain"
+	secondTerm            hardCase = "second SIGTERM"
+	seriesOnOneSidecar    hardCase = "two series on one sidecar"
+	termBeforeLastDrained hardCase = "SIGTERM before the last has drained"
+	termWhileStarting     hardCase = "SIGTERM within the start"
+	configChange          hardCase = "configuration changes"
+	configFailure         hardCase = "changes without a clear answer"
+)
+
+// hardCases are all of them.
+var hardCases = []hardCase{
+	hupInDrain, changeInDrain, secondTerm, seriesOnOneSidecar, termBeforeLastDrained, termWhileStarting,
+	configChange, configFailure,
+}
+
+// soakCounts are how often the hard cases and the events happened.
 type soakCounts struct {
-	HupsInDrain, ChangesInDrain, SecondTerms, SeriesOnOneSidecar, TermsBeforeLastDrained, TermsWhileStarting int
-	ConfigChanges, ConfigFailures                                                                            int
-	Events                                                                                                   map[soak.Kind]int
+	Cases  map[hardCase]int
+	Events map[soak.Kind]int
+}
+
+func newSoakCounts() soakCounts {
+	return soakCounts{Cases: make(map[hardCase]int), Events: make(map[soak.Kind]int)}
+}
+
+// add adds the counts of another run.
+func (c soakCounts) add(one soakCounts) {
+	for name, n := range one.Cases {
+		c.Cases[name] += n
+	}
+	for kind, n := range one.Events {
+		c.Events[kind] += n
+	}
 }
 
 // soakMachine is a sidecar's machine and the process on it.
@@ -114,10 +148,16 @@
 	}
 }
 
-func (r *soakRig) count(what func(*soakCounts)) {
+func (r *soakRig) count(c hardCase) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Cases[c]++
+}
+
+func (r *soakRig) countEvent(kind soak.Kind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	what(&r.counts)
+	r.counts.Events[kind]++
 }
 
 func (r *soakRig) fault(format string, args ...any) {
@@ -146,8 +186,7 @@
 		return nil, err
 	}
 	core.configApply = soakConfigApply // the sidecars' own: core machines don't go by it
-	r := &soakRig{cleanups: c, core: core, seed: seed, begun: time.Now()}
-	r.counts.Events = make(map[soak.Kind]int)
+	r := &soakRig{cleanups: c, core: core, seed: seed, begun: time.Now(), counts: newSoakCounts()}
 	if _, _, _, err := core.replace(soakResources(0.25)); err != nil {
 		return nil, err
 	}
@@ -291,7 +330,7 @@
 		switch {
 		case err == nil || r.faultSince(m, told):
 		case running < soakStartTime: // the system ended it before it could handle signals: it had accepted nothing
-			r.count(func(c *soakCounts) { c.TermsWhileStarting++ })
+			r.count(termWhileStarting)
 		default:
 			r.fault("sidecar %d ended with %v, told to after %v", m.number, err, running)
 		}
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -33,7 +33,7 @@
 		if r.stopping.Load() {
 			break
 		}
-		r.count(func(c *soakCounts) { c.Events[e.Kind]++ })
+		r.countEvent(e.Kind)
 		playing.Go(func() { soakTrouble[e.Kind](r, e) })
 	}
 	time.Sleep(length - time.Since(begun))
@@ -65,13 +65,13 @@
 // restart ends one sidecar by SIGTERM and starts it again.
 func (r *soakRig) restart(m *soakMachine, e soak.Event) {
 	if m.series.Add(1) > 1 {
-		r.count(func(c *soakCounts) { c.SeriesOnOneSidecar++ })
+		r.count(seriesOnOneSidecar)
 	}
 	defer m.series.Add(-1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if r.anyDraining() {
-		r.count(func(c *soakCounts) { c.TermsBeforeLastDrained++ })
+		r.count(termBeforeLastDrained)
 	}
 	told := r.since()
 	end := r.disturb(soak.Machine(m.number), soak.Termination)
@@ -79,7 +79,7 @@
 	m.signal(syscall.SIGTERM)
 	if e.Kind == soak.TermTwice {
 		time.Sleep(e.Gap)
-		r.count(func(c *soakCounts) { c.SecondTerms++ })
+		r.count(secondTerm)
 		m.signal(syscall.SIGTERM)
 	}
 	r.await(m, told)
@@ -110,7 +110,7 @@
 	for range hupsOfBurst {
 		r.each(e, func(m *soakMachine) {
 			if m.draining.Load() {
-				r.count(func(c *soakCounts) { c.HupsInDrain++ })
+				r.count(hupInDrain)
 			}
 			r.disturb(soak.Machine(m.number), soak.Reload)()
 			m.signal(syscall.SIGHUP)
@@ -154,14 +154,13 @@
 func (r *soakRig) changeConfig(e soak.Event) {
 	for i := range e.Count {
 		if r.anyDraining() {
-			r.count(func(c *soakCounts) { c.ChangesInDrain++ })
+			r.count(changeInDrain)
 		}
 		err := r.replaceConfig(0.2 + 0.05*float64(i%4))
-		r.count(func(c *soakCounts) {
-			if c.ConfigChanges++; err != nil {
-				c.ConfigFailures++
-			}
-		})
+		r.count(configChange)
+		if err != nil {
+			r.count(configFailure)
+		}
 		time.Sleep(e.Gap)
 	}
 }
