policy: tests that fail: a keyed call is refused though its retry would not be dropped

A refusal says that trying again does no harm. The policy refuses a keyed call that may have run, in a group of all servers, also once the window is over or where the pause that it tells leads behind it: a client that does as it is told runs it twice.

TestDeduplicatedRequestIsNotRepeatedAfterItsWindow asked for the refusal ("all servers drop repeats": not by then). It asks for a failure now; the random histories hold each refusal's pause against the window.

--- a/internal/proxy/engine/repeat_test.go
+++ b/internal/proxy/engine/repeat_test.go
@@ -40,7 +40,7 @@
 		}
 		e.Clock.Advance(time.Second) // the process is stopped before it is written
 		sends[1].done(call.Result{Ending: policy.NotSent})
-		if a := <-reply; a.Kind != call.Failed && a.Kind != call.Refused {
+		if a := <-reply; a.Kind != call.Failed {
 			t.Errorf("answer %+v, want failed: it may have run, and a repeat would have another effect", a)
 		}
 		if n := e.RepeatsHeldBack(); n != 1 || len(r.all()) != 2 {
--- a/policy/attempts_test.go
+++ b/policy/attempts_test.go
@@ -131,8 +131,8 @@
 	b, h := start(t, testConfig(), ready(1, 2, 3))
 	submit(b, 0, 1, dedupAll)
 	end(b, 700*ms, 1, 0, Errored) // the window of 700 ms since its send is over
-	if _, refused := h.refused[1]; len(h.sends) != 1 || !refused {
-		t.Fatalf("sends %d, refused %v; want 1 and a refusal, as all servers drop repeats", len(h.sends), refused)
+	if _, refused := h.refused[1]; len(h.sends) != 1 || refused || !h.failed[1] {
+		t.Fatalf("sends %d, refused %v; want 1 and no refusal, as no server drops a retry now", len(h.sends), refused)
 	}
 	b.compartments[0].gate = admission.NewRatio(b.rng)
 	submit(b, 800*ms, 2, dedupZone)
@@ -142,6 +142,25 @@
 	}
 }
 
+// A refusal says that a retry is harmless at the time that it is told. Where all servers drop a request's repeats, that is
+// so as long as the retry comes while they do, its way to them included.
+func TestDeduplicatedRequestIsRefusedOnlyWhileARetryIsDropped(t *testing.T) {
+	cfg := testConfig()
+	cfg.MaxAttempts = 1
+	for after, want := range map[time.Duration]bool{100 * ms: true, 524 * ms: false, 600 * ms: false} {
+		b, h := start(t, cfg, ready(1, 2, 3))
+		submit(b, 0, 1, dedupAll)
+		end(b, after, 1, 0, Errored)
+		pause, refused := h.refused[1]
+		if refused != want || h.failed[1] == want {
+			t.Errorf("after %v of a window of 700 ms: refused %v, failed %v, want refused %v", after, refused, h.failed[1], want)
+		}
+		if refused && after+pause >= 525*ms {
+			t.Errorf("refused after %v with a pause of %v: the retry comes too late", after, pause)
+		}
+	}
+}
+
 // A repeat takes its time to a server, which counts the window until it arrives. So it is not decided in the last quarter:
 // TestGRPC/among_failing_nodes had repeats decided 0.1 to 1 ms before the end of the window that arrived behind it, after
 // half a second in the queue for a server that was ejected. And nobody waits for a server that is back too late.
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -169,6 +169,10 @@
 	if first != nil && !harmless {
 		sim.t.Fatalf("rule 2: request %d refused though it may have run", id)
 	}
+	if first != nil && class.Effect == Deduplicated && sim.now+pause >= first.sent+class.RepeatTime() {
+		sim.t.Fatalf("rule 2: request %d refused, and its retry comes %v after the first send",
+			id, sim.now+pause-first.sent)
+	}
 	if pause < 0 || pause > sim.cfg.MaxRetryAfter {
 		sim.t.Fatalf("pause %v", pause)
 	}
