policy: a keyed call that may have run is refused only while its retry is dropped

Cause: finish looked at the group of servers that drop repeats and not at how long they do. Change: the pause that the client is told is held against the time of repeats; later the call is failed, which promises nothing. A client inside its window retries after either.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -351,14 +351,14 @@
 	return b.prober.AttemptTimeout(whole, part)
 }
 
-// finish answers a request: refused where a retry is harmless, else failed.
+// finish answers a request: refused where a retry at the time that it is told is harmless, else failed.
 func (b *Balancer) finish(now time.Duration, r *request) {
 	if r.finished {
 		return
 	}
 	jitter := 1 + b.rng.Float64()
 	retryAfter := min(b.cfg.MaxRetryAfter, time.Duration(jitter*float64(b.meanLatency)))
-	if r.firstMayHaveRun() == nil || r.class.RepeatsAnywhere() {
+	if r.firstMayHaveRun() == nil || r.class.RepeatsAnywhere() && r.mayRepeat(now+retryAfter, nil) {
 		b.counters.Refused++
 		b.host.Refuse(r.id, retryAfter)
 	} else {
