quota: tenants are granted tokens up to 32 sidecars where the rule leaves one for each

Cause, from what ran in the fullest windows (trial): nearly all of it in contact and not throttled, before the first report: each sidecar starts a tenant with a local bucket of three tokens or more.

Change: from 17 to 32 sidecars a tenant is prepaid, by the sum that is proven for fewer, where its rule leaves a token for each, the rate lowered by a fifth at most. It costs the leader at most some 130 requests a second.

--- a/internal/mesh/quota/adversary_test.go
+++ b/internal/mesh/quota/adversary_test.go
@@ -367,5 +367,14 @@
 
 func TestPrepaidLimitsHoldInEveryHistory(t *testing.T) { playHistories(t, 12) }
 
-// The same with more sidecars than are granted tokens.
+// The same with more sidecars than were granted tokens, whatever their limit. Each had a local bucket of three tokens
+// or more, which it spent before it reported: 24 of them that clients reach in one moment run 72 requests, and as many
+// again with each response, of a tenant whose rule allows 64 in five seconds. 22 of 150 histories were over, 1.415 of
+// what is allowed at most (seed 146). Since then a tenant is granted tokens here as well where the rule leaves one for
+// each sidecar.
 func TestDeferredLimitsHoldInEveryHistory(t *testing.T) { playHistories(t, maxPrepaidMembers+8) }
+
+// The same with as many sidecars as the grown deployments have, where the rule leaves no token for each of them. It
+// fails: a limit of 8 a second allows 64 requests in a window, and 82 sidecars run 246 in the first moment that clients
+// reach them all, before any of them has reported one (KNOWN-RED.txt).
+func TestLargeFleetLimitsHoldInEveryHistory(t *testing.T) { playHistories(t, 82) }
--- a/internal/mesh/quota/plan.go
+++ b/internal/mesh/quota/plan.go
@@ -31,10 +31,15 @@
 	minTokensPerMember, maxRateReduction = 6, 0.1
 	// defaultFloor is how many tokens each floor holds, where the capacity allows it.
 	defaultFloor = 5
-	// maxPrepaidMembers is the largest number of members that are granted tokens, and minPrepaidFloor
-	// the smallest floor with which they are. They guard the leader against four requests a second from
-	// each of many members, and clients against floors that chance empties.
+	// maxPrepaidMembers is the largest number of members that are granted tokens whatever that costs the
+	// tenant, and minPrepaidFloor the smallest floor with which they are. They guard the leader against
+	// four requests a second from each of many members, and clients against floors that chance empties.
 	maxPrepaidMembers, minPrepaidFloor = 16, 1
+	// maxTightMembers is the largest number of members that are granted tokens where the rule leaves one
+	// for each of them, and maxTightRateReduction the fraction by which the rate is lowered for it at
+	// most. They guard the limit against requests that run before they are reported, and the leader
+	// against more than some 130 requests a second of members that ask each renewInterval.
+	maxTightMembers, maxTightRateReduction = 32, 0.2
 )
 
 // Deferred tenants.
@@ -79,10 +84,24 @@
 	if members == UnknownMembers {
 		return plan{rate: limit.Rate}
 	}
-	window, count := r.Window.Seconds(), float64(members)
-	flowing := limit.Rate * (window + TokenTTL.Seconds())
-	allowed := (limit.Rate*window + limit.Burst) * (1 + r.Overage)
-	capacity := allowed + r.Slack - flowing - reservedRateFraction*limit.Rate - reservedSlackFraction*r.Slack
+	if members <= maxTightMembers {
+		if p := r.prepaidPlan(limit, members); p.floorDepth >= minPrepaidFloor {
+			return p
+		}
+	}
+	if members > maxPrepaidMembers && members <= maxTightMembers {
+		if p, fits := r.tightPlan(limit, members); fits {
+			return p
+		}
+	}
+	return r.deferredPlan(limit, members)
+}
+
+// prepaidPlan is the plan of a tenant whose members are granted tokens, with floors as deep as its capacity
+// allows.
+func (r Rules) prepaidPlan(limit Limit, members int) plan {
+	count := float64(members)
+	flowing, capacity := r.divide(limit)
 	rateFraction := 1.0
 	minCapacity := minCapacityRateFraction*limit.Rate + minCapacitySlackFraction*r.Slack
 	if tokens := min(minTokensPerMember*count, capacity+maxRateReduction*flowing); tokens > minCapacity {
@@ -97,9 +116,31 @@
 	if floor > 1 {
 		floor = math.Floor(floor)
 	}
-	if members > maxPrepaidMembers || floor < minPrepaidFloor {
-		return r.deferredPlan(limit, members)
-	}
+	return newPrepaidPlan(limit, members, rateFraction, capacity, floor)
+}
+
+// tightPlan is the plan of a tenant whose capacity leaves just one token for each member, if the rate is
+// lowered for it. It reports whether that is enough.
+func (r Rules) tightPlan(limit Limit, members int) (tight plan, fits bool) {
+	flowing, capacity := r.divide(limit)
+	needed := float64(minPrepaidFloor*members) + minBucketFraction*limit.Rate
+	rateFraction := 1 - max(0, needed-capacity)/flowing
+	tight = newPrepaidPlan(limit, members, rateFraction, max(capacity, needed), minPrepaidFloor)
+	return tight, rateFraction >= 1-maxTightRateReduction
+}
+
+// divide returns what flows within a window at the full rate, and the capacity that the rule leaves beside
+// it for buckets and floors. It may be below zero.
+func (r Rules) divide(limit Limit) (flowing, capacity float64) {
+	window := r.Window.Seconds()
+	flowing = limit.Rate * (window + TokenTTL.Seconds())
+	allowed := (limit.Rate*window + limit.Burst) * (1 + r.Overage)
+	reserve := reservedRateFraction*limit.Rate + reservedSlackFraction*r.Slack
+	return flowing, allowed + r.Slack - flowing - reserve
+}
+
+func newPrepaidPlan(limit Limit, members int, rateFraction, capacity, floor float64) plan {
+	count := float64(members)
 	return plan{
 		rate:       rateFraction * limit.Rate,
 		depth:      capacity - floor*count,
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -7,7 +7,8 @@
 // time and calls each of them from one goroutine at a time or under its own lock.
 //
 // The members are the sidecars that share the limits. A tenant is prepaid where at most
-// maxPrepaidMembers share it and the rule leaves a token for each of them; otherwise it is deferred.
+// maxPrepaidMembers share it and the rule leaves a token for each of them, or at most maxTightMembers and
+// the rule leaves one with the rate lowered by maxTightRateReduction at most; otherwise it is deferred.
 //
 // # How the limit of a prepaid tenant is kept
 //
@@ -31,10 +32,11 @@
 //
 //	T*R*(W+TokenTTL) + b + F.
 //
-// T is 1 where the burst leaves capacity for b and F, and down to about 0.9 where it doesn't; b+F is
-// what the rule leaves after a reserve. With W 5 s, overage 0.1, slack 20, R = B = 172 and m = 12: the
-// rule allows 1155, T*R*(W+TokenTTL) is 912, the reserve 36, F 84 (7 at each limiter), b 123. With
-// R = B = 8: 73, 38, 4, F 24 (2 at each), b 7.
+// T is 1 where the burst leaves capacity for b and F, and down to about 0.9 where it doesn't (0.8 with
+// more than maxPrepaidMembers); b+F is what the rule leaves after a reserve. With W 5 s, overage 0.1,
+// slack 20, R = B = 172 and m = 12: the rule allows 1155, T*R*(W+TokenTTL) is 912, the reserve 36, F 84 (7
+// at each limiter), b 123. With R = B = 8: 73, 38, 4, F 24 (2 at each), b 7. With R = 8, B = 0 and m = 24:
+// 64, 35, 4, F 24 (one at each), b 1.2, T 0.83.
 //
 // Nothing adds to the sum that a process takes for its own at its start. A new limiter starts with empty
 // floors, and they don't fill before a lease of the process before it is over; a tenant that is new there,
@@ -57,7 +59,8 @@
 //
 // # How the limit of a deferred tenant is kept
 //
-// With many members a granted token is often at one that has no request for it. So members admit requests
+// With many members a token at each is more than the rule leaves, and a granted one is often at one that has
+// no request for it. So members admit requests
 // and report afterwards what arrived and what they admitted, and the Allocator takes that from the
 // bucket, below zero if need be. The bucket fills at deferredRateFraction*R, less the floors of members that
 // haven't leased them, for contactTTL each. The Allocator names the throttled tenants,
@@ -78,8 +81,10 @@
 // 4*R*0.6 = 24, and the rule leaves 37. In trials with 200 cold starts at eight times the usual demand,
 // rates 7 to 18 and m 82, the fullest window lay 19 below the rule with a standard deviation of 7; the
 // worst was over by 3 of about 80. So for these rates the rule is kept but for rare chance, and isn't
-// proven; it is broken where clients come at all members in one moment while messages take seconds
-// (TestDeferredLimitsHoldInEveryHistory).
+// proven. It is broken where clients come at all members in one moment: X is then the sum of all local
+// buckets, 246 requests with m 82 where a tenant of 8 a second may run 64 in a window
+// (TestLargeFleetLimitsHoldInEveryHistory). No setting of the buckets bounds that: a member that runs one
+// request of its own accord is enough for as many as there are members.
 //
 // A member whose response is missing for responseTimeout stops filling its local bucket and cuts it to
 // the floor; after contactTTL the floor fills at the member's even share. Floors hold a token each, more
