conformance: clients of the daemon send a request again that crossed a closed connection

Symptom: TestFirstPool/many_at_once and compartment/full, "rule 1: c42 has no answer", now and then beside load. Cause, from the daemon's table of connections (trial that prints what it closes): new connections over their limit, 110 to 430 ms old, on which nothing had come: the callers had no processor to send.

Reproduced: 5 failing plays of 320, 32 processes at once beside 16 busy ones. What a closed connection had run would be found by rule 2, as the request comes twice.

--- a/conformance/subject_daemon_test.go
+++ b/conformance/subject_daemon_test.go
@@ -64,10 +64,16 @@
 }
 
 type daemonClient struct {
-	cmd    *exec.Cmd
-	url    string
-	host   string // "": the url's
-	http   http.Client
+	cmd  *exec.Cmd
+	url  string
+	host string // "": the url's
+	http http.Client
+	// resend sends a request once more, on a new connection, whose connection was closed without an answer. So do clients
+	// by the protocol: the daemon may close a connection that is idle, also one on which nothing has come yet. With 90
+	// callers at once and a machine that had no processor for them, it closed new connections 110 ms after they had come
+	// ("closed state 1 after 112ms, 70 in that state, 10 allowed": in 5 of 320 plays of 32 processes at once beside 16 busy
+	// ones), and their requests crossed that. That what it closed had not run is held against rule 2.
+	resend http.Client
 	ended  chan error
 	closed sync.Once
 }
@@ -105,6 +111,7 @@
 	t.Cleanup(func() { _ = c.cmd.Process.Kill() })
 	c.url = "http://" + testbed.Wait(t, "the daemon to serve", address)
 	c.http.Transport = &http.Transport{MaxIdleConnsPerHost: 100}
+	c.resend.Transport = &http.Transport{DisableKeepAlives: true}
 	t.Cleanup(c.http.CloseIdleConnections)
 	testbed.Until(t, "the daemon to be up", func() bool {
 		res, err := c.http.Get(c.url + "/up")
@@ -118,11 +125,10 @@
 }
 
 func (c *daemonClient) Call(ctx context.Context, call Call) Answer {
-	req := request(ctx, c.url, call)
-	if c.host != "" {
-		req.Host = c.host
+	res, err := c.send(ctx, &c.http, call)
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		res, err = c.send(ctx, &c.resend, call)
 	}
-	res, err := c.http.Do(req)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Answer{Kind: Gone}
@@ -146,6 +152,15 @@
 	return Answer{Kind: Failed, Detail: res.Status}
 }
 
+// send sends a call as a request.
+func (c *daemonClient) send(ctx context.Context, over *http.Client, call Call) (*http.Response, error) {
+	req := request(ctx, c.url, call)
+	if c.host != "" {
+		req.Host = c.host
+	}
+	return over.Do(req)
+}
+
 func (c *daemonClient) Close() (err error) {
 	c.closed.Do(func() {
 		if err = c.cmd.Process.Signal(syscall.SIGTERM); err != nil {
