meshclient: Drain waits for the heartbeat in flight before it deregisters

Found by reading: Drain ended Run and deregistered while a heartbeat was under way, which then arrives as one of an instance that has ended. TestDrainWaitsForTheHeartbeatInFlight fails without the mend. Whether the one failure was this is not shown: the example's output also depends on one heartbeat a second.

--- a/meshclient/drain.go
+++ b/meshclient/drain.go
@@ -15,8 +15,8 @@
 
 // Drain ends the upstream's part in the mesh. It has Run report draining until that is
 // acknowledged, waits DrainTimeout and a margin of 0.3 s, during which the upstream goes on serving
-// and Run goes on sending heartbeats, ends Run, and deregisters the instance. It needs a Run that
-// is under way.
+// and Run goes on sending heartbeats, ends Run, waits for a heartbeat in flight, and deregisters the
+// instance. It needs a Run that is under way.
 //
 // When ctx ends before the acknowledgement, or before the time to serve is over, Drain returns an
 // *Error of kind Undetermined, and Run goes on saying that the upstream is draining. Without
@@ -41,6 +41,11 @@
 		return &Error{Kind: Undetermined, Message: "the context ended before the drain timeout", cause: context.Cause(ctx)}
 	}
 	h.stop()
+	select { // a heartbeat that arrived behind the deregistration would be one of an instance that has ended
+	case <-h.finished:
+	case <-ctx.Done():
+		return &Error{Kind: Undetermined, Message: "the context ended before the last heartbeat", cause: context.Cause(ctx)}
+	}
 	path := meshapi.InstancePath(meshapi.DeregisterPattern, h.Instance.ID)
 	_, err := call[json.RawMessage](ctx, h.Client, http.MethodPost, path, []byte("{}"))
 	return err
--- a/meshclient/heartbeats.go
+++ b/meshclient/heartbeats.go
@@ -58,6 +58,7 @@
 	wake              chan struct{} // holds one element when a heartbeat is to be sent at once
 	drainAcknowledged chan struct{} // closed when a heartbeat that says draining was acknowledged
 	stopped           chan struct{} // closed when no further heartbeat is to be sent
+	finished          chan struct{} // closed when Run has returned: no heartbeat is in flight
 
 	// mu guards draining and stopping, and what wake holds while draining changes.
 	mu       sync.Mutex
@@ -75,6 +76,7 @@
 	h.wake = make(chan struct{}, 1)
 	h.drainAcknowledged = make(chan struct{})
 	h.stopped = make(chan struct{})
+	h.finished = make(chan struct{})
 	h.Client.once.Do(h.Client.start)
 }
 
@@ -87,6 +89,7 @@
 		return &Error{Kind: InvalidUsage, Message: message}
 	}
 	h.once.Do(h.start)
+	defer close(h.finished)
 	retry := newBackoff(h.Interval)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -99,6 +102,9 @@
 		case <-h.wake:
 		case <-timer.C:
 		}
+		if h.isStopped() { // at the same moment
+			return nil
+		}
 		if failure := h.send(ctx); failure != nil {
 			timer.Reset(retry.delay(failure.retryAfter))
 			if h.OnError != nil && ctx.Err() == nil {
@@ -111,6 +117,16 @@
 	}
 }
 
+// isStopped reports whether no further heartbeat is to be sent.
+func (h *Heartbeats) isStopped() bool {
+	select {
+	case <-h.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // configured reports whether the required fields are set.
 func (h *Heartbeats) configured() bool {
 	instance := &h.Instance
--- a/meshclient/heartbeats_test.go
+++ b/meshclient/heartbeats_test.go
@@ -90,3 +90,28 @@
 		})
 	})
 }
+
+// ExampleHeartbeats failed once beside load: what a heartbeat in flight prints came behind the deregistration. Drain
+// ended Run and did not wait for it. A heartbeat that arrives behind the deregistration is one of an instance that has
+// ended, and callers may be sent to it.
+func TestDrainWaitsForTheHeartbeatInFlight(t *testing.T) {
+	Convey("No heartbeat is in flight when the instance is deregistered", t, func(c C) {
+		responses := []response{
+			{status: 200}, // ready, at the start
+			{status: 200}, // draining, 0.5 s later
+			{},            // a second later: silent, until the acknowledgement is given up
+		}
+		runScript(t, responses, func(ctx context.Context, s *scriptedTransport, client *Client) {
+			instance := Instance{ID: "i", Service: "s", Address: "x:1"}
+			h := &Heartbeats{Client: client, Instance: instance, Interval: time.Second, DrainTimeout: time.Second}
+			ended := make(chan error, 1)
+			go func() { ended <- h.Run(ctx) }()
+			time.Sleep(500 * time.Millisecond) // of the bubble's time
+			c.So(h.Drain(ctx), ShouldBeNil)
+			c.So(<-ended, ShouldBeNil)
+			c.So(s.calls, ShouldHaveLength, 4)
+			c.So(s.calls[3], ShouldEndWith, "/api/instances/i/deregister")
+			c.So(s.times[3], ShouldEqual, 1500*time.Millisecond+acknowledgementTimeout)
+		})
+	})
+}
