controlplane: the tests' machines have a network of their own in each process

Symptom: TestCoreMachinesReplaced, "waited in vain for a leader" and "address already in use", 2 of 384 plays, 32 processes at once. Cause: a port that was free at 127.0.7.1 was taken at 127.0.7.2 by another process, and both failing processes had the same one. Measured: 0 of 384 at the same load.

--- a/internal/mesh/controlplane/cluster_test.go
+++ b/internal/mesh/controlplane/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -57,7 +58,7 @@
   role: controlplane
   machineClass: core
   servedRoles: [control_plane]
-  ipAddress: 127.0.7.%[1]d
+  ipAddress: %[8]s.%[1]d
   zone: zone-%[1]d
   region: r
   countedInQuorum: true
@@ -65,7 +66,7 @@
   dataDirectory: %[5]q
   limits: {cpuShare: 1, cpuCores: 1, memoryMb: 256, maxOpenFiles: 1024, bandwidthMbps: 100, diskMb: 64}
 network:
-  listenAddresses: {controlPlane: "127.0.7.%[1]d:%[2]s"}
+  listenAddresses: {controlPlane: "%[8]s.%[1]d:%[2]s"}
   internalPortRange: [%[3]s, %[3]s]
   seedNodes: [%[6]s]
   zones: {}
@@ -76,13 +77,19 @@
   bounds: {gracePeriodS: %[7]g}
 `
 
+// testNetwork is the network of this process's machines, as %s.NUMBER. Each process has one of its own: copies of the
+// tests that run at the same time took each other's ports, since a port that is free at one address of a shared network
+// need not be at the others (2 of 384 plays of TestCoreMachinesReplaced, 32 at once: "address already in use").
+var testNetwork = fmt.Sprintf("127.%d.%d", 64+os.Getpid()>>8%64, os.Getpid()%256)
+
 // newTestCluster makes a cluster without machines. Those that run when the test ends are stopped then.
 func newTestCluster(t *testing.T) *testCluster {
 	t.Helper()
+	ports := freePorts(t)
 	c := &testCluster{
 		t:            t,
-		controlPort:  freePort(t),
-		internalPort: freePort(t),
+		controlPort:  ports[0],
+		internalPort: ports[1],
 		client:       httpclient.New(callTimeout),
 		machines:     map[int]*testMachine{},
 	}
@@ -94,25 +101,28 @@
 	return c
 }
 
-func freePort(t *testing.T) string {
+// freePorts are two ports, which differ.
+func freePorts(t *testing.T) (ports [2]string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.7.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for i := range ports {
+		l, err := net.Listen("tcp", testNetwork+".1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		_, ports[i], _ = net.SplitHostPort(l.Addr().String())
 	}
-	defer l.Close()
-	_, port, _ := net.SplitHostPort(l.Addr().String())
-	return port
+	return ports
 }
 
 func (c *testCluster) settings(m machineConfig) *settings.Settings {
 	c.t.Helper()
 	var seeds string
 	for _, seed := range m.seeds {
-		seeds += fmt.Sprintf("%q,", fmt.Sprintf("127.0.7.%d:%s", seed, c.controlPort))
+		seeds += fmt.Sprintf("%q,", fmt.Sprintf("%s.%d:%s", testNetwork, seed, c.controlPort))
 	}
 	set, err := settings.Parse(fmt.Appendf(nil, machineSettings,
-		m.number, c.controlPort, c.internalPort, m.firstStart, m.disk, seeds, m.gracePeriodS))
+		m.number, c.controlPort, c.internalPort, m.firstStart, m.disk, seeds, m.gracePeriodS, testNetwork))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -155,11 +165,11 @@
 }
 
 func (c *testCluster) url(number int, path string) string {
-	return fmt.Sprintf("http://127.0.7.%d:%s%s", number, c.controlPort, path)
+	return fmt.Sprintf("http://%s.%d:%s%s", testNetwork, number, c.controlPort, path)
 }
 
 func (c *testCluster) internalAddress(number int) string {
-	return fmt.Sprintf("127.0.7.%d:%s", number, c.internalPort)
+	return fmt.Sprintf("%s.%d:%s", testNetwork, number, c.internalPort)
 }
 
 // eventually waits until a condition holds. It is checked repeatedly, because what brings it about
