transport/http1: the test of the last byte waits for the reset, not for 2 ms

Symptom: TestLastByteIsDelayedWhereConnectionsBreak, "ending 5, want NoConnection", 3 of 3,600 plays, 12 processes at once. Cause: the goroutine that resets had no processor within the 2 ms for which the byte is kept back; the request went out whole and ended as one that may have run, which is true. The delay is a field that the test sets; the assertions are the same, and a new test holds the delay to 2 ms.

--- a/internal/proxy/transport/http1/roundtrip.go
+++ b/internal/proxy/transport/http1/roundtrip.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// lastByteDelay is how long writeRequest keeps a request's last byte back at most.
+	// lastByteDelay is how long writeRequest keeps a request's last byte back at most. A reset that takes longer comes
+	// behind the last byte, and the attempt ends as one that may have run.
 	lastByteDelay = 2 * time.Millisecond
 	// lastByteDelayFraction bounds the same by the time that is left: no more than one part in so many.
 	lastByteDelayFraction = 50
@@ -151,7 +152,7 @@
 // false then.
 func (t *Transport) writeRequest(c *conn, request []byte, hasEffect bool, limits call.Limits) error {
 	now := t.clock.Now()
-	delay := min(lastByteDelay, (limits.SendBy-now)/lastByteDelayFraction)
+	delay := min(t.lastByteDelay, (limits.SendBy-now)/lastByteDelayFraction)
 	if !hasEffect || delay < minLastByteDelay || !t.connsBreak.Load() || c.raw == nil {
 		_, err := c.Write(request)
 		return err
--- a/internal/proxy/transport/http1/transport.go
+++ b/internal/proxy/transport/http1/transport.go
@@ -65,6 +65,7 @@
 	dial             func(ctx context.Context, address string) (net.Conn, error)
 	onRequestWritten func()
 	awaitCancelled   bool
+	lastByteDelay    time.Duration // how long writeRequest keeps a request's last byte back at most
 
 	closing    atomic.Bool    // Close was called: Cancel closes connections whatever awaitCancelled says
 	running    sync.WaitGroup // exchanges
@@ -109,6 +110,7 @@
 		dial:             cfg.Dial,
 		onRequestWritten: cfg.OnRequestWritten,
 		awaitCancelled:   cfg.AwaitCancelled,
+		lastByteDelay:    lastByteDelay,
 		maxConns:         cfg.MaxConns,
 		idle:             make(map[*host][]*conn),
 		exchanges:        make(map[*exchange]struct{}),
--- a/internal/proxy/transport/http1/transport_test.go
+++ b/internal/proxy/transport/http1/transport_test.go
@@ -289,6 +289,11 @@
 
 // Guards against requests that must not run twice and are lost to a connection which its server had given up: where
 // connections break, the last byte is kept back, and a reset that comes before it proves that the request never ran.
+//
+// It failed in 3 of 3,600 plays, 12 processes at once: "ending 5, want NoConnection", and the whole request came. The
+// server that resets is a goroutine of this test, and had no processor within the 2 ms for which the byte is kept back.
+// Nothing false is said then: the attempt ends as one that may have run. So the test waits for the reset for as long as
+// it waits for anything.
 func TestLastByteIsDelayedWhereConnectionsBreak(t *testing.T) {
 	s := testbed.NewStub(t, testbed.Echo)
 	dead, err := net.Listen("tcp", "127.0.0.1:0") // resets as soon as anything comes
@@ -319,17 +324,37 @@
 	for range 10 {
 		u.recordUse(h, new(conn), true)
 	}
-	if end := attempt(t, u, h, "2", testbed.Generous).Ending; end != policy.NoConnection {
+	u.lastByteDelay = testbed.Generous
+	if end := attempt(t, u, h, "2", lastByteDelayFraction*testbed.Generous).Ending; end != policy.NoConnection {
 		t.Errorf("ending %v, want NoConnection: it was never whole", end)
 	}
 	if came := testbed.Wait(t, "the request", got); !strings.HasSuffix(came, "weigh") {
 		t.Errorf("%q came, want all but the last byte", came)
 	}
+	u.lastByteDelay = lastByteDelay
 	if end := attempt(t, u, hostOf(u, s), "3", testbed.Generous).Ending; end != policy.Served {
 		t.Errorf("ending %v at a server that is well, want it served", end)
 	}
 }
 
+// A server that is well costs a request two milliseconds at most.
+func TestLastByteIsNotKeptForLong(t *testing.T) {
+	s := testbed.NewStub(t, testbed.Echo)
+	u := newTestTransport(t)
+	if u.lastByteDelay != 2*time.Millisecond {
+		t.Fatalf("the last byte is kept back for %v", u.lastByteDelay)
+	}
+	u.lastByteDelay = 50 * time.Millisecond // to be told from the time that the rest takes
+	u.connsBreak.Store(true)
+	begun := time.Now()
+	if end := attempt(t, u, hostOf(u, s), "1", testbed.Generous).Ending; end != policy.Served {
+		t.Errorf("ending %v, want served: the last byte follows where nothing breaks", end)
+	}
+	if took := time.Since(begun); took < 50*time.Millisecond {
+		t.Errorf("served after %v, want the last byte kept back for 50 ms", took)
+	}
+}
+
 // A process that was stopped between the decision and the write sends nothing once the time is up.
 func TestLateAttemptIsNotWritten(t *testing.T) {
 	s := testbed.NewStub(t, testbed.Echo)
