meshclient: ExampleHeartbeats judges the order, not the number of heartbeats

Symptom: the example failed once beside load.

The stand-in prints that an instance drains once, and each heartbeat behind its end.

--- a/meshclient/example_test.go
+++ b/meshclient/example_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"time"
 
 	"caperarch/meshclient"
@@ -29,18 +30,36 @@
 		w.WriteHeader(http.StatusPreconditionFailed)
 		fmt.Fprint(w, `{"errorMessage":"another version is in place"}`)
 	})
-	mux.HandleFunc("POST /api/instances/{id}/{what}", func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		if r.PathValue("what") == "deregister" {
-			fmt.Println(r.PathValue("id"), "has ended")
-		} else if strings.Contains(string(body), "draining") {
-			fmt.Println(r.PathValue("id"), "is draining")
-		}
-		fmt.Fprint(w, `{}`)
-	})
+	mux.Handle("POST /api/instances/{id}/{what}", new(instanceLog))
 	return httptest.NewServer(mux)
 }
 
+// instanceLog prints what an instance announces: that it drains, once, that it has ended, and each heartbeat behind
+// that, which must not come. A heartbeat that says draining again is none of that: a process that is stopped for a
+// second sends one more before it deregisters, and 12 of 12 plays of ExampleHeartbeats that were stopped so failed by
+// it, some by one behind the end.
+type instanceLog struct {
+	mu              sync.Mutex
+	draining, ended bool
+}
+
+func (l *instanceLog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch id := r.PathValue("id"); {
+	case r.PathValue("what") == "deregister":
+		l.ended = true
+		fmt.Println(id, "has ended")
+	case l.ended:
+		fmt.Println(id, "sends a heartbeat after its end")
+	case !l.draining && strings.Contains(string(body), "draining"):
+		l.draining = true
+		fmt.Println(id, "is draining")
+	}
+	fmt.Fprint(w, `{}`)
+}
+
 // A route is added to whatever is in force; another operator's change in between does no harm.
 func ExampleClient_Change() {
 	core := startCoreMachine()
