--- a/cmd/caperarch/fleetpolicy_test.go
+++ b/cmd/caperarch/fleetpolicy_test.go
@@ -26,6 +26,7 @@
 func startPolicies(t *testing.T, edit func(file, settings map[string]any)) *policies {
 	t.Helper()
 	p := &policies{T: t, Fleet: startFleet(t, fleet.Config{Size: 5, Nodes: 4, CutOff: fleet.CutOffPolicy, Edit: edit})}
+	t.Cleanup(p.logViews)
 	p.stop = p.Load(150)
 	if err := p.Sidecars[3].Propose(fleet.Marked(0)); err == nil {
 		t.Error("a proposal before there is a log was taken")
@@ -43,6 +44,19 @@
 	return p
 }
 
+// logViews logs what each process says of the policy, if the test has failed: who leads, what is under way and what
+// became of its proposals tell why something is waited for in vain.
+func (p *policies) logViews() {
+	if !p.Failed() {
+		return
+	}
+	for _, s := range p.Sidecars {
+		view, ok := s.Policy()
+		p.Logf("%d answers %v, leader %d, mode %s, active %d, committed %d: %s",
+			s.Number, ok, view.Leader, view.Mode, view.Active, view.Committed, view.Text)
+	}
+}
+
 // propose proposes the next of the two policies.
 func (p *policies) propose(by int) {
 	p.Helper()
