--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,7 +7,8 @@
 // how evenly requests are spread, fleet_ fleets of proxies, mesh_ the mesh, control_ its core machines after a
 // fault, quota_ tenants' limits under faults, soak_ troubles in series that overlap, mutants whether the tests
 // find planted faults. Subjects and callers are processes of their own (process.go, child.go), but for the
-// upstreams and clients of quota_ and soak_, which record; what a measurement has started is ended by its cleanups (cleanup.go).
+// upstreams and clients of quota_ and soak_, which record; what a measurement has started is ended by its cleanups
+// (cleanup.go).
 package main
 
 import (
--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -88,7 +88,10 @@
 		return nil, err
 	}
 	c.Cleanup(func() { os.RemoveAll(dir) })
-	m := &meshCore{binary: binary, dir: dir, prefix: prefix, client: httpclient.New(time.Second), processors: 1, configApply: meshConfigApply}
+	m := &meshCore{
+		binary: binary, dir: dir, prefix: prefix, client: httpclient.New(time.Second),
+		processors: 1, configApply: meshConfigApply,
+	}
 	if m.control, err = meshPort(prefix, meshControlPorts); err != nil {
 		return nil, err
 	}
--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -129,7 +129,8 @@
 	}
 	n, err := strconv.Atoi(soakProcessesFlag)
 	if err != nil || n <= soakCore {
-		return 0, usageError{fmt.Sprintf("-processes %q: not max, nor a number above the %d core members", soakProcessesFlag, soakCore)}
+		return 0, usageError{fmt.Sprintf("-processes %q: not max, nor a number above the %d core members",
+			soakProcessesFlag, soakCore)}
 	}
 	if n > most {
 		return 0, usageError{fmt.Sprintf("-processes %d: this machine bears %d", n, most)}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -24,7 +24,9 @@
 )
 
 // Promises are all of them.
-var Promises = []Promise{RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, NewestConfig, Unchanged, AbandonedEnds}
+var Promises = []Promise{
+	RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, NewestConfig, Unchanged, AbandonedEnds,
+}
 
 const (
 	// answerSlack is how long after the route's time-out a response may come, and how long after its client has
@@ -88,7 +90,8 @@
 }
 
 func (c *checker) report(p Promise, r *Request, at time.Duration, format string, args ...any) {
-	c.verdict.Findings = append(c.verdict.Findings, Finding{Promise: p, Request: r.ID, At: at, Text: fmt.Sprintf(format, args...)})
+	finding := Finding{Promise: p, Request: r.ID, At: at, Text: fmt.Sprintf(format, args...)}
+	c.verdict.Findings = append(c.verdict.Findings, finding)
 }
 
 // checkRuns judges what upstreams were sent, and how often a request that must not run twice ran.
@@ -154,10 +157,12 @@
 	}
 	c.verdict.Judged[NothingLost]++
 	passedOn, after := len(c.runs[r.ID]) > 0, r.Ended-r.Sent
-	if unanswered(r) && (passedOn || after > c.rules.LossSlack) {
-		c.report(NothingLost, r, r.Ended, "no response, %v after it was sent, beside planned work that began %v before; "+
-			"passed on: %v%s", after.Round(time.Millisecond), (r.Ended - work.From).Round(time.Millisecond), passedOn, c.story(r))
+	if !unanswered(r) || !passedOn && after <= c.rules.LossSlack {
+		return
 	}
+	sinceWork := (r.Ended - work.From).Round(time.Millisecond)
+	c.report(NothingLost, r, r.Ended, "no response, %v after it was sent, beside planned work that began %v before; "+
+		"passed on: %v%s", after.Round(time.Millisecond), sinceWork, passedOn, c.story(r))
 }
 
 // story is what upstreams did with a request, and what was done to its sidecars, in words.
--- a/internal/proxy/transport/grpc/transport.go
+++ b/internal/proxy/transport/grpc/transport.go
@@ -192,7 +192,10 @@
 // Send starts an attempt: see call.Server.
 func (h *host) Send(m *call.Message, limits call.Limits, done func(call.Result)) call.Attempt {
 	t := h.transport
-	a := &attempt{transport: t, host: h, message: m, sendBy: limits.SendBy, until: limits.Until, begun: t.cfg.Clock.Now(), done: done}
+	a := &attempt{
+		transport: t, host: h, message: m, sendBy: limits.SendBy, until: limits.Until,
+		begun: t.cfg.Clock.Now(), done: done,
+	}
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	a.ctx, a.cancel = context.WithValue(ctx, attemptKey{}, a), cancel
 	t.running.Add(1)
