measure soak: the folder for reports is made at the start, findings are printed as they come

Cause: -keep named a folder that did not exist, found out at the first finding. A folder that can't be made is a usage error now.

--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return "", nil, err
 	}
+	if err := prepareKeep(); err != nil {
+		return "", nil, err
+	}
 	seeds, length := soakSeedList(short)
 	binary, end, err := tempMeshd()
 	if err != nil {
@@ -83,7 +86,10 @@
 			return "", missed, fmt.Errorf("seed %d: %w", seed, err)
 		}
 		fmt.Println(report.line())
-		missed = append(missed, report.problems()...)
+		for _, problem := range report.problems() { // at once: a run of many seeds may not come to its end
+			fmt.Println(problem)
+			missed = append(missed, problem)
+		}
 		if err := report.keep(); err != nil {
 			return "", missed, err
 		}
@@ -209,6 +215,17 @@
 	return all
 }
 
+// prepareKeep creates the folder for reports, so that a run doesn't find out at its first finding that there is none.
+func prepareKeep() error {
+	if soakKeepFlag == "" {
+		return nil
+	}
+	if err := os.MkdirAll(soakKeepFlag, 0o700); err != nil {
+		return usageError{fmt.Sprintf("-keep: %v", err)}
+	}
+	return nil
+}
+
 // keep writes a report with findings to the folder that the command line names.
 func (r *soakReport) keep() error {
 	if soakKeepFlag == "" || !r.failed() {
