raftlog: a voter that answers its leader stays a voter, and changes keep a quorum

What callers saw: beside a cut in two all five processes of a fleet were cut off, the three that were together too, until the cut was over: no policy could be changed or granted (TestPolicyEverywhereOrNowhere, "waited in vain for the majority to go by it").

Cause: the leader took a voter for lost by its reports alone. Reports go by way of relays; with the relays on the other side of the cut a live voter's report came too late, and the voter was taken out, by its own vote among others. Four voters were left, two of them on the leader's side.

Evidence, a trial that logs each change with what the leader knew: voter 0 removed with its report 3.09 s old (a lease is 3.01 s) and its last message of the voters' protocol 0.50 s old; the views then show voters 1 2 3 4 with 0, 1 and 4 together.

UpdateVoters is split by step.

--- a/internal/fleet/raftlog/epoch.go
+++ b/internal/fleet/raftlog/epoch.go
@@ -76,6 +76,7 @@
 func (n *Node) resetLog(now time.Duration, epoch uint64) {
 	n.epoch, n.log, n.raft, n.raftStorage = epoch, nil, nil, nil
 	n.voters, n.senders = make(map[uint64]Voter), make(map[uint64]int)
+	n.heardAt = make(map[uint64]time.Duration)
 	n.pending, n.lastLeaderAck, n.highestIndex, n.reportedLeader, n.reportedTerm = nil, 0, 0, 0, 0
 	n.pendingConfirms, n.lastQuorumAck, n.quorumAckIndex = make(map[uint64]time.Duration), 0, 0
 	n.loggedTokens, n.buffered = make(map[uint64]bool), make(map[uint64]Entry)
--- a/internal/fleet/raftlog/raftlog.go
+++ b/internal/fleet/raftlog/raftlog.go
@@ -161,10 +161,11 @@
 	heartbeat    time.Duration
 	epoch        uint64 // 0: none
 	log          []Entry
-	voters       map[uint64]Voter // by raft id, as far as the log is known here
-	senders      map[uint64]int   // sidecars' numbers by raft id, from received messages
-	raft         *raft.RawNode    // nil: not a voter
-	storageError error            // why this process must not vote any more
+	voters       map[uint64]Voter         // by raft id, as far as the log is known here
+	senders      map[uint64]int           // sidecars' numbers by raft id, from received messages
+	heardAt      map[uint64]time.Duration // when a raft id's last message of the voters' protocol came
+	raft         *raft.RawNode            // nil: not a voter
+	storageError error                    // why this process must not vote any more
 	raftStorage  *raft.MemoryStorage
 
 	electionDeadline time.Duration
--- a/internal/fleet/raftlog/receive.go
+++ b/internal/fleet/raftlog/receive.go
@@ -57,7 +57,7 @@
 	if m.GetTo() != n.id {
 		return // addressed to the process before this one
 	}
-	n.senders[m.GetFrom()] = from
+	n.senders[m.GetFrom()], n.heardAt[m.GetFrom()] = from, now
 	if n.raft == nil {
 		if n.startVoting(now) != nil {
 			return
--- a/internal/fleet/raftlog/voters.go
+++ b/internal/fleet/raftlog/voters.go
@@ -43,48 +43,88 @@
 	return slices.SortedFunc(maps.Values(n.voters), func(a, b Voter) int { return a.Number - b.Number })
 }
 
-// voterChangeInterval is the least time between two changes of the voters.
-const voterChangeInterval = time.Second
+const (
+	// voterChangeInterval is the least time between two changes of the voters.
+	voterChangeInterval = time.Second
+	// maxVotersAdded bounds how many voters one change adds.
+	maxVotersAdded = 2
+	// contactHeartbeats is for how many heartbeat intervals after its last message a voter is in contact.
+	contactHeartbeats = 4
+)
 
-// maxVotersAdded bounds how many voters one change adds.
-const maxVotersAdded = 2
+// InContact reports whether a voter is this process, or has sent it a message of the voters' protocol lately.
+// All voters answer their leader once each HeartbeatInterval.
+func (n *Node) InContact(now time.Duration, voter Voter) bool {
+	if voter == n.Self {
+		return true
+	}
+	heardAt, heard := n.heardAt[voter.ID()]
+	return heard && now-heardAt <= contactHeartbeats*n.heartbeat
+}
 
 // UpdateVoters has the leader replace voters that are lost for good and fill up their number; on
 // other nodes it does nothing. lost reports whether a voter's process can't take part any more;
 // candidates are the processes that can, the preferred one first.
+//
+// The voters stay as they are while too few of the new ones are in contact: a change that left the
+// leader's side of a partition without a quorum could not be taken back there.
 func (n *Node) UpdateVoters(now time.Duration, lost func(Voter) bool, candidates []Voter) {
 	if !n.IsLeader() || now < n.nextVoterChange {
 		return
 	}
-	change := &raftpb.ConfChangeV2{}
-	var added []Voter
-	kept := 0
-	for _, s := range n.Voters() {
-		if lost(s) && s != n.Self {
-			change.Changes = append(change.Changes, newVoterChange(raftpb.ConfChangeType_ConfChangeRemoveNode, s))
+	var removed, kept []Voter
+	for _, voter := range n.Voters() {
+		if lost(voter) && voter != n.Self {
+			removed = append(removed, voter)
 		} else {
-			kept++
+			kept = append(kept, voter)
 		}
 	}
-	for _, s := range candidates {
-		if kept+len(added) >= n.VoterCount || len(added) >= maxVotersAdded {
+	added := n.chooseNewVoters(kept, candidates)
+	if len(removed)+len(added) == 0 || !n.hasQuorumInContact(now, kept, added) {
+		return
+	}
+	n.proposeVoterChange(now, removed, added)
+}
+
+// chooseNewVoters returns the candidates that fill up the number of voters beside those that are kept.
+func (n *Node) chooseNewVoters(kept, candidates []Voter) (added []Voter) {
+	for _, candidate := range candidates {
+		if len(kept)+len(added) >= n.VoterCount || len(added) >= maxVotersAdded {
 			break
 		}
-		_, votes := n.voters[s.ID()]
-		sameNumber := func(o Voter) bool { return o.Number == s.Number && !lost(o) }
-		if !votes && !slices.ContainsFunc(n.Voters(), sameNumber) {
-			change.Changes = append(change.Changes, newVoterChange(raftpb.ConfChangeType_ConfChangeAddNode, s))
-			added = append(added, s)
+		_, votes := n.voters[candidate.ID()]
+		sameNumber := func(voter Voter) bool { return voter.Number == candidate.Number }
+		if !votes && !slices.ContainsFunc(kept, sameNumber) {
+			added = append(added, candidate)
 		}
 	}
-	if len(change.Changes) == 0 {
-		return
+	return added
+}
+
+// hasQuorumInContact reports whether a majority of the voters after a change can take part. Those that are
+// added can: they are candidates.
+func (n *Node) hasQuorumInContact(now time.Duration, kept, added []Voter) bool {
+	inContact := len(added)
+	for _, voter := range kept {
+		if n.InContact(now, voter) {
+			inContact++
+		}
+	}
+	return 2*inContact > len(kept)+len(added)
+}
+
+// proposeVoterChange proposes to remove and to add voters. There is one change at a time: raft rejects a second
+// one by appending an empty entry, so that a change that can't commit, proposed with each event, would grow the
+// log by a thousand entries a second.
+func (n *Node) proposeVoterChange(now time.Duration, removed, added []Voter) {
+	change := &raftpb.ConfChangeV2{Context: encodeVoters(added...)}
+	for _, voter := range removed {
+		change.Changes = append(change.Changes, newVoterChange(raftpb.ConfChangeType_ConfChangeRemoveNode, voter))
+	}
+	for _, voter := range added {
+		change.Changes = append(change.Changes, newVoterChange(raftpb.ConfChangeType_ConfChangeAddNode, voter))
 	}
-	// A voter is removed without a replacement only if there is no candidate.
-	change.Context = encodeVoters(added...)
-	// One change at a time: raft rejects a second one by appending an empty entry. Requested with
-	// each event, a change that could not commit grew the log by a thousand entries a second
-	// (accordnet, seed 3).
 	n.nextVoterChange = now + voterChangeInterval
 	_ = n.raft.ProposeConfChange(change)
 	n.processReady(now)
--- a/internal/fleet/raftlog/voters_test.go
+++ b/internal/fleet/raftlog/voters_test.go
@@ -46,3 +46,20 @@
 		t.Errorf("it came to it %d times", tried)
 	}
 }
+
+// Guards against a change that leaves the leader's side of a partition without a quorum, whatever is taken for lost.
+func TestNoVoterChangeWithoutQuorumInContact(t *testing.T) {
+	for seed := range uint64(20) {
+		n := founded(t, 5, seed)
+		leader := n.Leader()
+		smaller := map[int]bool{(leader + 1) % 5: true, (leader + 2) % 5: true}
+		n.Partitioned = func(from, to int) bool { return smaller[from] != smaller[to] }
+		n.Run(5 * time.Second)
+		ownSide := func(voter raftlog.Voter) bool { return voter.Number == (leader+3)%5 }
+		n.Nodes[leader].UpdateVoters(n.Now, ownSide, nil)
+		n.Run(5 * time.Second)
+		if voters := n.Nodes[leader].Voters(); len(voters) != 5 {
+			t.Errorf("seed %d: leader %d, cut off from %v, changed the voters to %v", seed, leader, smaller, voters)
+		}
+	}
+}
--- a/internal/fleet/replicatedstate/leader.go
+++ b/internal/fleet/replicatedstate/leader.go
@@ -1,6 +1,7 @@
 package replicatedstate
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,14 +44,25 @@
 // repeats it after a second, with growing delays.
 const decisionRetry = 5 * time.Second
 
-// voterLost reports whether a voter's process can't take part any more, as far as reports tell.
-func (n *Node) voterLost(now time.Duration, s raftlog.Voter) bool {
-	incarnation, recent := n.leader.VoterIncarnation(now, s.Number)
+// updateVoters has the log replace voters that are lost, if this sidecar leads.
+func (n *Node) updateVoters(now time.Duration) {
+	if n.leader == nil {
+		return
+	}
+	lost := func(voter raftlog.Voter) bool { return n.voterLost(now, voter) }
+	n.log.UpdateVoters(now, lost, n.voterCandidates(now))
+}
+
+// voterLost reports whether a voter's process can't take part any more, as far as is known. Reports alone don't
+// tell: they go by way of relays, which may be down or on the other side of a partition while the voter itself
+// answers its leader.
+func (n *Node) voterLost(now time.Duration, voter raftlog.Voter) bool {
+	incarnation, recent := n.leader.VoterIncarnation(now, voter.Number)
 	if recent {
 		// another process of that number reports, which has forgotten this vote
-		return incarnation != s.Incarnation
+		return incarnation != voter.Incarnation
 	}
-	return now >= n.leader.TermStart()+LeaseExpiry(n.Lease, n.MaxClockError)
+	return now >= n.leader.TermStart()+LeaseExpiry(n.Lease, n.MaxClockError) && !n.log.InContact(now, voter)
 }
 
 // voterCandidates returns the processes that could vote, in an order that is the same for each
@@ -66,11 +78,6 @@
 			all = append(all, raftlog.Voter{Number: i, Incarnation: incarnation})
 		}
 	}
-	slices.SortFunc(all, func(a, b raftlog.Voter) int {
-		if a.ID() < b.ID() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b raftlog.Voter) int { return cmp.Compare(a.ID(), b.ID()) })
 	return all
 }
--- /dev/null
+++ b/internal/fleet/replicatedstate/partition_test.go
@@ -0,0 +1,31 @@
+package replicatedstate_test
+
+import (
+	"testing"
+	"time"
+
+	"caperarch/internal/lab/replicatedstatesim"
+)
+
+// Guards against a leader that takes a live voter of its own side out of the voters, as the voter's reports go by
+// way of relays on the other side: three of five have no quorum then.
+func TestPartitionLeavesLargerSideItsQuorum(t *testing.T) {
+	for seed := range uint64(60) {
+		n := founded(t, 5, seed)
+		leader := n.Nodes[0].View(n.Nodes[0].Time()).Leader
+		smaller := map[int]bool{(leader + 1) % 5: true, (leader + 2) % 5: true}
+		n.Loss, n.MaxDelay = 0.1, 200*time.Millisecond
+		n.Partitioned = func(from, to int) bool { return smaller[from] != smaller[to] }
+		n.Run(12 * time.Second)
+		m := n.Nodes[leader]
+		before := m.View(m.Time()).LastIndex
+		proposed := func() bool {
+			_, err := m.Propose(m.Time(), replicatedstatesim.Text(1), 0)
+			return err == nil
+		}
+		committed := func() bool { return m.View(m.Time()).LastIndex > before }
+		if !n.Until(15*time.Second, proposed) || !n.Until(15*time.Second, committed) || n.Broken != nil {
+			t.Errorf("seed %d: three of five commit nothing, %v%s", seed, n.Broken, n.Text())
+		}
+	}
+}
--- a/internal/fleet/replicatedstate/replicatedstate.go
+++ b/internal/fleet/replicatedstate/replicatedstate.go
@@ -180,9 +180,7 @@
 	n.now = now
 	n.log.Tick(now)
 	n.actAsLeader(now)
-	if n.leader != nil {
-		n.log.UpdateVoters(now, func(s raftlog.Voter) bool { return n.voterLost(now, s) }, n.voterCandidates(now))
-	}
+	n.updateVoters(now)
 	n.leadMaintenance(now)
 	n.announceActive(now) // before the report: its receivers rely on the policy that it states
 	n.sendReport(now)
