replicatedstate: a silent voter stays a voter until one can replace it

Cause: a voter that was silent for a lease was taken out also where there was no candidate for its place. Four voters need three for a quorum as five do, so nothing was won; when the process went on, or its successor started, it was no voter until a second change, and a cut meanwhile left three of five processes with two of four voters, which can't take the third one in.

Change: where candidates are too few to replace all lost voters and the voters would become an even number, one that is lost stays. Two lost of five are still taken out: three need two.

--- a/internal/fleet/replicatedstate/leader.go
+++ b/internal/fleet/replicatedstate/leader.go
@@ -49,8 +49,42 @@
 	if n.leader == nil {
 		return
 	}
-	lost := func(voter raftlog.Voter) bool { return n.voterLost(now, voter) }
-	n.log.UpdateVoters(now, lost, n.voterCandidates(now))
+	candidates := n.voterCandidates(now)
+	removable := n.removableVoters(now, candidates)
+	n.log.UpdateVoters(now, func(voter raftlog.Voter) bool { return slices.Contains(removable, voter) }, candidates)
+}
+
+// removableVoters returns the voters that are lost, but for one where the candidates are too few to replace all of
+// them and the voters would become an even number: its removal would make the quorum no smaller, and were it only
+// slow its vote would be missing.
+func (n *Node) removableVoters(now time.Duration, candidates []raftlog.Voter) (removable []raftlog.Voter) {
+	voters := n.log.Voters()
+	for _, voter := range voters {
+		if n.voterLost(now, voter) {
+			removable = append(removable, voter)
+		}
+	}
+	newCandidates := 0
+	for _, candidate := range candidates {
+		if !slices.Contains(voters, candidate) {
+			newCandidates++
+		}
+	}
+	replaced := min(newCandidates, len(removable))
+	if replaced == len(removable) || (len(voters)-len(removable)+replaced)%2 != 0 {
+		return removable
+	}
+	hasSuccessor := func(voter raftlog.Voter) bool {
+		return slices.ContainsFunc(candidates, func(candidate raftlog.Voter) bool {
+			return candidate.Number == voter.Number
+		})
+	}
+	for i, voter := range removable {
+		if !hasSuccessor(voter) {
+			return slices.Delete(removable, i, i+1)
+		}
+	}
+	return removable
 }
 
 // voterLost reports whether a voter's process can't take part any more, as far as is known. Reports alone don't
--- a/internal/fleet/replicatedstate/partition_test.go
+++ b/internal/fleet/replicatedstate/partition_test.go
@@ -29,3 +29,18 @@
 		}
 	}
 }
+
+// Guards against taking a voter out that nobody can replace yet: four voters bear the loss of no more than five do
+// without one, and a partition behind it can leave three of five processes with two of four voters.
+func TestSilentVoterStaysUntilReplaced(t *testing.T) {
+	for seed := range uint64(30) {
+		n := founded(t, 5, seed)
+		silent := int(seed % 5)
+		n.Stop(silent, 5*time.Second)
+		n.Run(5 * time.Second)
+		other := n.Nodes[(silent+1)%5]
+		if voters := other.View(other.Time()).Voters; len(voters) != 5 {
+			t.Errorf("seed %d: with %d silent the voters became %v", seed, silent, voters)
+		}
+	}
+}
