meshd: signals are handled before the settings are read

What callers saw: a sidecar that was asked to reload while it started ended with "signal: hangup"; its clients found nobody until the platform started it again.

Cause: runRole read the settings file first and installed its signal handlers after that; until then SIGHUP has the system's default action.

TestReloadSignalWhileSettingsAreRead failed before ("the program ended with signal: hangup") and passes 50 of 50.

--- a/cmd/meshd/main_test.go
+++ b/cmd/meshd/main_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -81,6 +82,40 @@
 guarantees: {contracts: [base], faultTolerance: {machines: 0, zones: 0, regions: 0}, bounds: {}}
 `
 
+// Guards against a SIGHUP that ends a process which still reads its settings, as no handler was installed before.
+func TestReloadSignalWhileSettingsAreRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	executable, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	program := exec.Command(executable, "controlplane")
+	program.Env = []string{runMainVariable + "=1", "CAPERARCH_BOOT=" + path}
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the program reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := program.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := settings.WriteString("self: no settings\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := settings.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_ = program.Wait()
+	if code := program.ProcessState.ExitCode(); code != exitUsage {
+		t.Errorf("the program ended with %v, exit code %d is wanted", program.ProcessState, exitUsage)
+	}
+}
+
 // A role that can't listen ends with code 1 and says why.
 func TestRoleThatFails(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/meshd/role.go
+++ b/cmd/meshd/role.go
@@ -45,6 +45,11 @@
 
 // runRole runs a role until a signal ends it, and returns the exit code.
 func runRole(run role, writeLevel zapcore.Level) int {
+	// Before anything else: until then a signal ends the process, also one that only asks it to reload.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signals := make(chan os.Signal, signalBacklog)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
 	current, err := settings.Load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "meshd:", err)
@@ -53,10 +58,6 @@
 	debug.SetGCPercent(gcPercent)
 	log, ring := logring.New(os.Stderr, logring.DefaultBytes)
 	ring.WriteLevel = writeLevel
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	signals := make(chan os.Signal, signalBacklog)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
 	reload := make(chan *settings.Settings)
 	// It ends with ctx. Nothing waits for it, as the process ends next.
 	go handleSignals(ctx, signals, reload, log, ring)
