sidecar: a draining gate rejects requests whose time would not be over at its cut

Cause: a drain accepts for 0.37 of the grace period and cuts at a fixed moment; whoever was let in during the last 40 ms (of 2 s) had 0.96 s, whatever time it brought. Another sidecar that had not heard of the drain yet could be let in there.

Change: a gate that drains rejects as not executed what could be cut within its time; the caller sends it elsewhere. Own attempts are told by their send id.

--- a/internal/mesh/headers/send_id.go
+++ b/internal/mesh/headers/send_id.go
@@ -45,3 +45,6 @@
 func (s *SendIDSource) Next() string {
 	return SendID{Sender: s.sender, Number: s.last.Add(1)}.String()
 }
+
+// Issued reports whether an id is of this source.
+func (s *SendIDSource) Issued(id SendID) bool { return id.Sender == s.sender }
--- a/internal/mesh/sidecar/engines.go
+++ b/internal/mesh/sidecar/engines.go
@@ -41,7 +41,8 @@
 
 // newEngines makes both engines with their transports and decision modules.
 func (s *Sidecar) newEngines() (err error) {
-	s.inbound = &inbound{clock: s.clock}
+	s.inbound = &inbound{clock: s.clock, sendIDs: headers.NewSendIDSource()}
+	s.outbound = s.newOutbound()
 	if s.balancerEngine, err = s.newBalancerEngine(); err != nil {
 		return err
 	}
@@ -51,7 +52,7 @@
 
 // newBalancerEngine makes the engine that sends this machine's requests to gates.
 func (s *Sidecar) newBalancerEngine() (*engine.Engine, error) {
-	transport := gateTransportConfig(s.clock)
+	transport := gateTransportConfig(s.clock, s.inbound.sendIDs)
 	transport.MaxConns = s.connectionFiles() / 4
 	return engine.New(s.withIdentity(balancerEngineConfig(http1.New(transport), balancer.Config{
 		Zone: s.endpoints.zones[s.settings.Self.Zone], Members: s.sidecarCount, RetryBudget: s.quota,
@@ -71,11 +72,11 @@
 	return cfg
 }
 
-// gateTransportConfig is how gates are reached.
-func gateTransportConfig(clk clock.Clock) http1.Config {
+// gateTransportConfig is how gates are reached, by attempts with ids of a source.
+func gateTransportConfig(clk clock.Clock, sendIDs *headers.SendIDSource) http1.Config {
 	return http1.Config{
 		Clock: clk, DialTimeout: dialTimeout, IdleTimeout: gateConnIdle, ReuseDelay: -1,
-		UserTimeout: gateUserTimeout, Dialect: gateDialect(),
+		UserTimeout: gateUserTimeout, Dialect: gateDialect(sendIDs),
 	}
 }
 
@@ -132,13 +133,13 @@
 }
 
 // gateDialect is how requests are sent to gates, and how gates' responses are read.
-func gateDialect() *http1.Dialect {
+func gateDialect(sendIDs *headers.SendIDSource) *http1.Dialect {
 	return &http1.Dialect{
 		TimeoutField:   headers.Timeout,
 		MatchesRequest: headers.MatchesAttempt,
 		Classify:       classifyGateResponse,
 		SendIDField:    headers.SendIDField,
-		NewSendID:      headers.NewSendIDSource().Next,
+		NewSendID:      sendIDs.Next,
 	}
 }
 
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -20,6 +20,8 @@
 	instance atomic.Pointer[string] // of the local upstream; nil: it is not known yet
 	gate     *gate.Gate
 	clock    clock.Clock
+	drain    drainDeadline
+	sendIDs  *headers.SendIDSource // of this sidecar's own attempts
 }
 
 // frontDialect is how the front for sidecars treats their requests.
@@ -55,9 +57,22 @@
 			Status: http.StatusServiceUnavailable, Reason: "another instance is here", KeepAlive: true,
 		}
 	}
+	if !i.drain.leavesTime(i.clock.Now(), remaining) && !i.isOwn(h) {
+		return policy.Request{}, 0, &fronthttp1.Rejection{
+			Status: http.StatusServiceUnavailable, Reason: "this sidecar ends before the request's time",
+			KeepAlive: true, RetryAfter: drainRetryAfter,
+		}
+	}
 	return policy.Request{Terms: terms}, remaining, nil
 }
 
+// isOwn reports whether an attempt is this sidecar's own: its client is connected here, and the front for clients
+// has accepted the request.
+func (i *inbound) isOwn(h *h1.Head) bool {
+	id, ok := headers.ParseSendID(h)
+	return ok && i.sendIDs.Issued(id)
+}
+
 // parseAttempt reads the fields that a sidecar sets; false: the request comes from none, or gives a
 // field twice that two readers could take differently.
 func parseAttempt(h *h1.Head) (terms *gate.AttemptTerms, remaining time.Duration, ok bool) {
--- a/internal/mesh/sidecar/listeners.go
+++ b/internal/mesh/sidecar/listeners.go
@@ -35,7 +35,6 @@
 func (s *Sidecar) newFronts() fronts {
 	files, logs := s.connectionFiles(), logring.NewSlog(s.log)
 	linger, longest := drainTimes(s.settings.Guarantees.Bounds.GracePeriod)
-	outbound := s.newOutbound()
 	toGates := fronthttp1.Target{
 		Engine: s.balancerEngine, MaxOpen: maxInFlight, MaxBodyBytes: maxBufferedBodyBytes,
 	}
@@ -44,8 +43,8 @@
 	}
 	return fronts{
 		outbound: fronthttp1.New(fronthttp1.Config{
-			Route: fronthttp1.RouteTo(&toGates), Dialect: outbound.frontDialect(),
-			ConnLimits: fronthttp1.KeepAliveConnLimits(files * 3 / 8), RequestLimits: outbound.clientLimits,
+			Route: fronthttp1.RouteTo(&toGates), Dialect: s.outbound.frontDialect(),
+			ConnLimits: fronthttp1.KeepAliveConnLimits(files * 3 / 8), RequestLimits: s.outbound.clientLimits,
 			MaxDeadline: longest, Linger: linger, Log: logs,
 		}, s.clock),
 		inbound: fronthttp1.New(fronthttp1.Config{
--- a/internal/mesh/sidecar/mesh_test.go
+++ b/internal/mesh/sidecar/mesh_test.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	toGates := m.transport("caller", "gate", gateTransportConfig(clock.New()))
+	toGates := m.transport("caller", "gate", gateTransportConfig(clock.New(), headers.NewSendIDSource()))
 	e := m.startEngine(ctx, balancerEngineConfig(toGates, balancer.Config{Members: one, RetryBudget: s.quota}))
 	s.endpoints.apply(true, []registry.Upstream{
 		{Instance: "i-1", Service: "s", Inbound: "gate1", Zone: "z", Slots: 4},
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -10,6 +10,7 @@
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/headers"
 	"caperarch/internal/proxy/call"
+	"caperarch/internal/proxy/clock"
 	"caperarch/internal/proxy/front/http1"
 	"caperarch/internal/proxy/h1"
 	"caperarch/policy"
@@ -34,6 +35,8 @@
 	// than maxConfigAge, unless that is 0, may have been replaced for longer than the rules allow.
 	contactAge   func() (age time.Duration, ok bool)
 	maxConfigAge time.Duration
+	clock        clock.Clock
+	drain        drainDeadline
 }
 
 func (s *Sidecar) newOutbound() *outbound {
@@ -41,6 +44,7 @@
 		config: &s.config, endpoints: s.endpoints, quota: s.quota,
 		callerField: []string{s.settings.Self.ServiceName},
 		contactAge:  s.watchClient.ContactAge, maxConfigAge: s.settings.Guarantees.Bounds.ConfigApply,
+		clock: s.clock,
 	}
 }
 
@@ -89,6 +93,10 @@
 	if rejection != nil {
 		return policy.Request{}, 0, rejection
 	}
+	if now := o.clock.Now(); o.drain.isLate(now) && !o.drain.leavesTime(now, remaining) {
+		return policy.Request{}, 0, rejectUntil(http.StatusServiceUnavailable,
+			"this sidecar ends before the request's time", drainRetryAfter)
+	}
 	tenant, rejection := o.admitTenant(snapshot, route, h)
 	if rejection != nil {
 		return policy.Request{}, 0, rejection
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -46,6 +46,7 @@
 	watchClient *watch.Client
 
 	inbound        *inbound
+	outbound       *outbound
 	gateEngine     *engine.Engine
 	balancerEngine *engine.Engine
 	draining       atomic.Bool // a stop was asked for
