measure: each measuring process has a loopback network of its own; members' views

Cause: the rig. A port that was free at the first machine's address was taken at the others' by another start, and two of three members ended with "bind: address already in use". All runs shared the network 127.77.0; at the time of the failure ports also came from those of outgoing connections.

--- a/cmd/measure/mesh_core.go
+++ b/cmd/measure/mesh_core.go
@@ -21,11 +21,14 @@
 )
 
 // meshZones are the zones of the measured mesh; meshPrefix is the loopback network in which each of
-// its machines has an address of its own, as ports are alike on all.
-var meshZones = []string{"hall-a", "hall-b", "hall-c"}
+// its machines has an address of its own, as ports are alike on all. Each measuring process has another
+// network: a port that is free at one address of a shared one need not be at the others.
+var (
+	meshZones  = []string{"hall-a", "hall-b", "hall-c"}
+	meshPrefix = fmt.Sprintf("127.%d.%d.", 128+os.Getpid()>>8%64, os.Getpid()%256)
+)
 
 const (
-	meshPrefix = "127.77.0."
 	// meshStartTimeout bounds how long a mesh takes to come up here, against a measurement that hangs.
 	meshStartTimeout = 20 * time.Second
 	// meshControlPorts and meshInternalPorts are where the spans of either kind of port begin;
@@ -113,7 +116,23 @@
 			return m, nil
 		}
 	}
-	return nil, fmt.Errorf("%d core members have no leader after %v", members, meshStartTimeout)
+	return nil, fmt.Errorf("%d core members have no leader after %v: %s", members, meshStartTimeout, m.memberViews())
+}
+
+// memberViews is what each member says of its leader, for an error: one that has ended says nothing.
+func (m *meshCore) memberViews() string {
+	var views []string
+	for i, host := range m.hosts {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		view, err := rpc.Get[meshapi.NodeStatus](ctx, m.client, m.url(i, meshapi.NodeStatusPath))
+		cancel()
+		if err != nil {
+			views = append(views, fmt.Sprintf("%s: %v", host, err))
+			continue
+		}
+		views = append(views, fmt.Sprintf("%s: leader %q, in contact %v", host, view.Leader, view.InContact))
+	}
+	return strings.Join(views, "; ")
 }
 
 // disk is the data directory of the member at an address.
