soak: what the measuring process recorded late is not the mesh's; SIGHUP within a start

Played again beside far more load than the machine bears it has findings of three kinds, and none below that: GONE, 45, 79 and 98 requests arrived over 500 ms after their clients had left; LOST, a request that crossed its connection's close, 209 ms after it was sent (200 are allowed); a process that "ended with signal: hangup".

Cause: the rig. Of the 98 arrivals nearly all were "worked on" for 3 to 40 us: the mesh had ended their connections before the upstreams, in the measuring process, read them, and those of one stall were all read within 3 ms of each other. The process had no processor for 100 to 354 ms again and again (load 114 on 8 cores). The third is a SIGHUP in the first milliseconds of a process, before any program can handle it; SIGTERM there was told apart already.

Change: the rig looks each 10 ms whether it gets a processor and records where it was over 50 ms late. An arrival after a client's leaving, and an end that crossed a request which was not passed on, are not judged within; all else is, a loss of what was passed on too. How often both happened stands in the report. New histories tell the cases apart; those without a lag are judged as before.

--- a/cmd/measure/mutants.go
+++ b/cmd/measure/mutants.go
@@ -187,6 +187,8 @@
 
 // raftLogMutants are faults in the agreed log.
 var raftLogMutants = []mutant{
+	{"voters.go", "return 2*inContact > len(kept)+len(added)", "return true",
+		"the voters in contact are no majority of a change"},
 	{"receive.go", "if m.GetTo() != n.id {\n\t\treturn", "if false {\n\t\treturn",
 		"who restarts answers for the process before it"},
 	{"voters.go", "b[i], b[8+i] = byte(s.Incarnation>>(8*i)), byte(s.Number>>(8*i))",
@@ -218,8 +220,11 @@
 		"a leader goes on with what it knew in an earlier term"},
 	{"replicatedstate.go", "if m.Epoch != 0 && m.Epoch == n.log.Epoch() {", "if true {",
 		"reports and grants of another log count"},
-	{"leader.go", "return incarnation != s.Incarnation", "return false && incarnation != s.Incarnation",
+	{"leader.go", "return incarnation != voter.Incarnation", "return false && incarnation != voter.Incarnation",
 		"a voter that has restarted is never replaced"},
+	{"leader.go", " && !n.log.InContact(now, voter)", "", "a voter is lost by its reports alone"},
+	{"leader.go", "return slices.Delete(removable, i, i+1)", "return removable",
+		"a silent voter that nobody replaces is taken out"},
 	{"change.go", "if n.Active(now).Mode == policyrollout.CutOff {", "if false {",
 		"one that is cut off begins a change"},
 	{"change.go", "case base != s.Current.Version:", "case false:", "a proposal on an old base is begun"},
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"slices"
 	"strconv"
 	"sync"
@@ -33,6 +35,9 @@
 	soakConfigApply = 2
 	// soakStartTime is how long a process may take to begin to handle signals on a busy machine.
 	soakStartTime = 300 * time.Millisecond
+	// soakLagPoll is how often the rig looks whether it gets a processor, and soakLag how much later than that it has
+	// to be for what it records to count as late.
+	soakLagPoll, soakLag = 10 * time.Millisecond, 50 * time.Millisecond
 	// soakEndSlack is how much longer than its grace period a process may take to end on a busy machine.
 	soakEndSlack = time.Second
 )
@@ -76,6 +81,8 @@
 	seriesOnOneSidecar    hardCase = "two series on one sidecar"
 	termBeforeLastDrained hardCase = "SIGTERM before the last has drained"
 	termWhileStarting     hardCase = "SIGTERM within the start"
+	hupWhileStarting      hardCase = "SIGHUP within the start, which ended the process"
+	rigLagged             hardCase = "measuring process without a processor"
 	configChange          hardCase = "configuration changes"
 	configFailure         hardCase = "changes without a clear answer"
 )
@@ -83,7 +90,7 @@
 // hardCases are all of them.
 var hardCases = []hardCase{
 	hupInDrain, changeInDrain, secondTerm, seriesOnOneSidecar, termBeforeLastDrained, termWhileStarting,
-	configChange, configFailure,
+	hupWhileStarting, configChange, configFailure, rigLagged,
 }
 
 // soakCounts are how often the hard cases and the events happened.
@@ -114,6 +121,7 @@
 	draining atomic.Bool
 	killed   atomic.Bool  // its process was sent SIGKILL
 	started  atomic.Int64 // when its process was started, a time.Duration since the run's begin
+	earlyHUP atomic.Bool  // its process was sent SIGHUP before it can be expected to handle signals
 	series   atomic.Int32 // that are at it
 }
 
@@ -275,6 +283,7 @@
 	p.drop()
 	m.process.Store(p)
 	m.killed.Store(false)
+	m.earlyHUP.Store(false)
 	m.started.Store(int64(r.since()))
 	return nil
 }
@@ -292,6 +301,23 @@
 		}
 	}
 	r.clients.Go(r.readConfig)
+	r.clients.Go(r.watchLag)
+}
+
+// watchLag records when this process gets no processor, until the rig stops.
+func (r *soakRig) watchLag() {
+	for !r.stopping.Load() {
+		from := r.since()
+		time.Sleep(soakLagPoll)
+		to := r.since()
+		if to-from < soakLagPoll+soakLag {
+			continue
+		}
+		r.count(rigLagged)
+		r.mu.Lock()
+		r.history.Lags = append(r.history.Lags, soak.Lag{From: from, To: to})
+		r.mu.Unlock()
+	}
 }
 
 // soakDescription is what a soak reads of a configuration.
@@ -329,6 +355,8 @@
 		running := told - time.Duration(m.started.Load())
 		switch {
 		case err == nil || r.faultSince(m, told):
+		case m.earlyHUP.Load() && endedBy(err, syscall.SIGHUP): // as below
+			r.count(hupWhileStarting)
 		case running < soakStartTime: // the system ended it before it could handle signals: it had accepted nothing
 			r.count(termWhileStarting)
 		default:
@@ -343,6 +371,16 @@
 	}
 }
 
+// endedBy reports whether a process's end was a signal's.
+func endedBy(err error, signal syscall.Signal) bool {
+	var ended *exec.ExitError
+	if !errors.As(err, &ended) {
+		return false
+	}
+	status, ok := ended.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == signal
+}
+
 // faultSince reports whether a fault met a machine after a moment.
 func (r *soakRig) faultSince(m *soakMachine, moment time.Duration) bool {
 	r.mu.Lock()
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -113,6 +113,9 @@
 				r.count(hupInDrain)
 			}
 			r.disturb(soak.Machine(m.number), soak.Reload)()
+			if r.since()-time.Duration(m.started.Load()) < soakStartTime {
+				m.earlyHUP.Store(true)
+			}
 			m.signal(syscall.SIGHUP)
 		})
 		time.Sleep(e.Gap)
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -155,8 +155,11 @@
 			return
 		}
 	}
-	c.verdict.Judged[NothingLost]++
 	passedOn, after := len(c.runs[r.ID]) > 0, r.Ended-r.Sent
+	if !passedOn && c.lagged(r.Sent, r.Ended) {
+		return // its client may have sent it, or seen the end, that much later
+	}
+	c.verdict.Judged[NothingLost]++
 	if !unanswered(r) || !passedOn && after <= c.rules.LossSlack {
 		return
 	}
@@ -263,6 +266,9 @@
 			continue
 		}
 		for _, run := range c.runs[r.ID] {
+			if c.lagged(r.Left, max(run.Arrived, min(run.Ended, r.Left+answerSlack))) {
+				continue // the upstream may have read it, or seen its end, that much later
+			}
 			if run.Arrived > r.Left+answerSlack {
 				arrived = append(arrived, r)
 			}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -114,6 +114,11 @@
 	for i := range arrivesLate.Runs {
 		arrivesLate.Runs[i].Arrived = at + 700*ms
 	}
+	lagging := func(h History, from, to time.Duration) History {
+		h.Lags = []Lag{{from, to}}
+		return h
+	}
+	crossedLate := join(termOfCaller, History{Requests: lost(1, at, 300*ms).Requests})
 	for name, test := range map[string]struct {
 		history History
 		want    Promise // "": all are kept
@@ -172,6 +177,12 @@
 		"abandoned runs after a reload":    {join(hupOfCaller, abandoned(minCases, at, 600*ms, true)), AbandonedEnds},
 		"abandoned runs beside a fault":    {join(faultOfOther, abandoned(20, at, 600*ms, true)), ""},
 		"abandoned ones arrive much later": {arrivesLate, AbandonedEnds},
+
+		"arrivals that the measuring process read late": {lagging(arrivesLate, at+200*ms, at+650*ms), ""},
+		"late arrivals, it lagged before":               {lagging(arrivesLate, at-200*ms, at+50*ms), AbandonedEnds},
+		"an end that the measuring process saw late":    {lagging(crossedLate, at+100*ms, at+250*ms), ""},
+		"an end seen late, it lagged before":            {lagging(crossedLate, at-200*ms, at-ms), NothingLost},
+		"passed on and lost beside a lag":               {lagging(join(termOfCaller, lost(1, at, 100*ms)), at, at+90*ms), NothingLost},
 	} {
 		t.Run(name, func(t *testing.T) {
 			found := test.history.Check(testRules).Findings
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -73,6 +74,12 @@
 // Core is the core: trouble of one of its members is trouble of all of it.
 const Core Machine = -1
 
+// Lag is a time in which the measuring process got no processor. What it recorded behind it may have happened
+// within it.
+type Lag struct {
+	From, To time.Duration
+}
+
 // History is all that was recorded of a run.
 type History struct {
 	Requests     []Request
@@ -80,6 +87,7 @@
 	Disturbances []Disturbance
 	Changes      []Change
 	Reads        []Read
+	Lags         []Lag
 }
 
 // Rules are the bounds that a history is judged by, as the operators' pages have them.
@@ -91,6 +99,12 @@
 	ConfigApply   time.Duration // within which a change is in force everywhere, and a reload shows its effects
 }
 
+// lagged reports whether the measuring process lagged between two moments: how much later than the first one the
+// second is says nothing of the mesh then.
+func (h *History) lagged(from, to time.Duration) bool {
+	return slices.ContainsFunc(h.Lags, func(lag Lag) bool { return lag.From <= to && lag.To >= from })
+}
+
 // faulty reports whether a fault touched a machine between two moments.
 func (h *History) faulty(m Machine, from, to time.Duration) bool {
 	for _, d := range h.Disturbances {
