--- a/internal/daemon/handover/machine.go
+++ b/internal/daemon/handover/machine.go
@@ -42,8 +42,7 @@
 // Decide says what is to be done, by what is observed.
 func (m *Machine) Decide(seen Observation) Action {
 	// A process that leaves may wait seconds for its last answers. Were its successor bound to half of the
-	// connections meanwhile, it would close idle ones that clients are about to use: measured, 300 requests of
-	// one upgrade failed.
+	// connections meanwhile, it would close idle ones that clients are about to use.
 	if !m.released {
 		m.released = m.leaving && seen.HoldsFewConns && seen.HasSeat
 	}
--- a/internal/fleet/policyrollout/leader.go
+++ b/internal/fleet/policyrollout/leader.go
@@ -56,8 +56,8 @@
 		return false
 	}
 	m := &l.members[from]
-	// An older report that arrives late is dropped: eighty of three hundred, reported to apply both
-	// and then, late, one, blocked a change (accordnet, 300, seed 1).
+	// An older report that arrives late is dropped: a sidecar that applies both would count as one that
+	// applies the old version alone, which blocks the change.
 	if m.received &&
 		(r.Incarnation < m.report.Incarnation || r.Incarnation == m.report.Incarnation && r.Sequence <= m.report.Sequence) {
 		return false
--- a/internal/fleet/policyrollout/participant.go
+++ b/internal/fleet/policyrollout/participant.go
@@ -140,7 +140,7 @@
 	}
 	if s.Pending.Version != 0 && h.reportedBoth == s.Pending {
 		// It was reported to apply both, and others may apply the new version alone by now: a text
-		// that it can't apply any more must not return it to the old version (seed 5829).
+		// that it can't apply any more must not return it to the old version.
 		return Active{Mode: CutOff}
 	}
 	return Active{Mode: One, New: s.Current}
--- a/internal/fleet/raftlog/epoch.go
+++ b/internal/fleet/raftlog/epoch.go
@@ -104,8 +104,7 @@
 		MaxCommittedSizePerReady: math.MaxUint64,
 		MaxInflightMsgs:          8,
 		PreVote:                  true,
-		// A removed leader can commit nothing, and while it is heard of nobody starts an election
-		// (policyplans, seed 60).
+		// A removed leader can commit nothing, and while it is heard of nobody starts an election.
 		StepDownOnRemoval: true,
 		Logger:            discardLogger{},
 	})
--- a/internal/fleet/raftlog/raftlog.go
+++ b/internal/fleet/raftlog/raftlog.go
@@ -123,8 +123,8 @@
 	Storage            Storage // nil: a vote ends with its process
 }
 
-// VotersFor returns how many voters a fleet of size sidecars has: seven from a thousand on. At
-// three hundred sidecars, a leader of seven voters spent half of its traffic budget on them.
+// VotersFor returns how many voters a fleet of size sidecars has: seven from a thousand on. More would
+// cost the leader of a smaller fleet much of its traffic.
 func VotersFor(size int) int {
 	switch {
 	case size >= 1000:
@@ -234,8 +234,7 @@
 // tickRaft sends a leader's heartbeats and requests for confirmation, or starts an overdue
 // election.
 func (n *Node) tickRaft(now time.Duration) {
-	// Requests for confirmation serve as heartbeats while they are answered. Both together were
-	// half of the traffic of a leader of 300.
+	// Requests for confirmation serve as heartbeats while they are answered.
 	if !n.IsLeader() || now-n.lastQuorumAck >= 2*n.heartbeat {
 		n.raft.Tick()
 	}
--- a/internal/fleet/raftlog/receive.go
+++ b/internal/fleet/raftlog/receive.go
@@ -67,8 +67,8 @@
 	case raftpb.MessageType_MsgHeartbeat, raftpb.MessageType_MsgApp:
 		if m.GetTerm() >= n.raft.BasicStatus().GetTerm() {
 			// This resets the election timeout only. A leader that lost its majority goes on
-			// sending these, and Bootstrap was rejected for as long as one follower heard it
-			// (accord, seed 15): when a majority last confirmed the leader is in LeaderAge.
+			// sending these, and must not keep Bootstrap from beginning anew: when a majority
+			// last confirmed the leader is in LeaderAge.
 			n.resetElectionTimeout(now)
 		}
 	case raftpb.MessageType_MsgProp: // of another voter: drop what is in the log already
--- a/internal/fleet/replicatedstate/reports.go
+++ b/internal/fleet/replicatedstate/reports.go
@@ -67,8 +67,7 @@
 	}
 	n.participant.AdvanceIndex(n.log.LastIndex())
 	if leader := n.log.Leader(); n.polled && leader >= 0 && leader != n.Self.Number {
-		// In addition to the reports by way of relays, as only those are granted: a sidecar that
-		// was polled twice a second and reported directly instead was cut off (accord, seed 22).
+		// In addition to the reports by way of relays, as only those are granted.
 		n.send(
 			leader,
 			&accordpb.Message{
--- a/internal/fleet/swim/contact.go
+++ b/internal/fleet/swim/contact.go
@@ -32,7 +32,7 @@
 	switch in := now < n.leaseEnd; {
 	case in == n.inContact:
 		// A session that never was in contact must not outlive a lease either: by then others may
-		// have considered it over, crashed, and forgotten that (seed 12160).
+		// have considered it over, crashed, and forgotten that.
 		if !in && now >= n.sequenceStart+n.Lease {
 			n.advanceSequence(now, n.session.Sequence+1, startRetransmits)
 		}
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -77,9 +77,7 @@
 // threshold (2) and what arrives during a call (0.3) at each, less what flows, so X is about 115, b 26,
 // and the rule leaves 195. If it is small, members report by time: with R 10 the bucket (8) is empty at
 // the Allocator after 0.7 s, and members learn of it 0.25 to 0.5 s later on average, so X is about
-// 4*R*0.6 = 24, and the rule leaves 37. In trials with 200 cold starts at eight times the usual demand,
-// rates 7 to 18 and m 82, the fullest window lay 19 below the rule with a standard deviation of 7; the
-// worst was over by 3 of about 80. So for these rates the rule is kept but for rare chance, and isn't
+// 4*R*0.6 = 24, and the rule leaves 37. So for these rates the rule is kept but for rare chance, and isn't
 // proven. It is broken where clients come at all members in one moment: X is then the sum of all local
 // buckets, 246 requests with m 82 where a tenant of 8 a second may run 64 in a window
 // (TestLargeFleetLimitsHoldInEveryHistory). No setting of the buckets bounds that: a member that runs one
@@ -90,9 +88,7 @@
 // where the rule leaves capacity. It is assumed that a small tenant's demand doesn't rise while all
 // members are out of contact: usual demand is below its rate, and a tenant that was throttled before
 // keeps less than a token. If its demand rises then at many members with full floors, up to a token at
-// each may run above its rate, which is over the rule for R below about 28 with m 82. With a third of
-// the members out of contact the fullest window of 29 trials was over the rule by one request in one of
-// them.
+// each may run above its rate, which is over the rule for R below about 28 with m 82.
 package quota
 
 import (
