measure stress: a test in many copies beside stated load, its rate and its bounds

Change: one verb builds the test binary once, plays it in N copies beside N busy processes, each play in a process of its own, keeps the output of failures, and gives plays, failures, the rate with its Clopper-Pearson bounds and the load.

--- a/cmd/measure/child.go
+++ b/cmd/measure/child.go
@@ -14,6 +14,7 @@
 	"hollow":       hollowSidecars,
 	"meshupstream": meshUpstream,
 	"meshcallers":  meshCallers,
+	busyRole:       busy,
 }
 
 // child is this program in another part.
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -6,7 +6,7 @@
 // A file's prefix says what it measures: proxy_ one proxy, virtual_ the decision module in virtual time, even
 // how evenly requests are spread, fleet_ fleets of proxies, mesh_ the mesh, control_ its core machines after a
 // fault, quota_ tenants' limits under faults, soak_ troubles in series that overlap, mutants whether the tests
-// find planted faults. Subjects and callers are processes of their own (process.go, child.go), but for the
+// find planted faults, stress how often tests fail beside load. Subjects and callers are processes of their own (process.go, child.go), but for the
 // upstreams and clients of quota_ and soak_, which record; what a measurement has started is ended by its cleanups
 // (cleanup.go).
 package main
@@ -67,8 +67,9 @@
 	"quota":     measureQuota,
 	"soak":      measureSoak,
 
-	// Planted faults that the tests must find.
+	// Planted faults that the tests must find, and tests beside load.
 	"mutants": measureMutants,
+	"stress":  measureStress,
 }
 
 func main() {
@@ -100,8 +101,13 @@
 	flags.DurationVar(&soakLengthFlag, "length", 0, "of soak: how long each seed is played")
 	flags.StringVar(&soakProcessesFlag, "processes", "",
 		"of soak: how many processes there are, or max for as many as the machine bears")
-	flags.StringVar(&soakKeepFlag, "keep", "", "of soak: `folder` for the reports of seeds with findings")
+	flags.StringVar(&soakKeepFlag, "keep", "",
+		"of soak: `folder` for the reports of seeds with findings; of stress: for the output of failures")
+	flags.IntVar(&stressFlags.copies, "copies", stressCopies, "of stress: how many copies of the tests run at once")
+	flags.IntVar(&stressFlags.plays, "plays", stressPlays, "of stress: how often each copy plays them")
+	flags.IntVar(&stressFlags.busy, "busy", stressBusy, "of stress: how many busy processes are beside them")
 	_ = flags.Parse(os.Args[2:]) // exits on an error
+	stressArguments = flags.Args()
 	endOnSignal()
 	result, missed, err := measurements[name](*short)
 	if err != nil {
--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -126,7 +126,8 @@
 
 // soakProcesses is how many processes a run has, by the command line and the machine.
 func soakProcesses() (int, error) {
-	most := min(soakMaxProcesses, soakProcessesPerCore*runtime.NumCPU(), soakMemoryProcesses())
+	most := min(soakMaxProcesses, soakProcessesPerCore*runtime.NumCPU(),
+		memoryProcesses(soakMemoryShare, soakProcessMemory, soakCore+soakSidecars))
 	switch soakProcessesFlag {
 	case "":
 		return min(soakCore+soakSidecars, most), nil
@@ -144,18 +145,19 @@
 	return n, nil
 }
 
-// soakMemoryProcesses is how many processes the machine's memory bears.
-func soakMemoryProcesses() int {
+// memoryProcesses is how many processes of so many bytes fit into one part in so many of the machine's memory;
+// unknown where that can't be read.
+func memoryProcesses(share, bytes, unknown int) int {
 	raw, err := os.ReadFile("/proc/meminfo")
 	fields := strings.Fields(string(raw))
 	if err != nil || len(fields) < 2 {
-		return soakCore + soakSidecars
+		return unknown
 	}
 	kilobytes, err := strconv.Atoi(fields[1])
 	if err != nil {
-		return soakCore + soakSidecars
+		return unknown
 	}
-	return kilobytes << 10 / soakMemoryShare / soakProcessMemory
+	return kilobytes << 10 / share / bytes
 }
 
 // playSoak plays one seed.
