--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -6,9 +6,9 @@
 // A file's prefix says what it measures: proxy_ one proxy, virtual_ the decision module in virtual time, even
 // how evenly requests are spread, fleet_ fleets of proxies, mesh_ the mesh, control_ its core machines after a
 // fault, quota_ tenants' limits under faults, soak_ troubles in series that overlap, mutants whether the tests
-// find planted faults, stress how often tests fail beside load. Subjects and callers are processes of their own (process.go, child.go), but for the
-// upstreams and clients of quota_ and soak_, which record; what a measurement has started is ended by its cleanups
-// (cleanup.go).
+// find planted faults, stress how often tests fail beside load. Subjects and callers are processes of their own
+// (process.go, child.go), but for the upstreams and clients of quota_ and soak_, which record; what a measurement
+// has started is ended by its cleanups (cleanup.go).
 package main
 
 import (
