mesh: logs say by which configuration a sidecar goes, how old it is and why

Change: a sidecar warns once when its configuration has been unconfirmed for longer than configApplyS, with version, age, member, age of the last frame, the time for which one is being applied, failed sessions and the last failure, and once when it is confirmed again. The leader warns which sidecars lag behind a version that it acknowledged over configApplyS ago, with the version that each goes by and what was sent on its watch. Status (watch.Client) and Lagging (registry, watch). Result: tests of watch, sidecar, controlplane and registry pass; no logic of routing or of the acknowledgement changes.

--- a/internal/mesh/controlplane/requests.go
+++ b/internal/mesh/controlplane/requests.go
@@ -119,6 +119,7 @@
 		s.log.Info("change acknowledged before all sidecars applied it",
 			zap.Int64("version", version), zap.Int("behind", behind))
 	}
+	s.recordAcknowledgement(version)
 	return &meshapi.ChangeResponse{ConfigVersion: version}, nil
 }
 
--- a/internal/mesh/controlplane/server.go
+++ b/internal/mesh/controlplane/server.go
@@ -47,6 +47,10 @@
 	// allocatorMu guards the allocator.
 	allocatorMu sync.Mutex
 	allocator   *quota.Allocator
+
+	// propagationMu guards propagation.
+	propagationMu sync.Mutex
+	propagation   propagation
 }
 
 // Run runs a core machine until ctx ends and this machine has left in order, or until it fails. Settings
@@ -67,11 +71,12 @@
 		Zone: set.Self.Zone,
 	}
 	s := &Server{
-		settings:   set,
-		log:        log,
-		client:     httpclient.New(dialTimeout),
-		startedAt:  time.Now(),
-		memberList: cluster.NewMemberList(local, set.SeedAddresses()),
+		settings:    set,
+		log:         log,
+		client:      httpclient.New(dialTimeout),
+		startedAt:   time.Now(),
+		memberList:  cluster.NewMemberList(local, set.SeedAddresses()),
+		propagation: propagation{applyTime: set.Guarantees.Bounds.ConfigApply},
 	}
 	var err error
 	if s.allocator, err = newAllocator(set); err != nil {
@@ -123,6 +128,7 @@
 	}
 	defer closeReplica()
 	go s.watchServer.Run(running)
+	go s.logLagging(running)
 	go s.keepShareHolders(running, slices.Clone(shareHolders))
 	s.log.Info("serving",
 		zap.String("member", string(state.ID)), zap.Any("voters", node.Status().Membership.Voters))
--- a/internal/mesh/registry/counts.go
+++ b/internal/mesh/registry/counts.go
@@ -1,6 +1,10 @@
 package registry
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Counts are the numbers of sidecars that a member tells the others and the sidecars.
 type Counts struct {
@@ -93,3 +97,26 @@
 	}
 	return behind
 }
+
+// Lagging is a sidecar with a live lease that has not applied a configuration version.
+type Lagging struct {
+	Node    string
+	Applied int64
+	// RenewedAge is how long ago the lease was renewed.
+	RenewedAge time.Duration
+}
+
+// Lagging lists the sidecars of MembersBehind, by node.
+func (t *Table) Lagging(now time.Duration, version int64) []Lagging {
+	if t.MembersBehind(version) == 0 {
+		return nil
+	}
+	var all []Lagging
+	for node, l := range t.leases {
+		if l.live && l.Applied < version {
+			all = append(all, Lagging{Node: node, Applied: l.Applied, RenewedAge: now - (l.expiresAt - LeaseTTL)})
+		}
+	}
+	slices.SortFunc(all, func(a, b Lagging) int { return cmp.Compare(a.Node, b.Node) })
+	return all
+}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -82,6 +82,7 @@
 	go s.watchClient.Run(background)
 	go s.quota.run(background)
 	go s.logAbandoned(background)
+	go s.logConfirmation(background)
 	go s.discoverUpstream(background)
 	s.log.Info("serving",
 		zap.String("node", s.settings.Self.NodeName), zap.Strings("seeds", s.settings.SeedAddresses()))
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -70,6 +70,7 @@
 	// confirmedAt is the latest time at which what is applied is known to have
 	// been the newest.
 	confirmedAt time.Time
+	record      sessionRecord
 
 	// The rest belongs to the goroutine of Run.
 
@@ -121,6 +122,7 @@
 			c.attempted = map[string]bool{address: true}
 		}
 		failures++
+		c.recordFailure(err)
 		c.cfg.Log.Debug("session with core member ended", zap.String("member", address), zap.Error(err))
 		sleep(ctx, c.backoff(failures))
 		c.findMemberAfterFailure(ctx, address)
--- a/internal/mesh/watch/client_contact.go
+++ b/internal/mesh/watch/client_contact.go
@@ -44,6 +44,7 @@
 	}
 	if at := askedAt.Add(-contact.Age); at.After(c.confirmedAt) {
 		c.confirmedAt = at
+		c.record.failedSessions, c.record.lastFailure = 0, nil
 	}
 }
 
--- a/internal/mesh/watch/client_watch.go
+++ b/internal/mesh/watch/client_watch.go
@@ -50,7 +50,10 @@
 				return err
 			}
 		}
-		if err := c.applyFrame(&f, address, request.FullConfig); err != nil {
+		applied := c.recordFrame()
+		err := c.applyFrame(&f, address, request.FullConfig)
+		applied()
+		if err != nil {
 			return err
 		}
 		if len(f.Config) > 0 {
--- a/internal/mesh/watch/server_query.go
+++ b/internal/mesh/watch/server_query.go
@@ -38,3 +38,28 @@
 	defer s.mu.Unlock()
 	return s.table.MembersBehind(version)
 }
+
+// LaggingSidecar is a sidecar that has not applied a configuration version, as this
+// member sees it.
+type LaggingSidecar struct {
+	registry.Lagging
+	// Watching says that its watch is open here, on which Sent is the newest version
+	// sent.
+	Watching bool
+	Sent     int64
+}
+
+// Lagging lists the sidecars with a live lease that have not applied the version.
+func (s *Server) Lagging(version int64) []LaggingSidecar {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []LaggingSidecar
+	for _, l := range s.table.Lagging(s.now(), version) {
+		lagging := LaggingSidecar{Lagging: l}
+		if open := s.sessions[l.Node]; open != nil {
+			lagging.Watching, lagging.Sent = true, open.configVersion.Load()
+		}
+		all = append(all, lagging)
+	}
+	return all
+}
--- a/internal/mesh/watch/server_updates.go
+++ b/internal/mesh/watch/server_updates.go
@@ -40,7 +40,7 @@
 // and returns the newest version. The contact was checked right before.
 func (s *Server) sendConfig(out *frameWriter, to *session) (version int64, err error) {
 	version = s.cfg.ConfigSource.Current()
-	if !to.needsFullConfig && version <= to.configVersion {
+	if !to.needsFullConfig && version <= to.configVersion.Load() {
 		return version, nil
 	}
 	for _, config := range s.configFrames(to) {
@@ -51,7 +51,8 @@
 			return version, err
 		}
 	}
-	to.configVersion, to.needsFullConfig = max(version, to.configVersion), false
+	to.configVersion.Store(max(version, to.configVersion.Load()))
+	to.needsFullConfig = false
 	return version, nil
 }
 
@@ -59,7 +60,7 @@
 // configuration if it is asked for or that version is too old.
 func (s *Server) configFrames(to *session) []json.RawMessage {
 	if !to.needsFullConfig {
-		if changes, ok := s.cfg.ConfigSource.Since(to.configVersion); ok {
+		if changes, ok := s.cfg.ConfigSource.Since(to.configVersion.Load()); ok {
 			return changes
 		}
 	}
--- a/internal/mesh/watch/server_watch.go
+++ b/internal/mesh/watch/server_watch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,14 +21,15 @@
 type session struct {
 	wake     chan struct{}
 	replaced chan struct{} // closed when a newer watch of the node takes over
+	// configVersion is the newest version sent. Only the goroutine that serves the
+	// watch writes it.
+	configVersion atomic.Int64
 
 	// The rest belongs to the goroutine that serves the watch.
 
 	// wantsService reports whether the sidecar calls a service; nil means all.
 	wantsService func(service string) bool
-	// configVersion is the newest version sent; needsFullConfig has the full
-	// configuration sent whatever it is.
-	configVersion   int64
+	// needsFullConfig has the full configuration sent whatever version was sent.
 	needsFullConfig bool
 	// registryEpoch and registryNumber are the registry state sent.
 	registryEpoch  registry.Epoch
@@ -44,11 +46,11 @@
 	opened := &session{
 		wake:            make(chan struct{}, 1),
 		replaced:        make(chan struct{}),
-		configVersion:   request.ConfigVersion,
 		needsFullConfig: request.FullConfig,
 		registryEpoch:   request.Epoch,
 		registryNumber:  request.Number,
 	}
+	opened.configVersion.Store(request.ConfigVersion)
 	if len(request.Services) > 0 {
 		wanted := make(map[string]bool, len(request.Services))
 		for _, service := range request.Services {
--- a/internal/mesh/watch/watch_test.go
+++ b/internal/mesh/watch/watch_test.go
@@ -198,3 +198,32 @@
 		So(c[0].Connected(), ShouldBeTrue)
 	})
 }
+
+func TestStatusTellsWhyNothingNewerComes(t *testing.T) {
+	title := "A member names who lags and what it sent, a sidecar why its sessions fail"
+	runMesh(t, title, func(n *network, m []*member, c []*sidecar) {
+		publishAll := func(version int64) {
+			for _, to := range m {
+				to.publish(version)
+			}
+			advance(time.Second)
+		}
+		publishAll(1)
+		So(m[0].Lagging(1), ShouldBeEmpty)
+		So(c[0].Status().FailedSessions, ShouldEqual, 0)
+		So(c[0].Status().FrameAge, ShouldBeLessThan, 2*heartbeatInterval)
+		for _, to := range memberAddresses {
+			n.sever("c1", to)
+		}
+		publishAll(2)
+		lagging := m[0].Lagging(2)
+		So(len(lagging), ShouldEqual, 1)
+		So(lagging[0].Node, ShouldEqual, "c1")
+		So(lagging[0].Applied, ShouldEqual, 1)
+		advance(idleTimeout)
+		status := c[0].Status()
+		So(status.Connected, ShouldBeFalse)
+		So(status.FailedSessions, ShouldBeGreaterThan, 0)
+		So(status.LastFailure, ShouldNotBeNil)
+	})
+}
