soak: judges where a moved route runs; processor quotas and more clients by flag

Cause: the soak judged CONFIG by reads of the configuration alone; a request that ran at the service that its route had left was not seen. Real processes with a processor quota, as the operators' machines have them, were not played. Change: a route that moves between two services with each change, a client of each sidecar that asks it, and a second operator who changes the configuration every three seconds or so. Reads are judged as before.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -103,6 +103,9 @@
 		"of soak: how many processes there are, or max for as many as the machine bears")
 	flags.StringVar(&soakKeepFlag, "keep", "",
 		"of soak: `folder` for the reports of seeds with findings; of stress: for the output of failures")
+	flags.Float64Var(&soakQuotaFlag, "quota", 0,
+		"of soak: the `share` of a core that each sidecar has, as a quota for each tenth of a second")
+	flags.IntVar(&soakClientsFlag, "clients", 1, "of soak: how many clients of each behavior a sidecar has")
 	flags.IntVar(&stressFlags.copies, "copies", stressCopies, "of stress: how many copies of the tests run at once")
 	flags.IntVar(&stressFlags.plays, "plays", stressPlays, "of stress: how often each copy plays them")
 	flags.IntVar(&stressFlags.busy, "busy", stressBusy, "of stress: how many busy processes are beside them")
--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -169,8 +169,8 @@
 		return nil, err
 	}
 	report := &soakReport{Seed: seed, Sidecars: sidecars, Length: length, Schedule: soak.Draw(seed, length, sidecars)}
-	report.PlayItAgain = fmt.Sprintf("go run ./cmd/measure soak -seed %d -length %v -processes %d",
-		seed, length, sidecars+soakCore)
+	report.PlayItAgain = fmt.Sprintf("go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d",
+		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag)
 	r.startClients()
 	r.play(report.Schedule, length)
 	r.stopping.Store(true)
--- a/cmd/measure/soak_client.go
+++ b/cmd/measure/soak_client.go
@@ -44,6 +44,7 @@
 // soakBehaviors are those of a sidecar's clients, one each.
 var soakBehaviors = []clientBehavior{
 	(*soakClient).exchange, (*soakClient).exchange, (*soakClient).pipeline, (*soakClient).leave, (*soakClient).leave,
+	(*soakClient).probeRoute,
 }
 
 // run has a client behave in one way until the rig stops.
@@ -87,17 +88,23 @@
 	o := outgoing{
 		Request: soak.Request{ID: c.rig.nextID(), Sidecar: c.sidecar, Idempotent: idempotent}, path: path,
 	}
-	host, method, framing := "write", "POST", fmt.Sprintf("Content-Length: %d\r\n", length)
+	host := "write"
 	if idempotent {
 		host = "read"
 	}
+	o.address(host, length)
+	return o
+}
+
+// address completes a request with its bytes, to a host, with a body of a length.
+func (o *outgoing) address(host string, length int) {
+	method, framing := "POST", fmt.Sprintf("Content-Length: %d\r\n", length)
 	if length == 0 {
 		method, framing = "GET", ""
 	}
 	o.wire = fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s.soak.example\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n%s",
-		method, path, host, headers.AttemptID, o.ID, soakPathField, path, soakLengthField, length, framing,
+		method, o.path, host, headers.AttemptID, o.ID, soakPathField, o.path, soakLengthField, length, framing,
 		soakRequestBody(o.ID, length))
-	return o
 }
 
 // drawRequest draws a request: some are long, some are streamed, some have a body that is.
@@ -123,6 +130,19 @@
 	c.rig.recordRequest(o.Request)
 }
 
+// probeRoute sends one request on the route that moves, and reads its response.
+func (c *soakClient) probeRoute() {
+	o := c.newRequest(true, "/", 0)
+	o.Moves = true
+	o.address(soakMovingHost, 0)
+	if !c.write(o.wire) {
+		return
+	}
+	o.Sent = c.rig.since()
+	c.read(&o)
+	c.rig.recordRequest(o.Request)
+}
+
 // pipeline sends several idempotent requests at once and reads their responses.
 func (c *soakClient) pipeline() {
 	var all []outgoing
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -31,6 +31,9 @@
 	soakGrace, soakTimeout = 2 * time.Second, time.Second
 	// soakReadPause is the pause between two reads of the configuration.
 	soakReadPause = 20 * time.Millisecond
+	// soakMovePause is the mean time between two changes of the configuration by its second operator: one change
+	// is to be in force everywhere for a while before the next one.
+	soakMovePause = 3 * time.Second
 	// soakConfigApply is configApplyS.
 	soakConfigApply = 2
 	// soakStartTime is how long a process may take to begin to handle signals on a busy machine.
@@ -42,6 +45,11 @@
 	soakEndSlack = time.Second
 )
 
+// soakServices are the services, and soakMovingHost the host of the route that goes from one to the other.
+var soakServices = []string{"work", "spare"}
+
+const soakMovingHost = "moving"
+
 // soakRules are what a soak's history is judged by.
 var soakRules = soak.Rules{
 	ContactWindow: 3 * time.Second, GracePeriod: soakGrace, RouteTimeout: soakTimeout, LossSlack: 200 * time.Millisecond,
@@ -120,6 +128,7 @@
 	process  atomic.Pointer[process]
 	draining atomic.Bool
 	killed   atomic.Bool  // its process was sent SIGKILL
+	frozen   atomic.Bool  // its process was sent SIGSTOP, for a while
 	started  atomic.Int64 // when its process was started, a time.Duration since the run's begin
 	earlyHUP atomic.Bool  // its process was sent SIGHUP before it can be expected to handle signals
 	series   atomic.Int32 // that are at it
@@ -174,19 +183,44 @@
 	r.faults = append(r.faults, fmt.Sprintf("at %v ", r.since().Round(time.Millisecond))+fmt.Sprintf(format, args...))
 }
 
-// soakResources are a soak's configuration: a route for what may run twice and one for what must not.
-func soakResources(latencyTarget float64) (all []json.RawMessage) {
-	all = append(all, json.RawMessage(`{"resourceType":"services","metadata":{"name":"work"},`+
-		`"specification":{"healthCheckPath":"/health","maxConnections":130,"protocol":"h1","tlsEnabled":false}}`))
-	for host, kind := range map[string]string{"read": "idempotent", "write": "non_idempotent"} {
+// soakRoute is a route of a soak's configuration.
+type soakRoute struct {
+	host, kind string
+	target     string // its service; "": all, by the number of their upstreams
+}
+
+// soakResources are a soak's configuration: a route for what may run twice, one for what must not, and one that goes
+// to one service alone, which changes.
+func soakResources(latencyTarget float64, moved string) (all []json.RawMessage) {
+	for _, service := range soakServices {
+		all = append(all, json.RawMessage(fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},`+
+			`"specification":{"healthCheckPath":"/health","maxConnections":130,"protocol":"h1","tlsEnabled":false}}`, service)))
+	}
+	for _, route := range []soakRoute{
+		{host: "read", kind: "idempotent"}, {host: "write", kind: "non_idempotent"},
+		{host: soakMovingHost, kind: "idempotent", target: moved},
+	} {
+		targets := fmt.Sprintf(`"serviceName":"%s"`, route.target)
+		if route.target == "" {
+			targets = fmt.Sprintf(`"weightedTargets":[{"serviceName":"%s","weight":2},{"serviceName":"%s","weight":1}]`,
+				soakServices[0], soakServices[1])
+		}
 		all = append(all, json.RawMessage(fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s"},`+
 			`"specification":{"hostname":"%s.soak.example","pathPrefix":"/","routeType":"%s","timeoutS":%d,`+
-			`"targetLatencyS":%g,"serviceName":"work","maxAttempts":2,"public":true}}`,
-			host, host, kind, int(soakTimeout.Seconds()), latencyTarget)))
+			`"targetLatencyS":%g,%s,"maxAttempts":2,"public":true}}`,
+			route.host, route.host, route.kind, int(soakTimeout.Seconds()), latencyTarget, targets)))
 	}
 	return all
 }
 
+// soakServiceOf is the service of the upstream with a number: each third one is of the second.
+func soakServiceOf(number int) string {
+	if number%3 == 2 {
+		return soakServices[1]
+	}
+	return soakServices[0]
+}
+
 // startSoakRig starts core, upstreams and sidecars, and returns once a request comes through each sidecar.
 func startSoakRig(c cleanups, binary string, seed uint64, sidecars int) (*soakRig, error) {
 	core, err := startMeshCoreIn(c, binary, soakNetwork(seed), soakCore)
@@ -195,7 +229,7 @@
 	}
 	core.configApply = soakConfigApply // the sidecars' own: core machines don't go by it
 	r := &soakRig{cleanups: c, core: core, seed: seed, begun: time.Now(), counts: newSoakCounts()}
-	if _, _, _, err := core.replace(soakResources(0.25)); err != nil {
+	if err := r.replaceConfig(0.25); err != nil {
 		return nil, err
 	}
 	ports, err := soakPorts(core.prefix)
@@ -275,7 +309,7 @@
 func (r *soakRig) startSidecar(m *soakMachine) error {
 	ports := r.ports[m.number]
 	p, err := r.core.start(r.cleanups, "sidecar", r.host(m.number), meshZones[m.number%len(meshZones)],
-		map[string]any{"machineClass": settings.Sidecar, "appAddress": ports[3], "serviceName": "work"},
+		map[string]any{"machineClass": settings.Sidecar, "appAddress": ports[3], "serviceName": soakServiceOf(m.number)},
 		map[string]any{"inbound": ports[0], "outbound": ports[1], "readiness": ports[2]})
 	if err != nil {
 		return err
@@ -285,6 +319,9 @@
 	m.killed.Store(false)
 	m.earlyHUP.Store(false)
 	m.started.Store(int64(r.since()))
+	if soakQuotaFlag > 0 {
+		go m.limitProcessor(p, soakQuotaFlag)
+	}
 	return nil
 }
 
@@ -294,13 +331,14 @@
 // startClients starts the clients of all sidecars.
 func (r *soakRig) startClients() {
 	for number := range r.sidecars {
-		for i, behave := range soakBehaviors {
-			random := rand.New(rand.NewPCG(r.seed, uint64(1+number*len(soakBehaviors)+i)))
+		for i := range len(soakBehaviors) * max(1, soakClientsFlag) {
+			random := rand.New(rand.NewPCG(r.seed, uint64(1+number*len(soakBehaviors)*max(1, soakClientsFlag)+i)))
 			c := &soakClient{rig: r, sidecar: number, random: random}
-			r.clients.Go(func() { c.run(behave) })
+			r.clients.Go(func() { c.run(soakBehaviors[i%len(soakBehaviors)]) })
 		}
 	}
 	r.clients.Go(r.readConfig)
+	r.clients.Go(r.moveRoute)
 	r.clients.Go(r.watchLag)
 }
 
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -147,6 +148,8 @@
 		end := r.disturb(soak.Machine(m.number), soak.Fault)
 		defer end()
 		process := m.process.Load().cmd.Process
+		m.frozen.Store(true)
+		defer m.frozen.Store(false)
 		_ = process.Signal(syscall.SIGSTOP)
 		time.Sleep(e.For)
 		_ = process.Signal(syscall.SIGCONT)
@@ -168,17 +171,34 @@
 	}
 }
 
-// replaceConfig replaces the configuration by one with another latency target.
+// moveRoute changes the configuration now and then until the rig stops, whatever else happens.
+func (r *soakRig) moveRoute() {
+	random := rand.New(rand.NewPCG(r.seed, 1))
+	for !r.stopping.Load() {
+		time.Sleep(time.Duration((0.5 + random.Float64()) * float64(soakMovePause)))
+		err := r.replaceConfig(0.2 + 0.1*random.Float64())
+		r.count(configChange)
+		if err != nil {
+			r.count(configFailure)
+		}
+	}
+}
+
+// replaceConfig replaces the configuration by one with another latency target, in which the route that moves goes to
+// the other service.
 func (r *soakRig) replaceConfig(latencyTarget float64) error {
 	r.operator.Lock()
 	defer r.operator.Unlock()
-	if _, _, _, err := r.core.replace(soakResources(latencyTarget)); err != nil {
-		return err
+	change := soak.Change{Version: r.core.version + 1, Sent: r.since()}
+	change.Target = soakServices[int(change.Version)%len(soakServices)]
+	_, _, _, err := r.core.replace(soakResources(latencyTarget, change.Target))
+	if err == nil {
+		change.Acknowledged = r.since()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.history.Changes = append(r.history.Changes, soak.Change{Version: r.core.version, Acknowledged: r.since()})
-	return nil
+	r.history.Changes = append(r.history.Changes, change)
+	return err
 }
 
 // killCoreMember kills a core member, not the one that operators call, and starts it again after a while.
--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -80,6 +80,7 @@
 	u.answer(w, r, id, work)
 	u.rig.recordRun(soak.Run{
 		ID: id, Upstream: u.number, Arrived: arrived, Planned: arrived + work, Ended: u.rig.since(),
+		Service: soakServiceOf(u.number),
 		Changed: r.RequestURI != r.Header.Get(soakPathField) || !isSoakRequestBody(body, id, r.Header.Get(soakLengthField)),
 	})
 }
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -19,13 +19,15 @@
 	NothingLost      Promise = "LOST"    // a connection ended without the response to a complete request
 	AnsweredInTime   Promise = "LATE"    // CONFIG: no final response half a second after the route's time-out
 	NewestConfig     Promise = "CONFIG"  // a read of the configuration is older than what was acknowledged
+	NewestRouting    Promise = "ROUTING" // CONFIG: a request was handled as only an older configuration allows
 	Unchanged        Promise = "UNASKED" // an upstream ran a request that was changed on its way
 	AbandonedEnds    Promise = "GONE"    // work went on, or began, for a client that had left
 )
 
 // Promises are all of them.
 var Promises = []Promise{
-	RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, NewestConfig, Unchanged, AbandonedEnds,
+	RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, NewestConfig, NewestRouting,
+	Unchanged, AbandonedEnds,
 }
 
 const (
@@ -85,6 +87,7 @@
 	c.checkLate()
 	c.checkAbandoned()
 	c.checkReads()
+	c.checkRouting()
 	slices.SortStableFunc(c.verdict.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	return c.verdict
 }
@@ -290,27 +293,3 @@
 			len(wentOn), lasting)
 	}
 }
-
-// checkReads judges reads of the configuration, at machines in contact or not: none that was sent long enough after
-// an acknowledgement shows an older version.
-func (c *checker) checkReads() {
-	for _, read := range c.Reads {
-		newest := int64(0)
-		for _, change := range c.Changes {
-			if change.Acknowledged+c.rules.ConfigApply < read.Sent {
-				newest = max(newest, change.Version)
-			}
-		}
-		if newest == 0 {
-			continue
-		}
-		c.verdict.Judged[NewestConfig]++
-		if read.Version < newest {
-			c.verdict.Findings = append(c.verdict.Findings, Finding{
-				Promise: NewestConfig, At: read.Answered,
-				Text: fmt.Sprintf("sidecar %d answered version %d, %d was acknowledged over %v before",
-					read.Sidecar, read.Version, newest, c.rules.ConfigApply),
-			})
-		}
-	}
-}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -52,6 +52,12 @@
 	return h
 }
 
+// beside is a history with disturbances.
+func beside(disturbances []Disturbance, h History) History {
+	h.Disturbances = disturbances
+	return h
+}
+
 // lost are so many requests with runs and without responses.
 func lost(count int, at, after time.Duration) (h History) {
 	for i := range count {
@@ -71,11 +77,25 @@
 // reads are two changes, the second at a moment, and a read of a version.
 func reads(sent time.Duration, version int64) History {
 	return History{
-		Changes: []Change{{Version: 1, Acknowledged: at - time.Minute}, {Version: 2, Acknowledged: at}},
+		Changes: []Change{{Version: 1, Acknowledged: ms}, {Version: 2, Acknowledged: at}},
 		Reads:   []Read{{Sent: sent, Answered: sent + ms, Version: version}},
 	}
 }
 
+// routed is a request on the route that moves, from service "old" to "new" at a moment, which runs at a service. The
+// last change, back to "old", has no clear answer.
+func routed(sent time.Duration, service string, status int) History {
+	return History{
+		Changes: []Change{
+			{Version: 1, Acknowledged: ms, Target: "old"},
+			{Version: 2, Sent: at - ms, Acknowledged: at, Target: "new"},
+			{Version: 3, Sent: at + 10*time.Second, Target: "old"},
+		},
+		Requests: []Request{{ID: "m", Sent: sent, Ended: sent + 100*ms, Status: status, Own: true, Moves: true}},
+		Runs:     []Run{{ID: "m", Upstream: 1, Arrived: sent + 10*ms, Ended: sent + 60*ms, Service: service}},
+	}
+}
+
 // runningUntilCut is a request whose connection ends at a moment, while its upstream works.
 func runningUntilCut(cut time.Duration) History {
 	return History{
@@ -168,6 +188,13 @@
 		"a read soon after a change":      {reads(at+time.Second, 1), ""},
 		"a read of an older version late": {reads(at+3*time.Second, 1), NewestConfig},
 
+		"runs at the new service":                {routed(at+3*time.Second, "new", http.StatusOK), ""},
+		"runs at the old service soon":           {routed(at+1900*ms, "old", http.StatusOK), ""},
+		"runs at the old service late":           {routed(at+2100*ms, "old", http.StatusOK), NewestRouting},
+		"runs at the old service beside a fault": {beside(termOfCaller, routed(at+2100*ms, "old", http.StatusOK)), ""},
+		"runs where an unclear change says":      {routed(at+11*time.Second, "old", http.StatusOK), ""},
+		"no route":                               {routed(at+2100*ms, "new", http.StatusNotFound), NewestRouting},
+
 		"abandoned runs end":               {abandoned(20, at, 400*ms, true), ""},
 		"abandoned runs go on":             {abandoned(minCases, at, 600*ms, true), AbandonedEnds},
 		"few abandoned runs go on":         {abandoned(minCases-1, at, 600*ms, true), ""},
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -22,6 +22,7 @@
 	Ended      time.Duration // its response was complete, or its connection ended without one; 0: its client left
 	Status     int           // of a complete response; 0: there was none
 	Own        bool          // the response has the request's id and, where it is a success, its signature and body
+	Moves      bool          // its route is the one whose service changes, see Change
 }
 
 // Run is what an upstream recorded of one arrival of a request.
@@ -32,12 +33,15 @@
 	Planned  time.Duration // when it would end by itself
 	Ended    time.Duration // it was answered, or dropped as its connection had ended
 	Changed  bool          // its path or body is not what its client sent
+	Service  string        // of the upstream
 }
 
-// Change is a change of the configuration that was acknowledged.
+// Change is a change of the configuration that an operator has sent.
 type Change struct {
 	Version      int64
-	Acknowledged time.Duration
+	Sent         time.Duration // to the core for the first time
+	Acknowledged time.Duration // 0: it has no clear answer, and may be in force
+	Target       string        // the service to which the route that moves goes with it
 }
 
 // Read is a read of the configuration that was answered with success.
