--- a/internal/mesh/watch/fixture_test.go
+++ b/internal/mesh/watch/fixture_test.go
@@ -290,6 +290,7 @@
 				c[i].stop()
 				m[i].stop()
 			}
+			advance(2 * n.longestDelay()) // what is under way arrives
 		}()
 		advance(5 * time.Second)
 		Convey(what, t, func() {
--- /dev/null
+++ b/internal/mesh/watch/slow_link_test.go
@@ -0,0 +1,114 @@
+package watch
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// The stated bounds of the deployment of issue 85.
+const (
+	configApplyTime = 3 * time.Second
+	contactWindow   = 5 * time.Second
+)
+
+// slowLink returns both ends of a connection on which every byte arrives after a delay, which is asked for each
+// time. There is no loss, and no bound on what is under way.
+func slowLink(delay func() time.Duration) (here, there net.Conn) {
+	here, hereFar := net.Pipe()
+	there, thereFar := net.Pipe()
+	go carry(hereFar, thereFar, delay)
+	go carry(thereFar, hereFar, delay)
+	return here, there
+}
+
+// carry passes on what it reads, each piece after the delay.
+func carry(from io.ReadCloser, to io.WriteCloser, delay func() time.Duration) {
+	type piece struct {
+		due  time.Time
+		data []byte
+	}
+	queue := make(chan piece, 1<<14)
+	go func() {
+		defer to.Close()
+		for p := range queue {
+			<-time.After(time.Until(p.due))
+			if _, err := to.Write(p.data); err != nil {
+				from.Close()
+			}
+		}
+	}()
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			queue <- piece{time.Now().Add(delay()), append([]byte(nil), buffer[:n]...)}
+		}
+		if err != nil {
+			close(queue)
+			return
+		}
+	}
+}
+
+// changesInTime publishes a change each second, and returns the longest time that one took to reach the sidecar. One
+// that is under way counts with its age.
+func changesInTime(m []*member, s *sidecar, from, to int64) (longest time.Duration) {
+	published := map[int64]time.Time{}
+	version := from
+	check := func() {
+		applied, _ := s.applied()
+		for v, at := range published {
+			longest = max(longest, time.Since(at))
+			if v <= applied {
+				delete(published, v)
+			}
+		}
+	}
+	for ; version <= to; version++ {
+		for _, one := range m {
+			one.publish(version)
+		}
+		published[version] = time.Now()
+		for range 100 {
+			advance(10 * ms)
+			check()
+		}
+	}
+	for range 500 {
+		advance(10 * ms)
+		check()
+	}
+	return longest
+}
+
+func TestSidecarBehindFullLinkHearsOfChanges(t *testing.T) {
+	const oneWay = 600 * ms
+	title := "A sidecar whose link has become slow, each way by what a queue of requests takes, has each change in time"
+	runMesh(t, title, func(n *network, m []*member, _ []*sidecar) {
+		n.setDelay("slow", 0)
+		s := n.sidecar("slow", "zone-m1:1", memberAddresses[0])
+		defer s.stop()
+		advance(time.Second)
+		n.setDelay("slow", oneWay)
+		So(changesInTime(m, s, 1, 20), ShouldBeLessThan, configApplyTime)
+	})
+	title = "So has one whose connections were all reset meanwhile, from the end of the contact window on"
+	runMesh(t, title, func(n *network, m []*member, _ []*sidecar) {
+		n.setDelay("slow", 0)
+		s := n.sidecar("slow", "zone-m1:1", memberAddresses[0])
+		defer s.stop()
+		advance(time.Second)
+		n.setDelay("slow", oneWay)
+		advance(2 * time.Second)
+		for _, to := range memberAddresses {
+			n.sever("slow", to)
+		}
+		n.heal()
+		advance(contactWindow)
+		So(changesInTime(m, s, 1, 20), ShouldBeLessThan, configApplyTime)
+	})
+}
