watch: a sidecar keeps its session on a slow link, and asks others before it gives up

Cause: every time limit of a sidecar's session (0.3 s to connect, 0.4 s for a question, 1 s for a renewal, 1.1 s without a byte, TCP_USER_TIMEOUT of 1.5 s) is below the round trip of a full link. Change: silence and late answers have the sidecar ask the other members at once, as before; it leaves for one that answers. Only where none does, so that its own link is slow, it stays, and gives up after 4 s. Questions to members are asked again while some are unanswered, and late answers count. Connections of the watch client bear 4 s.

--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -110,7 +110,7 @@
 		Incarnation:   registry.Incarnation(time.Now().UnixNano()),
 		Zone:          current.Self.Zone,
 		Seeds:         current.SeedAddresses(),
-		HTTP:          s.client,
+		HTTP:          watch.NewHTTPClient(),
 		State:         s.currentLease,
 		ConfigVersion: func() int64 { return s.config.Load().Version() },
 		OnConfig:      s.applyConfig,
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"caperarch/internal/mesh/errs"
+	"caperarch/internal/mesh/httpclient"
 	"caperarch/internal/mesh/registry"
 )
 
@@ -26,7 +27,7 @@
 	Zone        string
 	// Seeds are internal addresses of core machines to begin with.
 	Seeds []string
-	// HTTP must have no Timeout of its own, since watches last.
+	// HTTP must have no Timeout of its own, since watches last: see NewHTTPClient.
 	HTTP *http.Client
 	// State returns the Upstream, Applied and Leaving of this sidecar's lease,
 	// with the warm-up that remains now.
@@ -43,6 +44,12 @@
 	Log      *zap.Logger
 }
 
+// NewHTTPClient returns the HTTP client that a Client needs: its connections bear a
+// slow link, as the Client itself notices a member that is silent.
+func NewHTTPClient() *http.Client {
+	return httpclient.NewWithTimeouts(httpclient.Timeouts{Dial: slowLinkTimeout, User: slowLinkTimeout})
+}
+
 // Client is the sidecar's side: it keeps a lease and a watch at one core machine,
 // and goes to another when that one fails.
 type Client struct {
@@ -51,7 +58,8 @@
 	// These channels of capacity one wake the goroutine that renews the lease.
 	renewNow    chan struct{}
 	resubscribe chan struct{}
-	contactLost chan struct{} // the current member says that it has no contact
+	// The current member says that it has no contact, or says nothing.
+	lookElsewhere chan struct{}
 
 	// mu guards the fields below.
 	mu            sync.Mutex
@@ -94,14 +102,14 @@
 // NewClient makes a Client; Run starts it.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg:         cfg,
-		incarnation: cfg.Incarnation,
-		renewedAt:   time.Now(),
-		renewNow:    make(chan struct{}, 1),
-		resubscribe: make(chan struct{}, 1),
-		contactLost: make(chan struct{}, 1),
-		seeds:       slices.Clone(cfg.Seeds),
-		attempted:   map[string]bool{},
+		cfg:           cfg,
+		incarnation:   cfg.Incarnation,
+		renewedAt:     time.Now(),
+		renewNow:      make(chan struct{}, 1),
+		resubscribe:   make(chan struct{}, 1),
+		lookElsewhere: make(chan struct{}, 1),
+		seeds:         slices.Clone(cfg.Seeds),
+		attempted:     map[string]bool{},
 	}
 }
 
--- a/internal/mesh/watch/client_contact.go
+++ b/internal/mesh/watch/client_contact.go
@@ -14,12 +14,9 @@
 	// that has lost its contact, and so between two rounds of asking the others.
 	// It bounds the requests of all sidecars together while there is no majority.
 	lostContactRenewInterval = 400 * time.Millisecond
-	// probeTimeout bounds a request to another member meanwhile, against members
+	// probeTimeout bounds the search for another member meanwhile, against members
 	// that no longer run; it spans a round trip between zones.
 	probeTimeout = 400 * time.Millisecond
-	// probeGrace is how long better members, by zone, are waited for once one
-	// has fresh contact, so that members that no longer run delay no move.
-	probeGrace = 50 * time.Millisecond
 )
 
 // ContactAge returns how old what this Client has applied may be: that long ago,
@@ -49,11 +46,12 @@
 }
 
 // findMemberInContact asks all other members known, the seeds among them, for
-// one with fresh contact, and makes the first of them in order the move target.
+// one with fresh contact, and makes the first of them in order the move target. It
+// waits no longer than the time given.
 func (c *Client) findMemberInContact(
-	ctx context.Context, current string, lease *registry.Lease,
+	ctx context.Context, current string, lease *registry.Lease, longest time.Duration,
 ) (found bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	var others []string
 	for _, address := range c.Peers() {
@@ -61,7 +59,8 @@
 			others = append(others, address)
 		}
 	}
-	inContact := c.probe(ctx, cancel, others, lease)
+	search := &memberSearch{client: c, lease: lease, addresses: others}
+	inContact := search.run(ctx, cancel)
 	for _, address := range others {
 		if inContact[address] {
 			c.setMoveTarget(address)
@@ -71,43 +70,12 @@
 	return false
 }
 
-// probe sends the lease to all members at once, and returns those with fresh
-// contact. It returns once all have answered or failed; with the first that has
-// fresh contact, the others have probeGrace before cancel ends their calls.
-func (c *Client) probe(
-	ctx context.Context, cancel context.CancelFunc, addresses []string, lease *registry.Lease,
-) map[string]bool {
-	type result struct {
-		address string
-		fresh   bool
-	}
-	results := make(chan result, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			response, err := c.sendLease(ctx, address, lease)
-			results <- result{address: address, fresh: err == nil && response.Contact.fresh()}
-		}()
-	}
-	inContact := map[string]bool{}
-	for range addresses {
-		r := <-results
-		if !r.fresh {
-			continue
-		}
-		if len(inContact) == 0 {
-			time.AfterFunc(probeGrace, cancel)
-		}
-		inContact[r.address] = true
-	}
-	return inContact
-}
-
 // findMemberAfterFailure asks all others at once after a member has failed, so
 // that members that no longer run or have no contact cost one timeout together.
 // If none has fresh contact, the members are tried one after the other.
 func (c *Client) findMemberAfterFailure(ctx context.Context, failed string) {
 	lease := c.nextLease()
-	if lease == nil || !c.findMemberInContact(ctx, failed, lease) {
+	if lease == nil || !c.findMemberInContact(ctx, failed, lease, slowLinkTimeout) {
 		return
 	}
 	c.move()
@@ -136,6 +104,8 @@
 	if lease == nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, slowLinkTimeout)
+	defer cancel()
 	response, err := c.sendLease(ctx, address, lease)
 	if err != nil {
 		return err
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -55,7 +55,7 @@
 			cancel(errResubscribe)
 			return
 		case <-c.renewNow:
-		case <-c.contactLost:
+		case <-c.lookElsewhere:
 			contactLost = true
 		case <-timer.C:
 		}
@@ -79,10 +79,10 @@
 	if lease == nil {
 		return renewInterval, nil
 	}
-	if contactLost && c.findMemberInContact(ctx, address, lease) {
+	if contactLost && c.findMemberInContact(ctx, address, lease, probeTimeout) {
 		return 0, errMoved
 	}
-	response, err := c.sendLease(ctx, address, lease)
+	response, err := c.renewLease(ctx, address, lease)
 	if err != nil {
 		return 0, err
 	}
@@ -92,12 +92,47 @@
 	if response.Contact.OK {
 		return renewInterval, nil
 	}
-	if !contactLost && c.findMemberInContact(ctx, address, lease) {
+	if !contactLost && c.findMemberInContact(ctx, address, lease, probeTimeout) {
 		return 0, errMoved
 	}
 	return lostContactBackoff(), nil
 }
 
+// renewLease sends the lease to the member and waits for its response. While that is
+// late it looks for another member, and returns errMoved once there is one: where no
+// other answers sooner, the sidecar's own link is slow and the response still comes.
+func (c *Client) renewLease(
+	ctx context.Context, address string, lease *registry.Lease,
+) (*LeaseResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, slowLinkTimeout)
+	defer cancel()
+	type result struct {
+		response *LeaseResponse
+		err      error
+	}
+	done := make(chan result, 1)
+	go func() {
+		response, err := c.sendLease(ctx, address, lease)
+		done <- result{response, err}
+	}()
+	late := time.NewTimer(lateRenewal)
+	defer late.Stop()
+	for {
+		select {
+		case r := <-done:
+			return r.response, r.err
+		case <-c.lookElsewhere:
+		case <-late.C:
+			late.Reset(lateRenewal)
+		}
+		if c.findMemberInContact(ctx, address, lease, probeTimeout) {
+			cancel()
+			<-done
+			return nil, errMoved
+		}
+	}
+}
+
 // nextLease makes the next lease to send. It is nil once the sidecar has left.
 func (c *Client) nextLease() *registry.Lease {
 	state := c.cfg.State()
@@ -130,12 +165,11 @@
 	return lease
 }
 
-// sendLease sends a lease to a member, and records what its response proves.
+// sendLease sends a lease to a member, and records what its response proves. The
+// caller bounds ctx.
 func (c *Client) sendLease(
 	ctx context.Context, address string, lease *registry.Lease,
 ) (*LeaseResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	askedAt := time.Now()
 	url := "http://" + address + leasePath
 	request := &leaseRequest{Lease: *lease, KnownPeers: c.knownPeersDigest()}
--- a/internal/mesh/watch/client_session.go
+++ b/internal/mesh/watch/client_session.go
@@ -15,7 +15,7 @@
 		return errs.New(errs.Unreachable, "no core member is known")
 	}
 	select {
-	case <-c.contactLost: // of an earlier session
+	case <-c.lookElsewhere: // of an earlier session
 	default:
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/mesh/watch/client_watch.go
+++ b/internal/mesh/watch/client_watch.go
@@ -21,12 +21,12 @@
 )
 
 // errIdleTimeout is why a watch on which nothing arrives is given up.
-var errIdleTimeout = errs.New(errs.Unreachable, "no data from the member within the idle time-out")
+var errIdleTimeout = errs.New(errs.Unreachable, "no data from the member within the time-out of a slow link")
 
 // runWatch opens a watch and applies its frames until it fails.
 func (c *Client) runWatch(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
-	watchdog := time.AfterFunc(idleTimeout, func() { cancel(errIdleTimeout) })
-	defer watchdog.Stop()
+	watchdog := newWatchdog(func() { signal(c.lookElsewhere) }, func() { cancel(errIdleTimeout) })
+	defer watchdog.stop()
 	request := c.newWatchRequest()
 	askedAt := time.Now()
 	stream, err := c.openWatch(ctx, address, &request)
@@ -41,7 +41,7 @@
 		if err := frames.Decode(&f); err != nil {
 			return errs.Wrap(err, errs.Unreachable, "the watch at %s broke off", address)
 		}
-		watchdog.Stop() // while the frame is applied
+		watchdog.stop() // while the frame is applied
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -63,7 +63,7 @@
 			frames = json.NewDecoder(io.MultiReader(frames.Buffered(), input))
 		}
 		input.remaining = maxFrame
-		watchdog.Reset(idleTimeout)
+		watchdog.reset()
 	}
 }
 
@@ -169,7 +169,7 @@
 func (c *Client) applyHeartbeat(heartbeat *heartbeatFrame) {
 	switch {
 	case !heartbeat.Contact.OK:
-		signal(c.contactLost)
+		signal(c.lookElsewhere)
 	case heartbeat.Syncing:
 		c.counts = c.counts.Raised(heartbeat.Counts)
 	default:
@@ -181,7 +181,7 @@
 // takes more memory than maxFrame.
 type guardedReader struct {
 	stream    io.Reader
-	watchdog  *time.Timer
+	watchdog  *watchdog
 	remaining int // bytes that the current frame may still take
 }
 
@@ -194,7 +194,7 @@
 	n, err := g.stream.Read(p[:min(len(p), g.remaining)])
 	g.remaining -= n
 	if n > 0 {
-		g.watchdog.Reset(idleTimeout)
+		g.watchdog.reset()
 	}
 	return n, err
 }
--- a/internal/mesh/watch/frame_writer.go
+++ b/internal/mesh/watch/frame_writer.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// writeTimeout bounds a write to a sidecar, so that a slow one blocks nothing.
-	writeTimeout = 1500 * time.Millisecond
+	// writeTimeout bounds a write to a sidecar, so that one that has gone holds nothing.
+	writeTimeout = slowLinkTimeout
 	// writeChunk is how many bytes of a frame get a write deadline of their own,
 	// so that a large frame may take longer as long as it progresses.
 	writeChunk = 256 << 10
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -16,13 +16,22 @@
 	// heartbeatInterval is the time between heartbeats on a watch.
 	heartbeatInterval = 400 * time.Millisecond
 	// idleTimeout is how long a watch may be without a byte before the sidecar
-	// goes to another member. It spans two heartbeats and guards against open
+	// looks for another member. It spans two heartbeats and guards against open
 	// connections to members that no longer run.
 	idleTimeout = 1100 * time.Millisecond
 	// renewInterval is the time between lease renewals: three to a lease.
 	renewInterval = 800 * time.Millisecond
-	// callTimeout bounds one call, against peers that accept it and do not answer.
+	// lateRenewal is how long a renewal may be unanswered before the sidecar looks for
+	// another member: this one may not hear it.
+	lateRenewal = time.Second
+	// callTimeout bounds one call between members, against peers that accept it and
+	// do not answer.
 	callTimeout = time.Second
+	// slowLinkTimeout bounds a call of a sidecar, and how long its watch may be without
+	// a byte, where no other member answers sooner: then it is the sidecar's own link
+	// that is slow. It spans opening a connection and a call on a link on which a round
+	// trip takes almost two seconds.
+	slowLinkTimeout = 4 * time.Second
 	// maxFrame bounds a frame of a watch in bytes, against a faulty member. It
 	// leaves room for the largest configuration.
 	maxFrame = 72 << 20
