sidecar, gate: requests that an outdated sidecar admits are checked by the newest version known

Cause: a sidecar went by the version it had, however old, and the gate beside the upstream ran whatever a sidecar sent; nobody compared versions, though the upstream's own sidecar, and every other one that talked to the outdated one, had the new one. Change: an attempt says by which version it was admitted, a gate's response which is the newest that it knows. A gate that goes by a newer one looks the route, the service and the tenant up and rejects what that doesn't allow: not executed, 503 for the client at once, tried at no other gate. A gate that knows its own version and the caller's to be outdated for half of configApplyS rejects what it can't check, also for the caller beside it; others can. While a sidecar knows that it is outdated, it names tenants' keys by a digest, answers 503 where it has no route or key, and looks for another core machine. Without a core no newer version is known, so that nothing is rejected for its absence. In TestOutboundAdmission forwarded fields have X-Mesh-Config and forged ones of the new fields are removed, too.

--- a/internal/mesh/balancer/request.go
+++ b/internal/mesh/balancer/request.go
@@ -23,6 +23,7 @@
 	Idempotent    bool          // it may run more than once
 	MaxAttempts   int           // upstreams that it may reach
 	LatencyTarget time.Duration // an answer within this earns its full value
+	ConfigVersion int64         // of the configuration that the rest is from
 }
 
 // request is one that has no answer yet, or whose attempt is still in flight.
--- a/internal/mesh/balancer/retry.go
+++ b/internal/mesh/balancer/retry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"caperarch/internal/mesh/headers"
 	"caperarch/policy"
 )
 
@@ -24,6 +25,9 @@
 func (b *Balancer) retry(now time.Duration, r *request, ending policy.Ending) {
 	reached := true
 	switch ending {
+	case headers.ConfigOutdated: // every gate that knows the newest configuration rejects it
+		b.giveUp(r)
+		return
 	case policy.GateRejected, policy.NoConnection, policy.NotSent:
 		reached = false // another upstream costs nothing
 	case policy.NotProcessed:
--- a/internal/mesh/balancer/retry_test.go
+++ b/internal/mesh/balancer/retry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"caperarch/internal/mesh/headers"
 	"caperarch/policy"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -20,6 +21,15 @@
 			So(h.chargedRetries, ShouldEqual, 0)
 		}
 	})
+	Convey("One that a newer configuration doesn't allow goes to no other, and is answered by what is known of it", t, func() {
+		h := newHarness(three...)
+		h.allowedRetries = 5
+		h.request(1, newClass())
+		So(h.endAttempt(1, 0, headers.ConfigOutdated), ShouldResemble, []string{"refuse 1"})
+		h.request(2, newClass())
+		h.endAttempt(2, 0, policy.ConnectionLost)
+		So(h.endAttempt(2, 1, headers.ConfigOutdated), ShouldResemble, []string{"fail 2"})
+	})
 	Convey("One that reached an upstream is retried within the budget, if it can't run twice", t, func() {
 		for _, ending := range []policy.Ending{
 			policy.NotProcessed, policy.ConnectionLost, policy.TimedOut, policy.Cancelled, policy.Ending(99),
--- a/internal/mesh/config/change.go
+++ b/internal/mesh/config/change.go
@@ -14,9 +14,9 @@
 	formUpdate  = "update"
 )
 
-// maxVersion is the largest version: the largest integer that every reader of JSON holds exactly.
+// MaxVersion is the largest version: the largest integer that every reader of JSON holds exactly.
 // It guards against a mistyped version after which no higher one could be written.
-const maxVersion = 1<<53 - 1
+const MaxVersion = 1<<53 - 1
 
 // Change is an operator's change request, parsed and checked as far as it can be without the
 // snapshot that it builds on. It is immutable.
@@ -170,9 +170,9 @@
 	if v.ConfigVersion == nil {
 		return nil, errs.New(errs.Invalid, "configVersion: the number is missing")
 	}
-	if *v.ConfigVersion < 0 || v.BaseVersion < 0 || *v.ConfigVersion > maxVersion {
+	if *v.ConfigVersion < 0 || v.BaseVersion < 0 || *v.ConfigVersion > MaxVersion {
 		return nil, errs.New(errs.Invalid, "configVersion %d on baseVersion %d: not within 0 and %d",
-			*v.ConfigVersion, v.BaseVersion, int64(maxVersion))
+			*v.ConfigVersion, v.BaseVersion, int64(MaxVersion))
 	}
 	c.version, c.base = *v.ConfigVersion, v.BaseVersion
 	c.resources = make([]*resource, 0, len(raws))
--- a/internal/mesh/headers/headers.go
+++ b/internal/mesh/headers/headers.go
@@ -86,13 +86,15 @@
 // HasDuplicateControlField reports whether a request between sidecars gives a field more than once that
 // controls how it is handled.
 func HasDuplicateControlField(h *h1.Head) bool {
-	return DuplicateField(h, AttemptID, Timeout, Target, attemptTermsField, SendIDField) != ""
+	return DuplicateField(
+		h, AttemptID, Timeout, Target, attemptTermsField, SendIDField, configField, keyDigestField) != ""
 }
 
 // StripInternal removes from a client's request the fields that only sidecars may set.
 func StripInternal(fields http.Header) {
 	for _, name := range []string{
-		attemptTermsField, SendIDField, gateLoadField, outcomeField, Target, Tenant, Caller, Key,
+		attemptTermsField, SendIDField, gateLoadField, outcomeField, configField, keyDigestField, Target, Tenant,
+		Caller, Key,
 	} {
 		delete(fields, name)
 	}
@@ -102,4 +104,6 @@
 func StripSidecarFields(fields http.Header) {
 	delete(fields, attemptTermsField)
 	delete(fields, SendIDField)
+	delete(fields, configField)
+	delete(fields, keyDigestField)
 }
--- a/internal/mesh/headers/headers_test.go
+++ b/internal/mesh/headers/headers_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"caperarch/internal/mesh/config"
 	"caperarch/internal/proxy/call"
 	"caperarch/internal/proxy/h1"
 	"caperarch/policy"
@@ -75,7 +76,7 @@
 			ending, load := ClassifyGateResponse(c.res)
 			SoMsg(describe(c.res), ending, ShouldEqual, c.want)
 			So(load.InFlight, ShouldEqual, 7)
-			StripGateLoad(c.res.Header)
+			StripGateFields(c.res.Header)
 			So(c.res.Header[gateLoadField], ShouldBeNil)
 		}
 		for notExecuted, want := range map[bool]policy.Ending{true: policy.GateRejected, false: policy.ConnectionLost} {
@@ -214,3 +215,43 @@
 		}
 	})
 }
+
+func TestConfigVersionsOnTheWire(t *testing.T) {
+	Convey("What is said of configurations is read as it was written, or not at all", t, func() {
+		for _, c := range []AttemptConfig{
+			{Admitted: 7, Newest: 7}, {Admitted: 7, Newest: 9}, {Admitted: 7, Newest: 9, Key: config.DigestKey("k")},
+		} {
+			fields := http.Header{}
+			c.Set(fields)
+			got, ok := ParseAttemptConfig(head(configField, fields.Get(configField), keyDigestField, fields.Get(keyDigestField)))
+			So(ok, ShouldBeTrue)
+			So(got, ShouldResemble, c)
+			StripSidecarFields(fields)
+			So(fields, ShouldBeEmpty)
+		}
+		for _, text := range []string{"", "0", "-1", "x", "7,", "7,x", "7,0", "99999999999999999999"} {
+			_, ok := ParseAttemptConfig(head(configField, text))
+			So(ok, ShouldBeFalse)
+		}
+		fields := http.Header{configField: {"12"}} // by an upstream
+		SetNewestConfig(fields, 0)
+		So(fields, ShouldBeEmpty)
+		So(NewestConfig(fields), ShouldEqual, 0)
+		SetNewestConfig(fields, 12)
+		So(NewestConfig(fields), ShouldEqual, 12)
+		StripGateFields(fields)
+		So(fields, ShouldBeEmpty)
+	})
+	Convey("A gate that rejects by a newer configuration says so to sidecars that know it, others take it as any rejection", t, func() {
+		res := &http.Response{StatusCode: StatusConfigOutdated, Header: GateResponseFields("9c41", true, FormatLoad(1, 0, 1))}
+		ending, _ := ClassifyGateResponse(res)
+		So(ending, ShouldEqual, ConfigOutdated)
+		res.StatusCode = http.StatusServiceUnavailable
+		ending, _ = ClassifyGateResponse(res)
+		So(ending, ShouldEqual, policy.GateRejected)
+		res.Header = http.Header{} // an upstream's own 409
+		res.StatusCode = StatusConfigOutdated
+		ending, _ = ClassifyGateResponse(res)
+		So(ending, ShouldEqual, policy.Served)
+	})
+}
--- a/internal/mesh/headers/load.go
+++ b/internal/mesh/headers/load.go
@@ -55,5 +55,9 @@
 	fields[gateLoadField] = []string{load}
 }
 
-// StripGateLoad removes the gate's load before a response leaves the caller's sidecar.
-func StripGateLoad(fields http.Header) { delete(fields, gateLoadField) }
+// StripGateFields removes the gate's load and what it says of configurations before a response leaves the caller's
+// sidecar.
+func StripGateFields(fields http.Header) {
+	delete(fields, gateLoadField)
+	delete(fields, configField)
+}
--- a/internal/mesh/headers/outcome.go
+++ b/internal/mesh/headers/outcome.go
@@ -7,6 +7,15 @@
 	"caperarch/policy"
 )
 
+const (
+	// StatusConfigOutdated is the status of a gate that rejects an attempt because a newer configuration than
+	// its caller's does not allow it.
+	StatusConfigOutdated = http.StatusConflict
+	// ConfigOutdated is the ending of such an attempt: it never came to the upstream, and no other gate would
+	// let it. It is the mesh's own, beside those of package policy.
+	ConfigOutdated policy.Ending = 64
+)
+
 // GateResponseFields returns the fields of a gate's own response to an attempt: whether it proves that
 // the request was not executed and never will be, or leaves that open.
 func GateResponseFields(attemptID string, notExecuted bool, load string) http.Header {
@@ -50,6 +59,9 @@
 	load := ParseLoad(res.Header.Get(gateLoadField))
 	switch res.Header.Get(outcomeField) {
 	case outcomeNotExecuted:
+		if res.StatusCode == StatusConfigOutdated {
+			return ConfigOutdated, load
+		}
 		return policy.GateRejected, load
 	case "":
 	default:
--- a/internal/mesh/sidecar/config_update.go
+++ b/internal/mesh/sidecar/config_update.go
@@ -64,6 +64,7 @@
 		return false
 	}
 	s.config.Store(next)
+	s.knownVersions.applied(next.Version())
 	s.quota.configure(next)
 	s.log.Info("configuration applied", zap.Int64("version", next.Version()))
 	s.watchClient.RenewNow()
--- a/internal/mesh/sidecar/confirmation.go
+++ b/internal/mesh/sidecar/confirmation.go
@@ -10,6 +10,13 @@
 // confirmationCheckInterval is the time between two looks at how old the configuration's confirmation is.
 const confirmationCheckInterval = 500 * time.Millisecond
 
+// outdatedLog logs when the configuration here is known not to be the newest for longer than requests may go by it,
+// when it no longer is, and how many attempts the gate has rejected meanwhile: one entry each.
+type outdatedLog struct {
+	outdated bool
+	rejected int64 // as last logged
+}
+
 // confirmationLog logs when the configuration here has not been confirmed by a core machine in contact for
 // longer than it may be old, and when it is confirmed again: one entry each.
 type confirmationLog struct {
@@ -26,6 +33,7 @@
 	ticker := time.NewTicker(confirmationCheckInterval)
 	defer ticker.Stop()
 	state := confirmationLog{since: s.clock.Now()}
+	var outdated outdatedLog
 	for {
 		select {
 		case <-ctx.Done():
@@ -34,7 +42,31 @@
 		}
 		age, confirmed := s.watchClient.ContactAge()
 		s.logConfirmationAge(&state, age, confirmed, maxAge)
+		s.logOutdated(&outdated)
+	}
+}
+
+// logOutdated logs a change of whether the configuration here is outdated. As long as it is, another core machine is
+// looked for.
+func (s *Sidecar) logOutdated(state *outdatedLog) {
+	version, verifier := s.config.Load().Version(), s.inbound.verifier
+	outdatedFor := s.knownVersions.outdatedFor(s.clock.Now(), version)
+	outdated := outdatedFor > verifier.maxOutdated
+	if outdated {
+		s.watchClient.LookElsewhere()
 	}
+	if rejected := verifier.rejected.Load(); rejected != state.rejected {
+		s.log.Info("attempts rejected, as their configuration is outdated", zap.Int64("attempts", rejected-state.rejected))
+		state.rejected = rejected
+	}
+	if outdated == state.outdated {
+		return
+	}
+	state.outdated = outdated
+	status := s.watchClient.Status()
+	s.log.Warn("whether the configuration is outdated has changed", zap.Bool("outdated", outdated),
+		zap.Int64("version", version), zap.Int64("newest", s.knownVersions.newest()),
+		zap.Duration("known", outdatedFor), zap.String("member", status.Member), zap.Duration("frameAge", status.FrameAge))
 }
 
 // logConfirmationAge logs a change of whether the configuration counts as confirmed.
--- a/internal/mesh/sidecar/engines.go
+++ b/internal/mesh/sidecar/engines.go
@@ -41,7 +41,7 @@
 
 // newEngines makes both engines with their transports and decision modules.
 func (s *Sidecar) newEngines() (err error) {
-	s.inbound = &inbound{clock: s.clock, sendIDs: headers.NewSendIDSource()}
+	s.inbound = &inbound{clock: s.clock, sendIDs: headers.NewSendIDSource(), verifier: s.newVerifier()}
 	s.outbound = s.newOutbound()
 	if s.balancerEngine, err = s.newBalancerEngine(); err != nil {
 		return err
@@ -54,6 +54,7 @@
 func (s *Sidecar) newBalancerEngine() (*engine.Engine, error) {
 	transport := gateTransportConfig(s.clock, s.inbound.sendIDs)
 	transport.MaxConns = s.connectionFiles() / 4
+	transport.Dialect.Classify = s.classifyGateResponse
 	return engine.New(s.withIdentity(balancerEngineConfig(http1.New(transport), balancer.Config{
 		Zone: s.endpoints.zones[s.settings.Self.Zone], Members: s.sidecarCount, RetryBudget: s.quota,
 	})))
@@ -143,10 +144,16 @@
 	}
 }
 
+// classifyGateResponse is the function of that name, and learns of configurations that the gate has heard of.
+func (s *Sidecar) classifyGateResponse(res *http.Response) (policy.Ending, policy.Load) {
+	s.knownVersions.observe(s.clock.Now(), headers.NewestConfig(res.Header))
+	return classifyGateResponse(res)
+}
+
 // classifyGateResponse returns how an attempt ended, and removes the fields that are for this
 // sidecar alone.
 func classifyGateResponse(res *http.Response) (policy.Ending, policy.Load) {
 	ending, load := headers.ClassifyGateResponse(res)
-	headers.StripGateLoad(res.Header)
+	headers.StripGateFields(res.Header)
 	return ending, load
 }
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -22,6 +22,7 @@
 	clock    clock.Clock
 	drain    drainDeadline
 	sendIDs  *headers.SendIDSource // of this sidecar's own attempts
+	verifier *verifier             // nil: what callers admit is not checked
 }
 
 // frontDialect is how the front for sidecars treats their requests.
@@ -57,6 +58,9 @@
 			Status: http.StatusServiceUnavailable, Reason: "another instance is here", KeepAlive: true,
 		}
 	}
+	if rejection := i.verifier.check(h); rejection != nil {
+		return policy.Request{}, 0, rejection
+	}
 	if !i.drain.leavesTime(i.clock.Now(), remaining) && !i.isOwn(h) {
 		return policy.Request{}, 0, &fronthttp1.Rejection{
 			Status: http.StatusServiceUnavailable, Reason: "this sidecar ends before the request's time",
@@ -99,7 +103,9 @@
 
 // ownResponseFields are the fields of a response that the front or the gate itself makes.
 func (i *inbound) ownResponseFields(h *h1.Head, a *call.Answer) http.Header {
-	return headers.GateResponseFields(h.Get(headers.AttemptID), i.provablyNotExecuted(h, a), i.loadField())
+	fields := headers.GateResponseFields(h.Get(headers.AttemptID), i.provablyNotExecuted(h, a), i.loadField())
+	i.verifier.setNewest(fields)
+	return fields
 }
 
 // provablyNotExecuted reports whether a response of our own may promise that its request never ran
@@ -122,6 +128,7 @@
 	running, queued, slots := i.gate.Load()
 	running = max(0, running-1) // without this attempt, which has ended
 	headers.SetGateLoad(res.Header, headers.FormatLoad(running, queued, slots))
+	i.verifier.setNewest(res.Header)
 	return headers.ClassifyUpstreamResponse(res)
 }
 
--- /dev/null
+++ b/internal/mesh/sidecar/known_versions.go
@@ -0,0 +1,84 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+)
+
+// maxKnownVersions bounds the versions that are remembered; of more, those between the first and the newest are
+// dropped.
+const maxKnownVersions = 64
+
+// knownVersions are configuration versions that other sidecars go by, as their attempts and responses say: each is
+// in place, or was, as no sidecar goes by one that isn't committed. A nil pointer knows none. It is safe for
+// concurrent use.
+type knownVersions struct {
+	mu       sync.Mutex
+	versions []knownVersion // newer than what is in force here, in order; guarded by mu
+	inForce  int64          // guarded by mu
+}
+
+// knownVersion is a version and when it was heard of first.
+type knownVersion struct {
+	version int64
+	at      time.Duration
+}
+
+// observe records that another sidecar goes by a version, or has heard of it.
+func (k *knownVersions) observe(now time.Duration, version int64) {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version <= k.newestLocked() {
+		return
+	}
+	if len(k.versions) == maxKnownVersions {
+		k.versions = k.versions[:maxKnownVersions-1]
+	}
+	k.versions = append(k.versions, knownVersion{version, now})
+}
+
+// applied records that a version is in force here.
+func (k *knownVersions) applied(version int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.inForce = max(k.inForce, version)
+	for len(k.versions) > 0 && k.versions[0].version <= k.inForce {
+		k.versions = k.versions[1:]
+	}
+}
+
+// newest is the newest version known to be in place, 0 if none is.
+func (k *knownVersions) newest() int64 {
+	if k == nil {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.newestLocked()
+}
+
+// newestLocked is newest. k.mu is held.
+func (k *knownVersions) newestLocked() int64 {
+	if n := len(k.versions); n > 0 {
+		return k.versions[n-1].version
+	}
+	return k.inForce
+}
+
+// outdatedFor is for how long a version has been known not to be the newest; 0: it is.
+func (k *knownVersions) outdatedFor(now time.Duration, version int64) time.Duration {
+	if k == nil {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, known := range k.versions {
+		if known.version > version {
+			return max(now-known.at, 1)
+		}
+	}
+	return 0
+}
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -36,6 +36,7 @@
 	contactAge   func() (age time.Duration, ok bool)
 	maxConfigAge time.Duration
 	clock        clock.Clock
+	known        *knownVersions
 	drain        drainDeadline
 }
 
@@ -44,7 +45,7 @@
 		config: &s.config, endpoints: s.endpoints, quota: s.quota,
 		callerField: []string{s.settings.Self.ServiceName},
 		contactAge:  s.watchClient.ContactAge, maxConfigAge: s.settings.Guarantees.Bounds.ConfigApply,
-		clock: s.clock,
+		clock: s.clock, known: &s.knownVersions,
 	}
 }
 
@@ -150,10 +151,13 @@
 	return route, nil
 }
 
-// rejectUnlessOutdated rejects a request that the configuration here does not allow. Where a newer one may be
-// in force for too long already, as no core machine in contact has confirmed this one lately, the client is
-// to ask again: the newer one may allow it.
+// rejectUnlessOutdated rejects a request that the configuration here does not allow. Where a newer one is known to
+// be in force, or may be for too long already, as no core machine in contact has confirmed this one lately, the
+// client is to ask again: the newer one may allow it.
 func (o *outbound) rejectUnlessOutdated(status int, reason string) *http1.Rejection {
+	if o.known.outdatedFor(o.clock.Now(), o.config.Load().Version()) > 0 {
+		return rejectUntil(http.StatusServiceUnavailable, "the configuration is outdated: "+reason, configRetryAfter)
+	}
 	if o.maxConfigAge > 0 {
 		if age, confirmed := o.contactAge(); !confirmed || age > o.maxConfigAge {
 			return rejectUntil(http.StatusServiceUnavailable, "the configuration may be outdated: "+reason, configRetryAfter)
@@ -204,8 +208,10 @@
 // rewriteHeaders prepares the fields that go to a gate: those that only sidecars may set are this
 // one's own, and the tenant's key goes no further.
 func (o *outbound) rewriteHeaders(q *policy.Request, fields http.Header) {
+	key := fields[headers.Key]
 	headers.StripInternal(fields)
 	class := q.Terms.(*balancer.RequestClass)
+	o.attemptConfig(class, key).Set(fields)
 	fields[headers.Caller] = o.callerField
 	if class.Tenant != "" {
 		fields[headers.Tenant] = []string{class.Tenant}
@@ -215,3 +221,13 @@
 	}
 	terms.Set(fields)
 }
+
+// attemptConfig is what gates are told of the configuration that a request was admitted by. The digest of its key is
+// part of that where the configuration is known to be outdated: the key may be another tenant's by now, or nobody's.
+func (o *outbound) attemptConfig(class *balancer.RequestClass, key []string) headers.AttemptConfig {
+	attempt := headers.AttemptConfig{Admitted: class.ConfigVersion, Newest: max(class.ConfigVersion, o.known.newest())}
+	if attempt.Newest > attempt.Admitted && class.Tenant != "" && len(key) > 0 {
+		attempt.Key = config.DigestKey(key[0])
+	}
+	return attempt
+}
--- a/internal/mesh/sidecar/outbound_test.go
+++ b/internal/mesh/sidecar/outbound_test.go
@@ -100,7 +100,7 @@
 		_, d := newOutbound(tenantConfig)
 		forged := "x-mesh-visit: 0,1,1\r\nX-Mesh-Visit: 0,1,1\r\nX-Caperarch-Tenant-Id: other\r\n" +
 			"X-CAPERARCH-TARGET-INSTANCE: i-1\r\nX-Caperarch-Caller-Service: other\r\n" +
-			"X-Mesh-Load: 0,0,9\r\nX-Mesh-Verdict: turned\r\n"
+			"X-Mesh-Load: 0,0,9\r\nX-Mesh-Verdict: turned\r\nX-Mesh-Config: 8,9\r\nX-Mesh-Key-Digest: 0\r\n"
 		sent := "X-Caperarch-Timeout-Remaining: 900\r\nX-Own: 1\r\n"
 		h := parseHead(onceLine, attemptIDField+apiKeyField+forged+sent)
 		q, remaining, rejection := d.ParseRequest(h)
@@ -111,14 +111,14 @@
 		class.Compartment.Share = 0
 		So(class, ShouldResemble, balancer.RequestClass{
 			Compartment: balancer.CompartmentSpec{Name: "tenant bozi300"}, Tenant: "bozi300",
-			Priority: 1, MaxAttempts: 2, LatencyTarget: 300 * time.Millisecond,
+			Priority: 1, MaxAttempts: 2, LatencyTarget: 300 * time.Millisecond, ConfigVersion: 7,
 		})
 		So(d.CanPipeline(&q), ShouldBeFalse)
 		fields := h.EndToEnd()
 		d.RewriteHeaders(&q, fields)
 		So(fields, ShouldResemble, http.Header{
 			headers.AttemptID: {"9c41"}, headers.Timeout: {"900"}, "X-Own": {"1"},
-			headers.Tenant: {"bozi300"}, headers.Caller: {"huvo11a"}, "X-Mesh-Visit": {"1,300,0"},
+			headers.Tenant: {"bozi300"}, headers.Caller: {"huvo11a"}, "X-Mesh-Visit": {"1,300,0"}, "X-Mesh-Config": {"7"},
 		})
 
 		publicLine := "GET /open/ HTTP/1.1\r\nHost: HULO84.example:80" // needs no key
@@ -130,7 +130,7 @@
 		d.RewriteHeaders(&q, fields)
 		So(fields, ShouldResemble, http.Header{
 			headers.AttemptID: {"9c41"}, headers.Timeout: {"5000"}, headers.Caller: {"huvo11a"},
-			"X-Mesh-Visit": {"4,250,1"},
+			"X-Mesh-Visit": {"4,250,1"}, "X-Mesh-Config": {"7"},
 		})
 	})
 	Convey("A request that can't be admitted gets the status that says why", t, func() {
--- a/internal/mesh/sidecar/request_class.go
+++ b/internal/mesh/sidecar/request_class.go
@@ -26,6 +26,7 @@
 		Idempotent:    route.Idempotent,
 		MaxAttempts:   route.MaxAttempts,
 		LatencyTarget: route.LatencyTarget,
+		ConfigVersion: snapshot.Version(),
 	}
 	if class.LatencyTarget <= 0 {
 		class.LatencyTarget = defaultLatencyTarget
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -44,6 +44,8 @@
 	endpoints   *endpoints
 	quota       *quotaClient
 	watchClient *watch.Client
+	// knownVersions are the configuration versions that other sidecars go by.
+	knownVersions knownVersions
 
 	inbound        *inbound
 	outbound       *outbound
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -187,6 +187,10 @@
 // RenewNow renews the lease at once, since what State returns has changed.
 func (c *Client) RenewNow() { signal(c.renewNow) }
 
+// LookElsewhere has another member looked for: there is something newer than what the
+// current one has sent.
+func (c *Client) LookElsewhere() { signal(c.lookElsewhere) }
+
 // Resubscribe opens the watch anew, since what Services returns has changed.
 func (c *Client) Resubscribe() { signal(c.resubscribe) }
 
