replication: a model of lost disks while machines without a vote lose power, too

Change: TestDiskLostWhileLearnersLosePower, three machines without a vote beside the voters; as many disks as tolerated are lost, of any of them, and all others lose power right after an acknowledgement. No product code changes.

--- a/internal/mesh/replication/histories_test.go
+++ b/internal/mesh/replication/histories_test.go
@@ -145,6 +145,40 @@
 	})
 }
 
+// The same where machines without a vote are there, which lose power in the same moment as all others: as many disks
+// as tolerated are lost, of voters or of them.
+func TestDiskLostWhileLearnersLosePower(t *testing.T) {
+	const learners = 3
+	Convey("Acknowledged commands survive, though no machine that kept its disk kept its power", t, func() {
+		for _, faultTolerance := range []int{1, 2} {
+			size := 2*faultTolerance + 1 + learners
+			for seed := range uint64(3 * size) {
+				sim := newSimulation(seed, faultTolerance)
+				for range learners {
+					learner := sim.addMachine()
+					sim.emptyDisk(learner)
+					sim.schedule(sim.randomUpTo(300*time.Millisecond), func() { sim.powerOn(learner) })
+				}
+				sim.run(5*time.Second, nil)
+				So(sim.isHealthy(), ShouldBeTrue)
+				sim.run(sim.now+2*time.Second, func() bool { sim.proposeEverywhere(); return len(sim.acknowledged) > 0 })
+				So(len(sim.acknowledged), ShouldBeGreaterThan, 0)
+				lost := sim.rng.Perm(size)[:faultTolerance]
+				for i, n := range sim.machines {
+					if slices.Contains(lost, i) {
+						sim.replaceDisk(n)
+					} else {
+						sim.powerOff(n)
+					}
+				}
+				sim.healAll()
+				sim.checkRecovery()
+				So(fmt.Sprint(seed, lost, sim.violations), ShouldEqual, fmt.Sprint(seed, lost, []string{}))
+			}
+		}
+	})
+}
+
 // A member that was partitioned or frozen raises no term when it returns, and a leader that loses
 // its majority steps down and aborts its callers' requests.
 func TestReturningMemberDisturbsNothing(t *testing.T) {
