watch: a sidecar is confirmed by what it has applied when the response comes

A renewal confirmed a configuration only if the version that the request named was still the newest at the member. On a slow link with changes coming faster than answers that is never so: sidecars that had each change within 0.6 s counted as unconfirmed for up to 18 s, answered 503 for 404 and 401, and said so in the log. Change: the response names the newest version at the member; a sidecar that has applied it by then is caught up as of the request. The encoding gains a field; those of earlier releases are read as before. Two tests name the version that their clients have.

--- a/internal/mesh/watch/client_contact.go
+++ b/internal/mesh/watch/client_contact.go
@@ -33,10 +33,11 @@
 }
 
 // recordConfirmation records what a response proves of the configuration
-// applied. c.mu is held.
-func (c *Client) recordConfirmation(askedAt time.Time, response *LeaseResponse) {
+// applied, which has the version given by now. c.mu is held.
+func (c *Client) recordConfirmation(askedAt time.Time, response *LeaseResponse, applied int64) {
 	contact := response.Contact
-	if !contact.OK || !response.CaughtUp || contact.Age < 0 {
+	caughtUp := response.CaughtUp || response.Version > 0 && applied >= response.Version
+	if !contact.OK || !caughtUp || contact.Age < 0 {
 		return
 	}
 	if at := askedAt.Add(-contact.Age); at.After(c.confirmedAt) {
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -177,10 +177,11 @@
 	if err != nil {
 		return nil, err
 	}
+	applied := c.cfg.ConfigVersion()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordRenewal(askedAt, response)
-	c.recordConfirmation(askedAt, response)
+	c.recordConfirmation(askedAt, response, applied)
 	c.outgrow(response.NewerIncarnation)
 	return response, nil
 }
--- a/internal/mesh/watch/contact_age_test.go
+++ b/internal/mesh/watch/contact_age_test.go
@@ -181,8 +181,9 @@
 		for _, answer := range []LeaseResponse{
 			{Contact: Contact{OK: false}, CaughtUp: true}, {Contact: Contact{OK: true}, CaughtUp: false},
 			{Contact: Contact{OK: true, Age: -time.Hour}, CaughtUp: true},
+			{Contact: Contact{OK: true}, Version: 5}, {Contact: Contact{OK: false}, Version: 4},
 		} {
-			c.recordConfirmation(now, &answer)
+			c.recordConfirmation(now, &answer, 4)
 			_, ok := c.ContactAge()
 			So(ok, ShouldBeFalse)
 		}
--- a/internal/mesh/watch/golden_test.go
+++ b/internal/mesh/watch/golden_test.go
@@ -9,8 +9,9 @@
 // What other processes send and expect: testdata holds it as the release before wrote it.
 func TestMessagesOnTheWire(t *testing.T) {
 	goldentest.CheckJSON[leaseRequest](t, "lease_request")
-	goldentest.CheckJSON[LeaseResponse](t, "lease_response_digest")
-	// Core machines of the releases before lists had a digest, and before incarnations were raised.
+	goldentest.CheckJSON[LeaseResponse](t, "lease_response_version")
+	// Core machines of the releases before responses had a version, lists a digest, and incarnations were raised.
+	goldentest.CheckStillRead[LeaseResponse](t, "lease_response_digest")
 	goldentest.CheckStillRead[LeaseResponse](t, "lease_response")
 	goldentest.CheckStillRead[LeaseResponse](t, "lease_answer")
 	goldentest.CheckJSON[watchRequest](t, "watch_request")
--- a/internal/mesh/watch/peers_digest_test.go
+++ b/internal/mesh/watch/peers_digest_test.go
@@ -46,7 +46,7 @@
 			defer stop()
 			client := NewClient(ClientConfig{
 				Node: "s", Incarnation: 1, HTTP: n.client("s"), Log: zap.NewNop(),
-				State: func() registry.Lease { return registry.Lease{} },
+				State: func() registry.Lease { return registry.Lease{} }, ConfigVersion: func() int64 { return 0 },
 			})
 			renew := func() {
 				response, err := client.sendLease(context.Background(), "m1:1", client.nextLease())
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -36,6 +36,9 @@
 		Contact:  contact,
 		CaughtUp: contact.OK && lease.Applied >= version,
 	}
+	if contact.OK {
+		response.Version = version
+	}
 	if s.cfg.Leader != nil {
 		response.Leader = s.cfg.Leader()
 	}
--- a/internal/mesh/watch/slow_link_test.go
+++ b/internal/mesh/watch/slow_link_test.go
@@ -112,3 +112,26 @@
 		So(changesInTime(m, s, 2, 20), ShouldBeLessThan, configApplyTime)
 	})
 }
+
+// A sidecar that had every change as soon as its link let it counted as unconfirmed, and answered 503 for 404.
+func TestQuickChangesLeaveNoSidecarUnconfirmed(t *testing.T) {
+	title := "A sidecar on a slow link is confirmed again and again while the changes come faster than its answers"
+	runMesh(t, title, func(n *network, m []*member, _ []*sidecar) {
+		n.setDelay("slow", 0)
+		s := n.sidecar("slow", "zone-m1:1", memberAddresses[0])
+		defer s.stop()
+		So(changesInTime(m, s, 1, 1), ShouldBeLessThan, time.Second)
+		n.setDelay("slow", 400*ms)
+		oldest := time.Duration(0)
+		for version := int64(2); version < 100; version++ {
+			for _, one := range m {
+				one.publish(version)
+			}
+			advance(100 * ms)
+			age, ok := s.ContactAge()
+			So(ok, ShouldBeTrue)
+			oldest = max(oldest, age)
+		}
+		So(oldest, ShouldBeLessThan, configApplyTime)
+	})
+}
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -104,6 +104,10 @@
 	// and which is newer than the one that renews, by its own word: the lease was
 	// ignored. It is 0 otherwise.
 	NewerIncarnation registry.Incarnation `json:"newerLife,omitempty"`
+	// Version is the newest configuration known to this member, if it is in contact
+	// with a quorum. A sidecar that has applied it by the time of the response is
+	// caught up, too. It is 0 from a member of an earlier release.
+	Version int64 `json:"version,omitempty"`
 }
 
 // watchRequest opens a watch that continues from the sidecar's current state.
