--- a/internal/mesh/sidecar/confirmation.go
+++ b/internal/mesh/sidecar/confirmation.go
@@ -63,10 +63,14 @@
 		return
 	}
 	state.outdated = outdated
+	if !outdated {
+		s.log.Warn("configuration no longer outdated", zap.Int64("version", version))
+		return
+	}
 	status := s.watchClient.Status()
-	s.log.Warn("whether the configuration is outdated has changed", zap.Bool("outdated", outdated),
-		zap.Int64("version", version), zap.Int64("newest", s.knownVersions.newest()),
-		zap.Duration("known", outdatedFor), zap.String("member", status.Member), zap.Duration("frameAge", status.FrameAge))
+	s.log.Warn("configuration outdated", zap.Int64("version", version),
+		zap.Int64("newest", s.knownVersions.newest()), zap.Duration("known", outdatedFor),
+		zap.String("member", status.Member), zap.Duration("frameAge", status.FrameAge))
 }
 
 // logConfirmationAge logs a change of whether the configuration counts as confirmed.
