sidecar: what others say of versions is refuted by a confirmation; nobody passes hearsay on

Cause: reading the change once more. A version that one sidecar named, by a fault of its own or of another mesh, would have had all gates reject what they can't check for good, and each would have told it to others. Change: an attempt and a response name the version in force at their sender alone. A version that was heard of by a time at which a core machine in contact has confirmed that everything committed by then is in force here is dropped; that is looked at where a request would be rejected for it. Settings without configApplyS log no lagging sidecars.

--- a/internal/mesh/controlplane/propagation.go
+++ b/internal/mesh/controlplane/propagation.go
@@ -61,6 +61,9 @@
 // logLagging names the sidecars that go by an older configuration than they may, until ctx ends: by a change
 // that was acknowledged here. Those that it has named are not named again for the same version.
 func (s *Server) logLagging(ctx context.Context) {
+	if s.propagation.applyTime <= 0 {
+		return // the settings name no bound
+	}
 	named := "" // the last entry's sidecars
 	for sleep(ctx, propagationCheckInterval) {
 		s.propagationMu.Lock()
--- a/internal/mesh/sidecar/confirmation.go
+++ b/internal/mesh/sidecar/confirmation.go
@@ -50,8 +50,8 @@
 // looked for.
 func (s *Sidecar) logOutdated(state *outdatedLog) {
 	version, verifier := s.config.Load().Version(), s.inbound.verifier
-	outdatedFor := s.knownVersions.outdatedFor(s.clock.Now(), version)
-	outdated := outdatedFor > verifier.maxOutdated
+	now := s.clock.Now()
+	outdated := verifier.outdatedTooLong(now, version)
 	if outdated {
 		s.watchClient.LookElsewhere()
 	}
@@ -69,7 +69,7 @@
 	}
 	status := s.watchClient.Status()
 	s.log.Warn("configuration outdated", zap.Int64("version", version),
-		zap.Int64("newest", s.knownVersions.newest()), zap.Duration("known", outdatedFor),
+		zap.Int64("newest", s.knownVersions.newest()), zap.Duration("known", s.knownVersions.outdatedFor(now, version)),
 		zap.String("member", status.Member), zap.Duration("frameAge", status.FrameAge))
 }
 
--- a/internal/mesh/sidecar/engines.go
+++ b/internal/mesh/sidecar/engines.go
@@ -144,9 +144,9 @@
 	}
 }
 
-// classifyGateResponse is the function of that name, and learns of configurations that the gate has heard of.
+// classifyGateResponse is the function of that name, and learns by which configuration the gate goes.
 func (s *Sidecar) classifyGateResponse(res *http.Response) (policy.Ending, policy.Load) {
-	s.knownVersions.observe(s.clock.Now(), headers.NewestConfig(res.Header))
+	s.knownVersions.observe(s.clock.Now(), headers.ConfigVersion(res.Header))
 	return classifyGateResponse(res)
 }
 
--- a/internal/mesh/sidecar/inbound.go
+++ b/internal/mesh/sidecar/inbound.go
@@ -104,7 +104,7 @@
 // ownResponseFields are the fields of a response that the front or the gate itself makes.
 func (i *inbound) ownResponseFields(h *h1.Head, a *call.Answer) http.Header {
 	fields := headers.GateResponseFields(h.Get(headers.AttemptID), i.provablyNotExecuted(h, a), i.loadField())
-	i.verifier.setNewest(fields)
+	i.verifier.setVersion(fields)
 	return fields
 }
 
@@ -128,7 +128,7 @@
 	running, queued, slots := i.gate.Load()
 	running = max(0, running-1) // without this attempt, which has ended
 	headers.SetGateLoad(res.Header, headers.FormatLoad(running, queued, slots))
-	i.verifier.setNewest(res.Header)
+	i.verifier.setVersion(res.Header)
 	return headers.ClassifyUpstreamResponse(res)
 }
 
--- a/internal/mesh/sidecar/known_versions.go
+++ b/internal/mesh/sidecar/known_versions.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,8 +11,8 @@
 const maxKnownVersions = 64
 
 // knownVersions are configuration versions that other sidecars go by, as their attempts and responses say: each is
-// in place, or was, as no sidecar goes by one that isn't committed. A nil pointer knows none. It is safe for
-// concurrent use.
+// in place, or was, as no sidecar goes by one that isn't committed. That is their word alone, so a confirmation by a
+// core machine refutes it. A nil pointer knows none. It is safe for concurrent use.
 type knownVersions struct {
 	mu       sync.Mutex
 	versions []knownVersion // newer than what is in force here, in order; guarded by mu
@@ -24,7 +25,7 @@
 	at      time.Duration
 }
 
-// observe records that another sidecar goes by a version, or has heard of it.
+// observe records that another sidecar goes by a version.
 func (k *knownVersions) observe(now time.Duration, version int64) {
 	if k == nil {
 		return
@@ -50,6 +51,14 @@
 	}
 }
 
+// refute drops the versions that were heard of by a time: all that was committed by then is in force here, as a
+// core machine in contact with a majority has confirmed.
+func (k *knownVersions) refute(confirmedAt time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.versions = slices.DeleteFunc(k.versions, func(known knownVersion) bool { return known.at <= confirmedAt })
+}
+
 // newest is the newest version known to be in place, 0 if none is.
 func (k *knownVersions) newest() int64 {
 	if k == nil {
--- a/internal/mesh/sidecar/outbound.go
+++ b/internal/mesh/sidecar/outbound.go
@@ -155,13 +155,16 @@
 // be in force, or may be for too long already, as no core machine in contact has confirmed this one lately, the
 // client is to ask again: the newer one may allow it.
 func (o *outbound) rejectUnlessOutdated(status int, reason string) *http1.Rejection {
-	if o.known.outdatedFor(o.clock.Now(), o.config.Load().Version()) > 0 {
+	now := o.clock.Now()
+	age, confirmed := o.contactAge()
+	if confirmed {
+		o.known.refute(now - age)
+	}
+	if o.known.outdatedFor(now, o.config.Load().Version()) > 0 {
 		return rejectUntil(http.StatusServiceUnavailable, "the configuration is outdated: "+reason, configRetryAfter)
 	}
-	if o.maxConfigAge > 0 {
-		if age, confirmed := o.contactAge(); !confirmed || age > o.maxConfigAge {
-			return rejectUntil(http.StatusServiceUnavailable, "the configuration may be outdated: "+reason, configRetryAfter)
-		}
+	if o.maxConfigAge > 0 && (!confirmed || age > o.maxConfigAge) {
+		return rejectUntil(http.StatusServiceUnavailable, "the configuration may be outdated: "+reason, configRetryAfter)
 	}
 	return rejectAndKeep(status, reason)
 }
@@ -225,8 +228,8 @@
 // attemptConfig is what gates are told of the configuration that a request was admitted by. The digest of its key is
 // part of that where the configuration is known to be outdated: the key may be another tenant's by now, or nobody's.
 func (o *outbound) attemptConfig(class *balancer.RequestClass, key []string) headers.AttemptConfig {
-	attempt := headers.AttemptConfig{Admitted: class.ConfigVersion, Newest: max(class.ConfigVersion, o.known.newest())}
-	if attempt.Newest > attempt.Admitted && class.Tenant != "" && len(key) > 0 {
+	attempt := headers.AttemptConfig{Admitted: class.ConfigVersion}
+	if o.known.newest() > class.ConfigVersion && class.Tenant != "" && len(key) > 0 {
 		attempt.Key = config.DigestKey(key[0])
 	}
 	return attempt
--- a/internal/mesh/sidecar/outbound_test.go
+++ b/internal/mesh/sidecar/outbound_test.go
@@ -9,6 +9,7 @@
 	"caperarch/internal/mesh/config"
 	"caperarch/internal/mesh/headers"
 	"caperarch/internal/mesh/settings"
+	"caperarch/internal/mesh/watch"
 	"caperarch/internal/proxy/clock"
 	"caperarch/internal/proxy/front/http1"
 	"caperarch/internal/proxy/h1"
@@ -50,7 +51,8 @@
 func newOutbound(snapshot string) (*outbound, *http1.Dialect) {
 	s := &Sidecar{
 		settings: new(settings.Settings), clock: clock.NewAdjustable(), log: zap.NewNop(),
-		endpoints: newEndpoints([]string{"hall-a", "hall-b"}, localInbound),
+		endpoints:   newEndpoints([]string{"hall-a", "hall-b"}, localInbound),
+		watchClient: watch.NewClient(watch.ClientConfig{}),
 	}
 	s.settings.Self.ServiceName = "huvo11a"
 	c := config.Empty()
