soak: series of short pauses beside the schedule of a seed

Change: -pauses plays, beside the seed's own schedule, which stays as it is, series of SIGSTOP and SIGCONT: 4 to 23 pauses of each sidecar drawn, of up to 5 ms, 60 ms, 0.7 s or 5 s. A pause counts as a fault of its machine; the report says how many there were. No product code changes.

--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -169,8 +170,13 @@
 		return nil, err
 	}
 	report := &soakReport{Seed: seed, Sidecars: sidecars, Length: length, Schedule: soak.Draw(seed, length, sidecars)}
-	report.PlayItAgain = fmt.Sprintf("go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d",
-		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag)
+	if soakPausesFlag {
+		report.Schedule = append(report.Schedule, soak.DrawPauses(seed, length, sidecars)...)
+		slices.SortStableFunc(report.Schedule, func(a, b soak.Event) int { return cmp.Compare(a.At, b.At) })
+	}
+	report.PlayItAgain = fmt.Sprintf(
+		"go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d -pauses=%v",
+		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag, soakPausesFlag)
 	r.startClients()
 	r.play(report.Schedule, length)
 	r.stopping.Store(true)
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -90,6 +90,7 @@
 	termBeforeLastDrained hardCase = "SIGTERM before the last has drained"
 	termWhileStarting     hardCase = "SIGTERM within the start"
 	hupWhileStarting      hardCase = "SIGHUP within the start, which ended the process"
+	paused                hardCase = "pauses of a process"
 	rigLagged             hardCase = "measuring process without a processor"
 	configChange          hardCase = "configuration changes"
 	configFailure         hardCase = "changes without a clear answer"
@@ -98,7 +99,7 @@
 // hardCases are all of them.
 var hardCases = []hardCase{
 	hupInDrain, changeInDrain, secondTerm, seriesOnOneSidecar, termBeforeLastDrained, termWhileStarting,
-	hupWhileStarting, configChange, configFailure, rigLagged,
+	hupWhileStarting, configChange, configFailure, paused, rigLagged,
 }
 
 // soakCounts are how often the hard cases and the events happened.
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -23,6 +23,7 @@
 	soak.KillCoreMember: (*soakRig).killCoreMember,
 	soak.SlowUpstreams:  (*soakRig).slowUpstreams,
 	soak.CrashUpstreams: (*soakRig).crashUpstreams,
+	soak.Pauses:         (*soakRig).pause,
 }
 
 // play plays a schedule and returns when all of it is over.
@@ -156,6 +157,23 @@
 	})
 }
 
+// pause stops sidecars for short times, again and again, each at moments of its own.
+func (r *soakRig) pause(e soak.Event) {
+	r.each(e, func(m *soakMachine) {
+		random := rand.New(rand.NewPCG(r.seed, uint64(e.At)+uint64(m.number)))
+		for range e.Count {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(e.Gap)))
+			end := r.disturb(soak.Machine(m.number), soak.Fault)
+			process := m.process.Load().cmd.Process
+			_ = process.Signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration(random.Int64N(int64(e.For))))
+			_ = process.Signal(syscall.SIGCONT)
+			end()
+			r.count(paused)
+		}
+	})
+}
+
 // changeConfig makes changes one after the other; the lock of the core's client is the operator's own.
 func (r *soakRig) changeConfig(e soak.Event) {
 	for i := range e.Count {
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -248,3 +248,25 @@
 		}
 	}
 }
+
+func TestDrawnPauses(t *testing.T) {
+	const length, sidecars = 20 * time.Second, 12
+	long := 0
+	for seed := range uint64(50) {
+		events := DrawPauses(seed, length, sidecars)
+		if len(events) == 0 || fmt.Sprint(events) != fmt.Sprint(DrawPauses(seed, length, sidecars)) {
+			t.Fatalf("seed %d has no schedule, or two", seed)
+		}
+		for _, e := range events {
+			if e.At >= length-quietEnd || e.Kind != Pauses || e.Count < minPauses || e.Gap < minPauseGap || e.For == 0 {
+				t.Errorf("seed %d: %+v is out of bounds", seed, e)
+			}
+			if e.For >= time.Second {
+				long++
+			}
+		}
+	}
+	if long < 50 {
+		t.Errorf("%d series of long pauses in 50 seeds", long)
+	}
+}
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -21,6 +21,7 @@
 	KillCoreMember Kind = "kill_core"       // SIGKILL to one core member, and a start For later
 	SlowUpstreams  Kind = "slow_upstreams"  // their upstreams take Factor times as long, For long
 	CrashUpstreams Kind = "crash_upstreams" // their upstreams end all connections and accept none, For long
+	Pauses         Kind = "pauses"          // SIGSTOP and SIGCONT to each, Count times, For at most, Gap apart on average
 )
 
 // planned are the kinds that are no faults; faults are the others.
@@ -31,7 +32,7 @@
 
 // Kinds are all kinds.
 func Kinds() []Kind {
-	all := slices.Concat(planned, faults)
+	all := slices.Concat(planned, faults, []Kind{Pauses})
 	slices.Sort(all)
 	return slices.Compact(all)
 }
@@ -75,6 +76,33 @@
 	return all
 }
 
+// longestPauses are how long the pauses of a series may be: within a step of a process, over a time-out of a call,
+// over a lease.
+var longestPauses = []time.Duration{
+	5 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond, 5 * time.Second,
+}
+
+const (
+	// minPauses and maxPauses bound the pauses of a series, minPauseGap and maxPauseGap their mean distance.
+	minPauses, maxPauses     = 4, 24
+	minPauseGap, maxPauseGap = 2 * time.Millisecond, 120 * time.Millisecond
+)
+
+// DrawPauses returns series of pauses to be played beside the schedule of the same seed, in order: a process that
+// stops at any moment, for instance between a decision and what follows from it.
+func DrawPauses(seed uint64, length time.Duration, sidecars int) (all []Event) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	for at := meanPause; at < length-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
+		all = append(all, Event{
+			At: at, Kind: Pauses, Sidecars: drawSidecars(random, sidecars),
+			Count: minPauses + random.IntN(maxPauses-minPauses),
+			Gap:   minPauseGap + time.Duration(random.Int64N(int64(maxPauseGap-minPauseGap))),
+			For:   longestPauses[random.IntN(len(longestPauses))],
+		})
+	}
+	return all
+}
+
 // drawEvent draws what one event of a kind does.
 func drawEvent(random *rand.Rand, kind Kind, sidecars int) Event {
 	between := func(low, high time.Duration) time.Duration {
