soak: upstreams that drain and are replaced, judged for what reaches them

The ledger says DRAIN where a request that machines in contact sent on arrives later than drainTimeoutS after the acknowledgement; four histories tell right from wrong. No product code changes.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -107,6 +107,7 @@
 		"of soak: the `share` of a core that each sidecar has, as a quota for each tenth of a second")
 	flags.IntVar(&soakClientsFlag, "clients", 1, "of soak: how many clients of each behavior a sidecar has")
 	flags.BoolVar(&soakPausesFlag, "pauses", false, "of soak: stop processes for short times, again and again")
+	flags.BoolVar(&soakDrainsFlag, "drains", false, "of soak: drain upstreams and replace them, again and again")
 	flags.IntVar(&stressFlags.copies, "copies", stressCopies, "of stress: how many copies of the tests run at once")
 	flags.IntVar(&stressFlags.plays, "plays", stressPlays, "of stress: how often each copy plays them")
 	flags.IntVar(&stressFlags.busy, "busy", stressBusy, "of stress: how many busy processes are beside them")
--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -172,11 +172,14 @@
 	report := &soakReport{Seed: seed, Sidecars: sidecars, Length: length, Schedule: soak.Draw(seed, length, sidecars)}
 	if soakPausesFlag {
 		report.Schedule = append(report.Schedule, soak.DrawPauses(seed, length, sidecars)...)
-		slices.SortStableFunc(report.Schedule, func(a, b soak.Event) int { return cmp.Compare(a.At, b.At) })
 	}
+	if soakDrainsFlag {
+		report.Schedule = append(report.Schedule, soak.DrawDrains(seed, length, sidecars)...)
+	}
+	slices.SortStableFunc(report.Schedule, func(a, b soak.Event) int { return cmp.Compare(a.At, b.At) })
 	report.PlayItAgain = fmt.Sprintf(
-		"go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d -pauses=%v",
-		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag, soakPausesFlag)
+		"go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d -pauses=%v -drains=%v",
+		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag, soakPausesFlag, soakDrainsFlag)
 	r.startClients()
 	r.play(report.Schedule, length)
 	r.stopping.Store(true)
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -53,7 +53,7 @@
 // soakRules are what a soak's history is judged by.
 var soakRules = soak.Rules{
 	ContactWindow: 3 * time.Second, GracePeriod: soakGrace, RouteTimeout: soakTimeout, LossSlack: 200 * time.Millisecond,
-	ConfigApply: soakConfigApply * time.Second,
+	ConfigApply: soakConfigApply * time.Second, DrainTimeout: soakDrainTimeout,
 }
 
 // soakRig is a deployment of processes, with upstreams and clients in this one, which record what they see.
@@ -90,6 +90,7 @@
 	termBeforeLastDrained hardCase = "SIGTERM before the last has drained"
 	termWhileStarting     hardCase = "SIGTERM within the start"
 	hupWhileStarting      hardCase = "SIGHUP within the start, which ended the process"
+	drainUnacknowledged   hardCase = "drains that nobody acknowledged"
 	paused                hardCase = "pauses of a process"
 	rigLagged             hardCase = "measuring process without a processor"
 	configChange          hardCase = "configuration changes"
@@ -99,7 +100,7 @@
 // hardCases are all of them.
 var hardCases = []hardCase{
 	hupInDrain, changeInDrain, secondTerm, seriesOnOneSidecar, termBeforeLastDrained, termWhileStarting,
-	hupWhileStarting, configChange, configFailure, paused, rigLagged,
+	hupWhileStarting, configChange, configFailure, drainUnacknowledged, paused, rigLagged,
 }
 
 // soakCounts are how often the hard cases and the events happened.
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -23,6 +23,7 @@
 	soak.KillCoreMember: (*soakRig).killCoreMember,
 	soak.SlowUpstreams:  (*soakRig).slowUpstreams,
 	soak.CrashUpstreams: (*soakRig).crashUpstreams,
+	soak.DrainUpstreams: (*soakRig).drainUpstreams,
 	soak.Pauses:         (*soakRig).pause,
 }
 
--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -34,9 +34,13 @@
 type soakUpstream struct {
 	rig    *soakRig
 	number int
-	down   atomic.Bool   // it has crashed
+	down   atomic.Bool   // it has crashed, or drains
 	slow   atomic.Uint64 // how many times as long work takes, in hundredths
 
+	draining   atomic.Bool
+	generation atomic.Int64 // of its instances
+	sequence   atomic.Int64 // of its heartbeats
+
 	mu     sync.Mutex // guards server
 	server *http.Server
 }
@@ -70,9 +74,13 @@
 	}
 	id := r.Header.Get(headers.AttemptID)
 	h := w.Header()
-	h[headers.Instance] = []string{"i-" + strconv.Itoa(u.number)}
+	instance := u.instance()
+	h[headers.Instance] = []string{instance}
 	h[headers.Load] = []string{"0,0," + strconv.Itoa(soakSlots)}
 	if id == "" { // a health check
+		if u.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	h[headers.AttemptID], h[headers.Signature] = []string{id}, []string{soakSignature(id)}
@@ -80,7 +88,7 @@
 	u.answer(w, r, id, work)
 	u.rig.recordRun(soak.Run{
 		ID: id, Upstream: u.number, Arrived: arrived, Planned: arrived + work, Ended: u.rig.since(),
-		Service: soakServiceOf(u.number),
+		Service: soakServiceOf(u.number), Instance: instance,
 		Changed: r.RequestURI != r.Header.Get(soakPathField) || !isSoakRequestBody(body, id, r.Header.Get(soakLengthField)),
 	})
 }
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -20,14 +20,16 @@
 	AnsweredInTime   Promise = "LATE"    // CONFIG: no final response half a second after the route's time-out
 	NewestConfig     Promise = "CONFIG"  // a read of the configuration is older than what was acknowledged
 	NewestRouting    Promise = "ROUTING" // CONFIG: a request was handled as only an older configuration allows
-	Unchanged        Promise = "UNASKED" // an upstream ran a request that was changed on its way
-	AbandonedEnds    Promise = "GONE"    // work went on, or began, for a client that had left
+	// DRAIN: a request reached an upstream that drains.
+	DrainingGetsNothing Promise = "DRAIN"
+	Unchanged           Promise = "UNASKED" // an upstream ran a request that was changed on its way
+	AbandonedEnds       Promise = "GONE"    // work went on, or began, for a client that had left
 )
 
 // Promises are all of them.
 var Promises = []Promise{
 	RunsOnce, RejectedNeverRan, OwnAnswer, NothingLost, AnsweredInTime, NewestConfig, NewestRouting,
-	Unchanged, AbandonedEnds,
+	DrainingGetsNothing, Unchanged, AbandonedEnds,
 }
 
 const (
@@ -88,6 +90,7 @@
 	c.checkAbandoned()
 	c.checkReads()
 	c.checkRouting()
+	c.checkDrains()
 	slices.SortStableFunc(c.verdict.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	return c.verdict
 }
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -11,7 +11,7 @@
 
 var testRules = Rules{
 	ContactWindow: 3 * time.Second, GracePeriod: 2 * time.Second, RouteTimeout: time.Second, LossSlack: 200 * ms,
-	ConfigApply: 2 * time.Second,
+	ConfigApply: 2 * time.Second, DrainTimeout: 2 * time.Second,
 }
 
 // sent is a request of sidecar 0 that was answered.
@@ -52,6 +52,15 @@
 	return h
 }
 
+// drained is a request that reaches an upstream so long after the acknowledgement that it drains.
+func drained(after time.Duration) History {
+	return History{
+		Drains:   []Drain{{Instance: "i-1-0", Acknowledged: at}},
+		Requests: []Request{{ID: "d", Idempotent: true, Sent: at + after - ms, Ended: at + after + 50*ms, Status: 200, Own: true}},
+		Runs:     []Run{{ID: "d", Upstream: 1, Arrived: at + after, Ended: at + after + 40*ms, Instance: "i-1-0"}},
+	}
+}
+
 // beside is a history with disturbances.
 func beside(disturbances []Disturbance, h History) History {
 	h.Disturbances = disturbances
@@ -105,11 +114,12 @@
 }
 
 var (
-	termOfCaller = []Disturbance{{Machine: 0, From: at - 50*ms, To: at + 500*ms, Cause: Termination}}
-	hupOfCaller  = []Disturbance{{Machine: 0, From: at - time.Second, To: at - time.Second, Cause: Reload}}
-	faultOfOther = []Disturbance{{Machine: 1, From: at - time.Second, To: at - 900*ms}}
-	faultOfCore  = []Disturbance{{Machine: Core, From: at - time.Second, To: at - 900*ms}}
-	oldFault     = []Disturbance{{Machine: 1, From: at - 5*time.Second, To: at - 4*time.Second}}
+	termOfCaller      = []Disturbance{{Machine: 0, From: at - 50*ms, To: at + 500*ms, Cause: Termination}}
+	hupOfCaller       = []Disturbance{{Machine: 0, From: at - time.Second, To: at - time.Second, Cause: Reload}}
+	faultOfOther      = []Disturbance{{Machine: 1, From: at - time.Second, To: at - 900*ms}}
+	faultOfCore       = []Disturbance{{Machine: Core, From: at - time.Second, To: at - 900*ms}}
+	laterFaultOfOther = []Disturbance{{Machine: 1, From: at + time.Second, To: at + time.Second}}
+	oldFault          = []Disturbance{{Machine: 1, From: at - 5*time.Second, To: at - 4*time.Second}}
 )
 
 // Histories that keep all promises, and ones that break one, are told apart.
@@ -195,6 +205,11 @@
 		"runs where an unclear change says":      {routed(at+11*time.Second, "old", http.StatusOK), ""},
 		"no route":                               {routed(at+2100*ms, "new", http.StatusNotFound), NewestRouting},
 
+		"sent to a draining upstream soon":             {drained(1900 * ms), ""},
+		"sent to a draining upstream late":             {drained(2100 * ms), DrainingGetsNothing},
+		"sent to a draining upstream beside a fault":   {beside(laterFaultOfOther, drained(2100*ms)), ""},
+		"sent to a draining upstream, read with a lag": {lagging(drained(2100*ms), at+2*time.Second, at+2050*ms), ""},
+
 		"abandoned runs end":               {abandoned(20, at, 400*ms, true), ""},
 		"abandoned runs go on":             {abandoned(minCases, at, 600*ms, true), AbandonedEnds},
 		"few abandoned runs go on":         {abandoned(minCases-1, at, 600*ms, true), ""},
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -34,6 +34,13 @@
 	Ended    time.Duration // it was answered, or dropped as its connection had ended
 	Changed  bool          // its path or body is not what its client sent
 	Service  string        // of the upstream
+	Instance string        // its id at that time
+}
+
+// Drain is an upstream that drains, as a machine has acknowledged.
+type Drain struct {
+	Instance     string
+	Acknowledged time.Duration
 }
 
 // Change is a change of the configuration that an operator has sent.
@@ -92,6 +99,7 @@
 	Changes      []Change
 	Reads        []Read
 	Lags         []Lag
+	Drains       []Drain
 }
 
 // Rules are the bounds that a history is judged by, as the operators' pages have them.
@@ -100,6 +108,7 @@
 	GracePeriod   time.Duration // how long a process may go on after SIGTERM
 	RouteTimeout  time.Duration // of all requests
 	LossSlack     time.Duration // a connection that ends so soon after a request may have crossed it
+	DrainTimeout  time.Duration // how long after its acknowledgement a draining upstream may be sent requests
 	ConfigApply   time.Duration // within which a change is in force everywhere, and a reload shows its effects
 }
 
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -21,6 +21,7 @@
 	KillCoreMember Kind = "kill_core"       // SIGKILL to one core member, and a start For later
 	SlowUpstreams  Kind = "slow_upstreams"  // their upstreams take Factor times as long, For long
 	CrashUpstreams Kind = "crash_upstreams" // their upstreams end all connections and accept none, For long
+	DrainUpstreams Kind = "drain_upstreams" // their upstreams drain and end, others start at their addresses For later
 	Pauses         Kind = "pauses"          // SIGSTOP and SIGCONT to each, Count times, For at most, Gap apart on average
 )
 
@@ -32,7 +33,7 @@
 
 // Kinds are all kinds.
 func Kinds() []Kind {
-	all := slices.Concat(planned, faults, []Kind{Pauses})
+	all := slices.Concat(planned, faults, []Kind{DrainUpstreams, Pauses})
 	slices.Sort(all)
 	return slices.Compact(all)
 }
@@ -103,6 +104,21 @@
 	return all
 }
 
+// maxReplaceTime is the longest time between an upstream's end and the start of the next one at its address.
+const maxReplaceTime = 1500 * time.Millisecond
+
+// DrawDrains returns drains of upstreams to be played beside the schedule of the same seed, in order.
+func DrawDrains(seed uint64, length time.Duration, sidecars int) (all []Event) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	for at := meanPause; at < length-quietEnd; at += time.Duration(2 * random.ExpFloat64() * float64(meanPause)) {
+		all = append(all, Event{
+			At: at, Kind: DrainUpstreams, Sidecars: drawSidecars(random, sidecars),
+			For: time.Duration(random.Int64N(int64(maxReplaceTime))),
+		})
+	}
+	return all
+}
+
 // drawEvent draws what one event of a kind does.
 func drawEvent(random *rand.Rand, kind Kind, sidecars int) Event {
 	between := func(low, high time.Duration) time.Duration {
