--- a/cmd/measure/mutants.go
+++ b/cmd/measure/mutants.go
@@ -2,14 +2,17 @@
 
 // planted are all faults.
 var planted = []batch{
-	{"internal/fleet/replicatedstate", "", replicatedStateMutants},
-	{"internal/fleet/raftlog", "", raftLogMutants},
-	{"internal/fleet/policyrollout", "internal/fleet/replicatedstate", policyRolloutMutants},
-	{"internal/fleet/maintenance", "", maintenanceMutants},
-	{"internal/fleet/maintenance", "internal/fleet/replicatedstate", roundMutants},
-	{"internal/fleet/swim", "", swimMutants},
-	{"internal/mesh/replication", "", replicationMutants},
-	{"internal/mesh/quota", "", quotaMutants},
+	{in: "internal/fleet/replicatedstate", faults: replicatedStateMutants},
+	{in: "internal/fleet/raftlog", faults: raftLogMutants},
+	{in: "internal/fleet/policyrollout", where: "internal/fleet/replicatedstate", faults: policyRolloutMutants},
+	{in: "internal/fleet/maintenance", faults: maintenanceMutants},
+	{in: "internal/fleet/maintenance", where: "internal/fleet/replicatedstate", faults: roundMutants},
+	{in: "internal/fleet/swim", faults: swimMutants},
+	{in: "internal/mesh/replication", faults: replicationMutants},
+	{in: "internal/mesh/quota", faults: quotaMutants},
+	{in: "internal/mesh/watch", noHistories: true, faults: watchMutants},
+	{in: "internal/mesh/sidecar", noHistories: true, faults: verificationMutants},
+	{in: "internal/mesh/balancer", noHistories: true, faults: retryMutants},
 }
 
 // swimMutants are faults in what a sidecar holds of others and of its own contact.
--- /dev/null
+++ b/cmd/measure/mutants_config.go
@@ -0,0 +1,40 @@
+package main
+
+// watchMutants are faults in how a sidecar keeps its session with the core and knows how old its configuration is.
+var watchMutants = []mutant{
+	{"wire.go", "slowLinkTimeout = 4 * time.Second", "slowLinkTimeout = time.Second",
+		"a link on which a round trip takes a second ends every session"},
+	{"client_watchdog.go", "\t\td.lookElsewhere()\n", "", "a member that falls silent is waited for"},
+	{"client_lease.go", "\t\tcase <-late.C:\n\t\t\tlate.Reset(lateRenewal)\n", "",
+		"a member that does not hear the sidecar keeps it"},
+	{"client_contact.go", "response.CaughtUp || response.Version > 0 && applied >= response.Version",
+		"response.CaughtUp", "a change that comes before the answer unconfirms the one applied"},
+	{"client_contact.go", "response.Version > 0 && applied >= response.Version", "response.Version > 0",
+		"an older configuration counts as confirmed"},
+	{"client_contact.go", "if !contact.OK || !caughtUp || contact.Age < 0 {", "if !caughtUp || contact.Age < 0 {",
+		"a member without contact confirms"},
+}
+
+// verificationMutants are faults in what a gate does with attempts of an outdated sidecar.
+var verificationMutants = []mutant{
+	{"verification.go", "current.Version() > attempt.Admitted && !allows(", "false && !allows(",
+		"a gate runs what its newer configuration does not allow"},
+	{"verification.go", "\tv.known.observe(now, attempt.Admitted)\n", "", "a gate does not learn from attempts"},
+	{"verification.go", "\tif age, ok := v.contactAge(); ok {\n\t\tv.known.refute(now - age)\n\t}\n", "",
+		"one sidecar's word shuts others out, whatever the core says"},
+	{"verification.go", "return tenant != nil && tenant.Name == name", "return tenant != nil || name != \"\"",
+		"a key that has been taken away is used"},
+	{"verification.go", "v.maxOutdated <= 0 || v.known.outdatedFor(now, version) <= v.maxOutdated", "true",
+		"what can't be checked runs at the sidecar's own upstream"},
+	{"outbound.go", "if o.known.outdatedFor(now, o.config.Load().Version()) > 0 {", "if false {",
+		"a sidecar that knows that it is outdated answers 404"},
+	{"known_versions.go", "if known.version > version {", "if known.version >= version {",
+		"the newest version counts as outdated"},
+}
+
+// retryMutants are faults in what a balancer does after an attempt.
+var retryMutants = []mutant{
+	{"retry.go", "\tcase headers.ConfigOutdated: // every gate that knows the newest configuration rejects it\n" +
+		"\t\tb.giveUp(r)\n\t\treturn\n", "\tcase headers.ConfigOutdated:\n\t\treached = false\n",
+		"a request that no newer configuration allows is sent to every gate"},
+}
--- a/cmd/measure/mutants_run.go
+++ b/cmd/measure/mutants_run.go
@@ -19,8 +19,9 @@
 // batch is faults in one package, and where histories are played that may find them, where that is
 // not the package itself.
 type batch struct {
-	in, where string
-	faults    []mutant
+	in, where   string
+	noHistories bool // the package's tests play none
+	faults      []mutant
 }
 
 var (
@@ -38,7 +39,8 @@
 
 // find plays histories with a fault planted, and says at which seed it was found, 0: by tests alone that play
 // none, -1: not at all; and the names of all tests that failed.
-func (m mutant) find(in, where, dir string, number, most int) (seed int, tests []string, err error) {
+func (m mutant) find(b batch, dir string, number, most int) (seed int, tests []string, err error) {
+	in, where := b.in, b.where
 	path, err := filepath.Abs(filepath.Join(in, m.file))
 	if err != nil {
 		return 0, nil, err
@@ -70,7 +72,10 @@
 		}
 		args[len(args)-1] = "caperarch/" + where
 	}
-	out, err := exec.Command("go", append(args, "-histories", strconv.Itoa(most))...).CombinedOutput()
+	if !b.noHistories {
+		args = append(args, "-histories", strconv.Itoa(most))
+	}
+	out, err := exec.Command("go", args...).CombinedOutput()
 	if err == nil {
 		return -1, nil, nil
 	}
@@ -119,7 +124,7 @@
 			done.Go(func() {
 				places <- struct{}{}
 				defer func() { <-places }()
-				seed, tests, err := m.find(in, b.where, dir, number, most)
+				seed, tests, err := m.find(b, dir, number, most)
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
--- a/internal/mesh/watch/slow_link_test.go
+++ b/internal/mesh/watch/slow_link_test.go
@@ -1,8 +1,12 @@
 package watch
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +139,48 @@
 		So(oldest, ShouldBeLessThan, configApplyTime)
 	})
 }
+
+// A member that answers nothing more is told from a slow link by the others' answers, as soon as before.
+func TestMuteMemberIsLeftInTime(t *testing.T) {
+	for what, c := range map[string]struct {
+		watchToo bool
+		bound    time.Duration
+	}{
+		"One that sends nothing more is left within a silence and a question":   {true, idleTimeout + probeTimeout},
+		"One that does not hear the sidecar is left before the lease has ended": {false, renewInterval + lateRenewal + probeTimeout},
+	} {
+		runMesh(t, what, func(n *network, m []*member, _ []*sidecar) {
+			var mute atomic.Bool
+			renewed := make(chan struct{}, 1)
+			stop := n.scripted("mute:1", func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // else the server does not notice that the client has gone
+				if mute.Load() {
+					<-r.Context().Done()
+					return
+				}
+				signal(renewed)
+				peers := []Peer{{Address: "mute:1", Zone: "z"}, {Address: memberAddresses[0]}}
+				_ = json.NewEncoder(w).Encode(LeaseResponse{Contact: Contact{OK: true}, CaughtUp: true, Zone: "z", Peers: peers})
+			}, func(w http.ResponseWriter, r *http.Request) {
+				for r.Context().Err() == nil {
+					if !mute.Load() || !c.watchToo {
+						fmt.Fprintln(w, `{"beat":{"contact":{"ok":true}}}`)
+						_ = http.NewResponseController(w).Flush()
+					}
+					<-time.After(heartbeatInterval)
+				}
+			})
+			defer stop()
+			s := n.sidecar("new", "z", "mute:1")
+			defer s.stop()
+			advance(2 * time.Second)
+			So(s.Peers()[0], ShouldEqual, "mute:1")
+			<-renewed
+			<-renewed // so that the next renewal is as far as can be
+			advance(ms)
+			mute.Store(true)
+			advance(c.bound + probeGrace)
+			So(s.Peers()[0], ShouldEqual, memberAddresses[0])
+		})
+	}
+}
