--- a/cmd/measure/soak_drain.go
+++ b/cmd/measure/soak_drain.go
@@ -34,7 +34,12 @@
 		}
 		defer upstream.down.Store(false)
 		random := rand.New(rand.NewPCG(r.seed, uint64(e.At)+uint64(m.number)))
-		upstream.drain(time.Duration(random.Int64N(int64(soakDrainExtra))))
+		serveOn := soakDrainTimeout + time.Duration(random.Int64N(int64(soakDrainExtra)))
+		if e.Kind == soak.LeaveUpstreams {
+			upstream.leave(serveOn)
+		} else {
+			upstream.drain(serveOn)
+		}
 		end := r.disturb(soak.Machine(m.number), soak.Fault) // what it has not finished is cut
 		defer end()
 		upstream.crash()
@@ -44,15 +49,37 @@
 }
 
 // drain says that the upstream is draining until that is acknowledged, serves on and deregisters.
-func (u *soakUpstream) drain(extra time.Duration) {
+func (u *soakUpstream) drain(serveOn time.Duration) {
 	u.draining.Store(true)
 	if !u.announce(meshapi.StateDraining) {
 		u.rig.count(drainUnacknowledged)
 		return
 	}
+	u.recordAcknowledged()
+	time.Sleep(serveOn)
+	u.deregister()
+}
+
+// leave deregisters the upstream, and serves on once that is acknowledged.
+func (u *soakUpstream) leave(serveOn time.Duration) {
+	u.draining.Store(true)
+	if !u.deregister() {
+		u.rig.count(drainUnacknowledged)
+		return
+	}
+	u.recordAcknowledged()
+	time.Sleep(serveOn)
+}
+
+// deregister says that the upstream's instance is gone.
+func (u *soakUpstream) deregister() (acknowledged bool) {
+	path := meshapi.InstancePath(meshapi.DeregisterPattern, u.instance())
+	return u.call(path, &struct{}{}, u.controlAddresses()...)
+}
+
+// recordAcknowledged records that the upstream's instance is known to drain.
+func (u *soakUpstream) recordAcknowledged() {
 	u.rig.recordDrain(soak.Drain{Instance: u.instance(), Acknowledged: u.rig.since()})
-	time.Sleep(soakDrainTimeout + extra)
-	u.call(meshapi.InstancePath(meshapi.DeregisterPattern, u.instance()), &struct{}{}, u.controlAddresses()...)
 }
 
 // replace begins the next instance at the upstream's address, and announces it.
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -24,6 +24,7 @@
 	soak.SlowUpstreams:  (*soakRig).slowUpstreams,
 	soak.CrashUpstreams: (*soakRig).crashUpstreams,
 	soak.DrainUpstreams: (*soakRig).drainUpstreams,
+	soak.LeaveUpstreams: (*soakRig).drainUpstreams,
 	soak.Pauses:         (*soakRig).pause,
 }
 
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -22,6 +22,7 @@
 	SlowUpstreams  Kind = "slow_upstreams"  // their upstreams take Factor times as long, For long
 	CrashUpstreams Kind = "crash_upstreams" // their upstreams end all connections and accept none, For long
 	DrainUpstreams Kind = "drain_upstreams" // their upstreams drain and end, others start at their addresses For later
+	LeaveUpstreams Kind = "leave_upstreams" // the same, but they deregister first, then serve on and end
 	Pauses         Kind = "pauses"          // SIGSTOP and SIGCONT to each, Count times, For at most, Gap apart on average
 )
 
@@ -33,7 +34,7 @@
 
 // Kinds are all kinds.
 func Kinds() []Kind {
-	all := slices.Concat(planned, faults, []Kind{DrainUpstreams, Pauses})
+	all := slices.Concat(planned, faults, []Kind{DrainUpstreams, LeaveUpstreams, Pauses})
 	slices.Sort(all)
 	return slices.Compact(all)
 }
@@ -104,17 +105,25 @@
 	return all
 }
 
-// maxReplaceTime is the longest time between an upstream's end and the start of the next one at its address.
-const maxReplaceTime = 1500 * time.Millisecond
+const (
+	// maxReplaceTime is the longest time between an upstream's end and the start of the next one at its address.
+	maxReplaceTime = 1500 * time.Millisecond
+	// leaveShare of the upstreams that drain deregister first, one in so many.
+	leaveShare = 3
+)
 
 // DrawDrains returns drains of upstreams to be played beside the schedule of the same seed, in order.
 func DrawDrains(seed uint64, length time.Duration, sidecars int) (all []Event) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	for at := meanPause; at < length-quietEnd; at += time.Duration(2 * random.ExpFloat64() * float64(meanPause)) {
-		all = append(all, Event{
+		e := Event{
 			At: at, Kind: DrainUpstreams, Sidecars: drawSidecars(random, sidecars),
 			For: time.Duration(random.Int64N(int64(maxReplaceTime))),
-		})
+		}
+		if random.IntN(leaveShare) == 0 {
+			e.Kind = LeaveUpstreams
+		}
+		all = append(all, e)
 	}
 	return all
 }
