TestRefusedBeforeTheBody waits until the request that holds the place is over

Cause, from the code: a request counts as open until its answer has been written (forwardRequest releases it in a defer), and the client may read that answer and ask on another connection before. A refusal there is true at that moment and promises nothing false; the test asked for an order that the front does not promise. Change: the test asks for /up on the held request's connection, which is read after the release, before it sends r3; r3 still has to get 200 on the connection that was refused, and to be the only other request at the upstream. No product code changes.

--- a/internal/daemon/wayin_test.go
+++ b/internal/daemon/wayin_test.go
@@ -95,6 +95,12 @@
 	if status, _ := hear(t, heldAnswer); status != 200 {
 		t.Fatalf("the held request: %d", status)
 	}
+	// A request is open until its answer has been written, which its client may read sooner. What is asked next on
+	// its connection is read after that.
+	say(t, held, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+	if status, _ := hear(t, heldAnswer); status != 200 {
+		t.Fatalf("the check behind the held request: %d", status)
+	}
 	say(t, c, "%s"+rawHead+"Content-Length: 1\r\n\r\n1", strings.Repeat("x", call.MaxBufferedBody), "r3")
 	if status, body := hear(t, r); status != 200 || body != "done r3" {
 		t.Errorf("%d %q on the connection that was refused", status, body)
