--- a/review/standins/deregister.go
+++ b/review/standins/deregister.go
@@ -16,6 +16,9 @@
 	serveOn = 12 * time.Second
 	// clientsOfRoute is the number of clients of each route, and clientPause is the time between two requests of one.
 	clientsOfRoute, clientPause = 3, 50 * time.Millisecond
+	// killDelay is the time from the acknowledgement to the kill of the sidecar, and lateBy the time from its start to the
+	// late heartbeat.
+	killDelay, lateBy = 200 * time.Millisecond, 1500 * time.Millisecond
 	// judgeSlack is added to the bounds, for the time between the sidecar and the upstream's own clock reading.
 	judgeSlack = 100 * time.Millisecond
 )
@@ -72,17 +75,7 @@
 		return 0, err
 	}
 	leaver.control = e.mesh.address(e.mesh.sidecarHost(0), proxyPort)
-	var stop atomic.Bool
-	var clients sync.WaitGroup
-	for _, host := range []string{readHost, writeHost} {
-		for number := range clientsOfRoute {
-			clients.Go(func() { sendSteadily(e, host, number, &stop) })
-		}
-	}
-	defer func() {
-		stop.Store(true)
-		clients.Wait()
-	}()
+	defer startSteadyClients(e)()
 	time.Sleep(steadyTime)
 
 	proxy.resetting.Store(e.trouble)
@@ -96,21 +89,70 @@
 	}
 	e.record.printf("upstream %s: its deregistration is acknowledged by %s; it serves on for %v", leaver.instance, by, serveOn)
 	time.Sleep(serveOn)
+	return countAfterDrain(e, leaver, max(acknowledgedAt+drainTimeout, resetAt+contactWindow)), nil
+}
+
+// lateHeartbeat is no case but a variant of deregisterAtCore, for the report: the upstream's own sidecar acknowledges the
+// deregistration, is killed and started again, and then receives a heartbeat that the upstream sent before it left.
+// Without the disruption no heartbeat comes late.
+func lateHeartbeat(e *environment) (broken int, err error) {
+	leaver := e.mesh.upstreams[0]
+	defer startSteadyClients(e)()
+	time.Sleep(steadyTime)
+	late, err := leaver.heartbeat()
+	if err != nil {
+		return 0, err
+	}
+	leaver.leaving.Store(true)
+	if leaver.call("/api/instances/"+leaver.instance+"/deregister", nil) != leaver.control {
+		return 0, fmt.Errorf("the deregistration was not acknowledged by the upstream's own sidecar")
+	}
+	acknowledgedAt := e.record.since()
+	time.Sleep(killDelay)
+	killedAt := e.record.since()
+	if err := e.mesh.restartSidecar(0); err != nil {
+		return 0, err
+	}
+	time.Sleep(lateBy)
+	if e.trouble {
+		acknowledged := post(leaver.control, "/api/instances/"+leaver.instance+"/heartbeat", late, callTimeout)
+		e.record.printf("upstream %s: its late heartbeat is acknowledged: %v", leaver.instance, acknowledged)
+	}
+	time.Sleep(serveOn)
+	return countAfterDrain(e, leaver, max(acknowledgedAt+drainTimeout, killedAt+contactWindow)), nil
+}
+
+// countAfterDrain ends an upstream that has left, and returns how many requests reached it later than judgeSlack after the
+// bound.
+func countAfterDrain(e *environment, leaver *upstream, bound time.Duration) (broken int) {
 	leaver.end()
 	e.record.printf("upstream %s has ended; the requests that it was at work on are cut", leaver.instance)
 	time.Sleep(clientTimeout / 10) // the answers to these requests
-
-	bound := max(acknowledgedAt+drainTimeout, resetAt+contactWindow) + judgeSlack
 	leaver.mu.Lock()
 	defer leaver.mu.Unlock()
 	for _, run := range leaver.runs {
-		if run.at > bound {
+		if run.at > bound+judgeSlack {
 			broken++
 		}
 	}
 	e.record.printf("DRAIN: %d requests reached %s later than drainTimeoutS after the acknowledgement and contactWindowS "+
-		"after the reset", broken, leaver.instance)
-	return broken, nil
+		"after the disruption", broken, leaver.instance)
+	return broken
+}
+
+// startSteadyClients starts clients of both routes at the first sidecar. The returned function stops them.
+func startSteadyClients(e *environment) (stop func()) {
+	var stopped atomic.Bool
+	var clients sync.WaitGroup
+	for _, host := range []string{readHost, writeHost} {
+		for number := range clientsOfRoute {
+			clients.Go(func() { sendSteadily(e, host, number, &stopped) })
+		}
+	}
+	return func() {
+		stopped.Store(true)
+		clients.Wait()
+	}
 }
 
 // sendSteadily sends short requests to the first sidecar, one after the other, until stop is set.
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,6 +29,7 @@
 	"early-unframed": earlyUnframed,
 	"early-created":  earlyCreated,
 	"deregister":     deregisterAtCore,
+	"late-heartbeat": lateHeartbeat,
 }
 
 // environment is what a scenario needs: the mesh, the record, and whether the disruption happens.
--- a/review/standins/mesh.go
+++ b/review/standins/mesh.go
@@ -187,13 +187,7 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(m.dir, "log-"+host))
-	if err != nil {
-		return err
-	}
-	defer log.Close()
 	process := exec.Command(run[0], run[1:]...)
-	process.Stdout, process.Stderr = log, log
 	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CAPERARCH_BOOT=" + path}
 	if err := process.Start(); err != nil {
 		return err
@@ -204,6 +198,25 @@
 	return nil
 }
 
+// restartSidecar kills the process of a sidecar and starts it again with the same settings.
+func (m *mesh) restartSidecar(i int) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.processes[coreMachines+i]
+	if err := before.Process.Kill(); err != nil {
+		return err
+	}
+	_ = before.Wait() // the error says that the process was killed
+	process := exec.Command(before.Path, before.Args[1:]...)
+	process.Env = before.Env
+	if err := process.Start(); err != nil {
+		return err
+	}
+	m.processes[coreMachines+i] = process
+	m.record.printf("sidecar %d was killed and started again", i)
+	return nil
+}
+
 // settings returns the settings of a machine, with the bounds of a small deployment.
 func (m *mesh) settings(role, host string, self, listen map[string]any) map[string]any {
 	all := map[string]any{
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -195,19 +195,23 @@
 // sendHeartbeats reports the upstream as ready about every heartbeatInterval, until it leaves.
 func (u *upstream) sendHeartbeats() {
 	for !u.leaving.Load() && !u.ended.Load() {
-		body, err := json.Marshal(map[string]any{
-			"address": u.address,
-			"nodeInfo": map[string]any{"serviceName": serviceName, "configVersion": "v1", "zone": "hall-a",
-				"capacitySlots": slots},
-			"status": map[string]any{"state": "ready", "callSequence": u.sequence.Add(1), "warmupRemainingS": 0},
-		})
-		if err == nil {
+		if body, err := u.heartbeat(); err == nil {
 			u.call("/api/instances/"+u.instance+"/heartbeat", body)
 		}
 		time.Sleep(heartbeatInterval)
 	}
 }
 
+// heartbeat returns the upstream's next heartbeat.
+func (u *upstream) heartbeat() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"address": u.address,
+		"nodeInfo": map[string]any{"serviceName": serviceName, "configVersion": "v1", "zone": "hall-a",
+			"capacitySlots": slots},
+		"status": map[string]any{"state": "ready", "callSequence": u.sequence.Add(1), "warmupRemainingS": 0},
+	})
+}
+
 // call sends a call to the control plane address of the upstream's own machine and, if that does not acknowledge it, to
 // the next ones. It returns the address that acknowledged the call, or "".
 func (u *upstream) call(path string, body []byte) (acknowledgedBy string) {
@@ -215,6 +219,9 @@
 		if post(address, path, body, callTimeout) {
 			return address
 		}
+		if u.ended.Load() {
+			return "" // the case is over
+		}
 		u.mesh.record.printf("upstream %s: %s was not acknowledged by %s", u.instance, path, address)
 	}
 	return ""
