--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -25,6 +25,7 @@
 	status    int // 0: no complete answer
 	signature string
 	body      string
+	closes    bool // the connection closes after the answer
 	err       error
 }
 
@@ -37,13 +38,11 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(clientTimeout))
-	head := fmt.Sprintf("POST /orders/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Caperarch-Timeout-Remaining: %d\r\n"+
-		"Content-Length: %d\r\n\r\n", id, host, attemptIDField, id, clientTimeout.Milliseconds(), length)
-	if _, err := io.WriteString(c, head); err != nil {
+	if _, err := io.WriteString(c, requestHead(host, id, length)); err != nil {
 		return answer{err: err}
 	}
 	received := make(chan answer, 1)
-	go func() { received <- readAnswer(c) }()
+	go func() { received <- readAnswer(bufio.NewReader(c)) }()
 	for sent := 0; sent < length; sent += bodyPart {
 		if _, err := io.WriteString(c, strings.Repeat("x", min(bodyPart, length-sent))); err != nil {
 			break // the answer tells why
@@ -57,9 +56,52 @@
 	return <-received
 }
 
+// requestHead returns the head of a POST request with a body of length bytes.
+func requestHead(host, id string, length int) string {
+	return fmt.Sprintf("POST /orders/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Caperarch-Timeout-Remaining: %d\r\n"+
+		"Content-Length: %d\r\n\r\n", id, host, attemptIDField, id, clientTimeout.Milliseconds(), length)
+}
+
+// keptConn is a client's connection to a sidecar, which it keeps for many requests.
+type keptConn struct {
+	mesh    *mesh
+	sidecar int
+	conn    net.Conn // nil: not open
+	reader  *bufio.Reader
+}
+
+// send sends a POST request with a short body, on the open connection or a new one, and returns the answer.
+func (k *keptConn) send(host, id string, length int) answer {
+	if k.conn == nil {
+		c, err := net.DialTimeout("tcp", k.mesh.address(k.mesh.sidecarHost(k.sidecar), outboundPort), time.Second)
+		if err != nil {
+			return answer{err: err}
+		}
+		k.conn, k.reader = c, bufio.NewReader(c)
+	}
+	_ = k.conn.SetDeadline(time.Now().Add(clientTimeout))
+	got := answer{}
+	_, got.err = io.WriteString(k.conn, requestHead(host, id, length)+strings.Repeat("x", length))
+	if got.err == nil {
+		got = readAnswer(k.reader)
+	}
+	if got.err != nil || got.closes {
+		k.close()
+	}
+	return got
+}
+
+// close closes the connection, if it is open.
+func (k *keptConn) close() {
+	if k.conn != nil {
+		_ = k.conn.Close()
+		k.conn = nil
+	}
+}
+
 // readAnswer reads a complete answer.
-func readAnswer(c net.Conn) answer {
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+func readAnswer(reader *bufio.Reader) answer {
+	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -68,7 +110,10 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	return answer{status: response.StatusCode, signature: response.Header.Get(signatureField), body: string(body)}
+	return answer{
+		status: response.StatusCode, signature: response.Header.Get(signatureField), body: string(body),
+		closes: response.Close,
+	}
 }
 
 // String describes an answer for the record.
--- a/review/standins/early.go
+++ b/review/standins/early.go
@@ -13,12 +13,13 @@
 const (
 	// unframedEvery is the number of requests of which an affected upstream answers one without a length: x is below 0.03.
 	unframedEvery = 34
-	// unframedClients is the number of clients, and unframedRequests the number of requests of each.
-	unframedClients, unframedRequests = 8, 50
-	createdRequests                   = 10
+	// unframedClients is the number of clients, and unframedTime is how long they send: for_s of garble.
+	unframedClients, unframedTime = 60, 5 * time.Second
+	// createdTime is how long the client of earlyCreated sends.
+	createdTime = 5 * time.Second
 	// longBody is the length of the requests' bodies. readBeforeAnswer is how much of one the upstream reads before it
 	// answers early.
-	longBody, readBeforeAnswer = 600 << 10, 128 << 10
+	longBody, readBeforeAnswer = 320 << 10, 96 << 10
 	// lateReads is how long the upstream reads on after it has ended its answer.
 	lateReads = 2 * time.Second
 )
@@ -58,7 +59,7 @@
 			return false
 		}
 	}
-	answers := sendLong(e, unframedClients, unframedRequests)
+	answers := sendLong(e, unframedClients, unframedTime)
 	executed := make(map[string]bool)
 	for _, run := range e.mesh.executions() {
 		executed[run.id] = true
@@ -93,7 +94,7 @@
 		}
 	}
 	successes := 0
-	for id, got := range sendLong(e, 1, createdRequests) {
+	for id, got := range sendLong(e, 1, createdTime) {
 		if got.status/100 != 2 {
 			continue
 		}
@@ -110,14 +111,15 @@
 	return broken, nil
 }
 
-// sendLong sends long non-idempotent requests by a number of clients, and returns their answers by id.
-func sendLong(e *environment, clients, requestsOfClient int) map[string]answer {
+// sendLong sends long non-idempotent requests by a number of clients for a time, and returns their answers by id.
+func sendLong(e *environment, clients int, duration time.Duration) map[string]answer {
+	end := time.Now().Add(duration)
 	var mu sync.Mutex
 	answers := make(map[string]answer)
 	var running sync.WaitGroup
 	for client := range clients {
 		running.Go(func() {
-			for i := range requestsOfClient {
+			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("order-%d-%d", client, i)
 				sidecar := (client + i) % sidecarMachines
 				e.record.printf("client: POST %s, %d bytes, to sidecar %d", id, longBody, sidecar)
--- a/review/standins/reset.go
+++ b/review/standins/reset.go
@@ -13,14 +13,14 @@
 const (
 	// lossTime is how long answers are lost: for_s of answer_lost. One answer in lossEvery is lost, at half of the
 	// upstreams: x = 0.05 and share = 0.5.
-	lossTime, lossEvery = 5 * time.Second, 20
+	lossTime, lossEvery = 4 * time.Second, 20
 	// calmTime is the time between the last lost answer and the first long request. It is longer than contactWindow.
 	calmTime = 4 * time.Second
 	// lossClients is the number of clients that send short requests during lossTime, every lossPause each.
-	lossClients, lossPause = 6, 5 * time.Millisecond
+	lossClients, lossPause = 6, 2 * time.Millisecond
 	// resetOrders is the number of long requests, and orderBody is the length of their bodies. The upstream answers a
 	// request with a longer body than readOfOrder once it has read that much.
-	resetOrders, orderBody, readOfOrder = 20, 60 << 10, 16 << 10
+	resetOrders, orderBody, readOfOrder = 60, 60 << 10, 16 << 10
 )
 
 // earlyReset is the case of rule TWICE: for a few seconds, half of the upstreams lose one answer in twenty by a reset of
@@ -78,16 +78,18 @@
 	return broken, nil
 }
 
-// sendShort sends short non-idempotent requests to all sidecars for a time.
+// sendShort sends short non-idempotent requests to all sidecars for a time. Each client keeps its connection.
 func sendShort(e *environment, duration time.Duration) {
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	end := time.Now().Add(duration)
 	for number := range lossClients {
 		clients.Go(func() {
+			c := keptConn{mesh: e.mesh, sidecar: number % sidecarMachines}
+			defer c.close()
 			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("short-%d-%d", number, i)
-				got := e.mesh.send(number%sidecarMachines, writeHost, id, shortBody)
+				got := c.send(writeHost, id, shortBody)
 				e.record.printf("client: POST %s: %v", id, got)
 				time.Sleep(lossPause)
 			}
