--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -116,7 +116,7 @@
 
 // printf writes a line to the record and to standard output.
 func (r *record) printf(format string, args ...any) {
-	line := fmt.Sprintf("%8.3f  ", r.since().Seconds()) + fmt.Sprintf(format, args...) + "\n"
+	line := fmt.Sprintf("%6d ms  ", r.since().Milliseconds()) + fmt.Sprintf(format, args...) + "\n"
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, _ = r.file.WriteString(line)
