Review: a lost answer to a long request is reported as never executed

Cause: roundTrip takes a failed upload as proof that the upstream has not begun work, but an upstream may begin before it has read a long body. The client of a non-idempotent request is told 503 although the request has run (REFUSED).

--- a/review/standins/early.go
+++ b/review/standins/early.go
@@ -60,24 +60,7 @@
 		}
 	}
 	answers := sendLong(e, unframedClients, unframedTime)
-	executed := make(map[string]bool)
-	for _, run := range e.mesh.executions() {
-		executed[run.id] = true
-	}
-	for id, got := range answers {
-		switch got.status {
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
-			http.StatusMisdirectedRequest:
-			if executed[id] {
-				broken++
-				e.record.printf("REFUSED broken: request %s has run, and its client was told %d: it has not", id, got.status)
-			}
-		}
-	}
-	if len(executed) == 0 {
-		return 0, fmt.Errorf("no request reached an upstream")
-	}
-	return broken, nil
+	return countRefusedButRun(e, answers)
 }
 
 // earlyCreated is the case of rule MIXED: an upstream answers a long request with 201 and a short body before it has
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 // cases are the scenarios by name. Each returns the number of times that the rule was broken.
 var cases = map[string]func(e *environment) (broken int, err error){
 	"early-reset":    earlyReset,
+	"upload-lost":    uploadLost,
 	"early-unframed": earlyUnframed,
 	"early-created":  earlyCreated,
 	"deregister":     deregisterAtCore,
