Review: a failure whose status is spoiled to 000 reaches its client as 200

Cause: an answer with an invalid status counts as served, and the front writes a status of 0 as 200. The client of a non-idempotent request takes the upstream's failure for a success (MIXED).

The case with a deregistration at a core machine stays as a variant of the stand-ins.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,6 +29,7 @@
 	"upload-lost":    uploadLost,
 	"early-unframed": earlyUnframed,
 	"early-created":  earlyCreated,
+	"spoiled":        spoiledFailure,
 	"deregister":     deregisterAtCore,
 	"late-heartbeat": lateHeartbeat,
 }
