--- a/review/standins/reset.go
+++ b/review/standins/reset.go
@@ -90,7 +90,7 @@
 			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("short-%d-%d", number, i)
 				got := c.send(writeHost, id, shortBody)
-				e.record.printf("client: POST %s: %v", id, got)
+				e.record.printf("client: POST %s: status %d", id, got.status)
 				time.Sleep(lossPause)
 			}
 		})
