Review case 3: a slow machine sees a spoiled failure, too

Cause: the first failure was the 250th request of an upstream, which a slow machine may not reach in 5.5 s.

Change: it is the 125th; the share of failures stays 0.004.

--- a/review/standins/spoiled.go
+++ b/review/standins/spoiled.go
@@ -13,8 +13,9 @@
 const (
 	// spoilTime is how long answers are spoiled: for_s = 5.5 of garble. Its share of 0.35 is one of the four upstreams.
 	spoilTime = 5500 * time.Millisecond
-	// failEvery is the number of requests of which an upstream fails one: error_share = 0.004.
-	failEvery = 250
+	// failEvery is the number of requests of which an upstream fails one: error_share = 0.004. firstFailure is the number of
+	// the first one that it fails, so that a slow machine sees one, too.
+	failEvery, firstFailure = 250, 125
 	// spoilClients is the number of clients, and spoilPause is the time between two requests of one.
 	spoilClients, spoilPause = 12, 8 * time.Millisecond
 	// spoiledStatus takes the place of the digits of the status in a spoiled answer. It is no status of the protocol.
@@ -35,7 +36,7 @@
 			}
 			id := r.Header.Get(attemptIDField)
 			u.begin(id)
-			if served.Add(1)%failEvery != 0 {
+			if served.Add(1)%failEvery != firstFailure {
 				return writeAnswer(c, http.StatusOK, u.answerFields(id), answerBody(id))
 			}
 			failed.Store(id, true)
