A number that is no status of HTTP is no response, and no answer becomes 200 by itself

Cause: three steps, each of which let the number pass. net/http reads any three digits as a status; ClassifyUpstreamResponse took everything that is no 2xx and no 5xx as served; and the front wrote a served answer of status 0 as 200 (cmp.Or(status, 200)), in the buffered and in the streamed form.

Change: the transport takes a number outside 100 to 599 (RFC 9110, 15) as bytes that are no response; the request may have run. ClassifyUpstreamResponse names the classes that are served (2xx, 3xx, 4xx) and takes the rest as unknown. The front answers 502 to a served answer without a final status; no default is left. The tests' answers without a status name 200.

Other places that read a status of a peer compare it with 2xx or 200 (rpc, meshclient, watch, discovery, membership, probes) or write their own (plug-in); they were read and left as they are.

--- a/internal/mesh/headers/headers_test.go
+++ b/internal/mesh/headers/headers_test.go
@@ -63,6 +63,12 @@
 		{signedResponse(500), policy.Errored},
 		{signedResponse(502), policy.Errored},
 		{signedResponse(504, Signature, "-"), policy.Errored},
+		{signedResponse(0), policy.ConnectionLost},
+		{signedResponse(20), policy.ConnectionLost},
+		{signedResponse(99), policy.ConnectionLost},
+		{signedResponse(101), policy.ConnectionLost},
+		{signedResponse(600), policy.ConnectionLost},
+		{signedResponse(999), policy.ConnectionLost},
 	}
 	Convey("An upstream's response proves that the request was executed, that it was not executed, or neither", t, func() {
 		for _, c := range cases {
--- a/internal/mesh/headers/outcome.go
+++ b/internal/mesh/headers/outcome.go
@@ -39,7 +39,7 @@
 
 // ClassifyUpstreamResponse returns the ending of an attempt that the head of an upstream's response proves, and the
 // load that the response reports. A 2xx response without a signature, or with a Content-Encoding, which was not
-// requested, does not prove that the request was served.
+// requested, does not prove that the request was served. Neither does a number that is no final status of HTTP.
 func ClassifyUpstreamResponse(res *http.Response) (policy.Ending, policy.Load) {
 	load := ParseLoad(res.Header.Get(Load))
 	switch {
@@ -49,10 +49,14 @@
 		return policy.ConnectionLost, load
 	case impliesNotExecuted(res.StatusCode):
 		return policy.ConnectionLost, load // clients would take the status as a proof, which the upstream did not give
-	case res.StatusCode/100 == 5:
+	}
+	switch res.StatusCode / 100 {
+	case 2, 3, 4:
+		return policy.Served, load
+	case 5:
 		return policy.Errored, load
 	}
-	return policy.Served, load
+	return policy.ConnectionLost, load
 }
 
 // ClassifyGateResponse returns the ending of an attempt that the head of a response from a gate proves, and the gate's
--- a/internal/proxy/front/http1/hangup_test.go
+++ b/internal/proxy/front/http1/hangup_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 			engine := newFakeEngine(t, 0, true)
 			body, _ := newTestBody()
 			replies := make(chan chan<- call.Answer, 1)
-			engine.onGone = func() { (<-replies) <- call.Answer{Kind: call.Served, Stream: body} }
+			engine.onGone = func() { (<-replies) <- call.Answer{Kind: call.Served, Status: http.StatusOK, Stream: body} }
 			c := engine.dial(t)
 			c.send(request)
 			submitted := testbed.Wait(t, "the submitted request", engine.submitted)
--- a/internal/proxy/front/http1/pipelining_test.go
+++ b/internal/proxy/front/http1/pipelining_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -147,7 +148,7 @@
 	c.send(get("/safe/1", "/safe/2", "/safe/3"))
 	all := engine.expectSubmitted(t, "/safe/1", "/safe/2", "/safe/3")
 	b, _ := newTestBody()
-	all[1].replies <- call.Answer{Kind: call.Served, Stream: b}
+	all[1].replies <- call.Answer{Kind: call.Served, Status: http.StatusOK, Stream: b}
 	c.Close()
 	engine.expectGone(t, all...)
 	testbed.Wait(t, "the streamed response to be closed", b.closed)
@@ -260,7 +261,7 @@
 	all := engine.expectSubmitted(t, "/safe/1", "/safe/2", "/safe/3")
 	b, w := newTestBody()
 	all[2].reply()
-	all[1].replies <- call.Answer{Kind: call.Served, Stream: b}
+	all[1].replies <- call.Answer{Kind: call.Served, Status: http.StatusOK, Stream: b}
 	all[0].reply()
 	c.expectResponse(200, "done /safe/1")
 	if _, err := io.WriteString(w, "some "); err != nil {
--- a/internal/proxy/front/http1/response.go
+++ b/internal/proxy/front/http1/response.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"cmp"
 	"errors"
 	"log/slog"
 	"net"
@@ -98,6 +97,11 @@
 // writeReply writes an engine's reply as a response.
 func (c *conn) writeReply(reply *call.Answer) bool {
 	switch {
+	case reply.Kind == call.Served && !h1.IsFinalStatus(reply.Status): // internal error: nothing says what was served
+		if reply.Stream != nil {
+			reply.Stream.Close()
+		}
+		return c.writeResponse(&h1.Response{Status: http.StatusBadGateway, Header: c.proxyHeaders(reply)}, nil)
 	case reply.Kind == call.Served && reply.Stream != nil:
 		if body, ok := reply.Stream.(call.Body); ok {
 			return c.streamResponse(reply, body)
@@ -106,7 +110,7 @@
 		return c.writeResponse(&h1.Response{Status: http.StatusBadGateway}, nil)
 	case reply.Kind == call.Served:
 		return c.writeResponse(&h1.Response{
-			Status: cmp.Or(reply.Status, http.StatusOK), Header: reply.Header, Length: int64(len(reply.Body)),
+			Status: reply.Status, Header: reply.Header, Length: int64(len(reply.Body)),
 		}, reply.Body)
 	case reply.Kind == call.Refused: // a retry is safe, after the Retry-After time
 		return c.writeResponse(&h1.Response{
--- a/internal/proxy/front/http1/stream_response.go
+++ b/internal/proxy/front/http1/stream_response.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -15,7 +14,7 @@
 // streamResponse forwards a response body while it is received, and returns whether the connection can stay open.
 func (c *conn) streamResponse(reply *call.Answer, body call.Body) bool {
 	defer body.Close()
-	response := h1.Response{Status: cmp.Or(reply.Status, http.StatusOK), Header: reply.Header, Length: body.Length()}
+	response := h1.Response{Status: reply.Status, Header: reply.Header, Length: body.Length()}
 	classMetrics := c.metrics
 	c.metrics = nil // the outcome is known only at the end of the body
 	if !c.writeResponse(&response, nil) {
--- a/internal/proxy/h1/response.go
+++ b/internal/proxy/h1/response.go
@@ -11,6 +11,12 @@
 // Continue is the interim response to a request with Expect: 100-continue (RFC 9110, 15.2.1).
 const Continue = "HTTP/1.1 100 Continue\r\n\r\n"
 
+// IsStatus reports whether a number is a status code of HTTP (RFC 9110, 15).
+func IsStatus(code int) bool { return code >= 100 && code <= 599 }
+
+// IsFinalStatus reports whether a number is a status code of a final response.
+func IsFinalStatus(code int) bool { return code >= 200 && code <= 599 }
+
 // Response is the head of a response.
 type Response struct {
 	Status     int
--- a/internal/proxy/transport/http1/processing_start_test.go
+++ b/internal/proxy/transport/http1/processing_start_test.go
@@ -231,3 +231,20 @@
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("the client has left") }
+
+// Guards against taking a spoiled status for a success: the client of a failed request received 200. Digits that form no
+// status of HTTP are no response, so the request may have been processed.
+func TestNumberThatIsNoStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "020", "099", "+20", "600", "999"} {
+		address := testbed.NewHandler(t, func(c net.Conn, r *http.Request) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 %s X\r\nX-Request-Id: %s\r\nContent-Length: 6\r\n\r\nfailed",
+				status, r.Header.Get("X-Request-Id"))
+			return drain(r) && err == nil
+		})
+		for name, u := range map[string]*Transport{"dialect": newAfterHeadTransport(t), "daemon": newTestTransport(t)} {
+			if got := exchangeWith(t, u, address, testMessage("1")); got.Ending != policy.ConnectionLost {
+				t.Errorf("%s: status %s ended as %v with status %d, want ConnectionLost", name, status, got.Ending, got.Status)
+			}
+		}
+	}
+}
--- a/internal/proxy/transport/http1/response.go
+++ b/internal/proxy/transport/http1/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"caperarch/internal/proxy/call"
+	"caperarch/internal/proxy/h1"
 	"caperarch/policy"
 )
 
@@ -23,6 +24,7 @@
 var (
 	errBodyTooLong     = errors.New("response body exceeds the buffer limit")
 	errNoFraming       = errors.New("response has neither a Content-Length nor chunked encoding")
+	errNoStatus        = errors.New("status of the response is outside 100 to 599")
 	errNoFinalResponse = errors.New("no final response among the first 8 responses read")
 )
 
@@ -70,7 +72,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if head.StatusCode/100 == 1 {
+	switch {
+	case !h1.IsStatus(head.StatusCode): // net/http accepts every three digits
+		return nil, errNoStatus
+	case head.StatusCode/100 == 1:
 		return nil, nil
 	}
 	mayStream := r.message.Stream && head.StatusCode == http.StatusOK
