An upstream's own failure of a streamed request reaches its client

Callers saw: a request with a body of over 64 KiB that its upstream answered with 500 was answered 502 by the sidecars, without the upstream's signature and body. PROTOCOL.md: "The upstream's status, body and signature are returned unchanged."

Cause: Engine.attemptEnded kept the last error response only of requests whose body is buffered.

Evidence: TestFailureOfStreamedRequestIsForwarded failed with "status:502 signature: body:" for the two long bodies, and passed for the short one.

Change: the last error response is kept for both.

Measured: the test passes; TestNonIdempotentWithFaultAtEveryByte and TestMismatchedResponsesAreNotForwarded stay green.

--- a/internal/mesh/sidecar/at_most_once_test.go
+++ b/internal/mesh/sidecar/at_most_once_test.go
@@ -238,6 +238,23 @@
 	}
 }
 
+// Guards against replacing an upstream's own failure by one of the gate: the failure of a request whose body is streamed
+// reached its client as 502, without the upstream's signature and body.
+func TestFailureOfStreamedRequestIsForwarded(t *testing.T) {
+	failing := testUpstreams{respond: func(_, id string, _ int) (bool, string, bool) {
+		fields := idField(id) + headers.Signature + ": " + signatureOf(id) + "\r\nContent-Length: 6\r\n"
+		return true, "HTTP/1.1 500 Internal Server Error\r\n" + fields + "\r\nfailed", true
+	}}
+	for _, id := range []string{"short", "long", "very long"} {
+		all, _, err := sendWithFault(t, faultPlan{}, failing, nonIdempotentOneByOne, id)
+		got := all[0]
+		isForwarded := got.status == http.StatusInternalServerError && got.signature == signatureOf(id) && got.body == "failed"
+		if err != nil || !isForwarded {
+			t.Errorf("%s: received %+v, error %v; want the upstream's response", id, got, err)
+		}
+	}
+}
+
 // Guards against a request running later although its gate's front has rejected it without the engine: the rejection
 // must be recorded in the gate's attempt log.
 func TestFrontRejectionIsRecordedByTheGate(t *testing.T) {
--- a/internal/proxy/engine/requests.go
+++ b/internal/proxy/engine/requests.go
@@ -115,6 +115,9 @@
 	}
 	r.timedOut = res.Ending == policy.TimedOut
 	e.recordEnding(&r.attempts[number], res.Ending)
+	if res.Ending == policy.Errored || res.Ending == policy.InvalidRequest {
+		r.lastResult = &res
+	}
 	switch {
 	case r.finished:
 		if res.Stream != nil { // the request has another answer, so no client reads this stream
@@ -126,17 +129,15 @@
 			Stream: res.Stream,
 		})
 	case r.bodyClaimed:
-		e.finishUpload(id, r, &res)
-	case res.Ending == policy.Errored || res.Ending == policy.InvalidRequest:
-		r.lastResult = &res
+		e.finishUpload(id, r, res.Ending)
 	}
 	e.reportOutcome(policy.Outcome{ID: id, Attempt: number, Ending: res.Ending, Load: res.Load})
 }
 
 // finishUpload answers a request whose body was streamed to this attempt: refused if the ending proves that the request
 // did not run, failed otherwise.
-func (e *Engine) finishUpload(id policy.RequestID, r *request, res *call.Result) {
-	if res.Ending.NeverRan() || res.Ending == policy.GateRejected {
+func (e *Engine) finishUpload(id policy.RequestID, r *request, ending policy.Ending) {
+	if ending.NeverRan() || ending == policy.GateRejected {
 		e.finish(id, r, &call.Answer{Kind: call.Refused, RetryAfter: uploadRetryAfter})
 		return
 	}
