A sidecar learns from its lease that its upstream was deregistered at the core

Cause, one for both: the core machines keep a tombstone of a deregistered instance, and nothing carried it to the sidecar beside the upstream. A registry update names removals without their cause (an instance also expires or is replaced), so endpoints.apply left the local upstream as it was; and a sidecar that does not know an instance took its first heartbeat as the start of a new upstream.

Change: the response to a lease names the instances of the request that were deregistered. The sidecar ends its local upstream then, and asks at once when an update removes the local instance. Before it accepts an instance that it does not know, from a heartbeat or from a health response, it names the instance in a lease request to the core machine that serves its watch, for at most 300 ms; without one, or without an answer, it accepts the instance as before. The two fields are left out when empty: earlier releases ignore them.

Evidence: without the callback, TestDeregistrationAtCoreEndsLocalUpstream timed out and TestLateHeartbeatAfterRestartIsRejected found the local upstream ready.

--- a/internal/mesh/registry/tombstones.go
+++ b/internal/mesh/registry/tombstones.go
@@ -42,6 +42,9 @@
 	return true
 }
 
+// IsDeregistered reports whether an instance was deregistered within TombstoneTTL, at this member or at another one.
+func (t *Table) IsDeregistered(instance string) bool { return t.tombstones[instance].deregistered }
+
 // remove removes an instance from the table, if the table holds it, and records a tombstone.
 func (t *Table) remove(now time.Duration, instance string, cause removalCause) {
 	removed, known := t.tombstones[instance]
--- /dev/null
+++ b/internal/mesh/sidecar/deregistration_test.go
@@ -0,0 +1,131 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"caperarch/internal/lab/testbed"
+	"caperarch/internal/mesh/registry"
+	"caperarch/internal/mesh/watch"
+	"caperarch/internal/proxy/call"
+
+	"go.uber.org/zap"
+)
+
+// emptyConfig is a watch.ConfigSource without a configuration.
+type emptyConfig struct{}
+
+func (emptyConfig) Current() int64                        { return 0 }
+func (emptyConfig) Since(int64) ([]json.RawMessage, bool) { return nil, true }
+func (emptyConfig) FullConfig() json.RawMessage           { return json.RawMessage(`{}`) }
+
+// startTestCore starts a core machine in contact with itself, and returns it with its address.
+func startTestCore(t *testing.T) (core *watch.Server, address string) {
+	t.Helper()
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	address = strings.TrimPrefix(server.URL, "http://")
+	core = watch.NewServer(watch.ServerConfig{
+		Self: address, Zone: "hall-a", Epoch: 1, Peers: func() []string { return []string{address} },
+		ConfigSource: emptyConfig{}, Contact: func() (time.Duration, bool) { return 0, true },
+		HTTP: watch.NewHTTPClient(), Log: zap.NewNop(),
+	})
+	core.Register(mux)
+	return core, address
+}
+
+// startTestSidecar starts a sidecar that keeps its lease at a core machine, and waits until it is connected.
+func startTestSidecar(t *testing.T, core string) *Sidecar {
+	t.Helper()
+	s := newTestSidecar(t)
+	s.watchClient = watch.NewClient(watch.ClientConfig{
+		Node: "n", Incarnation: registry.Incarnation(time.Now().UnixNano()), Zone: "hall-a", Seeds: []string{core},
+		HTTP: watch.NewHTTPClient(), State: s.currentLease,
+		ConfigVersion: func() int64 { return 0 }, OnConfig: func(json.RawMessage) bool { return true },
+		OnRegistry: s.applyRegistry, OnDeregistered: s.applyDeregistration, Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.gateEngine.Run(ctx, call.ServerList{})
+	go s.balancerEngine.Run(ctx, call.ServerList{})
+	go s.watchClient.Run(ctx)
+	awaitCondition(t, "the sidecar is connected", s.watchClient.Connected)
+	return s
+}
+
+func awaitCondition(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testbed.MaxWait); !holds(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+// Guards against requests for an upstream whose deregistration a core machine has acknowledged, because its own sidecar
+// did not receive the call: the sidecar went on sending it the requests of its own machine.
+func TestDeregistrationAtCoreEndsLocalUpstream(t *testing.T) {
+	core, address := startTestCore(t)
+	s := startTestSidecar(t, address)
+	postHeartbeat(s, "i-1", "ready", 1)
+	awaitCondition(t, "the core machine lists the upstream", func() bool {
+		s.endpoints.mu.Lock()
+		defer s.endpoints.mu.Unlock()
+		_, listed := s.endpoints.upstreams["i-1"]
+		return listed
+	})
+	if err := core.Heartbeat(registry.Upstream{Instance: "i-1", State: registry.Deregistered}); err != nil {
+		t.Fatal(err)
+	}
+	awaitCondition(t, "the local upstream has ended", func() bool {
+		return s.endpoints.localUpstream().State == registry.Deregistered
+	})
+	if w := postHeartbeat(s, "i-1", "ready", 2); w.Code != http.StatusOK || s.endpoints.hasReady() {
+		t.Errorf("a later heartbeat has status %d, and the upstream is listed as ready: %v", w.Code, s.endpoints.hasReady())
+	}
+	postHeartbeat(s, "i-2", "ready", 1)
+	if local := s.endpoints.localUpstream(); local.Instance != "i-2" || local.State != registry.Ready {
+		t.Errorf("the local upstream is %+v, want i-2, ready", local)
+	}
+}
+
+// Guards against a late heartbeat of a deregistered upstream that reaches its sidecar after a restart: the sidecar
+// accepted the upstream as ready although the core machines have its tombstone.
+func TestLateHeartbeatAfterRestartIsRejected(t *testing.T) {
+	core, address := startTestCore(t)
+	if err := core.Heartbeat(registry.Upstream{Instance: "i-1", State: registry.Deregistered}); err != nil {
+		t.Fatal(err)
+	}
+	s := startTestSidecar(t, address)
+	for sequence := range 3 {
+		w := postHeartbeat(s, "i-1", "ready", sequence+1)
+		if local := s.endpoints.localUpstream(); w.Code != http.StatusOK || local != nil {
+			t.Fatalf("the late heartbeat has status %d, and the local upstream is %+v, want 200 and none", w.Code, local)
+		}
+	}
+	postHeartbeat(s, "i-2", "ready", 1)
+	if local := s.endpoints.localUpstream(); local == nil || local.Instance != "i-2" {
+		t.Errorf("the local upstream is %+v, want i-2", local)
+	}
+}
+
+// A sidecar without a core machine accepts a new instance at once.
+func TestNewInstanceIsAcceptedWithoutCore(t *testing.T) {
+	s := newTestSidecar(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.gateEngine.Run(ctx, call.ServerList{})
+	started := time.Now()
+	postHeartbeat(s, "i-1", "ready", 1)
+	if local := s.endpoints.localUpstream(); local == nil || time.Since(started) >= instanceCheckTimeout {
+		t.Errorf("after %v the local upstream is %+v, want i-1 at once", time.Since(started), local)
+	}
+}
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -25,9 +25,12 @@
 	backoff := minDiscoveryBackoff
 	for s.endpoints.localUpstream() == nil {
 		if s.config.Load().Version() > 0 { // the configuration contains the health path
-			if u, ok := s.queryUpstream(ctx); ok && s.endpoints.adoptDiscovered(u) {
-				s.publishUpstream()
-				return
+			if u, ok := s.queryUpstream(ctx); ok {
+				s.checkInstance(u.Instance)
+				if s.endpoints.adoptDiscovered(u) {
+					s.publishUpstream()
+					return
+				}
 			}
 		}
 		select {
--- a/internal/mesh/sidecar/endpoints.go
+++ b/internal/mesh/sidecar/endpoints.go
@@ -157,21 +157,23 @@
 	return true
 }
 
-// deregister records that an instance has ended.
-func (e *endpoints) deregister(instance string) {
+// deregister records that an instance has ended. It returns false if that changes nothing: the instance is not the local
+// upstream, or has been recorded as ended before.
+func (e *endpoints) deregister(instance string) (changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rememberDeregistered(instance)
-	if e.local != nil && e.local.Instance == instance {
+	if e.local != nil && e.local.Instance == instance && e.local.State != registry.Deregistered {
 		local := *e.local
 		local.State = registry.Deregistered
-		e.local = &local
+		e.local, changed = &local, true
 	}
 	if u, found := e.upstreams[instance]; found {
 		u.State = registry.Deregistered
 		e.upstreams[instance] = u
 	}
 	e.countSlots()
+	return changed
 }
 
 // rememberDeregistered records a former local instance, so that recordHeartbeat ignores its late heartbeats. The
--- a/internal/mesh/sidecar/heartbeat.go
+++ b/internal/mesh/sidecar/heartbeat.go
@@ -1,12 +1,19 @@
 package sidecar
 
 import (
+	"context"
+	"slices"
+	"time"
+
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
 
 	"go.uber.org/zap"
 )
 
+// instanceCheckTimeout bounds the check of a new instance. A heartbeat must be acknowledged within a second.
+const instanceCheckTimeout = 300 * time.Millisecond
+
 // Heartbeat applies a heartbeat of the local upstream; it implements api.UpstreamHandler. The heartbeat takes
 // full effect without a core machine, because requests reach the upstream only through this sidecar's gate. The
 // error is errs.Invalid if the heartbeat's address is not the one in the settings.
@@ -18,6 +25,9 @@
 	}
 	u.Node, u.Zone, u.Region = s.settings.Self.NodeName, s.settings.Self.Zone, s.settings.Self.Region
 	before := s.endpoints.localUpstream()
+	if u.State == registry.Ready && (before == nil || before.Instance != u.Instance) {
+		s.checkInstance(u.Instance)
+	}
 	recorded := s.endpoints.recordHeartbeat(u) // false if it is older than the last one
 	if recorded && (before == nil || changesRouting(*before, u)) {
 		s.publishUpstream()
@@ -34,6 +44,23 @@
 	return before.Instance != after.Instance || before.State != after.State || before.Slots != after.Slots
 }
 
+// checkInstance asks a core machine whether an instance that this sidecar does not know yet was deregistered: a
+// heartbeat may arrive after the deregistration, which reached a core machine or this sidecar before it restarted. An
+// instance that was deregistered is then rejected by recordHeartbeat.
+func (s *Sidecar) checkInstance(instance string) {
+	ctx, cancel := context.WithTimeout(context.Background(), instanceCheckTimeout)
+	defer cancel()
+	s.watchClient.CheckInstance(ctx, instance)
+}
+
+// applyDeregistration applies that an instance was deregistered at a core machine.
+func (s *Sidecar) applyDeregistration(instance string) {
+	if s.endpoints.deregister(instance) {
+		s.log.Info("local upstream was deregistered at a core machine", zap.String("instance", instance))
+		s.publishUpstream()
+	}
+}
+
 // Deregister records that a local instance has ended; it implements api.UpstreamHandler.
 func (s *Sidecar) Deregister(instance string) error {
 	s.endpoints.deregister(instance)
@@ -44,6 +71,9 @@
 // applyRegistry applies registry entries that a core machine pushes. If full is true, upserts replace all earlier
 // entries.
 func (s *Sidecar) applyRegistry(full bool, upserts []registry.Upstream, removals []string) {
+	if local := s.endpoints.localUpstream(); local != nil && slices.Contains(removals, local.Instance) {
+		s.watchClient.RenewNow() // the response tells whether the local upstream was deregistered
+	}
 	if s.endpoints.apply(full, upserts, removals) {
 		s.publishUpstream() // the local upstream reported its state to a core machine
 	}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -108,16 +108,17 @@
 	}
 	s.config.Store(config.Empty())
 	s.watchClient = watch.NewClient(watch.ClientConfig{
-		Node:          current.Self.NodeName,
-		Incarnation:   registry.Incarnation(time.Now().UnixNano()),
-		Zone:          current.Self.Zone,
-		Seeds:         current.SeedAddresses(),
-		HTTP:          watch.NewHTTPClient(),
-		State:         s.currentLease,
-		ConfigVersion: func() int64 { return s.config.Load().Version() },
-		OnConfig:      s.applyConfig,
-		OnRegistry:    s.applyRegistry,
-		Log:           log,
+		Node:           current.Self.NodeName,
+		Incarnation:    registry.Incarnation(time.Now().UnixNano()),
+		Zone:           current.Self.Zone,
+		Seeds:          current.SeedAddresses(),
+		HTTP:           watch.NewHTTPClient(),
+		State:          s.currentLease,
+		ConfigVersion:  func() int64 { return s.config.Load().Version() },
+		OnConfig:       s.applyConfig,
+		OnRegistry:     s.applyRegistry,
+		OnDeregistered: s.applyDeregistration,
+		Log:            log,
 	})
 	var err error
 	s.quota, err = newQuotaClient(current.Guarantees.Bounds, quotaConfig{
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -15,7 +15,7 @@
 	"caperarch/internal/mesh/registry"
 )
 
-// ClientConfig configures a Client. All fields but Zone, Seeds and Services are required. Run calls OnConfig
+// ClientConfig configures a Client. All fields but Zone, Seeds, Services and OnDeregistered are required. Run calls OnConfig
 // and OnRegistry, one at a time.
 type ClientConfig struct {
 	Node string
@@ -39,6 +39,9 @@
 	OnConfig      func(frame json.RawMessage) (ok bool)
 	// OnRegistry applies upserts and removals. If full is true, upserts replaces all known upstreams.
 	OnRegistry func(full bool, upserts []registry.Upstream, removals []string)
+	// OnDeregistered is called when a core machine reports that an instance, which this sidecar has reported as its
+	// upstream or named in CheckInstance, was deregistered. It may be called from any goroutine, and repeatedly.
+	OnDeregistered func(instance string)
 	// Services returns the services that this sidecar calls. It may be nil; nil or an empty result stands for
 	// all services.
 	Services func() []string
--- a/internal/mesh/watch/client_lease.go
+++ b/internal/mesh/watch/client_lease.go
@@ -8,6 +8,8 @@
 	"caperarch/internal/mesh/errs"
 	"caperarch/internal/mesh/registry"
 	"caperarch/internal/mesh/rpc"
+
+	"go.uber.org/zap"
 )
 
 // retentionMargin is how long before the end of registry.SilentRetention a sidecar without renewals assumes
@@ -167,21 +169,67 @@
 // sendLease sends a lease to a core machine and evaluates its response. The caller sets a deadline on ctx.
 func (c *Client) sendLease(
 	ctx context.Context, address string, lease *registry.Lease,
+) (*LeaseResponse, error) {
+	return c.sendLeaseRequest(ctx, address, &leaseRequest{Lease: *lease})
+}
+
+// CheckInstance asks the current core machine whether an instance, which this sidecar is about to accept as its
+// upstream, was deregistered before, and calls OnDeregistered if so. The instance's deregistration may have reached a
+// core machine, or this sidecar before it restarted. Without a core machine, CheckInstance returns at once.
+func (c *Client) CheckInstance(ctx context.Context, instance string) {
+	address := c.connectedMember()
+	if address == "" {
+		return
+	}
+	lease := c.nextLease()
+	if lease == nil {
+		return
+	}
+	request := &leaseRequest{Lease: *lease, NewInstance: instance}
+	if _, err := c.sendLeaseRequest(ctx, address, request); err != nil {
+		c.cfg.Log.Info("core machine did not confirm the instance, which is accepted",
+			zap.String("instance", instance), zap.String("member", address), zap.Error(err))
+	}
+}
+
+// connectedMember returns the address of the core machine that serves the watch, or "" if there is none.
+func (c *Client) connectedMember() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.connected {
+		return ""
+	}
+	return c.current
+}
+
+// sendLeaseRequest sends a lease request to a core machine and evaluates its response.
+func (c *Client) sendLeaseRequest(
+	ctx context.Context, address string, request *leaseRequest,
 ) (*LeaseResponse, error) {
 	sentAt := time.Now()
 	url := "http://" + address + leasePath
-	request := &leaseRequest{Lease: *lease, KnownPeersDigest: c.knownPeersDigest()}
+	request.KnownPeersDigest = c.knownPeersDigest()
 	response, err := rpc.Call[leaseRequest, LeaseResponse](ctx, c.cfg.HTTP, url, request)
 	if err != nil {
 		return nil, err
 	}
+	c.recordResponse(sentAt, response)
+	if c.cfg.OnDeregistered != nil {
+		for _, instance := range response.Deregistered {
+			c.cfg.OnDeregistered(instance)
+		}
+	}
+	return response, nil
+}
+
+// recordResponse records what a response to a lease request that was sent at sentAt reports.
+func (c *Client) recordResponse(sentAt time.Time, response *LeaseResponse) {
 	applied := c.cfg.ConfigVersion()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordRenewal(sentAt, response)
 	c.recordConfirmation(sentAt, response, applied)
 	c.raiseIncarnation(response.NewerIncarnation)
-	return response, nil
 }
 
 // recordRenewal records the time of a renewal that was answered. Only a response of a core machine in contact
--- a/internal/mesh/watch/golden_test.go
+++ b/internal/mesh/watch/golden_test.go
@@ -9,10 +9,12 @@
 // The messages must keep the JSON encoding that processes of the previous release send and expect, which
 // testdata holds.
 func TestMessagesOnTheWire(t *testing.T) {
-	goldentest.CheckJSON[leaseRequest](t, "lease_request")
-	goldentest.CheckJSON[LeaseResponse](t, "lease_response_version")
-	// Responses of core machines of earlier releases: without a version, without a digest of the list, and
-	// without the newer incarnation.
+	goldentest.CheckJSON[leaseRequest](t, "lease_request_instance")
+	goldentest.CheckStillRead[leaseRequest](t, "lease_request") // written before requests named a new instance
+	goldentest.CheckJSON[LeaseResponse](t, "lease_response_deregistered")
+	// Responses of core machines of earlier releases: without deregistered instances, without a version, without a
+	// digest of the list, and without the newer incarnation.
+	goldentest.CheckStillRead[LeaseResponse](t, "lease_response_version")
 	goldentest.CheckStillRead[LeaseResponse](t, "lease_response_digest")
 	goldentest.CheckStillRead[LeaseResponse](t, "lease_response")
 	goldentest.CheckStillRead[LeaseResponse](t, "lease_answer")
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
+	response.Deregistered = s.deregisteredInstances(request)
 	if newest := s.table.Incarnation(lease.Node); newest > lease.Incarnation {
 		response.NewerIncarnation = newest
 	}
@@ -71,6 +72,18 @@
 	return response, nil
 }
 
+// deregisteredInstances returns the instances of a lease request that were deregistered: an upstream that could not
+// reach its own sidecar has deregistered at a core machine, or its sidecar has restarted since. s.mu is held.
+func (s *Server) deregisteredInstances(request *leaseRequest) (deregistered []string) {
+	if up := request.Lease.Upstream; up != nil && up.State != registry.Deregistered && s.table.IsDeregistered(up.Instance) {
+		deregistered = append(deregistered, up.Instance)
+	}
+	if request.NewInstance != "" && s.table.IsDeregistered(request.NewInstance) {
+		deregistered = append(deregistered, request.NewInstance)
+	}
+	return deregistered
+}
+
 // listPeers lists all core machines, this one first. s.mu is held.
 func (s *Server) listPeers() []Peer {
 	peers := []Peer{{Address: s.cfg.Self, Zone: s.cfg.Zone}}
--- a/internal/mesh/watch/wire.go
+++ b/internal/mesh/watch/wire.go
@@ -76,6 +76,8 @@
 	// KnownPeersDigest is the digest of the last list of core machines that the sidecar received, 0 if it has
 	// none.
 	KnownPeersDigest PeersDigest `json:"knownPeers,omitempty"`
+	// NewInstance is an instance that the sidecar is about to accept as its upstream. It is empty in renewals.
+	NewInstance string `json:"newInstance,omitempty"`
 }
 
 // LeaseResponse is a core machine's response to a lease renewal.
@@ -105,6 +107,9 @@
 	// with a quorum. A sidecar that has applied this version when the response arrives is caught up as well.
 	// Core machines of an earlier release send 0.
 	Version int64 `json:"version,omitempty"`
+	// Deregistered are the instances of the request, its lease's upstream and NewInstance, that were deregistered at a
+	// core machine. Core machines of an earlier release send none.
+	Deregistered []string `json:"deregistered,omitempty"`
 }
 
 // watchRequest is a sidecar's request to open a watch that continues from the state that the sidecar has.
