Soak: upstreams that begin, answer, shed and fail before the end of a body

Change: with -early an upstream begins after a random part of a body, answers early (200, 201, or without a length), sheds early, loses its answer by a reset, fails, or spoils the status of its failure (000, 099, 020, 600, 999); clients send long bodies in parts and read meanwhile. With -drains half of the upstreams that deregister first call a core machine, and half send a heartbeat late. MIXED counts every 2xx, and a success of a request whose runs have all failed.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -118,6 +118,8 @@
 	flags.IntVar(&soakClientsFlag, "clients", 1, "for soak: number of clients per sidecar and client behavior")
 	flags.BoolVar(&soakPausesFlag, "pauses", false, "for soak: repeatedly stop processes for short times")
 	flags.BoolVar(&soakDrainsFlag, "drains", false, "for soak: repeatedly drain and replace upstreams")
+	flags.BoolVar(&soakEarlyFlag, "early", false,
+		"for soak: upstreams begin and answer before the end of a body, and lose, spoil and refuse answers")
 	flags.IntVar(&stressFlags.copies, "copies", stressCopies,
 		"for stress: number of copies of the tests that run in parallel")
 	flags.IntVar(&stressFlags.plays, "plays", stressPlays, "for stress: number of runs of each copy")
--- a/cmd/measure/soak.go
+++ b/cmd/measure/soak.go
@@ -51,6 +51,8 @@
 	// soakPausesFlag adds short pauses of sidecar processes to the schedule, soakDrainsFlag drains of upstreams.
 	soakPausesFlag bool
 	soakDrainsFlag bool
+	// soakEarlyFlag adds upstreams that process requests as upstreamBehavior says, and clients with long bodies.
+	soakEarlyFlag bool
 )
 
 // soakReport is the result of the run of one seed. The report of a failed run is written to a file as JSON.
@@ -189,8 +191,9 @@
 	}
 	slices.SortStableFunc(report.Schedule, func(a, b soak.Event) int { return cmp.Compare(a.At, b.At) })
 	report.PlayItAgain = fmt.Sprintf(
-		"go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d -pauses=%v -drains=%v",
-		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag, soakPausesFlag, soakDrainsFlag)
+		"go run ./cmd/measure soak -seed %d -length %v -processes %d -quota %g -clients %d -pauses=%v -drains=%v "+
+			"-early=%v",
+		seed, length, sidecars+soakCore, soakQuotaFlag, soakClientsFlag, soakPausesFlag, soakDrainsFlag, soakEarlyFlag)
 	r.startClients()
 	r.play(report.Schedule, length)
 	r.stopping.Store(true)
--- a/cmd/measure/soak_client.go
+++ b/cmd/measure/soak_client.go
@@ -26,6 +26,11 @@
 	// One in soakLongShare requests has a body of soakLongBody bytes, which sidecars stream. The other non-idempotent
 	// requests have a body of soakShortBody bytes.
 	soakLongShare, soakLongBody, soakShortBody = 10, 100_000, 40
+	// An upload has a body of soakUploadBody bytes, which is sent in parts of soakUploadPart bytes with pauses of up to
+	// soakMaxPartPause. One in soakUploadIdempotentShare uploads is idempotent.
+	soakUploadBody, soakUploadPart = 320 << 10, 32 << 10
+	soakMaxPartPause               = 30 * time.Millisecond
+	soakUploadIdempotentShare      = 4
 	// soakMaxDisconnectDelay is the longest time between a request and an early disconnect.
 	soakMaxDisconnectDelay = 400 * time.Millisecond
 )
@@ -42,10 +47,16 @@
 // clientBehavior is one exchange of a client on its open connection.
 type clientBehavior func(c *soakClient)
 
-// soakBehaviors has one entry for each client of a sidecar.
-var soakBehaviors = []clientBehavior{
-	(*soakClient).exchange, (*soakClient).exchange, (*soakClient).pipeline,
-	(*soakClient).disconnectEarly, (*soakClient).disconnectEarly, (*soakClient).probeRoute,
+// soakBehaviors returns one entry for each client of a sidecar.
+func soakBehaviors() []clientBehavior {
+	all := []clientBehavior{
+		(*soakClient).exchange, (*soakClient).exchange, (*soakClient).pipeline,
+		(*soakClient).disconnectEarly, (*soakClient).disconnectEarly, (*soakClient).probeRoute,
+	}
+	if soakEarlyFlag {
+		all = append(all, (*soakClient).uploadInParts, (*soakClient).uploadInParts)
+	}
+	return all
 }
 
 // run repeats one behavior until the rig stops.
@@ -189,6 +200,43 @@
 	c.rig.recordRequest(o.Request)
 }
 
+// uploadInParts sends a request with a long body part by part and reads its response meanwhile, which may arrive before
+// the end of the body.
+func (c *soakClient) uploadInParts() {
+	o := c.newRequest(c.random.IntN(soakUploadIdempotentShare) == 0, "/", soakUploadBody)
+	conn, received := c.conn, make(chan struct{})
+	go func() {
+		defer close(received)
+		c.read(&o)
+	}()
+	complete := c.writeParts(conn, o.wire, received)
+	sent := c.rig.since()
+	<-received
+	if o.Sent = sent; !complete && c.conn != nil {
+		c.closeConnection() // the sidecar still expects the rest of the body
+	}
+	if complete || o.Status != 0 { // otherwise the sidecar has not read a complete request
+		c.rig.recordRequest(o.Request)
+	}
+}
+
+// writeParts writes bytes part by part until all are written, the response was received or the connection ends. It
+// reports whether all were written.
+func (c *soakClient) writeParts(conn net.Conn, wire string, received <-chan struct{}) (complete bool) {
+	for len(wire) > 0 {
+		n, err := io.WriteString(conn, wire[:min(soakUploadPart, len(wire))])
+		if wire = wire[n:]; err != nil {
+			return false
+		}
+		select {
+		case <-received:
+			return len(wire) == 0
+		case <-time.After(time.Duration(c.random.Int64N(int64(soakMaxPartPause)))):
+		}
+	}
+	return true
+}
+
 // write sends bytes, and closes the connection on an error.
 func (c *soakClient) write(wire string) bool {
 	if _, err := io.WriteString(c.conn, wire); err != nil {
@@ -217,7 +265,7 @@
 	}
 	r.Status = res.StatusCode
 	r.OwnResponse = res.Header.Get(headers.AttemptID) == r.ID
-	if r.Status == http.StatusOK {
+	if r.Status/100 == 2 {
 		r.OwnResponse = r.OwnResponse && res.Header.Get(headers.Signature) == soakSignature(r.ID) &&
 			string(body) == soakBody(r.ID, r.path)
 	}
--- a/cmd/measure/soak_drain.go
+++ b/cmd/measure/soak_drain.go
@@ -37,7 +37,7 @@
 		random := rand.New(rand.NewPCG(r.seed, uint64(e.At)+uint64(m.number)))
 		serveOn := soakDrainTimeout + time.Duration(random.Int64N(int64(soakDrainExtra)))
 		if e.Kind == soak.LeaveUpstreams {
-			upstream.leave(serveOn)
+			upstream.leave(serveOn, random)
 		} else {
 			upstream.drain(serveOn)
 		}
@@ -61,15 +61,28 @@
 	u.deregister()
 }
 
-// leave deregisters the upstream and, once a machine has acknowledged it, serves for serveOn.
-func (u *soakUpstream) leave(serveOn time.Duration) {
+// leave deregisters the upstream and, once a machine has acknowledged it, serves for serveOn. One half of the upstreams
+// do not reach their own sidecar and deregister at a core machine; the sidecars of one half receive a heartbeat late.
+func (u *soakUpstream) leave(serveOn time.Duration, random *rand.Rand) {
+	late := u.nextHeartbeat(meshapi.StateReady)
 	u.draining.Store(true)
-	if !u.deregister() {
+	addresses := u.controlAddresses()
+	if random.IntN(2) == 0 {
+		addresses = addresses[1:]
+		u.rig.count(deregisteredAtCore)
+	}
+	path := meshapi.InstancePath(meshapi.DeregisterPattern, u.instance())
+	if !u.call(path, &struct{}{}, addresses...) {
 		u.rig.count(drainUnacknowledged)
 		return
 	}
 	u.recordAcknowledged()
-	time.Sleep(serveOn)
+	lateBy := time.Duration(random.Int64N(int64(serveOn)))
+	time.Sleep(lateBy)
+	if random.IntN(2) == 0 && u.call(late.path, late.request, u.controlAddresses()[0]) {
+		u.rig.count(lateHeartbeat)
+	}
+	time.Sleep(serveOn - lateBy)
 }
 
 // deregister removes the upstream's instance from the list of instances.
@@ -98,21 +111,34 @@
 // announce sends heartbeats to the upstream's own sidecar and to the core machines in turn, until a machine
 // acknowledges one or soakAnnounceTimeout has passed.
 func (u *soakUpstream) announce(state string) (acknowledged bool) {
-	path := meshapi.InstancePath(meshapi.HeartbeatPattern, u.instance())
 	for end := time.Now().Add(soakAnnounceTimeout); time.Now().Before(end); time.Sleep(soakHeartbeatPause) {
-		heartbeat := &meshapi.HeartbeatRequest{
+		heartbeat := u.nextHeartbeat(state)
+		if u.call(heartbeat.path, heartbeat.request, u.controlAddresses()...) {
+			return true
+		}
+	}
+	return false
+}
+
+// soakHeartbeat is a heartbeat with the path that it is posted to.
+type soakHeartbeat struct {
+	path    string
+	request *meshapi.HeartbeatRequest
+}
+
+// nextHeartbeat returns the next heartbeat of the upstream's instance.
+func (u *soakUpstream) nextHeartbeat(state string) soakHeartbeat {
+	return soakHeartbeat{
+		path: meshapi.InstancePath(meshapi.HeartbeatPattern, u.instance()),
+		request: &meshapi.HeartbeatRequest{
 			Address: u.rig.ports[u.number][3],
 			NodeInfo: meshapi.InstanceInfo{
 				ServiceName: soakServiceOf(u.number), ConfigVersion: "v1",
 				Zone: meshZones[u.number%len(meshZones)], CapacitySlots: soakSlots,
 			},
 			Status: meshapi.InstanceStatus{State: state, CallSequence: u.sequence.Add(1)},
-		}
-		if u.call(path, heartbeat, u.controlAddresses()...) {
-			return true
-		}
+		},
 	}
-	return false
 }
 
 // controlAddresses returns the control addresses that the upstream calls, in order: its own sidecar, then the core.
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -96,6 +96,8 @@
 	termWhileStarting     hardCase = "SIGTERM within the start"
 	hupWhileStarting      hardCase = "SIGHUP within the start, which ended the process"
 	drainUnacknowledged   hardCase = "drains that nobody acknowledged"
+	deregisteredAtCore    hardCase = "deregistrations at a core member"
+	lateHeartbeat         hardCase = "late heartbeats of deregistered upstreams"
 	paused                hardCase = "pauses of a process"
 	rigLagged             hardCase = "measuring process without a processor"
 	configChange          hardCase = "configuration changes"
@@ -105,7 +107,8 @@
 // hardCases lists all values of hardCase.
 var hardCases = []hardCase{
 	hupInDrain, changeInDrain, secondTerm, seriesOnOneSidecar, termBeforeLastDrained, termWhileStarting,
-	hupWhileStarting, configChange, configFailure, drainUnacknowledged, paused, rigLagged,
+	hupWhileStarting, configChange, configFailure, drainUnacknowledged, deregisteredAtCore,
+	lateHeartbeat, paused, rigLagged,
 }
 
 // soakCounts counts the occurrences of hard cases and events.
@@ -338,12 +341,13 @@
 
 // startClients starts the clients of all sidecars.
 func (r *soakRig) startClients() {
-	clients := len(soakBehaviors) * max(1, soakClientsFlag) // per sidecar
+	behaviors := soakBehaviors()
+	clients := len(behaviors) * max(1, soakClientsFlag) // per sidecar
 	for number := range r.sidecars {
 		for i := range clients {
 			random := rand.New(rand.NewPCG(r.seed, uint64(1+number*clients+i)))
 			c := &soakClient{rig: r, sidecar: number, random: random}
-			r.clients.Go(func() { c.run(soakBehaviors[i%len(soakBehaviors)]) })
+			r.clients.Go(func() { c.run(behaviors[i%len(behaviors)]) })
 		}
 	}
 	r.clients.Go(r.readConfig)
--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -70,6 +70,12 @@
 
 // serve executes one request or answers a health check.
 func (u *soakUpstream) serve(w http.ResponseWriter, r *http.Request) {
+	if soakEarlyFlag && r.Header.Get(headers.AttemptID) != "" && r.URL.Path == "/" {
+		if behavior, drawn := drawBehavior(); drawn {
+			u.serveWithBehavior(w, r, behavior)
+			return
+		}
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the sender aborted the request before the end of its body, so the request is not executed
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -136,8 +136,10 @@
 	if r.Status != 0 && !r.OwnResponse {
 		c.report(OwnAnswer, r, r.Ended, "response with status %d belongs to another request", r.Status)
 	}
-	if r.Status == http.StatusOK && len(c.runs[r.ID]) == 0 {
-		c.report(OwnAnswer, r, r.Ended, "response reports success, but no upstream ran the request")
+	succeeded := slices.ContainsFunc(c.runs[r.ID], func(run Run) bool { return !run.Failed })
+	if r.Status/100 == 2 && !succeeded {
+		c.report(OwnAnswer, r, r.Ended, "response with status %d reports success, but none of %d runs succeeded",
+			r.Status, len(c.runs[r.ID]))
 	}
 }
 
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -24,6 +24,13 @@
 	return Run{ID: id, Upstream: 1, Arrived: at, PlannedEnd: at + 50*ms, Ended: at + 50*ms}
 }
 
+// failedRunOf returns a run that its upstream answered with a failure.
+func failedRunOf(id string) Run {
+	run := runOf(id, base)
+	run.Failed = true
+	return run
+}
+
 // unansweredRequest returns a request of sidecar 0 whose connection ended without a response, and its run at
 // upstream 1.
 func unansweredRequest(id string, at, after time.Duration) (Request, Run) {
@@ -173,8 +180,9 @@
 		"rejected and ran": {
 			History{Requests: []Request{rejected}, Runs: []Run{runOf("w", base)}}, RejectedNeverRan,
 		},
-		"response of another":   {History{Requests: []Request{foreign}, Runs: []Run{runOf("r", base)}}, OwnAnswer},
-		"success without a run": {History{Requests: []Request{read}}, OwnAnswer},
+		"response of another":     {History{Requests: []Request{foreign}, Runs: []Run{runOf("r", base)}}, OwnAnswer},
+		"success without a run":   {History{Requests: []Request{read}}, OwnAnswer},
+		"success of a failed run": {History{Requests: []Request{read}, Runs: []Run{failedRunOf(read.ID)}}, OwnAnswer},
 
 		"lost at SIGTERM": {merge(termOfCaller, lost(1, base, 100*ms)), NothingLost},
 		"not forwarded, crossed the close": {
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -33,6 +33,7 @@
 	Arrived    time.Duration // when the upstream had read the request
 	PlannedEnd time.Duration // when the run ends unless it is interrupted
 	Ended      time.Duration // when the upstream answered, or stopped because the connection had ended
+	Failed     bool          // the upstream answered with a failure, or not at all
 	Altered    bool          // its path or body differs from what its client sent
 	Service    string        // service of the upstream
 	Instance   string        // instance ID of the upstream at that time
