A sidecar starts with settings that have no contract on retries

Cause: quota.NewRetryBudget rejects a window of 0, and bounds without retryWindowS have one. Quotas had a default for the same case, retries did not.

Change: without retryWindowS the budget is one retry for five requests in 10 s.

--- a/internal/mesh/sidecar/quota_client.go
+++ b/internal/mesh/sidecar/quota_client.go
@@ -29,6 +29,10 @@
 	// unusedQuotaWindow is the window if the settings have no quotas. The limiter needs a positive window,
 	// although no tokens are requested then.
 	unusedQuotaWindow = time.Second
+	// defaultRetryWindow and defaultRetryRatio are the rules of the retry budget if the settings have none: in each
+	// window, one attempt after a request's first for five requests.
+	defaultRetryWindow = 10 * time.Second
+	defaultRetryRatio  = 0.2
 )
 
 // AllocatePath is the path at which core machines receive requests for tokens.
@@ -98,12 +102,21 @@
 	if err != nil {
 		return nil, err
 	}
-	q.retryBudget, err = quota.NewRetryBudget(quota.RetryBudgetRules{
-		Window: bounds.RetryWindow, Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack,
-	})
+	q.retryBudget, err = quota.NewRetryBudget(retryBudgetRules(bounds))
 	return q, err
 }
 
+// retryBudgetRules returns the rules of the retry budget. Settings without the contract on retries have none, and get
+// the default ones.
+func retryBudgetRules(bounds settings.Bounds) quota.RetryBudgetRules {
+	if bounds.RetryWindow <= 0 {
+		return quota.RetryBudgetRules{Window: defaultRetryWindow, Ratio: defaultRetryRatio}
+	}
+	return quota.RetryBudgetRules{
+		Window: bounds.RetryWindow, Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack,
+	}
+}
+
 // configure applies the tenant limits of a configuration.
 func (q *quotaClient) configure(c *config.Snapshot) {
 	q.mu.Lock()
