A deregistration at a sidecar that knows no upstream yet reaches the core

Cause: the sidecar remembered the instance, but reported nothing: its lease had no upstream.

Change: the deregistered instance becomes the local upstream, in state deregistered, unless a core machine lists another instance behind this gate; the next lease reports it.

--- a/internal/mesh/sidecar/deregistration_test.go
+++ b/internal/mesh/sidecar/deregistration_test.go
@@ -70,18 +70,21 @@
 	}
 }
 
+// lists reports whether a core machine has pushed an entry for an instance.
+func (e *endpoints) lists(instance string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, listed := e.upstreams[instance]
+	return listed
+}
+
 // Guards against requests for an upstream whose deregistration a core machine has acknowledged, because its own sidecar
 // did not receive the call: the sidecar went on sending it the requests of its own machine.
 func TestDeregistrationAtCoreEndsLocalUpstream(t *testing.T) {
 	core, address := startTestCore(t)
 	s := startTestSidecar(t, address)
 	postHeartbeat(s, "i-1", "ready", 1)
-	awaitCondition(t, "the core machine lists the upstream", func() bool {
-		s.endpoints.mu.Lock()
-		defer s.endpoints.mu.Unlock()
-		_, listed := s.endpoints.upstreams["i-1"]
-		return listed
-	})
+	awaitCondition(t, "the core machine lists the upstream", func() bool { return s.endpoints.lists("i-1") })
 	if err := core.Heartbeat(registry.Upstream{Instance: "i-1", State: registry.Deregistered}); err != nil {
 		t.Fatal(err)
 	}
@@ -117,6 +120,36 @@
 	}
 }
 
+// Guards against requests of other sidecars for an upstream that deregisters at its own sidecar right after a restart,
+// before the sidecar knows it: the core machines were not told, and listed it as ready until it expired.
+func TestDeregistrationAtRestartedSidecarReachesCore(t *testing.T) {
+	core, address := startTestCore(t)
+	if err := core.Heartbeat(registry.Upstream{Instance: "i-1", Service: "s", Inbound: localInbound, Slots: 4}); err != nil {
+		t.Fatal(err)
+	}
+	s := startTestSidecar(t, address)
+	awaitCondition(t, "the core machine lists the upstream", func() bool { return s.endpoints.lists("i-1") })
+	if w := post(s, "/api/instances/i-1/deregister", ""); w.Code != http.StatusOK {
+		t.Fatalf("the deregistration has status %d, want 200", w.Code)
+	}
+	awaitCondition(t, "the core machine lists the upstream no more", func() bool { return !s.endpoints.lists("i-1") })
+	postHeartbeat(s, "i-2", "ready", 1)
+	if local := s.endpoints.localUpstream(); local.Instance != "i-2" || local.State != registry.Ready {
+		t.Errorf("the local upstream is %+v, want i-2, ready", local)
+	}
+}
+
+// A late deregistration of a former instance does not hide the instance that a core machine lists beside this sidecar.
+func TestLateDeregistrationHidesNoOtherInstance(t *testing.T) {
+	e := newEndpoints(nil, localInbound)
+	e.apply(true, []registry.Upstream{testUpstream("i-2", localInbound, registry.Ready, 1)}, nil)
+	e.recordDeregistration("i-1")
+	if local := e.localUpstream(); local != nil || !e.hasReady() {
+		t.Errorf("the deregistration of i-1 changed the local upstream to %+v; i-2 is listed as ready: %v",
+			local, e.hasReady())
+	}
+}
+
 // A sidecar without a core machine accepts a new instance at once.
 func TestNewInstanceIsAcceptedWithoutCore(t *testing.T) {
 	s := newTestSidecar(t)
--- a/internal/mesh/sidecar/endpoints.go
+++ b/internal/mesh/sidecar/endpoints.go
@@ -157,11 +157,27 @@
 	return true
 }
 
-// deregister records that an instance has ended. It returns false if that changes nothing: the instance is not the local
-// upstream, or has been recorded as ended before.
+// deregister records that an instance has ended. It returns false if that changes nothing: another instance is the local
+// upstream, or the instance has been recorded as ended before.
 func (e *endpoints) deregister(instance string) (changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.deregisterLocked(instance)
+}
+
+// recordDeregistration records that an instance has deregistered at this sidecar. If the sidecar has just started and
+// knows no upstream yet, the instance becomes its local upstream, so that the next lease reports the deregistration.
+func (e *endpoints) recordDeregistration(instance string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.local == nil && !e.listsOtherLocal(instance) {
+		e.local = &registry.Upstream{Instance: instance, State: registry.Deregistered}
+	}
+	e.deregisterLocked(instance)
+}
+
+// deregisterLocked implements deregister. The caller holds mu.
+func (e *endpoints) deregisterLocked(instance string) (changed bool) {
 	e.rememberDeregistered(instance)
 	if e.local != nil && e.local.Instance == instance && e.local.State != registry.Deregistered {
 		local := *e.local
@@ -176,6 +192,17 @@
 	return changed
 }
 
+// listsOtherLocal reports whether a core machine lists another instance than the given one behind this sidecar's gate.
+// The caller holds mu.
+func (e *endpoints) listsOtherLocal(instance string) bool {
+	for _, u := range e.upstreams {
+		if u.Inbound == e.inboundAddress && u.Instance != instance {
+			return true
+		}
+	}
+	return false
+}
+
 // rememberDeregistered records a former local instance, so that recordHeartbeat ignores its late heartbeats. The
 // caller holds mu.
 func (e *endpoints) rememberDeregistered(instance string) {
--- a/internal/mesh/sidecar/heartbeat.go
+++ b/internal/mesh/sidecar/heartbeat.go
@@ -63,7 +63,7 @@
 
 // Deregister records that a local instance has ended; it implements api.UpstreamHandler.
 func (s *Sidecar) Deregister(instance string) error {
-	s.endpoints.deregister(instance)
+	s.endpoints.recordDeregistration(instance)
 	s.publishUpstream()
 	return nil
 }
