Soak: a processor quota continues a process while the process before it counts as frozen

Cause: "sidecar 2 still runs 3s after SIGTERM" with processor quotas. A freeze event marked the machine, not the process. If the sidecar was started anew meanwhile, limitCPU stopped the new process for its quota and did not continue it, as the machine was still marked; the event's SIGCONT went to the process before.

Change: the mark names the process. A fault of the rig; the mesh's code is the same.

--- a/cmd/measure/soak_quota.go
+++ b/cmd/measure/soak_quota.go
@@ -44,7 +44,7 @@
 		}
 		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(time.Until(end))
-		if !m.frozen.Load() {
+		if m.frozen.Load() != p {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		}
 	}
--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -137,11 +137,11 @@
 	mu       sync.Mutex // held while the process is stopped and started again
 	process  atomic.Pointer[process]
 	draining atomic.Bool
-	killed   atomic.Bool  // the process was sent SIGKILL
-	frozen   atomic.Bool  // a freeze event has stopped the process with SIGSTOP
-	started  atomic.Int64 // start of the process, as a time.Duration since the start of the run
-	earlyHUP atomic.Bool  // the process was sent SIGHUP within soakStartTime, when it may not handle signals yet
-	series   atomic.Int32 // number of series of events that are restarting the process or wait to do so
+	killed   atomic.Bool             // the process was sent SIGKILL
+	frozen   atomic.Pointer[process] // stopped with SIGSTOP by a freeze event, which continues it; nil: none
+	started  atomic.Int64            // start of the process, as a time.Duration since the start of the run
+	earlyHUP atomic.Bool             // the process was sent SIGHUP within soakStartTime, when it may not handle signals yet
+	series   atomic.Int32            // number of series of events that are restarting the process or wait to do so
 }
 
 func (r *soakRig) since() time.Duration { return time.Since(r.begun) }
--- a/cmd/measure/soak_trouble.go
+++ b/cmd/measure/soak_trouble.go
@@ -151,12 +151,12 @@
 	r.forEachSidecar(e, func(m *soakMachine) {
 		end := r.disturb(soak.Machine(m.number), soak.Fault)
 		defer end()
-		process := m.process.Load().cmd.Process
-		m.frozen.Store(true)
-		defer m.frozen.Store(false)
-		_ = process.Signal(syscall.SIGSTOP)
+		frozen := m.process.Load()
+		m.frozen.Store(frozen)
+		defer m.frozen.CompareAndSwap(frozen, nil) // a later event may have frozen the next process
+		_ = frozen.cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(e.For)
-		_ = process.Signal(syscall.SIGCONT)
+		_ = frozen.cmd.Process.Signal(syscall.SIGCONT)
 	})
 }
 
