--- a/internal/proxy/transport/http1/request_writer.go
+++ b/internal/proxy/transport/http1/request_writer.go
@@ -122,23 +122,23 @@
 
 // sendUpload claims the rest of a streamed body and writes it. It returns the response of a server that responds before
 // the end of the body.
-func (w *requestWriter) sendUpload(responses *responseReader, timeout time.Duration) (*response, error) {
+func (w *requestWriter) sendUpload(responses *responseReader, timeout time.Duration) (response, error) {
 	if !w.message.Upload.Claim() {
-		return nil, errUploadClaimed
+		return response{}, errUploadClaimed
 	}
 	return w.writeUpload(responses, timeout)
 }
 
 // writeUpload writes the rest of a body that is forwarded while it is received. If the server sends its final response
 // before the end of the body, writeUpload stops and returns that response.
-func (w *requestWriter) writeUpload(responses *responseReader, timeout time.Duration) (*response, error) {
+func (w *requestWriter) writeUpload(responses *responseReader, timeout time.Duration) (response, error) {
 	upload := w.message.Upload
 	chunked := upload.Length < 0
 	window := stream.AcquireWindow()
 	defer stream.ReleaseWindow(window)
 	for {
 		n, sourceErr := upload.Read(window[h1.ChunkPrefixBytes : stream.WindowSize-h1.ChunkSuffixBytes])
-		if early, err := w.readEarly(responses, timeout); early != nil || err != nil {
+		if early, err := w.readEarly(responses, timeout); early.received() || err != nil {
 			return early, err
 		}
 		if n > 0 {
@@ -154,7 +154,7 @@
 			break
 		}
 		if sourceErr != nil {
-			return nil, errors.Join(errUploadSource, sourceErr)
+			return response{}, errors.Join(errUploadSource, sourceErr)
 		}
 	}
 	if chunked {
@@ -163,29 +163,29 @@
 		}
 	}
 	w.complete = true
-	return nil, nil
+	return response{}, nil
 }
 
-// readEarly reads what the server has sent before the end of the body. It returns nil if that is not the final response
-// to the request: an interim response, or a late second response to an earlier request.
-func (w *requestWriter) readEarly(responses *responseReader, timeout time.Duration) (*response, error) {
+// readEarly reads what the server has sent before the end of the body. It returns no response if that is not the final
+// response to the request: an interim response, or a late second response to an earlier request.
+func (w *requestWriter) readEarly(responses *responseReader, timeout time.Duration) (response, error) {
 	for responses.hasInput() {
 		until := w.transport.clock.Now() + timeout
 		_ = w.conn.SetReadDeadline(w.transport.clock.At(until))
-		if early, err := responses.next(until); early != nil || err != nil {
+		if early, err := responses.next(until); early.received() || err != nil {
 			return early, err
 		}
 	}
-	return nil, nil
+	return response{}, nil
 }
 
 // readAfterFailure returns the response of a server that has closed the connection after its response, or the error of
 // the write that failed.
 func (w *requestWriter) readAfterFailure(
 	responses *responseReader, timeout time.Duration, writeErr error,
-) (*response, error) {
+) (response, error) {
 	early, err := w.readEarly(responses, timeout)
-	if early == nil && err == nil {
+	if !early.received() && err == nil {
 		err = writeErr
 	}
 	return early, err
--- a/internal/proxy/transport/http1/response.go
+++ b/internal/proxy/transport/http1/response.go
@@ -28,12 +28,16 @@
 	errNoFinalResponse = errors.New("no final response among the first 8 responses read")
 )
 
-// response is a response that was read completely, or whose head has a responseStream as its Body.
+// response is a response that was read completely, or whose head has a responseStream as its Body. The zero value stands
+// for no response.
 type response struct {
 	head *http.Response
 	body []byte
 }
 
+// received reports whether there is a response.
+func (r response) received() bool { return r.head != nil }
+
 // responseReader reads the response to one request from its connection.
 type responseReader struct {
 	transport *Transport
@@ -54,36 +58,36 @@
 func (r *responseReader) hasInput() bool { return r.conn.reader.Buffered() > 0 || r.conn.hasInput() }
 
 // read reads the final response to the request.
-func (r *responseReader) read(until time.Duration) (*response, error) {
+func (r *responseReader) read(until time.Duration) (response, error) {
 	for {
-		if res, err := r.next(until); res != nil || err != nil {
+		if res, err := r.next(until); res.received() || err != nil {
 			return res, err
 		}
 	}
 }
 
 // next reads one response. It discards an interim response, and one that belongs to an earlier request or to none, and
-// then returns nil.
-func (r *responseReader) next(until time.Duration) (*response, error) {
+// then returns no response.
+func (r *responseReader) next(until time.Duration) (response, error) {
 	if r.remaining--; r.remaining < 0 {
-		return nil, errNoFinalResponse
+		return response{}, errNoFinalResponse
 	}
 	head, err := http.ReadResponse(r.conn.reader, r.request)
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
 	switch {
 	case !h1.IsStatus(head.StatusCode): // net/http accepts every three digits
-		return nil, errNoStatus
+		return response{}, errNoStatus
 	case head.StatusCode/100 == 1:
-		return nil, nil
+		return response{}, nil
 	}
 	mayStream := r.message.Stream && head.StatusCode == http.StatusOK
 	dialect, isProbe := r.transport.dialect, r.message.Header == nil
 	if dialect != nil && !isProbe {
 		if !dialect.MatchesRequest(r.message, head) {
 			_, err := io.Copy(io.Discard, head.Body)
-			return nil, err
+			return response{}, err
 		}
 		// A response with neither a length nor chunks ends when its connection closes, so truncation is undetectable.
 		isFramed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
@@ -92,9 +96,9 @@
 	}
 	head, body, err := r.conn.readResponseBody(r.transport, head, mayStream, until)
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
-	return &response{head: head, body: body}, nil
+	return response{head: head, body: body}, nil
 }
 
 // readResponseBody reads or streams the body of a response whose head was read.
--- a/internal/proxy/transport/http1/roundtrip.go
+++ b/internal/proxy/transport/http1/roundtrip.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return nil, nil, t.abortRequest(x, w, err)
 		}
-		if early != nil {
+		if early.received() {
 			return t.finishEarly(x, w, early)
 		}
 		until = t.clock.Now() + timeout // the time-out of the response starts at the last byte of the request
@@ -128,7 +128,7 @@
 // finishEarly returns a response that the server has sent before the end of the request. The connection is not reused, as
 // the server may still expect the rest of the request there.
 func (t *Transport) finishEarly(
-	x *exchange, w *requestWriter, early *response,
+	x *exchange, w *requestWriter, early response,
 ) (*http.Response, []byte, policy.Ending) {
 	early.head.Close = true
 	isStreamed := streamOf(early.head) != nil
