--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -18,9 +16,7 @@
 	"time"
 
 	"caperarch/internal/lab/soak"
-	"caperarch/internal/mesh/rpc"
 	"caperarch/internal/mesh/settings"
-	"caperarch/meshapi"
 )
 
 const (
@@ -48,12 +44,6 @@
 	soakEndSlack = time.Second
 )
 
-// soakServices are the names of the services. soakMovingHost is the host of the moving route: each configuration
-// change switches its target from one service to the other.
-var soakServices = []string{"work", "spare"}
-
-const soakMovingHost = "moving"
-
 // soakRules are the time limits that the recorded history is checked against.
 var soakRules = soak.Rules{
 	ContactWindow: 3 * time.Second, GracePeriod: soakGracePeriod, RouteTimeout: soakTimeout,
@@ -83,54 +73,6 @@
 	counts  soakCounts
 }
 
-// hardCase is the name, in the report, of a situation whose occurrences are counted.
-type hardCase string
-
-// The hard cases, the configuration changes, and the delays of the measuring process.
-const (
-	hupInDrain            hardCase = "SIGHUP within a drain"
-	changeInDrain         hardCase = "change within a drain"
-	secondTerm            hardCase = "second SIGTERM"
-	seriesOnOneSidecar    hardCase = "two series on one sidecar"
-	termBeforeLastDrained hardCase = "SIGTERM before the last has drained"
-	termWhileStarting     hardCase = "SIGTERM within the start"
-	hupWhileStarting      hardCase = "SIGHUP within the start, which ended the process"
-	drainUnacknowledged   hardCase = "drains that nobody acknowledged"
-	deregisteredAtCore    hardCase = "deregistrations at a core member"
-	lateHeartbeat         hardCase = "late heartbeats of deregistered upstreams"
-	paused                hardCase = "pauses of a process"
-	rigLagged             hardCase = "measuring process without a processor"
-	configChange          hardCase = "configuration changes"
-	configFailure         hardCase = "changes without a clear answer"
-)
-
-// hardCases lists all values of hardCase.
-var hardCases = []hardCase{
-	hupInDrain, changeInDrain, secondTerm, seriesOnOneSidecar, termBeforeLastDrained, termWhileStarting,
-	hupWhileStarting, configChange, configFailure, drainUnacknowledged, deregisteredAtCore,
-	lateHeartbeat, paused, rigLagged,
-}
-
-// soakCounts counts the occurrences of hard cases and events.
-type soakCounts struct {
-	Cases  map[hardCase]int
-	Events map[soak.Kind]int
-}
-
-func newSoakCounts() soakCounts {
-	return soakCounts{Cases: make(map[hardCase]int), Events: make(map[soak.Kind]int)}
-}
-
-// add adds the counts of another run.
-func (c soakCounts) add(one soakCounts) {
-	for name, n := range one.Cases {
-		c.Cases[name] += n
-	}
-	for kind, n := range one.Events {
-		c.Events[kind] += n
-	}
-}
-
 // soakMachine is the machine of a sidecar: a loopback address, and the sidecar process that currently runs there.
 type soakMachine struct {
 	number   int
@@ -193,44 +135,6 @@
 	r.faults = append(r.faults, fmt.Sprintf("at %v ", r.since().Round(time.Millisecond))+fmt.Sprintf(format, args...))
 }
 
-// soakRoute is a route of the soak test's configuration.
-type soakRoute struct {
-	host, kind string
-	target     string // name of the target service; "": both services, weighted by their numbers of upstreams
-}
-
-// soakResources returns the soak test's configuration: the services, a route for idempotent requests, a route for
-// non-idempotent requests, and the moving route, whose only target is the service named moved.
-func soakResources(latencyTarget float64, moved string) (all []json.RawMessage) {
-	for _, service := range soakServices {
-		all = append(all, json.RawMessage(fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},`+
-			`"specification":{"healthCheckPath":"/health","maxConnections":130,"protocol":"h1","tlsEnabled":false}}`, service)))
-	}
-	for _, route := range []soakRoute{
-		{host: "read", kind: "idempotent"}, {host: "write", kind: "non_idempotent"},
-		{host: soakMovingHost, kind: "idempotent", target: moved},
-	} {
-		targets := fmt.Sprintf(`"serviceName":"%s"`, route.target)
-		if route.target == "" {
-			targets = fmt.Sprintf(`"weightedTargets":[{"serviceName":"%s","weight":2},{"serviceName":"%s","weight":1}]`,
-				soakServices[0], soakServices[1])
-		}
-		all = append(all, json.RawMessage(fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s"},`+
-			`"specification":{"hostname":"%s.soak.example","pathPrefix":"/","routeType":"%s","timeoutS":%d,`+
-			`"targetLatencyS":%g,%s,"maxAttempts":2,"public":true}}`,
-			route.host, route.host, route.kind, int(soakTimeout.Seconds()), latencyTarget, targets)))
-	}
-	return all
-}
-
-// soakServiceOf returns the service of the upstream with a number. Every third upstream belongs to the second service.
-func soakServiceOf(number int) string {
-	if number%3 == 2 {
-		return soakServices[1]
-	}
-	return soakServices[0]
-}
-
 // startSoakRig starts the core, the upstreams and the sidecars, and returns once each sidecar has served a request.
 func startSoakRig(c cleanups, binary string, seed uint64, sidecars int) (*soakRig, error) {
 	core, err := startMeshCoreIn(c, binary, soakNetwork(seed), soakCore)
@@ -371,31 +275,6 @@
 	}
 }
 
-// soakDescription is the part of a sidecar's description of its configuration that readConfig uses.
-type soakDescription struct {
-	ConfigVersion int64 `json:"configVersion"`
-}
-
-// readConfig reads the configuration version from randomly chosen sidecars until the rig stops.
-func (r *soakRig) readConfig() {
-	random := rand.New(rand.NewPCG(r.seed, 0))
-	for !r.stopping.Load() {
-		time.Sleep(soakReadPause)
-		read := soak.Read{Sidecar: random.IntN(len(r.sidecars)), Sent: r.since()}
-		address := net.JoinHostPort(r.host(read.Sidecar), strconv.Itoa(r.core.control))
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		answer, err := rpc.Get[soakDescription](ctx, r.core.client, "http://"+address+meshapi.DescribePath)
-		cancel()
-		if err != nil {
-			continue // a 5xx status or a timeout guarantees nothing about the version
-		}
-		read.Answered, read.Version = r.since(), answer.ConfigVersion
-		r.mu.Lock()
-		r.history.Reads = append(r.history.Reads, read)
-		r.mu.Unlock()
-	}
-}
-
 // awaitExit waits until a process that was sent SIGTERM has exited. Unless a fault has affected its machine since then,
 // the process has to exit with status 0 within its grace period.
 func (r *soakRig) awaitExit(m *soakMachine, terminatedAt time.Duration) {
