The plug-in returns no failure without its body

Callers saw: a server's 5xx with a body of over 64 KiB came out of RoundTrip with Content-Length 0 and an empty body, as if the server had sent none.

Cause: the transport needs only the head of a failure whose body is longer than its buffer, and the RoundTripper built a response from it. Found while looking for other places that pass on an answer without its body.

Change: a failure whose Content-Length differs from the body at hand is returned as a FailedError, which has its status.

--- a/plugin/roundtrip.go
+++ b/plugin/roundtrip.go
@@ -19,7 +19,8 @@
 //
 // RoundTrip returns a server's response of status 200. If a call fails before its deadline with another status,
 // RoundTrip returns the last response of a server, except for statuses below 300 and for 429 and 503: many clients
-// repeat a request after a 429 or 503, but the call may have run. In all other cases it returns an error of Client.Do.
+// repeat a request after a 429 or 503, but the call may have run. It does not return a response whose body exceeds
+// MaxBody. In all other cases it returns an error of Client.Do.
 func (c *Client) RoundTripper() http.RoundTripper { return roundTripper{c} }
 
 type roundTripper struct{ client *Client }
@@ -66,15 +67,22 @@
 		return response(req, http.StatusOK, answer.Header, answer.Body), nil
 	}
 	var failed *FailedError
-	if errors.As(err, &failed) && failed.Cause == nil && !failed.TimedOut && isForwardable(failed.Status) {
+	if errors.As(err, &failed) && failed.Cause == nil && !failed.TimedOut && isForwardable(failed) {
 		return response(req, failed.Status, failed.Header, failed.Body), nil
 	}
 	return nil, err
 }
 
-// isForwardable reports whether RoundTrip returns a server's response of this status to the caller of a failed call.
-func isForwardable(status int) bool {
-	return status >= 300 && status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable
+// isForwardable reports whether RoundTrip returns a server's response to the caller of a failed call. The body of a
+// failure may be missing, because it is too long for the client's buffer.
+func isForwardable(failed *FailedError) bool {
+	switch failed.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+	length := failed.Header.Get("Content-Length")
+	hasBody := length == "" || length == strconv.Itoa(len(failed.Body))
+	return failed.Status >= 300 && hasBody
 }
 
 // requestBody reads the body of a request and rejects a body of more than MaxBody bytes.
--- a/plugin/roundtrip_test.go
+++ b/plugin/roundtrip_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -105,3 +107,35 @@
 		t.Errorf("%d invalid requests were sent, want 0", l.Len())
 	}
 }
+
+// Guards against a failure that looks complete without its body: a failure whose body is too long for the client's buffer
+// was returned with an empty body.
+func TestFailureWithLongBodyIsAnError(t *testing.T) {
+	for _, length := range []int{10, MaxBody, MaxBody + 1} {
+		address := testbed.NewHandler(t, func(c net.Conn, r *http.Request) bool {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return false
+			}
+			body := strings.Repeat("x", length)
+			_, err := fmt.Fprintf(c, "HTTP/1.1 500 X\r\nContent-Length: %d\r\n\r\n%s", length, body)
+			return err == nil
+		})
+		cfg := testConfig()
+		cfg.Known = []Node{{ID: "s-0", Address: address, Weight: 1}}
+		cfg.Methods = map[string]Method{"/ledger.v1.Ledger/Enter": {Class: "entry"}}
+		client := http.Client{Transport: mustOpen(t, cfg).RoundTripper()}
+		res, err := client.Post("http://ledger/ledger.v1.Ledger/Enter", "text/plain", strings.NewReader("1"))
+		if length > MaxBody {
+			if !errors.As(err, new(*FailedError)) {
+				t.Errorf("a failure of %d bytes: response %v, error %v, want a FailedError", length, res, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(res.Body); err != nil || len(body) != length {
+			t.Errorf("a failure of %d bytes arrived with %d bytes, error %v", length, len(body), err)
+		}
+	}
+}
