Test: a reset after each byte of a request proves nothing once the head has arrived

Cause: the tests of ProcessingStart reset a connection at one place within the head and one within the body.

Change: TestResetAfterEachByteOfARequest resets it after each byte; an ending that says "not processed" needs a head that the server has not received whole.

--- a/internal/proxy/transport/http1/processing_start_test.go
+++ b/internal/proxy/transport/http1/processing_start_test.go
@@ -149,6 +149,54 @@
 	}
 }
 
+// A connection that is reset after any byte of a request proves that the request was not processed only if the server has
+// not received the whole head.
+func TestResetAfterEachByteOfARequest(t *testing.T) {
+	u := newAfterHeadTransport(t)
+	u.connsBreakOften.Store(true)
+	u.startDelay = 50 * time.Millisecond // so that a reset within the head arrives in time on a busy machine
+	m := testMessage("1")
+	request := u.encodeRequest(u.Server("").(*host), m, testbed.MaxWait)
+	proofs := 0
+	for received := 1; received <= len(request.bytes); received++ {
+		address := resetAfter(t, received)
+		ending := exchangeWith(t, u, address, m).Ending
+		if ending.NeverRan() {
+			proofs++
+		}
+		if ending.NeverRan() && received >= request.headBytes {
+			t.Errorf("reset after %d bytes, of which %d are the head: ended as %v, which proves that it was not processed",
+				received, request.headBytes, ending)
+		}
+	}
+	if proofs == 0 {
+		t.Error("no reset within the head was taken as a proof")
+	}
+}
+
+// resetAfter starts a server that resets each connection once it has received the given number of bytes, and returns its
+// address.
+func resetAfter(t *testing.T, received int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, received))
+			reset(c)
+			c.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // Guards against answering that a request has not run although its server had begun to process it: a failure between the
 // head and the last byte of the body proves nothing.
 func TestBreakAfterHeadProvesNothing(t *testing.T) {
