--- a/cmd/measure/soak_rig.go
+++ b/cmd/measure/soak_rig.go
@@ -82,7 +82,7 @@
 	killed   atomic.Bool             // the process was sent SIGKILL
 	frozen   atomic.Pointer[process] // stopped with SIGSTOP by a freeze event, which continues it; nil: none
 	started  atomic.Int64            // start of the process, as a time.Duration since the start of the run
-	earlyHUP atomic.Bool             // the process was sent SIGHUP within soakStartTime, when it may not handle signals yet
+	earlyHUP atomic.Bool             // the process was sent SIGHUP within soakStartTime, before it handles signals
 	series   atomic.Int32            // number of series of events that are restarting the process or wait to do so
 }
 
--- a/internal/mesh/sidecar/at_most_once_test.go
+++ b/internal/mesh/sidecar/at_most_once_test.go
@@ -228,7 +228,8 @@
 		}, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			all, _, err := sendWithFault(t, faultPlan{}, testUpstreams{respond: c.upstreams}, nonIdempotentOneByOne, "a", "b", "c")
+			upstreams := testUpstreams{respond: c.upstreams}
+			all, _, err := sendWithFault(t, faultPlan{}, upstreams, nonIdempotentOneByOne, "a", "b", "c")
 			for _, got := range all {
 				if err != nil || got.status != c.want {
 					t.Fatalf("responses %+v, error %v; want the case's status for each and no error", all, err)
@@ -238,8 +239,8 @@
 	}
 }
 
-// Guards against replacing an upstream's own failure by one of the gate: the failure of a request whose body is streamed
-// reached its client as 502, without the upstream's signature and body.
+// Guards against replacing an upstream's own failure by one of the gate: the failure of a request whose body is
+// streamed reached its client as 502, without the upstream's signature and body.
 func TestFailureOfStreamedRequestIsForwarded(t *testing.T) {
 	failing := testUpstreams{respond: func(_, id string, _ int) (bool, string, bool) {
 		fields := idField(id) + headers.Signature + ": " + signatureOf(id) + "\r\nContent-Length: 6\r\n"
@@ -248,9 +249,11 @@
 	for _, id := range []string{"short", "long", "very long"} {
 		all, _, err := sendWithFault(t, faultPlan{}, failing, nonIdempotentOneByOne, id)
 		got := all[0]
-		isForwarded := got.status == http.StatusInternalServerError && got.signature == signatureOf(id) && got.body == "failed"
-		if err != nil || !isForwarded {
-			t.Errorf("%s: received %+v, error %v; want the upstream's response", id, got, err)
+		want := clientResult{
+			id: id, status: http.StatusInternalServerError, responseID: id, signature: signatureOf(id), body: "failed",
+		}
+		if err != nil || got != want {
+			t.Errorf("received %+v, error %v; want the upstream's response %+v", got, err, want)
 		}
 	}
 }
--- a/internal/mesh/sidecar/deregistration_test.go
+++ b/internal/mesh/sidecar/deregistration_test.go
@@ -124,7 +124,7 @@
 // before the sidecar knows it: the core machines were not told, and listed it as ready until it expired.
 func TestDeregistrationAtRestartedSidecarReachesCore(t *testing.T) {
 	core, address := startTestCore(t)
-	if err := core.Heartbeat(registry.Upstream{Instance: "i-1", Service: "s", Inbound: localInbound, Slots: 4}); err != nil {
+	if err := core.Heartbeat(testUpstream("i-1", localInbound, registry.Ready, 1)); err != nil {
 		t.Fatal(err)
 	}
 	s := startTestSidecar(t, address)
--- a/internal/mesh/sidecar/endpoints.go
+++ b/internal/mesh/sidecar/endpoints.go
@@ -157,8 +157,8 @@
 	return true
 }
 
-// deregister records that an instance has ended. It returns false if that changes nothing: another instance is the local
-// upstream, or the instance has been recorded as ended before.
+// deregister records that an instance has ended. It returns false if that changes nothing: another instance is the
+// local upstream, or the instance has been recorded as ended before.
 func (e *endpoints) deregister(instance string) (changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/mesh/watch/client.go
+++ b/internal/mesh/watch/client.go
@@ -15,8 +15,8 @@
 	"caperarch/internal/mesh/registry"
 )
 
-// ClientConfig configures a Client. All fields but Zone, Seeds, Services and OnDeregistered are required. Run calls OnConfig
-// and OnRegistry, one at a time.
+// ClientConfig configures a Client. All fields but Zone, Seeds, Services and OnDeregistered are required. Run calls
+// OnConfig and OnRegistry, one at a time.
 type ClientConfig struct {
 	Node string
 	// Incarnation identifies this run of the process and should grow with each run, for example the start
--- a/internal/mesh/watch/server_lease.go
+++ b/internal/mesh/watch/server_lease.go
@@ -75,7 +75,8 @@
 // deregisteredInstances returns the instances of a lease request that were deregistered: an upstream that could not
 // reach its own sidecar has deregistered at a core machine, or its sidecar has restarted since. s.mu is held.
 func (s *Server) deregisteredInstances(request *leaseRequest) (deregistered []string) {
-	if up := request.Lease.Upstream; up != nil && up.State != registry.Deregistered && s.table.IsDeregistered(up.Instance) {
+	up := request.Lease.Upstream
+	if up != nil && up.State != registry.Deregistered && s.table.IsDeregistered(up.Instance) {
 		deregistered = append(deregistered, up.Instance)
 	}
 	if request.NewInstance != "" && s.table.IsDeregistered(request.NewInstance) {
--- a/internal/proxy/engine/engine_test.go
+++ b/internal/proxy/engine/engine_test.go
@@ -26,7 +26,10 @@
 		t.Fatal(err)
 	}
 	c := clock.New()
-	transport := http1.New(http1.Config{Clock: c, DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.ConnIdle, MaxConns: 96, ProcessingStart: http1.AfterLastByte})
+	transport := http1.New(http1.Config{
+		Clock: c, DialTimeout: cfg.DialTimeout, IdleTimeout: cfg.ConnIdle, MaxConns: 96,
+		ProcessingStart: http1.AfterLastByte,
+	})
 	e, err := New(Config{Policy: cfg.Policy, Seed: cfg.Seed, Clock: c, Transport: transport, Log: slog.Default()})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/proxy/front/http1/front_bench_test.go
+++ b/internal/proxy/front/http1/front_bench_test.go
@@ -29,7 +29,8 @@
 // benchmarkRequests repeatedly sends the same batch of requests on one kept connection and reads the responses.
 func benchmarkRequests(b *testing.B, batch string, perBatch int) {
 	b.Helper()
-	target := &Target{Engine: &instantEngine{call.Answer{Kind: call.Served, Status: http.StatusOK, Body: []byte("done")}}, MaxBodyBytes: 1 << 20}
+	answer := call.Answer{Kind: call.Served, Status: http.StatusOK, Body: []byte("done")}
+	target := &Target{Engine: &instantEngine{answer}, MaxBodyBytes: 1 << 20}
 	front := New(Config{
 		Route: RouteTo(target), ConnLimits: NewConnLimits(64, 64),
 		Linger: time.Millisecond, Log: slog.New(slog.DiscardHandler),
--- a/internal/proxy/front/http1/response.go
+++ b/internal/proxy/front/http1/response.go
@@ -30,8 +30,8 @@
 	return false
 }
 
-// respondEarly writes the response to a request whose body is incomplete, after which the connection closes. Meanwhile it
-// discards the rest of the body: a client may read the response only after it has sent the complete body.
+// respondEarly writes the response to a request whose body is incomplete, after which the connection closes. Meanwhile
+// it discards the rest of the body: a client may read the response only after it has sent the complete body.
 func (c *conn) respondEarly(reply *call.Answer) {
 	c.buffers.head.Close = true // the start of the next request is unknown
 	_ = c.netConn.SetReadDeadline(time.Time{})
--- a/internal/proxy/front/http1/response_test.go
+++ b/internal/proxy/front/http1/response_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// Guards against a response that nobody reads: a client that reads only after it has sent its whole body blocks while the
-// front sends a long response and leaves the body unread.
+// Guards against a response that nobody reads: a client that reads only after it has sent its whole body blocks while
+// the front sends a long response and leaves the body unread.
 func TestEarlyStreamedResponseReachesClientThatSendsItsBodyFirst(t *testing.T) {
 	const bodyBytes, responseBytes = 32 << 20, 32 << 20
 	engine := newFakeEngine(t, 0, true)
--- a/internal/proxy/transport/http1/processing_start_test.go
+++ b/internal/proxy/transport/http1/processing_start_test.go
@@ -89,8 +89,8 @@
 	return false
 }
 
-// Guards against running a request twice: where connections break often, the response of a server that does not wait for
-// the end of the body was taken for a break before the request was processed, and the request was sent elsewhere.
+// Guards against running a request twice: where connections break often, the response of a server that does not wait
+// for the end of the body was taken for a break before the request was processed, and the request was sent elsewhere.
 func TestResponseBeforeEndOfBodyIsNotABreak(t *testing.T) {
 	address := testbed.NewHandler(t, func(c net.Conn, r *http.Request) bool {
 		_, err := io.CopyN(io.Discard, r.Body, testEarlyBytes)
@@ -149,8 +149,8 @@
 	}
 }
 
-// A connection that is reset after any byte of a request proves that the request was not processed only if the server has
-// not received the whole head.
+// A connection that is reset after any byte of a request proves that the request was not processed only if the server
+// has not received the whole head.
 func TestResetAfterEachByteOfARequest(t *testing.T) {
 	u := newAfterHeadTransport(t)
 	u.connsBreakOften.Store(true)
@@ -174,8 +174,8 @@
 	}
 }
 
-// resetAfter starts a server that resets each connection once it has received the given number of bytes, and returns its
-// address.
+// resetAfter starts a server that resets each connection once it has received the given number of bytes, and returns
+// its address.
 func resetAfter(t *testing.T, received int) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -197,8 +197,8 @@
 	return listener.Addr().String()
 }
 
-// Guards against answering that a request has not run although its server had begun to process it: a failure between the
-// head and the last byte of the body proves nothing.
+// Guards against answering that a request has not run although its server had begun to process it: a failure between
+// the head and the last byte of the body proves nothing.
 func TestBreakAfterHeadProvesNothing(t *testing.T) {
 	tests := map[string]struct {
 		answer func(c net.Conn, r *http.Request) bool
@@ -303,8 +303,8 @@
 	}
 }
 
-// Guards against ending an upload because of bytes that are not its final response: an interim response, or a late second
-// response to an earlier request. The server received no more of the body, and the request timed out.
+// Guards against ending an upload because of bytes that are not its final response: an interim response, or a late
+// second response to an earlier request. The server received no more of the body, and the request timed out.
 func TestUploadContinuesAfterOtherResponses(t *testing.T) {
 	for name, first := range map[string]string{
 		"interim response":              "HTTP/1.1 102 Processing\r\n\r\n",
@@ -331,8 +331,8 @@
 	}
 }
 
-// Guards against taking a spoiled status for a success: the client of a failed request received 200. Digits that form no
-// status of HTTP are no response, so the request may have been processed.
+// Guards against taking a spoiled status for a success: the client of a failed request received 200. Digits that form
+// no status of HTTP are no response, so the request may have been processed.
 func TestNumberThatIsNoStatusIsNoResponse(t *testing.T) {
 	for _, status := range []string{"000", "001", "020", "099", "+20", "600", "999"} {
 		address := testbed.NewHandler(t, func(c net.Conn, r *http.Request) bool {
--- a/internal/proxy/transport/http1/request_writer.go
+++ b/internal/proxy/transport/http1/request_writer.go
@@ -55,10 +55,10 @@
 
 // writeStart writes the head of the request and the part of its body that is buffered.
 //
-// Normally it writes them at once. If the request is to be kept from a broken connection, it delays the byte after which
-// the server may process the request: see delay. If the connection was being closed, or a middlebox had dropped its
-// state, the bytes before cause a reset, which arrives during the delay and proves that the request was not processed.
-// Without the delay the request might have been processed.
+// Normally it writes them at once. If delay returns a time, it writes the last byte that the server needs to process
+// the request, and all bytes behind it, only after that time. If the connection was being closed, or a middlebox had
+// dropped its state, the bytes before cause a reset meanwhile, which proves that the request was not processed. Without
+// the delay the request might have been processed.
 func (w *requestWriter) writeStart() error {
 	if delay := w.delay(); delay > 0 {
 		if err := w.writeUntil(w.bytesBeforeStart()); err != nil {
@@ -99,8 +99,8 @@
 
 // delay returns how long writeStart delays the byte after which the server may process the request; 0: not at all. A
 // request without an effect can be repeated safely and is not delayed. Other requests are delayed if connections break
-// often during requests. A request whose body is streamed is always delayed, unless the server needs the end of the body
-// first: most of its time passes after the start, and its body can't be sent a second time.
+// often during requests. A request whose body is streamed is always delayed, unless the server needs the end of the
+// body first: most of its time passes after the start, and its body can't be sent a second time.
 func (w *requestWriter) delay() time.Duration {
 	t := w.transport
 	if w.message.Method == http.MethodGet || w.conn.raw == nil {
--- a/internal/proxy/transport/http1/response.go
+++ b/internal/proxy/transport/http1/response.go
@@ -28,8 +28,8 @@
 	errNoFinalResponse = errors.New("no final response among the first 8 responses read")
 )
 
-// response is a response that was read completely, or whose head has a responseStream as its Body. The zero value stands
-// for no response.
+// response is a response that was read completely, or whose head has a responseStream as its Body. The zero value
+// stands for no response.
 type response struct {
 	head *http.Response
 	body []byte
--- a/internal/proxy/transport/http1/roundtrip.go
+++ b/internal/proxy/transport/http1/roundtrip.go
@@ -125,8 +125,8 @@
 	c.Conn.Close()
 }
 
-// finishEarly returns a response that the server has sent before the end of the request. The connection is not reused, as
-// the server may still expect the rest of the request there.
+// finishEarly returns a response that the server has sent before the end of the request. The connection is not reused,
+// as the server may still expect the rest of the request there.
 func (t *Transport) finishEarly(
 	x *exchange, w *requestWriter, early response,
 ) (*http.Response, []byte, policy.Ending) {
--- a/plugin/roundtrip_test.go
+++ b/plugin/roundtrip_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// Guards against a failure that looks complete without its body: a failure whose body is too long for the client's buffer
-// was returned with an empty body.
+// Guards against a failure that looks complete without its body: a failure whose body is too long for the client's
+// buffer was returned with an empty body.
 func TestFailureWithLongBodyIsAnError(t *testing.T) {
 	for _, length := range []int{10, MaxBody, MaxBody + 1} {
 		address := testbed.NewHandler(t, func(c net.Conn, r *http.Request) bool {
