--- a/cmd/measure/soak_upstream.go
+++ b/cmd/measure/soak_upstream.go
@@ -43,8 +43,9 @@
 	generation atomic.Int64 // number of the current instance, counted from 0
 	sequence   atomic.Int64 // sequence number of the last heartbeat
 
-	mu     sync.Mutex // guards server
-	server *http.Server
+	mu       sync.Mutex // guards the fields below
+	server   *http.Server
+	listener net.Listener
 }
 
 // start starts the server at the upstream's address.
@@ -55,7 +56,7 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(u.serve)}
 	u.mu.Lock()
-	u.server = server
+	u.server, u.listener = server, listener
 	u.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	return nil
@@ -65,6 +66,7 @@
 func (u *soakUpstream) crash() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.listener.Close() // the server closes it too, but only once the goroutine of Serve has run
 	u.server.Close()
 }
 
