--- a/review/standins2/budget.go
+++ b/review/standins2/budget.go
@@ -79,8 +79,9 @@
 	return response.StatusCode, response.Body.Close()
 }
 
-// budgetCase crashes the one upstream of a service, which starts again with a new id and sends its first heartbeat an interval later, and counts the
-// arrivals of each request after its first.
+// budgetCase is no case but a trial for the report, since the crash takes the service's only upstream, a larger share than
+// srv_crash has. It crashes the upstream, which starts again with a new id and sends its first heartbeat an interval later, and
+// counts the arrivals of each request after its first.
 func budgetCase(rec *record, trouble bool) (string, error) {
 	d, err := newDeployment(rec, []string{"s1", "s2", "s2", "s2"})
 	if err != nil {
