Show that orders under way at once exceed the core's memory

The configuration grows to 13,680 routes by the largest doses of big_config; then eight whole configurations are sent at once, as often as a round of them is answered.

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -11,6 +11,7 @@
 // cases holds the cases by name. Each returns what broke the rule, or nothing.
 var cases = map[string]func(rec *record, trouble bool) (string, error){
 	"growth": growthCase,
+	"orders": ordersCase,
 	"budget": budgetCase,
 }
 
