Review stand-ins end all processes in each case, within 120 s

Cause: a slow start could take a script beyond 120 s, an interrupted or early ended case could leave a process behind that the platform had just started again, and the times of the records, in seconds, read like the begin of an address. Change: one limit for all waits, from the start of the case; no process is started after the end; a signal ends the processes, too; times in milliseconds.

--- a/review/standins2/deployment.go
+++ b/review/standins2/deployment.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -33,6 +34,8 @@
 	coreMachines = 3
 	// startTimeout limits the wait for the deployment to serve.
 	startTimeout = 20 * time.Second
+	// caseLimit limits the waits of a case, from its start. It lies below the 120 s that a script may take.
+	caseLimit = 108 * time.Second
 	// heartbeatInterval is heartbeatIntervalS of the settings.
 	heartbeatInterval = 1300 * time.Millisecond
 )
@@ -65,6 +68,7 @@
 	version   int64
 	mu        sync.Mutex
 	processes []*exec.Cmd
+	ended     bool // no process is started any more
 }
 
 // deployCommands returns the command of each role of the deploy file.
@@ -113,6 +117,7 @@
 	for i, service := range services {
 		d.sidecars = append(d.sidecars, d.newMachine(11+i, "sidecar", service))
 	}
+	d.endOnSignal()
 	return d, nil
 }
 
@@ -212,14 +217,10 @@
 	}
 	defer log.Close()
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
+	exited := make(chan struct{})
+	if err := d.launch(m, command, exited); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	m.command, m.exited, m.firstStart = command, exited, false
-	d.mu.Lock()
-	d.processes = append(d.processes, command)
-	d.mu.Unlock()
 	d.record.printf("start %s, process %d", m.name, command.Process.Pid)
 	go func() {
 		err := command.Wait()
@@ -229,6 +230,41 @@
 	return nil
 }
 
+// launch starts the command of a machine, unless the deployment has ended.
+func (d *deployment) launch(m *machine, command *exec.Cmd, exited chan struct{}) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return fmt.Errorf("the deployment has ended")
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	m.command, m.exited, m.firstStart = command, exited, false
+	d.processes = append(d.processes, command)
+	return nil
+}
+
+// waitLimit returns the time until which the case may wait for a step.
+func (d *deployment) waitLimit() time.Time {
+	limit, end := d.record.begun.Add(caseLimit), time.Now().Add(startTimeout)
+	if limit.Before(end) {
+		return limit
+	}
+	return end
+}
+
+// endOnSignal ends the processes and the case when the case is interrupted.
+func (d *deployment) endOnSignal() {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		d.end()
+		os.Exit(2)
+	}()
+}
+
 // signal sends a signal to the process of a machine.
 func (d *deployment) signal(m *machine, s syscall.Signal) {
 	d.record.printf("signal %q to %s", s, m.name)
@@ -247,7 +283,7 @@
 
 // awaitReady waits until each sidecar is ready.
 func (d *deployment) awaitReady() error {
-	end := time.Now().Add(startTimeout)
+	end := d.waitLimit()
 	for _, m := range d.sidecars {
 		for !d.ready(m) {
 			if time.Now().After(end) {
@@ -278,7 +314,7 @@
 		return err
 	}
 	client := http.Client{Timeout: 2 * time.Second}
-	end := time.Now().Add(startTimeout)
+	end := d.waitLimit()
 	for i := 0; time.Now().Before(end); i++ {
 		url := "http://" + d.core[i%len(d.core)].address(d.ports.control) + "/api/configuration/replace"
 		response, err := client.Post(url, "application/json", bytes.NewReader(body))
@@ -303,6 +339,7 @@
 func (d *deployment) end() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.ended = true
 	for _, command := range d.processes {
 		_ = command.Process.Signal(syscall.SIGCONT)
 		_ = command.Process.Kill()
@@ -312,7 +349,5 @@
 			<-m.exited
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(d.directory)
-	}
+	_ = os.RemoveAll(d.directory)
 }
--- a/review/standins2/memory.go
+++ b/review/standins2/memory.go
@@ -23,8 +23,6 @@
 	routesPerStep = 350
 	// endsOfFault is the number of ends of one process in a day that count as a fault.
 	endsOfFault = 3
-	// dayLength limits the time of a case after its start.
-	dayLength = 111 * time.Second
 )
 
 // platform watches the memory of the processes: it kills one that exceeds its limit and starts it again.
@@ -222,8 +220,7 @@
 	}
 	defer d.end()
 	p := newPlatform(d)
-	begun := time.Now()
-	for number := 1; time.Since(begun) < dayLength && !p.fault(); number++ {
+	for number := 1; rec.since() < caseLimit && !p.fault(); number++ {
 		if !trouble && number > calmChanges {
 			break
 		}
--- a/review/standins2/orders.go
+++ b/review/standins2/orders.go
@@ -48,7 +48,7 @@
 // update adds items to the configuration. It repeats the order unchanged until it is acknowledged.
 func (o *operator) update(items []any) error {
 	d := o.deployment
-	end := time.Now().Add(startTimeout)
+	end := d.waitLimit()
 	for i := 0; time.Now().Before(end); i++ {
 		status, err := o.order(d.core[i%len(d.core)], "update", map[string]any{
 			"configVersion": d.version + 1, "baseVersion": d.version, "upsert": map[string]any{"resources": items},
@@ -69,7 +69,7 @@
 // readVersion reads the version in force from any core machine.
 func (o *operator) readVersion() error {
 	d := o.deployment
-	end := time.Now().Add(startTimeout)
+	end := d.waitLimit()
 	for i := 0; time.Now().Before(end); i++ {
 		var document struct{ ConfigVersion int64 }
 		url := "http://" + d.core[i%len(d.core)].address(d.ports.control) + "/api/configuration/describe"
@@ -112,7 +112,7 @@
 	if !trouble {
 		atOnce = 1
 	}
-	for round := 0; rec.since() < dayLength-orderTimeout && !p.fault() && (trouble || round < calmRounds); round++ {
+	for round := 0; rec.since() < caseLimit-orderTimeout && !p.fault() && (trouble || round < calmRounds); round++ {
 		var orders sync.WaitGroup
 		for number := range atOnce {
 			c.changeTimeout(round*atOnce + number)
--- a/review/standins2/record.go
+++ b/review/standins2/record.go
@@ -26,5 +26,5 @@
 func (r *record) printf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f s  %s\n", r.since().Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.file, "%6d ms  %s\n", r.since().Milliseconds(), fmt.Sprintf(format, args...))
 }
